--- /dev/null
+++ b/include/lupinknot/AppendResult.h
@@ -0,0 +1,22 @@
+// What became of a token, or of an end, that an attempt offered to its generation.
+#pragma once
+
+#include "lupinknot/EnumNames.h"
+
+namespace lupinknot {
+
+enum class AppendResult {
+    Appended,
+    NotCurrentAttempt, // A later attempt has taken over, so this one must be cancelled.
+    WrongPosition, // The current attempt skipped or repeated a position, so it cannot be trusted.
+    AlreadyEnded, // The answer is complete.
+};
+
+inline constexpr std::array<EnumName<AppendResult>, 4> appendResultNames { {
+    { AppendResult::Appended, "appended" },
+    { AppendResult::NotCurrentAttempt, "not-current-attempt" },
+    { AppendResult::WrongPosition, "wrong-position" },
+    { AppendResult::AlreadyEnded, "already-ended" },
+} };
+
+} // namespace lupinknot
--- /dev/null
+++ b/include/lupinknot/Generation.h
@@ -0,0 +1,74 @@
+// One answer, put together from the attempts that run it.
+//
+// The tokens belong to the generation. An attempt is one run on one endpoint; it may append only while it is the
+// current attempt, and only at the generation's present length. A late, crossed or woken attempt therefore cannot
+// repeat, skip or mix tokens:
+//
+//     Generation generation({ .maxTokens = 3 });
+//     AttemptNumber first = generation.beginAttempt();
+//     generation.append(first, 0, { 17, "a" });               // Appended
+//     AttemptNumber second = generation.beginAttempt();       // The first endpoint has died.
+//     generation.append(first, 1, { 99, "x" });               // NotCurrentAttempt
+//     generation.append(second, 1, { 18, "b" });              // Appended
+#pragma once
+
+#include "lupinknot/AppendResult.h"
+#include "lupinknot/FinishReason.h"
+#include "lupinknot/StopMatcher.h"
+#include "lupinknot/Token.h"
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lupinknot {
+
+// Attempts of one generation are numbered from 1; 0 stands for none.
+using AttemptNumber = std::uint32_t;
+
+// What ends an answer other than the model itself.
+struct GenerationLimits {
+    std::size_t maxTokens { 16 };
+    std::vector<std::string> stops;
+};
+
+// Not thread-safe: the owner's lock protects it. Owns its tokens.
+class Generation {
+public:
+    explicit Generation(GenerationLimits);
+
+    // Makes a new attempt the current one; every earlier attempt can append nothing from here on.
+    AttemptNumber beginAttempt();
+    AttemptNumber currentAttempt() const { return m_currentAttempt; }
+
+    // Appends a token of an attempt at a position counted from 0 over the whole answer.
+    AppendResult append(AttemptNumber, std::size_t position, Token);
+
+    // Ends the answer as the model asked for. The position is the length that the attempt believes in.
+    AppendResult finish(AttemptNumber, std::size_t position, FinishReason);
+
+    // Number of tokens that a resumed attempt gets as its prefix.
+    std::size_t length() const { return m_tokens.size(); }
+    // Number of tokens that the caller may see. Smaller than the length only while a stop string may be under way.
+    std::size_t releasedLength() const { return m_releasedLength; }
+    std::size_t remainingTokens() const { return m_limits.maxTokens - m_tokens.size(); }
+    const std::vector<Token>& tokens() const { return m_tokens; }
+    bool isEnded() const { return m_finishReason.has_value(); }
+    std::optional<FinishReason> finishReason() const { return m_finishReason; }
+
+private:
+    std::optional<AppendResult> refusal(AttemptNumber, std::size_t position) const;
+    void releaseSettled();
+    void cutAt(std::size_t textOffset);
+    void end(FinishReason);
+
+    GenerationLimits m_limits;
+    StopMatcher m_stopMatcher;
+    std::vector<Token> m_tokens;
+    std::size_t m_releasedLength { 0 };
+    // Offset in the whole text at which the first token not yet released begins.
+    std::size_t m_releasedOffset { 0 };
+    AttemptNumber m_currentAttempt { 0 };
+    std::optional<FinishReason> m_finishReason;
+};
+
+} // namespace lupinknot
--- /dev/null
+++ b/src/core/SilenceDetector.cpp
@@ -0,0 +1,147 @@
+#include "lupinknot/SilenceDetector.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace lupinknot {
+
+namespace internal {
+
+// The last gaps of an endpoint, oldest overwritten first.
+class GapWindow {
+public:
+    void add(Milliseconds gap)
+    {
+        if (m_gaps.size() < capacity)
+            m_gaps.push_back(gap.count());
+        else
+            m_gaps[m_next] = gap.count();
+        m_next = (m_next + 1) % capacity;
+    }
+    bool isWarm() const { return m_gaps.size() >= warm; }
+    const std::vector<std::int64_t>& gaps() const { return m_gaps; }
+
+private:
+    static constexpr std::size_t capacity = 256;
+    // With fewer gaps than this the distribution says little, and the ceiling holds.
+    static constexpr std::size_t warm = 16;
+
+    std::vector<std::int64_t> m_gaps;
+    std::size_t m_next { 0 };
+};
+
+class FixedDetector final : public SilenceDetector {
+public:
+    explicit FixedDetector(SilenceBounds bounds)
+        : m_bounds(bounds)
+    {
+    }
+    void observe(Milliseconds) override { }
+    Milliseconds patience() const override { return m_bounds.floor; }
+
+private:
+    SilenceBounds m_bounds;
+};
+
+// Base of the detectors that learn: computes the patience anew after a number of gaps, not after each.
+class LearningDetector : public SilenceDetector {
+public:
+    explicit LearningDetector(SilenceBounds bounds)
+        : m_bounds(bounds)
+        , m_patience(bounds.ceiling)
+    {
+    }
+
+    void observe(Milliseconds gap) override
+    {
+        m_window.add(gap);
+        if (++m_sinceUpdate < updateInterval || !m_window.isWarm())
+            return;
+        m_sinceUpdate = 0;
+        m_patience = std::clamp(estimate(m_window.gaps()), m_bounds.floor, m_bounds.ceiling);
+    }
+
+    Milliseconds patience() const override { return m_patience; }
+
+protected:
+    virtual Milliseconds estimate(const std::vector<std::int64_t>& gaps) const = 0;
+
+private:
+    static constexpr unsigned updateInterval = 16;
+
+    SilenceBounds m_bounds;
+    GapWindow m_window;
+    Milliseconds m_patience;
+    unsigned m_sinceUpdate { 0 };
+};
+
+class QuantileDetector final : public LearningDetector {
+public:
+    using LearningDetector::LearningDetector;
+
+private:
+    static constexpr double quantile = 0.99;
+    static constexpr std::int64_t factor = 3;
+
+    Milliseconds estimate(const std::vector<std::int64_t>& gaps) const override
+    {
+        auto sorted = gaps;
+        const auto rank = static_cast<std::ptrdiff_t>(quantile * static_cast<double>(sorted.size() - 1));
+        std::nth_element(sorted.begin(), sorted.begin() + rank, sorted.end());
+        return Milliseconds { factor * sorted[static_cast<std::size_t>(rank)] };
+    }
+};
+
+class PhiAccrualDetector final : public LearningDetector {
+public:
+    using LearningDetector::LearningDetector;
+
+private:
+    // Standard deviations beyond the mean at which phi is 8, that is a chance of 1e-8 for a normal distribution.
+    static constexpr double deviationsAtPhi8 = 5.61;
+
+    Milliseconds estimate(const std::vector<std::int64_t>& gaps) const override
+    {
+        double sum = 0;
+        double squares = 0;
+        for (const auto gap : gaps) {
+            const auto value = static_cast<double>(gap);
+            sum += value;
+            squares += value * value;
+        }
+        const auto count = static_cast<double>(gaps.size());
+        const auto mean = sum / count;
+        const auto deviation = std::sqrt(std::max(0.0, squares / count - mean * mean));
+        return Milliseconds { std::llround(mean + deviationsAtPhi8 * deviation) };
+    }
+};
+
+template <typename Detector> std::unique_ptr<SilenceDetector> make(SilenceBounds bounds)
+{
+    return std::make_unique<Detector>(bounds);
+}
+
+struct DetectorMaker {
+    DetectorKind kind;
+    std::unique_ptr<SilenceDetector> (*make)(SilenceBounds);
+};
+
+constexpr std::array<DetectorMaker, 3> detectorMakers { {
+    { DetectorKind::Fixed, make<FixedDetector> },
+    { DetectorKind::Quantile, make<QuantileDetector> },
+    { DetectorKind::PhiAccrual, make<PhiAccrualDetector> },
+} };
+
+} // namespace internal
+
+std::unique_ptr<SilenceDetector> makeSilenceDetector(DetectorKind kind, SilenceBounds bounds)
+{
+    for (const auto& maker : internal::detectorMakers) {
+        if (maker.kind == kind)
+            return maker.make(bounds);
+    }
+    return nullptr;
+}
+
+} // namespace lupinknot
--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,145 @@
+// lupinknotctl: the operators' tool.
+
+#include "common/Version.h"
+#include "http/HttpFetch.h"
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <tclap/CmdLine.h>
+
+namespace {
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+using nlohmann::json;
+
+constexpr int exitOk = 0;
+constexpr int exitFailed = 1;
+constexpr int exitBadOptions = 2;
+constexpr Milliseconds callTimeout { 5000 };
+
+struct Options {
+    std::string command;
+    std::string argument;
+    std::vector<SocketAddress> daemons;
+    bool isJson { false };
+};
+
+// Asks one daemon; nothing, with the reason on standard error, when it gives no good answer.
+std::optional<json> ask(const SocketAddress& daemon, const std::string& method, const std::string& target)
+{
+    const auto result = fetch(daemon, { method, target, {}, {} }, callTimeout);
+    const auto body = json::parse(result.response.body, nullptr, false);
+    if (result.isOk() && body.is_object())
+        return body;
+    std::cerr << daemon.text() << ": " << (result.failure ? result.message : result.response.body) << "\n";
+    return std::nullopt;
+}
+
+void printStatus(const json& status)
+{
+    std::cout << status.value("vm", "") << "  zone " << status.value("zone", "")
+              << (status.value("ready", false) ? "  ready" : "  stopping") << "  generations "
+              << status.value("generations_running", 0) << " running, " << status.value("generations_held", 0)
+              << " held\n";
+    for (const auto& endpoint : status["endpoints"]) {
+        std::cout << "  " << endpoint.value("name", "") << "  zone " << endpoint.value("zone", "") << "  "
+                  << endpoint.value("address", "") << "  " << endpoint.value("listing", "")
+                  << (endpoint.value("eligible", false) ? "" : "  not eligible") << "  "
+                  << endpoint.value("in_flight", 0) << " in flight\n";
+    }
+}
+
+int showStatus(const Options& options)
+{
+    bool isGood = true;
+    for (const auto& daemon : options.daemons) {
+        const auto status = ask(daemon, "GET", "/v1/status");
+        isGood = isGood && status;
+        if (status && options.isJson)
+            std::cout << status->dump() << "\n";
+        else if (status)
+            printStatus(*status);
+    }
+    return isGood ? exitOk : exitFailed;
+}
+
+int drain(const Options& options)
+{
+    bool isGood = true;
+    for (const auto& daemon : options.daemons) {
+        const auto answer = ask(daemon, "POST", "/v1/drain");
+        isGood = isGood && answer;
+        if (answer)
+            std::cout << answer->value("vm", "") << " drains\n";
+    }
+    return isGood ? exitOk : exitFailed;
+}
+
+// Asks each daemon until one holds the generation.
+int explain(const Options& options)
+{
+    for (const auto& daemon : options.daemons) {
+        if (const auto described = ask(daemon, "GET", "/v1/generations/" + options.argument)) {
+            std::cout << described->dump(2) << "\n";
+            return exitOk;
+        }
+    }
+    return exitFailed;
+}
+
+struct Command {
+    const char* name;
+    int (*run)(const Options&);
+};
+
+constexpr std::array<Command, 3> commands { {
+    { "status", showStatus },
+    { "drain", drain },
+    { "explain", explain },
+} };
+
+Options parseOptions(int argc, char** argv)
+{
+    TCLAP::CmdLine line(
+        "The operators' tool of lupinknot. Commands: status, drain, explain GENERATION.", ' ', std::string(version));
+    std::vector<std::string> names;
+    for (const auto& command : commands)
+        names.emplace_back(command.name);
+    TCLAP::ValuesConstraint<std::string> isCommand(names);
+    TCLAP::UnlabeledValueArg<std::string> command("command", "What to do.", true, "", &isCommand, line);
+    TCLAP::UnlabeledValueArg<std::string> argument("argument", "What to do it with.", false, "", "argument", line);
+    TCLAP::MultiArg<std::string> admins("a", "admin", "Address of a daemon for operators.", true, "address", line);
+    TCLAP::SwitchArg isJson("", "json", "Print JSON.", line);
+    line.parse(argc, argv);
+
+    Options options { command.getValue(), argument.getValue(), {}, isJson.getValue() };
+    for (const auto& text : admins.getValue()) {
+        const auto address = parseSocketAddress(text);
+        if (!address)
+            throw TCLAP::ArgException("expected an IP number and a port, as in 127.0.0.1:9080; found " + text);
+        options.daemons.push_back(*address);
+    }
+    return options;
+}
+
+int run(const Options& options)
+{
+    for (const auto& command : commands) {
+        if (options.command == command.name)
+            return command.run(options);
+    }
+    return exitBadOptions;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        std::quick_exit(run(parseOptions(argc, argv)));
+    } catch (const TCLAP::ArgException& error) {
+        std::cerr << "lupinknotctl: " << error.error() << "\n";
+        return exitBadOptions;
+    }
+}
--- /dev/null
+++ b/src/daemon/Daemon.h
@@ -0,0 +1,85 @@
+// One entry VM's daemon, put together.
+//
+//     Daemon daemon(settings);
+//     auto problem = daemon.start();
+//     daemon.stop();                  // Returns when every request in progress has its answer.
+#pragma once
+
+#include "settings/DaemonSettings.h"
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lupinknot {
+class Clock;
+}
+
+namespace lupinknot::internal {
+
+class AdminHandler;
+class CompletionHandler;
+class EndpointTable;
+class GenerationRegistry;
+class HttpExchange;
+class HttpServer;
+class Metrics;
+class PlatformReader;
+class ServiceHandler;
+struct GenerationContext;
+
+// start() and stop() are called from one thread; requestStop() from any, also from a signal's handler thread.
+class Daemon {
+public:
+    explicit Daemon(DaemonSettings);
+    ~Daemon();
+    Daemon(const Daemon&) = delete;
+    Daemon& operator=(const Daemon&) = delete;
+
+    // Binds the listeners and starts the threads. Returns what went wrong, or nothing.
+    std::optional<std::string> start();
+    // Waits until someone asks for a stop.
+    void waitForStopRequest();
+    void requestStop();
+    // The planned stop: reports not ready, then accepts no more, then waits for the requests in progress.
+    void stop();
+
+    unsigned short port() const;
+    unsigned short adminPort() const;
+
+private:
+    void handle(const std::shared_ptr<HttpExchange>&);
+    void scheduleSweep();
+    void waitForRequestsInProgress();
+
+    const DaemonSettings m_settings;
+    std::unique_ptr<Clock> m_clock;
+    boost::asio::io_context m_ioContext;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    boost::asio::steady_timer m_sweepTimer;
+    std::unique_ptr<Metrics> m_metrics;
+    std::unique_ptr<EndpointTable> m_endpoints;
+    std::unique_ptr<GenerationContext> m_context;
+    std::unique_ptr<GenerationRegistry> m_registry;
+    std::shared_ptr<PlatformReader> m_platform;
+    std::unique_ptr<CompletionHandler> m_completions;
+    std::unique_ptr<ServiceHandler> m_services;
+    std::unique_ptr<AdminHandler> m_adminHandler;
+    std::unique_ptr<HttpServer> m_listener;
+    std::unique_ptr<HttpServer> m_admin;
+    std::vector<std::thread> m_threads;
+    std::atomic<bool> m_isStopping { false };
+
+    std::mutex m_stopMutex;
+    std::condition_variable m_stopCondition;
+    bool m_isStopRequested { false };
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/daemon/EndpointState.h
@@ -0,0 +1,59 @@
+// What this VM knows of one endpoint.
+#pragma once
+
+#include "lupinknot/EndpointPulse.h"
+#include "lupinknot/FailureKind.h"
+#include "settings/DaemonSettings.h"
+#include <atomic>
+#include <mutex>
+
+namespace lupinknot::internal {
+
+// What the platform's list says. The list lags, so it decides about leaving only; whether an endpoint can be reached
+// shows in the calls to it.
+enum class EndpointListing {
+    Live,
+    Leaving,
+    Gone,
+};
+
+inline constexpr std::array<EnumName<EndpointListing>, 3> endpointListingNames { {
+    { EndpointListing::Live, "live" },
+    { EndpointListing::Leaving, "leaving" },
+    { EndpointListing::Gone, "gone" },
+} };
+
+// Thread-safe: counters are atomic, the ejection has a lock of its own.
+class EndpointState {
+public:
+    EndpointState(EndpointSettings, const PulseSettings&, const EjectionSettings&);
+
+    const EndpointSettings& settings() const { return m_settings; }
+    const std::shared_ptr<EndpointPulse>& pulse() const { return m_pulse; }
+    bool servesModel(const std::string& model) const;
+
+    void workStarted() { ++m_inFlight; }
+    void workEnded(std::optional<FailureKind>, Milliseconds now);
+    int inFlight() const { return m_inFlight; }
+
+    // True when the endpoint may get new work: it is not leaving and not ejected.
+    bool isEligible(Milliseconds now) const;
+    // How long the endpoint is still ejected; zero or less when it is not.
+    Milliseconds ejectedFor(Milliseconds now) const;
+
+    EndpointListing listing() const { return m_listing; }
+    void setListing(EndpointListing listing) { m_listing = listing; }
+
+private:
+    const EndpointSettings m_settings;
+    const EjectionSettings m_ejection;
+    const std::shared_ptr<EndpointPulse> m_pulse;
+    std::atomic<int> m_inFlight { 0 };
+    std::atomic<EndpointListing> m_listing { EndpointListing::Live };
+    mutable std::mutex m_mutex;
+    // Both under the lock.
+    Milliseconds m_ejectedUntil { 0 };
+    Milliseconds m_nextEjection;
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/daemon/GenerationContext.h
@@ -0,0 +1,25 @@
+// What all generations of a process share.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+
+namespace lupinknot {
+class Clock;
+}
+
+namespace lupinknot::internal {
+
+class EndpointTable;
+class Metrics;
+struct DaemonSettings;
+
+// Everything outlives the generations.
+struct GenerationContext {
+    boost::asio::io_context& ioContext;
+    const Clock& clock;
+    const DaemonSettings& settings;
+    const EndpointTable& endpoints;
+    Metrics& metrics;
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/daemon/GenerationRegistry.cpp
@@ -0,0 +1,99 @@
+#include "daemon/GenerationRegistry.h"
+
+#include "daemon/LiveGeneration.h"
+#include "daemon/Metrics.h"
+
+namespace lupinknot::internal {
+
+namespace {
+
+// Organisations have separate keys. A line feed cannot be part of a header's value, so it separates without doubt.
+std::string scopedKey(const CompletionRequest& request) { return request.organisation + "\n" + request.idempotencyKey; }
+
+} // namespace
+
+GenerationRegistry::GenerationRegistry(const GenerationContext& context, std::string idPrefix)
+    : m_context(context)
+    , m_idPrefix(std::move(idPrefix))
+{
+}
+
+Admission GenerationRegistry::admit(const CompletionRequest& request)
+{
+    const auto id = newId();
+    // A request without a key is held under its id, where nobody but operators can find it.
+    const auto key = request.idempotencyKey.empty() ? id : scopedKey(request);
+    auto& shard = shardOf(key);
+    const std::lock_guard lock(shard.mutex);
+    if (const auto entry = shard.byKey.find(key); entry != shard.byKey.end()) {
+        const bool isSame = entry->second->request().bodyHash == request.bodyHash;
+        return { isSame ? AdmissionVerdict::Found : AdmissionVerdict::KeyConflict, entry->second };
+    }
+    if (!request.resumeGeneration.empty())
+        return { AdmissionVerdict::NotHeld, nullptr };
+    if (m_heldCount >= static_cast<std::size_t>(m_context.settings.generation.maxHeld))
+        return { AdmissionVerdict::Full, nullptr };
+    auto generation = std::make_shared<LiveGeneration>(m_context, request, id);
+    shard.byKey.emplace(key, generation);
+    ++m_heldCount;
+    return { AdmissionVerdict::Created, std::move(generation) };
+}
+
+std::shared_ptr<LiveGeneration> GenerationRegistry::findById(const std::string& id) const
+{
+    for (const auto& generation : all()) {
+        if (generation->id() == id)
+            return generation;
+    }
+    return nullptr;
+}
+
+void GenerationRegistry::sweep()
+{
+    for (auto& shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (auto entry = shard.byKey.begin(); entry != shard.byKey.end();) {
+            if (!isExpired(*entry->second)) {
+                ++entry;
+                continue;
+            }
+            entry = shard.byKey.erase(entry);
+            --m_heldCount;
+        }
+    }
+    m_context.metrics.generationsHeld.Set(static_cast<double>(m_heldCount));
+}
+
+std::size_t GenerationRegistry::runningCount() const
+{
+    std::size_t count = 0;
+    for (const auto& generation : all())
+        count += generation->isOver() ? 0 : 1;
+    return count;
+}
+
+GenerationRegistry::Shard& GenerationRegistry::shardOf(const std::string& key)
+{
+    return m_shards[std::hash<std::string> {}(key) % shardCount];
+}
+
+std::string GenerationRegistry::newId() { return m_idPrefix + "-" + std::to_string(m_nextId++); }
+
+bool GenerationRegistry::isExpired(const LiveGeneration& generation) const
+{
+    const auto endedAt = generation.endedAt();
+    return endedAt && m_context.clock.now() - *endedAt >= m_context.settings.generation.retention;
+}
+
+std::vector<std::shared_ptr<LiveGeneration>> GenerationRegistry::all() const
+{
+    std::vector<std::shared_ptr<LiveGeneration>> generations;
+    for (const auto& shard : m_shards) {
+        const std::lock_guard lock(shard.mutex);
+        for (const auto& entry : shard.byKey)
+            generations.push_back(entry.second);
+    }
+    return generations;
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/daemon/LiveGeneration.h
@@ -0,0 +1,87 @@
+// A generation in progress or kept: the driver, its attempts on engines, and the callers who wait for it.
+#pragma once
+
+#include "daemon/AttemptRecord.h"
+#include "daemon/CompletionRequest.h"
+#include "daemon/EndpointState.h"
+#include "daemon/EngineProtocol.h"
+#include "daemon/GenerationContext.h"
+#include "daemon/GenerationSlice.h"
+#include "lupinknot/GenerationDriver.h"
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <mutex>
+
+namespace lupinknot::internal {
+
+class EngineAttempt;
+class GenerationWatcher;
+
+// Thread-safe, under one lock of its own. Owned by the registry, by its callers and by its pending operations.
+class LiveGeneration final : public AttemptHost, public std::enable_shared_from_this<LiveGeneration> {
+public:
+    LiveGeneration(const GenerationContext&, CompletionRequest, std::string id);
+
+    void start();
+
+    const std::string& id() const { return m_id; }
+    const CompletionRequest& request() const { return m_request; }
+
+    // A watcher hears of progress until it is detached; the first call comes at once when there is something already.
+    // A generation that was cancelled because its callers had gone is taken up again.
+    void attach(const std::shared_ptr<GenerationWatcher>&);
+    // When the last watcher goes the work is cancelled, at once or after the time that the settings give.
+    void detach(const GenerationWatcher&);
+
+    // Reads up to a number of tokens from a position on.
+    GenerationSlice read(std::size_t position, std::size_t maxTokens) const;
+    std::size_t releasedLength() const;
+    std::size_t promptLength() const;
+    bool isOver() const;
+    // The instant at which the generation ended; nothing while it runs.
+    std::optional<Milliseconds> endedAt() const;
+    std::vector<AttemptRecord> attempts() const;
+
+    // Reports of an attempt; the rest of the attempt's news is refused once it is no longer the current one.
+    void promptIdsKnown(AttemptNumber, std::vector<TokenId>);
+    void tokensArrived(AttemptNumber, std::size_t position, std::vector<Token>);
+    void attemptFinished(AttemptNumber, std::size_t position, FinishReason);
+    void attemptFailed(AttemptNumber, FailureKind);
+
+    // AttemptHost; called by the driver under the lock.
+    std::optional<EndpointChoice> chooseEndpoint(const std::vector<EndpointName>& avoid) override;
+    void startAttempt(const AttemptOrder&) override;
+    void cancelAttempt(AttemptNumber) override;
+    void attemptEnded(const AttemptEnd&) override;
+    void resumed(const ResumeReport&) override;
+
+private:
+    std::string attemptText(AttemptNumber) const;
+    std::optional<EnginePrefix> prefix() const;
+    void afterEvent();
+    void notifyWatchers();
+    void armTimer();
+    void timerFired();
+    void lastWatcherLeft();
+    void abandonIfUnwatched();
+
+    const GenerationContext m_context;
+    const CompletionRequest m_request;
+    const std::string m_id;
+
+    mutable std::mutex m_mutex;
+    // All that follows is under the lock.
+    GenerationDriver m_driver;
+    std::vector<TokenId> m_promptIds;
+    std::shared_ptr<EndpointState> m_endpoint;
+    std::shared_ptr<EngineAttempt> m_attempt;
+    std::vector<AttemptRecord> m_records;
+    std::vector<std::shared_ptr<GenerationWatcher>> m_watchers;
+    std::size_t m_notifiedLength { 0 };
+    std::optional<Milliseconds> m_endedAt;
+    boost::asio::steady_timer m_timer;
+    Milliseconds m_armedFor { Milliseconds::max() };
+    boost::asio::steady_timer m_graceTimer;
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/daemon/Metrics.h
@@ -0,0 +1,52 @@
+// The daemon's metrics, by prometheus-cpp.
+#pragma once
+
+#include "http/HttpCallListener.h"
+#include "lupinknot/FailureKind.h"
+#include "lupinknot/RunOutcome.h"
+#include <memory>
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <string>
+
+namespace lupinknot::internal {
+
+class EndpointTable;
+
+// Thread-safe. Members are set up once and refer into the registry.
+class Metrics {
+public:
+    Metrics();
+
+    void countRequest(const std::string& kind, unsigned status);
+    void countFailure(FailureKind);
+    void countRefusal(RunOutcome);
+    // Text exposition of all metrics, with the endpoints' present state.
+    std::string exposition(const EndpointTable&);
+
+private:
+    std::shared_ptr<prometheus::Registry> m_registry;
+    prometheus::Family<prometheus::Counter>& m_requests;
+    prometheus::Family<prometheus::Counter>& m_failures;
+    prometheus::Family<prometheus::Counter>& m_refusals;
+    prometheus::Family<prometheus::Gauge>& m_inFlight;
+    prometheus::Family<prometheus::Gauge>& m_eligible;
+
+public:
+    prometheus::Counter& attempts;
+    prometheus::Counter& tokens;
+    // Tokens that a lost or superseded attempt offered and that were refused.
+    prometheus::Counter& refusedTokens;
+    prometheus::Counter& resumptions;
+    // Milliseconds from the last token before a loss to the first one after it.
+    prometheus::Histogram& resumeGap;
+    // Milliseconds from the detection of a loss to the first token after it.
+    prometheus::Histogram& resumeAfterDetection;
+    prometheus::Counter& callersGone;
+    prometheus::Gauge& generationsHeld;
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/daemon/PlatformReader.cpp
@@ -0,0 +1,146 @@
+#include "daemon/PlatformReader.h"
+
+#include "common/Log.h"
+#include "daemon/EndpointTable.h"
+#include "http/HttpCall.h"
+#include "settings/DaemonSettings.h"
+
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+namespace lupinknot::internal {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr unsigned statusOk = 200;
+
+// Reads `{"endpoints": [{"name": "e1", "state": "live"}, ...]}`; nothing when it is something else.
+std::optional<std::vector<EndpointListingEntry>> parseListing(const std::string& text)
+{
+    const auto body = json::parse(text, nullptr, false);
+    if (!body.is_object() || !body.contains("endpoints") || !body["endpoints"].is_array())
+        return std::nullopt;
+    std::vector<EndpointListingEntry> entries;
+    for (const auto& element : body["endpoints"]) {
+        if (!element.is_object())
+            return std::nullopt;
+        const auto name = element.value("name", std::string {});
+        const auto state = valueIn(endpointListingNames, element.value("state", std::string {}));
+        if (name.empty() || !state)
+            return std::nullopt;
+        entries.push_back({ name, *state });
+    }
+    return entries;
+}
+
+} // namespace
+
+PlatformReader::PlatformReader(const GenerationContext& context, EndpointTable& endpoints)
+    : m_context(context)
+    , m_endpoints(endpoints)
+    , m_timer(context.ioContext)
+{
+}
+
+void PlatformReader::start()
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_context.settings.platform.address.empty())
+        readList();
+}
+
+void PlatformReader::stop()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isStopped = true;
+    m_timer.cancel();
+    if (m_call)
+        boost::asio::post(m_context.ioContext, [call = m_call] { call->cancel(); });
+}
+
+std::optional<Milliseconds> PlatformReader::age() const
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_lastReading)
+        return std::nullopt;
+    return m_context.clock.now() - *m_lastReading;
+}
+
+void PlatformReader::headArrived(unsigned status, const HttpHeaders&)
+{
+    const std::lock_guard lock(m_mutex);
+    m_status = status;
+    m_body.clear();
+}
+
+void PlatformReader::bodyArrived(std::string_view piece)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_body.size() < maxListBytes)
+        m_body.append(piece);
+}
+
+void PlatformReader::ended()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_status == statusOk)
+        takeList();
+    else
+        noteFailure("status " + std::to_string(m_status));
+    waitForNext();
+}
+
+void PlatformReader::failed(HttpCallFailure failure, const std::string&)
+{
+    const std::lock_guard lock(m_mutex);
+    noteFailure(std::string(nameIn(httpCallFailureNames, failure)));
+    waitForNext();
+}
+
+void PlatformReader::readList()
+{
+    const auto& platform = m_context.settings.platform;
+    const HttpRequest request { "GET", "/v1/endpoints", {}, {} };
+    m_call = HttpCall::start({ platform.address, platform.port }, request, platform.timeout, shared_from_this());
+}
+
+void PlatformReader::waitForNext()
+{
+    if (m_isStopped)
+        return;
+    m_timer.expires_after(m_context.settings.platform.pollInterval);
+    m_timer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!self || error)
+            return;
+        const std::lock_guard lock(self->m_mutex);
+        if (!self->m_isStopped)
+            self->readList();
+    });
+}
+
+void PlatformReader::takeList()
+{
+    const auto entries = parseListing(m_body);
+    if (!entries) {
+        noteFailure("a list that cannot be read");
+        return;
+    }
+    m_endpoints.applyListing(*entries);
+    m_lastReading = m_context.clock.now();
+    if (m_isFailing)
+        logInfo(LogPart::Platform, "the platform's list can be read again.");
+    m_isFailing = false;
+}
+
+void PlatformReader::noteFailure(const std::string& reason)
+{
+    if (!m_isFailing && !m_isStopped)
+        logWarning(
+            LogPart::Platform, "the platform's list cannot be read (" + reason + "); the last reading stays in force.");
+    m_isFailing = true;
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,108 @@
+// lupinknotd: the daemon of an entry VM.
+
+#include "common/Log.h"
+#include "common/Version.h"
+#include "daemon/Daemon.h"
+#include "http/HttpCall.h"
+#include "settings/SettingsError.h"
+#include "settings/SettingsReader.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <csignal>
+#include <iostream>
+#include <pthread.h>
+#include <tclap/CmdLine.h>
+
+namespace {
+
+using namespace lupinknot::internal;
+namespace leaf = boost::leaf;
+
+constexpr int exitOk = 0;
+constexpr int exitBadSettings = 2;
+constexpr int exitNotStarted = 3;
+
+struct Options {
+    std::string settingsPath;
+    bool isCheck { false };
+    bool isReference { false };
+};
+
+Options parseOptions(int argc, char** argv)
+{
+    TCLAP::CmdLine line("The daemon of a lupinknot entry VM.", ' ', std::string(version));
+    TCLAP::ValueArg<std::string> settings("s", "settings", "File with the settings, in TOML.", false, "", "file", line);
+    TCLAP::SwitchArg check("", "check", "Check the settings and exit: 0 when they are good, 2 when not.", line);
+    TCLAP::SwitchArg reference(
+        "", "settings-reference", "Print the reference of all settings as Markdown and exit.", line);
+    line.parse(argc, argv);
+    return { settings.getValue(), check.getValue(), reference.getValue() };
+}
+
+int serve(const DaemonSettings& settings)
+{
+    initializeLog(valueIn(logLevelNames, settings.vm.logLevel).value_or(LogLevel::Info));
+    setHttpCallThreads(static_cast<unsigned>(settings.vm.callThreads));
+
+    // The signals are blocked in every thread and taken by one that waits for them.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+
+    Daemon daemon(settings);
+    if (const auto problem = daemon.start()) {
+        logError(LogPart::Daemon, *problem + ".");
+        return exitNotStarted;
+    }
+    std::thread([&daemon, signals] {
+        int signal = 0;
+        sigwait(&signals, &signal);
+        daemon.requestStop();
+    }).detach();
+    daemon.waitForStopRequest();
+    daemon.stop();
+    return exitOk;
+}
+
+int run(const Options& options)
+{
+    if (options.isReference) {
+        std::cout << settingsReference();
+        return exitOk;
+    }
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<int> {
+            BOOST_LEAF_AUTO(settings, readSettingsFile(options.settingsPath));
+            if (options.isCheck) {
+                std::cout << options.settingsPath << ": the settings are good\n";
+                return exitOk;
+            }
+            return serve(settings);
+        },
+        [](const SettingsErrors& found) {
+            for (const auto& error : found.errors)
+                std::cerr << error.text() << "\n";
+            return exitBadSettings;
+        },
+        [] {
+            std::cerr << "lupinknotd: the settings could not be read\n";
+            return exitBadSettings;
+        });
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        const auto code = run(parseOptions(argc, argv));
+        std::cout.flush();
+        // The detached signal thread and the call library's pool still run; nothing is left to be written.
+        std::quick_exit(code);
+    } catch (const std::exception& error) {
+        std::cerr << "lupinknotd: " << error.what() << "\n";
+        return exitNotStarted;
+    }
+}
--- /dev/null
+++ b/src/http/HttpCall.cpp
@@ -0,0 +1,159 @@
+#include "http/HttpCall.h"
+
+#include "http/HttpCallListener.h"
+
+#include <algorithm>
+#include <array>
+#include <cpprest/http_client.h>
+#include <pplx/threadpool.h>
+
+namespace lupinknot::internal {
+
+namespace {
+
+using web::http::http_exception;
+using web::http::http_response;
+using web::http::client::http_client;
+using web::http::client::http_client_config;
+
+// How cpprestsdk words the failure of all tries to connect. Its error code alone does not tell it from a write that
+// broke, after which the peer may have the request.
+constexpr std::string_view connectFailureText = "Failed to connect to any resolved endpoint";
+
+bool isConnectFailure(const http_exception& error)
+{
+    return std::string_view(error.what()).find(connectFailureText) != std::string_view::npos;
+}
+
+HttpHeaders headersOf(const http_response& response)
+{
+    HttpHeaders headers;
+    for (const auto& field : response.headers())
+        headers.add(field.first, field.second);
+    return headers;
+}
+
+web::http::http_request messageOf(const HttpRequest& request)
+{
+    web::http::http_request message(request.method);
+    for (const auto& field : request.headers.fields())
+        message.headers().add(field.name, field.value);
+    const bool hasBody = !request.body.empty() || request.method == "POST" || request.method == "PUT";
+    if (hasBody) {
+        const auto type = request.headers.find("Content-Type").value_or("application/octet-stream");
+        message.set_body(request.body, std::string(type));
+    }
+    message.set_request_uri(web::uri(request.target));
+    return message;
+}
+
+class CpprestCall final : public HttpCall, public std::enable_shared_from_this<CpprestCall> {
+public:
+    CpprestCall(const SocketAddress& address, Milliseconds timeout, std::shared_ptr<HttpCallListener> listener)
+        : m_client(web::uri("http://" + address.text()), configuration(timeout))
+        , m_listener(std::move(listener))
+    {
+    }
+
+    void send(const HttpRequest& request)
+    {
+        m_client.request(messageOf(request), m_cancellation.get_token())
+            .then([self = shared_from_this()](
+                      const pplx::task<http_response>& task) { self->guarded([&] { self->headReady(task.get()); }); });
+    }
+
+    void cancel() override { m_cancellation.cancel(); }
+
+private:
+    static http_client_config configuration(Milliseconds timeout)
+    {
+        http_client_config config;
+        config.set_timeout(timeout);
+        return config;
+    }
+
+    void headReady(http_response response)
+    {
+        m_response = std::move(response);
+        m_body = m_response.body().streambuf();
+        m_listener->headArrived(m_response.status_code(), headersOf(m_response));
+        readNext();
+    }
+
+    // Reading a number of bytes would wait until there are as many, so the first byte is waited for, and then what is
+    // there is taken.
+    void readNext()
+    {
+        m_body.getc().then([self = shared_from_this()](
+                               const pplx::task<int>& task) { self->guarded([&] { self->byteReady(task.get()); }); });
+    }
+
+    void byteReady(int byte)
+    {
+        if (byte == concurrency::streams::streambuf<std::uint8_t>::traits::eof()) {
+            bodyEnded();
+            return;
+        }
+        const auto size = std::min(m_body.in_avail(), m_piece.size());
+        const auto taken = m_body.getn(m_piece.data(), size).get();
+        m_listener->bodyArrived({ reinterpret_cast<const char*>(m_piece.data()), taken });
+        readNext();
+    }
+
+    void bodyEnded()
+    {
+        // The buffer ends alike after a whole body and after some failures; this task tells them apart.
+        m_response.content_ready().then([self = shared_from_this()](const pplx::task<http_response>& task) {
+            self->guarded([&] {
+                task.get();
+                self->m_listener->ended();
+            });
+        });
+    }
+
+    template <typename Action> void guarded(Action action)
+    {
+        try {
+            action();
+        } catch (const http_exception& error) {
+            m_listener->failed(failureOf(error), error.what());
+        } catch (const std::exception& error) {
+            m_listener->failed(isCancelled() ? HttpCallFailure::Cancelled : HttpCallFailure::Lost, error.what());
+        }
+    }
+
+    HttpCallFailure failureOf(const http_exception& error) const
+    {
+        if (isCancelled())
+            return HttpCallFailure::Cancelled;
+        if (isConnectFailure(error))
+            return HttpCallFailure::NotConnected;
+        const bool isTimeout = error.error_code() == std::errc::timed_out;
+        return isTimeout ? HttpCallFailure::TimedOut : HttpCallFailure::Lost;
+    }
+
+    bool isCancelled() const { return m_cancellation.get_token().is_canceled(); }
+
+    static constexpr std::size_t pieceSize = 16 * 1024;
+
+    http_client m_client;
+    pplx::cancellation_token_source m_cancellation;
+    const std::shared_ptr<HttpCallListener> m_listener;
+    http_response m_response;
+    concurrency::streams::streambuf<std::uint8_t> m_body;
+    std::array<std::uint8_t, pieceSize> m_piece {};
+};
+
+} // namespace
+
+std::shared_ptr<HttpCall> HttpCall::start(const SocketAddress& address, const HttpRequest& request,
+    Milliseconds timeout, std::shared_ptr<HttpCallListener> listener)
+{
+    auto call = std::make_shared<CpprestCall>(address, timeout, std::move(listener));
+    call->send(request);
+    return call;
+}
+
+void setHttpCallThreads(unsigned count) { crossplat::threadpool::initialize_with_threads(count); }
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/http/HttpResponse.h
@@ -0,0 +1,14 @@
+// One response: whole, or the head of a streamed one.
+#pragma once
+
+#include "http/HttpHeaders.h"
+
+namespace lupinknot::internal {
+
+struct HttpResponse {
+    unsigned status { 200 };
+    HttpHeaders headers;
+    std::string body;
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/http/HttpServer.cpp
@@ -0,0 +1,169 @@
+#include "http/HttpServer.h"
+
+#include "common/Log.h"
+#include "http/HttpSession.h"
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <mutex>
+#include <unordered_map>
+
+namespace lupinknot::internal {
+
+namespace net = boost::asio;
+using tcp = net::ip::tcp;
+
+// Accepts connections and knows the open ones. Lives as long as the server or any of its sessions.
+class HttpServer::Listener : public HttpSessionOwner, public std::enable_shared_from_this<Listener> {
+public:
+    Listener(net::io_context& ioContext, HttpServerSettings settings, Handler handler)
+        : m_ioContext(ioContext)
+        , m_settings(std::move(settings))
+        , m_handler(std::move(handler))
+        , m_acceptor(net::make_strand(ioContext))
+    {
+    }
+
+    std::optional<std::string> start()
+    {
+        boost::system::error_code error;
+        const auto address = net::ip::make_address(m_settings.address, error);
+        if (error)
+            return "the address " + m_settings.address + " is not an IP number";
+        const tcp::endpoint endpoint(address, static_cast<unsigned short>(m_settings.port));
+        m_acceptor.open(endpoint.protocol(), error);
+        if (!error)
+            m_acceptor.set_option(net::socket_base::reuse_address(true), error);
+        if (!error)
+            m_acceptor.bind(endpoint, error);
+        if (!error)
+            m_acceptor.listen(net::socket_base::max_listen_connections, error);
+        if (error)
+            return "cannot listen on " + m_settings.address + ":" + std::to_string(m_settings.port) + ": "
+                + error.message();
+        m_port = m_acceptor.local_endpoint(error).port();
+        accept();
+        return std::nullopt;
+    }
+
+    void close()
+    {
+        m_isStopping = true;
+        net::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+            boost::system::error_code ignored;
+            self->m_acceptor.close(ignored);
+        });
+    }
+
+    void abortSessions()
+    {
+        for (const auto& session : openSessions())
+            session->abort();
+    }
+
+    unsigned short port() const { return m_port; }
+
+    std::size_t sessionCount() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_sessions.size();
+    }
+
+    std::size_t busyCount() const
+    {
+        std::size_t count = 0;
+        for (const auto& session : openSessions())
+            count += session->isBusy() ? 1 : 0;
+        return count;
+    }
+
+    const HttpServerSettings& settings() const override { return m_settings; }
+    bool isStopping() const override { return m_isStopping; }
+    void handle(const std::shared_ptr<HttpExchange>& exchange) override { m_handler(exchange); }
+
+    void sessionClosed(HttpSession* session) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_sessions.erase(session);
+    }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept(net::make_strand(m_ioContext),
+            [self = shared_from_this()](
+                boost::system::error_code error, tcp::socket socket) { self->accepted(error, std::move(socket)); });
+    }
+
+    void accepted(boost::system::error_code error, tcp::socket socket)
+    {
+        if (m_isStopping)
+            return;
+        if (error) {
+            logWarning(LogPart::Listener, "accept failed: " + error.message() + ".");
+        } else {
+            open(std::move(socket));
+        }
+        accept();
+    }
+
+    void open(tcp::socket socket)
+    {
+        boost::system::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        const auto session = std::make_shared<HttpSession>(std::move(socket), shared_from_this());
+        bool isOver = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            isOver = m_sessions.size() >= static_cast<std::size_t>(m_settings.maxConnections);
+            if (!isOver)
+                m_sessions.emplace(session.get(), session);
+        }
+        if (isOver)
+            session->refuseForConnectionLimit();
+        else
+            session->run();
+    }
+
+    std::vector<std::shared_ptr<HttpSession>> openSessions() const
+    {
+        const std::lock_guard lock(m_mutex);
+        std::vector<std::shared_ptr<HttpSession>> open;
+        for (const auto& entry : m_sessions) {
+            if (auto session = entry.second.lock())
+                open.push_back(std::move(session));
+        }
+        return open;
+    }
+
+    net::io_context& m_ioContext;
+    const HttpServerSettings m_settings;
+    const Handler m_handler;
+    tcp::acceptor m_acceptor;
+    unsigned short m_port { 0 };
+    std::atomic<bool> m_isStopping { false };
+    mutable std::mutex m_mutex;
+    std::unordered_map<HttpSession*, std::weak_ptr<HttpSession>> m_sessions;
+};
+
+HttpServer::HttpServer(net::io_context& ioContext, HttpServerSettings settings, Handler handler)
+    : m_listener(std::make_shared<Listener>(ioContext, std::move(settings), std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer() { m_listener->close(); }
+
+std::optional<std::string> HttpServer::start() { return m_listener->start(); }
+
+unsigned short HttpServer::port() const { return m_listener->port(); }
+
+void HttpServer::stopAccepting() { m_listener->close(); }
+
+void HttpServer::abortConnections() { m_listener->abortSessions(); }
+
+std::size_t HttpServer::busyCount() const { return m_listener->busyCount(); }
+
+std::size_t HttpServer::connectionCount() const { return m_listener->sessionCount(); }
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/http/HttpSession.cpp
@@ -0,0 +1,408 @@
+#include "http/HttpSession.h"
+
+#include "http/HttpBodySource.h"
+#include "http/JsonError.h"
+
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace lupinknot::internal {
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr Milliseconds drainTime { 1000 };
+constexpr std::size_t drainLimit = 64 * 1024 * 1024;
+constexpr std::size_t drainPieceSize = 64 * 1024;
+
+JsonError describeReadFailure(beast::error_code error, const HttpServerSettings& settings)
+{
+    JsonError refusal;
+    if (error == http::error::header_limit) {
+        refusal = { 431, "header_too_large",
+            "the request's header is larger than the limit of " + std::to_string(settings.maxHeaderBytes) + " bytes",
+            "header", RunOutcome::NotRun, {} };
+    } else if (error == http::error::body_limit) {
+        refusal = { 413, "body_too_large",
+            "the request's body is larger than the limit of " + std::to_string(settings.maxBodyBytes) + " bytes",
+            "body", RunOutcome::NotRun, {} };
+    } else if (error == beast::error::timeout) {
+        refusal = { 408, "request_timeout",
+            "the request did not arrive in time: " + std::to_string(settings.headerTimeout.count())
+                + " ms for the header, " + std::to_string(settings.bodyTimeout.count()) + " ms for the body",
+            "", RunOutcome::NotRun, {} };
+    } else {
+        refusal = { 400, "malformed_request", "the request is not HTTP/1.1: " + error.message(), "", RunOutcome::NotRun,
+            {} };
+    }
+    return refusal;
+}
+
+bool hasPeerLeft(beast::error_code error)
+{
+    return error == http::error::end_of_stream || error == http::error::partial_message || error == net::error::eof
+        || error == net::error::connection_reset || error == net::error::operation_aborted
+        || error == net::error::broken_pipe;
+}
+
+} // namespace
+
+// Lives as long as a handler or the session holds it; the session itself may be gone by then.
+class HttpSession::Exchange final : public HttpExchange, public std::enable_shared_from_this<Exchange> {
+public:
+    Exchange(const std::shared_ptr<HttpSession>& session, HttpRequest request)
+        : m_session(session)
+        , m_executor(session->m_stream.get_executor())
+        , m_request(std::move(request))
+    {
+    }
+
+    const HttpRequest& request() const override { return m_request; }
+
+    void respond(HttpResponse response) override
+    {
+        post([self = shared_from_this(), response = std::move(response)](
+                 HttpSession& session) mutable { session.respond(self, std::move(response)); });
+    }
+
+    void stream(HttpResponse head, std::shared_ptr<HttpBodySource> source) override
+    {
+        post([self = shared_from_this(), head = std::move(head), source = std::move(source)](
+                 HttpSession& session) mutable { session.beginStream(self, std::move(head), std::move(source)); });
+    }
+
+    void wake() override
+    {
+        // One pending wake is enough, however many tokens come before it is served.
+        if (m_isWakePending.exchange(true))
+            return;
+        post([self = shared_from_this()](HttpSession& session) {
+            self->m_isWakePending = false;
+            session.pump(self);
+        });
+    }
+
+    void onGone(std::function<void()> callback) override
+    {
+        net::post(m_executor, [self = shared_from_this(), callback = std::move(callback)] {
+            if (self->m_isGone)
+                callback();
+            else if (!self->m_isAnswered)
+                self->m_onGone = callback;
+        });
+    }
+
+    // The rest is called on the strand only.
+    bool isAnswered() const { return m_isAnswered; }
+
+    void setAnswered()
+    {
+        m_isAnswered = true;
+        m_onGone = nullptr;
+    }
+
+    void setGone()
+    {
+        if (m_isGone || m_isAnswered)
+            return;
+        m_isGone = true;
+        const auto callback = std::move(m_onGone);
+        m_onGone = nullptr;
+        if (callback)
+            callback();
+    }
+
+private:
+    template <typename Action> void post(Action action)
+    {
+        net::post(m_executor, [weak = m_session, action = std::move(action)]() mutable {
+            if (const auto session = weak.lock())
+                action(*session);
+        });
+    }
+
+    const std::weak_ptr<HttpSession> m_session;
+    const beast::tcp_stream::executor_type m_executor;
+    const HttpRequest m_request;
+    std::atomic<bool> m_isWakePending { false };
+    bool m_isAnswered { false };
+    bool m_isGone { false };
+    std::function<void()> m_onGone;
+};
+
+HttpSession::HttpSession(net::ip::tcp::socket socket, std::shared_ptr<HttpSessionOwner> owner)
+    : m_stream(std::move(socket))
+    , m_owner(std::move(owner))
+{
+}
+
+HttpSession::~HttpSession()
+{
+    if (m_exchange)
+        m_exchange->setGone();
+    m_owner->sessionClosed(this);
+}
+
+void HttpSession::run()
+{
+    net::post(m_stream.get_executor(), [self = shared_from_this()] { self->readHead(); });
+}
+
+void HttpSession::refuseForConnectionLimit()
+{
+    const JsonError refusal { 503, "too_many_connections",
+        "this VM holds as many connections as its limit allows: " + std::to_string(m_owner->settings().maxConnections),
+        "", RunOutcome::NotRun, Milliseconds { 1000 } };
+    net::post(m_stream.get_executor(),
+        [self = shared_from_this(), refusal] { self->writeWhole(errorResponse(refusal), false); });
+}
+
+void HttpSession::abort()
+{
+    net::post(m_stream.get_executor(), [self = shared_from_this()] {
+        beast::error_code ignored;
+        self->m_stream.socket().set_option(net::socket_base::linger(true, 0), ignored);
+        self->gone();
+    });
+}
+
+void HttpSession::readHead()
+{
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_owner->settings().maxHeaderBytes));
+    m_parser->body_limit(static_cast<std::uint64_t>(m_owner->settings().maxBodyBytes));
+    m_stream.expires_after(m_owner->settings().headerTimeout);
+    http::async_read_header(
+        m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t) {
+            if (error)
+                self->refuse(error);
+            else
+                self->readBody();
+        });
+}
+
+void HttpSession::readBody()
+{
+    m_stream.expires_after(m_owner->settings().bodyTimeout);
+    http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t) {
+        if (error)
+            self->refuse(error);
+        else
+            self->dispatch();
+    });
+}
+
+void HttpSession::dispatch()
+{
+    m_stream.expires_never();
+    m_isBusy = true;
+    auto message = m_parser->release();
+    m_keepAlive = message.keep_alive();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto& field : message)
+        request.headers.add(std::string(field.name_string()), std::string(field.value()));
+    request.body = std::move(message.body());
+    m_exchange = std::make_shared<Exchange>(shared_from_this(), std::move(request));
+    watchPeer();
+    m_owner->handle(m_exchange);
+}
+
+void HttpSession::refuse(beast::error_code error)
+{
+    // A connection that closes, or idles into its time limit, between two requests asked for nothing.
+    const bool isIdle = !m_parser->got_some() && m_buffer.size() == 0;
+    if (hasPeerLeft(error) || isIdle) {
+        close();
+        return;
+    }
+    m_mustDrain = true;
+    writeWhole(errorResponse(describeReadFailure(error, m_owner->settings())), false);
+}
+
+void HttpSession::respond(const std::shared_ptr<Exchange>& exchange, HttpResponse response)
+{
+    if (exchange != m_exchange || exchange->isAnswered() || m_isClosed)
+        return;
+    exchange->setAnswered();
+    writeWhole(std::move(response), m_keepAlive && !m_owner->isStopping());
+}
+
+void HttpSession::writeWhole(HttpResponse response, bool keepAlive)
+{
+    m_response.emplace(static_cast<http::status>(response.status), 11);
+    for (const auto& field : response.headers.fields())
+        m_response->insert(field.name, field.value);
+    m_response->keep_alive(keepAlive);
+    m_response->body() = std::move(response.body);
+    m_response->prepare_payload();
+    m_isWriting = true;
+    m_stream.expires_after(m_owner->settings().writeTimeout);
+    http::async_write(
+        m_stream, *m_response, [self = shared_from_this(), keepAlive](beast::error_code error, std::size_t) {
+            self->m_isWriting = false;
+            self->m_isBusy = false;
+            self->m_response.reset();
+            self->m_exchange.reset();
+            if (!error && self->m_mustDrain)
+                self->beginDrain();
+            else if (error || !keepAlive)
+                self->close();
+            else
+                self->readHead();
+        });
+}
+
+// Closing a connection with unread input resets it, and the reset can destroy the refusal before the peer reads it. So
+// the rest of a refused request is read and dropped, for a short time and up to a limit.
+void HttpSession::beginDrain()
+{
+    beast::error_code ignored;
+    m_stream.socket().shutdown(net::ip::tcp::socket::shutdown_send, ignored);
+    m_stream.expires_after(drainTime);
+    drain(0);
+}
+
+void HttpSession::drain(std::size_t drained)
+{
+    m_piece.resize(drainPieceSize);
+    m_stream.async_read_some(
+        net::buffer(m_piece), [self = shared_from_this(), drained](beast::error_code error, std::size_t size) {
+            if (error || drained + size > drainLimit)
+                self->close();
+            else
+                self->drain(drained + size);
+        });
+}
+
+void HttpSession::beginStream(
+    const std::shared_ptr<Exchange>& exchange, HttpResponse head, std::shared_ptr<HttpBodySource> source)
+{
+    if (exchange != m_exchange || exchange->isAnswered() || m_source || m_isClosed)
+        return;
+    m_source = std::move(source);
+    m_head.emplace(static_cast<http::status>(head.status), 11);
+    for (const auto& field : head.headers.fields())
+        m_head->insert(field.name, field.value);
+    m_head->chunked(true);
+    m_keepAlive = m_keepAlive && !m_owner->isStopping();
+    m_head->keep_alive(m_keepAlive);
+    m_headSerializer.emplace(*m_head);
+    m_isWriting = true;
+    m_stream.expires_after(m_owner->settings().writeTimeout);
+    http::async_write_header(
+        m_stream, *m_headSerializer, [self = shared_from_this(), exchange](beast::error_code error, std::size_t) {
+            self->pieceWritten(exchange, error, false);
+        });
+}
+
+void HttpSession::pump(const std::shared_ptr<Exchange>& exchange)
+{
+    if (exchange != m_exchange || !m_source || m_isWriting || m_isClosed)
+        return;
+    auto piece = m_source->next();
+    if (piece.bytes.empty() && !piece.isLast)
+        return;
+    m_isWriting = true;
+    m_piece = std::move(piece.bytes);
+    m_stream.expires_after(m_owner->settings().writeTimeout);
+    const auto written = [self = shared_from_this(), exchange, isLast = piece.isLast](
+                             beast::error_code error, std::size_t) { self->pieceWritten(exchange, error, isLast); };
+    if (!piece.isLast) {
+        net::async_write(m_stream, http::make_chunk(net::buffer(m_piece)), written);
+        return;
+    }
+    // The last piece and the end of the body go out together.
+    std::string end;
+    if (!m_piece.empty()) {
+        char length[20];
+        const auto count = std::snprintf(length, sizeof(length), "%zx\r\n", m_piece.size());
+        end.assign(length, static_cast<std::size_t>(count)).append(m_piece).append("\r\n");
+    }
+    m_piece = end.append("0\r\n\r\n");
+    net::async_write(m_stream, net::buffer(m_piece), written);
+}
+
+void HttpSession::pieceWritten(const std::shared_ptr<Exchange>& exchange, beast::error_code error, bool wasLast)
+{
+    m_isWriting = false;
+    if (error) {
+        gone();
+        return;
+    }
+    m_stream.expires_never();
+    if (wasLast) {
+        exchange->setAnswered();
+        streamComplete();
+        return;
+    }
+    pump(exchange);
+}
+
+void HttpSession::streamComplete()
+{
+    m_isBusy = false;
+    m_source.reset();
+    m_exchange.reset();
+    m_headSerializer.reset();
+    m_head.reset();
+    if (m_keepAlive)
+        readHead();
+    else
+        close();
+}
+
+// While a request is being handled nothing is read, so that a peer's leaving has to be looked for.
+void HttpSession::watchPeer()
+{
+    m_stream.socket().async_wait(
+        net::ip::tcp::socket::wait_read, [self = shared_from_this(), exchange = m_exchange](beast::error_code error) {
+            if (self->m_exchange == exchange)
+                self->peerReadable(error);
+        });
+}
+
+void HttpSession::peerReadable(beast::error_code error)
+{
+    if (error || m_isClosed)
+        return;
+    char byte = 0;
+    auto& socket = m_stream.socket();
+    socket.non_blocking(true, error);
+    socket.receive(net::buffer(&byte, 1), net::ip::tcp::socket::message_peek, error);
+    const bool hasNextRequest = !error;
+    if (hasNextRequest || error == net::error::would_block)
+        return;
+    gone();
+}
+
+void HttpSession::gone()
+{
+    const auto exchange = m_exchange;
+    close();
+    if (exchange)
+        exchange->setGone();
+}
+
+void HttpSession::close()
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    m_isBusy = false;
+    m_source.reset();
+    m_exchange.reset();
+    beast::error_code ignored;
+    m_stream.socket().shutdown(net::ip::tcp::socket::shutdown_send, ignored);
+    m_stream.close();
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/http/HttpSession.h
@@ -0,0 +1,87 @@
+// One connection of an HttpServer: reads a request, has it handled, writes the response, and so on.
+#pragma once
+
+#include "http/HttpExchange.h"
+#include "http/HttpServerSettings.h"
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+
+namespace lupinknot::internal {
+
+class HttpSession;
+
+// What a session needs from the server that opened it.
+class HttpSessionOwner {
+public:
+    virtual ~HttpSessionOwner() = default;
+    virtual const HttpServerSettings& settings() const = 0;
+    virtual bool isStopping() const = 0;
+    virtual void handle(const std::shared_ptr<HttpExchange>&) = 0;
+    virtual void sessionClosed(HttpSession*) = 0;
+};
+
+// All state is touched on the connection's strand only. Each request gets an exchange of its own, which outlives the
+// session where a handler still holds it. Owned by its own pending operations.
+class HttpSession : public std::enable_shared_from_this<HttpSession> {
+public:
+    HttpSession(boost::asio::ip::tcp::socket, std::shared_ptr<HttpSessionOwner>);
+    ~HttpSession();
+    HttpSession(const HttpSession&) = delete;
+    HttpSession& operator=(const HttpSession&) = delete;
+
+    void run();
+    void refuseForConnectionLimit();
+    // Resets the connection. Thread-safe.
+    void abort();
+    // True from the request's last byte to the response's. Thread-safe.
+    bool isBusy() const { return m_isBusy; }
+
+private:
+    class Exchange;
+    using Request = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using WholeResponse = boost::beast::http::response<boost::beast::http::string_body>;
+    using StreamHead = boost::beast::http::response<boost::beast::http::empty_body>;
+    using StreamHeadSerializer = boost::beast::http::response_serializer<boost::beast::http::empty_body>;
+
+    void readHead();
+    void readBody();
+    void dispatch();
+    void refuse(boost::beast::error_code);
+    void respond(const std::shared_ptr<Exchange>&, HttpResponse);
+    void beginStream(const std::shared_ptr<Exchange>&, HttpResponse head, std::shared_ptr<HttpBodySource>);
+    void pump(const std::shared_ptr<Exchange>&);
+    void writeWhole(HttpResponse, bool keepAlive);
+    void beginDrain();
+    void drain(std::size_t drained);
+    void pieceWritten(const std::shared_ptr<Exchange>&, boost::beast::error_code, bool wasLast);
+    void streamComplete();
+    void watchPeer();
+    void peerReadable(boost::beast::error_code);
+    void gone();
+    void close();
+
+    boost::beast::tcp_stream m_stream;
+    const std::shared_ptr<HttpSessionOwner> m_owner;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<Request> m_parser;
+    std::optional<WholeResponse> m_response;
+    std::optional<StreamHead> m_head;
+    std::optional<StreamHeadSerializer> m_headSerializer;
+    std::shared_ptr<Exchange> m_exchange;
+    std::shared_ptr<HttpBodySource> m_source;
+    std::string m_piece;
+    bool m_isWriting { false };
+    bool m_isClosed { false };
+    bool m_keepAlive { false };
+    std::atomic<bool> m_isBusy { false };
+    bool m_mustDrain { false };
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/load/GenerationCaller.cpp
@@ -0,0 +1,176 @@
+#include "load/GenerationCaller.h"
+
+#include "http/HttpCall.h"
+
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace lupinknot::internal {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Milliseconds callTimeout { 120000 };
+constexpr Milliseconds reconnectPause { 20 };
+constexpr std::size_t maxReconnects = 100;
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusUnavailable = 503;
+
+} // namespace
+
+GenerationCaller::GenerationCaller(const LoadOptions& load, GenerationCallerOptions options)
+    : m_load(load)
+    , m_options(std::move(options))
+    , m_expected(m_options.promptIds)
+{
+}
+
+GenerationResult GenerationCaller::run()
+{
+    std::unique_lock lock(m_mutex);
+    m_result.startedAt = m_clock.now();
+    auto daemon = m_options.firstDaemon;
+    connect(daemon);
+    for (;;) {
+        m_condition.wait(lock, [this] { return m_phase == Phase::Ended; });
+        if (!mayReconnect())
+            break;
+        ++m_result.reconnects;
+        lock.unlock();
+        std::this_thread::sleep_for(reconnectPause);
+        lock.lock();
+        daemon = (daemon + 1) % m_load.daemons.size();
+        connect(daemon);
+    }
+    m_result.missing = m_options.maxTokens - std::min(m_options.maxTokens, m_result.delivered);
+    const bool isExact = !m_result.missing && !m_result.repeated && !m_result.mixed;
+    m_result.isWhole = isExact && m_hasFinish && m_hasDone;
+    m_call.reset();
+    return m_result;
+}
+
+void GenerationCaller::connect(std::size_t daemon)
+{
+    m_phase = Phase::Running;
+    m_parser = {};
+    m_body.clear();
+    m_result.daemon = daemon;
+    m_result.status = 0;
+    m_result.error.clear();
+    m_call = HttpCall::start(m_load.daemons[daemon].callers, request(), callTimeout, shared_from_this());
+}
+
+HttpRequest GenerationCaller::request() const
+{
+    const json body { { "model", m_options.model }, { "prompt", m_options.promptIds },
+        { "max_tokens", m_options.maxTokens }, { "stream", true } };
+    HttpRequest request { "POST", "/v1/completions", { { "Content-Type", "application/json" } }, body.dump() };
+    if (!m_options.repeatable)
+        request.headers.add("Lupinknot-Repeatable", "false");
+    if (m_options.idempotencyKey.empty())
+        return request;
+    request.headers.add("Idempotency-Key", m_options.idempotencyKey);
+    if (m_result.delivered)
+        request.headers.add("Last-Event-ID", m_result.generation + ":" + std::to_string(m_result.delivered));
+    return request;
+}
+
+// A caller with a key comes back after a lost connection, and where it is told to come back.
+bool GenerationCaller::mayReconnect() const
+{
+    if (m_options.idempotencyKey.empty() || m_result.hasLeft || m_hasDone || m_result.reconnects >= maxReconnects)
+        return false;
+    const bool isLost = m_result.status == 0 || m_result.status == statusOk;
+    const bool isRefused = m_result.status == statusUnavailable && m_result.outcome == "not-run";
+    return (isLost && m_result.outcome.empty()) || isRefused;
+}
+
+void GenerationCaller::headArrived(unsigned status, const HttpHeaders& headers)
+{
+    const std::lock_guard lock(m_mutex);
+    m_result.status = status;
+    m_result.outcome = headers.find("Lupinknot-Outcome").value_or("");
+}
+
+void GenerationCaller::bodyArrived(std::string_view piece)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_result.status != statusOk) {
+        m_body.append(piece);
+        return;
+    }
+    std::vector<SseEvent> events;
+    m_parser.feed(piece, events);
+    for (const auto& event : events)
+        takeEvent(event);
+}
+
+void GenerationCaller::ended()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_result.status != statusOk)
+        m_result.error = m_body;
+    endPhase();
+}
+
+void GenerationCaller::failed(HttpCallFailure failure, const std::string&)
+{
+    const std::lock_guard lock(m_mutex);
+    m_result.error = nameIn(httpCallFailureNames, failure);
+    endPhase();
+}
+
+void GenerationCaller::takeEvent(const SseEvent& event)
+{
+    if (event.data == "[DONE]") {
+        m_hasDone = true;
+        return;
+    }
+    const auto body = json::parse(event.data, nullptr, false);
+    if (event.name == "error") {
+        m_result.error = event.data;
+        m_result.outcome = body.is_object() ? body["error"].value("outcome", "") : "";
+        return;
+    }
+    const auto& choice = body["choices"][0];
+    if (!choice["finish_reason"].is_null()) {
+        m_hasFinish = true;
+        return;
+    }
+    takeToken(event.id, { choice["token_ids"][0].get<TokenId>(), choice["text"].get<std::string>() });
+}
+
+void GenerationCaller::takeToken(const std::string& id, const Token& token)
+{
+    const auto colon = id.rfind(':');
+    const auto generation = id.substr(0, colon);
+    const auto count = std::strtoul(id.c_str() + colon + 1, nullptr, 10);
+    if (m_result.generation.empty())
+        m_result.generation = generation;
+    if (count <= m_result.delivered) {
+        ++m_result.repeated;
+        return;
+    }
+    const auto expected = m_expected.next();
+    const bool isExpected = generation == m_result.generation && count == m_result.delivered + 1
+        && token.id == expected.id && token.text == expected.text;
+    m_result.mixed += isExpected ? 0 : 1;
+    m_expected.push(expected.id);
+    ++m_result.delivered;
+    m_result.arrivals.push_back(m_clock.now());
+    if (m_options.onToken)
+        m_options.onToken(m_result.delivered - 1, token);
+    if (m_options.leaveAfter == m_result.delivered) {
+        m_result.hasLeft = true;
+        m_call->cancel();
+    }
+}
+
+void GenerationCaller::endPhase()
+{
+    m_phase = Phase::Ended;
+    m_condition.notify_all();
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/load/LoadRun.cpp
@@ -0,0 +1,243 @@
+#include "load/LoadRun.h"
+
+#include "http/HttpFetch.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lupinknot::internal {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Milliseconds statsTimeout { 5000 };
+constexpr Milliseconds quickTimeout { 10000 };
+constexpr TokenId vocabularySize = 50000;
+
+std::optional<json> fetchJson(const SocketAddress& address, const std::string& target)
+{
+    const auto result = fetch(address, { "GET", target, {}, {} }, statsTimeout);
+    auto body = json::parse(result.response.body, nullptr, false);
+    if (!result.isOk() || !body.is_object())
+        return std::nullopt;
+    return body;
+}
+
+} // namespace
+
+LoadRun::LoadRun(const LoadOptions& options, LoadReport& report)
+    : m_options(options)
+    , m_report(report)
+    , m_random(options.seed)
+{
+}
+
+LoadRun::~LoadRun() { stopQuickCalls(); }
+
+void LoadRun::runGenerations(std::size_t count, const std::function<void(GenerationCallerOptions&, std::size_t)>& adapt)
+{
+    std::atomic<std::size_t> next { 0 };
+    std::vector<std::thread> threads;
+    const auto work = [&] {
+        for (auto index = next++; index < count; index = next++) {
+            auto caller = newCaller();
+            if (adapt)
+                adapt(caller, index);
+            runOne(std::move(caller));
+        }
+    };
+    for (std::size_t i = 0; i < std::min(m_options.concurrency, count); ++i)
+        threads.emplace_back(work);
+    for (auto& thread : threads)
+        thread.join();
+}
+
+GenerationResult LoadRun::runOne(GenerationCallerOptions options)
+{
+    const auto promptTokens = options.promptIds.size();
+    auto result = std::make_shared<GenerationCaller>(m_options, std::move(options))->run();
+    record(result, promptTokens);
+    return result;
+}
+
+GenerationCallerOptions LoadRun::newCaller()
+{
+    const std::lock_guard lock(m_mutex);
+    std::uniform_int_distribution<TokenId> drawId(0, vocabularySize - 1);
+    GenerationCallerOptions caller;
+    for (std::size_t i = 0; i < m_options.promptTokens; ++i)
+        caller.promptIds.push_back(drawId(m_random));
+    caller.maxTokens = m_options.maxTokens;
+    caller.model = m_options.model;
+    caller.idempotencyKey = "load-" + std::to_string(m_options.seed) + "-" + std::to_string(m_nextKey);
+    caller.firstDaemon = m_nextKey++ % m_options.daemons.size();
+    return caller;
+}
+
+void LoadRun::startQuickCalls()
+{
+    if (m_options.services.empty() || m_quickRunning.exchange(true))
+        return;
+    m_quickThread = std::thread([this] { quickLoop(); });
+}
+
+void LoadRun::stopQuickCalls()
+{
+    m_quickRunning = false;
+    if (m_quickThread.joinable())
+        m_quickThread.join();
+}
+
+void LoadRun::quickLoop()
+{
+    for (std::size_t i = 0; m_quickRunning; ++i) {
+        const auto workId = "quick-" + std::to_string(i);
+        const HttpRequest request { "POST", "/thumbs/quick",
+            { { "X-Work-Id", workId }, { "Lupinknot-Repeatable", i % 2 ? "false" : "true" },
+                { "Content-Type", "text/plain" } },
+            "thumb" };
+        const auto start = std::chrono::steady_clock::now();
+        const auto result = fetch(m_options.daemons[i % m_options.daemons.size()].callers, request, quickTimeout);
+        const std::chrono::duration<double, std::milli> time = std::chrono::steady_clock::now() - start;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_report.quick.push_back(time.count());
+            m_report.quickErrors += result.isOk() ? 0 : 1;
+            m_quickOutcomes[workId] = result.response.headers.find("Lupinknot-Outcome").value_or("");
+        }
+        std::this_thread::sleep_for(m_options.quickInterval);
+    }
+}
+
+bool LoadRun::controlEngine(std::size_t engine, const std::string& text)
+{
+    const HttpRequest request { "POST", "/control", { { "Content-Type", "application/json" } }, text };
+    return fetch(m_options.engines[engine], request, statsTimeout).isOk();
+}
+
+void LoadRun::killEngine(std::size_t engine)
+{
+    takeEngineStats(engine);
+    controlEngine(engine, R"({"die": true})");
+}
+
+std::size_t LoadRun::activeStreams(std::size_t engine)
+{
+    const auto stats = fetchJson(m_options.engines[engine], "/stats");
+    return stats ? stats->value("active", std::size_t { 0 }) : 0;
+}
+
+std::size_t LoadRun::busiestEngine()
+{
+    std::size_t busiest = 0;
+    std::size_t most = 0;
+    for (std::size_t i = 0; i < m_options.engines.size(); ++i) {
+        const auto active = activeStreams(i);
+        if (active <= most)
+            continue;
+        most = active;
+        busiest = i;
+    }
+    return busiest;
+}
+
+void LoadRun::expect(bool condition, const std::string& problem)
+{
+    if (!condition)
+        m_report.problems.push_back(problem);
+}
+
+void LoadRun::settle()
+{
+    stopQuickCalls();
+    for (std::size_t i = 0; i < m_options.engines.size(); ++i)
+        takeEngineStats(i);
+    for (const auto& result : m_results)
+        recordResumptions(result);
+    checkServiceRuns();
+    const auto ratio = [](std::size_t done, std::size_t needed) {
+        return needed ? (static_cast<double>(done) - static_cast<double>(needed)) / static_cast<double>(needed) : 0;
+    };
+    m_report.extraPrefillRatio = ratio(m_totals.prefillTokens, m_promptTokens);
+    m_report.extraDecodeRatio = ratio(m_totals.decodedTokens, m_delivered);
+}
+
+void LoadRun::record(const GenerationResult& result, std::size_t promptTokens)
+{
+    const std::lock_guard lock(m_mutex);
+    m_results.push_back(result);
+    m_promptTokens += promptTokens;
+    m_delivered += result.delivered;
+    m_report.reconnects += result.reconnects;
+    m_report.repeatedTokens += result.repeated;
+    m_report.mixed += result.mixed;
+    if (result.hasLeft)
+        return;
+    ++m_report.requests;
+    m_report.whole += result.isWhole ? 1 : 0;
+    m_report.missingTokens += result.missing;
+    if (!result.error.empty()) {
+        ++m_report.errors;
+        m_report.problems.push_back(result.generation + ": " + result.error);
+    }
+}
+
+// Asks the VM that ran a generation where its attempts changed, and takes the caller's own wait at those positions.
+void LoadRun::recordResumptions(const GenerationResult& result)
+{
+    const auto described
+        = fetchJson(m_options.daemons[result.daemon].operators, "/v1/generations/" + result.generation);
+    if (!described)
+        return;
+    std::string lastFailure;
+    for (const auto& attempt : (*described)["attempts"]) {
+        const auto position = attempt["position"].get<std::size_t>();
+        const bool hasResumed = attempt.contains("resume_gap_ms") && position > 0 && position < result.arrivals.size();
+        if (hasResumed) {
+            const auto wait = static_cast<double>((result.arrivals[position] - result.arrivals[position - 1]).count());
+            m_report.resume.push_back(wait);
+            if (lastFailure == "silent")
+                m_report.resumeAfterSilence.push_back(wait);
+            const auto work
+                = m_totals.byRequest.find(result.generation + ":" + std::to_string(attempt["number"].get<unsigned>()));
+            if (lastFailure != "silent" && work != m_totals.byRequest.end())
+                m_report.resumeBeyondEngine.push_back(
+                    attempt["resume_after_detection_ms"].get<double>() - work->second.firstTokenMs);
+        }
+        lastFailure = attempt.value("failure", "");
+    }
+}
+
+void LoadRun::takeEngineStats(std::size_t engine)
+{
+    const auto stats = fetchJson(m_options.engines[engine], "/stats");
+    if (!stats)
+        return;
+    const std::lock_guard lock(m_mutex);
+    m_totals.prefillTokens += (*stats)["prefill_tokens"].get<std::size_t>();
+    m_totals.decodedTokens += (*stats)["decoded_tokens"].get<std::size_t>();
+    for (const auto& entry : (*stats)["by_request"].items())
+        m_totals.byRequest[entry.key()].firstTokenMs = entry.value()["first_token_ms"].get<double>();
+}
+
+// No call that must not be repeated ran twice, and none that was refused as not run ran at all.
+void LoadRun::checkServiceRuns()
+{
+    std::map<std::string, std::size_t> runs;
+    for (const auto& service : m_options.services) {
+        const auto stats = fetchJson(service, "/stats");
+        if (!stats)
+            continue;
+        for (const auto& entry : (*stats)["runs"].items())
+            runs[entry.key()] += entry.value().get<std::size_t>();
+    }
+    for (const auto& entry : m_quickOutcomes) {
+        const auto number = std::strtoul(entry.first.c_str() + entry.first.rfind('-') + 1, nullptr, 10);
+        const bool isRepeatable = number % 2 == 0;
+        const auto count = runs[entry.first];
+        m_report.doubleRuns += !isRepeatable && count > 1 ? 1 : 0;
+        m_report.falseNotRun += entry.second == "not-run" && count ? 1 : 0;
+    }
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/load/Scenario.cpp
@@ -0,0 +1,186 @@
+#include "load/Scenario.h"
+
+#include "http/HttpFetch.h"
+#include "load/LoadRun.h"
+
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace lupinknot::internal {
+
+namespace {
+
+using nlohmann::json;
+
+// Does something again and again on a thread of its own until it is destroyed.
+class Repeater {
+public:
+    Repeater(Milliseconds interval, std::function<void(std::size_t round)> action)
+        : m_thread([this, interval, action = std::move(action)] {
+            for (std::size_t round = 0; !m_isStopping; ++round) {
+                std::this_thread::sleep_for(interval);
+                if (!m_isStopping)
+                    action(round);
+            }
+        })
+    {
+    }
+
+    ~Repeater()
+    {
+        m_isStopping = true;
+        m_thread.join();
+    }
+
+    Repeater(const Repeater&) = delete;
+    Repeater& operator=(const Repeater&) = delete;
+
+private:
+    std::atomic<bool> m_isStopping { false };
+    std::thread m_thread;
+};
+
+void runSteady(LoadRun& run)
+{
+    run.startQuickCalls();
+    run.runGenerations(run.options().generations);
+}
+
+// One long answer on the screen; its engine is killed in the middle of it. Others run beside it.
+void runEngineDeath(LoadRun& run)
+{
+    constexpr std::size_t killAt = 25;
+    constexpr std::size_t storyTokens = 80;
+    constexpr std::size_t others = 6;
+    std::cerr << "One caller asks for an answer of " << storyTokens << " tokens; " << others
+              << " more run beside it.\n\n   ";
+    run.startQuickCalls();
+    std::thread beside([&run] { run.runGenerations(others); });
+    std::thread killer;
+    auto caller = run.newCaller();
+    caller.maxTokens = storyTokens;
+    caller.onToken = [&](std::size_t position, const Token& token) {
+        std::cerr << token.text << std::flush;
+        if (position + 1 != killAt)
+            return;
+        killer = std::thread([&run] {
+            const auto engine = run.busiestEngine();
+            std::cerr << "\n\n>> engine " << engine + 1 << " dies, in the middle of " << run.activeStreams(engine)
+                      << " answers <<\n\n   ";
+            run.killEngine(engine);
+        });
+    };
+    const auto result = run.runOne(std::move(caller));
+    if (killer.joinable())
+        killer.join();
+    beside.join();
+    std::cerr << "\n\n"
+              << (result.isWhole ? "The answer is whole: " : "THE ANSWER IS NOT WHOLE: ") << result.delivered
+              << " tokens, each the one expected.\n";
+}
+
+// Engines stand still for a while and come back as if nothing had happened.
+void runEnginePause(LoadRun& run)
+{
+    run.startQuickCalls();
+    const Repeater pauses(Milliseconds { 1500 }, [&run](std::size_t round) {
+        run.controlEngine(round % run.options().engines.size(), R"({"pause": true, "pause_ms": 1200})");
+    });
+    run.runGenerations(run.options().generations);
+}
+
+// Half of the engines die, come back empty, and die again.
+void runEngineStorm(LoadRun& run)
+{
+    run.startQuickCalls();
+    const Repeater deaths(Milliseconds { 700 }, [&run](std::size_t round) {
+        const auto count = run.options().engines.size();
+        for (std::size_t i = 0; i < count / 2; ++i)
+            run.controlEngine((round + 2 * i) % count, R"({"crash": true, "down_ms": 400})");
+    });
+    run.runGenerations(run.options().generations);
+}
+
+// Every third caller leaves in the middle; its engine must stop at once.
+void runCallerGone(LoadRun& run)
+{
+    run.startQuickCalls();
+    const auto adapt = [](GenerationCallerOptions& caller, std::size_t index) {
+        if (index % 3)
+            return;
+        caller.leaveAfter = caller.maxTokens / 3;
+        caller.idempotencyKey.clear();
+    };
+    run.runGenerations(run.options().generations, adapt);
+    std::this_thread::sleep_for(Milliseconds { 300 });
+    for (std::size_t i = 0; i < run.options().engines.size(); ++i)
+        run.expect(
+            !run.activeStreams(i), "engine " + std::to_string(i + 1) + " still runs streams whose callers have gone");
+}
+
+struct BadInput {
+    const char* what;
+    std::string body;
+    HttpHeaders headers;
+    unsigned status;
+    const char* field;
+};
+
+std::vector<BadInput> badInputs()
+{
+    const std::string good = R"({"model": "story", "prompt": "a b", "max_tokens": 4})";
+    return {
+        { "bad JSON", "{\"model\": ", {}, 400, "body" },
+        { "bad UTF-8", "{\"model\": \"story\", \"prompt\": \"\xff\xfe\"}", {}, 400, "body" },
+        { "a list as body", "[1]", {}, 400, "body" },
+        { "no model", R"({"prompt": "a"})", {}, 400, "model" },
+        { "an unknown model", R"({"model": "nobody", "prompt": "a"})", {}, 404, "model" },
+        { "no prompt", R"({"model": "story"})", {}, 400, "prompt" },
+        { "a negative token", R"({"model": "story", "prompt": [1, -2]})", {}, 400, "prompt" },
+        { "too many tokens", R"({"model": "story", "prompt": "a", "max_tokens": 99999999})", {}, 400, "max_tokens" },
+        { "zero tokens", R"({"model": "story", "prompt": "a", "max_tokens": 0})", {}, 400, "max_tokens" },
+        { "an unknown field", R"({"model": "story", "prompt": "a", "colour": 1})", {}, 400, "colour" },
+        { "a bad flag", good, { { "Lupinknot-Repeatable", "maybe" } }, 400, "Lupinknot-Repeatable" },
+        { "a bad deadline", good, { { "Lupinknot-Deadline-Ms", "-1" } }, 400, "Lupinknot-Deadline-Ms" },
+        { "a bad event id", good, { { "Idempotency-Key", "k" }, { "Last-Event-ID", "x" } }, 400, "Last-Event-ID" },
+        { "a body too large", std::string(6 * 1024 * 1024, ' '), {}, 413, "body" },
+        { "a header too large", good, { { "X-Flood", std::string(100000, 'x') } }, 431, "header" },
+    };
+}
+
+// Wrong requests get clear errors, and the callers beside them notice nothing.
+void runBadInput(LoadRun& run)
+{
+    run.startQuickCalls();
+    std::thread beside([&run] { run.runGenerations(run.options().generations); });
+    for (const auto& input : badInputs()) {
+        HttpRequest request { "POST", "/v1/completions", input.headers, input.body };
+        request.headers.add("Content-Type", "application/json");
+        const auto result = fetch(run.options().daemons.front().callers, request, Milliseconds { 10000 });
+        const auto body = json::parse(result.response.body, nullptr, false);
+        const auto field = body.is_object() ? body["error"].value("field", "") : "";
+        const bool isAsExpected = result.response.status == input.status && field == input.field
+            && result.response.headers.find("Lupinknot-Outcome") == "not-run";
+        run.expect(isAsExpected,
+            std::string(input.what) + ": expected status " + std::to_string(input.status) + " and field " + input.field
+                + "; found " + std::to_string(result.response.status) + " " + result.response.body + result.message);
+    }
+    beside.join();
+}
+
+} // namespace
+
+const std::vector<Scenario>& scenarios()
+{
+    static const std::vector<Scenario> all {
+        { "steady", "nothing fails", runSteady },
+        { "engine-death", "an engine's process is killed in the middle of answers", runEngineDeath },
+        { "engine-pause", "engines stand still and come back", runEnginePause },
+        { "engine-storm", "half of the engines die, several times", runEngineStorm },
+        { "caller-gone", "callers leave in the middle of their answers", runCallerGone },
+        { "bad-input", "wrong requests beside good ones", runBadInput },
+    };
+    return all;
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/settings/SettingField.h
@@ -0,0 +1,29 @@
+// One setting of a section: its key, where it is kept, what it may be, and what it is for.
+//
+// Tables of these fields are the single description of the settings: the reader checks against them, and the reference
+// for operators is printed from them.
+#pragma once
+
+#include "lupinknot/Clock.h"
+#include "lupinknot/SilenceDetector.h"
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace lupinknot::internal {
+
+template <typename Section> struct SettingField {
+    using Member = std::variant<std::int64_t Section::*, unsigned Section::*, Milliseconds Section::*,
+        std::string Section::*, bool Section::*, std::vector<std::string> Section::*, DetectorKind Section::*>;
+
+    std::string_view key;
+    Member member;
+    // Range of a number; unused for other types.
+    std::int64_t lowest;
+    std::int64_t highest;
+    std::string_view description;
+    bool isRequired { false };
+};
+
+} // namespace lupinknot::internal
