Recovery: probe an ejected endpoint when no other is left

Change: when none is eligible, one request probes an ejected endpoint; its answer ends the ejection. Attempts that were turned away before they began no longer count against max_attempts, the time without an endpoint does. The look for an endpoint is repeated every 10 ms instead of 25.

--- a/include/lupinknot/GenerationDriver.h
+++ b/include/lupinknot/GenerationDriver.h
@@ -50,7 +50,6 @@
     bool isOver() const { return m_state == State::Ended; }
     // Set when the generation was given up.
     const std::optional<GenerationError>& error() const { return m_error; }
-    unsigned attemptsMade() const { return m_recovery.attemptsMade; }
 
 private:
     enum class State {
--- a/include/lupinknot/RecoveryPolicy.h
+++ b/include/lupinknot/RecoveryPolicy.h
@@ -19,11 +19,12 @@
 };
 
 struct RecoverySettings {
+    // Attempts that one generation may take, those not counted that were turned away before they began.
     unsigned maxAttempts { 12 };
     // How long a generation waits for an endpoint while none can take it.
     Milliseconds endpointWait { 2000 };
     // Pause between two looks for an endpoint.
-    Milliseconds endpointRetryInterval { 25 };
+    Milliseconds endpointRetryInterval { 10 };
 };
 
 struct RecoveryState {
@@ -31,7 +32,8 @@
     // True when any attempt so far may have begun the work.
     bool mayHaveStarted { false };
     std::size_t tokensHeld { 0 };
-    unsigned attemptsMade { 0 };
+    // Attempts that may have begun the work; one that was turned away before costs nothing and is not counted.
+    unsigned attemptsBegun { 0 };
 };
 
 RecoveryStep nextStep(const RecoveryState&, const RecoverySettings&);
--- a/src/core/GenerationDriver.cpp
+++ b/src/core/GenerationDriver.cpp
@@ -113,6 +113,12 @@
 
 void GenerationDriver::tryNextAttempt(Milliseconds now)
 {
+    // Endpoints that turn the work away at once must not keep it going round for ever.
+    const bool isWaitOver = now - m_waitingSince > m_settings.endpointWait;
+    if (isWaitOver) {
+        giveUp(GenerationErrorCode::NoEndpoint);
+        return;
+    }
     if (auto endpoint = m_host.chooseEndpoint(m_avoid)) {
         beginAttempt(std::move(*endpoint), now);
         return;
@@ -124,7 +130,6 @@
 {
     m_state = State::Running;
     m_running = { m_generation.beginAttempt(), std::move(endpoint), { now, false } };
-    ++m_recovery.attemptsMade;
     m_host.startAttempt({ m_running.number, m_running.endpoint.name, m_generation.length() });
 }
 
@@ -133,8 +138,6 @@
     m_state = State::WaitingForEndpoint;
     m_avoid.clear();
     m_retryAt = now + m_settings.endpointRetryInterval;
-    if (now - m_waitingSince >= m_settings.endpointWait)
-        giveUp(GenerationErrorCode::NoEndpoint);
 }
 
 void GenerationDriver::noteToken(Milliseconds now)
@@ -162,19 +165,21 @@
 void GenerationDriver::loseAttempt(FailureKind failure, Milliseconds now)
 {
     m_lastFailure = failure;
-    if (!traitsOf(failure).provesNotStarted)
+    if (!traitsOf(failure).provesNotStarted) {
         m_recovery.mayHaveStarted = true;
+        ++m_recovery.attemptsBegun;
+        m_waitingSince = now;
+    }
     // The gap that a caller sees begins at the last token, however many attempts fail before the next one.
     if (!m_loss)
         m_loss = Loss { failure, m_running.activity.lastActivity, now };
     m_avoid.push_back(m_running.endpoint.name);
     endRunning(failure);
-    m_waitingSince = now;
     if (nextStep(m_recovery, m_settings) == RecoveryStep::Retry) {
         tryNextAttempt(now);
         return;
     }
-    const bool isExhausted = m_recovery.attemptsMade >= m_settings.maxAttempts;
+    const bool isExhausted = m_recovery.attemptsBegun >= m_settings.maxAttempts;
     giveUp(isExhausted ? GenerationErrorCode::AttemptsExhausted : GenerationErrorCode::MayHaveRun);
 }
 
--- a/src/core/RecoveryPolicy.cpp
+++ b/src/core/RecoveryPolicy.cpp
@@ -4,7 +4,7 @@
 
 RecoveryStep nextStep(const RecoveryState& state, const RecoverySettings& settings)
 {
-    if (state.attemptsMade >= settings.maxAttempts)
+    if (state.attemptsBegun >= settings.maxAttempts)
         return RecoveryStep::GiveUp;
     const bool wouldStartOver = state.mayHaveStarted && !state.tokensHeld;
     if (!state.repeatable && wouldStartOver)
--- a/src/daemon/EndpointState.cpp
+++ b/src/daemon/EndpointState.cpp
@@ -21,6 +21,7 @@
 {
     --m_inFlight;
     const std::lock_guard lock(m_mutex);
+    m_isProbed = false;
     if (!failure) {
         m_nextEjection = m_ejection.initial;
         return;
@@ -32,6 +33,22 @@
     m_nextEjection = std::min(2 * m_nextEjection, m_ejection.longest);
 }
 
+void EndpointState::noteAlive()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isProbed = false;
+    m_ejectedUntil = Milliseconds::zero();
+}
+
+bool EndpointState::takeProbe(Milliseconds now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_listing != EndpointListing::Live || m_isProbed || now >= m_ejectedUntil)
+        return false;
+    m_isProbed = true;
+    return true;
+}
+
 bool EndpointState::isEligible(Milliseconds now) const
 {
     return m_listing == EndpointListing::Live && ejectedFor(now) <= Milliseconds::zero();
--- a/src/daemon/EndpointState.h
+++ b/src/daemon/EndpointState.h
@@ -36,8 +36,14 @@
     void workEnded(std::optional<FailureKind>, Milliseconds now);
     int inFlight() const { return m_inFlight; }
 
+    // The endpoint has answered: an ejection ends.
+    void noteAlive();
+
     // True when the endpoint may get new work: it is not leaving and not ejected.
     bool isEligible(Milliseconds now) const;
+    // Takes the one request that an ejected endpoint may get before its time, to see whether it is back. Returns false
+    // when such a request is under way, or the endpoint is leaving. The caller must start the work.
+    bool takeProbe(Milliseconds now);
     // How long the endpoint is still ejected; zero or less when it is not.
     Milliseconds ejectedFor(Milliseconds now) const;
 
@@ -51,9 +57,10 @@
     std::atomic<int> m_inFlight { 0 };
     std::atomic<EndpointListing> m_listing { EndpointListing::Live };
     mutable std::mutex m_mutex;
-    // Both under the lock.
+    // All under the lock.
     Milliseconds m_ejectedUntil { 0 };
     Milliseconds m_nextEjection;
+    bool m_isProbed { false };
 };
 
 } // namespace lupinknot::internal
--- a/src/daemon/EndpointTable.cpp
+++ b/src/daemon/EndpointTable.cpp
@@ -6,6 +6,15 @@
 
 namespace lupinknot::internal {
 
+namespace {
+
+bool isAvoided(const EndpointState& endpoint, const RouteQuery& query)
+{
+    return std::find(query.avoid.begin(), query.avoid.end(), endpoint.settings().name) != query.avoid.end();
+}
+
+} // namespace
+
 EndpointTable::EndpointTable(const DaemonSettings& settings, const Clock& clock)
     : m_clock(clock)
     , m_zone(settings.vm.zone)
@@ -67,11 +76,8 @@
         if (!best || isBetter(*candidate, *best, query))
             best = candidate;
     }
-    if (!best) {
-        logDebug(LogPart::Route,
-            query.subject + " has no endpoint: none of " + std::to_string(candidates.size()) + " is eligible.");
-        return nullptr;
-    }
+    if (!best)
+        return probe(candidates, query);
     logInfo(LogPart::Route,
         query.subject + " goes to " + best->settings().name + ": " + std::to_string(best->inFlight())
             + " in flight, zone " + best->settings().zone + ", " + std::to_string(eligible) + " of "
@@ -79,13 +85,25 @@
     return best;
 }
 
+std::shared_ptr<EndpointState> EndpointTable::probe(const Endpoints& candidates, const RouteQuery& query) const
+{
+    for (const auto& candidate : candidates) {
+        if (isAvoided(*candidate, query) || !candidate->takeProbe(m_clock.now()))
+            continue;
+        logInfo(LogPart::Route,
+            query.subject + " probes " + candidate->settings().name + ": none of " + std::to_string(candidates.size())
+                + " is eligible.");
+        return candidate;
+    }
+    logDebug(LogPart::Route,
+        query.subject + " has no endpoint: none of " + std::to_string(candidates.size()) + " is eligible.");
+    return nullptr;
+}
+
 bool EndpointTable::isBetter(const EndpointState& a, const EndpointState& b, const RouteQuery& query) const
 {
-    const auto isAvoided = [&query](const EndpointState& endpoint) {
-        return std::find(query.avoid.begin(), query.avoid.end(), endpoint.settings().name) != query.avoid.end();
-    };
-    if (isAvoided(a) != isAvoided(b))
-        return !isAvoided(a);
+    if (isAvoided(a, query) != isAvoided(b, query))
+        return !isAvoided(a, query);
     const bool isLocalA = a.settings().zone == m_zone;
     const bool isLocalB = b.settings().zone == m_zone;
     if (isLocalA != isLocalB)
--- a/src/daemon/EndpointTable.h
+++ b/src/daemon/EndpointTable.h
@@ -25,7 +25,8 @@
 
     bool knowsModel(const std::string& model) const { return m_byModel.count(model); }
     // Both choose the eligible endpoint with the fewest requests in flight, in the own availability zone if there is
-    // one; an endpoint to avoid is chosen only when there is no other. Nothing when none is eligible.
+    // one; an endpoint to avoid is chosen only when there is no other. When none is eligible, an ejected one that is
+    // not to be avoided is probed. Nothing when that is not possible either. The caller must start the work.
     std::shared_ptr<EndpointState> chooseForModel(const std::string& model, const RouteQuery&) const;
     std::shared_ptr<EndpointState> chooseAmong(const std::vector<std::string>& names, const RouteQuery&) const;
 
@@ -39,6 +40,7 @@
     using Endpoints = std::vector<std::shared_ptr<EndpointState>>;
 
     std::shared_ptr<EndpointState> choose(const Endpoints&, const RouteQuery&) const;
+    std::shared_ptr<EndpointState> probe(const Endpoints&, const RouteQuery&) const;
     bool isBetter(const EndpointState&, const EndpointState&, const RouteQuery&) const;
 
     const Clock& m_clock;
--- a/src/daemon/EngineAttempt.cpp
+++ b/src/daemon/EngineAttempt.cpp
@@ -36,7 +36,9 @@
 
 void EngineAttempt::headArrived(unsigned status, const HttpHeaders&)
 {
-    if (status != statusOk)
+    if (status == statusOk)
+        m_generation->attemptAccepted(m_number);
+    else
         fail(failureOfStatus(status));
 }
 
--- a/src/daemon/LiveGeneration.cpp
+++ b/src/daemon/LiveGeneration.cpp
@@ -114,6 +114,13 @@
     return m_records;
 }
 
+void LiveGeneration::attemptAccepted(AttemptNumber attempt)
+{
+    const std::lock_guard lock(m_mutex);
+    if (attempt == m_driver.generation().currentAttempt() && !m_driver.isOver())
+        m_endpoint->noteAlive();
+}
+
 void LiveGeneration::promptIdsKnown(AttemptNumber attempt, std::vector<TokenId> ids)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/daemon/LiveGeneration.h
+++ b/src/daemon/LiveGeneration.h
@@ -43,6 +43,7 @@
     std::vector<AttemptRecord> attempts() const;
 
     // Reports of an attempt; the rest of the attempt's news is refused once it is no longer the current one.
+    void attemptAccepted(AttemptNumber);
     void promptIdsKnown(AttemptNumber, std::vector<TokenId>);
     void tokensArrived(AttemptNumber, std::size_t position, std::vector<Token>);
     void attemptFinished(AttemptNumber, std::size_t position, FinishReason);
--- /dev/null
+++ b/test/GenerationDriverTest.cpp
@@ -0,0 +1,277 @@
+#include "lupinknot/GenerationDriver.h"
+
+#include "FakeAttemptHost.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+
+namespace {
+
+constexpr std::size_t maxTokens = 4;
+
+Milliseconds at(std::int64_t milliseconds) { return Milliseconds { milliseconds }; }
+
+std::string outcomeName(const GenerationDriver& driver)
+{
+    return driver.error() ? std::string(nameIn(runOutcomeNames, driver.error()->outcome)) : "no error";
+}
+
+std::string errorName(const GenerationDriver& driver)
+{
+    return driver.error() ? std::string(nameIn(generationErrorCodeNames, driver.error()->code)) : "no error";
+}
+
+} // namespace
+
+TEST_GROUP(GenerationDriver)
+{
+    FakeAttemptHost host { { "e1", "e2", "e3" } };
+    RecoverySettings settings { 3, at(1000), at(10) };
+
+    GenerationDriver makeDriver(bool repeatable = true, std::int64_t deadline = 100000)
+    {
+        return { { { maxTokens, {} }, repeatable, at(deadline) }, settings, host };
+    }
+
+    void giveTokens(
+        GenerationDriver & driver, AttemptNumber attempt, std::size_t first, std::size_t count, std::int64_t now)
+    {
+        for (auto position = first; position < first + count; ++position)
+            driver.tokenArrived(attempt, position, { static_cast<TokenId>(position), "t" }, at(now));
+    }
+};
+
+TEST(GenerationDriver, RunsOnOneEndpointToItsEnd)
+{
+    auto driver = makeDriver();
+    driver.start(at(0));
+    giveTokens(driver, 1, 0, maxTokens, 10);
+    CHECK(driver.isOver());
+    CHECK_FALSE(driver.error());
+    LONGS_EQUAL(1, host.orders.size());
+}
+
+TEST(GenerationDriver, ResumesElsewhereFromItsLength)
+{
+    auto driver = makeDriver();
+    driver.start(at(0));
+    giveTokens(driver, 1, 0, 2, 10);
+    driver.attemptFailed(1, FailureKind::ConnectionLost, at(20));
+    LONGS_EQUAL(2, host.orders.size());
+    LONGS_EQUAL(2, host.orders[1].position);
+    STRCMP_EQUAL("e2", host.orders[1].endpoint.c_str());
+    giveTokens(driver, 2, 2, 2, 30);
+    CHECK(driver.isOver());
+    CHECK_FALSE(driver.error());
+}
+
+TEST(GenerationDriver, CancelsAnAttemptThatItGivesUp)
+{
+    auto driver = makeDriver();
+    driver.start(at(0));
+    driver.attemptFailed(1, FailureKind::WrongPosition, at(10));
+    LONGS_EQUAL(1, host.cancelled.size());
+    LONGS_EQUAL(1, host.cancelled[0]);
+}
+
+TEST(GenerationDriver, RefusesTokensOfAnAttemptThatWakesUp)
+{
+    auto driver = makeDriver();
+    driver.start(at(0));
+    giveTokens(driver, 1, 0, 1, 10);
+    driver.attemptFailed(1, FailureKind::Silent, at(500));
+    const auto result = driver.tokenArrived(1, 1, { 7, "late" }, at(501));
+    STRCMP_EQUAL("not-current-attempt", std::string(nameIn(appendResultNames, result)).c_str());
+    LONGS_EQUAL(1, driver.generation().length());
+}
+
+TEST(GenerationDriver, IgnoresTheFailureOfASupersededAttempt)
+{
+    auto driver = makeDriver();
+    driver.start(at(0));
+    driver.attemptFailed(1, FailureKind::Silent, at(500));
+    driver.attemptFailed(1, FailureKind::ConnectionLost, at(501));
+    LONGS_EQUAL(2, host.orders.size());
+}
+
+TEST(GenerationDriver, TakesATokenAtAWrongPositionAsALoss)
+{
+    auto driver = makeDriver();
+    driver.start(at(0));
+    giveTokens(driver, 1, 0, 1, 10);
+    driver.tokenArrived(1, 2, { 9, "skipped one" }, at(20));
+    LONGS_EQUAL(2, host.orders.size());
+    LONGS_EQUAL(1, host.orders[1].position);
+}
+
+TEST(GenerationDriver, IsCompleteWhenItsEngineDiesAfterTheLastToken)
+{
+    auto driver = makeDriver();
+    driver.start(at(0));
+    giveTokens(driver, 1, 0, maxTokens, 10);
+    driver.attemptFailed(1, FailureKind::ConnectionLost, at(11));
+    CHECK_FALSE(driver.error());
+    LONGS_EQUAL(1, host.orders.size());
+}
+
+TEST(GenerationDriver, NoticesASilentEndpoint)
+{
+    auto driver = makeDriver();
+    driver.start(at(0));
+    giveTokens(driver, 1, 0, 1, 10);
+    driver.tick(at(10) + host.pulseSettings.bounds.ceiling - at(1));
+    LONGS_EQUAL(1, host.orders.size());
+    driver.tick(at(10) + host.pulseSettings.bounds.ceiling);
+    LONGS_EQUAL(2, host.orders.size());
+    STRCMP_EQUAL("silent", host.lastFailure().c_str());
+}
+
+TEST(GenerationDriver, TellsWhenItWantsToBeAsked)
+{
+    auto driver = makeDriver();
+    driver.start(at(0));
+    giveTokens(driver, 1, 0, 1, 10);
+    CHECK(driver.nextTick() == at(10) + host.pulseSettings.bounds.ceiling);
+}
+
+TEST(GenerationDriver, WaitsForAnEndpointAndTakesItWhenItIsBack)
+{
+    auto driver = makeDriver();
+    driver.start(at(0));
+    giveTokens(driver, 1, 0, 1, 10);
+    host.available.clear();
+    driver.attemptFailed(1, FailureKind::ConnectionLost, at(20));
+    CHECK_FALSE(driver.isOver());
+    host.available = { "e9" };
+    driver.tick(at(30));
+    STRCMP_EQUAL("e9", host.orders.back().endpoint.c_str());
+}
+
+TEST(GenerationDriver, GivesUpWhenNoEndpointComesBackInTime)
+{
+    auto driver = makeDriver();
+    host.available.clear();
+    driver.start(at(0));
+    driver.tick(at(1000));
+    CHECK_FALSE(driver.isOver());
+    driver.tick(at(1010));
+    STRCMP_EQUAL("no_endpoint", errorName(driver).c_str());
+    STRCMP_EQUAL("not-run", outcomeName(driver).c_str());
+}
+
+TEST(GenerationDriver, GivesUpWhenEveryEndpointTurnsItAwayForTooLong)
+{
+    auto driver = makeDriver();
+    driver.start(at(0));
+    driver.attemptFailed(1, FailureKind::ConnectionRefused, at(400));
+    driver.attemptFailed(2, FailureKind::Overloaded, at(800));
+    driver.attemptFailed(3, FailureKind::ConnectionRefused, at(1200));
+    STRCMP_EQUAL("no_endpoint", errorName(driver).c_str());
+    STRCMP_EQUAL("not-run", outcomeName(driver).c_str());
+}
+
+TEST(GenerationDriver, DoesNotCountAttemptsThatWereTurnedAway)
+{
+    auto driver = makeDriver();
+    driver.start(at(0));
+    for (AttemptNumber attempt = 1; attempt <= 9; ++attempt)
+        driver.attemptFailed(attempt, FailureKind::ConnectionRefused, at(attempt));
+    CHECK_FALSE(driver.isOver());
+    LONGS_EQUAL(10, host.orders.size());
+}
+
+TEST(GenerationDriver, GivesUpAfterItsAttempts)
+{
+    auto driver = makeDriver();
+    driver.start(at(0));
+    driver.attemptFailed(1, FailureKind::ConnectionLost, at(1));
+    driver.attemptFailed(2, FailureKind::ErrorStatus, at(2));
+    driver.attemptFailed(3, FailureKind::MalformedEvent, at(3));
+    STRCMP_EQUAL("attempts_exhausted", errorName(driver).c_str());
+    STRCMP_EQUAL("unknown", outcomeName(driver).c_str());
+    STRCMP_CONTAINS("malformed-event", driver.error()->message.c_str());
+}
+
+TEST(GenerationDriver, NeverStartsUnrepeatableWorkOverFromNothing)
+{
+    auto driver = makeDriver(false);
+    driver.start(at(0));
+    driver.attemptFailed(1, FailureKind::ConnectionLost, at(1));
+    STRCMP_EQUAL("may_have_run", errorName(driver).c_str());
+    STRCMP_EQUAL("unknown", outcomeName(driver).c_str());
+    LONGS_EQUAL(1, host.orders.size());
+}
+
+TEST(GenerationDriver, StartsUnrepeatableWorkElsewhereWhenItWasNotBegun)
+{
+    auto driver = makeDriver(false);
+    driver.start(at(0));
+    driver.attemptFailed(1, FailureKind::ConnectionRefused, at(1));
+    LONGS_EQUAL(2, host.orders.size());
+    CHECK_FALSE(driver.isOver());
+}
+
+TEST(GenerationDriver, ContinuesUnrepeatableWorkFromItsTokens)
+{
+    auto driver = makeDriver(false);
+    driver.start(at(0));
+    giveTokens(driver, 1, 0, 1, 10);
+    driver.attemptFailed(1, FailureKind::ConnectionLost, at(20));
+    LONGS_EQUAL(2, host.orders.size());
+    LONGS_EQUAL(1, host.orders[1].position);
+}
+
+TEST(GenerationDriver, GivesUpAtItsDeadlineAndCancels)
+{
+    auto driver = makeDriver(true, 50);
+    driver.start(at(0));
+    giveTokens(driver, 1, 0, 1, 10);
+    driver.tick(at(50));
+    STRCMP_EQUAL("deadline_exceeded", errorName(driver).c_str());
+    LONGS_EQUAL(1, host.cancelled.size());
+}
+
+TEST(GenerationDriver, CancelsAtOnceWhenAbandonedAndKeepsItsTokens)
+{
+    auto driver = makeDriver();
+    driver.start(at(0));
+    giveTokens(driver, 1, 0, 2, 10);
+    driver.abandon();
+    LONGS_EQUAL(1, host.cancelled.size());
+    LONGS_EQUAL(2, driver.generation().length());
+}
+
+TEST(GenerationDriver, GoesOnFromItsTokensWhenRevived)
+{
+    auto driver = makeDriver();
+    driver.start(at(0));
+    giveTokens(driver, 1, 0, 2, 10);
+    driver.abandon();
+    driver.revive(at(500), at(100000));
+    CHECK_FALSE(driver.error());
+    LONGS_EQUAL(2, host.orders.back().position);
+}
+
+TEST(GenerationDriver, DoesNotReviveUnrepeatableWorkThatMayHaveBegun)
+{
+    auto driver = makeDriver(false);
+    driver.start(at(0));
+    driver.abandon();
+    driver.revive(at(500), at(100000));
+    LONGS_EQUAL(1, host.orders.size());
+    STRCMP_EQUAL("unknown", outcomeName(driver).c_str());
+}
+
+TEST(GenerationDriver, ReportsTheWholeGapOfTwoLossesInARow)
+{
+    auto driver = makeDriver();
+    driver.start(at(0));
+    giveTokens(driver, 1, 0, 1, 100);
+    driver.attemptFailed(1, FailureKind::ConnectionLost, at(110));
+    driver.attemptFailed(2, FailureKind::ConnectionLost, at(130));
+    giveTokens(driver, 3, 1, 1, 150);
+    LONGS_EQUAL(1, host.resumptions.size());
+    LONGS_EQUAL(50, host.resumptions[0].gap.count());
+    LONGS_EQUAL(40, host.resumptions[0].sinceDetection.count());
+}
