Tests of the core, the settings, the protocol and the daemon between stand-ins

Cause: the path ran only in the demo, and nothing would go red when a promise broke. A crash found by them: calls' callbacks outlived the daemon that they use; calls now belong to a group that the daemon ends before it goes (HttpCallGroup), and a call lets go of its listener at its end (the two held each other: a leak of every attempt). A service call's log line named the next try instead of its own. Conclusion: the promises on engines, callers and services that this VM alone can keep are held by tests.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -9,6 +9,7 @@
 #include "daemon/Metrics.h"
 #include "daemon/PlatformReader.h"
 #include "daemon/ServiceHandler.h"
+#include "http/HttpCallGroup.h"
 #include "http/HttpExchange.h"
 #include "http/HttpServer.h"
 #include "http/JsonError.h"
@@ -43,8 +44,9 @@
     , m_sweepTimer(m_ioContext)
     , m_metrics(std::make_unique<Metrics>())
     , m_endpoints(std::make_unique<EndpointTable>(m_settings, *m_clock))
+    , m_calls(std::make_unique<HttpCallGroup>())
     , m_context(std::make_unique<GenerationContext>(
-          GenerationContext { m_ioContext, *m_clock, m_settings, *m_endpoints, *m_metrics }))
+          GenerationContext { m_ioContext, *m_clock, m_settings, *m_endpoints, *m_metrics, *m_calls }))
     , m_registry(std::make_unique<GenerationRegistry>(*m_context, newIdPrefix(m_settings.vm.name)))
     , m_platform(std::make_shared<PlatformReader>(*m_context, *m_endpoints))
     , m_completions(std::make_unique<CompletionHandler>(*m_context, *m_registry))
@@ -64,6 +66,8 @@
     m_ioContext.stop();
     for (auto& thread : m_threads)
         thread.join();
+    // The listeners of calls use everything above; none is called after this.
+    m_calls->cancelAndWait();
 }
 
 std::optional<std::string> Daemon::start()
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -29,6 +29,7 @@
 class EndpointTable;
 class GenerationRegistry;
 class HttpExchange;
+class HttpCallGroup;
 class HttpServer;
 class Metrics;
 class PlatformReader;
@@ -66,6 +67,7 @@
     boost::asio::steady_timer m_sweepTimer;
     std::unique_ptr<Metrics> m_metrics;
     std::unique_ptr<EndpointTable> m_endpoints;
+    std::unique_ptr<HttpCallGroup> m_calls;
     std::unique_ptr<GenerationContext> m_context;
     std::unique_ptr<GenerationRegistry> m_registry;
     std::shared_ptr<PlatformReader> m_platform;
--- a/src/daemon/EngineAttempt.cpp
+++ b/src/daemon/EngineAttempt.cpp
@@ -1,7 +1,7 @@
 #include "daemon/EngineAttempt.h"
 
 #include "daemon/LiveGeneration.h"
-#include "http/HttpCall.h"
+#include "http/HttpCallGroup.h"
 
 namespace lupinknot::internal {
 
@@ -27,9 +27,10 @@
 {
 }
 
-void EngineAttempt::start(const SocketAddress& address, const HttpRequest& request, Milliseconds timeout)
+void EngineAttempt::start(
+    HttpCallGroup& calls, const SocketAddress& address, const HttpRequest& request, Milliseconds timeout)
 {
-    m_call = HttpCall::start(address, request, timeout, shared_from_this());
+    m_call = calls.start(address, request, timeout, shared_from_this());
 }
 
 void EngineAttempt::cancel() { m_call->cancel(); }
--- a/src/daemon/EngineAttempt.h
+++ b/src/daemon/EngineAttempt.h
@@ -11,6 +11,7 @@
 namespace lupinknot::internal {
 
 class HttpCall;
+class HttpCallGroup;
 class LiveGeneration;
 
 // The call's threads come one at a time; cancel() may come from any. Keeps the generation alive until the call ends.
@@ -18,7 +19,7 @@
 public:
     EngineAttempt(std::shared_ptr<LiveGeneration>, const AttemptOrder&);
 
-    void start(const SocketAddress&, const HttpRequest&, Milliseconds timeout);
+    void start(HttpCallGroup&, const SocketAddress&, const HttpRequest&, Milliseconds timeout);
     // Closes the connection, by which the engine stops its work.
     void cancel();
 
--- a/src/daemon/GenerationContext.h
+++ b/src/daemon/GenerationContext.h
@@ -10,6 +10,7 @@
 namespace lupinknot::internal {
 
 class EndpointTable;
+class HttpCallGroup;
 class Metrics;
 struct DaemonSettings;
 
@@ -20,6 +21,7 @@
     const DaemonSettings& settings;
     const EndpointTable& endpoints;
     Metrics& metrics;
+    HttpCallGroup& calls;
 };
 
 } // namespace lupinknot::internal
--- a/src/daemon/GenerationRegistry.cpp
+++ b/src/daemon/GenerationRegistry.cpp
@@ -18,6 +18,12 @@
 {
 }
 
+GenerationRegistry::~GenerationRegistry()
+{
+    for (const auto& generation : all())
+        generation->shutDown();
+}
+
 Admission GenerationRegistry::admit(const CompletionRequest& request)
 {
     const auto id = newId();
--- a/src/daemon/GenerationRegistry.h
+++ b/src/daemon/GenerationRegistry.h
@@ -35,6 +35,10 @@
     // The prefix makes ids unique over VMs and their restarts.
     GenerationRegistry(const GenerationContext&, std::string idPrefix);
 
+    ~GenerationRegistry();
+    GenerationRegistry(const GenerationRegistry&) = delete;
+    GenerationRegistry& operator=(const GenerationRegistry&) = delete;
+
     // Finds the generation of the request's key or makes a new one. Two requests with one key never make two.
     Admission admit(const CompletionRequest&);
     std::shared_ptr<LiveGeneration> findById(const std::string& id) const;
--- a/src/daemon/LiveGeneration.cpp
+++ b/src/daemon/LiveGeneration.cpp
@@ -121,6 +121,14 @@
         m_endpoint->noteAlive();
 }
 
+void LiveGeneration::shutDown()
+{
+    const std::lock_guard lock(m_mutex);
+    m_watchers.clear();
+    m_timer.cancel();
+    m_graceTimer.cancel();
+}
+
 void LiveGeneration::promptIdsKnown(AttemptNumber attempt, std::vector<TokenId> ids)
 {
     const std::lock_guard lock(m_mutex);
@@ -184,7 +192,7 @@
     m_records.push_back({ order.number, order.endpoint, order.position, {}, {}, {} });
     m_attempt = std::make_shared<EngineAttempt>(shared_from_this(), order);
     const auto message = engineRequest(m_request, m_id + ":" + std::to_string(order.number), prefix());
-    m_attempt->start(m_endpoint->settings().socketAddress(), message, callTimeout);
+    m_attempt->start(m_context.calls, m_endpoint->settings().socketAddress(), message, callTimeout);
 }
 
 void LiveGeneration::cancelAttempt(AttemptNumber)
--- a/src/daemon/LiveGeneration.h
+++ b/src/daemon/LiveGeneration.h
@@ -33,6 +33,9 @@
     // When the last watcher goes the work is cancelled, at once or after the time that the settings give.
     void detach(const GenerationWatcher&);
 
+    // Lets go of all watchers, without a word to them. Only for the end of the process.
+    void shutDown();
+
     // Reads up to a number of tokens from a position on.
     GenerationSlice read(std::size_t position, std::size_t maxTokens) const;
     std::size_t releasedLength() const;
--- a/src/daemon/PlatformReader.cpp
+++ b/src/daemon/PlatformReader.cpp
@@ -2,7 +2,7 @@
 
 #include "common/Log.h"
 #include "daemon/EndpointTable.h"
-#include "http/HttpCall.h"
+#include "http/HttpCallGroup.h"
 #include "settings/DaemonSettings.h"
 
 #include <boost/asio/post.hpp>
@@ -103,7 +103,7 @@
 {
     const auto& platform = m_context.settings.platform;
     const HttpRequest request { "GET", "/v1/endpoints", {}, {} };
-    m_call = HttpCall::start({ platform.address, platform.port }, request, platform.timeout, shared_from_this());
+    m_call = m_context.calls.start({ platform.address, platform.port }, request, platform.timeout, shared_from_this());
 }
 
 void PlatformReader::waitForNext()
--- a/src/daemon/ServiceCall.cpp
+++ b/src/daemon/ServiceCall.cpp
@@ -3,7 +3,7 @@
 #include "common/Log.h"
 #include "daemon/EndpointTable.h"
 #include "daemon/Metrics.h"
-#include "http/HttpCall.h"
+#include "http/HttpCallGroup.h"
 #include "http/HttpExchange.h"
 #include "http/JsonError.h"
 #include "settings/DaemonSettings.h"
@@ -102,6 +102,7 @@
 
 void ServiceCall::tryNext()
 {
+    ++m_tries;
     const auto left = m_deadline - m_context.clock.now();
     m_endpoint = m_context.endpoints.chooseAmong(m_service.endpoints, { subject(), m_avoid });
     if (!m_endpoint || left <= Milliseconds::zero()) {
@@ -110,10 +111,9 @@
         return;
     }
     // A silent endpoint must not use up the time of the tries that may follow; where none may, it has all of it.
-    const auto triesLeft = m_repeatable ? m_service.maxAttempts - m_tries : 1;
-    ++m_tries;
+    const auto triesLeft = m_repeatable ? m_service.maxAttempts - m_tries + 1 : 1;
     m_endpoint->workStarted();
-    m_call = HttpCall::start(m_endpoint->settings().socketAddress(), outgoing(),
+    m_call = m_context.calls.start(m_endpoint->settings().socketAddress(), outgoing(),
         std::max(shortestTry, left / triesLeft), shared_from_this());
 }
 
@@ -157,7 +157,7 @@
 std::string ServiceCall::subject() const
 {
     return "service " + m_service.name + " call " + m_exchange->request().method + " "
-        + std::string(m_exchange->request().path()) + " try " + std::to_string(m_tries + 1);
+        + std::string(m_exchange->request().path()) + " try " + std::to_string(m_tries);
 }
 
 } // namespace lupinknot::internal
--- a/src/http/HttpCall.cpp
+++ b/src/http/HttpCall.cpp
@@ -106,7 +106,7 @@
         m_response.content_ready().then([self = shared_from_this()](const pplx::task<http_response>& task) {
             self->guarded([&] {
                 task.get();
-                self->m_listener->ended();
+                self->release()->ended();
             });
         });
     }
@@ -116,9 +116,9 @@
         try {
             action();
         } catch (const http_exception& error) {
-            m_listener->failed(failureOf(error), error.what());
+            release()->failed(failureOf(error), error.what());
         } catch (const std::exception& error) {
-            m_listener->failed(isCancelled() ? HttpCallFailure::Cancelled : HttpCallFailure::Lost, error.what());
+            release()->failed(isCancelled() ? HttpCallFailure::Cancelled : HttpCallFailure::Lost, error.what());
         }
     }
 
@@ -132,13 +132,16 @@
         return isTimeout ? HttpCallFailure::TimedOut : HttpCallFailure::Lost;
     }
 
+    // At its end the call lets go of its listener, which may hold the call.
+    std::shared_ptr<HttpCallListener> release() { return std::move(m_listener); }
+
     bool isCancelled() const { return m_cancellation.get_token().is_canceled(); }
 
     static constexpr std::size_t pieceSize = 16 * 1024;
 
     http_client m_client;
     pplx::cancellation_token_source m_cancellation;
-    const std::shared_ptr<HttpCallListener> m_listener;
+    std::shared_ptr<HttpCallListener> m_listener;
     http_response m_response;
     concurrency::streams::streambuf<std::uint8_t> m_body;
     std::array<std::uint8_t, pieceSize> m_piece {};
--- /dev/null
+++ b/test/DaemonTest.cpp
@@ -0,0 +1,358 @@
+// The daemon between stand-ins, over real connections: what callers see while engines and services fail.
+
+#include "TestCluster.h"
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+
+namespace {
+
+void checkWhole(const GenerationResult& result)
+{
+    const auto text = "status " + std::to_string(result.status) + ", delivered " + std::to_string(result.delivered)
+        + ", repeated " + std::to_string(result.repeated) + ", mixed " + std::to_string(result.mixed) + ", error "
+        + result.error;
+    CHECK_TEXT(result.isWhole, text.c_str());
+}
+
+std::string header(const HttpFetchResult& result, const char* name)
+{
+    return std::string(result.response.headers.find(name).value_or("none"));
+}
+
+std::string fieldOf(const HttpFetchResult& result, const char* name)
+{
+    const auto body = nlohmann::json::parse(result.response.body, nullptr, false);
+    return body.is_object() && body.contains("error") ? body["error"].value(name, "none") : "no error";
+}
+
+const std::string wholeBody = R"({"model":"story","prompt":[11,12,13],"max_tokens":20})";
+
+struct EngineFault {
+    const char* control;
+    const char* failure;
+};
+
+} // namespace
+
+TEST_GROUP(Daemon)
+{
+    TestCluster cluster;
+
+    // Starts with a fault on the engine that is chosen first.
+    void strikeFirst(const std::string& control)
+    {
+        cluster.start();
+        cluster.engine(0).control(control);
+    }
+
+    std::string failuresOf(const GenerationResult& result)
+    {
+        const auto answer = cluster.ask("/v1/generations/" + result.generation);
+        const auto described = nlohmann::json::parse(answer.response.body);
+        std::string failures;
+        for (const auto& attempt : described["attempts"])
+            failures += attempt.value("failure", "") + ";";
+        return failures;
+    }
+};
+
+TEST(Daemon, StreamsAWholeAnswer)
+{
+    cluster.start();
+    checkWhole(cluster.run(cluster.caller()));
+}
+
+TEST(Daemon, GivesAWholeAnswerWithoutAStream)
+{
+    cluster.start();
+    const auto result = cluster.post("/v1/completions", wholeBody);
+    LONGS_EQUAL(200, result.response.status);
+    const auto body = nlohmann::json::parse(result.response.body);
+    LONGS_EQUAL(20, body["choices"][0]["token_ids"].size());
+    LONGS_EQUAL(3, body["usage"]["prompt_tokens"].get<int>());
+}
+
+TEST(Daemon, KeepsAnAnswerWholeThroughEachWayOfFailing)
+{
+    const EngineFault faults[] = {
+        { R"({"crash_at":7,"down_ms":100})", "connection-lost;;" },
+        { R"({"crash_at":0,"down_ms":100})", "connection-lost;;" },
+        { R"({"crash_at":19,"down_ms":100})", "connection-lost;;" },
+        { R"({"end_early_at":7})", "early-end;;" },
+        { R"({"malformed_at":7})", "malformed-event;;" },
+        { R"({"skip_at":7})", "wrong-position;;" },
+        { R"({"pause_at":7,"pause_ms":1500})", "silent;;" },
+        { R"({"refuse":true})", "overloaded;;" },
+        { R"({"fail":true})", "error-status;;" },
+    };
+    for (const auto& fault : faults) {
+        TestCluster each;
+        each.start();
+        each.engine(0).control(fault.control);
+        const auto result = each.run(each.caller());
+        checkWhole(result);
+        const auto described = nlohmann::json::parse(each.ask("/v1/generations/" + result.generation).response.body);
+        std::string failures;
+        for (const auto& attempt : described["attempts"])
+            failures += attempt.value("failure", "") + ";";
+        STRCMP_EQUAL_TEXT(fault.failure, failures.c_str(), fault.control);
+    }
+}
+
+TEST(Daemon, KeepsAnAnswerWholeThroughSeveralDeaths)
+{
+    cluster.start();
+    cluster.engine(0).control(R"({"crash_at":5,"down_ms":30})");
+    cluster.engine(1).control(R"({"crash_at":5,"down_ms":30})");
+    const auto result = cluster.run(cluster.caller());
+    checkWhole(result);
+    // Probes of engines that are still down may stand between the second loss and the end.
+    STRCMP_CONTAINS("connection-lost;connection-lost;", failuresOf(result).c_str());
+}
+
+TEST(Daemon, RefusesAsNotRunWhenNoEngineCanBeReached)
+{
+    cluster.start();
+    cluster.kill(cluster.engine(0));
+    cluster.kill(cluster.engine(1));
+    const auto result = cluster.post("/v1/completions", wholeBody);
+    LONGS_EQUAL(503, result.response.status);
+    STRCMP_EQUAL("not-run", header(result, "Lupinknot-Outcome").c_str());
+    STRCMP_EQUAL("1", header(result, "Retry-After").c_str());
+    STRCMP_EQUAL("no_endpoint", fieldOf(result, "code").c_str());
+}
+
+TEST(Daemon, SaysUnknownWhenUnrepeatableWorkMayHaveBegun)
+{
+    strikeFirst(R"({"crash_at":0,"down_ms":100})");
+    const auto result = cluster.post("/v1/completions", wholeBody, { { "Lupinknot-Repeatable", "false" } });
+    LONGS_EQUAL(502, result.response.status);
+    STRCMP_EQUAL("unknown", header(result, "Lupinknot-Outcome").c_str());
+    LONGS_EQUAL(1, cluster.engineRequests());
+}
+
+TEST(Daemon, GivesTheSameAnswerForTheSameKeyAndRunsItOnce)
+{
+    cluster.start();
+    checkWhole(cluster.run(cluster.caller("key")));
+    checkWhole(cluster.run(cluster.caller("key")));
+    LONGS_EQUAL(1, cluster.engineRequests());
+}
+
+TEST(Daemon, KeepsTheKeysOfOrganisationsApart)
+{
+    cluster.start();
+    cluster.post("/v1/completions", wholeBody, { { "Idempotency-Key", "k" }, { "Lupinknot-Organisation", "one" } });
+    cluster.post("/v1/completions", wholeBody, { { "Idempotency-Key", "k" }, { "Lupinknot-Organisation", "two" } });
+    LONGS_EQUAL(2, cluster.engineRequests());
+}
+
+TEST(Daemon, RefusesAKeyWithAnotherBody)
+{
+    cluster.start();
+    cluster.post("/v1/completions", wholeBody, { { "Idempotency-Key", "k" } });
+    const auto result
+        = cluster.post("/v1/completions", R"({"model":"story","prompt":"other"})", { { "Idempotency-Key", "k" } });
+    LONGS_EQUAL(422, result.response.status);
+    STRCMP_EQUAL("Idempotency-Key", fieldOf(result, "field").c_str());
+}
+
+TEST(Daemon, GoesOnAfterThePositionThatACallerNames)
+{
+    cluster.start();
+    const auto first = cluster.run(cluster.caller("k"));
+    const auto body = R"({"model":"story","prompt":[11,12,13],"max_tokens":20,"stream":true})";
+    const auto rest = cluster.post(
+        "/v1/completions", body, { { "Idempotency-Key", "k" }, { "Last-Event-ID", first.generation + ":18" } });
+    STRCMP_CONTAINS(("id: " + first.generation + ":19\n").c_str(), rest.response.body.c_str());
+    CHECK(rest.response.body.find(":18\n") == std::string::npos);
+    STRCMP_CONTAINS("[DONE]", rest.response.body.c_str());
+}
+
+TEST(Daemon, NeverSplicesAnAnswerItDoesNotHold)
+{
+    cluster.start();
+    const auto first = cluster.run(cluster.caller("k"));
+    const auto beyond = cluster.post(
+        "/v1/completions", wholeBody, { { "Idempotency-Key", "k" }, { "Last-Event-ID", first.generation + ":21" } });
+    LONGS_EQUAL(409, beyond.response.status);
+    const auto other
+        = cluster.post("/v1/completions", wholeBody, { { "Idempotency-Key", "k" }, { "Last-Event-ID", "another:2" } });
+    LONGS_EQUAL(409, other.response.status);
+    const auto unknown = cluster.post(
+        "/v1/completions", wholeBody, { { "Idempotency-Key", "new" }, { "Last-Event-ID", "another:2" } });
+    LONGS_EQUAL(409, unknown.response.status);
+    LONGS_EQUAL(1, cluster.engineRequests());
+}
+
+TEST(Daemon, CancelsOnTheEngineWhenTheCallerGoes)
+{
+    cluster.start();
+    auto caller = cluster.caller();
+    caller.maxTokens = 2000;
+    caller.leaveAfter = 5;
+    cluster.run(caller);
+    CHECK_TEXT(
+        becomesTrue([this] { return cluster.engine(0).work().cancelled + cluster.engine(1).work().cancelled == 1; }),
+        "expected the engine to be told that the caller has gone");
+}
+
+TEST(Daemon, GoesOnFromItsTokensForACallerWhoComesBack)
+{
+    cluster.start();
+    auto leaving = cluster.caller("k");
+    leaving.leaveAfter = 5;
+    cluster.run(leaving);
+    checkWhole(cluster.run(cluster.caller("k")));
+}
+
+TEST(Daemon, RunsUnrepeatableKeyedWorkToItsEndWithoutItsCaller)
+{
+    cluster.start();
+    auto leaving = cluster.caller("k");
+    leaving.repeatable = false;
+    leaving.leaveAfter = 5;
+    cluster.run(leaving);
+    auto back = cluster.caller("k");
+    back.repeatable = false;
+    checkWhole(cluster.run(back));
+    LONGS_EQUAL(1, cluster.engineRequests());
+}
+
+TEST(Daemon, GivesNoNewWorkToALeavingEndpoint)
+{
+    cluster.start();
+    cluster.platform().control(R"({"endpoints":[{"name":"e1","state":"leaving"}]})");
+    const auto isTold = [this] { return cluster.ask("/v1/status").response.body.find("leaving") != std::string::npos; };
+    CHECK_TEXT(becomesTrue(isTold), "expected the list's change to be taken over");
+    for (int i = 0; i < 5; ++i)
+        checkWhole(cluster.run(cluster.caller()));
+    LONGS_EQUAL(0, cluster.engine(0).work().requests);
+}
+
+TEST(Daemon, KeepsTheLastListWhileThePlatformIsDown)
+{
+    cluster.start();
+    cluster.platform().control(R"({"endpoints":[{"name":"e1","state":"leaving"}]})");
+    const auto isTold = [this] { return cluster.ask("/v1/status").response.body.find("leaving") != std::string::npos; };
+    CHECK(becomesTrue(isTold));
+    cluster.platform().control(R"({"outage_ms":60000})");
+    checkWhole(cluster.run(cluster.caller()));
+    LONGS_EQUAL(0, cluster.engine(0).work().requests);
+}
+
+TEST(Daemon, NamesAnUnknownModel)
+{
+    cluster.start();
+    const auto result = cluster.post("/v1/completions", R"({"model":"nobody","prompt":"a"})");
+    LONGS_EQUAL(404, result.response.status);
+    STRCMP_EQUAL("model", fieldOf(result, "field").c_str());
+}
+
+TEST(Daemon, RefusesMoreGenerationsThanItMayHold)
+{
+    cluster.settings.generation.maxHeld = 1;
+    cluster.start();
+    cluster.post("/v1/completions", wholeBody, { { "Idempotency-Key", "k" } });
+    const auto result = cluster.post("/v1/completions", wholeBody);
+    LONGS_EQUAL(503, result.response.status);
+    STRCMP_EQUAL("too_many_generations", fieldOf(result, "code").c_str());
+}
+
+TEST(Daemon, PassesServiceCallsThrough)
+{
+    cluster.start();
+    const auto result = cluster.post(
+        "/thumbs/a?size=2", "photo", { { "X-Guest", "g" }, { "Connection", "X-Hop" }, { "X-Hop", "1" } });
+    LONGS_EQUAL(200, result.response.status);
+    const auto body = nlohmann::json::parse(result.response.body);
+    STRCMP_EQUAL("/thumbs/a?size=2", body["target"].get<std::string>().c_str());
+    STRCMP_EQUAL("photo", body["body"].get<std::string>().c_str());
+    STRCMP_EQUAL("g", body["headers"].value("X-Guest", "none").c_str());
+    STRCMP_EQUAL("none", body["headers"].value("X-Hop", "none").c_str());
+}
+
+TEST(Daemon, TriesARepeatableServiceCallAgain)
+{
+    cluster.start();
+    cluster.service(0).control(R"({"lose_answers":1})");
+    const auto result = cluster.post("/thumbs", "x", { { "X-Work-Id", "w" }, { "Lupinknot-Repeatable", "true" } });
+    LONGS_EQUAL(200, result.response.status);
+    LONGS_EQUAL(2, cluster.service(0).runsOf("w") + cluster.service(1).runsOf("w"));
+}
+
+TEST(Daemon, NeverRunsAnUnrepeatableServiceCallTwice)
+{
+    cluster.start();
+    cluster.service(0).control(R"({"lose_answers":1})");
+    const auto result = cluster.post("/thumbs", "x", { { "X-Work-Id", "w" }, { "Lupinknot-Repeatable", "false" } });
+    LONGS_EQUAL(502, result.response.status);
+    STRCMP_EQUAL("unknown", header(result, "Lupinknot-Outcome").c_str());
+    LONGS_EQUAL(1, cluster.service(0).runsOf("w") + cluster.service(1).runsOf("w"));
+}
+
+TEST(Daemon, GivesAnUnrepeatableServiceCallToAnotherEndpointWhenNoConnectionCameAbout)
+{
+    cluster.start();
+    cluster.kill(cluster.service(0));
+    const auto result = cluster.post("/thumbs", "x", { { "X-Work-Id", "w" }, { "Lupinknot-Repeatable", "false" } });
+    LONGS_EQUAL(200, result.response.status);
+    LONGS_EQUAL(1, cluster.service(1).runsOf("w"));
+}
+
+TEST(Daemon, SaysNotRunWhenNoEndpointOfAServiceCanBeReached)
+{
+    cluster.start();
+    cluster.kill(cluster.service(0));
+    cluster.kill(cluster.service(1));
+    const auto result = cluster.post("/thumbs", "x", { { "X-Work-Id", "w" } });
+    STRCMP_EQUAL("not-run", header(result, "Lupinknot-Outcome").c_str());
+    LONGS_EQUAL(0, cluster.service(0).runsOf("w") + cluster.service(1).runsOf("w"));
+}
+
+TEST(Daemon, EndsASilentServiceCallAtItsDeadline)
+{
+    cluster.settings.services.front().deadline = Milliseconds { 100 };
+    cluster.start();
+    cluster.service(0).control(R"({"delay_ms":5000})");
+    cluster.service(1).control(R"({"delay_ms":5000})");
+    const auto result = cluster.post("/thumbs", "x");
+    LONGS_EQUAL(504, result.response.status);
+    STRCMP_EQUAL("unknown", header(result, "Lupinknot-Outcome").c_str());
+}
+
+TEST(Daemon, CutsOffNoAnswerInAPlannedStop)
+{
+    cluster.start();
+    auto caller = cluster.caller();
+    caller.maxTokens = 100;
+    std::thread stopper;
+    caller.onToken = [&](std::size_t position, const Token&) {
+        if (position == 10)
+            stopper = std::thread([this] { cluster.daemon().stop(); });
+    };
+    checkWhole(cluster.run(caller));
+    stopper.join();
+}
+
+TEST(Daemon, ReportsNotReadyInAPlannedStop)
+{
+    cluster.start();
+    LONGS_EQUAL(200, cluster.ask("/readyz").response.status);
+    cluster.daemon().stop();
+    LONGS_EQUAL(503, cluster.ask("/readyz").response.status);
+}
+
+TEST(Daemon, ShowsItsMetrics)
+{
+    cluster.start();
+    cluster.run(cluster.caller());
+    const auto metrics = cluster.ask("/metrics").response.body;
+    STRCMP_CONTAINS("lupinknot_tokens_total 20", metrics.c_str());
+    STRCMP_CONTAINS("lupinknot_endpoint_in_flight{endpoint=\"e1\"} 0", metrics.c_str());
+}
--- /dev/null
+++ b/test/SilenceDetectorTest.cpp
@@ -0,0 +1,118 @@
+#include "lupinknot/EndpointPulse.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+
+namespace {
+
+Milliseconds at(std::int64_t milliseconds) { return Milliseconds { milliseconds }; }
+
+constexpr SilenceBounds bounds { Milliseconds { 100 }, Milliseconds { 1000 } };
+
+void observe(SilenceDetector& detector, std::size_t count, std::int64_t gap)
+{
+    for (std::size_t i = 0; i < count; ++i)
+        detector.observe(at(gap));
+}
+
+} // namespace
+
+TEST_GROUP(SilenceDetector) {};
+
+TEST(SilenceDetector, StaysAtTheCeilingUntilItKnowsEnoughGaps)
+{
+    const auto detector = makeSilenceDetector(DetectorKind::Quantile, bounds);
+    observe(*detector, 15, 20);
+    LONGS_EQUAL(1000, detector->patience().count());
+}
+
+TEST(SilenceDetector, NeverGoesBelowTheFloor)
+{
+    const auto detector = makeSilenceDetector(DetectorKind::Quantile, bounds);
+    observe(*detector, 64, 1);
+    LONGS_EQUAL(100, detector->patience().count());
+}
+
+TEST(SilenceDetector, AllowsAMultipleOfTheLongGapsByQuantile)
+{
+    const auto detector = makeSilenceDetector(DetectorKind::Quantile, bounds);
+    observe(*detector, 64, 50);
+    LONGS_EQUAL(150, detector->patience().count());
+}
+
+TEST(SilenceDetector, ForgetsGapsThatAreLongPast)
+{
+    const auto detector = makeSilenceDetector(DetectorKind::Quantile, bounds);
+    observe(*detector, 64, 300);
+    observe(*detector, 256, 50);
+    LONGS_EQUAL(150, detector->patience().count());
+}
+
+TEST(SilenceDetector, TakesTheMeanAloneWhenPhiAccrualSeesNoSpread)
+{
+    const auto detector = makeSilenceDetector(DetectorKind::PhiAccrual, bounds);
+    observe(*detector, 64, 200);
+    LONGS_EQUAL(200, detector->patience().count());
+}
+
+TEST(SilenceDetector, AnswersWithTheFloorWhenFixed)
+{
+    const auto detector = makeSilenceDetector(DetectorKind::Fixed, bounds);
+    observe(*detector, 64, 900);
+    LONGS_EQUAL(100, detector->patience().count());
+}
+
+TEST_GROUP(EndpointPulse)
+{
+    PulseSettings settings { DetectorKind::Fixed, { at(100), at(1000) }, at(5000), at(400), at(3000) };
+    EndpointPulse pulse { settings };
+
+    void checkVerdict(PulseVerdict expected, std::int64_t now, const StreamActivity& activity)
+    {
+        LONGS_EQUAL(static_cast<int>(expected), static_cast<int>(pulse.verdict(at(now), activity)));
+    }
+};
+
+TEST(EndpointPulse, SuspectsAnEndpointWhoseStreamsAreAllSilent)
+{
+    const StreamActivity activity { at(1000), true };
+    checkVerdict(PulseVerdict::Alive, 1099, activity);
+    checkVerdict(PulseVerdict::EndpointSilent, 1100, activity);
+}
+
+TEST(EndpointPulse, TakesATokenOfAnotherStreamAsASignOfLife)
+{
+    const StreamActivity activity { at(1000), true };
+    pulse.tokenSeen(at(1090), std::nullopt);
+    checkVerdict(PulseVerdict::Alive, 1189, activity);
+    checkVerdict(PulseVerdict::EndpointSilent, 1190, activity);
+}
+
+TEST(EndpointPulse, SuspectsALoneSilentStreamLater)
+{
+    const StreamActivity activity { at(1000), true };
+    pulse.tokenSeen(at(6000), std::nullopt);
+    checkVerdict(PulseVerdict::StreamSilent, 6000, activity);
+}
+
+TEST(EndpointPulse, GivesAFirstTokenTheTimeOfAPrefill)
+{
+    const StreamActivity activity { at(1000), false };
+    checkVerdict(PulseVerdict::Alive, 1399, activity);
+    checkVerdict(PulseVerdict::EndpointSilent, 1400, activity);
+}
+
+TEST(EndpointPulse, LimitsTheWaitForAFirstTokenOnALiveEndpoint)
+{
+    const StreamActivity activity { at(1000), false };
+    pulse.tokenSeen(at(3900), std::nullopt);
+    checkVerdict(PulseVerdict::Alive, 3999, activity);
+    checkVerdict(PulseVerdict::StreamSilent, 4000, activity);
+}
+
+TEST(EndpointPulse, TellsWhenItsVerdictCanChange)
+{
+    const StreamActivity activity { at(1000), true };
+    LONGS_EQUAL(1100, pulse.nextCheck(activity).count());
+}
--- /dev/null
+++ b/test/TestCluster.h
@@ -0,0 +1,69 @@
+// A daemon with stand-ins around it, all in the test's process, on free ports.
+#pragma once
+
+#include "daemon/Daemon.h"
+#include "http/HttpFetch.h"
+#include "load/GenerationCaller.h"
+#include "standin/EngineStandIn.h"
+#include "standin/PlatformStandIn.h"
+#include "standin/ServiceStandIn.h"
+#include <memory>
+#include <vector>
+
+namespace lupinknot::internal {
+
+// Not thread-safe. Starts everything in its constructor and stops it in its destructor.
+class TestCluster {
+public:
+    explicit TestCluster(std::size_t engineCount = 2);
+    ~TestCluster();
+    TestCluster(const TestCluster&) = delete;
+    TestCluster& operator=(const TestCluster&) = delete;
+
+    // Settings may be changed until this.
+    void start();
+
+    DaemonSettings settings;
+    EngineStandIn& engine(std::size_t index) { return *m_engines[index]; }
+    ServiceStandIn& service(std::size_t index) { return *m_services[index]; }
+    PlatformStandIn& platform() { return *m_platform; }
+    Daemon& daemon() { return *m_daemon; }
+
+    // Lets an engine or a service be dead for the rest of the test; returns when connections to it are refused.
+    template <typename StandIn> void kill(StandIn& standIn)
+    {
+        standIn.control(R"({"crash":true,"down_ms":600000})");
+        waitUntilRefused(standIn.port());
+    }
+
+    // A caller with a prompt of a few tokens; change it, then run it.
+    GenerationCallerOptions caller(const std::string& key = "") const;
+    GenerationResult run(GenerationCallerOptions) const;
+    HttpFetchResult post(const std::string& target, const std::string& body, HttpHeaders headers = {}) const;
+    HttpFetchResult ask(const std::string& adminTarget) const;
+    // Requests that all engines have got.
+    std::size_t engineRequests() const;
+
+private:
+    static void waitUntilRefused(unsigned short port);
+
+    std::vector<std::unique_ptr<EngineStandIn>> m_engines;
+    std::vector<std::unique_ptr<ServiceStandIn>> m_services;
+    std::unique_ptr<PlatformStandIn> m_platform;
+    std::unique_ptr<Daemon> m_daemon;
+    LoadOptions m_load;
+};
+
+// Waits until a condition holds; the test fails when that takes longer than any sound run would.
+template <typename Condition> bool becomesTrue(Condition condition)
+{
+    constexpr int tries = 2000;
+    for (int i = 0; i < tries; ++i) {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(Milliseconds { 5 });
+    }
+    return false;
+}
+
+} // namespace lupinknot::internal
--- a/test/main.cpp
+++ b/test/main.cpp
@@ -4,6 +4,7 @@
 #include <CppUTest/TestRegistry.h>
 #include <CppUTest/TestResult.h>
 
+#include "common/Log.h"
 #include <iostream>
 
 namespace {
@@ -34,6 +35,7 @@
     // The leak detector keeps its books without a lock, and the tests run threads; leaks are found by the build with
     // AddressSanitizer instead.
     MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+    lupinknot::internal::initializeLog(lupinknot::internal::LogLevel::Error);
     SummaryRunner runner(argc, argv, TestRegistry::getCurrentRegistry());
     return runner.runAllTestsMain();
 }
