--- a/include/lupinknot/EndpointPulse.h
+++ b/include/lupinknot/EndpointPulse.h
@@ -13,7 +13,7 @@
 namespace lupinknot {
 
 struct PulseSettings {
-    DetectorKind detector { DetectorKind::Quantile };
+    DetectorKind detector { DetectorKind::Maximum };
     SilenceBounds bounds;
     // How long one stream may be silent while others on the endpoint go on.
     Milliseconds loneStreamPatience { 5000 };
--- a/include/lupinknot/SilenceDetector.h
+++ b/include/lupinknot/SilenceDetector.h
@@ -1,6 +1,6 @@
 // Decides how long a stream may stay silent before its endpoint is suspected.
 //
-// A detector learns from the gaps between tokens. docs/DETECTORS.md compares the three that are built in.
+// A detector learns from the gaps between tokens. docs/DETECTORS.md compares those that are built in.
 #pragma once
 
 #include "lupinknot/Clock.h"
@@ -12,12 +12,14 @@
 enum class DetectorKind {
     Fixed, // A constant, whatever the gaps.
     Quantile, // A multiple of a high quantile of the recent gaps.
+    Maximum, // A little more than the longest of the recent gaps.
     PhiAccrual, // Phi accrual over a normal distribution of the recent gaps (Hayashibara et al., 2004).
 };
 
-inline constexpr std::array<EnumName<DetectorKind>, 3> detectorKindNames { {
+inline constexpr std::array<EnumName<DetectorKind>, 4> detectorKindNames { {
     { DetectorKind::Fixed, "fixed" },
     { DetectorKind::Quantile, "quantile" },
+    { DetectorKind::Maximum, "maximum" },
     { DetectorKind::PhiAccrual, "phi-accrual" },
 } };
 
--- a/src/common/Log.cpp
+++ b/src/common/Log.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-std::atomic<LogLevel> s_lowestLevel { LogLevel::Warning };
+std::atomic<LogLevel> lowestLoggedLevel { LogLevel::Warning };
 
 } // namespace
 
@@ -25,7 +25,7 @@
     namespace expr = boost::log::expressions;
     using Backend = boost::log::sinks::text_ostream_backend;
 
-    s_lowestLevel = lowestLevel;
+    lowestLoggedLevel = lowestLevel;
     const auto backend = boost::make_shared<Backend>();
     backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
     backend->auto_flush(true);
@@ -39,7 +39,7 @@
 
 void writeLog(LogLevel level, LogPart part, const std::string& sentence)
 {
-    if (level < s_lowestLevel.load(std::memory_order_relaxed))
+    if (level < lowestLoggedLevel.load(std::memory_order_relaxed))
         return;
     thread_local boost::log::sources::logger logger;
     BOOST_LOG(logger) << nameIn(logLevelNames, level) << " " << nameIn(logPartNames, part) << ": " << sentence;
--- a/src/core/SilenceDetector.cpp
+++ b/src/core/SilenceDetector.cpp
@@ -11,22 +11,27 @@
 // The last gaps of an endpoint, oldest overwritten first.
 class GapWindow {
 public:
+    // With fewer gaps than needed the distribution says little.
+    GapWindow(std::size_t capacity, std::size_t needed)
+        : m_capacity(capacity)
+        , m_needed(needed)
+    {
+    }
+
     void add(Milliseconds gap)
     {
-        if (m_gaps.size() < capacity)
+        if (m_gaps.size() < m_capacity)
             m_gaps.push_back(gap.count());
         else
             m_gaps[m_next] = gap.count();
-        m_next = (m_next + 1) % capacity;
+        m_next = (m_next + 1) % m_capacity;
     }
-    bool isWarm() const { return m_gaps.size() >= warm; }
+    bool isWarm() const { return m_gaps.size() >= m_needed; }
     const std::vector<std::int64_t>& gaps() const { return m_gaps; }
 
 private:
-    static constexpr std::size_t capacity = 256;
-    // With fewer gaps than this the distribution says little, and the ceiling holds.
-    static constexpr std::size_t warm = 16;
-
+    std::size_t m_capacity;
+    std::size_t m_needed;
     std::vector<std::int64_t> m_gaps;
     std::size_t m_next { 0 };
 };
@@ -44,11 +49,13 @@
     SilenceBounds m_bounds;
 };
 
-// Base of the detectors that learn: computes the patience anew after a number of gaps, not after each.
+// Base of the detectors that learn: computes the patience anew after a number of gaps, not after each. Until it knows
+// enough gaps, the ceiling holds.
 class LearningDetector : public SilenceDetector {
 public:
-    explicit LearningDetector(SilenceBounds bounds)
+    LearningDetector(SilenceBounds bounds, GapWindow window)
         : m_bounds(bounds)
+        , m_window(std::move(window))
         , m_patience(bounds.ceiling)
     {
     }
@@ -78,7 +85,10 @@
 
 class QuantileDetector final : public LearningDetector {
 public:
-    using LearningDetector::LearningDetector;
+    explicit QuantileDetector(SilenceBounds bounds)
+        : LearningDetector(bounds, { 256, 16 })
+    {
+    }
 
 private:
     static constexpr double quantile = 0.99;
@@ -93,9 +103,29 @@
     }
 };
 
+class MaximumDetector final : public LearningDetector {
+public:
+    explicit MaximumDetector(SilenceBounds bounds)
+        : LearningDetector(bounds, { 1024, 128 })
+    {
+    }
+
+private:
+    static constexpr double factor = 1.3;
+
+    Milliseconds estimate(const std::vector<std::int64_t>& gaps) const override
+    {
+        const auto longest = *std::max_element(gaps.begin(), gaps.end());
+        return Milliseconds { std::llround(factor * static_cast<double>(longest)) };
+    }
+};
+
 class PhiAccrualDetector final : public LearningDetector {
 public:
-    using LearningDetector::LearningDetector;
+    explicit PhiAccrualDetector(SilenceBounds bounds)
+        : LearningDetector(bounds, { 256, 16 })
+    {
+    }
 
 private:
     // Standard deviations beyond the mean at which phi is 8, that is a chance of 1e-8 for a normal distribution.
@@ -127,9 +157,10 @@
     std::unique_ptr<SilenceDetector> (*make)(SilenceBounds);
 };
 
-constexpr std::array<DetectorMaker, 3> detectorMakers { {
+constexpr std::array<DetectorMaker, 4> detectorMakers { {
     { DetectorKind::Fixed, make<FixedDetector> },
     { DetectorKind::Quantile, make<QuantileDetector> },
+    { DetectorKind::Maximum, make<MaximumDetector> },
     { DetectorKind::PhiAccrual, make<PhiAccrualDetector> },
 } };
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -104,6 +104,7 @@
     TCLAP::CmdLine line(
         "The operators' tool of lupinknot. Commands: status, drain, explain GENERATION.", ' ', std::string(version));
     std::vector<std::string> names;
+    names.reserve(commands.size());
     for (const auto& command : commands)
         names.emplace_back(command.name);
     TCLAP::ValuesConstraint<std::string> isCommand(names);
--- a/src/daemon/EngineProtocol.cpp
+++ b/src/daemon/EngineProtocol.cpp
@@ -30,6 +30,7 @@
 std::vector<Token> tokensOf(const std::vector<TokenId>& ids, const std::string& text)
 {
     std::vector<Token> tokens;
+    tokens.reserve(ids.size());
     for (const auto id : ids)
         tokens.push_back({ id, "" });
     if (!tokens.empty())
--- a/src/daemon/PlatformReader.h
+++ b/src/daemon/PlatformReader.h
@@ -1,6 +1,7 @@
 // Reads the platform's list of live and leaving endpoints, again and again.
 #pragma once
 
+#include "common/ByteSizes.h"
 #include "daemon/GenerationContext.h"
 #include "http/HttpCallListener.h"
 #include "lupinknot/Clock.h"
@@ -30,7 +31,7 @@
     void failed(HttpCallFailure, const std::string& message) override;
 
 private:
-    static constexpr std::size_t maxListBytes = 16 * 1024 * 1024;
+    static constexpr std::size_t maxListBytes = 16 * mebibyte;
 
     void readList();
     void waitForNext();
--- a/src/daemon/ServiceCall.h
+++ b/src/daemon/ServiceCall.h
@@ -1,6 +1,7 @@
 // One call to a plain service: tried on its endpoints until one answers, within the call's deadline.
 #pragma once
 
+#include "common/ByteSizes.h"
 #include "daemon/EndpointState.h"
 #include "daemon/GenerationContext.h"
 #include "http/HttpCallListener.h"
@@ -31,7 +32,7 @@
     void failed(HttpCallFailure, const std::string& message) override;
 
 private:
-    static constexpr std::size_t maxResponseBytes = 16 * 1024 * 1024;
+    static constexpr std::size_t maxResponseBytes = 16 * mebibyte;
 
     void tryNext();
     HttpRequest outgoing() const;
--- a/src/http/HttpCall.cpp
+++ b/src/http/HttpCall.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpCall.h"
 
+#include "common/ByteSizes.h"
 #include "http/HttpCallListener.h"
 
 #include <algorithm>
@@ -137,7 +138,7 @@
 
     bool isCancelled() const { return m_cancellation.get_token().is_canceled(); }
 
-    static constexpr std::size_t pieceSize = 16 * 1024;
+    static constexpr std::size_t pieceSize = 16 * kibibyte;
 
     http_client m_client;
     pplx::cancellation_token_source m_cancellation;
--- a/src/http/HttpServerSettings.h
+++ b/src/http/HttpServerSettings.h
@@ -1,6 +1,7 @@
 // Limits of an HttpServer.
 #pragma once
 
+#include "common/ByteSizes.h"
 #include "lupinknot/Clock.h"
 #include <string>
 
@@ -10,8 +11,8 @@
     std::string address { "127.0.0.1" };
     std::int64_t port { 0 };
     std::int64_t maxConnections { 4096 };
-    std::int64_t maxHeaderBytes { 16 * 1024 };
-    std::int64_t maxBodyBytes { 4 * 1024 * 1024 };
+    std::int64_t maxHeaderBytes { 16 * kibibyte };
+    std::int64_t maxBodyBytes { 4 * mebibyte };
     // Time for a whole request head or body to arrive, counted from its first wait and not renewed by each byte.
     Milliseconds headerTimeout { 10000 };
     Milliseconds bodyTimeout { 20000 };
--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpSession.h"
 
+#include "common/ByteSizes.h"
 #include "http/HttpBodySource.h"
 #include "http/JsonError.h"
 
@@ -19,8 +20,8 @@
 namespace {
 
 constexpr Milliseconds drainTime { 1000 };
-constexpr std::size_t drainLimit = 64 * 1024 * 1024;
-constexpr std::size_t drainPieceSize = 64 * 1024;
+constexpr std::size_t drainLimit = 64 * mebibyte;
+constexpr std::size_t drainPieceSize = 64 * kibibyte;
 
 JsonError describeReadFailure(beast::error_code error, const HttpServerSettings& settings)
 {
@@ -75,7 +76,7 @@
     void stream(HttpResponse head, std::shared_ptr<HttpBodySource> source) override
     {
         post([self = shared_from_this(), head = std::move(head), source = std::move(source)](
-                 HttpSession& session) mutable { session.beginStream(self, std::move(head), std::move(source)); });
+                 HttpSession& session) mutable { session.beginStream(self, head, std::move(source)); });
     }
 
     void wake() override
@@ -305,7 +306,7 @@
 }
 
 void HttpSession::beginStream(
-    const std::shared_ptr<Exchange>& exchange, HttpResponse head, std::shared_ptr<HttpBodySource> source)
+    const std::shared_ptr<Exchange>& exchange, const HttpResponse& head, std::shared_ptr<HttpBodySource> source)
 {
     if (exchange != m_exchange || exchange->isAnswered() || m_source || m_isClosed)
         return;
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -58,7 +58,7 @@
     void dispatch();
     void refuse(boost::beast::error_code);
     void respond(const std::shared_ptr<Exchange>&, HttpResponse);
-    void beginStream(const std::shared_ptr<Exchange>&, HttpResponse head, std::shared_ptr<HttpBodySource>);
+    void beginStream(const std::shared_ptr<Exchange>&, const HttpResponse& head, std::shared_ptr<HttpBodySource>);
     void pump(const std::shared_ptr<Exchange>&);
     void writeWhole(HttpResponse, bool keepAlive);
     void beginDrain();
--- a/src/http/SseParser.h
+++ b/src/http/SseParser.h
@@ -1,6 +1,7 @@
 // Splits a stream of server-sent events into events.
 #pragma once
 
+#include "common/ByteSizes.h"
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,7 +18,7 @@
 class SseParser {
 public:
     // An event may not be larger than this, in bytes.
-    static constexpr std::size_t maxEventBytes = 1024 * 1024;
+    static constexpr std::size_t maxEventBytes = mebibyte;
 
     // Appends the events that the piece completes. Returns false when an event is too large; the stream is then of no
     // more use.
--- a/src/load/Scenario.cpp
+++ b/src/load/Scenario.cpp
@@ -1,5 +1,6 @@
 #include "load/Scenario.h"
 
+#include "common/ByteSizes.h"
 #include "http/HttpFetch.h"
 #include "load/LoadRun.h"
 
@@ -143,7 +144,7 @@
         { "a bad flag", good, { { "Lupinknot-Repeatable", "maybe" } }, 400, "Lupinknot-Repeatable" },
         { "a bad deadline", good, { { "Lupinknot-Deadline-Ms", "-1" } }, 400, "Lupinknot-Deadline-Ms" },
         { "a bad event id", good, { { "Idempotency-Key", "k" }, { "Last-Event-ID", "x" } }, 400, "Last-Event-ID" },
-        { "a body too large", std::string(6 * 1024 * 1024, ' '), {}, 413, "body" },
+        { "a body too large", std::string(6 * mebibyte, ' '), {}, 413, "body" },
         { "a header too large", good, { { "X-Flood", std::string(100000, 'x') } }, 431, "header" },
     };
 }
--- a/src/settings/DaemonSettings.h
+++ b/src/settings/DaemonSettings.h
@@ -37,7 +37,7 @@
 };
 
 struct SilenceSettings {
-    DetectorKind detector { DetectorKind::Quantile };
+    DetectorKind detector { DetectorKind::Maximum };
     Milliseconds floor { 350 };
     Milliseconds ceiling { 1500 };
     Milliseconds loneStream { 5000 };
--- a/src/settings/SettingsTables.h
+++ b/src/settings/SettingsTables.h
@@ -63,7 +63,7 @@
 
 inline const std::vector<SettingField<SilenceSettings>> silenceFields {
     { "detector", &SilenceSettings::detector, 0, 0,
-        "How silence is judged: fixed, quantile or phi-accrual (docs/DETECTORS.md)." },
+        "How silence is judged: fixed, quantile, maximum or phi-accrual (docs/DETECTORS.md)." },
     { "floor_ms", &SilenceSettings::floor, 1, longestTime,
         "An endpoint is never suspected for a shorter silence of all its streams." },
     { "ceiling_ms", &SilenceSettings::ceiling, 1, longestTime,
--- a/test/SettingsReaderTest.cpp
+++ b/test/SettingsReaderTest.cpp
@@ -59,7 +59,7 @@
         { "[silence]\nflor_ms = 5\n", "s.toml:9: silence.flor_ms: unknown key\n" },
         { "[sillence]\nfloor_ms = 5\n", "s.toml:8: sillence: unknown section\n" },
         { "[silence]\ndetector = \"guess\"\n",
-            "s.toml:9: silence.detector: expected one of fixed, quantile, phi-accrual; found \"guess\"\n" },
+            "s.toml:9: silence.detector: expected one of fixed, quantile, maximum, phi-accrual; found \"guess\"\n" },
         { "[silence]\nfloor_ms = 2000\n",
             "s.toml:9: silence.floor_ms: expected a value not above silence.ceiling_ms, which is 1500; found 2000\n" },
         { "[platform]\naddress = \"platform.example\"\n",
--- a/test/SilenceDetectorTest.cpp
+++ b/test/SilenceDetectorTest.cpp
@@ -49,6 +49,24 @@
     LONGS_EQUAL(150, detector->patience().count());
 }
 
+TEST(SilenceDetector, AllowsALittleMoreThanTheLongestGapByMaximum)
+{
+    const auto detector = makeSilenceDetector(DetectorKind::Maximum, bounds);
+    observe(*detector, 1, 200);
+    observe(*detector, 127, 20);
+    LONGS_EQUAL(260, detector->patience().count());
+}
+
+TEST(SilenceDetector, KeepsALongGapInMindForAThousandMore)
+{
+    const auto detector = makeSilenceDetector(DetectorKind::Maximum, bounds);
+    observe(*detector, 1, 200);
+    observe(*detector, 1007, 20);
+    LONGS_EQUAL(260, detector->patience().count());
+    observe(*detector, 32, 20);
+    LONGS_EQUAL(100, detector->patience().count());
+}
+
 TEST(SilenceDetector, TakesTheMeanAloneWhenPhiAccrualSeesNoSpread)
 {
     const auto detector = makeSilenceDetector(DetectorKind::PhiAccrual, bounds);
