--- /dev/null
+++ b/samples/ResumeOnLoss.cpp
@@ -0,0 +1,61 @@
+// A generation that goes on after its engine is lost, in one page and without any network.
+//
+// The program plays the engines itself: it tells the driver what "happened", and sees what the driver asks for.
+
+#include "lupinknot/GenerationDriver.h"
+#include "lupinknot/ManualClock.h"
+
+#include <iostream>
+
+using namespace lupinknot;
+
+namespace {
+
+class PrintingHost final : public AttemptHost {
+public:
+    std::optional<EndpointChoice> chooseEndpoint(const std::vector<EndpointName>& avoid) override
+    {
+        const EndpointName name = avoid.empty() ? "engine-1" : "engine-2";
+        return EndpointChoice { name, std::make_shared<EndpointPulse>(PulseSettings {}) };
+    }
+
+    void startAttempt(const AttemptOrder& order) override
+    {
+        std::cout << "start attempt " << order.number << " on " << order.endpoint << " from position " << order.position
+                  << "\n";
+    }
+
+    void cancelAttempt(AttemptNumber attempt) override { std::cout << "stop attempt " << attempt << "\n"; }
+    void attemptEnded(const AttemptEnd&) override { }
+    void resumed(const ResumeReport& report) override
+    {
+        std::cout << "resumed after " << report.gap.count() << " ms\n";
+    }
+};
+
+} // namespace
+
+int main()
+{
+    ManualClock clock;
+    PrintingHost host;
+    GenerationDriver driver({ { 4, {} }, true, Milliseconds { 60000 } }, {}, host);
+
+    driver.start(clock.now());
+    driver.tokenArrived(1, 0, { 10, "two" }, clock.now());
+    driver.tokenArrived(1, 1, { 11, " stories" }, clock.now());
+
+    clock.advance(Milliseconds { 30 });
+    driver.attemptFailed(1, FailureKind::ConnectionLost, clock.now());
+
+    // The lost engine wakes up; its token is refused.
+    driver.tokenArrived(1, 2, { 99, " ERROR" }, clock.now());
+
+    driver.tokenArrived(2, 2, { 12, " become" }, clock.now());
+    driver.tokenArrived(2, 3, { 13, " one" }, clock.now());
+
+    for (const auto& token : driver.generation().tokens())
+        std::cout << token.text;
+    std::cout << "\n";
+    return 0;
+}
