--- /dev/null
+++ b/include/lupinknot/ReplicaStore.h
@@ -0,0 +1,71 @@
+// The journal that a VM keeps for others: the generations it can take over.
+//
+// Every rule that keeps an old runner out stands here:
+//  - A record that has been taken over is sealed: its runner's further items are refused, and the runner, which shows
+//  its
+//    caller nothing that is not acknowledged, can show nothing more.
+//  - Items of an epoch below the floor are refused. The floor rises with each view that this VM hears of.
+//  - A key has one record. A second runner for it is refused until the first one's record is gone.
+//
+//     ReplicaStore store;
+//     store.open(epoch, record);                       // Applied
+//     store.append(epoch, runner, key, 0, tokens);     // Applied
+//     auto taken = store.seal(key);                    // The record, as far as it was acknowledged.
+//     store.append(epoch, runner, key, 3, more);       // Refused
+#pragma once
+
+#include "lupinknot/EnumNames.h"
+#include "lupinknot/ReplicaRecord.h"
+#include <mutex>
+#include <unordered_map>
+
+namespace lupinknot {
+
+enum class JournalResult {
+    Applied,
+    Refused, // Another VM is responsible now; the runner must stop.
+};
+
+inline constexpr std::array<EnumName<JournalResult>, 2> journalResultNames { {
+    { JournalResult::Applied, "applied" },
+    { JournalResult::Refused, "refused" },
+} };
+
+// Thread-safe, under one lock of its own.
+class ReplicaStore {
+public:
+    // Takes over the whole state of a record from its runner; a record of the same runner is replaced.
+    JournalResult open(std::uint64_t epoch, ReplicaRecord);
+    // Adds tokens. They may overlap with those held; a gap is refused.
+    JournalResult append(std::uint64_t epoch, const ViewMember& runner, const std::string& key, std::size_t position,
+        std::vector<Token>);
+    JournalResult setAttempt(std::uint64_t epoch, const ViewMember& runner, const std::string& key, JournaledAttempt);
+    JournalResult finish(std::uint64_t epoch, const ViewMember& runner, const std::string& key, FinishReason);
+    // The runner needs the record no longer.
+    void drop(const ViewMember& runner, const std::string& key);
+
+    // The record of a key, sealed or not.
+    std::optional<ReplicaRecord> find(const std::string& key) const;
+    // Takes the record over: from here on its runner is refused. Nothing when there is none, or it has been taken.
+    std::optional<ReplicaRecord> seal(const std::string& key);
+    // Refuses all items of lower epochs from here on.
+    void raiseFloor(std::uint64_t epoch);
+    std::vector<ReplicaRecord> recordsOf(const ViewMember& runner) const;
+    std::size_t size() const;
+
+private:
+    struct Entry {
+        ReplicaRecord record;
+        bool isSealed { false };
+    };
+
+    // The entry of a key if the runner may still write to it.
+    Entry* writable(std::uint64_t epoch, const ViewMember& runner, const std::string& key);
+
+    mutable std::mutex m_mutex;
+    // Both under the lock.
+    std::unordered_map<std::string, Entry> m_entries;
+    std::uint64_t m_floor { 0 };
+};
+
+} // namespace lupinknot
--- /dev/null
+++ b/src/core/ReplicaStore.cpp
@@ -0,0 +1,117 @@
+#include "lupinknot/ReplicaStore.h"
+
+#include <algorithm>
+
+namespace lupinknot {
+
+JournalResult ReplicaStore::open(std::uint64_t epoch, ReplicaRecord record)
+{
+    const std::lock_guard lock(m_mutex);
+    if (epoch < m_floor)
+        return JournalResult::Refused;
+    const auto found = m_entries.find(record.request.key);
+    if (found != m_entries.end()) {
+        const bool isSameRunner = found->second.record.runner == record.runner;
+        if (!isSameRunner || found->second.isSealed)
+            return JournalResult::Refused;
+    }
+    const auto key = record.request.key;
+    m_entries[key] = { std::move(record), false };
+    return JournalResult::Applied;
+}
+
+JournalResult ReplicaStore::append(std::uint64_t epoch, const ViewMember& runner, const std::string& key,
+    std::size_t position, std::vector<Token> tokens)
+{
+    const std::lock_guard lock(m_mutex);
+    auto* entry = writable(epoch, runner, key);
+    if (!entry || position > entry->record.tokens.size())
+        return JournalResult::Refused;
+    auto& held = entry->record.tokens;
+    for (auto& token : tokens) {
+        if (position++ == held.size())
+            held.push_back(std::move(token));
+    }
+    return JournalResult::Applied;
+}
+
+JournalResult ReplicaStore::setAttempt(
+    std::uint64_t epoch, const ViewMember& runner, const std::string& key, JournaledAttempt attempt)
+{
+    const std::lock_guard lock(m_mutex);
+    auto* entry = writable(epoch, runner, key);
+    if (!entry)
+        return JournalResult::Refused;
+    entry->record.attempt = std::move(attempt);
+    return JournalResult::Applied;
+}
+
+JournalResult ReplicaStore::finish(
+    std::uint64_t epoch, const ViewMember& runner, const std::string& key, FinishReason reason)
+{
+    const std::lock_guard lock(m_mutex);
+    auto* entry = writable(epoch, runner, key);
+    if (!entry)
+        return JournalResult::Refused;
+    entry->record.finishReason = reason;
+    return JournalResult::Applied;
+}
+
+void ReplicaStore::drop(const ViewMember& runner, const std::string& key)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_entries.find(key);
+    if (found != m_entries.end() && found->second.record.runner == runner)
+        m_entries.erase(found);
+}
+
+std::optional<ReplicaRecord> ReplicaStore::find(const std::string& key) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_entries.find(key);
+    return found == m_entries.end() ? std::nullopt : std::make_optional(found->second.record);
+}
+
+std::optional<ReplicaRecord> ReplicaStore::seal(const std::string& key)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_entries.find(key);
+    if (found == m_entries.end() || found->second.isSealed)
+        return std::nullopt;
+    found->second.isSealed = true;
+    return found->second.record;
+}
+
+void ReplicaStore::raiseFloor(std::uint64_t epoch)
+{
+    const std::lock_guard lock(m_mutex);
+    m_floor = std::max(m_floor, epoch);
+}
+
+std::vector<ReplicaRecord> ReplicaStore::recordsOf(const ViewMember& runner) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<ReplicaRecord> records;
+    for (const auto& entry : m_entries) {
+        if (entry.second.record.runner == runner && !entry.second.isSealed)
+            records.push_back(entry.second.record);
+    }
+    return records;
+}
+
+std::size_t ReplicaStore::size() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_entries.size();
+}
+
+ReplicaStore::Entry* ReplicaStore::writable(std::uint64_t epoch, const ViewMember& runner, const std::string& key)
+{
+    const auto found = m_entries.find(key);
+    if (epoch < m_floor || found == m_entries.end())
+        return nullptr;
+    auto& entry = found->second;
+    return entry.isSealed || !(entry.record.runner == runner) ? nullptr : &entry;
+}
+
+} // namespace lupinknot
--- /dev/null
+++ b/test/ReplicaStoreTest.cpp
@@ -0,0 +1,109 @@
+#include "lupinknot/ReplicaStore.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+
+namespace {
+
+const ViewMember runner { "a", 1 };
+const ViewMember restarted { "a", 2 };
+const std::string key = "k";
+
+ReplicaRecord record(const ViewMember& by = runner)
+{
+    ReplicaRecord made;
+    made.runner = by;
+    made.request.key = key;
+    return made;
+}
+
+void checkResult(JournalResult expected, JournalResult actual)
+{
+    STRCMP_EQUAL(std::string(nameIn(journalResultNames, expected)).c_str(),
+        std::string(nameIn(journalResultNames, actual)).c_str());
+}
+
+} // namespace
+
+TEST_GROUP(ReplicaStore)
+{
+    ReplicaStore store;
+
+    JournalResult append(std::size_t position, std::vector<Token> tokens, std::uint64_t epoch = 1)
+    {
+        return store.append(epoch, runner, key, position, std::move(tokens));
+    }
+};
+
+TEST(ReplicaStore, KeepsTokensInOrder)
+{
+    store.open(1, record());
+    checkResult(JournalResult::Applied, append(0, { { 1, "a" }, { 2, "b" } }));
+    checkResult(JournalResult::Applied, append(2, { { 3, "c" } }));
+    LONGS_EQUAL(3, store.find(key)->tokens.size());
+}
+
+TEST(ReplicaStore, RefusesAGap)
+{
+    store.open(1, record());
+    checkResult(JournalResult::Refused, append(1, { { 2, "b" } }));
+}
+
+TEST(ReplicaStore, KeepsWhatItHasWhenTokensComeAgain)
+{
+    store.open(1, record());
+    append(0, { { 1, "a" }, { 2, "b" } });
+    checkResult(JournalResult::Applied, append(1, { { 9, "x" }, { 3, "c" } }));
+    LONGS_EQUAL(2, store.find(key)->tokens[1].id);
+    LONGS_EQUAL(3, store.find(key)->tokens[2].id);
+}
+
+TEST(ReplicaStore, RefusesItsRunnerOnceItIsSealed)
+{
+    store.open(1, record());
+    append(0, { { 1, "a" } });
+    CHECK(store.seal(key).has_value());
+    checkResult(JournalResult::Refused, append(1, { { 2, "b" } }));
+    checkResult(JournalResult::Refused, store.open(1, record()));
+    checkResult(JournalResult::Refused, store.finish(1, runner, key, FinishReason::Stop));
+    LONGS_EQUAL(1, store.find(key)->tokens.size());
+}
+
+TEST(ReplicaStore, IsTakenOverOnce)
+{
+    store.open(1, record());
+    CHECK(store.seal(key).has_value());
+    CHECK_FALSE(store.seal(key).has_value());
+}
+
+TEST(ReplicaStore, RefusesASecondRunnerOfAKey)
+{
+    store.open(1, record());
+    checkResult(JournalResult::Refused, store.open(1, record({ "b", 1 })));
+    checkResult(JournalResult::Refused, store.open(1, record(restarted)));
+}
+
+TEST(ReplicaStore, RefusesItemsOfAnEpochBelowItsFloor)
+{
+    store.open(1, record());
+    store.raiseFloor(2);
+    checkResult(JournalResult::Refused, append(0, { { 1, "a" } }, 1));
+    checkResult(JournalResult::Applied, append(0, { { 1, "a" } }, 2));
+}
+
+TEST(ReplicaStore, NeverLowersItsFloor)
+{
+    store.raiseFloor(5);
+    store.raiseFloor(3);
+    checkResult(JournalResult::Refused, store.open(4, record()));
+}
+
+TEST(ReplicaStore, DropsForItsRunnerOnly)
+{
+    store.open(1, record());
+    store.drop(restarted, key);
+    LONGS_EQUAL(1, store.size());
+    store.drop(runner, key);
+    LONGS_EQUAL(0, store.size());
+}
