--- a/include/lupinknot/AttemptHost.h
+++ b/include/lupinknot/AttemptHost.h
@@ -24,6 +24,8 @@
     EndpointName endpoint;
     // Tokens already held: they are the attempt's prefix, and its first token has this position.
     std::size_t position;
+    // True when the attempt attaches to the stream that the generation's last attempt on another VM left running.
+    bool attaches;
 };
 
 // How an attempt's time on its endpoint ended, for the endpoint's books.
--- a/include/lupinknot/FailureKind.h
+++ b/include/lupinknot/FailureKind.h
@@ -14,6 +14,7 @@
     MalformedEvent, // The stream carried something that is not an event.
     WrongPosition, // A token came at a position other than the next one.
     Silent, // Nothing has come for longer than the detector's patience.
+    StreamGone, // The endpoint knows nothing of the stream that was to be attached to.
     FirstTokenTimeout, // The endpoint lives, but this stream's first token has not come in time.
 };
 
@@ -27,7 +28,7 @@
     bool blamesEndpoint;
 };
 
-inline constexpr std::array<FailureTraits, 9> failureTraitsTable { {
+inline constexpr std::array<FailureTraits, 10> failureTraitsTable { {
     { FailureKind::ConnectionRefused, "connection-refused", true, true },
     { FailureKind::Overloaded, "overloaded", true, true },
     { FailureKind::ConnectionLost, "connection-lost", false, true },
@@ -36,6 +37,7 @@
     { FailureKind::MalformedEvent, "malformed-event", false, true },
     { FailureKind::WrongPosition, "wrong-position", false, true },
     { FailureKind::Silent, "silent", false, true },
+    { FailureKind::StreamGone, "stream-gone", false, false },
     { FailureKind::FirstTokenTimeout, "first-token-timeout", false, false },
 } };
 
--- a/include/lupinknot/Generation.h
+++ b/include/lupinknot/Generation.h
@@ -40,6 +40,9 @@
     AttemptNumber beginAttempt();
     AttemptNumber currentAttempt() const { return m_currentAttempt; }
 
+    // Takes up what another VM had of the answer. Call it before the first attempt.
+    void adopt(std::vector<Token>, AttemptNumber lastAttempt, std::optional<FinishReason>);
+
     // Appends a token of an attempt at a position counted from 0 over the whole answer.
     AppendResult append(AttemptNumber, std::size_t position, Token);
 
--- a/include/lupinknot/GenerationDriver.h
+++ b/include/lupinknot/GenerationDriver.h
@@ -23,6 +23,14 @@
     Milliseconds deadline { Milliseconds::max() };
 };
 
+// What another VM had of a generation when it was taken over.
+struct AdoptedGeneration {
+    std::vector<Token> tokens;
+    // The last attempt that may have begun; 0 for none.
+    AttemptNumber lastAttempt { 0 };
+    std::optional<FinishReason> finishReason;
+};
+
 // Not thread-safe: one lock of the owner protects the driver, and no two drivers share state. The host must outlive it.
 class GenerationDriver {
 public:
@@ -40,6 +48,13 @@
     void tick(Milliseconds now);
     Milliseconds nextTick() const;
 
+    // Takes up a generation that another VM has begun. Call it before the start.
+    void adopt(AdoptedGeneration);
+    // Starts by attaching to the stream that the last attempt left running on an endpoint.
+    void startAttached(EndpointChoice, Milliseconds now);
+
+    // Ends the generation with an error, unless it has ended.
+    void stop(GenerationErrorCode);
     // Stops the work because nobody waits for it any more. The tokens stay.
     void abandon();
     // Continues abandoned work from its tokens. Does nothing unless the work was abandoned and may go on.
@@ -47,6 +62,7 @@
 
     const Generation& generation() const { return m_generation; }
     bool isRepeatable() const { return m_request.repeatable; }
+    bool isStarted() const { return m_state != State::Idle; }
     bool isOver() const { return m_state == State::Ended; }
     // Set when the generation was given up.
     const std::optional<GenerationError>& error() const { return m_error; }
@@ -75,7 +91,7 @@
 
     bool isCurrent(AttemptNumber number) const { return m_state == State::Running && number == m_running.number; }
     void tryNextAttempt(Milliseconds now);
-    void beginAttempt(EndpointChoice, Milliseconds now);
+    void beginAttempt(EndpointChoice, Milliseconds now, bool attaches);
     void waitForEndpoint(Milliseconds now);
     void noteToken(Milliseconds now);
     void reportResumption(Milliseconds now);
--- a/include/lupinknot/GenerationError.h
+++ b/include/lupinknot/GenerationError.h
@@ -14,14 +14,18 @@
     MayHaveRun, // The request must not be repeated and may have begun.
     DeadlineExceeded,
     Abandoned, // The caller has gone.
+    NotProtected, // No other VM could take note of a request that must not be repeated.
+    TakenOver, // Another VM runs the generation now.
 };
 
-inline constexpr std::array<EnumName<GenerationErrorCode>, 5> generationErrorCodeNames { {
+inline constexpr std::array<EnumName<GenerationErrorCode>, 7> generationErrorCodeNames { {
     { GenerationErrorCode::NoEndpoint, "no_endpoint" },
     { GenerationErrorCode::AttemptsExhausted, "attempts_exhausted" },
     { GenerationErrorCode::MayHaveRun, "may_have_run" },
     { GenerationErrorCode::DeadlineExceeded, "deadline_exceeded" },
     { GenerationErrorCode::Abandoned, "abandoned" },
+    { GenerationErrorCode::NotProtected, "not_protected" },
+    { GenerationErrorCode::TakenOver, "taken_over" },
 } };
 
 struct GenerationError {
--- a/include/lupinknot/ReplicaRecord.h
+++ b/include/lupinknot/ReplicaRecord.h
@@ -10,6 +10,13 @@
 
 // The request, in the form in which the embedding program can read it again.
 struct JournaledRequest {
+    // The key under which an organisation's request is known to all VMs. A line feed cannot be part of a header's
+    // value, so it separates without doubt.
+    static std::string scopedKey(const std::string& organisation, const std::string& idempotencyKey)
+    {
+        return organisation + "\n" + idempotencyKey;
+    }
+
     std::string generation;
     // Unique over organisations.
     std::string key;
--- a/include/lupinknot/ReplicaStore.h
+++ b/include/lupinknot/ReplicaStore.h
@@ -10,7 +10,7 @@
 //     ReplicaStore store;
 //     store.open(epoch, record);                       // Applied
 //     store.append(epoch, runner, key, 0, tokens);     // Applied
-//     auto taken = store.seal(key);                    // The record, as far as it was acknowledged.
+//     auto taken = store.seal(key, now);                  // The record, as far as it was acknowledged.
 //     store.append(epoch, runner, key, 3, more);       // Refused
 #pragma once
 
@@ -39,6 +39,8 @@
     // Adds tokens. They may overlap with those held; a gap is refused.
     JournalResult append(std::uint64_t epoch, const ViewMember& runner, const std::string& key, std::size_t position,
         std::vector<Token>);
+    JournalResult setPromptIds(
+        std::uint64_t epoch, const ViewMember& runner, const std::string& key, std::vector<TokenId>);
     JournalResult setAttempt(std::uint64_t epoch, const ViewMember& runner, const std::string& key, JournaledAttempt);
     JournalResult finish(std::uint64_t epoch, const ViewMember& runner, const std::string& key, FinishReason);
     // The runner needs the record no longer.
@@ -47,16 +49,20 @@
     // The record of a key, sealed or not.
     std::optional<ReplicaRecord> find(const std::string& key) const;
     // Takes the record over: from here on its runner is refused. Nothing when there is none, or it has been taken.
-    std::optional<ReplicaRecord> seal(const std::string& key);
+    std::optional<ReplicaRecord> seal(const std::string& key, Milliseconds now);
     // Refuses all items of lower epochs from here on.
     void raiseFloor(std::uint64_t epoch);
-    std::vector<ReplicaRecord> recordsOf(const ViewMember& runner) const;
+    // Tells that a runner is lost, or back. Records without a runner, and those taken over, are kept for a time.
+    void runnerLost(const std::string& vm, Milliseconds now);
+    void runnerBack(const ViewMember& runner);
+    void sweep(Milliseconds now, Milliseconds retention);
     std::size_t size() const;
 
 private:
     struct Entry {
         ReplicaRecord record;
         bool isSealed { false };
+        std::optional<Milliseconds> orphanedAt;
     };
 
     // The entry of a key if the runner may still write to it.
--- a/src/core/Generation.cpp
+++ b/src/core/Generation.cpp
@@ -10,6 +10,16 @@
 
 AttemptNumber Generation::beginAttempt() { return ++m_currentAttempt; }
 
+void Generation::adopt(std::vector<Token> tokens, AttemptNumber lastAttempt, std::optional<FinishReason> reason)
+{
+    const auto attempt = beginAttempt();
+    for (auto& token : tokens)
+        append(attempt, m_tokens.size(), std::move(token));
+    m_currentAttempt = lastAttempt;
+    if (reason && !isEnded())
+        end(*reason);
+}
+
 AppendResult Generation::append(AttemptNumber attempt, std::size_t position, Token token)
 {
     if (const auto refused = refusal(attempt, position))
--- a/src/core/GenerationDriver.cpp
+++ b/src/core/GenerationDriver.cpp
@@ -11,13 +11,15 @@
     std::string_view text;
 };
 
-constexpr std::array<ErrorText, 5> errorTexts { {
+constexpr std::array<ErrorText, 7> errorTexts { {
     { GenerationErrorCode::NoEndpoint, "no endpoint could take the request in the time allowed" },
     { GenerationErrorCode::AttemptsExhausted, "too many attempts failed" },
     { GenerationErrorCode::MayHaveRun,
         "the endpoint was lost before its first token, and the request must not be repeated" },
     { GenerationErrorCode::DeadlineExceeded, "the deadline passed before the answer was complete" },
     { GenerationErrorCode::Abandoned, "the caller has gone" },
+    { GenerationErrorCode::NotProtected, "no other VM could take note of the request, which must not be repeated" },
+    { GenerationErrorCode::TakenOver, "another VM runs the generation now; ask again with the same Idempotency-Key" },
 } };
 
 } // namespace internal
@@ -92,10 +94,29 @@
     return Milliseconds::max();
 }
 
-void GenerationDriver::abandon()
+void GenerationDriver::abandon() { stop(GenerationErrorCode::Abandoned); }
+
+void GenerationDriver::stop(GenerationErrorCode code)
 {
     if (m_state != State::Ended)
-        giveUp(GenerationErrorCode::Abandoned);
+        giveUp(code);
+}
+
+void GenerationDriver::adopt(AdoptedGeneration adopted)
+{
+    m_generation.adopt(std::move(adopted.tokens), adopted.lastAttempt, adopted.finishReason);
+    m_recovery.tokensHeld = m_generation.length();
+    m_recovery.mayHaveStarted = adopted.lastAttempt > 0;
+    if (m_generation.isEnded())
+        m_state = State::Ended;
+}
+
+void GenerationDriver::startAttached(EndpointChoice endpoint, Milliseconds now)
+{
+    if (m_state != State::Idle)
+        return;
+    m_waitingSince = now;
+    beginAttempt(std::move(endpoint), now, true);
 }
 
 void GenerationDriver::revive(Milliseconds now, Milliseconds deadline)
@@ -120,17 +141,17 @@
         return;
     }
     if (auto endpoint = m_host.chooseEndpoint(m_avoid)) {
-        beginAttempt(std::move(*endpoint), now);
+        beginAttempt(std::move(*endpoint), now, false);
         return;
     }
     waitForEndpoint(now);
 }
 
-void GenerationDriver::beginAttempt(EndpointChoice endpoint, Milliseconds now)
+void GenerationDriver::beginAttempt(EndpointChoice endpoint, Milliseconds now, bool attaches)
 {
     m_state = State::Running;
     m_running = { m_generation.beginAttempt(), std::move(endpoint), { now, false } };
-    m_host.startAttempt({ m_running.number, m_running.endpoint.name, m_generation.length() });
+    m_host.startAttempt({ m_running.number, m_running.endpoint.name, m_generation.length(), attaches });
 }
 
 void GenerationDriver::waitForEndpoint(Milliseconds now)
--- a/src/core/ReplicaStore.cpp
+++ b/src/core/ReplicaStore.cpp
@@ -16,7 +16,7 @@
             return JournalResult::Refused;
     }
     const auto key = record.request.key;
-    m_entries[key] = { std::move(record), false };
+    m_entries[key] = { std::move(record), false, std::nullopt };
     return JournalResult::Applied;
 }
 
@@ -35,6 +35,17 @@
     return JournalResult::Applied;
 }
 
+JournalResult ReplicaStore::setPromptIds(
+    std::uint64_t epoch, const ViewMember& runner, const std::string& key, std::vector<TokenId> ids)
+{
+    const std::lock_guard lock(m_mutex);
+    auto* entry = writable(epoch, runner, key);
+    if (!entry)
+        return JournalResult::Refused;
+    entry->record.promptIds = std::move(ids);
+    return JournalResult::Applied;
+}
+
 JournalResult ReplicaStore::setAttempt(
     std::uint64_t epoch, const ViewMember& runner, const std::string& key, JournaledAttempt attempt)
 {
@@ -72,13 +83,14 @@
     return found == m_entries.end() ? std::nullopt : std::make_optional(found->second.record);
 }
 
-std::optional<ReplicaRecord> ReplicaStore::seal(const std::string& key)
+std::optional<ReplicaRecord> ReplicaStore::seal(const std::string& key, Milliseconds now)
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_entries.find(key);
     if (found == m_entries.end() || found->second.isSealed)
         return std::nullopt;
     found->second.isSealed = true;
+    found->second.orphanedAt = now;
     return found->second.record;
 }
 
@@ -88,15 +100,32 @@
     m_floor = std::max(m_floor, epoch);
 }
 
-std::vector<ReplicaRecord> ReplicaStore::recordsOf(const ViewMember& runner) const
+void ReplicaStore::runnerLost(const std::string& vm, Milliseconds now)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto& entry : m_entries) {
+        if (entry.second.record.runner.vm == vm && !entry.second.orphanedAt)
+            entry.second.orphanedAt = now;
+    }
+}
+
+void ReplicaStore::runnerBack(const ViewMember& runner)
 {
     const std::lock_guard lock(m_mutex);
-    std::vector<ReplicaRecord> records;
-    for (const auto& entry : m_entries) {
+    for (auto& entry : m_entries) {
         if (entry.second.record.runner == runner && !entry.second.isSealed)
-            records.push_back(entry.second.record);
+            entry.second.orphanedAt.reset();
+    }
+}
+
+void ReplicaStore::sweep(Milliseconds now, Milliseconds retention)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+        const auto orphanedAt = entry->second.orphanedAt;
+        const bool isExpired = orphanedAt && now - *orphanedAt >= retention;
+        entry = isExpired ? m_entries.erase(entry) : std::next(entry);
     }
-    return records;
 }
 
 std::size_t ReplicaStore::size() const
--- a/src/daemon/AdminHandler.cpp
+++ b/src/daemon/AdminHandler.cpp
@@ -1,5 +1,6 @@
 #include "daemon/AdminHandler.h"
 
+#include "daemon/Cluster.h"
 #include "daemon/EndpointTable.h"
 #include "daemon/GenerationRegistry.h"
 #include "daemon/LiveGeneration.h"
@@ -107,6 +108,11 @@
         { "generations_held", m_registry.heldCount() }, { "generations_running", m_registry.runningCount() } };
     const auto age = m_platform.age();
     body["platform_list_age_ms"] = age ? json(age->count()) : json(nullptr);
+    body["records_held"] = m_context.cluster.recordCount();
+    body["peer_bytes_sent"] = m_context.cluster.sentBytes();
+    body["peers"] = json::array();
+    for (const auto& peer : m_context.cluster.peersUp())
+        body["peers"].push_back(peer.vm);
     body["endpoints"] = json::array();
     for (const auto& endpoint : m_context.endpoints.endpoints())
         body["endpoints"].push_back(describeEndpoint(*endpoint, m_context.clock.now()));
--- /dev/null
+++ b/src/daemon/Cluster.cpp
@@ -0,0 +1,420 @@
+#include "daemon/Cluster.h"
+
+#include "common/Log.h"
+#include "lupinknot/Clock.h"
+#include "peer/generated/Messages.pb.h"
+
+#include <algorithm>
+
+namespace lupinknot::internal {
+
+namespace {
+
+constexpr Milliseconds queryTimeout { 200 };
+// All VMs of the settings form one view that does not change; a record whose runner is lost stays with its replica.
+constexpr std::uint64_t staticEpoch = 1;
+
+PeerNetworkSettings networkSettings(
+    const DaemonSettings& settings, std::uint64_t incarnation, unsigned short callerPort)
+{
+    return { settings.cluster, settings.peers,
+        { settings.vm.name, settings.vm.zone, incarnation, settings.listener.address, callerPort } };
+}
+
+View staticView(const DaemonSettings& settings)
+{
+    View view { staticEpoch, { { settings.vm.name, 0 } } };
+    for (const auto& peer : settings.peers)
+        view.members.push_back({ peer.name, 0 });
+    return view;
+}
+
+ReplicaRecord recordOf(const PeerIdentity& runner, const wire::JournalOpen& open)
+{
+    ReplicaRecord record;
+    record.runner = { runner.vm, runner.incarnation };
+    record.request.generation = open.generation();
+    record.request.organisation = open.organisation();
+    record.request.idempotencyKey = open.key();
+    record.request.key = JournaledRequest::scopedKey(open.organisation(), open.key());
+    record.request.body = open.body();
+    record.request.repeatable = open.repeatable();
+    record.request.timeLeft = Milliseconds { open.time_left_ms() };
+    return record;
+}
+
+std::vector<Token> tokensOf(const wire::JournalAppend& append)
+{
+    std::vector<Token> tokens;
+    tokens.reserve(static_cast<std::size_t>(append.tokens_size()));
+    for (const auto& token : append.tokens())
+        tokens.push_back({ token.id(), token.text() });
+    return tokens;
+}
+
+} // namespace
+
+Cluster::Cluster(
+    boost::asio::io_context& ioContext, const Clock& clock, const DaemonSettings& settings, std::uint64_t incarnation)
+    : m_ioContext(ioContext)
+    , m_clock(clock)
+    , m_settings(settings)
+    , m_self { settings.vm.name, incarnation }
+    , m_startedAt(clock.now())
+    , m_view(staticView(settings))
+    , m_lastChange(clock.now())
+{
+}
+
+std::optional<std::string> Cluster::start(unsigned short callerPort, RunsKey runsKey)
+{
+    m_runsKey = std::move(runsKey);
+    if (!isEnabled())
+        return std::nullopt;
+    m_network = std::make_shared<PeerNetwork>(
+        m_ioContext, m_clock, networkSettings(m_settings, m_self.incarnation, callerPort));
+    return m_network->start(*this);
+}
+
+void Cluster::stop()
+{
+    if (m_network)
+        m_network->stop();
+    const std::lock_guard lock(m_mutex);
+    for (const auto& link : m_links)
+        link.second->close();
+    m_links.clear();
+    m_placed.clear();
+}
+
+void Cluster::place(const std::string& key, bool isForwarded, Decide decide)
+{
+    if (!isEnabled()) {
+        decide({});
+        return;
+    }
+    if (const auto placement = placeByRecord(key)) {
+        decide(*placement);
+        return;
+    }
+    const auto owner = actingOwner(key);
+    if (owner && !isForwarded) {
+        decide({ Placement::Kind::Forward, *owner, std::nullopt });
+        return;
+    }
+    if (isSettled())
+        decide({});
+    else
+        ask(key, std::move(decide));
+}
+
+std::optional<ReplicaRecord> Cluster::takeOver(const std::string& key) { return m_store.seal(key, m_clock.now()); }
+
+void Cluster::attach(const std::shared_ptr<JournalSource>& source)
+{
+    std::string vm;
+    const auto link = linkFor(source->journalKey(), vm);
+    if (!link) {
+        source->journalUnprotected();
+        return;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_placed[source.get()] = vm;
+    }
+    logDebug(LogPart::Journal, "a generation is journaled on VM " + vm + ".");
+    link->add(source);
+}
+
+void Cluster::changed(const JournalSource& source)
+{
+    std::shared_ptr<JournalLink> link;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto placed = m_placed.find(&source);
+        if (placed == m_placed.end())
+            return;
+        const auto entry = m_links.find(placed->second);
+        if (entry == m_links.end())
+            return;
+        link = entry->second;
+    }
+    link->changed(&source);
+}
+
+void Cluster::detach(const JournalSource& source)
+{
+    std::shared_ptr<JournalLink> link;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto placed = m_placed.find(&source);
+        if (placed == m_placed.end())
+            return;
+        const auto entry = m_links.find(placed->second);
+        if (entry != m_links.end())
+            link = entry->second;
+        m_placed.erase(placed);
+    }
+    if (link)
+        link->remove(&source);
+}
+
+void Cluster::sweep() { m_store.sweep(m_clock.now(), m_settings.generation.retention); }
+
+std::vector<PeerIdentity> Cluster::peersUp() const
+{
+    return m_network ? m_network->up() : std::vector<PeerIdentity> {};
+}
+
+std::uint64_t Cluster::sentBytes() const { return m_network ? m_network->sentBytes() : 0; }
+
+unsigned short Cluster::port() const { return m_network ? m_network->port() : 0; }
+
+void Cluster::peerUp(const PeerIdentity& peer)
+{
+    const auto send = [network = std::weak_ptr<PeerNetwork>(m_network), vm = peer.vm](const wire::Envelope& envelope) {
+        if (const auto alive = network.lock())
+            alive->send(vm, envelope);
+    };
+    m_store.runnerBack({ peer.vm, peer.incarnation });
+    const std::lock_guard lock(m_mutex);
+    m_lastChange = m_clock.now();
+    m_links[peer.vm] = std::make_shared<JournalLink>(m_ioContext, m_view.epoch, m_settings.journal.flushInterval, send);
+}
+
+void Cluster::peerDown(const PeerIdentity& peer)
+{
+    m_store.runnerLost(peer.vm, m_clock.now());
+    std::shared_ptr<JournalLink> link;
+    std::vector<std::uint64_t> queries;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_lastChange = m_clock.now();
+        m_handles.erase(peer.vm);
+        const auto entry = m_links.find(peer.vm);
+        if (entry != m_links.end()) {
+            link = entry->second;
+            m_links.erase(entry);
+        }
+        for (const auto& query : m_queries)
+            queries.push_back(query.first);
+    }
+    // Its journals go on elsewhere, from their beginning.
+    if (link) {
+        for (const auto& source : link->close())
+            attach(source);
+    }
+    for (const auto query : queries)
+        queryTimedOut(query);
+}
+
+void Cluster::peerMessage(const PeerIdentity& peer, const wire::Envelope& envelope)
+{
+    if (envelope.has_journal()) {
+        journalArrived(peer, envelope);
+    } else if (envelope.has_ack()) {
+        std::shared_ptr<JournalLink> link;
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto entry = m_links.find(peer.vm);
+            if (entry != m_links.end())
+                link = entry->second;
+        }
+        if (link)
+            link->acknowledged(envelope.ack());
+    } else if (envelope.has_query()) {
+        queryArrived(peer, envelope);
+    } else if (envelope.has_answer()) {
+        answerArrived(peer, envelope);
+    }
+}
+
+// While nothing has changed for the time that answers are kept, a key that its owner does not know is new.
+bool Cluster::isSettled() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_clock.now() - m_lastChange >= m_settings.generation.retention;
+}
+
+std::optional<Placement> Cluster::placeByRecord(const std::string& key) const
+{
+    auto record = m_store.find(key);
+    if (!record)
+        return std::nullopt;
+    const auto runner = m_network->find(record->runner.vm);
+    const bool isRunnerUp = runner && runner->incarnation == record->runner.incarnation;
+    if (isRunnerUp)
+        return Placement { Placement::Kind::Forward, *runner, std::nullopt };
+    // A runner that was restarted has forgotten its work, so it cannot be running it.
+    const bool isRunnerGone = runner.has_value();
+    const bool mayTakeOver = record->request.repeatable || isRunnerGone || record->finishReason;
+    if (!mayTakeOver)
+        return Placement { Placement::Kind::Refuse, {}, std::nullopt };
+    return Placement { Placement::Kind::TakeOver, {}, std::move(record) };
+}
+
+// The most responsible VM that can be reached; nothing when it is this one.
+std::optional<PeerIdentity> Cluster::actingOwner(const std::string& key) const
+{
+    for (const auto& member : rankMembers(m_view, key)) {
+        if (member.vm == m_self.vm)
+            return std::nullopt;
+        if (auto peer = m_network->find(member.vm))
+            return peer;
+    }
+    return std::nullopt;
+}
+
+void Cluster::ask(const std::string& key, Decide decide)
+{
+    const auto peers = m_network->up();
+    if (peers.empty()) {
+        decide({});
+        return;
+    }
+    wire::Envelope envelope;
+    std::uint64_t id = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        id = ++m_lastQuery;
+        m_queries[id] = { key, std::move(decide), peers.size(), std::nullopt, false };
+    }
+    envelope.mutable_query()->set_id(id);
+    envelope.mutable_query()->set_epoch(m_view.epoch);
+    envelope.mutable_query()->set_key(key);
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_ioContext, queryTimeout);
+    timer->async_wait([weak = weak_from_this(), timer, id](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (self && !error)
+            self->queryTimedOut(id);
+    });
+    for (const auto& peer : peers)
+        m_network->send(peer.vm, envelope);
+}
+
+void Cluster::queryTimedOut(std::uint64_t id)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto query = m_queries.find(id);
+        if (query == m_queries.end())
+            return;
+        query->second.answersMissing = 0;
+    }
+    conclude(id);
+}
+
+void Cluster::conclude(std::uint64_t id)
+{
+    Query query;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto entry = m_queries.find(id);
+        if (entry == m_queries.end() || entry->second.answersMissing)
+            return;
+        query = std::move(entry->second);
+        m_queries.erase(entry);
+    }
+    if (query.holder)
+        query.decide({ Placement::Kind::Forward, *query.holder, std::nullopt });
+    else
+        query.decide(placeByRecord(query.key).value_or(Placement {}));
+}
+
+// The most responsible VM beside this one that can be reached.
+std::shared_ptr<JournalLink> Cluster::linkFor(const std::string& key, std::string& vm) const
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto& member : rankMembers(m_view, key)) {
+        const auto entry = m_links.find(member.vm);
+        if (entry == m_links.end())
+            continue;
+        vm = member.vm;
+        return entry->second;
+    }
+    return nullptr;
+}
+
+void Cluster::journalArrived(const PeerIdentity& peer, const wire::Envelope& envelope)
+{
+    const auto& batch = envelope.journal();
+    wire::Envelope reply;
+    auto& ack = *reply.mutable_ack();
+    ack.set_number(batch.number());
+    for (int i = 0; i < batch.items_size(); ++i) {
+        if (apply(peer, batch.epoch(), envelope, i) == JournalResult::Refused)
+            ack.add_refused(batch.items(i).handle());
+    }
+    m_network->send(peer.vm, reply);
+}
+
+JournalResult Cluster::apply(const PeerIdentity& peer, std::uint64_t epoch, const wire::Envelope& envelope, int index)
+{
+    const auto& item = envelope.journal().items(index);
+    const ViewMember runner { peer.vm, peer.incarnation };
+    std::string key;
+    auto result = JournalResult::Applied;
+    if (item.has_open()) {
+        auto record = recordOf(peer, item.open());
+        key = record.request.key;
+        // This VM may run the key itself, for a caller that came while the two could not reach each other.
+        result = m_runsKey(key) ? JournalResult::Refused : m_store.open(epoch, std::move(record));
+        const std::lock_guard lock(m_mutex);
+        m_handles[peer.vm][item.handle()] = key;
+    } else {
+        const std::lock_guard lock(m_mutex);
+        key = m_handles[peer.vm][item.handle()];
+    }
+    if (result == JournalResult::Applied && item.has_attempt())
+        result = m_store.setAttempt(epoch, runner, key,
+            { item.attempt().number(), item.attempt().endpoint(), item.attempt().stream(), item.attempt().position() });
+    if (result == JournalResult::Applied && item.append().prompt_ids_size())
+        result = m_store.setPromptIds(
+            epoch, runner, key, { item.append().prompt_ids().begin(), item.append().prompt_ids().end() });
+    if (result == JournalResult::Applied && item.has_append())
+        result = m_store.append(epoch, runner, key, item.append().position(), tokensOf(item.append()));
+    if (result == JournalResult::Applied && item.has_end())
+        result = m_store.finish(epoch, runner, key, static_cast<FinishReason>(item.end().finish_reason()));
+    if (item.drop()) {
+        m_store.drop(runner, key);
+        const std::lock_guard lock(m_mutex);
+        m_handles[peer.vm].erase(item.handle());
+    }
+    return result;
+}
+
+void Cluster::queryArrived(const PeerIdentity& peer, const wire::Envelope& envelope)
+{
+    const auto& key = envelope.query().key();
+    wire::Envelope reply;
+    auto& answer = *reply.mutable_answer();
+    answer.set_id(envelope.query().id());
+    answer.set_is_runner(m_runsKey(key));
+    const auto record = m_store.find(key);
+    // A record of the asking VM itself, from before its restart, counts too.
+    answer.set_is_known(answer.is_runner() || record.has_value());
+    m_network->send(peer.vm, reply);
+}
+
+void Cluster::answerArrived(const PeerIdentity& peer, const wire::Envelope& envelope)
+{
+    const auto& answer = envelope.answer();
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto entry = m_queries.find(answer.id());
+        if (entry == m_queries.end())
+            return;
+        auto& query = entry->second;
+        query.answersMissing -= query.answersMissing ? 1 : 0;
+        // The VM that runs the key goes before one that holds its record.
+        if (answer.is_known() && !query.isHolderRunner) {
+            query.holder = peer;
+            query.isHolderRunner = answer.is_runner();
+        }
+        if (answer.is_runner())
+            query.answersMissing = 0;
+    }
+    conclude(answer.id());
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/daemon/Cluster.h
@@ -0,0 +1,107 @@
+// This VM among the others: who is responsible for a key, the journal of its own generations on them, and the records
+// that it holds for them.
+#pragma once
+
+#include "daemon/JournalLink.h"
+#include "lupinknot/ReplicaStore.h"
+#include "peer/PeerHandler.h"
+#include "peer/PeerNetwork.h"
+#include "settings/DaemonSettings.h"
+#include <functional>
+#include <map>
+
+namespace lupinknot::internal {
+
+// Where a request with a key is to be served.
+struct Placement {
+    enum class Kind {
+        Here, // This VM is responsible, or holds the generation.
+        Forward, // Another VM is.
+        TakeOver, // The VM that ran the generation is lost, and its record is here.
+        Refuse, // The VM that ran it is lost, but it may still be running, and the request must not be repeated.
+    };
+    Kind kind { Kind::Here };
+    PeerIdentity target;
+    std::optional<ReplicaRecord> record;
+};
+
+// Thread-safe. The journal's links and the store guard themselves; the rest is under one lock, which is never held
+// while a source or a callback is called.
+class Cluster final : public PeerHandler, public std::enable_shared_from_this<Cluster> {
+public:
+    using Decide = std::function<void(const Placement&)>;
+    using RunsKey = std::function<bool(const std::string& key)>;
+
+    Cluster(boost::asio::io_context&, const Clock&, const DaemonSettings&, std::uint64_t incarnation);
+
+    // Connects to the peers. The function tells whether this VM itself runs a key. Returns what went wrong, or nothing.
+    std::optional<std::string> start(unsigned short callerPort, RunsKey);
+    void stop();
+    // False when there are no peers: then every key is served here and nothing is journaled.
+    bool isEnabled() const { return !m_settings.peers.empty(); }
+
+    // Decides where a key is served that this VM does not run. Forwarded requests are not sent on to the VM
+    // responsible, only to the one that runs the key. The answer may come on this stack or later.
+    void place(const std::string& key, bool isForwarded, Decide);
+    // Takes a record over; nothing when another request has done so already.
+    std::optional<ReplicaRecord> takeOver(const std::string& key);
+
+    // Begins, feeds and ends the journal of a generation that this VM runs.
+    void attach(const std::shared_ptr<JournalSource>&);
+    void changed(const JournalSource&);
+    void detach(const JournalSource&);
+
+    void sweep();
+    std::size_t recordCount() const { return m_store.size(); }
+    std::vector<PeerIdentity> peersUp() const;
+    std::uint64_t sentBytes() const;
+    unsigned short port() const;
+
+    void peerUp(const PeerIdentity&) override;
+    void peerDown(const PeerIdentity&) override;
+    void peerMessage(const PeerIdentity&, const wire::Envelope&) override;
+
+private:
+    // The question to all other VMs whether they know a key.
+    struct Query {
+        std::string key;
+        Decide decide;
+        std::size_t answersMissing { 0 };
+        std::optional<PeerIdentity> holder;
+        bool isHolderRunner { false };
+    };
+
+    bool isSettled() const;
+    std::optional<Placement> placeByRecord(const std::string& key) const;
+    std::optional<PeerIdentity> actingOwner(const std::string& key) const;
+    void ask(const std::string& key, Decide);
+    void queryTimedOut(std::uint64_t id);
+    void conclude(std::uint64_t id);
+    std::shared_ptr<JournalLink> linkFor(const std::string& key, std::string& vm) const;
+    void journalArrived(const PeerIdentity&, const wire::Envelope&);
+    JournalResult apply(const PeerIdentity&, std::uint64_t epoch, const wire::Envelope&, int index);
+    void queryArrived(const PeerIdentity&, const wire::Envelope&);
+    void answerArrived(const PeerIdentity&, const wire::Envelope&);
+
+    boost::asio::io_context& m_ioContext;
+    const Clock& m_clock;
+    const DaemonSettings& m_settings;
+    const ViewMember m_self;
+    const Milliseconds m_startedAt;
+    View m_view;
+    ReplicaStore m_store;
+    std::shared_ptr<PeerNetwork> m_network;
+    RunsKey m_runsKey;
+
+    mutable std::mutex m_mutex;
+    // All that follows is under the lock.
+    std::map<std::string, std::shared_ptr<JournalLink>> m_links;
+    std::unordered_map<const JournalSource*, std::string> m_placed;
+    // The keys that a peer's handles stand for.
+    std::map<std::string, std::unordered_map<std::uint32_t, std::string>> m_handles;
+    std::map<std::uint64_t, Query> m_queries;
+    std::uint64_t m_lastQuery { 0 };
+    Milliseconds m_lastChange { 0 };
+};
+
+} // namespace lupinknot::internal
--- a/src/daemon/CompletionFormat.cpp
+++ b/src/daemon/CompletionFormat.cpp
@@ -32,12 +32,14 @@
     bool isWorthRetrying;
 };
 
-constexpr std::array<ErrorStatus, 5> errorStatuses { {
+constexpr std::array<ErrorStatus, 7> errorStatuses { {
     { GenerationErrorCode::NoEndpoint, 503, true },
     { GenerationErrorCode::AttemptsExhausted, 502, true },
     { GenerationErrorCode::MayHaveRun, 502, false },
     { GenerationErrorCode::DeadlineExceeded, 504, false },
     { GenerationErrorCode::Abandoned, 502, false },
+    { GenerationErrorCode::NotProtected, 503, true },
+    { GenerationErrorCode::TakenOver, 503, true },
 } };
 
 } // namespace
--- a/src/daemon/CompletionHandler.h
+++ b/src/daemon/CompletionHandler.h
@@ -12,6 +12,8 @@
 struct Admission;
 struct CompletionRequest;
 struct JsonError;
+struct PeerIdentity;
+struct Placement;
 
 // Thread-safe; holds no state of its own.
 class CompletionHandler {
@@ -21,7 +23,12 @@
     void handle(const std::shared_ptr<HttpExchange>&);
 
 private:
-    void serve(const std::shared_ptr<HttpExchange>&, const CompletionRequest&);
+    void serve(const std::shared_ptr<HttpExchange>&, const CompletionRequest&, unsigned placings);
+    void placed(const std::shared_ptr<HttpExchange>&, const CompletionRequest&, unsigned placings, const Placement&);
+    void forward(
+        const std::shared_ptr<HttpExchange>&, const CompletionRequest&, unsigned placings, const PeerIdentity&);
+    void takeOver(const std::shared_ptr<HttpExchange>&, const CompletionRequest&);
+    void admit(const std::shared_ptr<HttpExchange>&, const CompletionRequest&);
     std::optional<JsonError> refusalFor(const Admission&, const CompletionRequest&) const;
     void refuse(HttpExchange&, const JsonError&);
 
--- a/src/daemon/CompletionRequest.cpp
+++ b/src/daemon/CompletionRequest.cpp
@@ -249,6 +249,7 @@
     BOOST_LEAF_ASSIGN(request.limits.stops, parseStops(body));
     BOOST_LEAF_ASSIGN(request.wantsStream, parseStream(body));
     BOOST_LEAF_ASSIGN(request.seed, parseSeed(body));
+    request.body = message.body;
     request.sampling = samplingOf(body);
     // Of the parsed body, so that spaces and the order of fields make no difference. Whether the answer is streamed is
     // left out: a caller may come back in the other way.
--- a/src/daemon/CompletionRequest.h
+++ b/src/daemon/CompletionRequest.h
@@ -18,6 +18,8 @@
 
 struct CompletionRequest {
     std::string organisation;
+    // As it came; another VM reads it again.
+    std::string body;
     // Empty when the caller gave none.
     std::string idempotencyKey;
     // Of everything in the body; the same key with another body is a mistake of the caller.
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "common/Log.h"
 #include "daemon/AdminHandler.h"
+#include "daemon/Cluster.h"
 #include "daemon/CompletionHandler.h"
 #include "daemon/EndpointTable.h"
 #include "daemon/GenerationContext.h"
@@ -16,6 +17,7 @@
 #include "lupinknot/MonotonicClock.h"
 
 #include <random>
+#include <sstream>
 
 namespace lupinknot::internal {
 
@@ -26,12 +28,16 @@
 constexpr Milliseconds progressPollInterval { 20 };
 constexpr Milliseconds retryAfterStop { 1000 };
 
-// Tells a restarted VM's ids from those that it gave before; VMs keep nothing, so the incarnation is drawn.
-std::string newIdPrefix(const std::string& vm)
+std::uint64_t drawIncarnation()
 {
     std::random_device source;
+    return source();
+}
+
+std::string idPrefix(const std::string& vm, std::uint64_t incarnation)
+{
     std::ostringstream prefix;
-    prefix << vm << "-" << std::hex << source();
+    prefix << vm << "-" << std::hex << incarnation;
     return prefix.str();
 }
 
@@ -39,15 +45,17 @@
 
 Daemon::Daemon(DaemonSettings settings)
     : m_settings(std::move(settings))
+    , m_incarnation(drawIncarnation())
     , m_clock(std::make_unique<MonotonicClock>())
     , m_work(boost::asio::make_work_guard(m_ioContext))
     , m_sweepTimer(m_ioContext)
     , m_metrics(std::make_unique<Metrics>())
     , m_endpoints(std::make_unique<EndpointTable>(m_settings, *m_clock))
     , m_calls(std::make_unique<HttpCallGroup>())
+    , m_cluster(std::make_shared<Cluster>(m_ioContext, *m_clock, m_settings, m_incarnation))
     , m_context(std::make_unique<GenerationContext>(
-          GenerationContext { m_ioContext, *m_clock, m_settings, *m_endpoints, *m_metrics, *m_calls }))
-    , m_registry(std::make_unique<GenerationRegistry>(*m_context, newIdPrefix(m_settings.vm.name)))
+          GenerationContext { m_ioContext, *m_clock, m_settings, *m_endpoints, *m_metrics, *m_calls, *m_cluster }))
+    , m_registry(std::make_unique<GenerationRegistry>(*m_context, idPrefix(m_settings.vm.name, m_incarnation)))
     , m_platform(std::make_shared<PlatformReader>(*m_context, *m_endpoints))
     , m_completions(std::make_unique<CompletionHandler>(*m_context, *m_registry))
     , m_services(std::make_unique<ServiceHandler>(*m_context))
@@ -63,6 +71,7 @@
 Daemon::~Daemon()
 {
     m_platform->stop();
+    m_cluster->stop();
     m_ioContext.stop();
     for (auto& thread : m_threads)
         thread.join();
@@ -76,6 +85,9 @@
         return problem;
     if (auto problem = m_admin->start())
         return problem;
+    const auto runsKey = [this](const std::string& key) { return m_registry->findByKey(key) != nullptr; };
+    if (auto problem = m_cluster->start(port(), runsKey))
+        return problem;
     for (std::int64_t i = 0; i < m_settings.vm.threads; ++i)
         m_threads.emplace_back([this] { m_ioContext.run(); });
     m_platform->start();
@@ -144,6 +156,7 @@
         if (error)
             return;
         m_registry->sweep();
+        m_cluster->sweep();
         scheduleSweep();
     });
 }
--- a/src/daemon/Daemon.h
+++ b/src/daemon/Daemon.h
@@ -25,6 +25,7 @@
 namespace lupinknot::internal {
 
 class AdminHandler;
+class Cluster;
 class CompletionHandler;
 class EndpointTable;
 class GenerationRegistry;
@@ -61,6 +62,8 @@
     void waitForRequestsInProgress();
 
     const DaemonSettings m_settings;
+    // Drawn at each start; VMs keep nothing, so it tells a restarted VM from the old one.
+    const std::uint64_t m_incarnation;
     std::unique_ptr<Clock> m_clock;
     boost::asio::io_context m_ioContext;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
@@ -68,6 +71,7 @@
     std::unique_ptr<Metrics> m_metrics;
     std::unique_ptr<EndpointTable> m_endpoints;
     std::unique_ptr<HttpCallGroup> m_calls;
+    std::shared_ptr<Cluster> m_cluster;
     std::unique_ptr<GenerationContext> m_context;
     std::unique_ptr<GenerationRegistry> m_registry;
     std::shared_ptr<PlatformReader> m_platform;
--- a/src/daemon/EngineAttempt.cpp
+++ b/src/daemon/EngineAttempt.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr unsigned statusOk = 200;
+constexpr unsigned statusNotFound = 404;
 constexpr unsigned statusTooManyRequests = 429;
 constexpr unsigned statusUnavailable = 503;
 
@@ -19,11 +20,13 @@
 
 } // namespace
 
-EngineAttempt::EngineAttempt(std::shared_ptr<LiveGeneration> generation, const AttemptOrder& order)
+EngineAttempt::EngineAttempt(
+    std::shared_ptr<LiveGeneration> generation, const AttemptOrder& order, std::size_t streamPosition)
     : m_generation(std::move(generation))
     , m_number(order.number)
-    , m_firstPosition(order.position)
+    , m_firstPosition(streamPosition)
     , m_nextPosition(order.position)
+    , m_attaches(order.attaches)
 {
 }
 
@@ -39,6 +42,8 @@
 {
     if (status == statusOk)
         m_generation->attemptAccepted(m_number);
+    else if (m_attaches && status == statusNotFound)
+        fail(FailureKind::StreamGone);
     else
         fail(failureOfStatus(status));
 }
@@ -82,6 +87,7 @@
         m_nextPosition = position + count;
     }
     if (event.finishReason) {
+        m_isFinished = true;
         m_generation->attemptFinished(m_number, m_nextPosition, *event.finishReason);
         m_isOver = true;
     } else if (event.isDone) {
--- a/src/daemon/EngineAttempt.h
+++ b/src/daemon/EngineAttempt.h
@@ -6,6 +6,7 @@
 #include "http/SocketAddress.h"
 #include "http/SseParser.h"
 #include "lupinknot/AttemptHost.h"
+#include <atomic>
 #include <memory>
 
 namespace lupinknot::internal {
@@ -17,11 +18,14 @@
 // The call's threads come one at a time; cancel() may come from any. Keeps the generation alive until the call ends.
 class EngineAttempt final : public HttpCallListener, public std::enable_shared_from_this<EngineAttempt> {
 public:
-    EngineAttempt(std::shared_ptr<LiveGeneration>, const AttemptOrder&);
+    // The stream's first token has a position of its own in the answer, before the order's where the attempt attaches.
+    EngineAttempt(std::shared_ptr<LiveGeneration>, const AttemptOrder&, std::size_t streamPosition);
 
     void start(HttpCallGroup&, const SocketAddress&, const HttpRequest&, Milliseconds timeout);
     // Closes the connection, by which the engine stops its work.
     void cancel();
+    // The engine has ended the stream itself.
+    bool isFinished() const { return m_isFinished; }
 
     void headArrived(unsigned status, const HttpHeaders&) override;
     void bodyArrived(std::string_view piece) override;
@@ -39,6 +43,8 @@
     SseParser m_parser;
     // Failed, finished or refused: what still comes is not looked at.
     bool m_isOver { false };
+    std::atomic<bool> m_isFinished { false };
+    const bool m_attaches;
     std::shared_ptr<HttpCall> m_call;
 };
 
--- a/src/daemon/EngineProtocol.cpp
+++ b/src/daemon/EngineProtocol.cpp
@@ -63,13 +63,15 @@
 } // namespace
 
 HttpRequest engineRequest(
-    const CompletionRequest& request, const std::string& attemptId, const std::optional<EnginePrefix>& prefix)
+    const CompletionRequest& request, const EngineStreamName& stream, const std::optional<EnginePrefix>& prefix)
 {
     auto body = json::parse(request.sampling);
     body["model"] = request.model;
     body["stream"] = true;
     body["return_token_ids"] = true;
-    body["request_id"] = attemptId;
+    body["request_id"] = stream.id;
+    if (stream.keepOnDisconnect > Milliseconds::zero())
+        body["keep_on_disconnect_ms"] = stream.keepOnDisconnect.count();
     std::size_t generated = 0;
     if (prefix) {
         auto ids = prefix->promptIds;
--- a/src/daemon/EngineProtocol.h
+++ b/src/daemon/EngineProtocol.h
@@ -28,8 +28,14 @@
     std::vector<TokenId> generatedIds;
 };
 
+struct EngineStreamName {
+    std::string id;
+    // How long the engine runs on when the connection is lost, for another VM to attach to.
+    Milliseconds keepOnDisconnect { 0 };
+};
+
 // Makes the request of one attempt. Without a prefix the prompt goes as the caller gave it.
-HttpRequest engineRequest(const CompletionRequest&, const std::string& attemptId, const std::optional<EnginePrefix>&);
+HttpRequest engineRequest(const CompletionRequest&, const EngineStreamName&, const std::optional<EnginePrefix>&);
 
 // Reads the data of one event; nothing when it is malformed.
 std::optional<EngineEvent> parseEngineEvent(const std::string& data);
--- /dev/null
+++ b/src/daemon/ForwardedRequest.cpp
@@ -0,0 +1,99 @@
+#include "daemon/ForwardedRequest.h"
+
+#include "common/Log.h"
+#include "http/HttpCallGroup.h"
+#include "http/HttpExchange.h"
+#include "http/JsonError.h"
+#include "settings/DaemonSettings.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace lupinknot::internal {
+
+namespace {
+
+// The other VM keeps the deadline; this is a guard.
+constexpr Milliseconds callTimeout { 86400000 };
+
+} // namespace
+
+ForwardedRequest::ForwardedRequest(
+    const GenerationContext& context, std::shared_ptr<HttpExchange> exchange, std::string vm)
+    : m_context(context)
+    , m_exchange(std::move(exchange))
+    , m_vm(std::move(vm))
+{
+}
+
+void ForwardedRequest::start(const SocketAddress& address, unsigned hops)
+{
+    m_exchange->onGone([self = shared_from_this()] { self->callerGone(); });
+    const auto& incoming = m_exchange->request();
+    HttpRequest outgoing { incoming.method, incoming.target, {}, incoming.body };
+    const auto kept = incoming.headers.endToEnd();
+    for (const auto& field : kept.fields()) {
+        if (field.name != hopsHeader)
+            outgoing.headers.add(field.name, field.value);
+    }
+    outgoing.headers.add(hopsHeader, std::to_string(hops));
+    const std::lock_guard lock(m_mutex);
+    m_call = m_context.calls.start(address, outgoing, callTimeout, shared_from_this());
+}
+
+void ForwardedRequest::headArrived(unsigned status, const HttpHeaders& headers)
+{
+    const std::lock_guard lock(m_mutex);
+    m_response = { status, headers.endToEnd(), {} };
+    m_isStream = headers.find("Content-Type") == "text/event-stream";
+    if (m_isStream)
+        m_exchange->stream(m_response, shared_from_this());
+}
+
+void ForwardedRequest::bodyArrived(std::string_view piece)
+{
+    const std::lock_guard lock(m_mutex);
+    m_bytes.append(piece);
+    if (m_isStream)
+        m_exchange->wake();
+}
+
+void ForwardedRequest::ended()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isEnded = true;
+    if (m_isStream) {
+        m_exchange->wake();
+        return;
+    }
+    m_response.body = std::move(m_bytes);
+    m_exchange->respond(std::move(m_response));
+}
+
+void ForwardedRequest::failed(HttpCallFailure failure, const std::string&)
+{
+    const std::lock_guard lock(m_mutex);
+    logWarning(LogPart::Caller,
+        "a request passed on to VM " + m_vm + " broke off: " + std::string(nameIn(httpCallFailureNames, failure))
+            + ".");
+    if (m_isStream) {
+        m_exchange->abort();
+        return;
+    }
+    if (failure != HttpCallFailure::Cancelled)
+        m_onLost();
+}
+
+HttpBodyPiece ForwardedRequest::next()
+{
+    const std::lock_guard lock(m_mutex);
+    return { std::exchange(m_bytes, {}), m_isEnded };
+}
+
+void ForwardedRequest::callerGone()
+{
+    const std::lock_guard lock(m_mutex);
+    boost::asio::post(m_context.ioContext, [call = m_call] { call->cancel(); });
+}
+
+} // namespace lupinknot::internal
--- a/src/daemon/GenerationContext.h
+++ b/src/daemon/GenerationContext.h
@@ -9,6 +9,7 @@
 
 namespace lupinknot::internal {
 
+class Cluster;
 class EndpointTable;
 class HttpCallGroup;
 class Metrics;
@@ -22,6 +23,7 @@
     const EndpointTable& endpoints;
     Metrics& metrics;
     HttpCallGroup& calls;
+    Cluster& cluster;
 };
 
 } // namespace lupinknot::internal
--- a/src/daemon/GenerationRegistry.cpp
+++ b/src/daemon/GenerationRegistry.cpp
@@ -2,13 +2,33 @@
 
 #include "daemon/LiveGeneration.h"
 #include "daemon/Metrics.h"
+#include "http/HttpRequest.h"
+#include "settings/DaemonSettings.h"
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
 
 namespace lupinknot::internal {
 
 namespace {
 
-// Organisations have separate keys. A line feed cannot be part of a header's value, so it separates without doubt.
-std::string scopedKey(const CompletionRequest& request) { return request.organisation + "\n" + request.idempotencyKey; }
+namespace leaf = boost::leaf;
+
+// Reads a journaled request again. It was good when it came, so it can only fail when this VM's limits are tighter.
+std::optional<CompletionRequest> requestOf(const JournaledRequest& journaled, const GenerationSettings& settings)
+{
+    HttpRequest message { "POST", "/v1/completions", {}, journaled.body };
+    message.headers.add("Lupinknot-Organisation", journaled.organisation);
+    message.headers.add("Idempotency-Key", journaled.idempotencyKey);
+    message.headers.add("Lupinknot-Repeatable", journaled.repeatable ? "true" : "false");
+    message.headers.add("Lupinknot-Deadline-Ms", std::to_string(std::max<std::int64_t>(1, journaled.timeLeft.count())));
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::optional<CompletionRequest>> {
+            BOOST_LEAF_AUTO(request, parseCompletionRequest(message, { settings.maxTokens, settings.deadline }));
+            return std::optional<CompletionRequest>(std::move(request));
+        },
+        [] { return std::optional<CompletionRequest> {}; });
+}
 
 } // namespace
 
@@ -28,7 +48,9 @@
 {
     const auto id = newId();
     // A request without a key is held under its id, where nobody but operators can find it.
-    const auto key = request.idempotencyKey.empty() ? id : scopedKey(request);
+    const auto key = request.idempotencyKey.empty()
+        ? id
+        : JournaledRequest::scopedKey(request.organisation, request.idempotencyKey);
     auto& shard = shardOf(key);
     const std::lock_guard lock(shard.mutex);
     if (const auto entry = shard.byKey.find(key); entry != shard.byKey.end()) {
@@ -45,6 +67,36 @@
     return { AdmissionVerdict::Created, std::move(generation) };
 }
 
+std::shared_ptr<LiveGeneration> GenerationRegistry::findByKey(const std::string& key)
+{
+    auto& shard = shardOf(key);
+    const std::lock_guard lock(shard.mutex);
+    const auto entry = shard.byKey.find(key);
+    if (entry == shard.byKey.end())
+        return nullptr;
+    if (!entry->second->isTakenOver())
+        return entry->second;
+    shard.byKey.erase(entry);
+    --m_heldCount;
+    return nullptr;
+}
+
+Admission GenerationRegistry::adopt(const std::string& key, const TakeRecord& takeRecord)
+{
+    auto& shard = shardOf(key);
+    const std::lock_guard lock(shard.mutex);
+    if (const auto entry = shard.byKey.find(key); entry != shard.byKey.end())
+        return { AdmissionVerdict::Found, entry->second };
+    auto record = takeRecord();
+    auto request = record ? requestOf(record->request, m_context.settings.generation) : std::nullopt;
+    if (!request)
+        return { AdmissionVerdict::Gone, nullptr };
+    auto generation = std::make_shared<LiveGeneration>(m_context, std::move(*request), std::move(*record));
+    shard.byKey.emplace(key, generation);
+    ++m_heldCount;
+    return { AdmissionVerdict::Created, std::move(generation) };
+}
+
 std::shared_ptr<LiveGeneration> GenerationRegistry::findById(const std::string& id) const
 {
     for (const auto& generation : all()) {
@@ -63,6 +115,7 @@
                 ++entry;
                 continue;
             }
+            entry->second->forget();
             entry = shard.byKey.erase(entry);
             --m_heldCount;
         }
--- a/src/daemon/GenerationRegistry.h
+++ b/src/daemon/GenerationRegistry.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemon/GenerationContext.h"
+#include "lupinknot/ReplicaRecord.h"
 #include <array>
 #include <atomic>
 #include <functional>
@@ -20,6 +21,7 @@
     Created, // A new generation; the caller of admit() starts it.
     Found, // The key's generation.
     KeyConflict, // The key belongs to another body.
+    Gone, // The record that was to be taken over is no longer there.
     NotHeld, // The caller wants to go on with an answer that is not held here.
     Full, // As many generations are held as the settings allow.
 };
@@ -41,6 +43,12 @@
 
     // Finds the generation of the request's key or makes a new one. Two requests with one key never make two.
     Admission admit(const CompletionRequest&);
+    // The generation of a key; nothing when this VM does not run it, or no longer.
+    std::shared_ptr<LiveGeneration> findByKey(const std::string& key);
+    // Takes up a generation that another VM ran. Asks for the record only if the key is not here, so that of two
+    // requests one takes it over and the other finds it. Nothing when the record is gone or cannot be read.
+    using TakeRecord = std::function<std::optional<ReplicaRecord>()>;
+    Admission adopt(const std::string& key, const TakeRecord&);
     std::shared_ptr<LiveGeneration> findById(const std::string& id) const;
     // Lets go of generations that have ended and whose time of retention is over.
     void sweep();
--- /dev/null
+++ b/src/daemon/JournalLink.h
@@ -0,0 +1,75 @@
+// The journal of this VM's generations on one other VM.
+//
+// Changes are gathered while a batch is on its way and go out together when it is acknowledged; with nothing on its way
+// they go out after the flush interval. So the cost follows the number of flushes and not the number of streams.
+#pragma once
+
+#include "daemon/JournalSource.h"
+#include "lupinknot/Clock.h"
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace lupinknot::wire {
+class Envelope;
+class JournalAck;
+} // namespace lupinknot::wire
+
+namespace lupinknot::internal {
+
+// Thread-safe, under one lock; sources are called without it.
+class JournalLink : public std::enable_shared_from_this<JournalLink> {
+public:
+    using Send = std::function<void(const wire::Envelope&)>;
+
+    JournalLink(boost::asio::io_context&, std::uint64_t epoch, Milliseconds flushInterval, Send);
+
+    void add(const std::shared_ptr<JournalSource>&);
+    void changed(const JournalSource*);
+    // The replica may forget the generation.
+    void remove(const JournalSource*);
+    void acknowledged(const wire::JournalAck&);
+    // Ends the link; returns the sources that need another one.
+    std::vector<std::shared_ptr<JournalSource>> close();
+
+private:
+    struct Stream {
+        std::shared_ptr<JournalSource> source;
+        std::uint32_t handle { 0 };
+        JournalCursor sent;
+        bool isDirty { false };
+    };
+
+    struct Pending {
+        const JournalSource* key;
+        std::shared_ptr<JournalSource> source;
+        std::uint32_t handle;
+        JournalCursor cursor;
+    };
+
+    void scheduleFlush();
+    void flush();
+    std::vector<Pending> takeDirty();
+
+    const std::uint64_t m_epoch;
+    const Milliseconds m_flushInterval;
+    const Send m_send;
+    std::mutex m_mutex;
+    // All that follows is under the lock.
+    boost::asio::steady_timer m_timer;
+    std::unordered_map<const JournalSource*, Stream> m_streams;
+    std::vector<const JournalSource*> m_dirty;
+    std::vector<std::uint32_t> m_dropped;
+    // What the batch on its way carries; empty when there is none.
+    std::vector<Pending> m_outstanding;
+    std::uint64_t m_lastBatch { 0 };
+    std::uint32_t m_lastHandle { 0 };
+    bool m_isBatchOut { false };
+    bool m_isFlushScheduled { false };
+    bool m_isClosed { false };
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/daemon/JournalSource.h
@@ -0,0 +1,36 @@
+// A generation as its journal sees it.
+#pragma once
+
+#include "lupinknot/Generation.h"
+#include <string>
+
+namespace lupinknot::wire {
+class JournalItem;
+}
+
+namespace lupinknot::internal {
+
+// How much of a generation has been sent to a replica.
+struct JournalCursor {
+    bool isOpened { false };
+    AttemptNumber attempt { 0 };
+    std::size_t length { 0 };
+    bool isEnded { false };
+};
+
+// Thread-safe; called without any lock of the journal's.
+class JournalSource {
+public:
+    virtual ~JournalSource() = default;
+    virtual const std::string& journalKey() const = 0;
+    // Adds what lies beyond the cursor to the item, and moves the cursor. Returns false when there is nothing.
+    virtual bool fillJournal(JournalCursor&, wire::JournalItem&) const = 0;
+    // A replica holds everything up to the cursor.
+    virtual void journalAcknowledged(const JournalCursor&) = 0;
+    // No other VM can be reached.
+    virtual void journalUnprotected() = 0;
+    // Another VM has taken the generation over.
+    virtual void journalRefused() = 0;
+};
+
+} // namespace lupinknot::internal
--- a/src/daemon/LiveGeneration.cpp
+++ b/src/daemon/LiveGeneration.cpp
@@ -1,13 +1,18 @@
 #include "daemon/LiveGeneration.h"
 
 #include "common/Log.h"
+#include "daemon/Cluster.h"
 #include "daemon/EndpointTable.h"
 #include "daemon/EngineAttempt.h"
 #include "daemon/GenerationWatcher.h"
 #include "daemon/Metrics.h"
+#include "http/HttpCallGroup.h"
+#include "http/HttpCallListener.h"
+#include "peer/generated/Messages.pb.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <cstdlib>
 
 namespace lupinknot::internal {
 
@@ -16,6 +21,19 @@
 // The connection's own time limit is only a guard; silence and deadlines are noticed by the driver.
 constexpr Milliseconds callTimeout { 86400000 };
 
+constexpr Milliseconds stopTimeout { 2000 };
+// Stands in an id between the generation and the number of times it was taken over.
+constexpr char takeoverMark = '~';
+
+std::string baseOf(const std::string& id) { return id.substr(0, id.find(takeoverMark)); }
+
+std::string nextId(const std::string& id)
+{
+    const auto mark = id.find(takeoverMark);
+    const auto takeovers = mark == std::string::npos ? 0 : std::strtoul(id.c_str() + mark + 1, nullptr, 10);
+    return baseOf(id) + takeoverMark + std::to_string(takeovers + 1);
+}
+
 GenerationRequest driverRequest(const CompletionRequest& request, Milliseconds now)
 {
     return { request.limits, request.repeatable, now + request.timeLimit };
@@ -27,6 +45,7 @@
     : m_context(context)
     , m_request(std::move(request))
     , m_id(std::move(id))
+    , m_key(JournaledRequest::scopedKey(m_request.organisation, m_request.idempotencyKey))
     , m_driver(driverRequest(m_request, context.clock.now()), context.settings.recovery, *this)
     , m_timer(context.ioContext)
     , m_graceTimer(context.ioContext)
@@ -35,13 +54,41 @@
         m_promptIds = *ids;
 }
 
+LiveGeneration::LiveGeneration(const GenerationContext& context, CompletionRequest request, ReplicaRecord record)
+    : m_context(context)
+    , m_request(std::move(request))
+    , m_id(nextId(record.request.generation))
+    , m_key(record.request.key)
+    , m_adopted(std::move(record))
+    , m_driver(driverRequest(m_request, context.clock.now()), context.settings.recovery, *this)
+    , m_promptIds(m_adopted->promptIds)
+    , m_timer(context.ioContext)
+    , m_graceTimer(context.ioContext)
+{
+    const auto lastAttempt = m_adopted->attempt ? m_adopted->attempt->number : 0;
+    m_driver.adopt({ m_adopted->tokens, lastAttempt, m_adopted->finishReason });
+}
+
 void LiveGeneration::start()
 {
+    if (isJournaled())
+        m_context.cluster.attach(shared_from_this());
     const std::lock_guard lock(m_mutex);
-    m_driver.start(m_context.clock.now());
+    // A request that must not be repeated is sent to an endpoint only when another VM has taken note of it.
+    if (!isJournaled() || m_request.repeatable || m_adopted)
+        startDriver();
     afterEvent();
 }
 
+bool LiveGeneration::holds(const std::string& id, std::size_t position) const
+{
+    const std::lock_guard lock(m_mutex);
+    if (id == m_id)
+        return position <= visibleLength();
+    const bool isEarlierRun = m_adopted && baseOf(id) == baseOf(m_id);
+    return isEarlierRun && position <= m_adopted->tokens.size();
+}
+
 void LiveGeneration::attach(const std::shared_ptr<GenerationWatcher>& watcher)
 {
     const std::lock_guard lock(m_mutex);
@@ -73,11 +120,12 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto& generation = m_driver.generation();
-    const auto end = std::min(generation.releasedLength(), position + maxTokens);
+    const auto visible = visibleLength();
+    const auto end = maxTokens < visible - std::min(position, visible) ? position + maxTokens : visible;
     GenerationSlice slice;
     for (auto i = position; i < end; ++i)
         slice.tokens.push_back(generation.tokens()[i]);
-    if (end == generation.releasedLength() && m_driver.isOver()) {
+    if (end == visible && isEndVisible()) {
         slice.finishReason = generation.finishReason();
         slice.error = m_driver.error();
     }
@@ -87,7 +135,7 @@
 std::size_t LiveGeneration::releasedLength() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_driver.generation().releasedLength();
+    return visibleLength();
 }
 
 std::size_t LiveGeneration::promptLength() const
@@ -121,6 +169,123 @@
         m_endpoint->noteAlive();
 }
 
+bool LiveGeneration::isJournaled() const { return m_context.cluster.isEnabled() && !m_request.idempotencyKey.empty(); }
+
+void LiveGeneration::startDriver()
+{
+    const auto now = m_context.clock.now();
+    const auto* attempt = m_adopted && m_adopted->attempt ? &*m_adopted->attempt : nullptr;
+    const auto endpoint = attempt ? m_context.endpoints.find(attempt->endpoint) : nullptr;
+    if (!endpoint) {
+        m_driver.start(now);
+        return;
+    }
+    m_endpoint = endpoint;
+    m_driver.startAttached({ attempt->endpoint, endpoint->pulse() }, now);
+}
+
+std::size_t LiveGeneration::visibleLength() const
+{
+    const auto released = m_driver.generation().releasedLength();
+    if (!isJournaled() || m_isUnprotected)
+        return released;
+    return std::min(released, m_acknowledged.length);
+}
+
+bool LiveGeneration::isEndVisible() const
+{
+    const bool mustBeHeld = isJournaled() && !m_isUnprotected && !m_driver.error();
+    return m_driver.isOver() && (!mustBeHeld || m_acknowledged.isEnded);
+}
+
+bool LiveGeneration::fillJournal(JournalCursor& cursor, wire::JournalItem& item) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto& generation = m_driver.generation();
+    bool hasNews = false;
+    if (!cursor.isOpened) {
+        auto& open = *item.mutable_open();
+        open.set_generation(m_id);
+        open.set_key(m_request.idempotencyKey);
+        open.set_organisation(m_request.organisation);
+        open.set_body(m_request.body);
+        open.set_repeatable(m_request.repeatable);
+        open.set_time_left_ms(m_request.timeLimit.count());
+        cursor.isOpened = true;
+        hasNews = true;
+    }
+    if (m_journaledAttempt && m_journaledAttempt->number != cursor.attempt) {
+        auto& attempt = *item.mutable_attempt();
+        attempt.set_number(m_journaledAttempt->number);
+        attempt.set_endpoint(m_journaledAttempt->endpoint);
+        attempt.set_stream(m_journaledAttempt->stream);
+        attempt.set_position(m_journaledAttempt->position);
+        cursor.attempt = m_journaledAttempt->number;
+        hasNews = true;
+    }
+    if (cursor.length < generation.length()) {
+        auto& append = *item.mutable_append();
+        append.set_position(cursor.length);
+        if (!cursor.length)
+            append.mutable_prompt_ids()->Add(m_promptIds.begin(), m_promptIds.end());
+        for (; cursor.length < generation.length(); ++cursor.length) {
+            auto& token = *append.add_tokens();
+            token.set_id(generation.tokens()[cursor.length].id);
+            token.set_text(generation.tokens()[cursor.length].text);
+        }
+        hasNews = true;
+    }
+    if (generation.isEnded() && !cursor.isEnded) {
+        item.mutable_end()->set_finish_reason(static_cast<int>(*generation.finishReason()));
+        cursor.isEnded = true;
+        hasNews = true;
+    }
+    return hasNews;
+}
+
+void LiveGeneration::journalAcknowledged(const JournalCursor& cursor)
+{
+    const std::lock_guard lock(m_mutex);
+    // A batch of an earlier replica may be acknowledged late; what one held counts.
+    m_acknowledged.length = std::max(m_acknowledged.length, cursor.length);
+    m_acknowledged.isEnded = m_acknowledged.isEnded || cursor.isEnded;
+    m_isUnprotected = false;
+    if (!m_driver.isStarted())
+        startDriver();
+    afterEvent();
+}
+
+void LiveGeneration::journalUnprotected()
+{
+    const std::lock_guard lock(m_mutex);
+    const bool mayGoOn = m_request.repeatable && m_context.settings.journal.goOnUnprotected;
+    // What has begun goes on: a caller is better served by an answer that could be lost than by none.
+    const bool mustStop = !m_driver.isStarted() && !mayGoOn;
+    logWarning(LogPart::Journal,
+        "generation " + m_id + (mustStop ? " is refused" : " goes on unprotected") + ": no other VM can be reached.");
+    m_isUnprotected = true;
+    if (mustStop)
+        m_driver.stop(GenerationErrorCode::NotProtected);
+    afterEvent();
+}
+
+void LiveGeneration::journalRefused()
+{
+    m_context.cluster.detach(*this);
+    const std::lock_guard lock(m_mutex);
+    logWarning(LogPart::Journal, "generation " + m_id + " stops here: another VM runs it now.");
+    m_driver.stop(GenerationErrorCode::TakenOver);
+    afterEvent();
+}
+
+void LiveGeneration::forget() { m_context.cluster.detach(*this); }
+
+bool LiveGeneration::isTakenOver() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_driver.error() && m_driver.error()->code == GenerationErrorCode::TakenOver;
+}
+
 void LiveGeneration::shutDown()
 {
     const std::lock_guard lock(m_mutex);
@@ -190,13 +355,27 @@
     m_endpoint->workStarted();
     m_context.metrics.attempts.Increment();
     m_records.push_back({ order.number, order.endpoint, order.position, {}, {}, {} });
-    m_attempt = std::make_shared<EngineAttempt>(shared_from_this(), order);
-    const auto message = engineRequest(m_request, m_id + ":" + std::to_string(order.number), prefix());
+    if (order.attaches) {
+        const auto& stream = *m_adopted->attempt;
+        m_journaledAttempt = JournaledAttempt { order.number, order.endpoint, stream.stream, stream.position };
+        m_attempt = std::make_shared<EngineAttempt>(shared_from_this(), order, stream.position);
+        const auto from = std::to_string(order.position - stream.position);
+        const HttpRequest message { "GET", "/v1/streams/" + stream.stream + "?from=" + from, {}, {} };
+        m_attempt->start(m_context.calls, m_endpoint->settings().socketAddress(), message, callTimeout);
+        return;
+    }
+    m_journaledAttempt = JournaledAttempt { order.number, order.endpoint, streamId(order.number), order.position };
+    m_attempt = std::make_shared<EngineAttempt>(shared_from_this(), order, order.position);
+    const auto keep = isJournaled() ? m_context.settings.journal.keepStream : Milliseconds::zero();
+    const auto message = engineRequest(m_request, { streamId(order.number), keep }, prefix());
     m_attempt->start(m_context.calls, m_endpoint->settings().socketAddress(), message, callTimeout);
 }
 
 void LiveGeneration::cancelAttempt(AttemptNumber)
 {
+    const bool runsOn = isJournaled() && !m_attempt->isFinished();
+    if (runsOn)
+        stopStream(m_endpoint->settings(), m_journaledAttempt->stream);
     // Not on this stack: cancelling may run callbacks of the call, and those take the lock.
     boost::asio::post(m_context.ioContext, [attempt = std::move(m_attempt)] { attempt->cancel(); });
     m_attempt.reset();
@@ -227,6 +406,22 @@
             + std::to_string(report.sinceDetection.count()) + " ms after the loss was noticed.");
 }
 
+std::string LiveGeneration::streamId(AttemptNumber attempt) const { return m_id + ":" + std::to_string(attempt); }
+
+// An engine that keeps streams without a connection has to be told to stop one.
+void LiveGeneration::stopStream(const EndpointSettings& endpoint, const std::string& stream)
+{
+    class Nobody final : public HttpCallListener {
+    public:
+        void headArrived(unsigned, const HttpHeaders&) override { }
+        void bodyArrived(std::string_view) override { }
+        void ended() override { }
+        void failed(HttpCallFailure, const std::string&) override { }
+    };
+    const HttpRequest message { "DELETE", "/v1/streams/" + stream, {}, {} };
+    m_context.calls.start(endpoint.socketAddress(), message, stopTimeout, std::make_shared<Nobody>());
+}
+
 std::string LiveGeneration::attemptText(AttemptNumber attempt) const
 {
     return "generation " + m_id + " attempt " + std::to_string(attempt);
@@ -254,16 +449,18 @@
                 "generation " + m_id + " was given up: " + error->message + " ("
                     + std::string(nameIn(runOutcomeNames, error->outcome)) + ").");
     }
+    if (isJournaled())
+        m_context.cluster.changed(*this);
     notifyWatchers();
     armTimer();
 }
 
 void LiveGeneration::notifyWatchers()
 {
-    const auto released = m_driver.generation().releasedLength();
-    if (released == m_notifiedLength && !m_driver.isOver())
+    const auto visible = visibleLength();
+    if (visible == m_notifiedLength && !m_driver.isOver())
         return;
-    m_notifiedLength = released;
+    m_notifiedLength = visible;
     for (const auto& watcher : m_watchers)
         watcher->progressed();
 }
--- a/src/daemon/LiveGeneration.h
+++ b/src/daemon/LiveGeneration.h
@@ -7,7 +7,9 @@
 #include "daemon/EngineProtocol.h"
 #include "daemon/GenerationContext.h"
 #include "daemon/GenerationSlice.h"
+#include "daemon/JournalSource.h"
 #include "lupinknot/GenerationDriver.h"
+#include "lupinknot/ReplicaRecord.h"
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <mutex>
@@ -18,12 +20,21 @@
 class GenerationWatcher;
 
 // Thread-safe, under one lock of its own. Owned by the registry, by its callers and by its pending operations.
-class LiveGeneration final : public AttemptHost, public std::enable_shared_from_this<LiveGeneration> {
+class LiveGeneration final : public AttemptHost,
+                             public JournalSource,
+                             public std::enable_shared_from_this<LiveGeneration> {
 public:
     LiveGeneration(const GenerationContext&, CompletionRequest, std::string id);
 
+    // Takes up a generation that another VM ran. Its id names the takeover, so that the answer goes on under another id
+    // and two runs of it cannot be spliced.
+    LiveGeneration(const GenerationContext&, CompletionRequest, ReplicaRecord);
+
     void start();
 
+    // True when the tokens up to a position were sent to callers under an id, by this VM or by the one that ran the
+    // generation before.
+    bool holds(const std::string& id, std::size_t position) const;
     const std::string& id() const { return m_id; }
     const CompletionRequest& request() const { return m_request; }
 
@@ -33,6 +44,10 @@
     // When the last watcher goes the work is cancelled, at once or after the time that the settings give.
     void detach(const GenerationWatcher&);
 
+    // The replica may let go of the generation.
+    void forget();
+    // Another VM runs the generation now.
+    bool isTakenOver() const;
     // Lets go of all watchers, without a word to them. Only for the end of the process.
     void shutDown();
 
@@ -52,6 +67,13 @@
     void attemptFinished(AttemptNumber, std::size_t position, FinishReason);
     void attemptFailed(AttemptNumber, FailureKind);
 
+    // JournalSource; called by the journal without any lock.
+    const std::string& journalKey() const override { return m_key; }
+    bool fillJournal(JournalCursor&, wire::JournalItem&) const override;
+    void journalAcknowledged(const JournalCursor&) override;
+    void journalUnprotected() override;
+    void journalRefused() override;
+
     // AttemptHost; called by the driver under the lock.
     std::optional<EndpointChoice> chooseEndpoint(const std::vector<EndpointName>& avoid) override;
     void startAttempt(const AttemptOrder&) override;
@@ -60,6 +82,12 @@
     void resumed(const ResumeReport&) override;
 
 private:
+    bool isJournaled() const;
+    void startDriver();
+    std::size_t visibleLength() const;
+    bool isEndVisible() const;
+    std::string streamId(AttemptNumber) const;
+    void stopStream(const EndpointSettings&, const std::string& stream);
     std::string attemptText(AttemptNumber) const;
     std::optional<EnginePrefix> prefix() const;
     void afterEvent();
@@ -72,6 +100,9 @@
     const GenerationContext m_context;
     const CompletionRequest m_request;
     const std::string m_id;
+    const std::string m_key;
+    // What another VM had of the generation, where this one took it over.
+    const std::optional<ReplicaRecord> m_adopted;
 
     mutable std::mutex m_mutex;
     // All that follows is under the lock.
@@ -83,6 +114,11 @@
     std::vector<std::shared_ptr<GenerationWatcher>> m_watchers;
     std::size_t m_notifiedLength { 0 };
     std::optional<Milliseconds> m_endedAt;
+    // What a replica holds. Callers are shown no more, unless no replica can be reached.
+    JournalCursor m_acknowledged;
+    bool m_isUnprotected { false };
+    // The stream that an attempt on this VM runs, for the journal.
+    std::optional<JournaledAttempt> m_journaledAttempt;
     boost::asio::steady_timer m_timer;
     Milliseconds m_armedFor { Milliseconds::max() };
     boost::asio::steady_timer m_graceTimer;
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -22,6 +22,8 @@
     virtual void stream(HttpResponse head, std::shared_ptr<HttpBodySource>) = 0;
     // Tells that the source may have something.
     virtual void wake() = 0;
+    // Closes the connection in the middle of the response, so that the peer knows that it is not whole.
+    virtual void abort() = 0;
     // Sets what to call, once, when the peer goes away before the response is complete.
     virtual void onGone(std::function<void()>) = 0;
 };
--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -90,6 +90,14 @@
         });
     }
 
+    void abort() override
+    {
+        post([self = shared_from_this()](HttpSession& session) {
+            if (session.m_exchange == self)
+                session.gone();
+        });
+    }
+
     void onGone(std::function<void()> callback) override
     {
         net::post(m_executor, [self = shared_from_this(), callback = std::move(callback)] {
@@ -141,14 +149,14 @@
 HttpSession::HttpSession(net::ip::tcp::socket socket, std::shared_ptr<HttpSessionOwner> owner)
     : m_stream(std::move(socket))
     , m_owner(std::move(owner))
+    , m_exchangeHold(m_stream.get_executor())
     , m_readTimer(m_stream.get_executor())
 {
 }
 
 HttpSession::~HttpSession()
 {
-    if (m_exchange)
-        m_exchange->setGone();
+    // A session that still has an exchange goes with its io_context; whoever would hear of it may be gone already.
     m_owner->sessionClosed(this);
 }
 
@@ -230,7 +238,8 @@
         request.headers.add(std::string(field.name_string()), std::string(field.value()));
     request.body = std::move(message.body());
     m_exchange = std::make_shared<Exchange>(shared_from_this(), std::move(request));
-    m_self = shared_from_this();
+    m_exchangeHold.expires_at(boost::asio::steady_timer::time_point::max());
+    m_exchangeHold.async_wait([self = shared_from_this()](beast::error_code) {});
     watchPeer();
     m_owner->handle(m_exchange);
 }
@@ -385,7 +394,7 @@
 {
     m_isBusy = false;
     m_exchange.reset();
-    m_self.reset();
+    m_exchangeHold.cancel();
 }
 
 // While a request is being handled nothing is read, so that a peer's leaving has to be looked for.
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -30,7 +30,7 @@
 
 // All state is touched on the connection's strand only. Each request gets an exchange of its own, which outlives the
 // session where a handler still holds it. Owned by its own pending operations and, while a request is being handled and
-// none may be pending, by itself.
+// no other may be pending, by the wait on m_exchangeHold.
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
 public:
     HttpSession(boost::asio::ip::tcp::socket, std::shared_ptr<HttpSessionOwner>);
@@ -79,7 +79,8 @@
     std::optional<StreamHead> m_head;
     std::optional<StreamHeadSerializer> m_headSerializer;
     std::shared_ptr<Exchange> m_exchange;
-    std::shared_ptr<HttpSession> m_self;
+    // A wait without end that owns the session. Unlike a pointer to itself it goes with the io_context.
+    boost::asio::steady_timer m_exchangeHold;
     std::shared_ptr<HttpBodySource> m_source;
     std::string m_piece;
     bool m_isWriting { false };
--- a/src/load/GenerationCaller.cpp
+++ b/src/load/GenerationCaller.cpp
@@ -17,6 +17,8 @@
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusUnavailable = 503;
 
+std::string baseOf(const std::string& generation) { return generation.substr(0, generation.find('~')); }
+
 } // namespace
 
 GenerationCaller::GenerationCaller(const LoadOptions& load, GenerationCallerOptions options)
@@ -37,6 +39,8 @@
         if (!mayReconnect())
             break;
         ++m_result.reconnects;
+        if (!m_lostAt)
+            m_lostAt = m_clock.now();
         lock.unlock();
         std::this_thread::sleep_for(reconnectPause);
         lock.lock();
@@ -58,6 +62,7 @@
     m_result.daemon = daemon;
     m_result.status = 0;
     m_result.error.clear();
+    m_result.outcome.clear();
     m_call = HttpCall::start(m_load.daemons[daemon].callers, request(), callTimeout, shared_from_this());
 }
 
@@ -83,7 +88,8 @@
         return false;
     const bool isLost = m_result.status == 0 || m_result.status == statusOk;
     const bool isRefused = m_result.status == statusUnavailable && m_result.outcome == "not-run";
-    return (isLost && m_result.outcome.empty()) || isRefused;
+    const bool isTakenOver = m_result.error.find("\"taken_over\"") != std::string::npos;
+    return (isLost && m_result.outcome.empty()) || isRefused || isTakenOver;
 }
 
 void GenerationCaller::headArrived(unsigned status, const HttpHeaders& headers)
@@ -145,6 +151,8 @@
 {
     const auto colon = id.rfind(':');
     const auto generation = id.substr(0, colon);
+    // Another VM goes on under the same name with a mark behind it.
+    const bool isSameAnswer = baseOf(generation) == baseOf(m_result.generation);
     const auto count = std::strtoul(id.c_str() + colon + 1, nullptr, 10);
     if (m_result.generation.empty())
         m_result.generation = generation;
@@ -153,12 +161,16 @@
         return;
     }
     const auto expected = m_expected.next();
-    const bool isExpected = generation == m_result.generation && count == m_result.delivered + 1
+    const bool isExpected = (isSameAnswer || !m_result.delivered) && count == m_result.delivered + 1
         && token.id == expected.id && token.text == expected.text;
     m_result.mixed += isExpected ? 0 : 1;
+    m_result.generation = generation;
     m_expected.push(expected.id);
     ++m_result.delivered;
     m_result.arrivals.push_back(m_clock.now());
+    if (m_lostAt)
+        m_result.reconnectWaits.push_back(m_clock.now() - *m_lostAt);
+    m_lostAt.reset();
     if (m_options.onToken)
         m_options.onToken(m_result.delivered - 1, token);
     if (m_options.leaveAfter == m_result.delivered) {
--- a/src/load/GenerationCaller.h
+++ b/src/load/GenerationCaller.h
@@ -72,6 +72,8 @@
     bool m_hasFinish { false };
     bool m_hasDone { false };
     GenerationResult m_result;
+    // When the caller noticed that its VM was lost, until the next token.
+    std::optional<Milliseconds> m_lostAt;
 };
 
 } // namespace lupinknot::internal
--- a/src/load/GenerationResult.h
+++ b/src/load/GenerationResult.h
@@ -19,6 +19,8 @@
     std::size_t repeated { 0 };
     std::size_t mixed { 0 };
     std::size_t reconnects { 0 };
+    // From each first try to come back to the next token.
+    std::vector<Milliseconds> reconnectWaits;
     // The caller left on purpose.
     bool hasLeft { false };
     std::string error;
--- a/src/load/LoadRun.cpp
+++ b/src/load/LoadRun.cpp
@@ -141,6 +141,22 @@
     return busiest;
 }
 
+std::size_t LoadRun::engineRequests()
+{
+    std::size_t requests = 0;
+    for (const auto& engine : m_options.engines) {
+        const auto stats = fetchJson(engine, "/stats");
+        requests += stats ? stats->value("requests", std::size_t { 0 }) : 0;
+    }
+    return requests;
+}
+
+void LoadRun::expectEngineRuns(std::size_t requests, std::size_t needed)
+{
+    m_report.doubleRuns += requests > needed ? requests - needed : 0;
+    expect(requests >= needed, "fewer runs than requests: " + std::to_string(requests));
+}
+
 void LoadRun::expect(bool condition, const std::string& problem)
 {
     if (!condition)
@@ -166,11 +182,16 @@
 {
     const std::lock_guard lock(m_mutex);
     m_results.push_back(result);
-    m_promptTokens += promptTokens;
-    m_delivered += result.delivered;
+    // Two callers with one key share one run.
+    const auto base = result.generation.substr(0, result.generation.find('~'));
+    const bool isShared = !base.empty() && !m_generations.insert(base).second;
+    m_promptTokens += isShared ? 0 : promptTokens;
+    m_delivered += isShared ? 0 : result.delivered;
     m_report.reconnects += result.reconnects;
     m_report.repeatedTokens += result.repeated;
     m_report.mixed += result.mixed;
+    for (const auto wait : result.reconnectWaits)
+        m_report.reconnect.push_back(static_cast<double>(wait.count()));
     if (result.hasLeft)
         return;
     ++m_report.requests;
--- a/src/load/LoadRun.h
+++ b/src/load/LoadRun.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <mutex>
 #include <random>
+#include <set>
 #include <thread>
 
 namespace lupinknot::internal {
@@ -50,6 +51,10 @@
     // The engine with the most streams; thread-safe.
     std::size_t busiestEngine();
     std::size_t activeStreams(std::size_t engine);
+    // Requests that all engines have got so far.
+    std::size_t engineRequests();
+    // Counts every request beyond the number needed as a double run.
+    void expectEngineRuns(std::size_t requests, std::size_t needed);
     void expect(bool condition, const std::string& problem);
 
     // Fills in what can be known only when all is quiet.
@@ -72,6 +77,7 @@
     std::size_t m_promptTokens { 0 };
     std::size_t m_delivered { 0 };
     std::vector<GenerationResult> m_results;
+    std::set<std::string> m_generations;
     std::map<std::string, std::string> m_quickOutcomes;
     std::uint64_t m_nextKey { 0 };
 
--- a/src/load/Scenario.cpp
+++ b/src/load/Scenario.cpp
@@ -119,6 +119,28 @@
             !run.activeStreams(i), "engine " + std::to_string(i + 1) + " still runs streams whose callers have gone");
 }
 
+// The demo kills and restarts VMs meanwhile; callers come back to the others.
+void runVmDeath(LoadRun& run) { run.runGenerations(run.options().generations); }
+
+// Every request goes to two VMs at once, half of them marked as not to be repeated; each must run once.
+void runDoubleSubmit(LoadRun& run)
+{
+    run.startQuickCalls();
+    const auto pairs = run.options().generations;
+    std::vector<GenerationCallerOptions> callers;
+    for (std::size_t i = 0; i < pairs; ++i) {
+        auto caller = run.newCaller();
+        caller.repeatable = i % 2 == 0;
+        callers.push_back(caller);
+        caller.firstDaemon = (caller.firstDaemon + 1) % run.options().daemons.size();
+        callers.push_back(caller);
+    }
+    run.runGenerations(
+        callers.size(), [&callers](GenerationCallerOptions& caller, std::size_t index) { caller = callers[index]; });
+    const auto requests = run.engineRequests();
+    run.expectEngineRuns(requests, pairs);
+}
+
 struct BadInput {
     const char* what;
     std::string body;
@@ -179,6 +201,8 @@
         { "engine-pause", "engines stand still and come back", runEnginePause },
         { "engine-storm", "half of the engines die, several times", runEngineStorm },
         { "caller-gone", "callers leave in the middle of their answers", runCallerGone },
+        { "vm-death", "entry VMs are killed and come back empty", runVmDeath },
+        { "double-submit", "every request goes to two VMs at once", runDoubleSubmit },
         { "bad-input", "wrong requests beside good ones", runBadInput },
     };
     return all;
--- a/src/settings/DaemonSettings.h
+++ b/src/settings/DaemonSettings.h
@@ -5,6 +5,7 @@
 #include "http/SocketAddress.h"
 #include "lupinknot/EndpointPulse.h"
 #include "lupinknot/RecoveryPolicy.h"
+#include "peer/PeerSettings.h"
 #include <optional>
 #include <string>
 #include <vector>
@@ -81,6 +82,14 @@
     bool repeatable { false };
 };
 
+struct JournalSettings {
+    Milliseconds flushInterval { 1 };
+    // Whether generations go on, and may be lost with this VM, while no other VM can be reached.
+    bool goOnUnprotected { true };
+    // How long an engine runs on without a connection, for another VM to attach to.
+    Milliseconds keepStream { 3000 };
+};
+
 struct DaemonSettings {
     VmSettings vm;
     HttpServerSettings listener;
@@ -90,6 +99,9 @@
     SilenceSettings silence;
     EjectionSettings ejection;
     PlatformSettings platform;
+    ClusterSettings cluster;
+    JournalSettings journal;
+    std::vector<PeerSettings> peers;
     std::vector<EndpointSettings> endpoints;
     std::vector<ServiceSettings> services;
 };
--- a/src/settings/SettingsReader.cpp
+++ b/src/settings/SettingsReader.cpp
@@ -213,8 +213,8 @@
     }
 }
 
-constexpr std::array<std::string_view, 10> sectionNames { "vm", "listener", "admin", "generation", "recovery",
-    "silence", "ejection", "platform", "endpoint", "service" };
+constexpr std::array<std::string_view, 13> sectionNames { "vm", "listener", "admin", "generation", "recovery",
+    "silence", "ejection", "platform", "cluster", "journal", "peer", "endpoint", "service" };
 
 void reportUnknownSections(const toml::table& root, Findings& findings)
 {
@@ -247,6 +247,7 @@
         checkAddresses();
         checkSilence();
         checkLogLevel();
+        checkPeers();
         checkEndpoints();
         checkServices();
     }
@@ -283,6 +284,19 @@
                 "expected debug, info, warning or error; found \"" + m_settings.vm.logLevel + "\"");
     }
 
+    void checkPeers()
+    {
+        std::set<std::string> names { m_settings.vm.name };
+        for (std::size_t i = 0; i < m_settings.peers.size(); ++i) {
+            const auto& peer = m_settings.peers[i];
+            const auto path = "peer[" + std::to_string(i) + "]";
+            expectIpNumber(path + ".address", peer.address);
+            if (!names.insert(peer.name).second)
+                m_findings.add(find(path + ".name"), "peer.name",
+                    "expected the name of another VM, once; found \"" + peer.name + "\"");
+        }
+    }
+
     void checkEndpoints()
     {
         for (std::size_t i = 0; i < m_settings.endpoints.size(); ++i) {
@@ -338,6 +352,9 @@
     readOne(root, "silence", silenceFields, settings.silence, findings);
     readOne(root, "ejection", ejectionFields, settings.ejection, findings);
     readOne(root, "platform", platformFields, settings.platform, findings);
+    readOne(root, "cluster", clusterFields, settings.cluster, findings);
+    readOne(root, "journal", journalFields, settings.journal, findings);
+    readMany(root, "peer", peerFields, settings.peers, findings);
     readMany(root, "endpoint", endpointFields, settings.endpoints, findings);
     readMany(root, "service", serviceFields, settings.services, findings);
     Consistency(root, settings, findings).check();
@@ -417,6 +434,9 @@
     describeSection(out, "[silence]", silenceFields);
     describeSection(out, "[ejection]", ejectionFields);
     describeSection(out, "[platform]", platformFields);
+    describeSection(out, "[cluster]", clusterFields);
+    describeSection(out, "[journal]", journalFields);
+    describeSection(out, "[[peer]]", peerFields);
     describeSection(out, "[[endpoint]]", endpointFields);
     describeSection(out, "[[service]]", serviceFields);
     return out.str();
--- a/src/settings/SettingsTables.h
+++ b/src/settings/SettingsTables.h
@@ -89,6 +89,35 @@
     { "timeout_ms", &PlatformSettings::timeout, 10, longestTime, "Time for one reading." },
 };
 
+inline const std::vector<SettingField<ClusterSettings>> clusterFields {
+    { "name", &ClusterSettings::name, 0, 0, "Name of the cluster; VMs of another one are refused." },
+    { "secret", &ClusterSettings::secret, 0, 0,
+        "Shared by all VMs of the cluster; others are refused. It is sent as it is." },
+    { "address", &ClusterSettings::address, 0, 0, "IP number on which this VM takes its peers' connections." },
+    { "port", &ClusterSettings::port, 0, highestPort, "Port for them; 0 takes any free one." },
+    { "heartbeat_ms", &ClusterSettings::heartbeatInterval, 1, longestTime, "Pause between two heartbeats to a peer." },
+    { "silence_ms", &ClusterSettings::silence, 1, longestTime,
+        "A peer that has sent nothing for this long counts as lost." },
+    { "reconnect_ms", &ClusterSettings::reconnectInterval, 1, longestTime,
+        "Pause before a lost peer is dialled again." },
+};
+
+inline const std::vector<SettingField<JournalSettings>> journalFields {
+    { "flush_ms", &JournalSettings::flushInterval, 0, longestTime,
+        "How long changes are gathered before a batch goes to a peer." },
+    { "go_on_unprotected", &JournalSettings::goOnUnprotected, 0, 0,
+        "Whether repeatable generations go on while no peer can be reached; else they are refused." },
+    { "keep_stream_ms", &JournalSettings::keepStream, 0, longestTime,
+        "How long an engine runs a keyed generation on after this VM is lost, for a peer to attach to." },
+};
+
+inline const std::vector<SettingField<PeerSettings>> peerFields {
+    { "name", &PeerSettings::name, 0, 0, "Name of another VM of the cluster.", true },
+    { "zone", &PeerSettings::zone, 0, 0, "Its availability zone.", true },
+    { "address", &PeerSettings::address, 0, 0, "IP number on which it takes peers' connections.", true },
+    { "port", &PeerSettings::port, 1, highestPort, "Port for them.", true },
+};
+
 inline const std::vector<SettingField<EndpointSettings>> endpointFields {
     { "name", &EndpointSettings::name, 0, 0, "Name of the endpoint, unique in the file.", true },
     { "zone", &EndpointSettings::zone, 0, 0, "Availability zone of the endpoint.", true },
--- a/test/EngineProtocolTest.cpp
+++ b/test/EngineProtocolTest.cpp
@@ -26,7 +26,7 @@
 
 TEST(EngineProtocol, SendsThePromptAsItCameAtFirst)
 {
-    const auto body = nlohmann::json::parse(engineRequest(textRequest(), "g:1", std::nullopt).body);
+    const auto body = nlohmann::json::parse(engineRequest(textRequest(), { "g:1", {} }, std::nullopt).body);
     STRCMP_EQUAL("a b", body["prompt"].get<std::string>().c_str());
     LONGS_EQUAL(10, body["max_tokens"].get<int>());
     LONGS_EQUAL(100, body["seed"].get<int>());
@@ -35,7 +35,7 @@
 
 TEST(EngineProtocol, ResumesWithIdsAndWhatIsLeftOfItsLimits)
 {
-    const auto message = engineRequest(textRequest(), "g:2", EnginePrefix { { 1, 2 }, { 3, 4, 5 } });
+    const auto message = engineRequest(textRequest(), { "g:2", {} }, EnginePrefix { { 1, 2 }, { 3, 4, 5 } });
     const auto body = nlohmann::json::parse(message.body);
     STRCMP_EQUAL("[1,2,3,4,5]", body["prompt"].dump().c_str());
     LONGS_EQUAL(7, body["max_tokens"].get<int>());
--- a/test/ReplicaStoreTest.cpp
+++ b/test/ReplicaStoreTest.cpp
@@ -63,7 +63,7 @@
 {
     store.open(1, record());
     append(0, { { 1, "a" } });
-    CHECK(store.seal(key).has_value());
+    CHECK(store.seal(key, Milliseconds { 1000 }).has_value());
     checkResult(JournalResult::Refused, append(1, { { 2, "b" } }));
     checkResult(JournalResult::Refused, store.open(1, record()));
     checkResult(JournalResult::Refused, store.finish(1, runner, key, FinishReason::Stop));
@@ -73,8 +73,8 @@
 TEST(ReplicaStore, IsTakenOverOnce)
 {
     store.open(1, record());
-    CHECK(store.seal(key).has_value());
-    CHECK_FALSE(store.seal(key).has_value());
+    CHECK(store.seal(key, Milliseconds { 1000 }).has_value());
+    CHECK_FALSE(store.seal(key, Milliseconds { 1000 }).has_value());
 }
 
 TEST(ReplicaStore, RefusesASecondRunnerOfAKey)
@@ -107,3 +107,31 @@
     store.drop(runner, key);
     LONGS_EQUAL(0, store.size());
 }
+
+TEST(ReplicaStore, KeepsTheRecordsOfALostRunnerForATime)
+{
+    store.open(1, record());
+    store.runnerLost("a", Milliseconds { 1000 });
+    store.sweep(Milliseconds { 1499 }, Milliseconds { 500 });
+    LONGS_EQUAL(1, store.size());
+    store.sweep(Milliseconds { 1500 }, Milliseconds { 500 });
+    LONGS_EQUAL(0, store.size());
+}
+
+TEST(ReplicaStore, KeepsTheRecordsOfARunnerThatIsBack)
+{
+    store.open(1, record());
+    store.runnerLost("a", Milliseconds { 1000 });
+    store.runnerBack(runner);
+    store.sweep(Milliseconds { 9000 }, Milliseconds { 500 });
+    LONGS_EQUAL(1, store.size());
+}
+
+TEST(ReplicaStore, DoesNotTakeARestartedRunnerForTheOldOne)
+{
+    store.open(1, record());
+    store.runnerLost("a", Milliseconds { 1000 });
+    store.runnerBack(restarted);
+    store.sweep(Milliseconds { 9000 }, Milliseconds { 500 });
+    LONGS_EQUAL(0, store.size());
+}
--- a/test/TestCluster.cpp
+++ b/test/TestCluster.cpp
@@ -1,9 +1,14 @@
 #include "TestCluster.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <nlohmann/json.hpp>
+
 namespace lupinknot::internal {
 
 namespace {
 
+using boost::asio::ip::tcp;
+
 constexpr Milliseconds callTimeout { 30000 };
 constexpr Milliseconds engineStep { 2 };
 
@@ -17,11 +22,21 @@
     return settings;
 }
 
+std::int64_t freePort()
+{
+    boost::asio::io_context ioContext;
+    const tcp::acceptor acceptor(ioContext, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    return acceptor.local_endpoint().port();
+}
+
 } // namespace
 
-TestCluster::TestCluster(std::size_t engineCount)
+TestCluster::TestCluster(std::size_t engineCount, std::size_t vmCount)
     : m_platform(std::make_unique<PlatformStandIn>("127.0.0.1", 0))
+    , m_vmCount(vmCount)
 {
+    for (std::size_t i = 0; i < vmCount; ++i)
+        m_peerPorts.push_back(freePort());
     settings.vm.name = "a1";
     settings.vm.zone = "z1";
     settings.vm.stopNotice = Milliseconds { 0 };
@@ -52,9 +67,64 @@
 
 void TestCluster::start()
 {
-    m_daemon = std::make_unique<Daemon>(settings);
-    m_daemon->start();
-    m_load.daemons.push_back({ { "127.0.0.1", m_daemon->port() }, { "127.0.0.1", m_daemon->adminPort() } });
+    for (std::size_t i = 0; i < m_vmCount; ++i) {
+        m_daemons.push_back(std::make_unique<Daemon>(settingsOf(i)));
+        m_daemons.back()->start();
+        m_load.daemons.push_back({ { "127.0.0.1", daemon(i).port() }, { "127.0.0.1", daemon(i).adminPort() } });
+    }
+    becomesTrue([this] { return areVmsLinked(); });
+}
+
+void TestCluster::killVm(std::size_t index) { m_daemons[index].reset(); }
+
+void TestCluster::restartVm(std::size_t index)
+{
+    auto restarted = settingsOf(index);
+    restarted.listener.port = m_load.daemons[index].callers.port;
+    restarted.admin.port = m_load.daemons[index].operators.port;
+    m_daemons[index] = std::make_unique<Daemon>(restarted);
+    m_daemons[index]->start();
+    becomesTrue([this] { return areVmsLinked(); });
+}
+
+std::size_t TestCluster::runningVm() const
+{
+    for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+        if (!m_daemons[i])
+            continue;
+        const auto status = nlohmann::json::parse(ask("/v1/status", i).response.body, nullptr, false);
+        if (status.is_object() && status["generations_running"].get<std::size_t>())
+            return i;
+    }
+    return m_daemons.size();
+}
+
+bool TestCluster::areVmsLinked() const
+{
+    std::size_t alive = 0;
+    for (const auto& daemon : m_daemons)
+        alive += daemon ? 1 : 0;
+    for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+        if (!m_daemons[i])
+            continue;
+        const auto status = nlohmann::json::parse(ask("/v1/status", i).response.body, nullptr, false);
+        if (!status.is_object() || status["peers"].size() + 1 != alive)
+            return false;
+    }
+    return true;
+}
+
+DaemonSettings TestCluster::settingsOf(std::size_t vm) const
+{
+    auto copy = settings;
+    copy.vm.name = "vm" + std::to_string(vm + 1);
+    copy.cluster.port = m_peerPorts[vm];
+    copy.cluster.reconnectInterval = Milliseconds { 20 };
+    for (std::size_t i = 0; i < m_vmCount; ++i) {
+        if (i != vm)
+            copy.peers.push_back({ "vm" + std::to_string(i + 1), "z1", "127.0.0.1", m_peerPorts[i] });
+    }
+    return copy;
 }
 
 void TestCluster::waitUntilRefused(unsigned short port)
@@ -80,14 +150,15 @@
     return std::make_shared<GenerationCaller>(m_load, std::move(options))->run();
 }
 
-HttpFetchResult TestCluster::post(const std::string& target, const std::string& body, HttpHeaders headers) const
+HttpFetchResult TestCluster::post(
+    const std::string& target, const std::string& body, HttpHeaders headers, std::size_t vm) const
 {
-    return fetch({ "127.0.0.1", m_daemon->port() }, { "POST", target, std::move(headers), body }, callTimeout);
+    return fetch(m_load.daemons[vm].callers, { "POST", target, std::move(headers), body }, callTimeout);
 }
 
-HttpFetchResult TestCluster::ask(const std::string& adminTarget) const
+HttpFetchResult TestCluster::ask(const std::string& adminTarget, std::size_t vm) const
 {
-    return fetch({ "127.0.0.1", m_daemon->adminPort() }, { "GET", adminTarget, {}, {} }, callTimeout);
+    return fetch(m_load.daemons[vm].operators, { "GET", adminTarget, {}, {} }, callTimeout);
 }
 
 std::size_t TestCluster::engineRequests() const
--- a/test/TestCluster.h
+++ b/test/TestCluster.h
@@ -15,19 +15,26 @@
 // Not thread-safe. Starts everything in its constructor and stops it in its destructor.
 class TestCluster {
 public:
-    explicit TestCluster(std::size_t engineCount = 2);
+    explicit TestCluster(std::size_t engineCount = 2, std::size_t vmCount = 1);
     ~TestCluster();
     TestCluster(const TestCluster&) = delete;
     TestCluster& operator=(const TestCluster&) = delete;
 
-    // Settings may be changed until this.
+    // Settings may be changed until this. Each VM gets a copy, with its own name and the others as peers.
     void start();
+    // Ends a VM as a kill would: its connections close, and nothing is handed over.
+    void killVm(std::size_t index);
+    // Starts a killed VM again, empty.
+    void restartVm(std::size_t index);
+    // The VM that runs a generation now; the test fails when there is none.
+    std::size_t runningVm() const;
+    bool areVmsLinked() const;
 
     DaemonSettings settings;
     EngineStandIn& engine(std::size_t index) { return *m_engines[index]; }
     ServiceStandIn& service(std::size_t index) { return *m_services[index]; }
     PlatformStandIn& platform() { return *m_platform; }
-    Daemon& daemon() { return *m_daemon; }
+    Daemon& daemon(std::size_t index = 0) { return *m_daemons[index]; }
 
     // Lets an engine or a service be dead for the rest of the test; returns when connections to it are refused.
     template <typename StandIn> void kill(StandIn& standIn)
@@ -39,18 +46,22 @@
     // A caller with a prompt of a few tokens; change it, then run it.
     GenerationCallerOptions caller(const std::string& key = "") const;
     GenerationResult run(GenerationCallerOptions) const;
-    HttpFetchResult post(const std::string& target, const std::string& body, HttpHeaders headers = {}) const;
-    HttpFetchResult ask(const std::string& adminTarget) const;
+    HttpFetchResult post(
+        const std::string& target, const std::string& body, HttpHeaders headers = {}, std::size_t vm = 0) const;
+    HttpFetchResult ask(const std::string& adminTarget, std::size_t vm = 0) const;
     // Requests that all engines have got.
     std::size_t engineRequests() const;
 
 private:
     static void waitUntilRefused(unsigned short port);
+    DaemonSettings settingsOf(std::size_t vm) const;
 
     std::vector<std::unique_ptr<EngineStandIn>> m_engines;
     std::vector<std::unique_ptr<ServiceStandIn>> m_services;
     std::unique_ptr<PlatformStandIn> m_platform;
-    std::unique_ptr<Daemon> m_daemon;
+    std::size_t m_vmCount;
+    std::vector<std::int64_t> m_peerPorts;
+    std::vector<std::unique_ptr<Daemon>> m_daemons;
     LoadOptions m_load;
 };
 
--- /dev/null
+++ b/test/VmLossTest.cpp
@@ -0,0 +1,166 @@
+// Several daemons between stand-ins: what callers see when one of them dies, and that work runs once.
+
+#include "TestCluster.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+
+namespace {
+
+constexpr std::size_t vms = 3;
+
+const std::string body = R"({"model":"story","prompt":[11,12,13],"max_tokens":20})";
+
+void checkWhole(const GenerationResult& result)
+{
+    const auto text = "status " + std::to_string(result.status) + ", delivered " + std::to_string(result.delivered)
+        + ", repeated " + std::to_string(result.repeated) + ", mixed " + std::to_string(result.mixed) + ", outcome "
+        + result.outcome + ", error " + result.error;
+    CHECK_TEXT(result.isWhole, text.c_str());
+}
+
+std::string header(const HttpFetchResult& result, const char* name)
+{
+    return std::string(result.response.headers.find(name).value_or("none"));
+}
+
+HttpHeaders unrepeatable(const std::string& key)
+{
+    return { { "Idempotency-Key", key }, { "Lupinknot-Repeatable", "false" } };
+}
+
+} // namespace
+
+TEST_GROUP(VmLoss)
+{
+    TestCluster cluster { 2, vms };
+
+    // Runs a keyed generation and kills the VM that runs it in the middle.
+    GenerationResult runAndKill(GenerationCallerOptions caller)
+    {
+        std::thread killer;
+        caller.maxTokens = 200;
+        caller.onToken = [&](std::size_t position, const Token&) {
+            if (position == 10)
+                killer = std::thread([this] { cluster.killVm(cluster.runningVm()); });
+        };
+        const auto result = cluster.run(caller);
+        killer.join();
+        return result;
+    }
+};
+
+TEST(VmLoss, KeepsAnAnswerWholeAndAttachesToTheRunningStream)
+{
+    cluster.start();
+    checkWhole(runAndKill(cluster.caller("k")));
+    LONGS_EQUAL(1, cluster.engineRequests());
+}
+
+TEST(VmLoss, ResumesByPrefixWhereTheStreamIsGone)
+{
+    cluster.settings.journal.keepStream = Milliseconds { 0 };
+    cluster.start();
+    checkWhole(runAndKill(cluster.caller("k")));
+    LONGS_EQUAL(2, cluster.engineRequests());
+}
+
+TEST(VmLoss, GivesAFinishedAnswerFromTheReplica)
+{
+    cluster.start();
+    const auto first = cluster.run(cluster.caller("k"));
+    checkWhole(first);
+    cluster.killVm(first.daemon);
+    auto again = cluster.caller("k");
+    again.firstDaemon = (first.daemon + 1) % vms;
+    checkWhole(cluster.run(again));
+    LONGS_EQUAL(1, cluster.engineRequests());
+}
+
+TEST(VmLoss, RunsAKeyOnceThatComesToEveryVmAtOnce)
+{
+    cluster.start();
+    std::vector<std::thread> threads;
+    std::vector<GenerationResult> results(vms);
+    for (std::size_t i = 0; i < vms; ++i) {
+        threads.emplace_back([this, i, &results] {
+            auto caller = cluster.caller("k");
+            caller.firstDaemon = i;
+            results[i] = cluster.run(caller);
+        });
+    }
+    for (auto& thread : threads)
+        thread.join();
+    for (const auto& result : results)
+        checkWhole(result);
+    LONGS_EQUAL(1, cluster.engineRequests());
+}
+
+TEST(VmLoss, RunsUnrepeatableWorkOnceThroughEveryVm)
+{
+    cluster.start();
+    for (std::size_t i = 0; i < vms; ++i)
+        LONGS_EQUAL(200, cluster.post("/v1/completions", body, unrepeatable("k"), i).response.status);
+    LONGS_EQUAL(1, cluster.engineRequests());
+}
+
+TEST(VmLoss, RefusesUnrepeatableWorkAsNotRunWhenNobodyCanTakeNoteOfIt)
+{
+    cluster.start();
+    cluster.killVm(1);
+    cluster.killVm(2);
+    CHECK(becomesTrue([this] { return cluster.areVmsLinked(); }));
+    const auto result = cluster.post("/v1/completions", body, unrepeatable("k"));
+    LONGS_EQUAL(503, result.response.status);
+    STRCMP_EQUAL("not-run", header(result, "Lupinknot-Outcome").c_str());
+    LONGS_EQUAL(0, cluster.engineRequests());
+}
+
+TEST(VmLoss, NeverRunsUnrepeatableWorkAgainAfterItsVmIsLost)
+{
+    cluster.start();
+    // Neither engine gives a first token, so the work may have begun and nothing shows how far it is.
+    cluster.engine(0).control(R"({"pause_at":0,"pause_ms":60000})");
+    cluster.engine(1).control(R"({"pause_at":0,"pause_ms":60000})");
+    std::thread asking([this] { cluster.post("/v1/completions", body, unrepeatable("k")); });
+    CHECK(becomesTrue([this] { return cluster.engineRequests() == 1; }));
+    const auto runner = cluster.runningVm();
+    cluster.killVm(runner);
+    asking.join();
+    const auto result = cluster.post("/v1/completions", body, unrepeatable("k"), (runner + 1) % vms);
+    STRCMP_EQUAL("unknown", header(result, "Lupinknot-Outcome").c_str());
+    LONGS_EQUAL(1, cluster.engineRequests());
+}
+
+TEST(VmLoss, FindsAKeyThatARestartedVmHasForgotten)
+{
+    cluster.start();
+    const auto first = cluster.run(cluster.caller("k"));
+    cluster.killVm(first.daemon);
+    cluster.restartVm(first.daemon);
+    auto again = cluster.caller("k");
+    again.firstDaemon = first.daemon;
+    checkWhole(cluster.run(again));
+    LONGS_EQUAL(1, cluster.engineRequests());
+}
+
+TEST(VmLoss, GoesOnUnprotectedWhenAllOtherVmsAreLost)
+{
+    cluster.start();
+    cluster.killVm(1);
+    cluster.killVm(2);
+    checkWhole(cluster.run(cluster.caller("k")));
+}
+
+TEST(VmLoss, RefusesWithoutAnotherVmWhereTheSettingsSaySo)
+{
+    cluster.settings.journal.goOnUnprotected = false;
+    cluster.start();
+    cluster.killVm(1);
+    cluster.killVm(2);
+    CHECK(becomesTrue([this] { return cluster.areVmsLinked(); }));
+    const auto result = cluster.post("/v1/completions", body, { { "Idempotency-Key", "k" } });
+    STRCMP_EQUAL("not-run", header(result, "Lupinknot-Outcome").c_str());
+}
