Takeover: a fresh VM takes no key before it has heard of the others

Change: placing a key waits until all peers were heard once, or for silence_ms; that state stays. The wait is counted from the reconnect that reached a VM (before: from the first try, the caller's own pauses included). A test starts a VM and asks it at once.

--- a/src/daemon/Cluster.cpp
+++ b/src/daemon/Cluster.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Milliseconds queryTimeout { 200 };
+constexpr Milliseconds joinPollInterval { 5 };
 // All VMs of the settings form one view that does not change; a record whose runner is lost stays with its replica.
 constexpr std::uint64_t staticEpoch = 1;
 
@@ -93,6 +94,10 @@
         decide({});
         return;
     }
+    if (!hasJoined()) {
+        placeLater(key, isForwarded, std::move(decide));
+        return;
+    }
     if (const auto placement = placeByRecord(key)) {
         decide(*placement);
         return;
@@ -229,6 +234,28 @@
     }
 }
 
+// A VM that has just started knows nothing and takes no key for new before it has heard of the others. After the time
+// in which a live peer would have been heard, it goes on with those that it has.
+bool Cluster::hasJoined()
+{
+    if (m_hasJoined)
+        return true;
+    const bool hasAll = m_network->up().size() >= m_settings.peers.size();
+    m_hasJoined = hasAll || m_clock.now() - m_startedAt >= m_settings.cluster.silence;
+    return m_hasJoined;
+}
+
+void Cluster::placeLater(const std::string& key, bool isForwarded, Decide decide)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_ioContext, joinPollInterval);
+    timer->async_wait([weak = weak_from_this(), timer, key, isForwarded, decide = std::move(decide)](
+                          boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (self && !error)
+            self->place(key, isForwarded, decide);
+    });
+}
+
 // While nothing has changed for the time that answers are kept, a key that its owner does not know is new.
 bool Cluster::isSettled() const
 {
--- a/src/daemon/Cluster.h
+++ b/src/daemon/Cluster.h
@@ -7,6 +7,7 @@
 #include "peer/PeerHandler.h"
 #include "peer/PeerNetwork.h"
 #include "settings/DaemonSettings.h"
+#include <atomic>
 #include <functional>
 #include <map>
 
@@ -71,6 +72,8 @@
         bool isHolderRunner { false };
     };
 
+    bool hasJoined();
+    void placeLater(const std::string& key, bool isForwarded, Decide);
     bool isSettled() const;
     std::optional<Placement> placeByRecord(const std::string& key) const;
     std::optional<PeerIdentity> actingOwner(const std::string& key) const;
@@ -92,6 +95,8 @@
     ReplicaStore m_store;
     std::shared_ptr<PeerNetwork> m_network;
     RunsKey m_runsKey;
+    // Stays set, whatever is lost later.
+    std::atomic<bool> m_hasJoined { false };
 
     mutable std::mutex m_mutex;
     // All that follows is under the lock.
--- a/src/load/GenerationCaller.cpp
+++ b/src/load/GenerationCaller.cpp
@@ -39,12 +39,11 @@
         if (!mayReconnect())
             break;
         ++m_result.reconnects;
-        if (!m_lostAt)
-            m_lostAt = m_clock.now();
         lock.unlock();
         std::this_thread::sleep_for(reconnectPause);
         lock.lock();
         daemon = (daemon + 1) % m_load.daemons.size();
+        m_reconnectedAt = m_clock.now();
         connect(daemon);
     }
     m_result.missing = m_options.maxTokens - std::min(m_options.maxTokens, m_result.delivered);
@@ -168,9 +167,9 @@
     m_expected.push(expected.id);
     ++m_result.delivered;
     m_result.arrivals.push_back(m_clock.now());
-    if (m_lostAt)
-        m_result.reconnectWaits.push_back(m_clock.now() - *m_lostAt);
-    m_lostAt.reset();
+    if (m_reconnectedAt)
+        m_result.reconnectWaits.push_back(m_clock.now() - *m_reconnectedAt);
+    m_reconnectedAt.reset();
     if (m_options.onToken)
         m_options.onToken(m_result.delivered - 1, token);
     if (m_options.leaveAfter == m_result.delivered) {
--- a/src/load/GenerationCaller.h
+++ b/src/load/GenerationCaller.h
@@ -72,8 +72,8 @@
     bool m_hasFinish { false };
     bool m_hasDone { false };
     GenerationResult m_result;
-    // When the caller noticed that its VM was lost, until the next token.
-    std::optional<Milliseconds> m_lostAt;
+    // When the caller last came back, until the next token.
+    std::optional<Milliseconds> m_reconnectedAt;
 };
 
 } // namespace lupinknot::internal
--- a/src/load/GenerationResult.h
+++ b/src/load/GenerationResult.h
@@ -19,7 +19,7 @@
     std::size_t repeated { 0 };
     std::size_t mixed { 0 };
     std::size_t reconnects { 0 };
-    // From each first try to come back to the next token.
+    // From each reconnect that reached a VM to the next token.
     std::vector<Milliseconds> reconnectWaits;
     // The caller left on purpose.
     bool hasLeft { false };
--- a/test/TestCluster.cpp
+++ b/test/TestCluster.cpp
@@ -78,13 +78,18 @@
 void TestCluster::killVm(std::size_t index) { m_daemons[index].reset(); }
 
 void TestCluster::restartVm(std::size_t index)
+{
+    startVm(index);
+    becomesTrue([this] { return areVmsLinked(); });
+}
+
+void TestCluster::startVm(std::size_t index)
 {
     auto restarted = settingsOf(index);
     restarted.listener.port = m_load.daemons[index].callers.port;
     restarted.admin.port = m_load.daemons[index].operators.port;
     m_daemons[index] = std::make_unique<Daemon>(restarted);
     m_daemons[index]->start();
-    becomesTrue([this] { return areVmsLinked(); });
 }
 
 std::size_t TestCluster::runningVm() const
--- a/test/TestCluster.h
+++ b/test/TestCluster.h
@@ -24,7 +24,8 @@
     void start();
     // Ends a VM as a kill would: its connections close, and nothing is handed over.
     void killVm(std::size_t index);
-    // Starts a killed VM again, empty.
+    // Starts a killed VM again, empty; restartVm() also waits until it is linked.
+    void startVm(std::size_t index);
     void restartVm(std::size_t index);
     // The VM that runs a generation now; the test fails when there is none.
     std::size_t runningVm() const;
--- a/test/VmLossTest.cpp
+++ b/test/VmLossTest.cpp
@@ -164,3 +164,16 @@
     const auto result = cluster.post("/v1/completions", body, { { "Idempotency-Key", "k" } });
     STRCMP_EQUAL("not-run", header(result, "Lupinknot-Outcome").c_str());
 }
+
+// A VM that takes callers before its links are up would take every key for new.
+TEST(VmLoss, TakesNoKeyForNewBeforeItHasHeardOfTheOthers)
+{
+    cluster.start();
+    const auto first = cluster.run(cluster.caller("k"));
+    cluster.killVm(first.daemon);
+    cluster.startVm(first.daemon);
+    auto again = cluster.caller("k");
+    again.firstDaemon = first.daemon;
+    checkWhole(cluster.run(again));
+    LONGS_EQUAL(1, cluster.engineRequests());
+}
