Planned stop: SIGTERM reaches the daemon; scenarios vm-pause, planned-stop, platform-outage

Cause: the first run of planned-stop showed vm1 ending with 143: the call library's threads were made before the signals were blocked, so SIGTERM ended the process at once, in the middle of answers. Change: the signals are blocked before the first thread is made; three scenarios, in which the demo script stops, pauses or restarts the VMs.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -41,16 +41,17 @@
 
 int serve(const DaemonSettings& settings)
 {
-    initializeLog(valueIn(logLevelNames, settings.vm.logLevel).value_or(LogLevel::Info));
-    setHttpCallThreads(static_cast<unsigned>(settings.vm.callThreads));
-
-    // The signals are blocked in every thread and taken by one that waits for them.
+    // The signals are blocked before the first thread is made, so in every thread, and taken by one that waits for
+    // them.
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 
+    initializeLog(valueIn(logLevelNames, settings.vm.logLevel).value_or(LogLevel::Info));
+    setHttpCallThreads(static_cast<unsigned>(settings.vm.callThreads));
+
     Daemon daemon(settings);
     if (const auto problem = daemon.start()) {
         logError(LogPart::Daemon, *problem + ".");
--- a/src/load/LoadOptions.h
+++ b/src/load/LoadOptions.h
@@ -18,6 +18,7 @@
     std::vector<DaemonAddress> daemons;
     std::vector<SocketAddress> engines;
     std::vector<SocketAddress> services;
+    std::vector<SocketAddress> platforms;
     std::string model { "story" };
     std::size_t generations { 60 };
     std::size_t concurrency { 16 };
--- a/src/load/LoadRun.cpp
+++ b/src/load/LoadRun.cpp
@@ -23,6 +23,12 @@
     return body;
 }
 
+bool control(const SocketAddress& standIn, const std::string& text)
+{
+    const HttpRequest request { "POST", "/control", { { "Content-Type", "application/json" } }, text };
+    return fetch(standIn, request, statsTimeout).isOk();
+}
+
 } // namespace
 
 LoadRun::LoadRun(const LoadOptions& options, LoadReport& report)
@@ -111,8 +117,14 @@
 
 bool LoadRun::controlEngine(std::size_t engine, const std::string& text)
 {
-    const HttpRequest request { "POST", "/control", { { "Content-Type", "application/json" } }, text };
-    return fetch(m_options.engines[engine], request, statsTimeout).isOk();
+    return control(m_options.engines[engine], text);
+}
+
+bool LoadRun::controlPlatform(const std::string& text)
+{
+    const bool isDone = !m_options.platforms.empty() && control(m_options.platforms.front(), text);
+    expect(isDone, "the platform took no control call");
+    return isDone;
 }
 
 void LoadRun::killEngine(std::size_t engine)
--- a/src/load/LoadRun.h
+++ b/src/load/LoadRun.h
@@ -46,6 +46,7 @@
 
     // Sets faults of one engine; thread-safe. Returns false when the engine did not answer.
     bool controlEngine(std::size_t engine, const std::string& json);
+    bool controlPlatform(const std::string& json);
     // Kills the engine's process, after having asked it for its account; thread-safe.
     void killEngine(std::size_t engine);
     // The engine with the most streams; thread-safe.
--- a/src/load/Scenario.cpp
+++ b/src/load/Scenario.cpp
@@ -119,8 +119,16 @@
             !run.activeStreams(i), "engine " + std::to_string(i + 1) + " still runs streams whose callers have gone");
 }
 
-// The demo kills and restarts VMs meanwhile; callers come back to the others.
-void runVmDeath(LoadRun& run) { run.runGenerations(run.options().generations); }
+// The demo kills, pauses or stops VMs meanwhile; callers come back to the others.
+void runWhileVmsChange(LoadRun& run) { run.runGenerations(run.options().generations); }
+
+// The platform is down for the whole time.
+void runPlatformOutage(LoadRun& run)
+{
+    run.controlPlatform(R"({"outage_ms": 600000})");
+    run.startQuickCalls();
+    run.runGenerations(run.options().generations);
+}
 
 // Every request goes to two VMs at once, half of them marked as not to be repeated; each must run once.
 void runDoubleSubmit(LoadRun& run)
@@ -201,7 +209,11 @@
         { "engine-pause", "engines stand still and come back", runEnginePause },
         { "engine-storm", "half of the engines die, several times", runEngineStorm },
         { "caller-gone", "callers leave in the middle of their answers", runCallerGone },
-        { "vm-death", "entry VMs are killed and come back empty", runVmDeath },
+        { "vm-death", "entry VMs are killed and come back empty", runWhileVmsChange },
+        { "vm-pause", "entry VMs stand still for two seconds and come back", runWhileVmsChange },
+        { "planned-stop", "entry VMs are stopped as planned and started again, one after the other",
+            runWhileVmsChange },
+        { "platform-outage", "the platform is down for the whole time", runPlatformOutage },
         { "double-submit", "every request goes to two VMs at once", runDoubleSubmit },
         { "bad-input", "wrong requests beside good ones", runBadInput },
     };
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -54,6 +54,7 @@
         "a", "admin", "Address of the same daemon for operators, in the same order.", true, "address", line);
     Addresses engines("e", "engine", "Address of a stand-in engine.", false, "address", line);
     Addresses services("s", "service", "Address of a stand-in service.", false, "address", line);
+    Addresses platforms("p", "platform", "Address of the stand-in platform.", false, "address", line);
     TCLAP::ValueArg<std::size_t> generations(
         "n", "generations", "Generations to run.", false, options.generations, "count", line);
     TCLAP::ValueArg<std::size_t> concurrency(
@@ -74,6 +75,7 @@
     options.seed = seed.getValue();
     options.engines = parseAddresses(engines.getValue());
     options.services = parseAddresses(services.getValue());
+    options.platforms = parseAddresses(platforms.getValue());
     const auto callers = parseAddresses(daemons.getValue());
     const auto operators = parseAddresses(admins.getValue());
     if (callers.size() != operators.size())
