Pauses: one connection waits for a silent VM; a VM that stood still excuses its streams

A paused VM's system takes connections, and its peers dialled it anew every 100 ms; when it woke, all were greeted, each replacing the one before.

Change: a peer is not dialled while a connection to it waits; links are numbered, the end of an old one does not touch a newer one, and a replaced link's journals move. A timer that fires 100 ms late first lets what waits in the sockets be read. Callers of a paused VM wait until it wakes; requests passed on to it too: left to do.

--- a/src/daemon/Cluster.cpp
+++ b/src/daemon/Cluster.cpp
@@ -83,7 +83,7 @@
         m_network->stop();
     const std::lock_guard lock(m_mutex);
     for (const auto& link : m_links)
-        link.second->close();
+        link.second.journal->close();
     m_links.clear();
     m_placed.clear();
 }
@@ -142,7 +142,7 @@
         const auto entry = m_links.find(placed->second);
         if (entry == m_links.end())
             return;
-        link = entry->second;
+        link = entry->second.journal;
     }
     link->changed(&source);
 }
@@ -157,7 +157,7 @@
             return;
         const auto entry = m_links.find(placed->second);
         if (entry != m_links.end())
-            link = entry->second;
+            link = entry->second.journal;
         m_placed.erase(placed);
     }
     if (link)
@@ -182,37 +182,53 @@
             alive->send(vm, envelope);
     };
     m_store.runnerBack({ peer.vm, peer.incarnation });
-    const std::lock_guard lock(m_mutex);
-    m_lastChange = m_clock.now();
-    m_links[peer.vm] = std::make_shared<JournalLink>(m_ioContext, m_view.epoch, m_settings.journal.flushInterval, send);
+    std::shared_ptr<JournalLink> older;
+    {
+        const std::lock_guard lock(m_mutex);
+        auto& link = m_links[peer.vm];
+        if (peer.link < link.number)
+            return;
+        m_lastChange = m_clock.now();
+        m_handles.erase(peer.vm);
+        older = std::move(link.journal);
+        link = { peer.link,
+            std::make_shared<JournalLink>(m_ioContext, m_view.epoch, m_settings.journal.flushInterval, send) };
+    }
+    moveJournals(older);
 }
 
 void Cluster::peerDown(const PeerIdentity& peer)
 {
-    m_store.runnerLost(peer.vm, m_clock.now());
-    std::shared_ptr<JournalLink> link;
+    std::shared_ptr<JournalLink> journal;
     std::vector<std::uint64_t> queries;
     {
         const std::lock_guard lock(m_mutex);
+        const auto entry = m_links.find(peer.vm);
+        // A newer link may be up already.
+        if (entry == m_links.end() || entry->second.number != peer.link)
+            return;
         m_lastChange = m_clock.now();
         m_handles.erase(peer.vm);
-        const auto entry = m_links.find(peer.vm);
-        if (entry != m_links.end()) {
-            link = entry->second;
-            m_links.erase(entry);
-        }
+        journal = std::move(entry->second.journal);
+        m_links.erase(entry);
         for (const auto& query : m_queries)
             queries.push_back(query.first);
     }
-    // Its journals go on elsewhere, from their beginning.
-    if (link) {
-        for (const auto& source : link->close())
-            attach(source);
-    }
+    m_store.runnerLost(peer.vm, m_clock.now());
+    moveJournals(journal);
     for (const auto query : queries)
         queryTimedOut(query);
 }
 
+// The journals of a lost link go on elsewhere, from their beginning.
+void Cluster::moveJournals(const std::shared_ptr<JournalLink>& journal)
+{
+    if (!journal)
+        return;
+    for (const auto& source : journal->close())
+        attach(source);
+}
+
 void Cluster::peerMessage(const PeerIdentity& peer, const wire::Envelope& envelope)
 {
     if (envelope.has_journal()) {
@@ -223,7 +239,7 @@
             const std::lock_guard lock(m_mutex);
             const auto entry = m_links.find(peer.vm);
             if (entry != m_links.end())
-                link = entry->second;
+                link = entry->second.journal;
         }
         if (link)
             link->acknowledged(envelope.ack());
@@ -357,7 +373,7 @@
         if (entry == m_links.end())
             continue;
         vm = member.vm;
-        return entry->second;
+        return entry->second.journal;
     }
     return nullptr;
 }
--- a/src/daemon/Cluster.h
+++ b/src/daemon/Cluster.h
@@ -80,6 +80,7 @@
     void ask(const std::string& key, Decide);
     void queryTimedOut(std::uint64_t id);
     void conclude(std::uint64_t id);
+    void moveJournals(const std::shared_ptr<JournalLink>&);
     std::shared_ptr<JournalLink> linkFor(const std::string& key, std::string& vm) const;
     void journalArrived(const PeerIdentity&, const wire::Envelope&);
     JournalResult apply(const PeerIdentity&, std::uint64_t epoch, const wire::Envelope&, int index);
@@ -100,7 +101,11 @@
 
     mutable std::mutex m_mutex;
     // All that follows is under the lock.
-    std::map<std::string, std::shared_ptr<JournalLink>> m_links;
+    struct Link {
+        std::uint64_t number { 0 };
+        std::shared_ptr<JournalLink> journal;
+    };
+    std::map<std::string, Link> m_links;
     std::unordered_map<const JournalSource*, std::string> m_placed;
     // The keys that a peer's handles stand for.
     std::map<std::string, std::unordered_map<std::uint32_t, std::string>> m_handles;
--- a/src/daemon/LiveGeneration.cpp
+++ b/src/daemon/LiveGeneration.cpp
@@ -22,6 +22,9 @@
 constexpr Milliseconds callTimeout { 86400000 };
 
 constexpr Milliseconds stopTimeout { 2000 };
+// A timer that fires this late says that this VM stood still, and how long its streams are then given.
+constexpr Milliseconds ownPauseLimit { 100 };
+constexpr Milliseconds pauseExcuse { 100 };
 // Stands in an id between the generation and the number of times it was taken over.
 constexpr char takeoverMark = '~';
 
@@ -468,8 +471,12 @@
 void LiveGeneration::armTimer()
 {
     const auto next = m_driver.nextTick();
-    if (next >= m_armedFor)
-        return;
+    if (next < m_armedFor)
+        armTimerFor(next);
+}
+
+void LiveGeneration::armTimerFor(Milliseconds next)
+{
     m_armedFor = next;
     const auto wait = std::max(Milliseconds::zero(), next - m_context.clock.now());
     m_timer.expires_after(wait);
@@ -483,8 +490,18 @@
 void LiveGeneration::timerFired()
 {
     const std::lock_guard lock(m_mutex);
+    const auto now = m_context.clock.now();
+    const bool wasPaused = now - m_armedFor >= ownPauseLimit;
     m_armedFor = Milliseconds::max();
-    m_driver.tick(m_context.clock.now());
+    // A VM that stood still finds every stream silent, while their tokens wait in its sockets. They are read first;
+    // what is still silent after that is noticed at the next firing.
+    if (wasPaused && !m_isPauseExcused) {
+        m_isPauseExcused = true;
+        armTimerFor(now + pauseExcuse);
+        return;
+    }
+    m_isPauseExcused = false;
+    m_driver.tick(now);
     afterEvent();
 }
 
--- a/src/daemon/LiveGeneration.h
+++ b/src/daemon/LiveGeneration.h
@@ -93,6 +93,7 @@
     void afterEvent();
     void notifyWatchers();
     void armTimer();
+    void armTimerFor(Milliseconds);
     void timerFired();
     void lastWatcherLeft();
     void abandonIfUnwatched();
@@ -121,6 +122,7 @@
     std::optional<JournaledAttempt> m_journaledAttempt;
     boost::asio::steady_timer m_timer;
     Milliseconds m_armedFor { Milliseconds::max() };
+    bool m_isPauseExcused { false };
     boost::asio::steady_timer m_graceTimer;
 };
 
--- a/src/peer/PeerHandler.h
+++ b/src/peer/PeerHandler.h
@@ -17,9 +17,12 @@
     std::uint64_t incarnation { 0 };
     std::string callerAddress;
     std::uint32_t callerPort { 0 };
+    // Numbers the links of this process, so that the end of an old one is not taken for that of a newer one.
+    std::uint64_t link { 0 };
 };
 
-// Calls come from any thread; those about one peer come one at a time and in order.
+// Calls come from any thread; those about one link come one at a time and in order, those about two links of
+// one peer may cross.
 class PeerHandler {
 public:
     virtual ~PeerHandler() = default;
--- a/src/peer/PeerNetwork.cpp
+++ b/src/peer/PeerNetwork.cpp
@@ -162,7 +162,7 @@
             if (error == net::error::operation_aborted)
                 return;
             if (!error)
-                self->adopt(std::move(socket), PeerRole::Acceptor);
+                self->adopt(std::move(socket), PeerRole::Acceptor, "");
             self->accept();
         });
 }
@@ -175,7 +175,7 @@
     const tcp::endpoint endpoint(net::ip::make_address(peer.address, ignored), static_cast<unsigned short>(peer.port));
     socket->async_connect(endpoint, [self = shared_from_this(), socket, peer](boost::system::error_code error) {
         if (!error)
-            self->adopt(std::move(*socket), PeerRole::Dialer);
+            self->adopt(std::move(*socket), PeerRole::Dialer, peer.name);
         self->dialLater(peer);
     });
 }
@@ -192,14 +192,14 @@
             if (!self->m_handler)
                 return;
         }
-        if (self->find(peer.name))
-            self->dialLater(peer);
-        else
+        if (self->mayDial(peer))
             self->dial(peer);
+        else
+            self->dialLater(peer);
     });
 }
 
-void PeerNetwork::adopt(tcp::socket socket, PeerRole role)
+void PeerNetwork::adopt(tcp::socket socket, PeerRole role, const std::string& dialled)
 {
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
@@ -208,7 +208,7 @@
         const std::lock_guard lock(m_mutex);
         if (!m_handler)
             return;
-        m_links[connection.get()] = { connection, std::nullopt, m_clock.now() };
+        m_links[connection.get()] = { connection, std::nullopt, m_clock.now(), dialled };
     }
     wire::Envelope envelope;
     auto& hello = *envelope.mutable_hello();
@@ -224,6 +224,17 @@
     connection->send(envelope);
 }
 
+// A peer that stands still takes connections and says nothing. One at a time waits for it; the heartbeat ends that one
+// when its time is over.
+bool PeerNetwork::mayDial(const PeerSettings& peer) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto isOurs = [&peer](const auto& entry) {
+        return entry.second.dialled == peer.name || (entry.second.identity && entry.second.identity->vm == peer.name);
+    };
+    return std::none_of(m_links.begin(), m_links.end(), isOurs);
+}
+
 bool PeerNetwork::isWelcome(const wire::Envelope& envelope) const
 {
     if (!envelope.has_hello())
@@ -243,8 +254,8 @@
         return;
     }
     const auto& hello = envelope.hello();
-    const PeerIdentity identity { hello.vm(), hello.zone(), hello.incarnation(), hello.caller_address(),
-        hello.caller_port() };
+    PeerIdentity identity { hello.vm(), hello.zone(), hello.incarnation(), hello.caller_address(), hello.caller_port(),
+        0 };
     PeerHandler* handler = nullptr;
     std::shared_ptr<PeerConnection> older;
     {
@@ -253,8 +264,10 @@
         if (const auto* link = findUp(identity.vm))
             older = link->connection;
         const auto link = m_links.find(connection.get());
-        if (link != m_links.end())
-            link->second.identity = identity;
+        if (link == m_links.end())
+            return;
+        identity.link = ++m_lastLink;
+        link->second.identity = identity;
         handler = m_handler;
     }
     if (older) {
--- a/src/peer/PeerNetwork.h
+++ b/src/peer/PeerNetwork.h
@@ -57,15 +57,18 @@
         // Set by the peer's Hello.
         std::optional<PeerIdentity> identity;
         Milliseconds lastHeard { 0 };
+        // The peer that was dialled; empty for a link that was accepted.
+        std::string dialled;
     };
 
     void accept();
     void dial(const PeerSettings&);
     void dialLater(const PeerSettings&);
-    void adopt(boost::asio::ip::tcp::socket, PeerRole);
+    void adopt(boost::asio::ip::tcp::socket, PeerRole, const std::string& dialled);
     bool isWelcome(const wire::Envelope&) const;
     void greeted(const std::shared_ptr<PeerConnection>&, const wire::Envelope&);
     const Link* findUp(const std::string& vm) const;
+    bool mayDial(const PeerSettings&) const;
     void scheduleHeartbeat();
     void beat();
 
@@ -80,6 +83,7 @@
     PeerHandler* m_handler { nullptr };
     std::map<PeerConnection*, Link> m_links;
     std::uint64_t m_closedBytes { 0 };
+    std::uint64_t m_lastLink { 0 };
 };
 
 } // namespace lupinknot::internal
--- a/test/PeerNetworkTest.cpp
+++ b/test/PeerNetworkTest.cpp
@@ -165,3 +165,19 @@
     CHECK(becomesTrue([this] { return !networkB->start(handlerB); }));
     CHECK(becomesTrue([this] { return networkA->find("b").has_value(); }));
 }
+
+// A peer that stands still takes connections without a word. Were it dialled again and again, all of them would be
+// greeted when it wakes, each replacing the one before.
+TEST(PeerNetwork, WaitsForASilentPeerWithOneConnection)
+{
+    boost::asio::ip::tcp::acceptor silent(ioContext, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    networkA
+        = std::make_shared<PeerNetwork>(ioContext, clock, settingsOf("a", "b", silent.local_endpoint().port(), "s"));
+    networkA->start(handlerA);
+    auto first = silent.accept();
+    std::this_thread::sleep_for(Milliseconds { 100 });
+    silent.non_blocking(true);
+    boost::system::error_code error;
+    silent.accept(error);
+    CHECK(error == boost::asio::error::would_block);
+}
