--- a/include/lupinknot/ReplicaStore.h
+++ b/include/lupinknot/ReplicaStore.h
@@ -34,7 +34,7 @@
 // Thread-safe, under one lock of its own.
 class ReplicaStore {
 public:
-    // Takes over the whole state of a record from its runner; a record of the same runner is replaced.
+    // Begins a record, or takes up that of the same generation with all that it holds.
     JournalResult open(std::uint64_t epoch, ReplicaRecord);
     // Adds tokens. They may overlap with those held; a gap is refused.
     JournalResult append(std::uint64_t epoch, const ViewMember& runner, const std::string& key, std::size_t position,
--- a/src/core/ReplicaStore.cpp
+++ b/src/core/ReplicaStore.cpp
@@ -11,9 +11,15 @@
         return JournalResult::Refused;
     const auto found = m_entries.find(record.request.key);
     if (found != m_entries.end()) {
-        const bool isSameRunner = found->second.record.runner == record.runner;
+        auto& held = found->second.record;
+        const bool isSameRunner = held.runner == record.runner;
         if (!isSameRunner || found->second.isSealed)
             return JournalResult::Refused;
+        // Callers may have seen the tokens that are held; the runner is about to send them again.
+        if (held.request.generation == record.request.generation) {
+            found->second.orphanedAt.reset();
+            return JournalResult::Applied;
+        }
     }
     const auto key = record.request.key;
     m_entries[key] = { std::move(record), false, std::nullopt };
--- a/src/daemon/Cluster.cpp
+++ b/src/daemon/Cluster.cpp
@@ -99,7 +99,11 @@
         return;
     }
     if (const auto placement = placeByRecord(key)) {
-        decide(*placement);
+        // An older record may have been left here when the runner moved its journal, so the others are asked first.
+        if (placement->kind == Placement::Kind::TakeOver)
+            ask(key, std::move(decide));
+        else
+            decide(*placement);
         return;
     }
     const auto owner = actingOwner(key);
@@ -312,7 +316,7 @@
 {
     const auto peers = m_network->up();
     if (peers.empty()) {
-        decide({});
+        decide(placeByRecord(key).value_or(Placement {}));
         return;
     }
     wire::Envelope envelope;
@@ -320,7 +324,7 @@
     {
         const std::lock_guard lock(m_mutex);
         id = ++m_lastQuery;
-        m_queries[id] = { key, std::move(decide), peers.size(), std::nullopt, false };
+        m_queries[id] = { key, std::move(decide), peers.size(), std::nullopt, false, 0 };
     }
     envelope.mutable_query()->set_id(id);
     envelope.mutable_query()->set_epoch(m_view.epoch);
@@ -358,10 +362,25 @@
         query = std::move(entry->second);
         m_queries.erase(entry);
     }
-    if (query.holder)
-        query.decide({ Placement::Kind::Forward, *query.holder, std::nullopt });
-    else
-        query.decide(placeByRecord(query.key).value_or(Placement {}));
+    query.decide(placementAfter(query));
+}
+
+// The VM that runs the key goes first, then the one that holds most of it; of two that hold as much, the one with the
+// smaller name.
+Placement Cluster::placementAfter(const Query& query) const
+{
+    auto local = placeByRecord(query.key);
+    if (!query.holder)
+        return local.value_or(Placement {});
+    const bool isLocalTakeover = local && local->kind == Placement::Kind::TakeOver;
+    if (isLocalTakeover && !query.isHolderRunner) {
+        const auto length = local->record->tokens.size();
+        const bool isLocalBetter
+            = length > query.holderLength || (length == query.holderLength && m_self.vm < query.holder->vm);
+        if (isLocalBetter)
+            return std::move(*local);
+    }
+    return { Placement::Kind::Forward, *query.holder, std::nullopt };
 }
 
 // The most responsible VM beside this one that can be reached.
@@ -436,6 +455,7 @@
     const auto record = m_store.find(key);
     // A record of the asking VM itself, from before its restart, counts too.
     answer.set_is_known(answer.is_runner() || record.has_value());
+    answer.set_length(record ? record->tokens.size() : 0);
     m_network->send(peer.vm, reply);
 }
 
@@ -449,10 +469,12 @@
             return;
         auto& query = entry->second;
         query.answersMissing -= query.answersMissing ? 1 : 0;
-        // The VM that runs the key goes before one that holds its record.
-        if (answer.is_known() && !query.isHolderRunner) {
+        const bool isMore = !query.holder || answer.length() > query.holderLength
+            || (answer.length() == query.holderLength && peer.vm < query.holder->vm);
+        if (answer.is_known() && !query.isHolderRunner && (answer.is_runner() || isMore)) {
             query.holder = peer;
             query.isHolderRunner = answer.is_runner();
+            query.holderLength = answer.length();
         }
         if (answer.is_runner())
             query.answersMissing = 0;
--- a/src/daemon/Cluster.h
+++ b/src/daemon/Cluster.h
@@ -70,6 +70,7 @@
         std::size_t answersMissing { 0 };
         std::optional<PeerIdentity> holder;
         bool isHolderRunner { false };
+        std::uint64_t holderLength { 0 };
     };
 
     bool hasJoined();
@@ -80,6 +81,7 @@
     void ask(const std::string& key, Decide);
     void queryTimedOut(std::uint64_t id);
     void conclude(std::uint64_t id);
+    Placement placementAfter(const Query&) const;
     void moveJournals(const std::shared_ptr<JournalLink>&);
     std::shared_ptr<JournalLink> linkFor(const std::string& key, std::string& vm) const;
     void journalArrived(const PeerIdentity&, const wire::Envelope&);
--- a/test/ReplicaStoreTest.cpp
+++ b/test/ReplicaStoreTest.cpp
@@ -135,3 +135,23 @@
     store.sweep(Milliseconds { 9000 }, Milliseconds { 500 });
     LONGS_EQUAL(0, store.size());
 }
+
+// After a lost link the runner sends everything again; were the record emptied first and the runner lost in between, callers
+// would have seen more than anybody holds.
+TEST(ReplicaStore, KeepsItsTokensWhenItsRunnerOpensItAgain)
+{
+    store.open(1, record());
+    append(0, { { 1, "a" }, { 2, "b" } });
+    checkResult(JournalResult::Applied, store.open(1, record()));
+    LONGS_EQUAL(2, store.find(key)->tokens.size());
+}
+
+TEST(ReplicaStore, StartsAfreshForAnotherGenerationOfItsRunner)
+{
+    store.open(1, record());
+    append(0, { { 1, "a" } });
+    auto other = record();
+    other.request.generation = "g2";
+    store.open(1, other);
+    LONGS_EQUAL(0, store.find(key)->tokens.size());
+}
