Services: a call with a key runs once, at whatever VM it comes in

Cause: a burner command that was sent again under its key, after a lost reply, ran a second time; only generations were recognized. Change: keyed service calls are brought to the VM responsible, as generations are (KeyedRequestRouter, now shared by both), wait for another VM to take note when they must not be repeated, run to their end with or without callers, and keep their response for whoever sends the key again. After the loss of their VM they are answered unknown. Conclusion: at most once holds for both kinds of work while the VMs of a key are not both restarted and the cluster is not cut in halves.

--- a/src/daemon/CompletionHandler.cpp
+++ b/src/daemon/CompletionHandler.cpp
@@ -5,40 +5,22 @@
 #include "daemon/CompletionReply.h"
 #include "daemon/CompletionRequest.h"
 #include "daemon/EndpointTable.h"
-#include "daemon/ForwardedRequest.h"
 #include "daemon/GenerationRegistry.h"
 #include "daemon/LiveGeneration.h"
 #include "daemon/Metrics.h"
 #include "http/HttpExchange.h"
 #include "settings/DaemonSettings.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/leaf/handle_errors.hpp>
-#include <cstdlib>
 
 namespace lupinknot::internal {
 
 namespace leaf = boost::leaf;
 
-namespace {
-
-// A request goes to the VM responsible and from there to the one that runs it.
-constexpr unsigned maxHops = 3;
-// How often, and how soon, a request is placed anew when the VM that it went to is lost.
-constexpr unsigned maxPlacings = 200;
-constexpr Milliseconds placingInterval { 10 };
-
-unsigned hopsOf(const HttpRequest& request)
-{
-    const auto value = request.headers.find(ForwardedRequest::hopsHeader);
-    return value ? static_cast<unsigned>(std::strtoul(std::string(*value).c_str(), nullptr, 10)) : 0;
-}
-
-} // namespace
-
 CompletionHandler::CompletionHandler(const GenerationContext& context, GenerationRegistry& registry)
     : m_context(context)
     , m_registry(registry)
+    , m_router(context)
 {
 }
 
@@ -48,7 +30,7 @@
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(request, parseCompletionRequest(exchange->request(), limits));
-            serve(exchange, request, 0);
+            serve(exchange, request);
             return {};
         },
         [&](const JsonError& error) { refuse(*exchange, error); },
@@ -57,8 +39,7 @@
         });
 }
 
-void CompletionHandler::serve(
-    const std::shared_ptr<HttpExchange>& exchange, const CompletionRequest& request, unsigned placings)
+void CompletionHandler::serve(const std::shared_ptr<HttpExchange>& exchange, const CompletionRequest& request)
 {
     if (!m_context.endpoints.knowsModel(request.model)) {
         refuse(*exchange,
@@ -66,53 +47,16 @@
                 RunOutcome::NotRun, {} });
         return;
     }
-    const auto key = JournaledRequest::scopedKey(request.organisation, request.idempotencyKey);
-    if (request.idempotencyKey.empty() || m_registry.findByKey(key)) {
+    if (request.idempotencyKey.empty()) {
         admit(exchange, request);
         return;
     }
-    const bool isForwarded = hopsOf(exchange->request()) > 0;
-    m_context.cluster.place(key, isForwarded, [this, exchange, request, placings](const Placement& placement) {
-        placed(exchange, request, placings, placement);
-    });
-}
-
-void CompletionHandler::placed(const std::shared_ptr<HttpExchange>& exchange, const CompletionRequest& request,
-    unsigned placings, const Placement& placement)
-{
-    using Kind = Placement::Kind;
-    const auto retryAfter = m_context.settings.generation.retryAfter;
-    if (placement.kind == Kind::Here)
-        admit(exchange, request);
-    else if (placement.kind == Kind::TakeOver)
-        takeOver(exchange, request);
-    else if (placement.kind == Kind::Refuse)
-        refuse(*exchange,
-            { 503, "runner_unreachable",
-                "the VM that runs the request cannot be reached, and the request must not be repeated", "",
-                RunOutcome::Unknown, retryAfter });
-    else if (placings >= maxPlacings || hopsOf(exchange->request()) >= maxHops)
-        refuse(*exchange,
-            { 503, "not_settled", "the VMs do not agree yet on who is responsible for the key", "", RunOutcome::Unknown,
-                retryAfter });
-    else
-        forward(exchange, request, placings, placement.target);
-}
-
-void CompletionHandler::forward(const std::shared_ptr<HttpExchange>& exchange, const CompletionRequest& request,
-    unsigned placings, const PeerIdentity& target)
-{
-    logInfo(LogPart::Route, "a request with a key goes to VM " + target.vm + ", which is responsible for it.");
-    const auto forwarded = std::make_shared<ForwardedRequest>(m_context, exchange, target.vm);
-    // The links between VMs show a loss a little later than the call does.
-    forwarded->onLost([this, exchange, request, placings] {
-        const auto timer = std::make_shared<boost::asio::steady_timer>(m_context.ioContext, placingInterval);
-        timer->async_wait([this, timer, exchange, request, placings](boost::system::error_code error) {
-            if (!error)
-                serve(exchange, request, placings + 1);
-        });
-    });
-    forwarded->start({ target.callerAddress, target.callerPort }, hopsOf(exchange->request()) + 1);
+    const auto key = JournaledRequest::scopedKey(request.organisation, request.idempotencyKey);
+    m_router.route(exchange, key,
+        { [this, key] { return m_registry.findByKey(key) != nullptr; },
+            [this, exchange, request] { admit(exchange, request); },
+            [this, exchange, request] { takeOver(exchange, request); },
+            [this, exchange](const JsonError& error) { refuse(*exchange, error); } });
 }
 
 void CompletionHandler::takeOver(const std::shared_ptr<HttpExchange>& exchange, const CompletionRequest& request)
--- a/src/daemon/CompletionHandler.h
+++ b/src/daemon/CompletionHandler.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemon/GenerationContext.h"
+#include "daemon/KeyedRequestRouter.h"
 #include <memory>
 #include <optional>
 
@@ -12,8 +13,6 @@
 struct Admission;
 struct CompletionRequest;
 struct JsonError;
-struct PeerIdentity;
-struct Placement;
 
 // Thread-safe; holds no state of its own.
 class CompletionHandler {
@@ -23,10 +22,7 @@
     void handle(const std::shared_ptr<HttpExchange>&);
 
 private:
-    void serve(const std::shared_ptr<HttpExchange>&, const CompletionRequest&, unsigned placings);
-    void placed(const std::shared_ptr<HttpExchange>&, const CompletionRequest&, unsigned placings, const Placement&);
-    void forward(
-        const std::shared_ptr<HttpExchange>&, const CompletionRequest&, unsigned placings, const PeerIdentity&);
+    void serve(const std::shared_ptr<HttpExchange>&, const CompletionRequest&);
     void takeOver(const std::shared_ptr<HttpExchange>&, const CompletionRequest&);
     void admit(const std::shared_ptr<HttpExchange>&, const CompletionRequest&);
     std::optional<JsonError> refusalFor(const Admission&, const CompletionRequest&) const;
@@ -34,6 +30,7 @@
 
     const GenerationContext m_context;
     GenerationRegistry& m_registry;
+    const KeyedRequestRouter m_router;
 };
 
 } // namespace lupinknot::internal
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -85,7 +85,8 @@
         return problem;
     if (auto problem = m_admin->start())
         return problem;
-    const auto runsKey = [this](const std::string& key) { return m_registry->findByKey(key) != nullptr; };
+    const auto runsKey
+        = [this](const std::string& key) { return m_registry->findByKey(key) || m_services->runsKey(key); };
     if (auto problem = m_cluster->start(port(), runsKey))
         return problem;
     for (std::int64_t i = 0; i < m_settings.vm.threads; ++i)
@@ -156,6 +157,7 @@
         if (error)
             return;
         m_registry->sweep();
+        m_services->sweep();
         m_cluster->sweep();
         scheduleSweep();
     });
--- a/src/daemon/ServiceHandler.cpp
+++ b/src/daemon/ServiceHandler.cpp
@@ -1,5 +1,7 @@
 #include "daemon/ServiceHandler.h"
 
+#include "daemon/Cluster.h"
+#include "daemon/KeyedServiceCall.h"
 #include "daemon/ServiceCall.h"
 #include "http/HttpExchange.h"
 #include "http/JsonError.h"
@@ -20,9 +22,12 @@
 
 ServiceHandler::ServiceHandler(const GenerationContext& context)
     : m_context(context)
+    , m_router(context)
 {
 }
 
+ServiceHandler::~ServiceHandler() = default;
+
 bool ServiceHandler::handle(const std::shared_ptr<HttpExchange>& exchange)
 {
     const auto* service = find(exchange->request().path());
@@ -36,10 +41,73 @@
         return true;
     }
     const bool repeatable = said ? *said == "true" : service->repeatable;
-    std::make_shared<ServiceCall>(m_context, *service, exchange, repeatable)->start();
+    if (exchange->request().headers.find("Idempotency-Key"))
+        handleKeyed(exchange, *service, repeatable);
+    else
+        std::make_shared<ServiceCall>(m_context, *service, exchange, repeatable)->start();
     return true;
 }
 
+bool ServiceHandler::runsKey(const std::string& key) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_calls.count(key);
+}
+
+void ServiceHandler::sweep()
+{
+    const auto now = m_context.clock.now();
+    const std::lock_guard lock(m_mutex);
+    for (auto entry = m_calls.begin(); entry != m_calls.end();) {
+        const auto endedAt = entry->second->endedAt();
+        const bool isExpired = endedAt && now - *endedAt >= m_context.settings.generation.retention;
+        if (isExpired)
+            entry->second->forget();
+        entry = isExpired ? m_calls.erase(entry) : std::next(entry);
+    }
+}
+
+void ServiceHandler::handleKeyed(
+    const std::shared_ptr<HttpExchange>& exchange, const ServiceSettings& service, bool repeatable)
+{
+    const auto key = KeyedServiceCall::keyOf(exchange->request(), service.name);
+    const auto join = [this, exchange, &service, key, repeatable](
+                          bool mayHaveRun) { joinCall(exchange, service, key, repeatable, mayHaveRun); };
+    m_router.route(exchange, key,
+        { [this, key] { return runsKey(key); }, [join] { join(false); },
+            [this, join, key] {
+                // There was a record, so the work may have run, whoever takes it over first.
+                m_context.cluster.takeOver(key);
+                join(true);
+            },
+            [exchange](const JsonError& error) { exchange->respond(errorResponse(error)); } });
+}
+
+void ServiceHandler::joinCall(const std::shared_ptr<HttpExchange>& exchange, const ServiceSettings& service,
+    const std::string& key, bool repeatable, bool mayHaveRun)
+{
+    std::shared_ptr<KeyedServiceCall> call;
+    bool isNew = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        auto& entry = m_calls[key];
+        isNew = !entry;
+        if (isNew)
+            entry = std::make_shared<KeyedServiceCall>(m_context, service, exchange->request(), key, repeatable);
+        call = entry;
+    }
+    if (!call->isSameRequest(exchange->request())) {
+        exchange->respond(errorResponse({ 422, "key_conflict", "the Idempotency-Key belongs to another request",
+            "Idempotency-Key", RunOutcome::NotRun, {} }));
+        return;
+    }
+    call->join(exchange);
+    if (isNew && mayHaveRun && !repeatable)
+        call->startAsUnknown();
+    else if (isNew)
+        call->start();
+}
+
 // The longest path wins, so that a service can stand beneath another's path.
 const ServiceSettings* ServiceHandler::find(std::string_view path) const
 {
--- a/test/ReplicaStoreTest.cpp
+++ b/test/ReplicaStoreTest.cpp
@@ -136,8 +136,8 @@
     LONGS_EQUAL(0, store.size());
 }
 
-// After a lost link the runner sends everything again; were the record emptied first and the runner lost in between, callers
-// would have seen more than anybody holds.
+// After a lost link the runner sends everything again; were the record emptied first and the runner lost in between,
+// callers would have seen more than anybody holds.
 TEST(ReplicaStore, KeepsItsTokensWhenItsRunnerOpensItAgain)
 {
     store.open(1, record());
--- a/test/VmLossTest.cpp
+++ b/test/VmLossTest.cpp
@@ -177,3 +177,34 @@
     checkWhole(cluster.run(again));
     LONGS_EQUAL(1, cluster.engineRequests());
 }
+
+TEST(VmLoss, RunsAServiceCallWithAKeyOnceThroughEveryVm)
+{
+    cluster.start();
+    for (std::size_t i = 0; i < vms; ++i) {
+        auto headers = unrepeatable("burner");
+        headers.add("X-Work-Id", "w");
+        const auto result = cluster.post("/thumbs/fire", "on", headers, i);
+        LONGS_EQUAL(200, result.response.status);
+    }
+    LONGS_EQUAL(1, cluster.service(0).runsOf("w") + cluster.service(1).runsOf("w"));
+}
+
+TEST(VmLoss, NeverRunsAServiceCallAgainWhoseVmIsLost)
+{
+    cluster.start();
+    cluster.service(0).control(R"({"delay_ms":3000})");
+    cluster.service(1).control(R"({"delay_ms":3000})");
+    auto headers = unrepeatable("burner");
+    headers.add("X-Work-Id", "w");
+    const auto runs = [this] { return cluster.service(0).runsOf("w") + cluster.service(1).runsOf("w"); };
+    std::thread asking([&] { cluster.post("/thumbs/fire", "on", headers); });
+    CHECK(becomesTrue([&] { return runs() == 1; }));
+    // Whichever VM runs the call, losing two of three loses it, or leaves its record with the third.
+    cluster.killVm(1);
+    cluster.killVm(2);
+    asking.join();
+    const auto result = cluster.post("/thumbs/fire", "on", headers);
+    CHECK(result.response.status != 200 || runs() == 1);
+    LONGS_EQUAL(1, runs());
+}
