--- a/bench/FootprintStudy.cpp
+++ b/bench/FootprintStudy.cpp
@@ -104,10 +104,15 @@
 int main()
 {
     initializeLog(LogLevel::Error);
-    std::cout << "| what | bytes each |\n|---|---|\n";
-    studyTokens();
-    studyGenerations();
-    studyConnections();
-    studyEndpoints();
-    return 0;
+    try {
+        std::cout << "| what | bytes each |\n|---|---|\n";
+        studyTokens();
+        studyGenerations();
+        studyConnections();
+        studyEndpoints();
+        return 0;
+    } catch (const std::exception& error) {
+        std::cerr << "FootprintStudy: " << error.what() << "\n";
+        return 1;
+    }
 }
--- a/bench/ListenerBenchmark.cpp
+++ b/bench/ListenerBenchmark.cpp
@@ -2,6 +2,7 @@
 //
 // Readers are bare sockets, the same for both. docs/LISTENER.md keeps the figures and the choice.
 
+#include "common/ByteSizes.h"
 #include "common/Log.h"
 #include "http/HttpBodySource.h"
 #include "http/HttpExchange.h"
@@ -42,7 +43,7 @@
     boost::asio::write(
         socket, boost::asio::buffer(std::string("GET /tokens HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
     std::size_t total = 0;
-    std::vector<char> piece(64 * 1024);
+    std::vector<char> piece(64 * kibibyte);
     boost::system::error_code error;
     while (!error)
         total += socket.read_some(boost::asio::buffer(piece), error);
@@ -80,8 +81,10 @@
         exchange->stream({ 200, {}, {} }, std::make_shared<TokenSource>());
     });
     server.start();
+    constexpr std::size_t threadCount = 4;
     std::vector<std::thread> threads;
-    for (int i = 0; i < 4; ++i)
+    threads.reserve(threadCount);
+    for (std::size_t i = 0; i < threadCount; ++i)
         threads.emplace_back([&ioContext] { ioContext.run(); });
     readAllStreams(state, server.port());
     ioContext.stop();
--- a/src/daemon/Cluster.cpp
+++ b/src/daemon/Cluster.cpp
@@ -44,15 +44,6 @@
     return record;
 }
 
-std::vector<Token> tokensOf(const wire::JournalAppend& append)
-{
-    std::vector<Token> tokens;
-    tokens.reserve(static_cast<std::size_t>(append.tokens_size()));
-    for (const auto& token : append.tokens())
-        tokens.push_back({ token.id(), token.text() });
-    return tokens;
-}
-
 } // namespace
 
 Cluster::Cluster(
@@ -193,7 +184,7 @@
         if (peer.link < link.number)
             return;
         m_lastChange = m_clock.now();
-        m_handles.erase(peer.vm);
+        m_incoming.erase(peer.vm);
         older = std::move(link.journal);
         link = { peer.link,
             std::make_shared<JournalLink>(m_ioContext, m_view.epoch, m_settings.journal.flushInterval, send) };
@@ -212,7 +203,7 @@
         if (entry == m_links.end() || entry->second.number != peer.link)
             return;
         m_lastChange = m_clock.now();
-        m_handles.erase(peer.vm);
+        m_incoming.erase(peer.vm);
         journal = std::move(entry->second.journal);
         m_links.erase(entry);
         for (const auto& query : m_queries)
@@ -400,49 +391,85 @@
 void Cluster::journalArrived(const PeerIdentity& peer, const wire::Envelope& envelope)
 {
     const auto& batch = envelope.journal();
+    std::set<std::uint32_t> refused;
+    for (const auto& item : batch.items()) {
+        if (applyItem(peer, batch.epoch(), item) == JournalResult::Refused)
+            refused.insert(item.handle());
+    }
+    if (!applyTokens(peer, batch, refused)) {
+        logError(LogPart::Journal, "a batch of VM " + peer.vm + " cannot be read; it is not acknowledged.");
+        return;
+    }
+    for (const auto& item : batch.items()) {
+        if (applyEnd(peer, batch.epoch(), item) == JournalResult::Refused)
+            refused.insert(item.handle());
+    }
     wire::Envelope reply;
     auto& ack = *reply.mutable_ack();
     ack.set_number(batch.number());
-    for (int i = 0; i < batch.items_size(); ++i) {
-        if (apply(peer, batch.epoch(), envelope, i) == JournalResult::Refused)
-            ack.add_refused(batch.items(i).handle());
-    }
+    ack.mutable_refused()->Add(refused.begin(), refused.end());
     m_network->send(peer.vm, reply);
 }
 
-JournalResult Cluster::apply(const PeerIdentity& peer, std::uint64_t epoch, const wire::Envelope& envelope, int index)
+// What comes before the tokens of a stream.
+JournalResult Cluster::applyItem(const PeerIdentity& peer, std::uint64_t epoch, const wire::JournalItem& item)
 {
-    const auto& item = envelope.journal().items(index);
     const ViewMember runner { peer.vm, peer.incarnation };
-    std::string key;
     auto result = JournalResult::Applied;
     if (item.has_open()) {
         auto record = recordOf(peer, item.open());
-        key = record.request.key;
+        const auto key = record.request.key;
         // This VM may run the key itself, for a caller that came while the two could not reach each other.
         result = m_runsKey(key) ? JournalResult::Refused : m_store.open(epoch, std::move(record));
         const std::lock_guard lock(m_mutex);
-        m_handles[peer.vm][item.handle()] = key;
-    } else {
-        const std::lock_guard lock(m_mutex);
-        key = m_handles[peer.vm][item.handle()];
+        m_incoming[peer.vm].streams[item.handle()] = { key, 0 };
     }
+    const auto key = keyOfHandle(peer, item.handle());
     if (result == JournalResult::Applied && item.has_attempt())
         result = m_store.setAttempt(epoch, runner, key,
             { item.attempt().number(), item.attempt().endpoint(), item.attempt().stream(), item.attempt().position() });
-    if (result == JournalResult::Applied && item.append().prompt_ids_size())
-        result = m_store.setPromptIds(
-            epoch, runner, key, { item.append().prompt_ids().begin(), item.append().prompt_ids().end() });
-    if (result == JournalResult::Applied && item.has_append())
-        result = m_store.append(epoch, runner, key, item.append().position(), tokensOf(item.append()));
-    if (result == JournalResult::Applied && item.has_end())
-        result = m_store.finish(epoch, runner, key, static_cast<FinishReason>(item.end().finish_reason()));
+    if (result == JournalResult::Applied && item.prompt_ids_size())
+        result = m_store.setPromptIds(epoch, runner, key, { item.prompt_ids().begin(), item.prompt_ids().end() });
+    return result;
+}
+
+// What comes behind them.
+JournalResult Cluster::applyEnd(const PeerIdentity& peer, std::uint64_t epoch, const wire::JournalItem& item)
+{
+    const ViewMember runner { peer.vm, peer.incarnation };
+    const auto key = keyOfHandle(peer, item.handle());
     if (item.drop()) {
         m_store.drop(runner, key);
         const std::lock_guard lock(m_mutex);
-        m_handles[peer.vm].erase(item.handle());
+        m_incoming[peer.vm].streams.erase(item.handle());
     }
-    return result;
+    if (!item.has_end())
+        return JournalResult::Applied;
+    return m_store.finish(epoch, runner, key, static_cast<FinishReason>(item.end().finish_reason()));
+}
+
+bool Cluster::applyTokens(const PeerIdentity& peer, const wire::JournalBatch& batch, std::set<std::uint32_t>& refused)
+{
+    const ViewMember runner { peer.vm, peer.incarnation };
+    const std::lock_guard lock(m_mutex);
+    auto& incoming = m_incoming[peer.vm];
+    return readTokens(batch, incoming.texts, [&](std::uint32_t handle, std::vector<Token> tokens) {
+        auto& stream = incoming.streams[handle];
+        const auto position = stream.length;
+        stream.length += tokens.size();
+        if (m_store.append(batch.epoch(), runner, stream.key, position, std::move(tokens)) == JournalResult::Refused)
+            refused.insert(handle);
+    });
+}
+
+std::string Cluster::keyOfHandle(const PeerIdentity& peer, std::uint32_t handle) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto incoming = m_incoming.find(peer.vm);
+    if (incoming == m_incoming.end())
+        return {};
+    const auto stream = incoming->second.streams.find(handle);
+    return stream == incoming->second.streams.end() ? std::string {} : stream->second.key;
 }
 
 void Cluster::queryArrived(const PeerIdentity& peer, const wire::Envelope& envelope)
--- a/src/daemon/Cluster.h
+++ b/src/daemon/Cluster.h
@@ -10,6 +10,12 @@
 #include <atomic>
 #include <functional>
 #include <map>
+#include <set>
+
+namespace lupinknot::wire {
+class JournalItem;
+class JournalBatch;
+} // namespace lupinknot::wire
 
 namespace lupinknot::internal {
 
@@ -85,7 +91,10 @@
     void moveJournals(const std::shared_ptr<JournalLink>&);
     std::shared_ptr<JournalLink> linkFor(const std::string& key, std::string& vm) const;
     void journalArrived(const PeerIdentity&, const wire::Envelope&);
-    JournalResult apply(const PeerIdentity&, std::uint64_t epoch, const wire::Envelope&, int index);
+    JournalResult applyItem(const PeerIdentity&, std::uint64_t epoch, const wire::JournalItem&);
+    JournalResult applyEnd(const PeerIdentity&, std::uint64_t epoch, const wire::JournalItem&);
+    bool applyTokens(const PeerIdentity&, const wire::JournalBatch&, std::set<std::uint32_t>& refused);
+    std::string keyOfHandle(const PeerIdentity&, std::uint32_t handle) const;
     void queryArrived(const PeerIdentity&, const wire::Envelope&);
     void answerArrived(const PeerIdentity&, const wire::Envelope&);
 
@@ -109,8 +118,16 @@
     };
     std::map<std::string, Link> m_links;
     std::unordered_map<const JournalSource*, std::string> m_placed;
-    // The keys that a peer's handles stand for.
-    std::map<std::string, std::unordered_map<std::uint32_t, std::string>> m_handles;
+    // What a peer's handles stand for, and the texts that came over its link.
+    struct Incoming {
+        struct Stream {
+            std::string key;
+            std::size_t length { 0 };
+        };
+        std::unordered_map<std::uint32_t, Stream> streams;
+        TokenTexts texts;
+    };
+    std::map<std::string, Incoming> m_incoming;
     std::map<std::uint64_t, Query> m_queries;
     std::uint64_t m_lastQuery { 0 };
     Milliseconds m_lastChange { 0 };
--- a/src/daemon/JournalLink.cpp
+++ b/src/daemon/JournalLink.cpp
@@ -105,8 +105,11 @@
     for (auto& stream : pending) {
         auto& item = *batch.add_items();
         item.set_handle(stream.handle);
-        if (!stream.source->fillJournal(stream.cursor, item))
+        std::vector<Token> tokens;
+        if (!stream.source->fillJournal(stream.cursor, item, tokens))
             batch.mutable_items()->RemoveLast();
+        if (!tokens.empty())
+            addTokens(batch, m_texts, stream.handle, tokens.data(), tokens.size());
     }
     const std::lock_guard lock(m_mutex);
     m_isFlushScheduled = false;
@@ -116,7 +119,8 @@
         item.set_drop(true);
     }
     m_dropped.clear();
-    if (m_isClosed || !batch.items_size())
+    const bool hasNews = batch.items_size() || batch.token_handles_size();
+    if (m_isClosed || !hasNews)
         return;
     for (const auto& stream : pending) {
         if (const auto entry = m_streams.find(stream.key); entry != m_streams.end())
--- a/src/daemon/JournalLink.h
+++ b/src/daemon/JournalLink.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "daemon/JournalSource.h"
+#include "daemon/JournalTokens.h"
 #include "lupinknot/Clock.h"
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -57,6 +58,8 @@
     const std::uint64_t m_epoch;
     const Milliseconds m_flushInterval;
     const Send m_send;
+    // Touched by the flush alone, of which there is one at a time.
+    TokenTexts m_texts;
     std::mutex m_mutex;
     // All that follows is under the lock.
     boost::asio::steady_timer m_timer;
--- a/src/daemon/JournalSource.h
+++ b/src/daemon/JournalSource.h
@@ -23,8 +23,9 @@
 public:
     virtual ~JournalSource() = default;
     virtual const std::string& journalKey() const = 0;
-    // Adds what lies beyond the cursor to the item, and moves the cursor. Returns false when there is nothing.
-    virtual bool fillJournal(JournalCursor&, wire::JournalItem&) const = 0;
+    // Adds what lies beyond the cursor to the item, tokens to the list, and moves the cursor. Returns false when the
+    // item has nothing.
+    virtual bool fillJournal(JournalCursor&, wire::JournalItem&, std::vector<Token>&) const = 0;
     // A replica holds everything up to the cursor.
     virtual void journalAcknowledged(const JournalCursor&) = 0;
     // No other VM can be reached.
--- a/src/daemon/KeyedServiceCall.cpp
+++ b/src/daemon/KeyedServiceCall.cpp
@@ -77,7 +77,7 @@
     m_endedAt = m_context.clock.now();
 }
 
-bool KeyedServiceCall::fillJournal(JournalCursor& cursor, wire::JournalItem& item) const
+bool KeyedServiceCall::fillJournal(JournalCursor& cursor, wire::JournalItem& item, std::vector<Token>&) const
 {
     if (cursor.isOpened)
         return false;
--- a/src/daemon/LiveGeneration.cpp
+++ b/src/daemon/LiveGeneration.cpp
@@ -201,7 +201,7 @@
     return m_driver.isOver() && (!mustBeHeld || m_acknowledged.isEnded);
 }
 
-bool LiveGeneration::fillJournal(JournalCursor& cursor, wire::JournalItem& item) const
+bool LiveGeneration::fillJournal(JournalCursor& cursor, wire::JournalItem& item, std::vector<Token>& news) const
 {
     const std::lock_guard lock(m_mutex);
     const auto& generation = m_driver.generation();
@@ -226,18 +226,14 @@
         cursor.attempt = m_journaledAttempt->number;
         hasNews = true;
     }
-    if (cursor.length < generation.length()) {
-        auto& append = *item.mutable_append();
-        append.set_position(cursor.length);
-        if (!cursor.length)
-            append.mutable_prompt_ids()->Add(m_promptIds.begin(), m_promptIds.end());
-        for (; cursor.length < generation.length(); ++cursor.length) {
-            auto& token = *append.add_tokens();
-            token.set_id(generation.tokens()[cursor.length].id);
-            token.set_text(generation.tokens()[cursor.length].text);
-        }
+    const bool isFirst = !cursor.length && generation.length();
+    if (isFirst) {
+        item.mutable_prompt_ids()->Add(m_promptIds.begin(), m_promptIds.end());
         hasNews = true;
     }
+    const auto& tokens = generation.tokens();
+    news.assign(tokens.begin() + static_cast<std::ptrdiff_t>(cursor.length), tokens.end());
+    cursor.length = tokens.size();
     if (generation.isEnded() && !cursor.isEnded) {
         item.mutable_end()->set_finish_reason(static_cast<int>(*generation.finishReason()));
         cursor.isEnded = true;
--- a/src/daemon/LiveGeneration.h
+++ b/src/daemon/LiveGeneration.h
@@ -69,7 +69,7 @@
 
     // JournalSource; called by the journal without any lock.
     const std::string& journalKey() const override { return m_key; }
-    bool fillJournal(JournalCursor&, wire::JournalItem&) const override;
+    bool fillJournal(JournalCursor&, wire::JournalItem&, std::vector<Token>&) const override;
     void journalAcknowledged(const JournalCursor&) override;
     void journalUnprotected() override;
     void journalRefused() override;
--- a/src/standin/TokenSequence.cpp
+++ b/src/standin/TokenSequence.cpp
@@ -1,6 +1,8 @@
 #include "standin/TokenSequence.h"
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 #include <xxhash.h>
 
 namespace lupinknot::internal {
@@ -9,6 +11,9 @@
 
 constexpr std::uint64_t initialState = 0x6c7570696e6b6e6f;
 constexpr std::uint64_t vocabularySize = 50000;
+// A double holds 53 bits of the state.
+constexpr unsigned unusedBits = 11;
+constexpr double fullScale = 9007199254740992.0;
 constexpr std::array<std::string_view, 16> syllables { "ba", "de", "fi", "go", "hu", "ka", "le", "mi", "no", "pu", "ra",
     "se", "ti", "vo", "wa", "zu" };
 
@@ -25,7 +30,9 @@
 
 Token TokenSequence::next() const
 {
-    const auto id = static_cast<TokenId>(m_state % vocabularySize);
+    // Frequent tokens are short and few, as in language: the chance of an id falls as its rank (Zipf).
+    const auto draw = static_cast<double>(m_state >> unusedBits) / fullScale;
+    const auto id = static_cast<TokenId>(std::pow(static_cast<double>(vocabularySize), draw)) - 1;
     return { id, textOfToken(id) };
 }
 
--- /dev/null
+++ b/test/JournalTokensTest.cpp
@@ -0,0 +1,60 @@
+#include "daemon/JournalTokens.h"
+#include "peer/generated/Messages.pb.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+
+TEST_GROUP(JournalTokens)
+{
+    TokenTexts sent;
+    TokenTexts received;
+
+    // What arrives of tokens of one stream, as "handle:text text ".
+    std::string passOn(const std::vector<Token>& tokens, std::size_t* bytes = nullptr)
+    {
+        wire::JournalBatch batch;
+        addTokens(batch, sent, 7, tokens.data(), tokens.size());
+        if (bytes)
+            *bytes = batch.ByteSizeLong();
+        std::string arrived;
+        readTokens(batch, received, [&arrived](std::uint32_t handle, const std::vector<Token>& got) {
+            arrived += std::to_string(handle) + ":";
+            for (const auto& token : got)
+                arrived += std::to_string(token.id) + token.text + " ";
+        });
+        return arrived;
+    }
+};
+
+TEST(JournalTokens, PassesIdsAndTextsOn)
+{
+    STRCMP_EQUAL("7:1 the 2 rain 3 ", passOn({ { 1, " the" }, { 2, " rain" }, { 3, "" } }).c_str());
+}
+
+TEST(JournalTokens, SendsATextOnceForItsId)
+{
+    std::size_t first = 0;
+    std::size_t second = 0;
+    passOn({ { 1, " thunderstorm" } }, &first);
+    STRCMP_EQUAL("7:1 thunderstorm ", passOn({ { 1, " thunderstorm" } }, &second).c_str());
+    CHECK(second + 13 <= first);
+}
+
+TEST(JournalTokens, SendsAnotherTextOfTheSameId)
+{
+    passOn({ { 1, " the" } });
+    STRCMP_EQUAL("7:1The ", passOn({ { 1, "The" } }).c_str());
+    STRCMP_EQUAL("7:1The ", passOn({ { 1, "The" } }).c_str());
+}
+
+TEST(JournalTokens, RefusesColumnsThatDoNotFitTogether)
+{
+    wire::JournalBatch batch;
+    batch.add_token_handles(1);
+    batch.add_token_counts(2);
+    batch.add_token_ids(5);
+    batch.add_text_lengths(100);
+    CHECK_FALSE(readTokens(batch, received, [](std::uint32_t, const std::vector<Token>&) {}));
+}
