Driver: a stopped generation takes no tokens; forwarded callers leave a VM that stands still

A stopped generation's last attempt keeps its number, so tokens still on their way were appended and could even complete it. The same held after a caller had gone. Change: the driver refuses tokens and ends of an attempt that it does not run. Requests passed on to a VM whose link is lost are cut off, so that their callers come back (after silence_ms, before: when the VM woke). Messages of a replaced link are dropped, as their handles mean something else by then.

--- a/include/lupinknot/GenerationDriver.h
+++ b/include/lupinknot/GenerationDriver.h
@@ -90,6 +90,7 @@
     };
 
     bool isCurrent(AttemptNumber number) const { return m_state == State::Running && number == m_running.number; }
+    AppendResult refusalOfStale() const;
     void tryNextAttempt(Milliseconds now);
     void beginAttempt(EndpointChoice, Milliseconds now, bool attaches);
     void waitForEndpoint(Milliseconds now);
--- a/src/core/GenerationDriver.cpp
+++ b/src/core/GenerationDriver.cpp
@@ -43,6 +43,8 @@
 
 AppendResult GenerationDriver::tokenArrived(AttemptNumber attempt, std::size_t position, Token token, Milliseconds now)
 {
+    if (!isCurrent(attempt))
+        return refusalOfStale();
     const auto result = m_generation.append(attempt, position, std::move(token));
     if (result == AppendResult::WrongPosition)
         attemptFailed(attempt, FailureKind::WrongPosition, now);
@@ -57,6 +59,8 @@
 AppendResult GenerationDriver::attemptFinished(
     AttemptNumber attempt, std::size_t position, FinishReason reason, Milliseconds now)
 {
+    if (!isCurrent(attempt))
+        return refusalOfStale();
     const auto result = m_generation.finish(attempt, position, reason);
     if (result == AppendResult::WrongPosition)
         attemptFailed(attempt, FailureKind::WrongPosition, now);
@@ -65,6 +69,12 @@
     return result;
 }
 
+// The last attempt keeps its number when it is cancelled, so the generation alone would still take its tokens.
+AppendResult GenerationDriver::refusalOfStale() const
+{
+    return m_generation.isEnded() ? AppendResult::AlreadyEnded : AppendResult::NotCurrentAttempt;
+}
+
 void GenerationDriver::attemptFailed(AttemptNumber attempt, FailureKind failure, Milliseconds now)
 {
     if (isCurrent(attempt))
--- a/src/daemon/Cluster.cpp
+++ b/src/daemon/Cluster.cpp
@@ -1,6 +1,7 @@
 #include "daemon/Cluster.h"
 
 #include "common/Log.h"
+#include "daemon/PeerWatcher.h"
 #include "lupinknot/Clock.h"
 #include "peer/generated/Messages.pb.h"
 
@@ -159,6 +160,24 @@
         link->remove(&source);
 }
 
+void Cluster::watch(const std::string& vm, const std::shared_ptr<PeerWatcher>& watcher)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_links.count(vm)) {
+            auto& watchers = m_watchers[vm];
+            const auto isGone = [](const std::weak_ptr<PeerWatcher>& other) { return other.expired(); };
+            // Watchers that are gone are cleared out when the list has doubled, so that each is looked at a few times
+            // only.
+            if (watchers.size() == watchers.capacity())
+                watchers.erase(std::remove_if(watchers.begin(), watchers.end(), isGone), watchers.end());
+            watchers.push_back(watcher);
+            return;
+        }
+    }
+    watcher->peerLost();
+}
+
 void Cluster::sweep() { m_store.sweep(m_clock.now(), m_settings.generation.retention); }
 
 std::vector<PeerIdentity> Cluster::peersUp() const
@@ -196,6 +215,7 @@
 {
     std::shared_ptr<JournalLink> journal;
     std::vector<std::uint64_t> queries;
+    std::vector<std::weak_ptr<PeerWatcher>> watchers;
     {
         const std::lock_guard lock(m_mutex);
         const auto entry = m_links.find(peer.vm);
@@ -206,6 +226,8 @@
         m_incoming.erase(peer.vm);
         journal = std::move(entry->second.journal);
         m_links.erase(entry);
+        watchers = std::move(m_watchers[peer.vm]);
+        m_watchers.erase(peer.vm);
         for (const auto& query : m_queries)
             queries.push_back(query.first);
     }
@@ -213,6 +235,10 @@
     moveJournals(journal);
     for (const auto query : queries)
         queryTimedOut(query);
+    for (const auto& weak : watchers) {
+        if (const auto watcher = weak.lock())
+            watcher->peerLost();
+    }
 }
 
 // The journals of a lost link go on elsewhere, from their beginning.
@@ -226,6 +252,9 @@
 
 void Cluster::peerMessage(const PeerIdentity& peer, const wire::Envelope& envelope)
 {
+    // A message of a link that was replaced would speak of handles that mean something else now.
+    if (!isNewestLink(peer))
+        return;
     if (envelope.has_journal()) {
         journalArrived(peer, envelope);
     } else if (envelope.has_ack()) {
@@ -267,6 +296,13 @@
     });
 }
 
+bool Cluster::isNewestLink(const PeerIdentity& peer) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto link = m_links.find(peer.vm);
+    return link != m_links.end() && link->second.number == peer.link;
+}
+
 // While nothing has changed for the time that answers are kept, a key that its owner does not know is new.
 bool Cluster::isSettled() const
 {
--- a/src/daemon/Cluster.h
+++ b/src/daemon/Cluster.h
@@ -19,6 +19,8 @@
 
 namespace lupinknot::internal {
 
+class PeerWatcher;
+
 // Where a request with a key is to be served.
 struct Placement {
     enum class Kind {
@@ -58,6 +60,9 @@
     void changed(const JournalSource&);
     void detach(const JournalSource&);
 
+    // Tells the watcher when the link to a VM is lost; at once when there is none.
+    void watch(const std::string& vm, const std::shared_ptr<PeerWatcher>&);
+
     void sweep();
     std::size_t recordCount() const { return m_store.size(); }
     std::vector<PeerIdentity> peersUp() const;
@@ -79,6 +84,7 @@
         std::uint64_t holderLength { 0 };
     };
 
+    bool isNewestLink(const PeerIdentity&) const;
     bool hasJoined();
     void placeLater(const std::string& key, bool isForwarded, Decide);
     bool isSettled() const;
@@ -117,6 +123,7 @@
         std::shared_ptr<JournalLink> journal;
     };
     std::map<std::string, Link> m_links;
+    std::map<std::string, std::vector<std::weak_ptr<PeerWatcher>>> m_watchers;
     std::unordered_map<const JournalSource*, std::string> m_placed;
     // What a peer's handles stand for, and the texts that came over its link.
     struct Incoming {
--- a/src/daemon/ForwardedRequest.cpp
+++ b/src/daemon/ForwardedRequest.cpp
@@ -1,6 +1,7 @@
 #include "daemon/ForwardedRequest.h"
 
 #include "common/Log.h"
+#include "daemon/Cluster.h"
 #include "http/HttpCallGroup.h"
 #include "http/HttpExchange.h"
 #include "http/JsonError.h"
@@ -37,8 +38,11 @@
             outgoing.headers.add(field.name, field.value);
     }
     outgoing.headers.add(hopsHeader, std::to_string(hops));
-    const std::lock_guard lock(m_mutex);
-    m_call = m_context.calls.start(address, outgoing, callTimeout, shared_from_this());
+    {
+        const std::lock_guard lock(m_mutex);
+        m_call = m_context.calls.start(address, outgoing, callTimeout, shared_from_this());
+    }
+    m_context.cluster.watch(m_vm, shared_from_this());
 }
 
 void ForwardedRequest::headArrived(unsigned status, const HttpHeaders& headers)
@@ -80,7 +84,8 @@
         m_exchange->abort();
         return;
     }
-    if (failure != HttpCallFailure::Cancelled)
+    const bool isCallerGone = failure == HttpCallFailure::Cancelled && !m_isPeerLost;
+    if (!isCallerGone)
         m_onLost();
 }
 
@@ -90,6 +95,15 @@
     return { std::exchange(m_bytes, {}), m_isEnded };
 }
 
+void ForwardedRequest::peerLost()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_isEnded)
+        return;
+    m_isPeerLost = true;
+    boost::asio::post(m_context.ioContext, [call = m_call] { call->cancel(); });
+}
+
 void ForwardedRequest::callerGone()
 {
     const std::lock_guard lock(m_mutex);
--- a/src/daemon/ForwardedRequest.h
+++ b/src/daemon/ForwardedRequest.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemon/GenerationContext.h"
+#include "daemon/PeerWatcher.h"
 #include "http/HttpBodySource.h"
 #include "http/HttpCallListener.h"
 #include "http/HttpResponse.h"
@@ -20,6 +21,7 @@
 // other VM itself.
 class ForwardedRequest final : public HttpCallListener,
                                public HttpBodySource,
+                               public PeerWatcher,
                                public std::enable_shared_from_this<ForwardedRequest> {
 public:
     // Carried by forwarded requests; its value counts how often the request was passed on.
@@ -39,6 +41,9 @@
 
     HttpBodyPiece next() override;
 
+    // The other VM is dead, cut off or standing still; its connection may say nothing of that for long.
+    void peerLost() override;
+
 private:
     void callerGone();
 
@@ -54,6 +59,7 @@
     bool m_isStream { false };
     std::string m_bytes;
     bool m_isEnded { false };
+    bool m_isPeerLost { false };
 };
 
 } // namespace lupinknot::internal
--- a/test/GenerationDriverTest.cpp
+++ b/test/GenerationDriverTest.cpp
@@ -275,3 +275,29 @@
     LONGS_EQUAL(50, host.resumptions[0].gap.count());
     LONGS_EQUAL(40, host.resumptions[0].sinceDetection.count());
 }
+
+// A cancelled attempt can still have tokens on their way. Taking them would go on with work that was stopped.
+TEST(GenerationDriver, RefusesTokensOfItsLastAttemptOnceItIsStopped)
+{
+    const GenerationErrorCode reasons[] = { GenerationErrorCode::Abandoned, GenerationErrorCode::TakenOver };
+    for (const auto reason : reasons) {
+        auto driver = makeDriver();
+        driver.start(at(0));
+        giveTokens(driver, 1, 0, 1, 10);
+        driver.stop(reason);
+        giveTokens(driver, 1, 1, maxTokens - 1, 20);
+        LONGS_EQUAL(1, driver.generation().length());
+        const auto result = driver.attemptFinished(1, 1, FinishReason::Stop, at(20));
+        STRCMP_EQUAL("not-current-attempt", std::string(nameIn(appendResultNames, result)).c_str());
+    }
+}
+
+TEST(GenerationDriver, RefusesTokensOfALostAttemptWhileItWaitsForAnEndpoint)
+{
+    auto driver = makeDriver();
+    driver.start(at(0));
+    host.available.clear();
+    driver.attemptFailed(1, FailureKind::Silent, at(500));
+    giveTokens(driver, 1, 0, 1, 510);
+    LONGS_EQUAL(0, driver.generation().length());
+}
--- a/test/HttpServerTest.cpp
+++ b/test/HttpServerTest.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpServer.h"
 #include "RawConnection.h"
+#include "common/ByteSizes.h"
 #include "http/HttpBodySource.h"
 #include "http/HttpExchange.h"
 #include "http/HttpFetch.h"
@@ -91,7 +92,7 @@
         return { std::string(pieceSize, 'x'), false };
     }
 
-    static constexpr std::size_t pieceSize = 64 * 1024;
+    static constexpr std::size_t pieceSize = 64 * kibibyte;
     std::atomic<std::size_t> produced { 0 };
 };
 
@@ -219,7 +220,7 @@
 // A reader that takes nothing stops the source; its connection is given up when the time for a flush is over.
 TEST(HttpServer, DoesNotPullForAReaderThatTakesNothing)
 {
-    constexpr std::size_t moreThanSocketBuffers = 64 * 1024 * 1024;
+    constexpr std::size_t moreThanSocketBuffers = 64 * mebibyte;
     HeldServer server({ .writeTimeout = Milliseconds { 100 } });
     RawConnection peer(server.port());
     peer.send(request);
--- a/test/VmLossTest.cpp
+++ b/test/VmLossTest.cpp
@@ -37,6 +37,14 @@
 {
     TestCluster cluster { 2, vms };
 
+    void setup() override
+    {
+        // A busy machine must not make an engine look silent here.
+        cluster.settings.silence.floor = Milliseconds { 60000 };
+        cluster.settings.silence.ceiling = Milliseconds { 60000 };
+        cluster.settings.silence.prefill = Milliseconds { 60000 };
+    }
+
     // Runs a keyed generation and kills the VM that runs it in the middle.
     GenerationResult runAndKill(GenerationCallerOptions caller)
     {
@@ -46,7 +54,7 @@
             if (position == 10)
                 killer = std::thread([this] { cluster.killVm(cluster.runningVm()); });
         };
-        const auto result = cluster.run(caller);
+        auto result = cluster.run(caller);
         killer.join();
         return result;
     }
