Callers who leave before their call begins; ports out of the way of outgoing connections

Change: both look whether the caller is gone before they start; a test sends 200 requests and leaves at once. Demo and tests take fixed ports below that range.

--- a/src/daemon/ForwardedRequest.cpp
+++ b/src/daemon/ForwardedRequest.cpp
@@ -40,6 +40,9 @@
     outgoing.headers.add(hopsHeader, std::to_string(hops));
     {
         const std::lock_guard lock(m_mutex);
+        // A caller can be gone before the call begins.
+        if (m_isCallerGone)
+            return;
         m_call = m_context.calls.start(address, outgoing, callTimeout, shared_from_this());
     }
     m_context.cluster.watch(m_vm, shared_from_this());
@@ -84,8 +87,7 @@
         m_exchange->abort();
         return;
     }
-    const bool isCallerGone = failure == HttpCallFailure::Cancelled && !m_isPeerLost;
-    if (!isCallerGone)
+    if (!m_isCallerGone)
         m_onLost();
 }
 
@@ -101,13 +103,21 @@
     if (m_isEnded)
         return;
     m_isPeerLost = true;
-    boost::asio::post(m_context.ioContext, [call = m_call] { call->cancel(); });
+    cancelCall();
 }
 
 void ForwardedRequest::callerGone()
 {
     const std::lock_guard lock(m_mutex);
-    boost::asio::post(m_context.ioContext, [call = m_call] { call->cancel(); });
+    m_isCallerGone = true;
+    cancelCall();
+}
+
+// Not on this stack: cancelling may run callbacks of the call, and those take the lock.
+void ForwardedRequest::cancelCall()
+{
+    if (m_call)
+        boost::asio::post(m_context.ioContext, [call = m_call] { call->cancel(); });
 }
 
 } // namespace lupinknot::internal
--- a/src/daemon/ForwardedRequest.h
+++ b/src/daemon/ForwardedRequest.h
@@ -46,6 +46,7 @@
 
 private:
     void callerGone();
+    void cancelCall();
 
     const GenerationContext m_context;
     const std::shared_ptr<HttpExchange> m_exchange;
@@ -60,6 +61,7 @@
     std::string m_bytes;
     bool m_isEnded { false };
     bool m_isPeerLost { false };
+    bool m_isCallerGone { false };
 };
 
 } // namespace lupinknot::internal
--- a/src/daemon/ServiceCall.cpp
+++ b/src/daemon/ServiceCall.cpp
@@ -42,7 +42,9 @@
 {
     m_exchange->onGone([self = shared_from_this()] { self->cancel(); });
     const std::lock_guard lock(m_mutex);
-    tryNext();
+    // A caller can be gone before the call begins.
+    if (!m_isOver)
+        tryNext();
 }
 
 void ServiceCall::headArrived(unsigned status, const HttpHeaders& headers)
@@ -149,8 +151,10 @@
     if (m_isOver)
         return;
     m_isOver = true;
-    endTry(std::nullopt);
     m_context.metrics.callersGone.Increment();
+    if (!m_call)
+        return;
+    endTry(std::nullopt);
     boost::asio::post(m_context.ioContext, [call = m_call] { call->cancel(); });
 }
 
--- a/test/TestCluster.cpp
+++ b/test/TestCluster.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace lupinknot::internal {
 
@@ -22,11 +23,24 @@
     return settings;
 }
 
+// Ports below the range from which the system takes those of outgoing connections, so that a restarted VM finds its own
+// free; tests of two processes begin at different ones.
 std::int64_t freePort()
 {
+    constexpr int firstPort = 20000;
+    constexpr int portCount = 12000;
+    static int next = static_cast<int>(getpid()) * 64 % portCount;
     boost::asio::io_context ioContext;
-    const tcp::acceptor acceptor(ioContext, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    return acceptor.local_endpoint().port();
+    for (;;) {
+        next = (next + 1) % portCount;
+        const auto port = static_cast<unsigned short>(firstPort + next);
+        tcp::acceptor acceptor(ioContext);
+        boost::system::error_code error;
+        acceptor.open(tcp::v4(), error);
+        acceptor.bind({ boost::asio::ip::make_address("127.0.0.1"), port }, error);
+        if (!error)
+            return port;
+    }
 }
 
 } // namespace
@@ -36,7 +50,7 @@
     , m_vmCount(vmCount)
 {
     for (std::size_t i = 0; i < vmCount; ++i)
-        m_peerPorts.push_back(freePort());
+        m_ports.push_back({ freePort(), freePort(), freePort() });
     settings.vm.name = "a1";
     settings.vm.zone = "z1";
     settings.vm.stopNotice = Milliseconds { 0 };
@@ -85,10 +99,7 @@
 
 void TestCluster::startVm(std::size_t index)
 {
-    auto restarted = settingsOf(index);
-    restarted.listener.port = m_load.daemons[index].callers.port;
-    restarted.admin.port = m_load.daemons[index].operators.port;
-    m_daemons[index] = std::make_unique<Daemon>(restarted);
+    m_daemons[index] = std::make_unique<Daemon>(settingsOf(index));
     m_daemons[index]->start();
 }
 
@@ -123,11 +134,13 @@
 {
     auto copy = settings;
     copy.vm.name = "vm" + std::to_string(vm + 1);
-    copy.cluster.port = m_peerPorts[vm];
+    copy.listener.port = m_ports[vm].callers;
+    copy.admin.port = m_ports[vm].operators;
+    copy.cluster.port = m_ports[vm].peers;
     copy.cluster.reconnectInterval = Milliseconds { 20 };
     for (std::size_t i = 0; i < m_vmCount; ++i) {
         if (i != vm)
-            copy.peers.push_back({ "vm" + std::to_string(i + 1), "z1", "127.0.0.1", m_peerPorts[i] });
+            copy.peers.push_back({ "vm" + std::to_string(i + 1), "z1", "127.0.0.1", m_ports[i].peers });
     }
     return copy;
 }
--- a/test/TestCluster.h
+++ b/test/TestCluster.h
@@ -61,7 +61,12 @@
     std::vector<std::unique_ptr<ServiceStandIn>> m_services;
     std::unique_ptr<PlatformStandIn> m_platform;
     std::size_t m_vmCount;
-    std::vector<std::int64_t> m_peerPorts;
+    struct Ports {
+        std::int64_t callers;
+        std::int64_t operators;
+        std::int64_t peers;
+    };
+    std::vector<Ports> m_ports;
     std::vector<std::unique_ptr<Daemon>> m_daemons;
     LoadOptions m_load;
 };
--- a/test/VmLossTest.cpp
+++ b/test/VmLossTest.cpp
@@ -1,5 +1,6 @@
 // Several daemons between stand-ins: what callers see when one of them dies, and that work runs once.
 
+#include "RawConnection.h"
 #include "TestCluster.h"
 
 #include <CppUTest/TestHarness.h>
@@ -216,3 +217,19 @@
     CHECK(result.response.status != 200 || runs() == 1);
     LONGS_EQUAL(1, runs());
 }
+
+// A caller can be gone before the call that serves it has begun.
+TEST(VmLoss, SurvivesCallersWhoLeaveAtOnce)
+{
+    cluster.start();
+    for (int i = 0; i < 100; ++i) {
+        RawConnection completion(cluster.daemon(0).port());
+        completion.send("POST /v1/completions HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k" + std::to_string(i)
+            + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        completion.close();
+        RawConnection service(cluster.daemon(0).port());
+        service.send("GET /thumbs HTTP/1.1\r\nHost: h\r\n\r\n");
+        service.close();
+    }
+    checkWhole(cluster.run(cluster.caller("after")));
+}
