--- a/include/lupinknot/ReplicaStore.h
+++ b/include/lupinknot/ReplicaStore.h
@@ -16,6 +16,7 @@
 
 #include "lupinknot/EnumNames.h"
 #include "lupinknot/ReplicaRecord.h"
+#include <functional>
 #include <mutex>
 #include <unordered_map>
 
@@ -65,8 +66,10 @@
         std::optional<Milliseconds> orphanedAt;
     };
 
-    // The entry of a key if the runner may still write to it.
-    Entry* writable(std::uint64_t epoch, const ViewMember& runner, const std::string& key);
+    using Change = std::function<JournalResult(ReplicaRecord&)>;
+
+    // Changes the record of a key if its runner may still write to it.
+    JournalResult write(std::uint64_t epoch, const ViewMember& runner, const std::string& key, const Change&);
 
     mutable std::mutex m_mutex;
     // Both under the lock.
--- a/src/core/ReplicaStore.cpp
+++ b/src/core/ReplicaStore.cpp
@@ -29,49 +29,42 @@
 JournalResult ReplicaStore::append(std::uint64_t epoch, const ViewMember& runner, const std::string& key,
     std::size_t position, std::vector<Token> tokens)
 {
-    const std::lock_guard lock(m_mutex);
-    auto* entry = writable(epoch, runner, key);
-    if (!entry || position > entry->record.tokens.size())
-        return JournalResult::Refused;
-    auto& held = entry->record.tokens;
-    for (auto& token : tokens) {
-        if (position++ == held.size())
-            held.push_back(std::move(token));
-    }
-    return JournalResult::Applied;
+    return write(epoch, runner, key, [&](ReplicaRecord& record) {
+        if (position > record.tokens.size())
+            return JournalResult::Refused;
+        for (auto& token : tokens) {
+            if (position++ == record.tokens.size())
+                record.tokens.push_back(std::move(token));
+        }
+        return JournalResult::Applied;
+    });
 }
 
 JournalResult ReplicaStore::setPromptIds(
     std::uint64_t epoch, const ViewMember& runner, const std::string& key, std::vector<TokenId> ids)
 {
-    const std::lock_guard lock(m_mutex);
-    auto* entry = writable(epoch, runner, key);
-    if (!entry)
-        return JournalResult::Refused;
-    entry->record.promptIds = std::move(ids);
-    return JournalResult::Applied;
+    return write(epoch, runner, key, [&](ReplicaRecord& record) {
+        record.promptIds = std::move(ids);
+        return JournalResult::Applied;
+    });
 }
 
 JournalResult ReplicaStore::setAttempt(
     std::uint64_t epoch, const ViewMember& runner, const std::string& key, JournaledAttempt attempt)
 {
-    const std::lock_guard lock(m_mutex);
-    auto* entry = writable(epoch, runner, key);
-    if (!entry)
-        return JournalResult::Refused;
-    entry->record.attempt = std::move(attempt);
-    return JournalResult::Applied;
+    return write(epoch, runner, key, [&](ReplicaRecord& record) {
+        record.attempt = std::move(attempt);
+        return JournalResult::Applied;
+    });
 }
 
 JournalResult ReplicaStore::finish(
     std::uint64_t epoch, const ViewMember& runner, const std::string& key, FinishReason reason)
 {
-    const std::lock_guard lock(m_mutex);
-    auto* entry = writable(epoch, runner, key);
-    if (!entry)
-        return JournalResult::Refused;
-    entry->record.finishReason = reason;
-    return JournalResult::Applied;
+    return write(epoch, runner, key, [&](ReplicaRecord& record) {
+        record.finishReason = reason;
+        return JournalResult::Applied;
+    });
 }
 
 void ReplicaStore::drop(const ViewMember& runner, const std::string& key)
@@ -140,13 +133,16 @@
     return m_entries.size();
 }
 
-ReplicaStore::Entry* ReplicaStore::writable(std::uint64_t epoch, const ViewMember& runner, const std::string& key)
+JournalResult ReplicaStore::write(
+    std::uint64_t epoch, const ViewMember& runner, const std::string& key, const Change& change)
 {
+    const std::lock_guard lock(m_mutex);
     const auto found = m_entries.find(key);
     if (epoch < m_floor || found == m_entries.end())
-        return nullptr;
+        return JournalResult::Refused;
     auto& entry = found->second;
-    return entry.isSealed || !(entry.record.runner == runner) ? nullptr : &entry;
+    const bool isShut = entry.isSealed || !(entry.record.runner == runner);
+    return isShut ? JournalResult::Refused : change(entry.record);
 }
 
 } // namespace lupinknot
