A key that was refused as not run is free again; an ended daemon sends nothing

Who was told not-run and when to come back got the same refusal for retention_ms, generations and service calls alike. The new test of it over several VMs then showed two more: a drop and a new open of one key in one batch lost the new record, and a VM's own old record on its replica sent the request round until not_settled. A test that counts engine runs failed once under load: a daemon that is being destroyed still heard its callers leave, or started another attempt after its calls had ended. Change: isVoid() (was isTakenOver) covers both in the one place where keys are looked up; drops go first in a batch; an asking VM's record of its present life is not counted as known; an ended call group sends nothing, and the daemon's threads end before its links do. Conclusion: come back after Retry-After now means what it says.

--- a/src/daemon/Cluster.cpp
+++ b/src/daemon/Cluster.cpp
@@ -452,6 +452,12 @@
 {
     const ViewMember runner { peer.vm, peer.incarnation };
     auto result = JournalResult::Applied;
+    if (item.drop()) {
+        m_store.drop(runner, keyOfHandle(peer, item.handle()));
+        const std::lock_guard lock(m_mutex);
+        m_incoming[peer.vm].streams.erase(item.handle());
+        return result;
+    }
     if (item.has_open()) {
         auto record = recordOf(peer, item.open());
         const auto key = record.request.key;
@@ -474,11 +480,6 @@
 {
     const ViewMember runner { peer.vm, peer.incarnation };
     const auto key = keyOfHandle(peer, item.handle());
-    if (item.drop()) {
-        m_store.drop(runner, key);
-        const std::lock_guard lock(m_mutex);
-        m_incoming[peer.vm].streams.erase(item.handle());
-    }
     if (!item.has_end())
         return JournalResult::Applied;
     return m_store.finish(epoch, runner, key, static_cast<FinishReason>(item.end().finish_reason()));
@@ -516,8 +517,10 @@
     answer.set_id(envelope.query().id());
     answer.set_is_runner(m_runsKey(key));
     const auto record = m_store.find(key);
-    // A record of the asking VM itself, from before its restart, counts too.
-    answer.set_is_known(answer.is_runner() || record.has_value());
+    // A record of the asking VM itself counts if it is from before its restart. In its present life the VM knows best
+    // that it has let go of the key.
+    const bool isAskersOwn = record && record->runner == ViewMember { peer.vm, peer.incarnation };
+    answer.set_is_known(answer.is_runner() || (record && !isAskersOwn));
     answer.set_length(record ? record->tokens.size() : 0);
     m_network->send(peer.vm, reply);
 }
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -70,11 +70,12 @@
 
 Daemon::~Daemon()
 {
-    m_platform->stop();
-    m_cluster->stop();
+    // The threads first: what the others hear of the end must find nobody here who acts on it.
     m_ioContext.stop();
     for (auto& thread : m_threads)
         thread.join();
+    m_platform->stop();
+    m_cluster->stop();
     // The listeners of calls use everything above; none is called after this.
     m_calls->cancelAndWait();
 }
--- a/src/daemon/GenerationRegistry.cpp
+++ b/src/daemon/GenerationRegistry.cpp
@@ -74,8 +74,9 @@
     const auto entry = shard.byKey.find(key);
     if (entry == shard.byKey.end())
         return nullptr;
-    if (!entry->second->isTakenOver())
+    if (!entry->second->isVoid())
         return entry->second;
+    entry->second->forget();
     shard.byKey.erase(entry);
     --m_heldCount;
     return nullptr;
--- a/src/daemon/JournalLink.cpp
+++ b/src/daemon/JournalLink.cpp
@@ -97,10 +97,10 @@
 
 void JournalLink::flush()
 {
-    auto pending = takeDirty();
     wire::Envelope envelope;
     auto& batch = *envelope.mutable_journal();
     batch.set_epoch(m_epoch);
+    auto pending = takeDirty(batch);
     // The generations are asked without the journal's lock, which they take under their own.
     for (auto& stream : pending) {
         auto& item = *batch.add_items();
@@ -113,12 +113,6 @@
     }
     const std::lock_guard lock(m_mutex);
     m_isFlushScheduled = false;
-    for (const auto handle : m_dropped) {
-        auto& item = *batch.add_items();
-        item.set_handle(handle);
-        item.set_drop(true);
-    }
-    m_dropped.clear();
     const bool hasNews = batch.items_size() || batch.token_handles_size();
     if (m_isClosed || !hasNews)
         return;
@@ -132,9 +126,16 @@
     m_send(envelope);
 }
 
-std::vector<JournalLink::Pending> JournalLink::takeDirty()
+std::vector<JournalLink::Pending> JournalLink::takeDirty(wire::JournalBatch& batch)
 {
     const std::lock_guard lock(m_mutex);
+    // A key that is dropped may be opened anew in the same batch, so the drops go first.
+    for (const auto handle : m_dropped) {
+        auto& item = *batch.add_items();
+        item.set_handle(handle);
+        item.set_drop(true);
+    }
+    m_dropped.clear();
     std::vector<Pending> pending;
     for (const auto* key : m_dirty) {
         const auto entry = m_streams.find(key);
--- a/src/daemon/JournalLink.h
+++ b/src/daemon/JournalLink.h
@@ -17,6 +17,7 @@
 namespace lupinknot::wire {
 class Envelope;
 class JournalAck;
+class JournalBatch;
 } // namespace lupinknot::wire
 
 namespace lupinknot::internal {
@@ -53,7 +54,8 @@
 
     void scheduleFlush();
     void flush();
-    std::vector<Pending> takeDirty();
+    // Adds the drops to the batch, and returns the streams that have news.
+    std::vector<Pending> takeDirty(wire::JournalBatch&);
 
     const std::uint64_t m_epoch;
     const Milliseconds m_flushInterval;
--- a/src/daemon/KeyedServiceCall.cpp
+++ b/src/daemon/KeyedServiceCall.cpp
@@ -65,6 +65,12 @@
     return m_endedAt;
 }
 
+bool KeyedServiceCall::isVoid() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_response && m_response->headers.find("Lupinknot-Outcome") == nameIn(runOutcomeNames, RunOutcome::NotRun);
+}
+
 void KeyedServiceCall::forget() { m_context.cluster.detach(*this); }
 
 void KeyedServiceCall::respond(HttpResponse response)
--- a/src/daemon/KeyedServiceCall.h
+++ b/src/daemon/KeyedServiceCall.h
@@ -35,6 +35,8 @@
     // Gives the response to one more caller, now or when it is there.
     void join(const std::shared_ptr<HttpExchange>&);
     std::optional<Milliseconds> endedAt() const;
+    // The call was refused as not run: its key is free for a new try.
+    bool isVoid() const;
     void forget();
 
     // HttpExchange, towards the ServiceCall.
--- a/src/daemon/LiveGeneration.cpp
+++ b/src/daemon/LiveGeneration.cpp
@@ -279,10 +279,11 @@
 
 void LiveGeneration::forget() { m_context.cluster.detach(*this); }
 
-bool LiveGeneration::isTakenOver() const
+bool LiveGeneration::isVoid() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_driver.error() && m_driver.error()->code == GenerationErrorCode::TakenOver;
+    const auto& error = m_driver.error();
+    return error && (error->code == GenerationErrorCode::TakenOver || error->outcome == RunOutcome::NotRun);
 }
 
 void LiveGeneration::shutDown()
--- a/src/daemon/LiveGeneration.h
+++ b/src/daemon/LiveGeneration.h
@@ -46,8 +46,8 @@
 
     // The replica may let go of the generation.
     void forget();
-    // Another VM runs the generation now.
-    bool isTakenOver() const;
+    // Another VM runs the generation now, or it was refused as not run: its key is free for a new try here.
+    bool isVoid() const;
     // Lets go of all watchers, without a word to them. Only for the end of the process.
     void shutDown();
 
--- a/src/daemon/ServiceHandler.cpp
+++ b/src/daemon/ServiceHandler.cpp
@@ -48,10 +48,17 @@
     return true;
 }
 
-bool ServiceHandler::runsKey(const std::string& key) const
+bool ServiceHandler::runsKey(const std::string& key)
 {
     const std::lock_guard lock(m_mutex);
-    return m_calls.count(key);
+    const auto entry = m_calls.find(key);
+    if (entry == m_calls.end())
+        return false;
+    if (!entry->second->isVoid())
+        return true;
+    entry->second->forget();
+    m_calls.erase(entry);
+    return false;
 }
 
 void ServiceHandler::sweep()
--- a/src/daemon/ServiceHandler.h
+++ b/src/daemon/ServiceHandler.h
@@ -25,7 +25,7 @@
     // Returns false when no service has the request's path.
     bool handle(const std::shared_ptr<HttpExchange>&);
     // True when this VM has run a call with a key, or runs it.
-    bool runsKey(const std::string& key) const;
+    bool runsKey(const std::string& key);
     void sweep();
 
 private:
--- a/src/http/HttpCallGroup.cpp
+++ b/src/http/HttpCallGroup.cpp
@@ -34,6 +34,12 @@
     std::shared_ptr<HttpCallListener> m_listener;
 };
 
+// What a group that has ended gives back. A call that was begun and cancelled could still reach its endpoint.
+class HttpCallGroup::UnsentCall final : public HttpCall {
+public:
+    void cancel() override { }
+};
+
 std::shared_ptr<HttpCall> HttpCallGroup::start(const SocketAddress& address, const HttpRequest& request,
     Milliseconds timeout, std::shared_ptr<HttpCallListener> listener)
 {
@@ -41,6 +47,8 @@
     const auto* key = tracker.get();
     {
         const std::lock_guard lock(m_mutex);
+        if (m_isEnded)
+            return std::make_shared<UnsentCall>();
         m_calls[key];
     }
     auto call = HttpCall::start(address, request, timeout, std::move(tracker));
--- a/src/http/HttpCallGroup.h
+++ b/src/http/HttpCallGroup.h
@@ -26,11 +26,13 @@
     // As HttpCall::start().
     std::shared_ptr<HttpCall> start(
         const SocketAddress&, const HttpRequest&, Milliseconds timeout, std::shared_ptr<HttpCallListener>);
-    // Cancels every call and returns when the last listener has been let go. Calls that are started later fail at once.
+    // Cancels every call and returns when the last listener has been let go. Calls that are started later are not
+    // sent, and their listeners hear nothing.
     void cancelAndWait();
 
 private:
     class Tracker;
+    class UnsentCall;
 
     void forget(const Tracker*);
 
--- a/test/DaemonTest.cpp
+++ b/test/DaemonTest.cpp
@@ -356,3 +356,33 @@
     STRCMP_CONTAINS("lupinknot_tokens_total 20", metrics.c_str());
     STRCMP_CONTAINS("lupinknot_endpoint_in_flight{endpoint=\"e1\"} 0", metrics.c_str());
 }
+
+// Who is refused as not run is told when to come back; the key must not bring the old refusal then.
+TEST(Daemon, TakesAKeyAgainThatWasRefusedAsNotRun)
+{
+    cluster.start();
+    cluster.engine(0).control(R"({"refuse":true})");
+    cluster.engine(1).control(R"({"refuse":true})");
+    const HttpHeaders keyed { { "Idempotency-Key", "k" }, { "Lupinknot-Repeatable", "false" } };
+    const auto refused = cluster.post("/v1/completions", wholeBody, keyed);
+    STRCMP_EQUAL("not-run", header(refused, "Lupinknot-Outcome").c_str());
+    cluster.engine(0).control(R"({"refuse":false})");
+    cluster.engine(1).control(R"({"refuse":false})");
+    LONGS_EQUAL(200, cluster.post("/v1/completions", wholeBody, keyed).response.status);
+    LONGS_EQUAL(1, cluster.engineRequests());
+}
+
+TEST(Daemon, TakesAServiceKeyAgainThatWasRefusedAsNotRun)
+{
+    cluster.settings.ejection.initial = Milliseconds { 1 };
+    cluster.start();
+    const HttpHeaders keyed { { "Idempotency-Key", "k" }, { "X-Work-Id", "w" } };
+    cluster.service(0).control(R"({"refuse":true})");
+    cluster.service(1).control(R"({"refuse":true})");
+    const auto refused = cluster.post("/thumbs", "x", keyed);
+    STRCMP_EQUAL("not-run", header(refused, "Lupinknot-Outcome").c_str());
+    cluster.service(0).control(R"({"refuse":false})");
+    cluster.service(1).control(R"({"refuse":false})");
+    LONGS_EQUAL(200, cluster.post("/thumbs", "x", keyed).response.status);
+    LONGS_EQUAL(1, cluster.service(0).runsOf("w") + cluster.service(1).runsOf("w"));
+}
--- a/test/VmLossTest.cpp
+++ b/test/VmLossTest.cpp
@@ -233,3 +233,24 @@
     }
     checkWhole(cluster.run(cluster.caller("after")));
 }
+
+// The old record of a key is dropped and the new one opened at once; the drop must not take the new one.
+TEST(VmLoss, HoldsTheRecordOfAKeyThatWasRefusedBefore)
+{
+    cluster.start();
+    cluster.engine(0).control(R"({"refuse":true})");
+    cluster.engine(1).control(R"({"refuse":true})");
+    LONGS_EQUAL(503, cluster.post("/v1/completions", body, unrepeatable("k")).response.status);
+    cluster.engine(0).control(R"({"refuse":false})");
+    cluster.engine(1).control(R"({"refuse":false})");
+    auto caller = cluster.caller("k");
+    caller.repeatable = false;
+    const auto first = cluster.run(caller);
+    checkWhole(first);
+    const auto dash = first.generation.find('-');
+    const auto runner = std::stoul(first.generation.substr(2, dash - 2)) - 1;
+    cluster.killVm(runner);
+    caller.firstDaemon = (runner + 1) % vms;
+    checkWhole(cluster.run(caller));
+    LONGS_EQUAL(1, cluster.engineRequests());
+}
