Test: no token is shown before another VM holds it

Change: a test in which the replica is never sent anything: the engine makes all tokens and the caller sees none, until the replica is lost and the answer goes on unprotected.

--- a/test/VmLossTest.cpp
+++ b/test/VmLossTest.cpp
@@ -254,3 +254,31 @@
     checkWhole(cluster.run(caller));
     LONGS_EQUAL(1, cluster.engineRequests());
 }
+
+// Whoever takes over holds at least what callers saw, because they see no token before a replica holds it.
+TEST(VmLoss, ShowsNoTokenBeforeAnotherVmHoldsIt)
+{
+    TestCluster two { 1, 2 };
+    two.settings.journal.flushInterval = Milliseconds { 600000 };
+    two.start();
+    std::atomic<std::size_t> shown { 0 };
+    GenerationResult result;
+    std::thread asking([&] {
+        auto caller = two.caller("k");
+        caller.maxTokens = 200;
+        caller.onToken = [&shown](std::size_t, const Token&) { ++shown; };
+        result = two.run(caller);
+    });
+    std::size_t runner = 2;
+    CHECK(becomesTrue([&] {
+        runner = two.runningVm();
+        return runner < 2;
+    }));
+    CHECK(becomesTrue([&two] { return two.engine(0).work().decodedTokens == 200; }));
+    const auto shownBefore = shown.load();
+    // With the replica gone the answer goes on unprotected.
+    two.killVm(1 - runner);
+    asking.join();
+    LONGS_EQUAL(0, shownBefore);
+    checkWhole(result);
+}
