--- /dev/null
+++ b/src/http/ClientConnection.cpp
@@ -0,0 +1,347 @@
+#include "http/ClientConnection.h"
+
+#include "common/ByteSizes.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <charconv>
+#include <netinet/tcp.h>
+
+namespace lupinknot::internal {
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr std::uint32_t maxAnswerHeadBytes = 64 * kibibyte;
+constexpr Milliseconds oneSecond { 1000 };
+
+// A peer that vanished without a word is noticed by probes of the system: after one second of rest, one a second, and
+// the connection is given up when two stay unanswered.
+constexpr int probeIdleSeconds = 1;
+constexpr int probeIntervalSeconds = 1;
+constexpr int probeCount = 2;
+
+bool mayCarryBody(const std::string& method) { return method == "POST" || method == "PUT" || method == "PATCH"; }
+
+std::string serialize(const HttpRequest& request)
+{
+    std::string bytes;
+    bytes.reserve(512 + request.body.size());
+    bytes.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    for (const auto& field : request.headers.fields())
+        bytes.append(field.name).append(": ").append(field.value).append("\r\n");
+    if (!request.body.empty() || mayCarryBody(request.method))
+        bytes.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+    bytes.append("\r\n").append(request.body);
+    return bytes;
+}
+
+} // namespace
+
+// Hands an answer on to the listener while it is parsed.
+class ClientConnection::AnswerParser final : public http::basic_parser<false> {
+public:
+    AnswerParser(const std::weak_ptr<ClientConnectionListener>& listener, bool isHeadRequest)
+        : m_listener(listener)
+    {
+        eager(true);
+        header_limit(maxAnswerHeadBytes);
+        body_limit(boost::none);
+        if (isHeadRequest)
+            skip(true);
+    }
+
+    const HttpResponse& head() const { return m_head; }
+    // 1xx answers come before the real one and are not reported.
+    bool isInterim() const { return m_head.status < 200; }
+
+private:
+    void on_request_impl(
+        http::verb, beast::string_view, beast::string_view, int, beast::error_code&) override
+    {
+    }
+
+    void on_response_impl(int code, beast::string_view, int, beast::error_code&) override
+    {
+        m_head.status = static_cast<unsigned>(code);
+    }
+
+    void on_field_impl(
+        http::field, beast::string_view name, beast::string_view value, beast::error_code&) override
+    {
+        m_head.headers.add(std::string(name), std::string(value));
+    }
+
+    void on_header_impl(beast::error_code&) override
+    {
+        if (isInterim())
+            return;
+        if (const auto listener = m_listener.lock())
+            listener->answerHead(m_head);
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t>&, beast::error_code&) override { }
+
+    std::size_t on_body_impl(beast::string_view body, beast::error_code&) override
+    {
+        if (const auto listener = m_listener.lock())
+            listener->answerBody({ body.data(), body.size() });
+        return body.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t, beast::string_view, beast::error_code&) override { }
+
+    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view body, beast::error_code& error) override
+    {
+        return on_body_impl(body, error);
+    }
+
+    void on_finish_impl(beast::error_code&) override { }
+
+    const std::weak_ptr<ClientConnectionListener>& m_listener;
+    HttpResponse m_head;
+};
+
+std::shared_ptr<ClientConnection> ClientConnection::open(
+    net::io_context& ioContext, const SocketAddress& address, const ClientConnectionSettings& settings)
+{
+    return std::shared_ptr<ClientConnection>(new ClientConnection(ioContext, address, settings));
+}
+
+ClientConnection::ClientConnection(
+    net::io_context& ioContext, const SocketAddress& address, const ClientConnectionSettings& settings)
+    : m_ioContext(ioContext)
+    , m_address(address)
+    , m_settings(settings)
+    , m_socket(ioContext)
+    , m_connectTimer(ioContext)
+{
+}
+
+ClientConnection::~ClientConnection() = default;
+
+void ClientConnection::send(const HttpRequest& request, std::weak_ptr<ClientConnectionListener> listener)
+{
+    m_listener = std::move(listener);
+    m_requestBytes = serialize(request);
+    m_isHeadRequest = request.method == "HEAD";
+    m_hasSent = false;
+    m_hasAnswerBytes = false;
+    m_parser = std::make_unique<AnswerParser>(m_listener, m_isHeadRequest);
+    if (m_state == State::New) {
+        connect();
+        return;
+    }
+    m_state = State::Busy;
+    write();
+}
+
+void ClientConnection::connect()
+{
+    m_state = State::Connecting;
+    boost::system::error_code error;
+    const auto ip = net::ip::make_address(m_address.host, error);
+    if (error) {
+        net::post(m_ioContext, [self = shared_from_this()] { self->fail(ClientFailure::NotConnected); });
+        return;
+    }
+    m_connectTimer.expires_after(m_settings.connectTimeout);
+    m_connectTimer.async_wait([weak = weak_from_this()](boost::system::error_code waitError) {
+        const auto self = weak.lock();
+        if (!waitError && self && self->m_state == State::Connecting)
+            self->fail(ClientFailure::NotConnected);
+    });
+    m_socket.async_connect({ ip, static_cast<unsigned short>(m_address.port) },
+        [self = shared_from_this()](boost::system::error_code connectError) { self->connected(connectError); });
+}
+
+void ClientConnection::connected(boost::system::error_code error)
+{
+    if (m_state != State::Connecting)
+        return;
+    m_connectTimer.cancel();
+    if (error) {
+        fail(ClientFailure::NotConnected);
+        return;
+    }
+    applySocketOptions();
+    m_state = State::Busy;
+    write();
+    read();
+}
+
+void ClientConnection::applySocketOptions()
+{
+    // Options that a system lacks are done without: the callers' own time limits still hold.
+    boost::system::error_code ignored;
+    m_socket.set_option(net::ip::tcp::no_delay(true), ignored);
+    m_socket.set_option(net::socket_base::keep_alive(true), ignored);
+    using IntegerOption = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    m_socket.set_option(IntegerOption(probeIdleSeconds), ignored);
+    m_socket.set_option(net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>(probeIntervalSeconds), ignored);
+    m_socket.set_option(net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>(probeCount), ignored);
+    m_socket.set_option(net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(
+                            static_cast<int>(m_settings.unacknowledgedTimeout.count())),
+        ignored);
+}
+
+void ClientConnection::write()
+{
+    m_hasSent = true;
+    m_isWriting = true;
+    net::async_write(m_socket, net::buffer(m_requestBytes),
+        [self = shared_from_this()](boost::system::error_code error, std::size_t) {
+            self->m_isWriting = false;
+            // A peer may answer and close before it has read all; what it sent is still read.
+            if (error && self->m_state == State::Idle)
+                self->close();
+        });
+}
+
+void ClientConnection::read()
+{
+    m_socket.async_read_some(
+        net::buffer(m_readBuffer), [self = shared_from_this()](boost::system::error_code error, std::size_t size) {
+            self->received(error, size);
+        });
+}
+
+void ClientConnection::received(boost::system::error_code error, std::size_t size)
+{
+    if (m_state == State::Closed)
+        return;
+    if (error) {
+        peerClosed(error);
+        return;
+    }
+    if (m_state != State::Busy) {
+        // Nobody waits for an answer: what has come belongs to no request.
+        close();
+        return;
+    }
+    m_hasAnswerBytes = true;
+    m_received.append(m_readBuffer.data(), size);
+    parse();
+    if (m_state != State::Closed)
+        read();
+}
+
+void ClientConnection::parse()
+{
+    const auto self = shared_from_this();
+    while (m_state == State::Busy && !m_received.empty()) {
+        beast::error_code error;
+        const auto used = m_parser->put(net::buffer(m_received), error);
+        if (m_state != State::Busy)
+            return;
+        m_received.erase(0, used);
+        if (error && error != http::error::need_more) {
+            fail(ClientFailure::Malformed);
+            return;
+        }
+        if (m_parser->is_done())
+            answerComplete();
+        else if (error == http::error::need_more || used == 0)
+            return;
+    }
+}
+
+void ClientConnection::answerComplete()
+{
+    if (m_parser->isInterim()) {
+        m_parser = std::make_unique<AnswerParser>(m_listener, m_isHeadRequest);
+        return;
+    }
+    const bool keepsAlive = m_parser->keep_alive() && !m_parser->need_eof();
+    noteKeepAlive();
+    const auto listener = m_listener.lock();
+    const bool wantsNext = listener && listener->answerEnd();
+    if (m_state != State::Busy)
+        return;
+    if (wantsNext && keepsAlive) {
+        m_hasAnswerBytes = !m_received.empty();
+        m_parser = std::make_unique<AnswerParser>(m_listener, m_isHeadRequest);
+        return;
+    }
+    if (wantsNext) {
+        fail(ClientFailure::ClosedBeforeAnswer);
+        return;
+    }
+    if (!keepsAlive || !m_received.empty() || m_isWriting) {
+        close();
+        return;
+    }
+    m_state = State::Idle;
+    m_listener.reset();
+    m_requestBytes.clear();
+}
+
+void ClientConnection::noteKeepAlive()
+{
+    m_peerIdleTimeout.reset();
+    const auto value = m_parser->head().headers.find("Keep-Alive");
+    if (!value)
+        return;
+    constexpr std::string_view name = "timeout=";
+    const auto start = value->find(name);
+    if (start == std::string_view::npos)
+        return;
+    const auto digits = value->substr(start + name.size());
+    std::int64_t seconds = 0;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (parsed.ec == std::errc())
+        m_peerIdleTimeout = seconds * oneSecond;
+}
+
+void ClientConnection::peerClosed(boost::system::error_code error)
+{
+    if (m_state != State::Busy) {
+        close();
+        return;
+    }
+    if (!m_hasAnswerBytes) {
+        fail(ClientFailure::ClosedBeforeAnswer);
+        return;
+    }
+    // An answer without a length ends with an orderly close; a reset breaks it off.
+    beast::error_code parseError;
+    if (error == net::error::eof && m_parser->is_header_done() && m_parser->need_eof())
+        m_parser->put_eof(parseError);
+    if (m_state != State::Busy)
+        return;
+    if (parseError || !m_parser->is_done()) {
+        fail(ClientFailure::Truncated);
+        return;
+    }
+    answerComplete();
+}
+
+void ClientConnection::fail(ClientFailure failure)
+{
+    if (m_state == State::Closed)
+        return;
+    const auto self = shared_from_this();
+    const auto listener = m_listener.lock();
+    close();
+    if (listener)
+        listener->connectionFailed(failure);
+}
+
+void ClientConnection::close()
+{
+    if (m_state == State::Closed)
+        return;
+    const bool isAnswerDue = m_state == State::Busy;
+    m_state = State::Closed;
+    m_listener.reset();
+    m_connectTimer.cancel();
+    boost::system::error_code ignored;
+    if (isAnswerDue)
+        m_socket.set_option(net::socket_base::linger(true, 0), ignored);
+    m_socket.close(ignored);
+}
+
+} // namespace lupinknot::internal
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -19,19 +19,20 @@
 public:
     Listener(net::io_context& ioContext, HttpServerSettings settings, Handler handler)
         : m_ioContext(ioContext)
-        , m_settings(std::move(settings))
         , m_handler(std::move(handler))
         , m_acceptor(net::make_strand(ioContext))
+        , m_settings(std::make_shared<const HttpServerSettings>(std::move(settings)))
     {
     }
 
     std::optional<std::string> start()
     {
         boost::system::error_code error;
-        const auto address = net::ip::make_address(m_settings.address, error);
+        const auto bound = settings();
+        const auto address = net::ip::make_address(bound->address, error);
         if (error)
-            return "the address " + m_settings.address + " is not an IP number";
-        const tcp::endpoint endpoint(address, static_cast<unsigned short>(m_settings.port));
+            return "the address " + bound->address + " is not an IP number";
+        const tcp::endpoint endpoint(address, static_cast<unsigned short>(bound->port));
         m_acceptor.open(endpoint.protocol(), error);
         if (!error)
             m_acceptor.set_option(net::socket_base::reuse_address(true), error);
@@ -40,16 +41,33 @@
         if (!error)
             m_acceptor.listen(net::socket_base::max_listen_connections, error);
         if (error)
-            return "cannot listen on " + m_settings.address + ":" + std::to_string(m_settings.port) + ": "
+            return "cannot listen on " + bound->address + ":" + std::to_string(bound->port) + ": "
                 + error.message();
         m_port = m_acceptor.local_endpoint(error).port();
         accept();
         return std::nullopt;
     }
 
+    void changeSettings(HttpServerSettings settings)
+    {
+        const std::lock_guard lock(m_mutex);
+        settings.address = m_settings->address;
+        settings.port = m_settings->port;
+        m_settings = std::make_shared<const HttpServerSettings>(std::move(settings));
+    }
+
+    void announceStop() { m_isStopping = true; }
+
+    void closeIdleSessions()
+    {
+        for (const auto& session : openSessions())
+            session->closeIfIdle();
+    }
+
     void close()
     {
         m_isStopping = true;
+        m_isClosed = true;
         net::post(m_acceptor.get_executor(), [self = shared_from_this()] {
             boost::system::error_code ignored;
             self->m_acceptor.close(ignored);
@@ -78,7 +96,12 @@
         return count;
     }
 
-    const HttpServerSettings& settings() const override { return m_settings; }
+    std::shared_ptr<const HttpServerSettings> settings() const override
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_settings;
+    }
+
     bool isStopping() const override { return m_isStopping; }
     void handle(const std::shared_ptr<HttpExchange>& exchange) override { m_handler(exchange); }
 
@@ -98,7 +121,7 @@
 
     void accepted(boost::system::error_code error, tcp::socket socket)
     {
-        if (m_isStopping)
+        if (m_isClosed)
             return;
         if (error) {
             logWarning(LogPart::Listener, "accept failed: " + error.message() + ".");
@@ -116,7 +139,7 @@
         bool isOver = false;
         {
             const std::lock_guard lock(m_mutex);
-            isOver = m_sessions.size() >= static_cast<std::size_t>(m_settings.maxConnections);
+            isOver = m_sessions.size() >= static_cast<std::size_t>(m_settings->maxConnections);
             if (!isOver)
                 m_sessions.emplace(session.get(), session);
         }
@@ -138,12 +161,13 @@
     }
 
     net::io_context& m_ioContext;
-    const HttpServerSettings m_settings;
     const Handler m_handler;
     tcp::acceptor m_acceptor;
     unsigned short m_port { 0 };
     std::atomic<bool> m_isStopping { false };
+    std::atomic<bool> m_isClosed { false };
     mutable std::mutex m_mutex;
+    std::shared_ptr<const HttpServerSettings> m_settings;
     std::unordered_map<HttpSession*, std::weak_ptr<HttpSession>> m_sessions;
 };
 
@@ -158,6 +182,12 @@
 
 unsigned short HttpServer::port() const { return m_listener->port(); }
 
+void HttpServer::changeSettings(HttpServerSettings settings) { m_listener->changeSettings(std::move(settings)); }
+
+void HttpServer::announceStop() { m_listener->announceStop(); }
+
+void HttpServer::closeIdleConnections() { m_listener->closeIdleSessions(); }
+
 void HttpServer::stopAccepting() { m_listener->close(); }
 
 void HttpServer::abortConnections() { m_listener->abortSessions(); }
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -35,6 +35,12 @@
     unsigned short port() const;
     // Takes no more connections; open ones finish what they have begun and are closed after it.
     void stopAccepting();
+    // Replaces the limits and times that bind callers; the address and the port stay.
+    void changeSettings(HttpServerSettings);
+    // From here on each answer is the last one on its connection; new connections are still taken.
+    void announceStop();
+    // Closes the connections on which no request has begun.
+    void closeIdleConnections();
     // Closes every connection at once with a reset, as if the process had died.
     void abortConnections();
     std::size_t connectionCount() const;
--- a/src/http/HttpServerSettings.h
+++ b/src/http/HttpServerSettings.h
@@ -1,4 +1,4 @@
-// Limits of an HttpServer.
+// Limits of an HttpServer. Those that bind callers can change while it runs (HttpServer::changeSettings).
 #pragma once
 
 #include "common/ByteSizes.h"
@@ -13,9 +13,11 @@
     std::int64_t maxConnections { 4096 };
     std::int64_t maxHeaderBytes { 16 * kibibyte };
     std::int64_t maxBodyBytes { 4 * mebibyte };
-    // Time for a whole request head or body to arrive, counted from its first wait and not renewed by each byte.
+    // Time for a whole request head or body to arrive, counted from its first byte and not renewed by each byte.
     Milliseconds headerTimeout { 10000 };
     Milliseconds bodyTimeout { 20000 };
+    // Time that a connection may rest between two requests.
+    Milliseconds idleTimeout { 60000 };
     // Time for one flush to be taken by the reader.
     Milliseconds writeTimeout { 30000 };
 };
--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -46,6 +46,15 @@
     return refusal;
 }
 
+// How long a caller may count on the connection, in whole seconds and shorter than it is kept, because what the caller
+// sends takes a while to arrive.
+std::string keepAliveText(const HttpServerSettings& settings)
+{
+    constexpr std::int64_t millisecondsInSecond = 1000;
+    const auto seconds = settings.idleTimeout.count() / millisecondsInSecond - 1;
+    return "timeout=" + std::to_string(std::max<std::int64_t>(seconds, 1));
+}
+
 bool hasPeerLeft(beast::error_code error)
 {
     return error == http::error::end_of_stream || error == http::error::partial_message || error == net::error::eof
@@ -162,13 +171,13 @@
 
 void HttpSession::run()
 {
-    net::post(m_stream.get_executor(), [self = shared_from_this()] { self->readHead(); });
+    net::post(m_stream.get_executor(), [self = shared_from_this()] { self->awaitRequest(); });
 }
 
 void HttpSession::refuseForConnectionLimit()
 {
     const JsonError refusal { 503, "too_many_connections",
-        "this VM holds as many connections as its limit allows: " + std::to_string(m_owner->settings().maxConnections),
+        "this VM holds as many connections as its limit allows: " + std::to_string(m_owner->settings()->maxConnections),
         "", RunOutcome::NotRun, Milliseconds { 1000 } };
     net::post(m_stream.get_executor(),
         [self = shared_from_this(), refusal] { self->writeWhole(errorResponse(refusal), false); });
@@ -183,13 +192,41 @@
     });
 }
 
+void HttpSession::closeIfIdle()
+{
+    net::post(m_stream.get_executor(), [self = shared_from_this()] {
+        if (self->m_isResting)
+            self->close();
+    });
+}
+
+// Waits for the first byte of a request, so that the time for its header does not count the rest before it.
+void HttpSession::awaitRequest()
+{
+    if (m_buffer.size() > 0) {
+        readHead();
+        return;
+    }
+    m_isResting = true;
+    m_stream.expires_never();
+    limitRead(m_owner->settings()->idleTimeout);
+    m_stream.socket().async_wait(
+        net::ip::tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
+            self->m_isResting = false;
+            if (error || self->m_isClosed)
+                self->close();
+            else
+                self->readHead();
+        });
+}
+
 void HttpSession::readHead()
 {
     m_parser.emplace();
-    m_parser->header_limit(static_cast<std::uint32_t>(m_owner->settings().maxHeaderBytes));
-    m_parser->body_limit(static_cast<std::uint64_t>(m_owner->settings().maxBodyBytes));
+    m_parser->header_limit(static_cast<std::uint32_t>(m_owner->settings()->maxHeaderBytes));
+    m_parser->body_limit(static_cast<std::uint64_t>(m_owner->settings()->maxBodyBytes));
     m_stream.expires_never();
-    limitRead(m_owner->settings().headerTimeout);
+    limitRead(m_owner->settings()->headerTimeout);
     http::async_read_header(
         m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t) {
             if (error)
@@ -201,7 +238,7 @@
 
 void HttpSession::readBody()
 {
-    limitRead(m_owner->settings().bodyTimeout);
+    limitRead(m_owner->settings()->bodyTimeout);
     http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t) {
         if (error)
             self->refuse(error);
@@ -256,7 +293,7 @@
     }
     m_mustDrain = true;
     const auto reason = m_isReadLate ? beast::error_code(beast::error::timeout) : error;
-    writeWhole(errorResponse(describeReadFailure(reason, m_owner->settings())), false);
+    writeWhole(errorResponse(describeReadFailure(reason, *m_owner->settings())), false);
 }
 
 void HttpSession::respond(const std::shared_ptr<Exchange>& exchange, HttpResponse response)
@@ -273,10 +310,12 @@
     for (const auto& field : response.headers.fields())
         m_response->insert(field.name, field.value);
     m_response->keep_alive(keepAlive);
+    if (keepAlive)
+        m_response->insert(http::field::keep_alive, keepAliveText(*m_owner->settings()));
     m_response->body() = std::move(response.body);
     m_response->prepare_payload();
     m_isWriting = true;
-    m_stream.expires_after(m_owner->settings().writeTimeout);
+    m_stream.expires_after(m_owner->settings()->writeTimeout);
     http::async_write(
         m_stream, *m_response, [self = shared_from_this(), keepAlive](beast::error_code error, std::size_t) {
             self->m_isWriting = false;
@@ -288,7 +327,7 @@
             else if (error || !keepAlive)
                 self->close();
             else
-                self->readHead();
+                self->awaitRequest();
         });
 }
 
@@ -326,9 +365,11 @@
     m_head->chunked(true);
     m_keepAlive = m_keepAlive && !m_owner->isStopping();
     m_head->keep_alive(m_keepAlive);
+    if (m_keepAlive)
+        m_head->insert(http::field::keep_alive, keepAliveText(*m_owner->settings()));
     m_headSerializer.emplace(*m_head);
     m_isWriting = true;
-    m_stream.expires_after(m_owner->settings().writeTimeout);
+    m_stream.expires_after(m_owner->settings()->writeTimeout);
     http::async_write_header(
         m_stream, *m_headSerializer, [self = shared_from_this(), exchange](beast::error_code error, std::size_t) {
             self->pieceWritten(exchange, error, false);
@@ -344,7 +385,7 @@
         return;
     m_isWriting = true;
     m_piece = std::move(piece.bytes);
-    m_stream.expires_after(m_owner->settings().writeTimeout);
+    m_stream.expires_after(m_owner->settings()->writeTimeout);
     const auto written = [self = shared_from_this(), exchange, isLast = piece.isLast](
                              beast::error_code error, std::size_t) { self->pieceWritten(exchange, error, isLast); };
     if (!piece.isLast) {
@@ -385,7 +426,7 @@
     m_headSerializer.reset();
     m_head.reset();
     if (m_keepAlive)
-        readHead();
+        awaitRequest();
     else
         close();
 }
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -22,7 +22,8 @@
 class HttpSessionOwner {
 public:
     virtual ~HttpSessionOwner() = default;
-    virtual const HttpServerSettings& settings() const = 0;
+    // The settings in force; a change does not touch those that a session holds already.
+    virtual std::shared_ptr<const HttpServerSettings> settings() const = 0;
     virtual bool isStopping() const = 0;
     virtual void handle(const std::shared_ptr<HttpExchange>&) = 0;
     virtual void sessionClosed(HttpSession*) = 0;
@@ -42,6 +43,8 @@
     void refuseForConnectionLimit();
     // Resets the connection. Thread-safe.
     void abort();
+    // Closes the connection if no request has begun on it. Thread-safe.
+    void closeIfIdle();
     // True from the request's last byte to the response's. Thread-safe.
     bool isBusy() const { return m_isBusy; }
 
@@ -52,6 +55,7 @@
     using StreamHead = boost::beast::http::response<boost::beast::http::empty_body>;
     using StreamHeadSerializer = boost::beast::http::response_serializer<boost::beast::http::empty_body>;
 
+    void awaitRequest();
     void readHead();
     void readBody();
     void limitRead(Milliseconds);
@@ -88,6 +92,8 @@
     bool m_keepAlive { false };
     std::atomic<bool> m_isBusy { false };
     bool m_mustDrain { false };
+    // True while the connection rests between two requests.
+    bool m_isResting { false };
     // The stream's own time limit closes the connection, after which no refusal can be sent; this one only ends the
     // read.
     boost::asio::steady_timer m_readTimer;
--- /dev/null
+++ b/src/relay/EndpointCall.cpp
@@ -0,0 +1,128 @@
+#include "relay/EndpointCall.h"
+
+#include "common/EventLog.h"
+#include "relay/RelayContext.h"
+#include "relay/RelayEndpoint.h"
+#include "relay/RelaySettings.h"
+
+#include <boost/asio/post.hpp>
+
+namespace lupinknot::internal {
+
+namespace {
+
+FailureKind kindOf(ClientFailure failure)
+{
+    switch (failure) {
+    case ClientFailure::NotConnected:
+        return FailureKind::ConnectionRefused;
+    case ClientFailure::ClosedBeforeAnswer:
+        return FailureKind::ConnectionLost;
+    case ClientFailure::Truncated:
+        return FailureKind::EarlyEnd;
+    case ClientFailure::Malformed:
+        return FailureKind::MalformedEvent;
+    }
+    return FailureKind::ConnectionLost;
+}
+
+} // namespace
+
+std::shared_ptr<EndpointCall> EndpointCall::start(RelayContext& context, std::shared_ptr<RelayEndpoint> endpoint,
+    const HttpRequest& request, EndpointCallOptions options, std::weak_ptr<EndpointCallListener> listener)
+{
+    const std::shared_ptr<EndpointCall> call(
+        new EndpointCall(context, std::move(endpoint), std::move(options), std::move(listener)));
+    const auto margin = context.settings.restMargin;
+    call->m_connection = call->m_endpoint->takeConnection(call->m_startedAt, call->m_options.maxRest, margin);
+    call->m_connection->send(request, call->weak_from_this());
+    return call;
+}
+
+EndpointCall::EndpointCall(RelayContext& context, std::shared_ptr<RelayEndpoint> endpoint, EndpointCallOptions options,
+    std::weak_ptr<EndpointCallListener> listener)
+    : m_context(context)
+    , m_endpoint(std::move(endpoint))
+    , m_options(std::move(options))
+    , m_listener(std::move(listener))
+    , m_startedAt(context.now())
+{
+    m_endpoint->callStarted();
+}
+
+EndpointCall::~EndpointCall() { cancel(); }
+
+void EndpointCall::cancel()
+{
+    if (m_isOver)
+        return;
+    m_hadSent = m_connection->hasSent();
+    end();
+    m_connection->close();
+}
+
+void EndpointCall::end()
+{
+    if (m_isOver)
+        return;
+    m_isOver = true;
+    m_endpoint->callEnded();
+}
+
+void EndpointCall::answerHead(const HttpResponse& head)
+{
+    const auto fields = m_context.protocol.decodeAnswer(head);
+    m_isSkipping = !fields.requestId.empty() && fields.requestId != m_options.requestId;
+    if (m_isSkipping) {
+        LogEvent("answer.skipped")
+            .text("request", m_options.requestId)
+            .text("answer_for", fields.requestId)
+            .text("endpoint", m_endpoint->entry().id)
+            .write();
+        return;
+    }
+    if (const auto listener = m_listener.lock())
+        listener->callHead(*this, head, fields);
+}
+
+void EndpointCall::answerBody(std::string_view piece)
+{
+    if (m_isSkipping || m_isOver)
+        return;
+    if (const auto listener = m_listener.lock())
+        listener->callBody(*this, piece);
+}
+
+bool EndpointCall::answerEnd()
+{
+    if (m_isOver)
+        return false;
+    if (m_isSkipping) {
+        m_isSkipping = false;
+        return true;
+    }
+    const auto self = shared_from_this();
+    m_hadSent = true;
+    end();
+    m_endpoint->noteLife(m_context.now());
+    // The connection becomes idle after this callback, if it does.
+    boost::asio::post(m_context.ioContext, [&context = m_context, endpoint = m_endpoint, connection = m_connection] {
+        endpoint->giveBack(connection, context.now());
+    });
+    if (const auto listener = m_listener.lock())
+        listener->callEnded(*this);
+    return false;
+}
+
+void EndpointCall::connectionFailed(ClientFailure failure)
+{
+    if (m_isOver)
+        return;
+    const auto self = shared_from_this();
+    m_hadSent = m_connection->hasSent();
+    end();
+    if (const auto listener = m_listener.lock())
+        listener->callFailed(*this, kindOf(failure));
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/EndpointCall.h
@@ -0,0 +1,76 @@
+// One sending of a request to one endpoint, and the answer to it.
+//
+// An answer that names another request is skipped: endpoints sometimes answer twice, and the extra answer takes the
+// place of the next one on the connection.
+//
+//     auto call = EndpointCall::start(context, endpoint, request, options, listener);
+//     ...                                  // listener->callHead(), callBody(), then callEnded() or callFailed()
+//     call->cancel();                      // Stops the endpoint's work by closing the connection.
+//
+// Used on the relay's thread only. Owned by its user; holds the listener weakly.
+#pragma once
+
+#include "http/ClientConnection.h"
+#include "lupinknot/FailureKind.h"
+#include "relay/CallProtocol.h"
+#include <memory>
+
+namespace lupinknot::internal {
+
+class EndpointCall;
+class RelayEndpoint;
+struct RelayContext;
+
+class EndpointCallListener {
+public:
+    virtual ~EndpointCallListener() = default;
+    virtual void callHead(EndpointCall&, const HttpResponse& head, const AnswerFields&) = 0;
+    virtual void callBody(EndpointCall&, std::string_view piece) = 0;
+    virtual void callEnded(EndpointCall&) = 0;
+    // The endpoint may have run the request unless the kind of failure proves that it did not start.
+    virtual void callFailed(EndpointCall&, FailureKind) = 0;
+};
+
+struct EndpointCallOptions {
+    std::string requestId;
+    // Longest rest of a kept connection that may carry the call; zero opens a new one.
+    Milliseconds maxRest { 0 };
+};
+
+class EndpointCall final : public ClientConnectionListener, public std::enable_shared_from_this<EndpointCall> {
+public:
+    static std::shared_ptr<EndpointCall> start(RelayContext&, std::shared_ptr<RelayEndpoint>, const HttpRequest&,
+        EndpointCallOptions, std::weak_ptr<EndpointCallListener>);
+    ~EndpointCall() override;
+    EndpointCall(const EndpointCall&) = delete;
+    EndpointCall& operator=(const EndpointCall&) = delete;
+
+    const std::shared_ptr<RelayEndpoint>& endpoint() const { return m_endpoint; }
+    Milliseconds startedAt() const { return m_startedAt; }
+    // True once a byte of the request may have left this process.
+    bool hasSent() const { return m_isOver ? m_hadSent : m_connection->hasSent(); }
+    bool isOver() const { return m_isOver; }
+    // Closes the connection. No callback follows.
+    void cancel();
+
+    void answerHead(const HttpResponse&) override;
+    void answerBody(std::string_view) override;
+    bool answerEnd() override;
+    void connectionFailed(ClientFailure) override;
+
+private:
+    EndpointCall(RelayContext&, std::shared_ptr<RelayEndpoint>, EndpointCallOptions, std::weak_ptr<EndpointCallListener>);
+    void end();
+
+    RelayContext& m_context;
+    const std::shared_ptr<RelayEndpoint> m_endpoint;
+    const EndpointCallOptions m_options;
+    const std::weak_ptr<EndpointCallListener> m_listener;
+    const Milliseconds m_startedAt;
+    std::shared_ptr<ClientConnection> m_connection;
+    bool m_isSkipping { false };
+    bool m_isOver { false };
+    bool m_hadSent { false };
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/EndpointDirectory.cpp
@@ -0,0 +1,148 @@
+#include "relay/EndpointDirectory.h"
+
+#include "common/EventLog.h"
+
+#include <algorithm>
+#include <set>
+
+namespace lupinknot::internal {
+
+namespace {
+
+const std::vector<std::shared_ptr<RelayEndpoint>> noEndpoints;
+
+} // namespace
+
+EndpointDirectory::EndpointDirectory(boost::asio::io_context& ioContext, const RelaySettings& settings)
+    : m_ioContext(ioContext)
+    , m_settings(settings)
+{
+}
+
+void EndpointDirectory::upsert(EndpointEntry entry, Milliseconds now)
+{
+    retireOthersAt(entry, now);
+    const auto known = m_endpointsById.find(entry.id);
+    if (known != m_endpointsById.end()) {
+        const auto endpoint = known->second;
+        if (endpoint->entry().isDraining != entry.isDraining || endpoint->removedAt())
+            LogEvent("endpoint.changed").text("endpoint", entry.id).flag("draining", entry.isDraining).write();
+        if (entry.isDraining)
+            endpoint->closeKeptConnections();
+        endpoint->updateEntry(std::move(entry));
+        endpoint->setListed();
+        return;
+    }
+    LogEvent("endpoint.added")
+        .text("endpoint", entry.id)
+        .text("service", entry.service)
+        .text("address", entry.address.text())
+        .text("zone", entry.availabilityZone)
+        .write();
+    const auto service = entry.service;
+    const auto id = entry.id;
+    const ClientConnectionSettings connection { .connectTimeout = m_settings.endpointConnectTimeout };
+    const auto endpoint = std::make_shared<RelayEndpoint>(m_ioContext, std::move(entry), connection);
+    m_endpointsById.emplace(id, endpoint);
+    m_endpointsByService[service].push_back(endpoint);
+}
+
+// A new incarnation at an address proves that the ones before it are gone.
+void EndpointDirectory::retireOthersAt(const EndpointEntry& entry, Milliseconds now)
+{
+    std::vector<std::string> gone;
+    for (const auto& [id, endpoint] : m_endpointsById) {
+        const auto& other = endpoint->entry();
+        if (id != entry.id && !m_endpointsById.count(entry.id) && other.address.port == entry.address.port
+            && other.address.host == entry.address.host)
+            gone.push_back(id);
+    }
+    for (const auto& id : gone) {
+        LogEvent("endpoint.replaced").text("endpoint", id).text("by", entry.id).write();
+        remove(id, now);
+        forget(m_endpointsById.at(id));
+    }
+}
+
+void EndpointDirectory::remove(const std::string& id, Milliseconds now)
+{
+    const auto known = m_endpointsById.find(id);
+    if (known == m_endpointsById.end() || known->second->removedAt())
+        return;
+    LogEvent("endpoint.removed").text("endpoint", id).text("service", known->second->entry().service).write();
+    known->second->setRemoved(now);
+    known->second->closeKeptConnections();
+}
+
+void EndpointDirectory::replaceAll(std::vector<EndpointEntry> entries, Milliseconds now)
+{
+    m_isKnown = true;
+    std::set<std::string> listed;
+    for (auto& entry : entries) {
+        listed.insert(entry.id);
+        upsert(std::move(entry), now);
+    }
+    std::vector<std::string> gone;
+    for (const auto& known : m_endpointsById) {
+        if (!listed.count(known.first))
+            gone.push_back(known.first);
+    }
+    for (const auto& id : gone)
+        remove(id, now);
+}
+
+const std::vector<std::shared_ptr<RelayEndpoint>>& EndpointDirectory::endpointsOf(const std::string& service) const
+{
+    const auto found = m_endpointsByService.find(service);
+    return found == m_endpointsByService.end() ? noEndpoints : found->second;
+}
+
+void EndpointDirectory::dropExpired(Milliseconds now)
+{
+    std::vector<std::shared_ptr<RelayEndpoint>> expired;
+    for (const auto& known : m_endpointsById) {
+        const auto removedAt = known.second->removedAt();
+        if (removedAt && now - *removedAt > m_settings.removedEndpointGrace)
+            expired.push_back(known.second);
+    }
+    for (const auto& endpoint : expired)
+        forget(endpoint);
+}
+
+void EndpointDirectory::forget(const std::shared_ptr<RelayEndpoint>& endpoint)
+{
+    auto& list = m_endpointsByService[endpoint->entry().service];
+    list.erase(std::remove(list.begin(), list.end(), endpoint), list.end());
+    m_endpointsById.erase(endpoint->entry().id);
+}
+
+void EndpointDirectory::noteFailure(const RelayEndpoint& endpoint, Milliseconds now)
+{
+    auto& zone = m_zones[endpoint.entry().availabilityZone];
+    auto& failures = zone.failures;
+    while (!failures.empty() && now - failures.front().at > m_settings.zoneFailureWindow)
+        failures.pop_front();
+    const auto& id = endpoint.entry().id;
+    const bool isRepeat = std::any_of(
+        failures.begin(), failures.end(), [&id](const Failure& failure) { return failure.endpointId == id; });
+    if (!isRepeat)
+        failures.push_back({ id, now });
+    if (failures.size() < m_settings.zoneFailureCount)
+        return;
+    if (now >= zone.avoidUntil) {
+        LogEvent("zone.avoided")
+            .text("zone", endpoint.entry().availabilityZone)
+            .number("failed_endpoints", static_cast<std::int64_t>(failures.size()))
+            .number("for_ms", m_settings.avoidZone.count())
+            .write();
+    }
+    zone.avoidUntil = now + m_settings.avoidZone;
+}
+
+bool EndpointDirectory::isZoneAvoided(const std::string& zone, Milliseconds now) const
+{
+    const auto found = m_zones.find(zone);
+    return found != m_zones.end() && now < found->second.avoidUntil;
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/EndpointDirectory.h
@@ -0,0 +1,58 @@
+// The endpoints that this VM knows, and which availability zones fail right now.
+//
+//     directory.upsert(entry, now);
+//     directory.remove("i-1", now);              // Kept as a last resort for a while.
+//     directory.replaceAll(entries, now);        // After a gap in the list's changes.
+//
+// Used on the relay's thread only. Lives for the process.
+#pragma once
+
+#include "relay/RelayEndpoint.h"
+#include "relay/RelaySettings.h"
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+namespace lupinknot::internal {
+
+class EndpointDirectory {
+public:
+    EndpointDirectory(boost::asio::io_context&, const RelaySettings&);
+
+    void upsert(EndpointEntry, Milliseconds now);
+    void remove(const std::string& id, Milliseconds now);
+    void replaceAll(std::vector<EndpointEntry>, Milliseconds now);
+    // True once a list has been taken over, also an empty one.
+    bool isKnown() const { return m_isKnown; }
+    std::size_t size() const { return m_endpointsById.size(); }
+
+    const std::vector<std::shared_ptr<RelayEndpoint>>& endpointsOf(const std::string& service) const;
+    // Drops endpoints whose entries went longer ago than the grace.
+    void dropExpired(Milliseconds now);
+
+    // Takes note that an endpoint failed, and that the zone fails when several did.
+    void noteFailure(const RelayEndpoint&, Milliseconds now);
+    bool isZoneAvoided(const std::string& zone, Milliseconds now) const;
+
+private:
+    struct Failure {
+        std::string endpointId;
+        Milliseconds at;
+    };
+    struct ZoneHealth {
+        std::deque<Failure> failures;
+        Milliseconds avoidUntil { 0 };
+    };
+
+    void retireOthersAt(const EndpointEntry&, Milliseconds now);
+    void forget(const std::shared_ptr<RelayEndpoint>&);
+
+    boost::asio::io_context& m_ioContext;
+    const RelaySettings& m_settings;
+    std::unordered_map<std::string, std::shared_ptr<RelayEndpoint>> m_endpointsById;
+    std::unordered_map<std::string, std::vector<std::shared_ptr<RelayEndpoint>>> m_endpointsByService;
+    std::unordered_map<std::string, ZoneHealth> m_zones;
+    bool m_isKnown { false };
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/EventStreamCall.cpp
@@ -0,0 +1,499 @@
+#include "relay/EventStreamCall.h"
+
+#include "common/EventLog.h"
+#include "http/HttpBodySource.h"
+#include "relay/EndpointDirectory.h"
+#include "relay/EngineProbe.h"
+#include "relay/Placement.h"
+#include "relay/RelayConfiguration.h"
+#include "relay/RelayContext.h"
+#include "relay/RelayMetrics.h"
+#include "relay/RelaySettings.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace lupinknot::internal {
+
+namespace {
+
+constexpr unsigned okStatus = 200;
+constexpr unsigned firstServerError = 500;
+// Copies begin some time after a run and grow a few times a second; a younger run has left nothing worth asking for.
+constexpr Milliseconds youngestCopy { 150 };
+
+Milliseconds shareOf(Milliseconds time, double share)
+{
+    return Milliseconds { static_cast<std::int64_t>(static_cast<double>(time.count()) * share) };
+}
+
+} // namespace
+
+// Hands the events on to the caller's connection as it takes them.
+class EventStreamCall::EventSource final : public HttpBodySource {
+public:
+    explicit EventSource(const EventStreamCall& call)
+        : m_call(call.shared_from_this())
+    {
+    }
+
+    HttpBodyPiece next() override
+    {
+        HttpBodyPiece piece;
+        const auto& events = m_call->m_events.tokens();
+        for (; m_handedOn < events.size(); ++m_handedOn)
+            piece.bytes.append(events[m_handedOn].text);
+        piece.isLast = m_call->m_isComplete;
+        return piece;
+    }
+
+private:
+    const std::shared_ptr<const EventStreamCall> m_call;
+    std::size_t m_handedOn { 0 };
+};
+
+void EventStreamCall::serve(RelayContext& context, RelayRequest request)
+{
+    const std::shared_ptr<EventStreamCall> call(new EventStreamCall(context, std::move(request)));
+    call->begin();
+}
+
+EventStreamCall::EventStreamCall(RelayContext& context, RelayRequest request)
+    : m_context(context)
+    , m_request(std::move(request))
+    , m_events({ .maxTokens = std::numeric_limits<std::size_t>::max(), .stops = {} })
+    , m_deadlineTimer(context.ioContext)
+    , m_checkTimer(context.ioContext)
+    , m_retryTimer(context.ioContext)
+{
+}
+
+EventStreamCall::~EventStreamCall() = default;
+
+void EventStreamCall::begin()
+{
+    m_deadlineTimer.expires_after(m_request.deadline - m_context.now());
+    m_deadlineTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+        if (!error)
+            self->timedOut();
+    });
+    m_request.exchange->onGone([self = shared_from_this()] {
+        if (self->m_isFinished)
+            return;
+        LogEvent("request.caller-gone").text("request", self->m_request.fields.requestId).write();
+        self->finish();
+    });
+    startRun();
+}
+
+bool EventStreamCall::mayStartRun()
+{
+    if (m_possibleRuns >= m_request.route->maxAttempts || (m_possibleRuns > 0 && !m_request.route->mayRunAgain())) {
+        giveUp(RefusalReason::EndpointFailed);
+        return false;
+    }
+    if (m_sendings > 0 && !m_context.retryBudget(m_request.service).take(m_context.now())) {
+        giveUp(m_possibleRuns > 0 ? RefusalReason::EndpointFailed : RefusalReason::RetryBudgetSpent);
+        return false;
+    }
+    return true;
+}
+
+void EventStreamCall::startRun()
+{
+    if (const auto holder = soundCopyHolder()) {
+        if (mayStartRun())
+            startRunAt(holder, true);
+        return;
+    }
+    const auto now = m_context.now();
+    std::vector<std::string> zonesToLeave;
+    if (!m_failed.empty())
+        zonesToLeave.push_back(m_failed.back()->entry().availabilityZone);
+    auto endpoint = m_context.placement.choose({ m_request.service, m_failed, zonesToLeave, false }, now);
+    if (!endpoint && !m_failed.empty())
+        endpoint = m_context.placement.choose({ m_request.service, {}, {}, true }, now);
+    if (!endpoint) {
+        waitForEndpoint();
+        return;
+    }
+    if (mayStartRun())
+        startRunAt(endpoint, false);
+}
+
+std::shared_ptr<RelayEndpoint> EventStreamCall::soundCopyHolder() const
+{
+    const auto now = m_context.now();
+    if (!m_copyHolder || m_copyHolder->removedAt() || m_copyHolder->isAvoided(now)
+        || m_context.directory.isZoneAvoided(m_copyHolder->entry().availabilityZone, now))
+        return nullptr;
+    return m_copyHolder;
+}
+
+std::shared_ptr<RelayEndpoint> EventStreamCall::chooseCopyHolder(const RelayEndpoint& engine)
+{
+    const auto* service = m_context.configuration->findService(m_request.service);
+    if (!service || !service->copiesRunningMemory || !m_request.route->mayRunAgain())
+        return nullptr;
+    return m_context.placement.choose({ m_request.service, m_failed, { engine.entry().availabilityZone }, true },
+        m_context.now());
+}
+
+void EventStreamCall::startRunAt(const std::shared_ptr<RelayEndpoint>& endpoint, bool isFromCopy)
+{
+    const auto now = m_context.now();
+    const auto& exchange = m_request.exchange;
+    auto run = std::make_shared<Run>();
+    run->number = m_events.beginAttempt();
+    run->endpoint = endpoint;
+    run->copyHolder = chooseCopyHolder(*endpoint);
+    run->startedAt = now;
+    run->lastActivity = now;
+    run->isFromCopy = isFromCopy;
+
+    ForwardFields fields;
+    fields.timeLeft = m_request.deadline - now;
+    fields.endpointId = endpoint->entry().id;
+    fields.organisation = m_request.organisation;
+    if (m_request.fields.lastEventId || m_events.length() > 0)
+        fields.lastEventId = lastEventId();
+    if (run->copyHolder)
+        fields.copyTo = run->copyHolder->entry().address;
+    if (isFromCopy)
+        fields.continueFrom = CopySource { endpoint->entry().address, m_request.fields.requestId };
+    m_copyHolder.reset();
+
+    LogEvent("stream.sent", m_sendings > 0 ? LogImportance::Notable : LogImportance::Routine)
+        .text("request", m_request.fields.requestId)
+        .text("endpoint", endpoint->entry().id)
+        .text("zone", endpoint->entry().availabilityZone)
+        .text("copy_to", run->copyHolder ? run->copyHolder->entry().id : "")
+        .flag("from_copy", isFromCopy)
+        .number("run", run->number)
+        .number("after_event", static_cast<std::int64_t>(lastEventId()))
+        .number("in_flight", endpoint->inFlight())
+        .number("config_version", static_cast<std::int64_t>(m_request.configurationVersion))
+        .write();
+    ++m_sendings;
+    ++m_possibleRuns;
+    m_run = run;
+    m_nextProbeAt = now;
+    const auto request = m_context.protocol.encodeForward(exchange->request(), fields);
+    run->call = EndpointCall::start(
+        m_context, endpoint, request, { m_request.fields.requestId, m_context.settings.maxRest }, weak_from_this());
+    armCheck(m_context.settings.probeAfterSilenceInDoubt);
+}
+
+void EventStreamCall::waitForEndpoint()
+{
+    const auto now = m_context.now();
+    if (m_events.length() == 0 && now - m_request.admittedAt >= m_context.settings.waitForEndpoint) {
+        giveUp(m_possibleRuns > 0 ? RefusalReason::EndpointFailed : RefusalReason::NoEndpoint);
+        return;
+    }
+    m_retryTimer.expires_after(m_context.settings.endpointRetryInterval);
+    m_retryTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->m_isFinished)
+            self->startRun();
+    });
+}
+
+void EventStreamCall::callHead(EndpointCall& call, const HttpResponse& head, const AnswerFields& fields)
+{
+    if (!m_run || m_run->call.get() != &call)
+        return;
+    m_run->head.status = head.status;
+    m_run->head.headers = head.headers.endToEnd();
+    m_run->fields = fields;
+    m_run->isStream = head.status == okStatus && fields.isSigned;
+    m_run->endpoint->noteLife(m_context.now());
+}
+
+void EventStreamCall::callBody(EndpointCall& call, std::string_view piece)
+{
+    const auto run = m_run;
+    if (!run || run->call.get() != &call)
+        return;
+    if (!run->isStream) {
+        run->head.body.append(piece);
+        return;
+    }
+    std::vector<WholeEvent> events;
+    if (!run->splitter.feed(piece, events)) {
+        runLost(FailureKind::MalformedEvent);
+        return;
+    }
+    if (!events.empty())
+        takeEvents(*run, std::move(events));
+}
+
+void EventStreamCall::takeEvents(Run& run, std::vector<WholeEvent>&& events)
+{
+    const auto now = m_context.now();
+    const auto firstId = m_request.fields.lastEventId.value_or(0) + 1;
+    for (auto& event : events) {
+        const auto position = static_cast<std::size_t>(event.id - firstId);
+        Token token { static_cast<TokenId>(position), std::move(event.bytes) };
+        if (m_events.append(run.number, position, std::move(token)) != AppendResult::Appended) {
+            LogEvent("stream.wrong-event")
+                .text("request", m_request.fields.requestId)
+                .text("endpoint", run.endpoint->entry().id)
+                .number("expected", static_cast<std::int64_t>(lastEventId() + 1))
+                .number("came", static_cast<std::int64_t>(event.id))
+                .write();
+            runLost(FailureKind::WrongPosition);
+            return;
+        }
+    }
+    run.lastActivity = now;
+    run.endpoint->noteLife(now);
+    if (!run.hasEvent && m_lossAt)
+        noteResumed(run, now);
+    run.hasEvent = true;
+    m_lastEventAt = now;
+    m_probe.reset();
+    if (!m_isHeadSent) {
+        m_isHeadSent = true;
+        m_request.exchange->stream(run.head, std::make_shared<EventSource>(*this));
+    }
+    m_request.exchange->wake();
+}
+
+void EventStreamCall::noteResumed(const Run& run, Milliseconds now)
+{
+    const auto gap = m_lastEventAt.count() ? now - m_lastEventAt : Milliseconds { 0 };
+    LogEvent("stream.resumed")
+        .text("request", m_request.fields.requestId)
+        .text("endpoint", run.endpoint->entry().id)
+        .flag("from_copy", run.isFromCopy)
+        .number("pause_ms", gap.count())
+        .number("detection_ms", m_lastEventAt.count() ? (*m_lossAt - m_lastEventAt).count() : 0)
+        .number("since_loss_ms", (now - *m_lossAt).count())
+        .write();
+    if (gap.count())
+        m_context.metrics.resumeGap.Observe(static_cast<double>(gap.count()));
+    (run.isFromCopy ? m_context.metrics.resumedFromCopy : m_context.metrics.resumedCold).Increment();
+    m_lossAt.reset();
+}
+
+void EventStreamCall::callEnded(EndpointCall& call)
+{
+    const auto run = m_run;
+    if (!run || run->call.get() != &call || m_isFinished)
+        return;
+    if (!run->isStream) {
+        settleWholeAnswer(run);
+        return;
+    }
+    if (!run->splitter.rest().empty() || m_events.length() == 0) {
+        runLost(FailureKind::EarlyEnd);
+        return;
+    }
+    complete();
+}
+
+// The engine answered with something other than a stream.
+void EventStreamCall::settleWholeAnswer(const std::shared_ptr<Run>& run)
+{
+    if (run->fields.isNotRun || run->fields.isOtherEndpoint) {
+        turnedAway();
+        return;
+    }
+    const bool isError = run->head.status >= firstServerError;
+    if (!run->fields.isSigned || m_isHeadSent || (isError && m_request.route->mayRunAgain())) {
+        runLost(run->fields.isSigned ? FailureKind::ErrorStatus : FailureKind::MalformedEvent);
+        return;
+    }
+    logEnd("endpoint-status", run->head.status);
+    m_request.exchange->respond(run->head);
+    finish();
+}
+
+void EventStreamCall::turnedAway()
+{
+    const auto run = std::exchange(m_run, nullptr);
+    const auto now = m_context.now();
+    --m_possibleRuns;
+    LogEvent("stream.turned-away")
+        .text("request", m_request.fields.requestId)
+        .text("endpoint", run->endpoint->entry().id)
+        .flag("from_copy", run->isFromCopy)
+        .number("status", run->head.status)
+        .write();
+    if (run->fields.isOtherEndpoint) {
+        m_context.directory.remove(run->endpoint->entry().id, now);
+        m_failed.push_back(run->endpoint);
+    } else if (!run->isFromCopy) {
+        run->endpoint->avoidUntil(now + m_context.settings.avoidAfterShed);
+        m_failed.push_back(run->endpoint);
+    }
+    startRun();
+}
+
+void EventStreamCall::callFailed(EndpointCall& call, FailureKind kind)
+{
+    if (m_run && m_run->call.get() == &call && !m_isFinished)
+        runLost(kind);
+}
+
+void EventStreamCall::runLost(FailureKind kind)
+{
+    const auto run = std::exchange(m_run, nullptr);
+    const auto now = m_context.now();
+    const auto& settings = m_context.settings;
+    const bool wasSent = run->call->hasSent();
+    run->call->cancel();
+    m_probe.reset();
+    LogEvent("stream.run-lost")
+        .text("request", m_request.fields.requestId)
+        .text("endpoint", run->endpoint->entry().id)
+        .text("zone", run->endpoint->entry().availabilityZone)
+        .text("failure", traitsOf(kind).name)
+        .flag("sent", wasSent)
+        .number("run", run->number)
+        .number("last_event", static_cast<std::int64_t>(lastEventId()))
+        .number("silent_ms", (now - run->lastActivity).count())
+        .number("run_ms", (now - run->startedAt).count())
+        .write();
+    m_context.metrics.countFailure(kind);
+    if (!wasSent)
+        --m_possibleRuns;
+    const bool isSilent = kind == FailureKind::Silent;
+    run->endpoint->avoidUntil(
+        now + (isSilent ? settings.avoidAfterSilence : wasSent ? settings.avoidAfterBreak : settings.avoidAfterRefusal));
+    m_context.directory.noteFailure(*run->endpoint, now);
+    m_failed.push_back(run->endpoint);
+    m_copyHolder = now - run->startedAt >= youngestCopy ? run->copyHolder : nullptr;
+    if (!m_lossAt)
+        m_lossAt = now;
+    startRun();
+}
+
+void EventStreamCall::armCheck(Milliseconds delay)
+{
+    m_checkTimer.expires_after(delay);
+    m_checkTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->m_isFinished && self->m_run)
+            self->check();
+    });
+}
+
+// Silence after which the engine is asked whether it lives.
+Milliseconds EventStreamCall::probeThreshold(const Run& run, Milliseconds now) const
+{
+    const auto& settings = m_context.settings;
+    const bool isInDoubt = m_context.directory.isZoneAvoided(run.endpoint->entry().availabilityZone, now);
+    if (isInDoubt)
+        return settings.probeAfterSilenceInDoubt;
+    if (run.hasEvent || run.isFromCopy)
+        return settings.probeAfterSilence;
+    const Milliseconds promptTokens { static_cast<std::int64_t>(m_request.fields.promptTokens) };
+    return settings.prefillPatience + shareOf(promptTokens, settings.prefillPatiencePerToken);
+}
+
+// Silence after which the stream moves though its engine answers questions.
+Milliseconds EventStreamCall::moveThreshold(const Run& run) const
+{
+    const auto& settings = m_context.settings;
+    if (run.hasEvent)
+        return shareOf(m_request.route->longestPause, settings.moveAfterPauseShare);
+    return shareOf(m_request.route->objective, settings.moveBeforeFirstEventShare);
+}
+
+void EventStreamCall::check()
+{
+    const auto now = m_context.now();
+    const auto& run = *m_run;
+    const auto silence = now - run.lastActivity;
+    if (silence >= moveThreshold(run) && m_request.route->mayRunAgain()) {
+        runLost(FailureKind::Silent);
+        return;
+    }
+    const auto engineSilence = now - std::max(run.lastActivity, run.endpoint->lastLife());
+    const auto threshold = probeThreshold(run, now);
+    if (engineSilence >= threshold && now >= m_nextProbeAt && !m_probe)
+        probe();
+    armCheck(m_context.settings.probeAfterSilenceInDoubt);
+}
+
+void EventStreamCall::probe()
+{
+    m_nextProbeAt = m_context.now() + m_context.settings.probeInterval;
+    m_probe = EngineProbe::start(m_context, m_run->endpoint, [weak = weak_from_this()](bool isAlive) {
+        if (const auto self = weak.lock())
+            self->probed(isAlive);
+    });
+}
+
+void EventStreamCall::probed(bool isAlive)
+{
+    const auto probe = std::exchange(m_probe, nullptr);
+    if (m_isFinished || !m_run || isAlive)
+        return;
+    if (m_request.route->mayRunAgain())
+        runLost(FailureKind::Silent);
+}
+
+void EventStreamCall::timedOut()
+{
+    if (!m_isFinished)
+        giveUp(m_possibleRuns > 0 ? RefusalReason::TimedOut : RefusalReason::TimedOutUnsent);
+}
+
+void EventStreamCall::complete()
+{
+    m_isComplete = true;
+    logEnd("complete", m_run->head.status);
+    m_request.exchange->wake();
+    finish();
+}
+
+void EventStreamCall::giveUp(RefusalReason reason)
+{
+    if (!m_isHeadSent) {
+        refuse(reason);
+        return;
+    }
+    logEnd(traitsOf(reason).name, 0);
+    m_request.exchange->abort();
+    finish();
+}
+
+void EventStreamCall::refuse(RefusalReason reason)
+{
+    logEnd(traitsOf(reason).name, traitsOf(reason).status);
+    m_request.exchange->respond(refusal(m_context, reason));
+    finish();
+}
+
+// A status of 0 stands for a stream that was broken off.
+void EventStreamCall::logEnd(std::string_view outcome, unsigned status)
+{
+    const auto took = m_context.now() - m_request.admittedAt;
+    LogEvent("stream.done", m_isComplete ? LogImportance::Routine : LogImportance::Notable)
+        .text("request", m_request.fields.requestId)
+        .text("outcome", outcome)
+        .number("status", status)
+        .number("events", static_cast<std::int64_t>(m_events.length()))
+        .number("sendings", m_sendings)
+        .number("took_ms", took.count())
+        .write();
+    m_context.metrics.countRequest(m_request.route->kind, status, took);
+}
+
+void EventStreamCall::finish()
+{
+    if (m_isFinished)
+        return;
+    m_isFinished = true;
+    m_deadlineTimer.cancel();
+    m_checkTimer.cancel();
+    m_retryTimer.cancel();
+    m_probe.reset();
+    if (const auto run = std::exchange(m_run, nullptr))
+        run->call->cancel();
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/EventStreamCall.h
@@ -0,0 +1,110 @@
+// Serves a request that is answered by a stream of events, over as many engines as it takes.
+//
+// The events belong to the answer (Generation), a run is one attempt of it at one engine. When the engine of the
+// present run fails or falls silent, a new run goes on behind the last whole event, with the head of the first one. An
+// engine that can copies the run's memory to a second engine in another availability zone while it grows; the new run
+// then begins there and reads only what the copy lacks.
+//
+// A stream that must not run twice is not moved once an engine may have begun it.
+// Used on the relay's thread only. Owned by its pending timers and the exchange's callback.
+#pragma once
+
+#include "lupinknot/Generation.h"
+#include "relay/EndpointCall.h"
+#include "relay/EventSplitter.h"
+#include "relay/RelayRefusal.h"
+#include "relay/RelayRequest.h"
+#include <boost/asio/steady_timer.hpp>
+#include <vector>
+
+namespace lupinknot::internal {
+
+class EngineProbe;
+
+class EventStreamCall final : public EndpointCallListener, public std::enable_shared_from_this<EventStreamCall> {
+public:
+    static void serve(RelayContext&, RelayRequest);
+    ~EventStreamCall() override;
+
+    void callHead(EndpointCall&, const HttpResponse&, const AnswerFields&) override;
+    void callBody(EndpointCall&, std::string_view) override;
+    void callEnded(EndpointCall&) override;
+    void callFailed(EndpointCall&, FailureKind) override;
+
+private:
+    class EventSource;
+
+    // One attempt at one engine.
+    struct Run {
+        AttemptNumber number { 0 };
+        std::shared_ptr<EndpointCall> call;
+        std::shared_ptr<RelayEndpoint> endpoint;
+        // The engine that receives a growing copy, if any.
+        std::shared_ptr<RelayEndpoint> copyHolder;
+        HttpResponse head;
+        AnswerFields fields;
+        EventSplitter splitter;
+        Milliseconds startedAt { 0 };
+        // When it was sent, or its last event came.
+        Milliseconds lastActivity { 0 };
+        bool isStream { false };
+        bool hasEvent { false };
+        bool isFromCopy { false };
+    };
+
+    EventStreamCall(RelayContext&, RelayRequest);
+    void begin();
+    // Starts a run somewhere, or waits for an endpoint, or gives the request up.
+    void startRun();
+    void startRunAt(const std::shared_ptr<RelayEndpoint>&, bool isFromCopy);
+    std::shared_ptr<RelayEndpoint> chooseCopyHolder(const RelayEndpoint& engine);
+    // The engine that holds a copy of the lost run's memory and looks sound, or null.
+    std::shared_ptr<RelayEndpoint> soundCopyHolder() const;
+    void waitForEndpoint();
+    bool mayStartRun();
+
+    void takeEvents(Run&, std::vector<WholeEvent>&&);
+    void noteResumed(const Run&, Milliseconds now);
+    void settleWholeAnswer(const std::shared_ptr<Run>&);
+    void runLost(FailureKind);
+    void turnedAway();
+
+    void armCheck(Milliseconds delay);
+    void check();
+    Milliseconds probeThreshold(const Run&, Milliseconds now) const;
+    Milliseconds moveThreshold(const Run&) const;
+    void probe();
+    void probed(bool isAlive);
+
+    void timedOut();
+    void complete();
+    void refuse(RefusalReason);
+    void giveUp(RefusalReason);
+    void logEnd(std::string_view outcome, unsigned status);
+    void finish();
+    std::uint64_t lastEventId() const { return m_request.fields.lastEventId.value_or(0) + m_events.length(); }
+
+    RelayContext& m_context;
+    const RelayRequest m_request;
+    Generation m_events;
+    std::shared_ptr<Run> m_run;
+    std::shared_ptr<EngineProbe> m_probe;
+    // Engines that failed this request; they are asked again only when no other is left.
+    std::vector<std::shared_ptr<RelayEndpoint>> m_failed;
+    // The engine that holds a copy of the run that was lost.
+    std::shared_ptr<RelayEndpoint> m_copyHolder;
+    // Runs that an engine may have begun.
+    unsigned m_possibleRuns { 0 };
+    unsigned m_sendings { 0 };
+    Milliseconds m_lastEventAt { 0 };
+    Milliseconds m_nextProbeAt { 0 };
+    std::optional<Milliseconds> m_lossAt;
+    bool m_isHeadSent { false };
+    bool m_isComplete { false };
+    bool m_isFinished { false };
+    boost::asio::steady_timer m_deadlineTimer;
+    boost::asio::steady_timer m_checkTimer;
+    boost::asio::steady_timer m_retryTimer;
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/Placement.cpp
@@ -0,0 +1,70 @@
+#include "relay/Placement.h"
+
+#include "relay/EndpointDirectory.h"
+
+#include <algorithm>
+
+namespace lupinknot::internal {
+
+namespace {
+
+// Costs, in calls under way. A call to another zone costs bytes between zones; docs/ROUTING.md has the trials.
+constexpr double otherZoneCost = 0.6;
+constexpr double randomCost = 0.3;
+// An endpoint that failed lately is worse than any load, one in a failing zone too, and a leaving one is the last
+// resort.
+constexpr double failingZoneCost = 1000;
+constexpr double avoidedCost = 3000;
+constexpr double zoneToLeaveCost = 10000;
+constexpr double leavingCost = 100000;
+
+} // namespace
+
+Placement::Placement(const EndpointDirectory& directory, const RelaySettings& settings, std::uint64_t seed)
+    : m_directory(directory)
+    , m_settings(settings)
+    , m_random(seed)
+{
+}
+
+std::shared_ptr<RelayEndpoint> Placement::choose(const PlacementRequest& request, Milliseconds now)
+{
+    std::shared_ptr<RelayEndpoint> best;
+    double lowest = 0;
+    for (const auto& endpoint : m_directory.endpointsOf(request.service)) {
+        const auto& excluded = request.excluded;
+        if (std::find(excluded.begin(), excluded.end(), endpoint) != excluded.end())
+            continue;
+        const auto removedAt = endpoint->removedAt();
+        if (removedAt && now - *removedAt > m_settings.removedEndpointGrace)
+            continue;
+        const auto found = cost(*endpoint, request, now);
+        if (request.mustBeSound && found >= failingZoneCost)
+            continue;
+        if (!best || found < lowest) {
+            best = endpoint;
+            lowest = found;
+        }
+    }
+    return best;
+}
+
+double Placement::cost(const RelayEndpoint& endpoint, const PlacementRequest& request, Milliseconds now)
+{
+    const auto& zone = endpoint.entry().availabilityZone;
+    double sum = endpoint.inFlight() + randomCost * random();
+    if (zone != m_settings.availabilityZone)
+        sum += otherZoneCost;
+    if (m_directory.isZoneAvoided(zone, now))
+        sum += failingZoneCost;
+    if (endpoint.isAvoided(now))
+        sum += avoidedCost;
+    const auto& left = request.zonesToLeave;
+    if (std::find(left.begin(), left.end(), zone) != left.end())
+        sum += zoneToLeaveCost;
+    if (endpoint.isLeaving())
+        sum += leavingCost;
+    return sum;
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/Placement.h
@@ -0,0 +1,47 @@
+// Chooses the endpoint of a new attempt.
+//
+// An endpoint's cost is what this VM has under way there, more when it lies in another availability zone, and much more
+// when it is avoided or leaving. The cheapest one is taken; ties are broken at random, so that the VMs, which know
+// nothing of each other's choices, spread over equals.
+#pragma once
+
+#include "lupinknot/Clock.h"
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace lupinknot::internal {
+
+class EndpointDirectory;
+class RelayEndpoint;
+struct RelaySettings;
+
+struct PlacementRequest {
+    std::string service;
+    // Endpoints that this request has tried or uses already.
+    std::vector<std::shared_ptr<RelayEndpoint>> excluded;
+    // Zones in which a second loss would hit; endpoints there come last.
+    std::vector<std::string> zonesToLeave;
+    // True for the place of a copy: an endpoint that is avoided or leaving is no place for it.
+    bool mustBeSound { false };
+};
+
+// Used on the relay's thread only.
+class Placement {
+public:
+    Placement(const EndpointDirectory&, const RelaySettings&, std::uint64_t seed);
+    // Null when no endpoint can take the request.
+    std::shared_ptr<RelayEndpoint> choose(const PlacementRequest&, Milliseconds now);
+
+private:
+    double cost(const RelayEndpoint&, const PlacementRequest&, Milliseconds now);
+    double random() { return m_uniform(m_random); }
+
+    const EndpointDirectory& m_directory;
+    const RelaySettings& m_settings;
+    std::mt19937_64 m_random;
+    std::uniform_real_distribution<double> m_uniform { 0.0, 1.0 };
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/RelayConfiguration.h
@@ -0,0 +1,64 @@
+// One version of the configuration: routes, services, organisations and limits.
+//
+//     RelayConfigurationBuilder builder;
+//     builder.version(7).addRoute(route).addKey("k1", "acme");
+//     auto configuration = builder.build();
+//     configuration->findRoute("a.example", "/captions/4");
+//
+// Immutable and shared: a request keeps the version that it was admitted under.
+#pragma once
+
+#include "http/HttpServerSettings.h"
+#include "relay/Route.h"
+#include "relay/ServiceTerms.h"
+#include <memory>
+#include <unordered_map>
+
+namespace lupinknot::internal {
+
+class RelayConfiguration {
+public:
+    std::uint64_t version() const { return m_version; }
+    // The route of the host with the longest prefix that begins the path, or null.
+    std::shared_ptr<const Route> findRoute(std::string_view host, std::string_view path) const;
+    // The organisation that holds the key, or null.
+    const std::string* findOrganisation(const std::string& key) const;
+    // The terms of the service, or null.
+    const ServiceTerms* findService(const std::string& name) const;
+    // True when every route wants a key, but for the public ones.
+    bool hasOrganisations() const { return m_hasOrganisations; }
+    std::size_t routeCount() const { return m_routeCount; }
+    const HttpServerSettings& callerLimits() const { return m_callerLimits; }
+
+private:
+    friend class RelayConfigurationBuilder;
+
+    std::uint64_t m_version { 0 };
+    // The routes of each host by their path prefix.
+    std::unordered_map<std::string, std::unordered_map<std::string, std::shared_ptr<const Route>>> m_routesByHost;
+    std::unordered_map<std::string, ServiceTerms> m_services;
+    std::unordered_map<std::string, std::string> m_organisationByKey;
+    HttpServerSettings m_callerLimits;
+    std::size_t m_routeCount { 0 };
+    bool m_hasOrganisations { false };
+};
+
+class RelayConfigurationBuilder {
+public:
+    RelayConfigurationBuilder();
+
+    RelayConfigurationBuilder& version(std::uint64_t);
+    RelayConfigurationBuilder& addRoute(Route);
+    RelayConfigurationBuilder& addService(ServiceTerms);
+    // From here on requests need a key, also when no organisation has one.
+    RelayConfigurationBuilder& requireKeys();
+    RelayConfigurationBuilder& addKey(std::string key, std::string organisation);
+    RelayConfigurationBuilder& callerLimits(const HttpServerSettings&);
+    // Leaves the builder empty.
+    std::shared_ptr<const RelayConfiguration> build();
+
+private:
+    std::shared_ptr<RelayConfiguration> m_configuration;
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/RelayContext.h
@@ -0,0 +1,37 @@
+// What every request of the relay uses. Lives for the process; used on the relay's thread only.
+#pragma once
+
+#include "lupinknot/Clock.h"
+#include "relay/RetryBudget.h"
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace lupinknot::internal {
+
+class CallProtocol;
+class EndpointDirectory;
+class Placement;
+class RelayConfiguration;
+class RelayMetrics;
+struct RelaySettings;
+
+struct RelayContext {
+    boost::asio::io_context& ioContext;
+    const RelaySettings& settings;
+    const Clock& clock;
+    const CallProtocol& protocol;
+    EndpointDirectory& directory;
+    Placement& placement;
+    RelayMetrics& metrics;
+    // The newest version; null until one is known.
+    std::shared_ptr<const RelayConfiguration> configuration;
+    std::unordered_map<std::string, RetryBudget> retryBudgets;
+    bool isStopping { false };
+
+    Milliseconds now() const { return clock.now(); }
+    RetryBudget& retryBudget(const std::string& service) { return retryBudgets.try_emplace(service, settings).first->second; }
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/RelayDaemon.h
@@ -0,0 +1,82 @@
+// The relay as a process: listeners, what it believes, and its stop.
+//
+//     RelayDaemon daemon(settings, { front, ready, metrics }, protocol);
+//     daemon.applyConfiguration(configuration);        // From the adapter that hears of it.
+//     daemon.directory().replaceAll(entries, now);
+//     daemon.run();                                    // Until it has stopped.
+//
+// One thread runs everything but the writing of the log: a VM has a quarter of a core, and each wake-up of a further
+// thread costs more than it brings (docs/PLATFORM.md). Calls come from that thread only.
+#pragma once
+
+#include "http/HttpServer.h"
+#include "http/SocketAddress.h"
+#include "lupinknot/MonotonicClock.h"
+#include "relay/EndpointDirectory.h"
+#include "relay/Placement.h"
+#include "relay/RelayContext.h"
+#include "relay/RelayHandler.h"
+#include "relay/RelayMetrics.h"
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace lupinknot::internal {
+
+struct RelayAddresses {
+    // Where callers come in.
+    SocketAddress front;
+    // Where the balancer asks whether this VM is ready.
+    SocketAddress ready;
+    SocketAddress metrics;
+};
+
+class RelayDaemon {
+public:
+    RelayDaemon(const RelaySettings&, RelayAddresses, const CallProtocol&);
+    ~RelayDaemon();
+    RelayDaemon(const RelayDaemon&) = delete;
+    RelayDaemon& operator=(const RelayDaemon&) = delete;
+
+    // Binds the listeners. Returns what went wrong, or nothing.
+    std::optional<std::string> start();
+    // Runs until a stop is complete.
+    void run();
+
+    boost::asio::io_context& ioContext() { return m_ioContext; }
+    EndpointDirectory& directory() { return m_directory; }
+    const Clock& clock() const { return m_clock; }
+    // Puts a configuration in force unless it is older than the present one. Returns whether it did.
+    bool applyConfiguration(std::shared_ptr<const RelayConfiguration>);
+    const std::shared_ptr<const RelayConfiguration>& configuration() const { return m_context.configuration; }
+    // What to do when the settings file may have changed.
+    void onReload(std::function<void()> callback) { m_onReload = std::move(callback); }
+    void requestStop();
+
+private:
+    // True when this VM wants callers.
+    bool isReady() const;
+    void answerReadiness(const std::shared_ptr<HttpExchange>&);
+    void answerMetrics(const std::shared_ptr<HttpExchange>&);
+    void awaitSignal();
+    void awaitStop();
+    void tick();
+
+    const RelaySettings m_settings;
+    const MonotonicClock m_clock;
+    boost::asio::io_context m_ioContext;
+    EndpointDirectory m_directory;
+    Placement m_placement;
+    RelayMetrics m_metrics;
+    RelayContext m_context;
+    RelayHandler m_handler;
+    HttpServer m_front;
+    HttpServer m_ready;
+    HttpServer m_metricsServer;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_stopTimer;
+    boost::asio::steady_timer m_tickTimer;
+    std::function<void()> m_onReload;
+    std::optional<Milliseconds> m_stopRequestedAt;
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/RelayEndpoint.cpp
@@ -0,0 +1,56 @@
+#include "relay/RelayEndpoint.h"
+
+namespace lupinknot::internal {
+
+RelayEndpoint::RelayEndpoint(
+    boost::asio::io_context& ioContext, EndpointEntry entry, const ClientConnectionSettings& settings)
+    : m_ioContext(ioContext)
+    , m_entry(std::move(entry))
+    , m_connectionSettings(settings)
+{
+}
+
+RelayEndpoint::~RelayEndpoint() { closeKeptConnections(); }
+
+std::shared_ptr<ClientConnection> RelayEndpoint::takeConnection(
+    Milliseconds now, Milliseconds maxRest, Milliseconds margin)
+{
+    while (!m_kept.empty()) {
+        const auto kept = std::move(m_kept.back());
+        m_kept.pop_back();
+        const auto promised = kept.connection->peerIdleTimeout();
+        const auto longest = promised ? std::min(maxRest, *promised - margin) : maxRest;
+        if (kept.connection->isIdle() && now - kept.since <= longest)
+            return kept.connection;
+        kept.connection->close();
+    }
+    return openConnection();
+}
+
+std::shared_ptr<ClientConnection> RelayEndpoint::openConnection()
+{
+    return ClientConnection::open(m_ioContext, m_entry.address, m_connectionSettings);
+}
+
+void RelayEndpoint::giveBack(const std::shared_ptr<ClientConnection>& connection, Milliseconds now)
+{
+    if (connection->isIdle() && !m_removedAt)
+        m_kept.push_back({ connection, now });
+    else
+        connection->close();
+}
+
+void RelayEndpoint::closeKeptConnections()
+{
+    for (const auto& kept : m_kept)
+        kept.connection->close();
+    m_kept.clear();
+}
+
+void RelayEndpoint::noteLife(Milliseconds now)
+{
+    m_lastLife = now;
+    m_avoidUntil = std::min(m_avoidUntil, now);
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/RelayHandler.cpp
@@ -0,0 +1,107 @@
+#include "relay/RelayHandler.h"
+
+#include "common/EventLog.h"
+#include "relay/EventStreamCall.h"
+#include "relay/RelayConfiguration.h"
+#include "relay/RelayContext.h"
+#include "relay/RelayMetrics.h"
+#include "relay/RelaySettings.h"
+#include "relay/WholeAnswerCall.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace lupinknot::internal {
+
+namespace {
+
+// The service of a route with several: by weight, and the same one whenever the same request is looked at.
+const std::string& chooseService(const Route& route, const std::string& requestId)
+{
+    std::uint64_t total = 0;
+    for (const auto& share : route.services)
+        total += share.weight;
+    if (total == 0)
+        return route.services.front().service;
+    auto ticket = XXH64(requestId.data(), requestId.size(), 0) % total;
+    for (const auto& share : route.services) {
+        if (ticket < share.weight)
+            return share.service;
+        ticket -= share.weight;
+    }
+    return route.services.back().service;
+}
+
+} // namespace
+
+RelayHandler::RelayHandler(RelayContext& context)
+    : m_context(context)
+{
+}
+
+void RelayHandler::handle(const std::shared_ptr<HttpExchange>& exchange)
+{
+    RelayRequest request;
+    request.exchange = exchange;
+    request.admittedAt = m_context.now();
+    request.fields = m_context.protocol.decodeCaller(exchange->request().headers);
+    if (const auto reason = admit(request)) {
+        refuse(request, *reason);
+        return;
+    }
+    m_context.retryBudget(request.service).noteRequest(request.admittedAt);
+    const bool isStream = request.route->kind == RequestKind::EventStream;
+    LogEvent("request.admitted", LogImportance::Routine)
+        .text("request", request.fields.requestId)
+        .text("route", request.route->name)
+        .text("service", request.service)
+        .text("organisation", request.organisation)
+        .number("time_left_ms", (request.deadline - request.admittedAt).count())
+        .number("config_version", static_cast<std::int64_t>(request.configurationVersion))
+        .write();
+    if (isStream)
+        EventStreamCall::serve(m_context, std::move(request));
+    else
+        WholeAnswerCall::serve(m_context, std::move(request));
+}
+
+std::optional<RefusalReason> RelayHandler::admit(RelayRequest& request) const
+{
+    const auto configuration = m_context.configuration;
+    if (!configuration)
+        return RefusalReason::NoConfiguration;
+    if (m_context.isStopping)
+        return RefusalReason::Stopping;
+    const auto& http = request.exchange->request();
+    request.configurationVersion = configuration->version();
+    request.route = configuration->findRoute(http.headers.find("Host").value_or(""), http.path());
+    if (!request.route || request.route->services.empty())
+        return RefusalReason::UnknownRoute;
+    if (configuration->hasOrganisations() && !request.route->isPublic) {
+        const auto* organisation = configuration->findOrganisation(request.fields.apiKey);
+        if (!organisation)
+            return RefusalReason::UnknownKey;
+        request.organisation = *organisation;
+    }
+    if (request.fields.requestId.empty() || !request.fields.malformedField.empty())
+        return RefusalReason::Malformed;
+    request.service = chooseService(*request.route, request.fields.requestId);
+    const auto patience = std::min(request.fields.patience.value_or(request.route->timeout), request.route->timeout);
+    request.deadline = request.admittedAt + patience;
+    return std::nullopt;
+}
+
+void RelayHandler::refuse(const RelayRequest& request, RefusalReason reason)
+{
+    const auto& traits = traitsOf(reason);
+    LogEvent("request.refused")
+        .text("request", request.fields.requestId)
+        .text("reason", traits.name)
+        .text("field", request.fields.malformedField)
+        .number("status", traits.status)
+        .number("config_version", static_cast<std::int64_t>(request.configurationVersion))
+        .write();
+    request.exchange->respond(refusal(m_context, reason));
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/RelayMetrics.cpp
@@ -0,0 +1,76 @@
+#include "relay/RelayMetrics.h"
+
+#include <prometheus/text_serializer.h>
+#include <sstream>
+
+namespace lupinknot::internal {
+
+namespace {
+
+// Milliseconds; the objectives of today lie between 100 and 4500.
+const prometheus::Histogram::BucketBoundaries durationBounds { 10, 25, 50, 75, 100, 150, 250, 500, 1000, 2500, 5000,
+    10000 };
+const prometheus::Histogram::BucketBoundaries gapBounds { 50, 100, 200, 300, 400, 500, 600, 700, 1000, 2000, 5000 };
+
+prometheus::Counter& addCounter(prometheus::Registry& registry, const char* name, const char* help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
+}
+
+prometheus::Gauge& addGauge(prometheus::Registry& registry, const char* name, const char* help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+} // namespace
+
+RelayMetrics::RelayMetrics()
+    : m_registry(std::make_shared<prometheus::Registry>())
+    , m_requests(prometheus::BuildCounter()
+                     .Name("lupinknot_relay_requests_total")
+                     .Help("Requests answered, by kind and status.")
+                     .Register(*m_registry))
+    , m_failures(prometheus::BuildCounter()
+                     .Name("lupinknot_relay_attempt_failures_total")
+                     .Help("Attempts that failed, by cause.")
+                     .Register(*m_registry))
+    , m_durations(prometheus::BuildHistogram()
+                      .Name("lupinknot_relay_request_ms")
+                      .Help("Time from a request's arrival to its answer, by kind.")
+                      .Register(*m_registry))
+    , resumedFromCopy(addCounter(
+          *m_registry, "lupinknot_relay_resumed_from_copy_total", "Streams that went on from a copy of their memory."))
+    , resumedCold(addCounter(
+          *m_registry, "lupinknot_relay_resumed_cold_total", "Streams that went on by reading the prompt again."))
+    , resumeGap(prometheus::BuildHistogram()
+                    .Name("lupinknot_relay_resume_gap_ms")
+                    .Help("Time between the last event before a loss and the first one after it.")
+                    .Register(*m_registry)
+                    .Add({}, gapBounds))
+    , engineProbes(addCounter(*m_registry, "lupinknot_relay_engine_probes_total", "Questions whether an engine lives."))
+    , configurationVersion(addGauge(
+          *m_registry, "lupinknot_relay_configuration_version", "The configuration in force."))
+    , endpointsKnown(addGauge(*m_registry, "lupinknot_relay_endpoints_known", "Endpoints in the directory."))
+{
+}
+
+void RelayMetrics::countRequest(RequestKind kind, unsigned status, Milliseconds took)
+{
+    const std::string kindName(nameIn(requestKindNames, kind));
+    m_requests.Add({ { "kind", kindName }, { "status", std::to_string(status) } }).Increment();
+    m_durations.Add({ { "kind", kindName } }, durationBounds).Observe(static_cast<double>(took.count()));
+}
+
+void RelayMetrics::countFailure(FailureKind kind)
+{
+    m_failures.Add({ { "failure", std::string(traitsOf(kind).name) } }).Increment();
+}
+
+std::string RelayMetrics::exposition() const
+{
+    std::ostringstream text;
+    prometheus::TextSerializer().Serialize(text, m_registry->Collect());
+    return text.str();
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/RelayRefusal.h
@@ -0,0 +1,40 @@
+// The relay's own answers: refusals and failures, in one place.
+#pragma once
+
+#include "http/HttpResponse.h"
+#include "lupinknot/EnumNames.h"
+
+namespace lupinknot::internal {
+
+struct RelayContext;
+
+enum class RefusalReason {
+    Malformed,
+    UnknownKey,
+    UnknownRoute,
+    NoConfiguration,
+    Stopping,
+    NoEndpoint,
+    EndpointsBusy,
+    RetryBudgetSpent,
+    EndpointFailed,
+    TimedOut,
+    TimedOutUnsent,
+};
+
+// One row of the table of what each reason tells the caller.
+struct RefusalTraits {
+    RefusalReason reason;
+    std::string_view name;
+    unsigned status;
+    // True when the request has not run and will not: the caller may come back, and is told when.
+    bool isNotRun;
+    std::string_view message;
+};
+
+const RefusalTraits& traitsOf(RefusalReason);
+
+// The answer for a reason; one that has not run says when to come back.
+HttpResponse refusal(const RelayContext&, RefusalReason);
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/RelayRequest.h
@@ -0,0 +1,25 @@
+// One admitted request: what the caller asked for and the terms it is served on. Lives for the request.
+#pragma once
+
+#include "http/HttpExchange.h"
+#include "relay/CallProtocol.h"
+#include "relay/Route.h"
+#include <memory>
+#include <string>
+
+namespace lupinknot::internal {
+
+struct RelayRequest {
+    std::shared_ptr<HttpExchange> exchange;
+    CallerFields fields;
+    std::shared_ptr<const Route> route;
+    std::string service;
+    // Empty on public routes.
+    std::string organisation;
+    std::uint64_t configurationVersion { 0 };
+    Milliseconds admittedAt { 0 };
+    // When the caller, or the route, gives the request up.
+    Milliseconds deadline { 0 };
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/RelaySettings.h
@@ -0,0 +1,86 @@
+// Limits, times and weights of the relay. Those that a deployment sets are filled in by its adapter.
+#pragma once
+
+#include "lupinknot/Clock.h"
+#include <cstdint>
+#include <string>
+
+namespace lupinknot::internal {
+
+struct RelaySettings {
+    // This VM and its availability zone, for logs and for the choice of endpoints.
+    std::string vmName;
+    std::string availabilityZone;
+
+    // Retries that all VMs together may send to a service: a share of its requests within the window, and a fixed
+    // number. From the deployment.
+    double retryRatio { 0.8 };
+    double retrySlack { 150 };
+    Milliseconds retryWindow { 10000 };
+    // Share of the fixed number that this VM takes for itself. A guess of one in twelve: deployments of today have up
+    // to ten VMs and the rest is a reserve.
+    double retrySlackShare { 1.0 / 12 };
+    // Share of the ratio that this VM spends on its own requests; the rest covers requests it counts and others do not.
+    double retryRatioShare { 0.9 };
+
+    // Time for a connection to an endpoint to come about. A round trip is about 2 ms between zones and setting one up
+    // costs an endpoint 1 ms; a lost opening packet is sent again only after a second.
+    Milliseconds endpointConnectTimeout { 80 };
+    // Time after which an unanswered idempotent call is also sent to a second endpoint. Most calls take 15 to 30 ms of
+    // work, so only a few in a hundred get there.
+    Milliseconds hedgeDelay { 75 };
+    // Longest rest after which a kept connection still carries a call that must not run twice. A peer may close a
+    // resting connection at any time, and the call that crosses the close may have run.
+    Milliseconds maxRestForSingleRun { 1500 };
+    // The same for calls that may run again.
+    Milliseconds maxRest { 4000 };
+    // Margin by which a kept connection is given up before its peer says it closes it.
+    Milliseconds restMargin { 700 };
+
+    // Silence of a stream after which its engine is asked whether it lives. Events come every 30 ms, every 150 ms
+    // beside a prompt that is being read.
+    Milliseconds probeAfterSilence { 170 };
+    // The same once another engine of the same availability zone has just failed.
+    Milliseconds probeAfterSilenceInDoubt { 90 };
+    // Time for the engine to answer that question; in a zone it takes about 3 ms.
+    Milliseconds probeTimeout { 70 };
+    // Pause between two questions while a stream stays silent and its engine lives.
+    Milliseconds probeInterval { 150 };
+    // Silence after which a stream moves though its engine lives, counted as share of the route's longest pause.
+    double moveAfterPauseShare { 0.75 };
+    // A stream waits for its first event this long per token of its prompt, and at least the fixed time, before its
+    // engine is asked. Engines read 5 tokens a millisecond when they read one prompt alone.
+    double prefillPatiencePerToken { 0.3 };
+    Milliseconds prefillPatience { 300 };
+    // A stream that has no event yet moves after this share of the route's objective though its engine lives.
+    double moveBeforeFirstEventShare { 0.6 };
+    // How long a stream without an event waits for an endpoint when none can be asked.
+    Milliseconds waitForEndpoint { 900 };
+    // Pause between two looks for an endpoint.
+    Milliseconds endpointRetryInterval { 40 };
+
+    // How long an endpoint is avoided after it refused a connection, fell silent, or broke off an answer.
+    Milliseconds avoidAfterRefusal { 1500 };
+    Milliseconds avoidAfterSilence { 2000 };
+    Milliseconds avoidAfterBreak { 300 };
+    // An endpoint that turned a request away as full is avoided this long.
+    Milliseconds avoidAfterShed { 150 };
+    // When this many endpoints of a zone fail within the window, the whole zone is avoided for a while: a zone's
+    // engines go together.
+    unsigned zoneFailureCount { 2 };
+    Milliseconds zoneFailureWindow { 400 };
+    Milliseconds avoidZone { 1000 };
+    // An endpoint whose entry has gone may serve as a last resort for this long, because entries also lapse while the
+    // list's source is away.
+    Milliseconds removedEndpointGrace { 1500 };
+
+    // What a refusal tells the caller to wait.
+    Milliseconds retryAfter { 250 };
+
+    // A stop takes new work for the first time, because the balancer needs two looks to notice, and ends at the second
+    // at the latest.
+    Milliseconds stopAcceptsFor { 2600 };
+    Milliseconds stopWithin { 7700 };
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/RetryBudget.cpp
@@ -0,0 +1,40 @@
+#include "relay/RetryBudget.h"
+
+#include "relay/RelaySettings.h"
+
+namespace lupinknot::internal {
+
+RetryBudget::RetryBudget(const RelaySettings& settings)
+    : m_settings(settings)
+{
+}
+
+void RetryBudget::noteRequest(Milliseconds now)
+{
+    forgetOld(now);
+    m_requests.push_back(now);
+}
+
+bool RetryBudget::take(Milliseconds now)
+{
+    forgetOld(now);
+    const auto earned
+        = m_settings.retryRatio * m_settings.retryRatioShare * static_cast<double>(m_requests.size());
+    const auto granted = m_settings.retrySlack * m_settings.retrySlackShare;
+    if (static_cast<double>(m_retries.size()) + 1 > earned + granted)
+        return false;
+    m_retries.push_back(now);
+    return true;
+}
+
+void RetryBudget::forgetOld(Milliseconds now)
+{
+    const auto forget = [this, now](std::deque<Milliseconds>& instants) {
+        while (!instants.empty() && now - instants.front() > m_settings.retryWindow)
+            instants.pop_front();
+    };
+    forget(m_requests);
+    forget(m_retries);
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/ServiceTerms.h
@@ -0,0 +1,17 @@
+// What the configuration says of one service. Lives for one version of the configuration.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace lupinknot::internal {
+
+struct ServiceTerms {
+    std::string name;
+    // Connections that one endpoint accepts from all VMs together.
+    std::uint32_t maxConnections { 0 };
+    // True for model engines that can send a running request's memory to another engine while it grows.
+    bool copiesRunningMemory { false };
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/WholeAnswerCall.cpp
@@ -0,0 +1,281 @@
+#include "relay/WholeAnswerCall.h"
+
+#include "common/EventLog.h"
+#include "relay/EndpointDirectory.h"
+#include "relay/Placement.h"
+#include "relay/RelayContext.h"
+#include "relay/RelayMetrics.h"
+#include "relay/RelaySettings.h"
+
+#include <algorithm>
+
+namespace lupinknot::internal {
+
+namespace {
+
+constexpr unsigned firstServerError = 500;
+
+bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
+
+} // namespace
+
+void WholeAnswerCall::serve(RelayContext& context, RelayRequest request)
+{
+    const std::shared_ptr<WholeAnswerCall> call(new WholeAnswerCall(context, std::move(request)));
+    call->begin();
+}
+
+WholeAnswerCall::WholeAnswerCall(RelayContext& context, RelayRequest request)
+    : m_context(context)
+    , m_request(std::move(request))
+    , m_deadlineTimer(context.ioContext)
+    , m_hedgeTimer(context.ioContext)
+{
+}
+
+WholeAnswerCall::~WholeAnswerCall() = default;
+
+void WholeAnswerCall::begin()
+{
+    m_deadlineTimer.expires_after(m_request.deadline - m_context.now());
+    m_deadlineTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+        if (!error)
+            self->timedOut();
+    });
+    m_request.exchange->onGone([self = shared_from_this()] {
+        if (self->m_isFinished)
+            return;
+        LogEvent("request.caller-gone").text("request", self->m_request.fields.requestId).write();
+        self->finish();
+    });
+    if (!sendNext()) {
+        refuse(RefusalReason::NoEndpoint);
+        return;
+    }
+    if (m_request.route->mayRunAgain())
+        armHedge();
+}
+
+bool WholeAnswerCall::maySendAgain() const { return m_possibleRuns < m_request.route->maxAttempts; }
+
+bool WholeAnswerCall::sendNext()
+{
+    const auto now = m_context.now();
+    const auto endpoint = m_context.placement.choose({ m_request.service, m_tried, {}, false }, now);
+    if (!endpoint || m_request.deadline <= now)
+        return false;
+    m_tried.push_back(endpoint);
+    ForwardFields fields;
+    fields.timeLeft = m_request.deadline - now;
+    fields.endpointId = endpoint->entry().id;
+    fields.organisation = m_request.organisation;
+    const auto request = m_context.protocol.encodeForward(m_request.exchange->request(), fields);
+    const auto& settings = m_context.settings;
+    const auto maxRest = m_request.route->mayRunAgain() ? settings.maxRest : settings.maxRestForSingleRun;
+    LogEvent("request.sent", m_tried.size() > 1 ? LogImportance::Notable : LogImportance::Routine)
+        .text("request", m_request.fields.requestId)
+        .text("endpoint", endpoint->entry().id)
+        .number("attempt", static_cast<std::int64_t>(m_tried.size()))
+        .number("in_flight", endpoint->inFlight())
+        .number("config_version", static_cast<std::int64_t>(m_request.configurationVersion))
+        .write();
+    ++m_possibleRuns;
+    auto attempt = std::make_unique<Attempt>();
+    auto& stored = *m_attempts.emplace_back(std::move(attempt));
+    stored.call = EndpointCall::start(
+        m_context, endpoint, request, { m_request.fields.requestId, maxRest }, weak_from_this());
+    return true;
+}
+
+void WholeAnswerCall::armHedge()
+{
+    m_hedgeTimer.expires_after(m_context.settings.hedgeDelay);
+    m_hedgeTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->m_isFinished)
+            self->hedge();
+    });
+}
+
+void WholeAnswerCall::hedge()
+{
+    if (!hasOpenAttempt() || !maySendAgain())
+        return;
+    if (!m_context.retryBudget(m_request.service).take(m_context.now()))
+        return;
+    sendNext();
+}
+
+WholeAnswerCall::Attempt& WholeAnswerCall::attemptOf(const EndpointCall& call)
+{
+    const auto found = std::find_if(m_attempts.begin(), m_attempts.end(),
+        [&call](const std::unique_ptr<Attempt>& attempt) { return attempt->call.get() == &call; });
+    return **found;
+}
+
+bool WholeAnswerCall::hasOpenAttempt() const
+{
+    return std::any_of(m_attempts.begin(), m_attempts.end(),
+        [](const std::unique_ptr<Attempt>& attempt) { return !attempt->call || !attempt->call->isOver(); });
+}
+
+void WholeAnswerCall::callHead(EndpointCall& call, const HttpResponse& head, const AnswerFields& fields)
+{
+    auto& attempt = attemptOf(call);
+    attempt.answer.status = head.status;
+    attempt.answer.headers = head.headers.endToEnd();
+    attempt.fields = fields;
+}
+
+void WholeAnswerCall::callBody(EndpointCall& call, std::string_view piece)
+{
+    attemptOf(call).answer.body.append(piece);
+}
+
+void WholeAnswerCall::callEnded(EndpointCall& call)
+{
+    if (!m_isFinished)
+        settle(attemptOf(call));
+}
+
+void WholeAnswerCall::settle(Attempt& attempt)
+{
+    const auto& endpoint = attempt.call->endpoint();
+    const auto status = attempt.answer.status;
+    if (attempt.fields.isNotRun || attempt.fields.isOtherEndpoint) {
+        --m_possibleRuns;
+        LogEvent("request.turned-away")
+            .text("request", m_request.fields.requestId)
+            .text("endpoint", endpoint->entry().id)
+            .number("status", status)
+            .write();
+        const auto now = m_context.now();
+        if (attempt.fields.isOtherEndpoint)
+            m_context.directory.remove(endpoint->entry().id, now);
+        else
+            endpoint->avoidUntil(now + m_context.settings.avoidAfterShed);
+        recover(RefusalReason::EndpointsBusy);
+        return;
+    }
+    if (!attempt.fields.isSigned) {
+        // Without the endpoint's signature these bytes are no answer of its own.
+        callFailed(*attempt.call, FailureKind::MalformedEvent);
+        return;
+    }
+    if (status >= firstServerError && m_request.route->mayRunAgain()) {
+        LogEvent("request.endpoint-error")
+            .text("request", m_request.fields.requestId)
+            .text("endpoint", endpoint->entry().id)
+            .number("status", status)
+            .write();
+        m_errorAnswer = std::make_unique<Attempt>(attempt);
+        recover(RefusalReason::EndpointFailed);
+        return;
+    }
+    answer(std::move(attempt.answer), isSuccess(status) ? "answered" : "endpoint-status", endpoint->entry().id);
+}
+
+void WholeAnswerCall::callFailed(EndpointCall& call, FailureKind kind)
+{
+    if (m_isFinished)
+        return;
+    const auto now = m_context.now();
+    const auto& settings = m_context.settings;
+    const auto& endpoint = call.endpoint();
+    const bool wasSent = call.hasSent();
+    LogEvent("request.attempt-failed")
+        .text("request", m_request.fields.requestId)
+        .text("endpoint", endpoint->entry().id)
+        .text("failure", traitsOf(kind).name)
+        .flag("sent", wasSent)
+        .number("after_ms", (now - call.startedAt()).count())
+        .write();
+    m_context.metrics.countFailure(kind);
+    if (!wasSent) {
+        --m_possibleRuns;
+        endpoint->avoidUntil(now + settings.avoidAfterRefusal);
+    } else {
+        endpoint->avoidUntil(now + settings.avoidAfterBreak);
+    }
+    recover(wasSent ? RefusalReason::EndpointFailed : RefusalReason::NoEndpoint);
+}
+
+// Goes on elsewhere if that is allowed, waits for an attempt that is still open, or gives the request up.
+void WholeAnswerCall::recover(RefusalReason lastReason)
+{
+    const bool mayHaveRun = m_possibleRuns > 0;
+    const bool isAllowed = maySendAgain() && (!mayHaveRun || m_request.route->mayRunAgain());
+    const bool isFunded = isAllowed && m_context.retryBudget(m_request.service).take(m_context.now());
+    if (isFunded && sendNext())
+        return;
+    if (hasOpenAttempt())
+        return;
+    if (m_errorAnswer) {
+        const auto endpointId = m_errorAnswer->call->endpoint()->entry().id;
+        answer(std::move(m_errorAnswer->answer), "endpoint-status", endpointId);
+        return;
+    }
+    if (mayHaveRun)
+        refuse(RefusalReason::EndpointFailed);
+    else
+        refuse(isAllowed && !isFunded ? RefusalReason::RetryBudgetSpent : lastReason);
+}
+
+void WholeAnswerCall::timedOut()
+{
+    if (m_isFinished)
+        return;
+    const auto now = m_context.now();
+    const auto isSent = [](const std::unique_ptr<Attempt>& attempt) { return attempt->call->hasSent(); };
+    for (const auto& attempt : m_attempts) {
+        if (!attempt->call->isOver() && attempt->call->hasSent())
+            attempt->call->endpoint()->avoidUntil(now + m_context.settings.avoidAfterSilence);
+    }
+    const bool wasSent = std::any_of(m_attempts.begin(), m_attempts.end(), isSent);
+    refuse(wasSent ? RefusalReason::TimedOut : RefusalReason::TimedOutUnsent);
+}
+
+void WholeAnswerCall::answer(HttpResponse response, std::string_view outcome, std::string_view endpointId)
+{
+    const auto now = m_context.now();
+    LogEvent("request.done", LogImportance::Routine)
+        .text("request", m_request.fields.requestId)
+        .text("outcome", outcome)
+        .text("endpoint", endpointId)
+        .number("status", response.status)
+        .number("attempts", static_cast<std::int64_t>(m_tried.size()))
+        .number("took_ms", (now - m_request.admittedAt).count())
+        .write();
+    m_context.metrics.countRequest(m_request.route->kind, response.status, now - m_request.admittedAt);
+    m_request.exchange->respond(std::move(response));
+    finish();
+}
+
+void WholeAnswerCall::refuse(RefusalReason reason)
+{
+    const auto now = m_context.now();
+    const auto& traits = traitsOf(reason);
+    LogEvent("request.refused")
+        .text("request", m_request.fields.requestId)
+        .text("reason", traits.name)
+        .number("status", traits.status)
+        .number("attempts", static_cast<std::int64_t>(m_tried.size()))
+        .number("took_ms", (now - m_request.admittedAt).count())
+        .write();
+    m_context.metrics.countRequest(m_request.route->kind, traits.status, now - m_request.admittedAt);
+    m_request.exchange->respond(refusal(m_context, reason));
+    finish();
+}
+
+void WholeAnswerCall::finish()
+{
+    if (m_isFinished)
+        return;
+    m_isFinished = true;
+    m_deadlineTimer.cancel();
+    m_hedgeTimer.cancel();
+    for (const auto& attempt : m_attempts)
+        attempt->call->cancel();
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/WholeAnswerCall.h
@@ -0,0 +1,66 @@
+// Serves a request that has one whole answer.
+//
+// The answer is collected before its first byte goes to the caller, so that one that breaks off is never mistaken for
+// a whole one and an idempotent call can go on elsewhere. An idempotent call whose endpoint is slow is also sent to a
+// second endpoint, and the first good answer wins.
+//
+// A call that must not run twice is sent again only where the first sending provably did not run.
+// Used on the relay's thread only. Owned by its pending timers and the exchange's callback.
+#pragma once
+
+#include "relay/EndpointCall.h"
+#include "relay/RelayRefusal.h"
+#include "relay/RelayRequest.h"
+#include <boost/asio/steady_timer.hpp>
+#include <vector>
+
+namespace lupinknot::internal {
+
+class WholeAnswerCall final : public EndpointCallListener, public std::enable_shared_from_this<WholeAnswerCall> {
+public:
+    static void serve(RelayContext&, RelayRequest);
+    ~WholeAnswerCall() override;
+
+    void callHead(EndpointCall&, const HttpResponse&, const AnswerFields&) override;
+    void callBody(EndpointCall&, std::string_view) override;
+    void callEnded(EndpointCall&) override;
+    void callFailed(EndpointCall&, FailureKind) override;
+
+private:
+    // One sending and what has come of its answer.
+    struct Attempt {
+        std::shared_ptr<EndpointCall> call;
+        HttpResponse answer;
+        AnswerFields fields;
+    };
+
+    WholeAnswerCall(RelayContext&, RelayRequest);
+    void begin();
+    // Sends to one more endpoint; false when there is none or no attempt is left.
+    bool sendNext();
+    bool maySendAgain() const;
+    void armHedge();
+    void hedge();
+    void timedOut();
+    void settle(Attempt&);
+    void recover(RefusalReason lastReason);
+    bool hasOpenAttempt() const;
+    Attempt& attemptOf(const EndpointCall&);
+    void answer(HttpResponse, std::string_view outcome, std::string_view endpointId);
+    void refuse(RefusalReason);
+    void finish();
+
+    RelayContext& m_context;
+    const RelayRequest m_request;
+    std::vector<std::unique_ptr<Attempt>> m_attempts;
+    std::vector<std::shared_ptr<RelayEndpoint>> m_tried;
+    // Sendings that an endpoint may have run.
+    unsigned m_possibleRuns { 0 };
+    // A whole error answer of an endpoint, to be passed on if nothing better comes.
+    std::unique_ptr<Attempt> m_errorAnswer;
+    boost::asio::steady_timer m_deadlineTimer;
+    boost::asio::steady_timer m_hedgeTimer;
+    bool m_isFinished { false };
+};
+
+} // namespace lupinknot::internal
