Client connections: a body limit of its own, because Boost 1.74 takes none for nothing

Cause: every answer of the store was 'malformed', so no VM knew a configuration and all 920 requests got 503. basic_parser::body_limit(boost::none) means a limit of nothing in Boost 1.74. Ruled out: the store's answers (a stand-alone program failed with 'body limit exceeded' on our own listener too). Change: the largest number as limit.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <charconv>
+#include <limits>
 #include <netinet/tcp.h>
 
 namespace lupinknot::internal {
@@ -49,7 +50,8 @@
     {
         eager(true);
         header_limit(maxAnswerHeadBytes);
-        body_limit(boost::none);
+        // Boost 1.74 takes "no limit" for a limit of nothing.
+        body_limit(std::numeric_limits<std::uint64_t>::max());
         if (isHeadRequest)
             skip(true);
     }
