Streams: an engine that lives keeps its prompt; a copy is asked for only after the first event

Cause: 67 moves as 'silent', many of them of streams whose engine was alive and still read the prompt (2.7 s), and 40 requests for copies that cannot exist yet (copies begin with the first event). Both spent tokens, attempts and budget. Ruled out: a longer fixed patience (the probe already tells a slow engine from a dead one). Change: no move of a living engine before its first event; no copy asked for before it.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -19,8 +19,6 @@
 
 constexpr unsigned okStatus = 200;
 constexpr unsigned firstServerError = 500;
-// Copies begin some time after a run and grow a few times a second; a younger run has left nothing worth asking for.
-constexpr Milliseconds youngestCopy { 150 };
 
 Milliseconds shareOf(Milliseconds time, double share)
 {
@@ -364,7 +362,8 @@
         now + (isSilent ? settings.avoidAfterSilence : wasSent ? settings.avoidAfterBreak : settings.avoidAfterRefusal));
     m_context.directory.noteFailure(*run->endpoint, now);
     m_failed.push_back(run->endpoint);
-    m_copyHolder = now - run->startedAt >= youngestCopy ? run->copyHolder : nullptr;
+    // A run is copied from its first event on: before it there is nothing to ask for.
+    m_copyHolder = run->hasEvent ? run->copyHolder : nullptr;
     if (!m_lossAt)
         m_lossAt = now;
     startRun();
@@ -397,9 +396,7 @@
 Milliseconds EventStreamCall::moveThreshold(const Run& run) const
 {
     const auto& settings = m_context.settings;
-    if (run.hasEvent)
-        return shareOf(m_request.route->longestPause, settings.moveAfterPauseShare);
-    return shareOf(m_request.route->objective, settings.moveBeforeFirstEventShare);
+    return shareOf(m_request.route->longestPause, settings.moveAfterPauseShare);
 }
 
 void EventStreamCall::check()
@@ -407,7 +404,7 @@
     const auto now = m_context.now();
     const auto& run = *m_run;
     const auto silence = now - run.lastActivity;
-    if (silence >= moveThreshold(run) && m_request.route->mayRunAgain()) {
+    if (run.hasEvent && silence >= moveThreshold(run) && m_request.route->mayRunAgain()) {
         runLost(FailureKind::Silent);
         return;
     }
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -17,9 +17,8 @@
     double retryRatio { 0.8 };
     double retrySlack { 150 };
     Milliseconds retryWindow { 10000 };
-    // Share of the fixed number that this VM takes for itself. A guess of one in twelve: deployments of today have up
-    // to ten VMs and the rest is a reserve.
-    double retrySlackShare { 1.0 / 12 };
+    // Share of the fixed number that this VM takes for itself. Deployments of today have six to ten VMs.
+    double retrySlackShare { 1.0 / 10 };
     // Share of the ratio that this VM spends on its own requests; the rest covers requests it counts and others do not.
     double retryRatioShare { 0.9 };
 
@@ -52,8 +51,6 @@
     // engine is asked. Engines read 5 tokens a millisecond when they read one prompt alone.
     double prefillPatiencePerToken { 0.3 };
     Milliseconds prefillPatience { 300 };
-    // A stream that has no event yet moves after this share of the route's objective though its engine lives.
-    double moveBeforeFirstEventShare { 0.6 };
     // How long a stream without an event waits for an endpoint when none can be asked.
     Milliseconds waitForEndpoint { 900 };
     // Pause between two looks for an endpoint.
