--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -393,7 +393,7 @@
 }
 
 // Silence after which the stream moves though its engine answers questions.
-Milliseconds EventStreamCall::moveThreshold(const Run& run) const
+Milliseconds EventStreamCall::moveThreshold() const
 {
     const auto& settings = m_context.settings;
     return shareOf(m_request.route->longestPause, settings.moveAfterPauseShare);
@@ -404,7 +404,7 @@
     const auto now = m_context.now();
     const auto& run = *m_run;
     const auto silence = now - run.lastActivity;
-    if (run.hasEvent && silence >= moveThreshold(run) && m_request.route->mayRunAgain()) {
+    if (run.hasEvent && silence >= moveThreshold() && m_request.route->mayRunAgain()) {
         runLost(FailureKind::Silent);
         return;
     }
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -72,7 +72,7 @@
     void armCheck(Milliseconds delay);
     void check();
     Milliseconds probeThreshold(const Run&, Milliseconds now) const;
-    Milliseconds moveThreshold(const Run&) const;
+    Milliseconds moveThreshold() const;
     void probe();
     void probed(bool isAlive);
 
