Streams: a run whose copy has died moves to an engine that copies again

Ruled out: more copies from the start (twice the memory for a loss that follows in one stream of fifteen); a one-time copy that is renewed (its handle lapses after 4 s and holds a place meanwhile). Change: RunRelocation copies the memory to another engine while the run goes on, then stops it and copies the rest; the new run has a growing copy again. EngineQuestion replaces EngineProbe.

--- a/src/relay/CallProtocol.h
+++ b/src/relay/CallProtocol.h
@@ -31,10 +31,18 @@
 
 // Where an engine finds the memory of a run that it continues.
 struct CopySource {
-    // The engine that holds the copy.
-    SocketAddress holder;
-    // The request whose run was copied.
-    std::string requestId;
+    // For a copy that grew beside the run, the engine that holds it; for a run that was moved, the one it left.
+    SocketAddress engine;
+    // The request whose run was copied, or the handle that the move gave.
+    std::string name;
+};
+
+// What an engine answers to a wish to move a run.
+struct MoveRunAnswer {
+    // True when the target holds the run's memory.
+    bool isCopied { false };
+    // Names the memory for the run that continues; empty when there is none.
+    std::string handle;
 };
 
 // What the relay tells an endpoint beside the caller's own header.
@@ -72,6 +80,10 @@
     virtual AnswerFields decodeAnswer(const HttpResponse& head) const = 0;
     // Asks an engine for its state; any answer proves that it lives.
     virtual HttpRequest encodeStateQuery() const = 0;
+    // Has an engine copy a run's memory to another one, and stop the run first where that is wanted.
+    virtual HttpRequest encodeMoveRun(
+        const std::string& requestId, const SocketAddress& target, bool stopsRun) const = 0;
+    virtual MoveRunAnswer decodeMoveRun(const HttpResponse&) const = 0;
     // Tells a caller when to come back, to the millisecond where the protocol can.
     virtual HttpHeader encodeRetryAfter(Milliseconds) const = 0;
 };
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -3,12 +3,13 @@
 #include "common/EventLog.h"
 #include "http/HttpBodySource.h"
 #include "relay/EndpointDirectory.h"
-#include "relay/EngineProbe.h"
+#include "relay/EngineQuestion.h"
 #include "relay/Placement.h"
 #include "relay/RelayConfiguration.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayMetrics.h"
 #include "relay/RelaySettings.h"
+#include "relay/RunRelocation.h"
 
 #include <algorithm>
 #include <limits>
@@ -101,7 +102,7 @@
 {
     if (const auto holder = soundCopyHolder()) {
         if (mayStartRun())
-            startRunAt(holder, true);
+            startRunAt(holder, CopySource { holder->entry().address, m_request.fields.requestId });
         return;
     }
     const auto now = m_context.now();
@@ -116,7 +117,7 @@
         return;
     }
     if (mayStartRun())
-        startRunAt(endpoint, false);
+        startRunAt(endpoint, std::nullopt);
 }
 
 std::shared_ptr<RelayEndpoint> EventStreamCall::soundCopyHolder() const
@@ -137,7 +138,7 @@
         m_context.now());
 }
 
-void EventStreamCall::startRunAt(const std::shared_ptr<RelayEndpoint>& endpoint, bool isFromCopy)
+void EventStreamCall::startRunAt(const std::shared_ptr<RelayEndpoint>& endpoint, std::optional<CopySource> copy)
 {
     const auto now = m_context.now();
     const auto& exchange = m_request.exchange;
@@ -147,7 +148,7 @@
     run->copyHolder = chooseCopyHolder(*endpoint);
     run->startedAt = now;
     run->lastActivity = now;
-    run->isFromCopy = isFromCopy;
+    run->isFromCopy = copy.has_value();
 
     ForwardFields fields;
     fields.timeLeft = m_request.deadline - now;
@@ -157,8 +158,7 @@
         fields.lastEventId = lastEventId();
     if (run->copyHolder)
         fields.copyTo = run->copyHolder->entry().address;
-    if (isFromCopy)
-        fields.continueFrom = CopySource { endpoint->entry().address, m_request.fields.requestId };
+    fields.continueFrom = std::move(copy);
     m_copyHolder.reset();
 
     LogEvent("stream.sent", m_sendings > 0 ? LogImportance::Notable : LogImportance::Routine)
@@ -166,7 +166,7 @@
         .text("endpoint", endpoint->entry().id)
         .text("zone", endpoint->entry().availabilityZone)
         .text("copy_to", run->copyHolder ? run->copyHolder->entry().id : "")
-        .flag("from_copy", isFromCopy)
+        .flag("from_copy", run->isFromCopy)
         .number("run", run->number)
         .number("after_event", static_cast<std::int64_t>(lastEventId()))
         .number("in_flight", endpoint->inFlight())
@@ -331,8 +331,12 @@
 
 void EventStreamCall::callFailed(EndpointCall& call, FailureKind kind)
 {
-    if (m_run && m_run->call.get() == &call && !m_isFinished)
-        runLost(kind);
+    if (!m_run || m_run->call.get() != &call || m_isFinished)
+        return;
+    // A run that is being moved ends its stream; the answer to the move says how to go on.
+    if (m_relocation && m_relocation->isStopping())
+        return;
+    runLost(kind);
 }
 
 void EventStreamCall::runLost(FailureKind kind)
@@ -343,6 +347,7 @@
     const bool wasSent = run->call->hasSent();
     run->call->cancel();
     m_probe.reset();
+    m_relocation.reset();
     LogEvent("stream.run-lost")
         .text("request", m_request.fields.requestId)
         .text("endpoint", run->endpoint->entry().id)
@@ -412,16 +417,20 @@
     const auto threshold = probeThreshold(run, now);
     if (engineSilence >= threshold && now >= m_nextProbeAt && !m_probe)
         probe();
+    if (!m_relocation && now >= m_nextRelocationAt && lacksCopy(run, now) && mayRelocate(run, now))
+        relocate();
     armCheck(m_context.settings.probeAfterSilenceInDoubt);
 }
 
 void EventStreamCall::probe()
 {
     m_nextProbeAt = m_context.now() + m_context.settings.probeInterval;
-    m_probe = EngineProbe::start(m_context, m_run->endpoint, [weak = weak_from_this()](bool isAlive) {
-        if (const auto self = weak.lock())
-            self->probed(isAlive);
-    });
+    m_context.metrics.engineProbes.Increment();
+    m_probe = EngineQuestion::ask(m_context, m_run->endpoint, m_context.protocol.encodeStateQuery(),
+        m_context.settings.probeTimeout, [weak = weak_from_this()](const HttpResponse* answer) {
+            if (const auto self = weak.lock())
+                self->probed(answer != nullptr);
+        });
 }
 
 void EventStreamCall::probed(bool isAlive)
@@ -433,6 +442,73 @@
         runLost(FailureKind::Silent);
 }
 
+bool EventStreamCall::lacksCopy(const Run& run, Milliseconds now) const
+{
+    if (!run.copyHolder)
+        return now - run.startedAt >= m_context.settings.relocateAfter;
+    return run.copyHolder->removedAt().has_value();
+}
+
+bool EventStreamCall::mayRelocate(const Run& run, Milliseconds now) const
+{
+    const auto* service = m_context.configuration->findService(m_request.service);
+    const bool isPossible = service && service->copiesRunningMemory && m_request.route->mayRunAgain();
+    const bool leavesAttempt = m_possibleRuns + 1 < m_request.route->maxAttempts;
+    return isPossible && leavesAttempt && run.hasEvent
+        && !m_context.directory.isZoneAvoided(run.endpoint->entry().availabilityZone, now);
+}
+
+// Brings the run to an engine where it gets a growing copy again.
+void EventStreamCall::relocate()
+{
+    const auto now = m_context.now();
+    m_nextRelocationAt = now + m_context.settings.relocateAfter;
+    auto excluded = m_failed;
+    excluded.push_back(m_run->endpoint);
+    const auto target = m_context.placement.choose({ m_request.service, std::move(excluded), {}, true }, now);
+    if (!target)
+        return;
+    LogEvent("stream.relocating")
+        .text("request", m_request.fields.requestId)
+        .text("endpoint", m_run->endpoint->entry().id)
+        .text("target", target->entry().id)
+        .text("lost_copy", m_run->copyHolder ? m_run->copyHolder->entry().id : "")
+        .write();
+    m_relocation = RunRelocation::start(m_context, m_run->endpoint, target, m_request.fields.requestId,
+        [weak = weak_from_this()](RelocationResult result, const std::string& handle) {
+            const auto self = weak.lock();
+            if (self && !self->m_isFinished)
+                self->relocated(result, handle);
+        });
+}
+
+void EventStreamCall::relocated(RelocationResult result, const std::string& handle)
+{
+    const auto relocation = std::exchange(m_relocation, nullptr);
+    LogEvent("stream.relocated")
+        .text("request", m_request.fields.requestId)
+        .text("result", nameIn(relocationResultNames, result))
+        .text("endpoint", relocation->source()->entry().id)
+        .text("target", relocation->target()->entry().id)
+        .number("last_event", static_cast<std::int64_t>(lastEventId()))
+        .write();
+    if (result == RelocationResult::Refused || !m_run)
+        return;
+    if (result == RelocationResult::Unknown) {
+        runLost(FailureKind::ConnectionLost);
+        return;
+    }
+    m_run->call->cancel();
+    m_run.reset();
+    m_probe.reset();
+    m_lossAt = m_context.now();
+    if (!mayStartRun())
+        return;
+    const bool isMoved = result == RelocationResult::Moved;
+    startRunAt(isMoved ? relocation->target() : relocation->source(),
+        CopySource { relocation->source()->entry().address, handle });
+}
+
 void EventStreamCall::timedOut()
 {
     if (!m_isFinished)
@@ -489,6 +565,7 @@
     m_checkTimer.cancel();
     m_retryTimer.cancel();
     m_probe.reset();
+    m_relocation.reset();
     if (const auto run = std::exchange(m_run, nullptr))
         run->call->cancel();
 }
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -19,7 +19,9 @@
 
 namespace lupinknot::internal {
 
-class EngineProbe;
+class EngineQuestion;
+class RunRelocation;
+enum class RelocationResult;
 
 class EventStreamCall final : public EndpointCallListener, public std::enable_shared_from_this<EventStreamCall> {
 public:
@@ -56,7 +58,7 @@
     void begin();
     // Starts a run somewhere, or waits for an endpoint, or gives the request up.
     void startRun();
-    void startRunAt(const std::shared_ptr<RelayEndpoint>&, bool isFromCopy);
+    void startRunAt(const std::shared_ptr<RelayEndpoint>&, std::optional<CopySource>);
     std::shared_ptr<RelayEndpoint> chooseCopyHolder(const RelayEndpoint& engine);
     // The engine that holds a copy of the lost run's memory and looks sound, or null.
     std::shared_ptr<RelayEndpoint> soundCopyHolder() const;
@@ -76,6 +78,12 @@
     void probe();
     void probed(bool isAlive);
 
+    // True when the run would have to begin anew if its engine failed now.
+    bool lacksCopy(const Run&, Milliseconds now) const;
+    bool mayRelocate(const Run&, Milliseconds now) const;
+    void relocate();
+    void relocated(RelocationResult, const std::string& handle);
+
     void timedOut();
     void complete();
     void refuse(RefusalReason);
@@ -88,7 +96,10 @@
     const RelayRequest m_request;
     Generation m_events;
     std::shared_ptr<Run> m_run;
-    std::shared_ptr<EngineProbe> m_probe;
+    std::shared_ptr<EngineQuestion> m_probe;
+    std::shared_ptr<RunRelocation> m_relocation;
+    // A relocation that was refused is tried again no earlier.
+    Milliseconds m_nextRelocationAt { 0 };
     // Engines that failed this request; they are asked again only when no other is left.
     std::vector<std::shared_ptr<RelayEndpoint>> m_failed;
     // The engine that holds a copy of the run that was lost.
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -51,6 +51,13 @@
     // engine is asked. Engines read 5 tokens a millisecond when they read one prompt alone.
     double prefillPatiencePerToken { 0.3 };
     Milliseconds prefillPatience { 300 };
+    // Time for an engine to copy a running request's memory to another one. 1.6 GB take 50 ms in a zone and 100 ms
+    // between zones, queued behind other copies.
+    Milliseconds relocationCopyTimeout { 1500 };
+    // The same for the rest that is copied once the run has stopped; the caller waits for it.
+    Milliseconds relocationStopTimeout { 350 };
+    // A run without a growing copy is left alone this long after its start.
+    Milliseconds relocateAfter { 500 };
     // How long a stream without an event waits for an endpoint when none can be asked.
     Milliseconds waitForEndpoint { 900 };
     // Pause between two looks for an endpoint.
--- /dev/null
+++ b/src/relay/RunRelocation.cpp
@@ -0,0 +1,67 @@
+#include "relay/RunRelocation.h"
+
+#include "relay/EngineQuestion.h"
+#include "relay/RelayContext.h"
+#include "relay/RelayEndpoint.h"
+#include "relay/RelaySettings.h"
+
+namespace lupinknot::internal {
+
+std::shared_ptr<RunRelocation> RunRelocation::start(RelayContext& context, std::shared_ptr<RelayEndpoint> source,
+    std::shared_ptr<RelayEndpoint> target, std::string requestId, Callback callback)
+{
+    const std::shared_ptr<RunRelocation> relocation(new RunRelocation(
+        context, std::move(source), std::move(target), std::move(requestId), std::move(callback)));
+    relocation->ask();
+    return relocation;
+}
+
+RunRelocation::RunRelocation(RelayContext& context, std::shared_ptr<RelayEndpoint> source,
+    std::shared_ptr<RelayEndpoint> target, std::string requestId, Callback callback)
+    : m_context(context)
+    , m_source(std::move(source))
+    , m_target(std::move(target))
+    , m_requestId(std::move(requestId))
+    , m_callback(std::move(callback))
+{
+}
+
+void RunRelocation::ask()
+{
+    const auto& settings = m_context.settings;
+    const auto limit = m_isStopping ? settings.relocationStopTimeout : settings.relocationCopyTimeout;
+    const auto request = m_context.protocol.encodeMoveRun(m_requestId, m_target->entry().address, m_isStopping);
+    m_question = EngineQuestion::ask(m_context, m_source, request, limit, [weak = weak_from_this()](const auto* answer) {
+        if (const auto self = weak.lock())
+            self->answered(answer);
+    });
+}
+
+void RunRelocation::answered(const HttpResponse* answer)
+{
+    const auto moved = answer ? m_context.protocol.decodeMoveRun(*answer) : MoveRunAnswer {};
+    if (!m_isStopping) {
+        if (!moved.isCopied) {
+            settle(RelocationResult::Refused, "");
+            return;
+        }
+        m_isStopping = true;
+        ask();
+        return;
+    }
+    if (moved.isCopied)
+        settle(RelocationResult::Moved, moved.handle);
+    else if (!moved.handle.empty())
+        settle(RelocationResult::Stopped, moved.handle);
+    else
+        settle(RelocationResult::Unknown, "");
+}
+
+void RunRelocation::settle(RelocationResult result, const std::string& handle)
+{
+    const auto self = shared_from_this();
+    if (const auto callback = std::exchange(m_callback, nullptr))
+        callback(result, handle);
+}
+
+} // namespace lupinknot::internal
