Placement: requests for one prompt prefer one engine, by rendezvous hashing

VMs know nothing of each other's runs, but all can compute the same engine from the prompt. Ruled out: telling other VMs where a run is (the VM that knows it is the one that dies). Change: the engine of the VM's own zone with the highest hash of prompt and endpoint may be some calls busier than the others before it is passed over: 2.5 for new requests, any number for returning ones.

--- a/src/relay/CallProtocol.h
+++ b/src/relay/CallProtocol.h
@@ -23,6 +23,9 @@
     std::string apiKey;
     // The last event that a returning caller has; absent for a stream from its start.
     std::optional<std::uint64_t> lastEventId;
+    // Names the part of the prompt that belongs to this caller's request alone, the same at each of its attempts; empty
+    // when unknown.
+    std::string promptId;
     // Tokens of the prompt, 0 when unknown.
     std::uint32_t promptTokens { 0 };
     // Names the field that cannot be read, empty when all can.
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -109,9 +109,13 @@
     std::vector<std::string> zonesToLeave;
     if (!m_failed.empty())
         zonesToLeave.push_back(m_failed.back()->entry().availabilityZone);
-    auto endpoint = m_context.placement.choose({ m_request.service, m_failed, zonesToLeave, false }, now);
+    const auto& settings = m_context.settings;
+    PlacementRequest wanted { .service = m_request.service, .excluded = m_failed, .zonesToLeave = zonesToLeave };
+    wanted.promptId = m_request.fields.promptId;
+    wanted.preference = m_request.fields.lastEventId ? settings.returningPreference : settings.promptPreference;
+    auto endpoint = m_context.placement.choose(wanted, now);
     if (!endpoint && !m_failed.empty())
-        endpoint = m_context.placement.choose({ m_request.service, {}, {}, true }, now);
+        endpoint = m_context.placement.choose({ .service = m_request.service, .mustBeSound = true }, now);
     if (!endpoint) {
         waitForEndpoint();
         return;
@@ -134,8 +138,11 @@
     const auto* service = m_context.configuration->findService(m_request.service);
     if (!service || !service->copiesRunningMemory || !m_request.route->mayRunAgain())
         return nullptr;
-    return m_context.placement.choose({ m_request.service, m_failed, { engine.entry().availabilityZone }, true },
-        m_context.now());
+    const PlacementRequest wanted { .service = m_request.service,
+        .excluded = m_failed,
+        .zonesToLeave = { engine.entry().availabilityZone },
+        .mustBeSound = true };
+    return m_context.placement.choose(wanted, m_context.now());
 }
 
 void EventStreamCall::startRunAt(const std::shared_ptr<RelayEndpoint>& endpoint, std::optional<CopySource> copy)
@@ -465,7 +472,8 @@
     m_nextRelocationAt = now + m_context.settings.relocateAfter;
     auto excluded = m_failed;
     excluded.push_back(m_run->endpoint);
-    const auto target = m_context.placement.choose({ m_request.service, std::move(excluded), {}, true }, now);
+    const auto target = m_context.placement.choose(
+        { .service = m_request.service, .excluded = std::move(excluded), .mustBeSound = true }, now);
     if (!target)
         return;
     LogEvent("stream.relocating")
--- a/src/relay/Placement.cpp
+++ b/src/relay/Placement.cpp
@@ -3,6 +3,7 @@
 #include "relay/EndpointDirectory.h"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace lupinknot::internal {
 
@@ -29,6 +30,7 @@
 
 std::shared_ptr<RelayEndpoint> Placement::choose(const PlacementRequest& request, Milliseconds now)
 {
+    const auto* const favourite = preferred(request, now);
     std::shared_ptr<RelayEndpoint> best;
     double lowest = 0;
     for (const auto& endpoint : m_directory.endpointsOf(request.service)) {
@@ -38,7 +40,8 @@
         const auto removedAt = endpoint->removedAt();
         if (removedAt && now - *removedAt > m_settings.removedEndpointGrace)
             continue;
-        const auto found = cost(*endpoint, request, now);
+        const auto found
+            = cost(*endpoint, request, now) - (endpoint.get() == favourite ? request.preference : 0.0);
         if (request.mustBeSound && found >= failingZoneCost)
             continue;
         if (!best || found < lowest) {
@@ -49,6 +52,26 @@
     return best;
 }
 
+const RelayEndpoint* Placement::preferred(const PlacementRequest& request, Milliseconds now) const
+{
+    if (request.promptId.empty())
+        return nullptr;
+    const RelayEndpoint* best = nullptr;
+    std::uint64_t highest = 0;
+    const auto seed = XXH64(request.promptId.data(), request.promptId.size(), 0);
+    for (const auto& endpoint : m_directory.endpointsOf(request.service)) {
+        const auto& entry = endpoint->entry();
+        if (entry.availabilityZone != m_settings.availabilityZone || endpoint->isLeaving() || endpoint->isAvoided(now))
+            continue;
+        const auto score = XXH64(entry.id.data(), entry.id.size(), seed);
+        if (!best || score > highest) {
+            best = endpoint.get();
+            highest = score;
+        }
+    }
+    return best;
+}
+
 double Placement::cost(const RelayEndpoint& endpoint, const PlacementRequest& request, Milliseconds now)
 {
     const auto& zone = endpoint.entry().availabilityZone;
--- a/src/relay/Placement.h
+++ b/src/relay/Placement.h
@@ -3,6 +3,9 @@
 // An endpoint's cost is what this VM has under way there, more when it lies in another availability zone, and much more
 // when it is avoided or leaving. The cheapest one is taken; ties are broken at random, so that the VMs, which know
 // nothing of each other's choices, spread over equals.
+//
+// Requests for one prompt prefer one endpoint, found by rendezvous hashing: a caller who comes back to another VM meets
+// the engine that has read its prompt.
 #pragma once
 
 #include "lupinknot/Clock.h"
@@ -23,6 +26,10 @@
     std::vector<std::shared_ptr<RelayEndpoint>> excluded;
     // Zones in which a second loss would hit; endpoints there come last.
     std::vector<std::string> zonesToLeave;
+    // Names the prompt; requests with the same one prefer the same endpoint of a zone, whichever VM they come in at.
+    std::string promptId;
+    // How much the preferred endpoint may be busier than others, in calls.
+    double preference { 0 };
     // True for the place of a copy: an endpoint that is avoided or leaving is no place for it.
     bool mustBeSound { false };
 };
@@ -35,6 +42,8 @@
     std::shared_ptr<RelayEndpoint> choose(const PlacementRequest&, Milliseconds now);
 
 private:
+    // The preferred endpoint among the sound ones of the zone, or null.
+    const RelayEndpoint* preferred(const PlacementRequest&, Milliseconds now) const;
     double cost(const RelayEndpoint&, const PlacementRequest&, Milliseconds now);
     double random() { return m_uniform(m_random); }
 
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -63,6 +63,11 @@
     // Pause between two looks for an endpoint.
     Milliseconds endpointRetryInterval { 40 };
 
+    // How many calls more than others the engine may have that a prompt's hash prefers: for a new request, and for a
+    // caller who comes back behind an event and whose prompt the engine has probably read.
+    double promptPreference { 2.5 };
+    double returningPreference { 100 };
+
     // How long an endpoint is avoided after it refused a connection, fell silent, or broke off an answer.
     Milliseconds avoidAfterRefusal { 1500 };
     Milliseconds avoidAfterSilence { 2000 };
--- a/src/relay/WholeAnswerCall.cpp
+++ b/src/relay/WholeAnswerCall.cpp
@@ -61,7 +61,7 @@
 bool WholeAnswerCall::sendNext()
 {
     const auto now = m_context.now();
-    const auto endpoint = m_context.placement.choose({ m_request.service, m_tried, {}, false }, now);
+    const auto endpoint = m_context.placement.choose({ .service = m_request.service, .excluded = m_tried }, now);
     if (!endpoint || m_request.deadline <= now)
         return false;
     m_tried.push_back(endpoint);
