Returning callers: the engine that ran them is found by a hint in the platform's store

Ruled out: asking engines for what they keep (a probe for each of 24, 280 later, and it holds up their work); a call to the store for each row (notes are gathered for 150 ms, removals ride with them). Change: RunLocations (product) and its rows in the store (platform/). A hint only: nothing but the choice depends on it.

--- /dev/null
+++ b/src/http/HttpQuestion.h
@@ -0,0 +1,54 @@
+// One request on a client connection, with a time limit for the whole answer.
+//
+//     auto question = HttpQuestion::ask(ioContext, connection, request, limit, [](const HttpOutcome& outcome) {
+//         if (outcome.answer) ...
+//     });
+//
+// The callback is called at most once, and not after the question has gone. After an answer the connection may be idle
+// and carry the next question; in every other case it is closed.
+// Not thread-safe: used on the thread that runs the io_context. Owned by its user.
+#pragma once
+
+#include "http/ClientConnection.h"
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+namespace lupinknot::internal {
+
+struct HttpOutcome {
+    // Null when no whole answer came in time.
+    const HttpResponse* answer { nullptr };
+    // Why there is none, for logs.
+    std::string_view problem;
+};
+
+class HttpQuestion final : public ClientConnectionListener, public std::enable_shared_from_this<HttpQuestion> {
+public:
+    using Callback = std::function<void(const HttpOutcome&)>;
+
+    static std::shared_ptr<HttpQuestion> ask(
+        boost::asio::io_context&, std::shared_ptr<ClientConnection>, const HttpRequest&, Milliseconds limit, Callback);
+    ~HttpQuestion() override;
+    HttpQuestion(const HttpQuestion&) = delete;
+    HttpQuestion& operator=(const HttpQuestion&) = delete;
+
+    void answerHead(const HttpResponse&) override;
+    void answerBody(std::string_view) override;
+    bool answerEnd() override;
+    void connectionFailed(ClientFailure) override;
+
+private:
+    HttpQuestion(boost::asio::io_context&, std::shared_ptr<ClientConnection>, Callback);
+    void fail(std::string_view problem);
+    void settle(const HttpOutcome&);
+
+    boost::asio::io_context& m_ioContext;
+    const std::shared_ptr<ClientConnection> m_connection;
+    Callback m_callback;
+    HttpResponse m_answer;
+    boost::asio::steady_timer m_timer;
+    bool m_isAnswered { false };
+};
+
+} // namespace lupinknot::internal
--- a/src/relay/EndpointCall.cpp
+++ b/src/relay/EndpointCall.cpp
@@ -31,7 +31,7 @@
 std::shared_ptr<EndpointCall> EndpointCall::start(RelayContext& context, std::shared_ptr<RelayEndpoint> endpoint,
     const HttpRequest& request, EndpointCallOptions options, std::weak_ptr<EndpointCallListener> listener)
 {
-    const std::shared_ptr<EndpointCall> call(
+    std::shared_ptr<EndpointCall> call(
         new EndpointCall(context, std::move(endpoint), std::move(options), std::move(listener)));
     const auto margin = context.settings.restMargin;
     call->m_connection = call->m_endpoint->takeConnection(call->m_startedAt, call->m_options.maxRest, margin);
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -91,6 +91,12 @@
         remove(id, now);
 }
 
+std::shared_ptr<RelayEndpoint> EndpointDirectory::find(const std::string& id) const
+{
+    const auto found = m_endpointsById.find(id);
+    return found == m_endpointsById.end() ? nullptr : found->second;
+}
+
 const std::vector<std::shared_ptr<RelayEndpoint>>& EndpointDirectory::endpointsOf(const std::string& service) const
 {
     const auto found = m_endpointsByService.find(service);
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -26,6 +26,8 @@
     bool isKnown() const { return m_isKnown; }
     std::size_t size() const { return m_endpointsById.size(); }
 
+    // The endpoint with this id, or null.
+    std::shared_ptr<RelayEndpoint> find(const std::string& id) const;
     const std::vector<std::shared_ptr<RelayEndpoint>>& endpointsOf(const std::string& service) const;
     // Drops endpoints whose entries went longer ago than the grace.
     void dropExpired(Milliseconds now);
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -2,13 +2,14 @@
 
 #include "common/EventLog.h"
 #include "http/HttpBodySource.h"
+#include "http/HttpQuestion.h"
 #include "relay/EndpointDirectory.h"
-#include "relay/EngineQuestion.h"
 #include "relay/Placement.h"
 #include "relay/RelayConfiguration.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayMetrics.h"
 #include "relay/RelaySettings.h"
+#include "relay/RunLocations.h"
 #include "relay/RunRelocation.h"
 
 #include <algorithm>
@@ -82,7 +83,35 @@
         LogEvent("request.caller-gone").text("request", self->m_request.fields.requestId).write();
         self->finish();
     });
-    startRun();
+    if (m_request.fields.lastEventId && !m_request.fields.promptId.empty() && m_context.runLocations)
+        findEarlierRun();
+    else
+        startRun();
+}
+
+// The caller has come back behind an event: another VM may have served it, and an engine has read its prompt.
+void EventStreamCall::findEarlierRun()
+{
+    m_context.runLocations->find(
+        m_request.fields.promptId, [weak = weak_from_this()](const std::optional<std::string>& endpointId) {
+            const auto self = weak.lock();
+            if (!self || self->m_isFinished)
+                return;
+            self->m_earlierEngine = endpointId ? self->m_context.directory.find(*endpointId) : nullptr;
+            LogEvent("stream.returned")
+                .text("request", self->m_request.fields.requestId)
+                .text("earlier_endpoint", endpointId.value_or(""))
+                .flag("is_known", self->m_earlierEngine != nullptr)
+                .write();
+            self->startRun();
+        });
+}
+
+bool EventStreamCall::isSound(const RelayEndpoint& endpoint) const
+{
+    const auto now = m_context.now();
+    return !endpoint.isLeaving() && !endpoint.isAvoided(now)
+        && !m_context.directory.isZoneAvoided(endpoint.entry().availabilityZone, now);
 }
 
 bool EventStreamCall::mayStartRun()
@@ -105,6 +134,11 @@
             startRunAt(holder, CopySource { holder->entry().address, m_request.fields.requestId });
         return;
     }
+    if (const auto earlier = std::exchange(m_earlierEngine, nullptr); earlier && isSound(*earlier)) {
+        if (mayStartRun())
+            startRunAt(earlier, std::nullopt);
+        return;
+    }
     const auto now = m_context.now();
     std::vector<std::string> zonesToLeave;
     if (!m_failed.empty())
@@ -126,11 +160,7 @@
 
 std::shared_ptr<RelayEndpoint> EventStreamCall::soundCopyHolder() const
 {
-    const auto now = m_context.now();
-    if (!m_copyHolder || m_copyHolder->isLeaving() || m_copyHolder->isAvoided(now)
-        || m_context.directory.isZoneAvoided(m_copyHolder->entry().availabilityZone, now))
-        return nullptr;
-    return m_copyHolder;
+    return m_copyHolder && isSound(*m_copyHolder) ? m_copyHolder : nullptr;
 }
 
 std::shared_ptr<RelayEndpoint> EventStreamCall::chooseCopyHolder(const RelayEndpoint& engine)
@@ -182,6 +212,7 @@
     ++m_sendings;
     ++m_possibleRuns;
     m_run = run;
+    noteLocation();
     m_nextProbeAt = now;
     const auto request = m_context.protocol.encodeForward(exchange->request(), fields);
     run->call = EndpointCall::start(
@@ -189,6 +220,12 @@
     armCheck(m_context.settings.probeAfterSilenceInDoubt);
 }
 
+void EventStreamCall::noteLocation()
+{
+    if (m_context.runLocations && !m_request.fields.promptId.empty() && m_request.route->mayRunAgain())
+        m_context.runLocations->note(m_request.fields.promptId, m_run->endpoint->entry().id);
+}
+
 void EventStreamCall::waitForEndpoint()
 {
     const auto now = m_context.now();
@@ -260,6 +297,13 @@
     m_probe.reset();
     if (!m_isHeadSent) {
         m_isHeadSent = true;
+        LogEvent("stream.first-event", LogImportance::Routine)
+            .text("request", m_request.fields.requestId)
+            .text("endpoint", run.endpoint->entry().id)
+            .number("since_admitted_ms", (now - m_request.admittedAt).count())
+            .number("since_sent_ms", (now - run.startedAt).count())
+            .flag("returned", m_request.fields.lastEventId.has_value())
+            .write();
         m_request.exchange->stream(run.head, std::make_shared<EventSource>(*this));
     }
     m_request.exchange->wake();
@@ -435,18 +479,23 @@
 {
     m_nextProbeAt = m_context.now() + m_context.settings.probeInterval;
     m_context.metrics.engineProbes.Increment();
-    m_probe = EngineQuestion::ask(m_context, m_run->endpoint, m_context.protocol.encodeStateQuery(),
-        m_context.settings.probeTimeout, [weak = weak_from_this()](const HttpResponse* answer) {
+    m_probe = HttpQuestion::ask(m_context.ioContext, m_run->endpoint->openConnection(),
+        m_context.protocol.encodeStateQuery(), m_context.settings.probeTimeout,
+        [weak = weak_from_this()](const HttpOutcome& outcome) {
             if (const auto self = weak.lock())
-                self->probed(answer != nullptr);
+                self->probed(outcome.answer != nullptr);
         });
 }
 
 void EventStreamCall::probed(bool isAlive)
 {
     const auto probe = std::exchange(m_probe, nullptr);
-    if (m_isFinished || !m_run || isAlive)
+    if (m_isFinished || !m_run)
         return;
+    if (isAlive) {
+        m_run->endpoint->noteLife(m_context.now());
+        return;
+    }
     if (m_request.route->mayRunAgain())
         runLost(FailureKind::Silent);
 }
@@ -528,6 +577,8 @@
 void EventStreamCall::complete()
 {
     m_isComplete = true;
+    if (m_context.runLocations)
+        m_context.runLocations->forget(m_request.fields.promptId);
     logEnd("complete", m_run->head.status);
     m_request.exchange->wake();
     finish();
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -19,7 +19,7 @@
 
 namespace lupinknot::internal {
 
-class EngineQuestion;
+class HttpQuestion;
 class RunRelocation;
 enum class RelocationResult;
 
@@ -56,6 +56,11 @@
 
     EventStreamCall(RelayContext&, RelayRequest);
     void begin();
+    void findEarlierRun();
+    // True when nothing speaks against sending the stream to the endpoint.
+    bool isSound(const RelayEndpoint&) const;
+    // Tells other VMs where the run is.
+    void noteLocation();
     // Starts a run somewhere, or waits for an endpoint, or gives the request up.
     void startRun();
     void startRunAt(const std::shared_ptr<RelayEndpoint>&, std::optional<CopySource>);
@@ -96,12 +101,14 @@
     const RelayRequest m_request;
     Generation m_events;
     std::shared_ptr<Run> m_run;
-    std::shared_ptr<EngineQuestion> m_probe;
+    std::shared_ptr<HttpQuestion> m_probe;
     std::shared_ptr<RunRelocation> m_relocation;
     // A relocation that was refused is tried again no earlier.
     Milliseconds m_nextRelocationAt { 0 };
     // Engines that failed this request; they are asked again only when no other is left.
     std::vector<std::shared_ptr<RelayEndpoint>> m_failed;
+    // The engine that ran the request for another VM.
+    std::shared_ptr<RelayEndpoint> m_earlierEngine;
     // The engine that holds a copy of the run that was lost.
     std::shared_ptr<RelayEndpoint> m_copyHolder;
     // Runs that an engine may have begun.
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -15,6 +15,7 @@
 class Placement;
 class RelayConfiguration;
 class RelayMetrics;
+class RunLocations;
 struct RelaySettings;
 
 struct RelayContext {
@@ -28,6 +29,8 @@
     // The newest version; null until one is known.
     std::shared_ptr<const RelayConfiguration> configuration;
     std::unordered_map<std::string, RetryBudget> retryBudgets;
+    // Null where VMs tell each other nothing.
+    RunLocations* runLocations { nullptr };
     bool isStopping { false };
 
     Milliseconds now() const { return clock.now(); }
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -32,7 +32,7 @@
 
 class RelayDaemon {
 public:
-    RelayDaemon(const RelaySettings&, RelayAddresses, const CallProtocol&);
+    RelayDaemon(const RelaySettings&, const RelayAddresses&, const CallProtocol&);
     ~RelayDaemon();
     RelayDaemon(const RelayDaemon&) = delete;
     RelayDaemon& operator=(const RelayDaemon&) = delete;
@@ -44,6 +44,8 @@
 
     boost::asio::io_context& ioContext() { return m_ioContext; }
     EndpointDirectory& directory() { return m_directory; }
+    // Where VMs tell each other of their runs; it outlives the daemon's run.
+    void setRunLocations(RunLocations* locations) { m_context.runLocations = locations; }
     const Clock& clock() const { return m_clock; }
     // Puts a configuration in force unless it is older than the present one. Returns whether it did.
     bool applyConfiguration(std::shared_ptr<const RelayConfiguration>);
--- a/src/relay/RunRelocation.cpp
+++ b/src/relay/RunRelocation.cpp
@@ -1,6 +1,6 @@
 #include "relay/RunRelocation.h"
 
-#include "relay/EngineQuestion.h"
+#include "http/HttpQuestion.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayEndpoint.h"
 #include "relay/RelaySettings.h"
@@ -10,7 +10,7 @@
 std::shared_ptr<RunRelocation> RunRelocation::start(RelayContext& context, std::shared_ptr<RelayEndpoint> source,
     std::shared_ptr<RelayEndpoint> target, std::string requestId, Callback callback)
 {
-    const std::shared_ptr<RunRelocation> relocation(
+    std::shared_ptr<RunRelocation> relocation(
         new RunRelocation(context, std::move(source), std::move(target), std::move(requestId), std::move(callback)));
     relocation->ask();
     return relocation;
@@ -31,16 +31,16 @@
     const auto& settings = m_context.settings;
     const auto limit = m_isStopping ? settings.relocationStopTimeout : settings.relocationCopyTimeout;
     const auto request = m_context.protocol.encodeMoveRun(m_requestId, m_target->entry().address, m_isStopping);
-    m_question
-        = EngineQuestion::ask(m_context, m_source, request, limit, [weak = weak_from_this()](const auto* answer) {
-              if (const auto self = weak.lock())
-                  self->answered(answer);
-          });
+    m_question = HttpQuestion::ask(m_context.ioContext, m_source->openConnection(), request, limit,
+        [weak = weak_from_this()](const HttpOutcome& outcome) {
+            if (const auto self = weak.lock())
+                self->answered(outcome);
+        });
 }
 
-void RunRelocation::answered(const HttpResponse* answer)
+void RunRelocation::answered(const HttpOutcome& outcome)
 {
-    const auto moved = answer ? m_context.protocol.decodeMoveRun(*answer) : MoveRunAnswer {};
+    const auto moved = outcome.answer ? m_context.protocol.decodeMoveRun(*outcome.answer) : MoveRunAnswer {};
     if (!m_isStopping) {
         if (!moved.isCopied) {
             settle(RelocationResult::Refused, "");
--- a/test/PlacementTest.cpp
+++ b/test/PlacementTest.cpp
@@ -19,6 +19,7 @@
         settings.availabilityZone = "a";
         directory = std::make_unique<EndpointDirectory>(ioContext, settings);
         std::vector<EndpointEntry> entries;
+        entries.reserve(16);
         for (int i = 0; i < 8; ++i)
             entries.push_back({ "a" + std::to_string(i), "s", { "127.0.0.1", 1 + i }, "a", 4, false });
         for (int i = 0; i < 8; ++i)
--- a/test/PlatformCallProtocolTest.cpp
+++ b/test/PlatformCallProtocolTest.cpp
@@ -8,7 +8,7 @@
 
 TEST_GROUP(PlatformCallProtocol)
 {
-    const PlatformCallProtocol protocol;
+    PlatformCallProtocol protocol;
 
     static std::string value(const HttpHeaders& headers, std::string_view name)
     {
