--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -121,6 +121,8 @@
     m_stopRequestedAt = m_clock.now();
     LogEvent("process.stopping").number("busy", static_cast<std::int64_t>(m_front.busyCount())).write();
     m_front.announceStop();
+    if (m_onStopping)
+        m_onStopping();
     awaitStop();
 }
 
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -52,6 +52,8 @@
     const std::shared_ptr<const RelayConfiguration>& configuration() const { return m_context.configuration; }
     // What to do when the settings file may have changed.
     void onReload(std::function<void()> callback) { m_onReload = std::move(callback); }
+    // Called once when a stop begins.
+    void onStopping(std::function<void()> callback) { m_onStopping = std::move(callback); }
     void requestStop();
 
 private:
@@ -78,6 +80,7 @@
     boost::asio::steady_timer m_stopTimer;
     boost::asio::steady_timer m_tickTimer;
     std::function<void()> m_onReload;
+    std::function<void()> m_onStopping;
     std::optional<Milliseconds> m_stopRequestedAt;
 };
 
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -80,8 +80,8 @@
     Milliseconds zoneFailureWindow { 400 };
     Milliseconds avoidZone { 1000 };
     // A leaving endpoint may serve as a last resort for this long: entries also lapse while the list's source is away.
-    // Deployments allow 2,000 ms from its notice, which reaches this VM up to 300 ms late.
-    Milliseconds leavingEndpointGrace { 1300 };
+    // The adapter sets it from the time that the deployment allows and the age that its news may have.
+    Milliseconds leavingEndpointGrace { 700 };
 
     // What a refusal tells the caller to wait.
     Milliseconds retryAfter { 250 };
