Relocation: its retry is taken before the run is stopped; copies in a failed zone count as lost

Change: a move takes its retry first, as a precaution, and precautions leave 0.4 of the budget to rescues; a copy counts as lost once several engines of its zone have failed together; a run expected to end within 2.5 s stays.

--- a/src/relay/CallProtocol.h
+++ b/src/relay/CallProtocol.h
@@ -28,6 +28,8 @@
     std::string promptId;
     // Tokens of the prompt, 0 when unknown.
     std::uint32_t promptTokens { 0 };
+    // Most tokens of the answer, 0 when unknown.
+    std::uint32_t maxAnswerTokens { 0 };
     // Names the field that cannot be read, empty when all can.
     std::string malformedField;
 };
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -135,6 +135,7 @@
     if (failures.size() < m_settings.zoneFailureCount)
         return;
     if (now >= zone.avoidUntil) {
+        zone.failedAt = now;
         LogEvent("zone.avoided")
             .text("zone", endpoint.entry().availabilityZone)
             .number("failed_endpoints", static_cast<std::int64_t>(failures.size()))
@@ -144,6 +145,12 @@
     zone.avoidUntil = now + m_settings.avoidZone;
 }
 
+bool EndpointDirectory::hasZoneFailedSince(const std::string& zone, Milliseconds since) const
+{
+    const auto found = m_zones.find(zone);
+    return found != m_zones.end() && found->second.failedAt > since;
+}
+
 bool EndpointDirectory::isZoneAvoided(const std::string& zone, Milliseconds now) const
 {
     const auto found = m_zones.find(zone);
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -35,6 +35,8 @@
     // Takes note that an endpoint failed, and that the zone fails when several did.
     void noteFailure(const RelayEndpoint&, Milliseconds now);
     bool isZoneAvoided(const std::string& zone, Milliseconds now) const;
+    // True when several endpoints of the zone have failed together since the instant.
+    bool hasZoneFailedSince(const std::string& zone, Milliseconds since) const;
 
 private:
     struct Failure {
@@ -44,6 +46,8 @@
     struct ZoneHealth {
         std::deque<Failure> failures;
         Milliseconds avoidUntil { 0 };
+        // When it last began to fail.
+        Milliseconds failedAt { 0 };
     };
 
     void retireOthersAt(const EndpointEntry&, Milliseconds now);
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -130,7 +130,7 @@
         giveUp(RefusalReason::EndpointFailed);
         return false;
     }
-    if (m_sendings > 0 && !m_context.retryBudget(m_request.service).take(m_context.now())) {
+    if (m_sendings > 0 && !m_context.retryBudget(m_request.service).take(RetryPurpose::Rescue, m_context.now())) {
         giveUp(m_possibleRuns > 0 ? RefusalReason::EndpointFailed : RefusalReason::RetryBudgetSpent);
         return false;
     }
@@ -309,6 +309,7 @@
     m_probe.reset();
     if (!m_isHeadSent) {
         m_isHeadSent = true;
+        m_firstEventAt = now;
         LogEvent("stream.first-event", LogImportance::Routine)
             .text("request", m_request.fields.requestId)
             .text("endpoint", run.endpoint->entry().id)
@@ -517,7 +518,9 @@
 {
     if (!run.copyHolder)
         return now - run.startedAt >= m_context.settings.relocateAfter;
-    return run.copyHolder->isLeaving();
+    // The engines of a zone go together, and the list of endpoints says so only seconds later.
+    return run.copyHolder->isLeaving()
+        || m_context.directory.hasZoneFailedSince(run.copyHolder->entry().availabilityZone, run.startedAt);
 }
 
 bool EventStreamCall::mayRelocate(const Run& run, Milliseconds now) const
@@ -526,9 +529,23 @@
     const bool isPossible = service && service->copiesRunningMemory && m_request.route->mayRunAgain();
     const bool leavesAttempt = m_possibleRuns + 1 < m_request.route->maxAttempts;
     return isPossible && leavesAttempt && run.hasEvent
+        && expectedRest(now) >= m_context.settings.relocateUnlessDoneWithin
         && !m_context.directory.isZoneAvoided(run.endpoint->entry().availabilityZone, now);
 }
 
+// How long the stream will probably go on, from its pace so far and the most that it may hold.
+Milliseconds EventStreamCall::expectedRest(Milliseconds now) const
+{
+    const auto* service = m_context.configuration->findService(m_request.service);
+    const auto made = static_cast<std::int64_t>(lastEventId());
+    const auto tokensPerEvent = service ? service->tokensPerEvent : 0;
+    if (tokensPerEvent == 0 || m_request.fields.maxAnswerTokens == 0 || m_events.length() < 2)
+        return Milliseconds::max();
+    const auto most = static_cast<std::int64_t>(m_request.fields.maxAnswerTokens / tokensPerEvent);
+    const auto pace = (now - m_firstEventAt) / static_cast<std::int64_t>(m_events.length());
+    return std::max<std::int64_t>(most - made, 0) * pace;
+}
+
 // Brings the run to an engine where it gets a growing copy again.
 void EventStreamCall::relocate()
 {
@@ -538,7 +555,8 @@
     excluded.push_back(m_run->endpoint);
     const auto target = m_context.placement.choose(
         { .service = m_request.service, .excluded = std::move(excluded), .mustBeSound = true }, now);
-    if (!target)
+    // The retry is taken here: once the run has been stopped it has to go on.
+    if (!target || !m_context.retryBudget(m_request.service).take(RetryPurpose::Precaution, now))
         return;
     LogEvent("stream.relocating")
         .text("request", m_request.fields.requestId)
@@ -574,8 +592,6 @@
     m_run.reset();
     m_probe.reset();
     m_lossAt = m_context.now();
-    if (!mayStartRun())
-        return;
     const bool isMoved = result == RelocationResult::Moved;
     startRunAt(isMoved ? relocation->target() : relocation->source(),
         CopySource { relocation->source()->entry().address, handle });
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -87,6 +87,7 @@
 
     // True when the run would have to begin anew if its engine failed now.
     bool lacksCopy(const Run&, Milliseconds now) const;
+    Milliseconds expectedRest(Milliseconds now) const;
     bool mayRelocate(const Run&, Milliseconds now) const;
     void relocate();
     void relocated(RelocationResult, const std::string& handle);
@@ -118,6 +119,7 @@
     // Runs that an engine may have begun.
     unsigned m_possibleRuns { 0 };
     unsigned m_sendings { 0 };
+    Milliseconds m_firstEventAt { 0 };
     Milliseconds m_lastEventAt { 0 };
     Milliseconds m_nextProbeAt { 0 };
     std::optional<Milliseconds> m_lossAt;
--- a/src/relay/RelayHandler.cpp
+++ b/src/relay/RelayHandler.cpp
@@ -57,6 +57,8 @@
         .text("service", request.service)
         .text("organisation", request.organisation)
         .number("time_left_ms", (request.deadline - request.admittedAt).count())
+        .number("prompt_tokens", request.fields.promptTokens)
+        .number("max_answer_tokens", request.fields.maxAnswerTokens)
         .number("config_version", static_cast<std::int64_t>(request.configurationVersion))
         .write();
     if (isStream)
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -19,6 +19,8 @@
     Milliseconds retryWindow { 10000 };
     // Share of the fixed number that this VM takes for itself. Deployments of today have six to ten VMs.
     double retrySlackShare { 1.0 / 10 };
+    // Share of this VM's part that may go into precautions.
+    double precautionShare { 0.6 };
     // Share of the ratio that this VM spends on its own requests; the rest covers requests it counts and others do not.
     double retryRatioShare { 0.9 };
 
@@ -58,6 +60,9 @@
     Milliseconds relocationStopTimeout { 350 };
     // A run without a growing copy is left alone this long after its start.
     Milliseconds relocateAfter { 500 };
+    // A run that is expected to end sooner than this is not moved: a move costs a copy of its memory, a retry and a
+    // short pause, and a second loss within this time is rare.
+    Milliseconds relocateUnlessDoneWithin { 2500 };
     // How long a stream without an event waits for an endpoint when none can be asked.
     Milliseconds waitForEndpoint { 900 };
     // Pause between two looks for an endpoint.
--- a/src/relay/RetryBudget.cpp
+++ b/src/relay/RetryBudget.cpp
@@ -15,12 +15,13 @@
     m_requests.push_back(now);
 }
 
-bool RetryBudget::take(Milliseconds now)
+bool RetryBudget::take(RetryPurpose purpose, Milliseconds now)
 {
     forgetOld(now);
     const auto earned = m_settings.retryRatio * m_settings.retryRatioShare * static_cast<double>(m_requests.size());
     const auto granted = m_settings.retrySlack * m_settings.retrySlackShare;
-    if (static_cast<double>(m_retries.size()) + 1 > earned + granted)
+    const auto share = purpose == RetryPurpose::Rescue ? 1.0 : m_settings.precautionShare;
+    if (static_cast<double>(m_retries.size()) + 1 > share * (earned + granted))
         return false;
     m_retries.push_back(now);
     return true;
--- a/src/relay/RetryBudget.h
+++ b/src/relay/RetryBudget.h
@@ -1,22 +1,29 @@
 // Limits retries so that all VMs together keep to the deployment's budget without asking each other.
 //
 // Each VM spends at most its share: a ratio of the requests it took in the last window, plus a part of the fixed
-// number. One budget for each service. Used on the relay's thread only.
+// number. What saves an answer under way may spend all of it; what is only a precaution leaves a part for that. One
+// budget for each service. Used on the relay's thread only.
 #pragma once
 
 #include "lupinknot/Clock.h"
+#include "lupinknot/EnumNames.h"
 #include <deque>
 
 namespace lupinknot::internal {
 
 struct RelaySettings;
 
+enum class RetryPurpose {
+    Rescue, // An answer that has begun, or a request whose endpoint failed, goes on elsewhere.
+    Precaution, // Nothing has failed yet: a second sending of a slow call, or a move to where a copy can grow.
+};
+
 class RetryBudget {
 public:
     explicit RetryBudget(const RelaySettings&);
     void noteRequest(Milliseconds now);
     // Takes one retry out of the budget; false when there is none left.
-    bool take(Milliseconds now);
+    bool take(RetryPurpose, Milliseconds now);
 
 private:
     void forgetOld(Milliseconds now);
--- a/src/relay/WholeAnswerCall.cpp
+++ b/src/relay/WholeAnswerCall.cpp
@@ -101,7 +101,7 @@
 {
     if (!hasOpenAttempt() || !maySendAgain())
         return;
-    if (!m_context.retryBudget(m_request.service).take(m_context.now()))
+    if (!m_context.retryBudget(m_request.service).take(RetryPurpose::Precaution, m_context.now()))
         return;
     sendNext();
 }
@@ -205,7 +205,8 @@
 {
     const bool mayHaveRun = m_possibleRuns > 0;
     const bool isAllowed = maySendAgain() && (!mayHaveRun || m_request.route->mayRunAgain());
-    const bool isFunded = isAllowed && m_context.retryBudget(m_request.service).take(m_context.now());
+    const bool isFunded
+        = isAllowed && m_context.retryBudget(m_request.service).take(RetryPurpose::Rescue, m_context.now());
     if (isFunded && sendNext())
         return;
     if (hasOpenAttempt())
--- a/test/RetryBudgetTest.cpp
+++ b/test/RetryBudgetTest.cpp
@@ -19,10 +19,10 @@
         settings.retrySlackShare = 0.2;
     }
 
-    int takeAll(RetryBudget & budget)
+    int takeAll(RetryBudget & budget, RetryPurpose purpose = RetryPurpose::Rescue)
     {
         int taken = 0;
-        while (taken < 1000 && budget.take(now))
+        while (taken < 1000 && budget.take(purpose, now))
             ++taken;
         return taken;
     }
@@ -51,3 +51,12 @@
     now += settings.retryWindow + Milliseconds { 1 };
     LONGS_EQUAL(2, takeAll(budget));
 }
+
+TEST(RetryBudget, PrecautionsLeaveAPartForRescues)
+{
+    RetryBudget budget(settings);
+    for (int i = 0; i < 16; ++i)
+        budget.noteRequest(now);
+    LONGS_EQUAL(6, takeAll(budget, RetryPurpose::Precaution));
+    LONGS_EQUAL(4, takeAll(budget, RetryPurpose::Rescue));
+}
