--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -46,6 +46,8 @@
     EndpointDirectory& directory() { return m_directory; }
     // Where VMs tell each other of their runs; it outlives the daemon's run.
     void setRunLocations(RunLocations* locations) { m_context.runLocations = locations; }
+    // How many VMs share the retry budget.
+    void setVmCount(std::size_t count) { m_settings.retrySlackShare = 1.0 / static_cast<double>(count); }
     const Clock& clock() const { return m_clock; }
     // Puts a configuration in force unless it is older than the present one. Returns whether it did.
     bool applyConfiguration(std::shared_ptr<const RelayConfiguration>);
@@ -65,7 +67,7 @@
     void awaitStop();
     void tick();
 
-    const RelaySettings m_settings;
+    RelaySettings m_settings;
     const MonotonicClock m_clock;
     boost::asio::io_context m_ioContext;
     EndpointDirectory m_directory;
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -17,10 +17,15 @@
     double retryRatio { 0.8 };
     double retrySlack { 150 };
     Milliseconds retryWindow { 10000 };
-    // Share of the fixed number that this VM takes for itself. Deployments of today have six to ten VMs.
+    // Share of the fixed number that this VM takes for itself. It becomes one in the number of VMs once that is known;
+    // deployments of today have six to ten.
     double retrySlackShare { 1.0 / 10 };
     // Share of this VM's part that may go into precautions.
     double precautionShare { 0.6 };
+    // By how many standard deviations rescues may exceed this VM's part: losses strike some VMs more than others at a
+    // time, and the sum of all stays within the budget. Losses that strike by chance deviate by the root of their
+    // number.
+    double rescueDeviations { 2.5 };
     // Share of the ratio that this VM spends on its own requests; the rest covers requests it counts and others do not.
     double retryRatioShare { 0.9 };
 
--- a/src/relay/RetryBudget.cpp
+++ b/src/relay/RetryBudget.cpp
@@ -2,6 +2,8 @@
 
 #include "relay/RelaySettings.h"
 
+#include <cmath>
+
 namespace lupinknot::internal {
 
 RetryBudget::RetryBudget(const RelaySettings& settings)
@@ -20,8 +22,10 @@
     forgetOld(now);
     const auto earned = m_settings.retryRatio * m_settings.retryRatioShare * static_cast<double>(m_requests.size());
     const auto granted = m_settings.retrySlack * m_settings.retrySlackShare;
-    const auto share = purpose == RetryPurpose::Rescue ? 1.0 : m_settings.precautionShare;
-    if (static_cast<double>(m_retries.size()) + 1 > share * (earned + granted))
+    const auto part = earned + granted;
+    const auto limit = purpose == RetryPurpose::Rescue ? part + m_settings.rescueDeviations * std::sqrt(part)
+                                                       : part * m_settings.precautionShare;
+    if (static_cast<double>(m_retries.size()) + 1 > limit)
         return false;
     m_retries.push_back(now);
     return true;
--- a/test/RetryBudgetTest.cpp
+++ b/test/RetryBudgetTest.cpp
@@ -17,6 +17,7 @@
         settings.retryRatioShare = 1;
         settings.retrySlack = 10;
         settings.retrySlackShare = 0.2;
+        settings.rescueDeviations = 0;
     }
 
     int takeAll(RetryBudget & budget, RetryPurpose purpose = RetryPurpose::Rescue)
@@ -60,3 +61,12 @@
     LONGS_EQUAL(6, takeAll(budget, RetryPurpose::Precaution));
     LONGS_EQUAL(4, takeAll(budget, RetryPurpose::Rescue));
 }
+
+TEST(RetryBudget, RescuesMayExceedThePartByItsDeviations)
+{
+    settings.rescueDeviations = 1;
+    RetryBudget budget(settings);
+    for (int i = 0; i < 14; ++i)
+        budget.noteRequest(now);
+    LONGS_EQUAL(12, takeAll(budget));
+}
