--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -52,6 +52,8 @@
     // Puts a configuration in force unless it is older than the present one. Returns whether it did.
     bool applyConfiguration(std::shared_ptr<const RelayConfiguration>);
     const std::shared_ptr<const RelayConfiguration>& configuration() const { return m_context.configuration; }
+    // The port that callers reach, also when the settings asked for any (0).
+    unsigned short frontPort() const { return m_front.port(); }
     // What to do when the settings file may have changed.
     void onReload(std::function<void()> callback) { m_onReload = std::move(callback); }
     // Called once when a stop begins.
--- /dev/null
+++ b/test/EventStreamCallTest.cpp
@@ -0,0 +1,233 @@
+#include "relay/EventStreamCall.h"
+#include "RelayHarness.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+
+TEST_GROUP(EventStreamCall)
+{
+    std::unique_ptr<RelayHarness> relay;
+
+    void setup() override
+    {
+        relay = std::make_unique<RelayHarness>();
+        relay->addRoute("stream", RequestKind::EventStream, 5);
+    }
+
+    void teardown() override { relay.reset(); }
+
+    void ready()
+    {
+        relay->configure();
+        relay->list();
+    }
+
+    void await(const std::shared_ptr<TestCaller>& caller)
+    {
+        CHECK_TEXT(relay->runUntil([&] { return caller->isWhole || caller->isBroken; }), "the stream did not end");
+    }
+
+    static std::string events(int first, int last)
+    {
+        std::string text;
+        for (int id = first; id <= last; ++id)
+            text += "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+        return text;
+    }
+
+    static ScriptedConnection::OnRequest sends(int first, int last, const std::string& head = signedHead)
+    {
+        return [first, last, head](ScriptedConnection& asker, const std::string&) {
+            asker.beginStream(head);
+            for (int id = first; id <= last; ++id)
+                asker.sendEvent(id);
+            asker.endStream();
+        };
+    }
+
+    static ScriptedConnection::OnRequest sendsAndBreaks(int last)
+    {
+        return [last](ScriptedConnection& asker, const std::string&) {
+            asker.beginStream(signedHead);
+            for (int id = 1; id <= last; ++id)
+                asker.sendEvent(id);
+            asker.sendChunk("id: 99\ndata: ha");
+            asker.reset();
+        };
+    }
+};
+
+TEST(EventStreamCall, PassesEventsOnUnchanged)
+{
+    relay->addEndpoint("e1").onRequest(sends(1, 3));
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    CHECK(caller->isWhole);
+    STRCMP_EQUAL(events(1, 3).c_str(), caller->body.c_str());
+    STRCMP_EQUAL("s", caller->header("X-Response-Signature").c_str());
+}
+
+TEST(EventStreamCall, GoesOnFromTheCopyBehindTheLastWholeEvent)
+{
+    relay->addEndpoint("e1", "a").onRequest(sendsAndBreaks(2));
+    auto& holder = relay->addEndpoint("e2", "b");
+    holder.onRequest(sends(3, 4, "X-Request-Id: r1\r\nX-Response-Signature: t\r\n"));
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    STRCMP_EQUAL(events(1, 4).c_str(), caller->body.c_str());
+    STRCMP_EQUAL_TEXT("s", caller->header("X-Response-Signature").c_str(), "the head is that of the first run");
+    CHECK(holder.hasAsked(0, "Last-Event-Id: 2\r\n"));
+    CHECK(holder.hasAsked(0, "/r1\r\n"));
+}
+
+TEST(EventStreamCall, BeginsAnewElsewhereWhenTheCopyIsNotThere)
+{
+    relay->addEndpoint("e1", "a").onRequest(sendsAndBreaks(2));
+    int asked = 0;
+    relay->addEndpoint("e2", "b").onRequest([&asked](ScriptedConnection& asker, const std::string& request) {
+        if (request.find("Kv-From") != std::string::npos) {
+            ++asked;
+            asker.answer(503, "X-Request-Id: r1\r\nX-Not-Executed: 1\r\n", "");
+        } else {
+            sends(3, 4)(asker, request);
+        }
+    });
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    STRCMP_EQUAL(events(1, 4).c_str(), caller->body.c_str());
+    LONGS_EQUAL(1, asked);
+}
+
+TEST(EventStreamCall, MovesFromAnEngineThatIsSilentAndAnswersNoQuestion)
+{
+    relay->settings.probeAfterSilence = Milliseconds { 10 };
+    relay->settings.probeTimeout = Milliseconds { 10 };
+    auto& silent = relay->addEndpoint("e1", "a");
+    silent.onRequest([](ScriptedConnection& asker, const std::string& request) {
+        if (request.find("/stream/") == std::string::npos)
+            return;
+        asker.beginStream(signedHead);
+        asker.sendEvent(1);
+    });
+    relay->addEndpoint("e2", "b").onRequest(sends(2, 3));
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    STRCMP_EQUAL(events(1, 3).c_str(), caller->body.c_str());
+    CHECK(relay->runUntil([&] { return silent.connections()[0]->isClosedByPeer(); }));
+}
+
+TEST(EventStreamCall, NeitherRepeatsNorSkipsEventsOfARunThatGoesOnAtTheWrongPlace)
+{
+    relay->addEndpoint("e1", "a").onRequest(sendsAndBreaks(2));
+    int runs = 0;
+    relay->addEndpoint("e2", "b").onRequest([&runs](ScriptedConnection& asker, const std::string& request) {
+        sends(++runs == 1 ? 2 : 3, 4)(asker, request);
+    });
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    STRCMP_EQUAL(events(1, 4).c_str(), caller->body.c_str());
+}
+
+TEST(EventStreamCall, AnEndInTheMiddleOfAnEventIsNoEnd)
+{
+    relay->addEndpoint("e1", "a").onRequest([](ScriptedConnection& asker, const std::string&) {
+        asker.beginStream(signedHead);
+        asker.sendEvent(1);
+        asker.sendChunk("id: 2\ndata: ha");
+        asker.endStream();
+    });
+    relay->addEndpoint("e2", "b").onRequest(sends(2, 2));
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    STRCMP_EQUAL(events(1, 2).c_str(), caller->body.c_str());
+}
+
+TEST(EventStreamCall, ACallerWhoComesBackGetsWhatItLacks)
+{
+    auto& engine = relay->addEndpoint("e1");
+    engine.onRequest(sends(8, 9));
+    ready();
+    const auto caller = relay->call("/stream/1", { { "Last-Event-Id", "7" } });
+    await(caller);
+    STRCMP_EQUAL(events(8, 9).c_str(), caller->body.c_str());
+    CHECK(engine.hasAsked(0, "Last-Event-Id: 7\r\n"));
+}
+
+TEST(EventStreamCall, BreaksOffVisiblyWhenNoEngineCanGoOn)
+{
+    relay->addEndpoint("e1", "a").onRequest(sendsAndBreaks(1));
+    relay->addEndpoint("e2", "b").onRequest([](ScriptedConnection& asker, const std::string&) { asker.reset(); });
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    CHECK_FALSE_TEXT(caller->isWhole, "a stream that is not complete must not look complete");
+    STRCMP_EQUAL(events(1, 1).c_str(), caller->body.c_str());
+}
+
+TEST(EventStreamCall, RefusesAtOnceWhenNoEngineTookIt)
+{
+    relay->settings.waitForEndpoint = Milliseconds { 0 };
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    LONGS_EQUAL(503, caller->head.status);
+    STRCMP_EQUAL("0.250", caller->header("Retry-After").c_str());
+}
+
+TEST(EventStreamCall, MovesARunWhoseCopyHasDied)
+{
+    relay->settings.relocateUnlessDoneWithin = Milliseconds { 0 };
+    relay->settings.probeAfterSilenceInDoubt = Milliseconds { 5 };
+    relay->settings.retrySlackShare = 1;
+    std::shared_ptr<ScriptedConnection> running;
+    auto& engine = relay->addEndpoint("e1", "a");
+    std::vector<std::string> moves;
+    engine.onRequest([&](ScriptedConnection& asker, const std::string& request) {
+        if (request.find("/stream/") != std::string::npos) {
+            asker.beginStream(signedHead);
+            asker.sendEvent(1);
+            running = asker.shared_from_this();
+            return;
+        }
+        moves.push_back(request);
+        asker.answer(200, "", R"({"handle":"h7","create-rev":1})");
+        if (request.find("\"last\"") != std::string::npos)
+            running->close();
+    });
+    const auto goesOn = [](ScriptedConnection& asker, const std::string& request) { sends(2, 3)(asker, request); };
+    auto& second = relay->addEndpoint("e2", "b");
+    auto& third = relay->addEndpoint("e3", "c");
+    second.onRequest(goesOn);
+    third.onRequest(goesOn);
+    ready();
+    const auto caller = relay->call("/stream/1");
+    CHECK(relay->runUntil([&] { return !caller->body.empty(); }));
+    const auto port = engine.requests()[0].find(":" + std::to_string(second.port()) + "\r\n");
+    relay->daemon().directory().remove(port != std::string::npos ? "e2" : "e3", relay->daemon().clock().now());
+    await(caller);
+    STRCMP_EQUAL(events(1, 3).c_str(), caller->body.c_str());
+    LONGS_EQUAL_TEXT(2, moves.size(), "a first copy while the run goes on, and the rest once it has stopped");
+    CHECK(second.hasAsked(0, "/h7\r\n") || third.hasAsked(0, "/h7\r\n"));
+}
+
+TEST(EventStreamCall, StopsTheEnginesWorkWhenTheCallerLeaves)
+{
+    auto& engine = relay->addEndpoint("e1");
+    engine.onRequest([](ScriptedConnection& asker, const std::string&) {
+        asker.beginStream(signedHead);
+        asker.sendEvent(1);
+    });
+    ready();
+    const auto caller = relay->call("/stream/1");
+    CHECK(relay->runUntil([&] { return !caller->body.empty(); }));
+    caller->connection->close();
+    CHECK(relay->runUntil([&] { return engine.connections()[0]->isClosedByPeer(); }));
+}
--- /dev/null
+++ b/test/RelayHarness.cpp
@@ -0,0 +1,80 @@
+#include "RelayHarness.h"
+
+#include <chrono>
+
+namespace lupinknot::internal {
+
+namespace {
+
+// Far longer than anything here takes: reached only by a test that fails.
+constexpr std::chrono::seconds patience { 20 };
+
+} // namespace
+
+RelayHarness::RelayHarness()
+{
+    settings.availabilityZone = "a";
+    m_builder.version(1);
+    m_builder.addService({ "s", 0, true, 5 });
+}
+
+RelayDaemon& RelayHarness::daemon()
+{
+    if (!m_daemon) {
+        m_daemon = std::make_unique<RelayDaemon>(settings, RelayAddresses {}, m_protocol);
+        if (const auto problem = m_daemon->start())
+            throw std::runtime_error(*problem);
+    }
+    return *m_daemon;
+}
+
+void RelayHarness::addRoute(const std::string& prefix, RequestKind kind, unsigned maxAttempts)
+{
+    Route route;
+    route.name = prefix;
+    route.host = "h";
+    route.pathPrefix = "/" + prefix + "/";
+    route.kind = kind;
+    route.isResumable = true;
+    route.isPublic = true;
+    route.maxAttempts = maxAttempts;
+    route.longestPause = Milliseconds { 700 };
+    route.services = { { "s", 1 } };
+    m_builder.addRoute(std::move(route));
+}
+
+void RelayHarness::configure() { daemon().applyConfiguration(m_builder.build()); }
+
+ScriptedEndpoint& RelayHarness::addEndpoint(const std::string& id, const std::string& zone)
+{
+    auto& endpoint = m_endpoints.emplace_back(daemon().ioContext());
+    m_entries.push_back({ id, "s", { "127.0.0.1", endpoint.port() }, zone, 4, false });
+    return endpoint;
+}
+
+void RelayHarness::list() { daemon().directory().replaceAll(m_entries, daemon().clock().now()); }
+
+std::shared_ptr<TestCaller> RelayHarness::call(const std::string& path, HttpHeaders extra, const std::string& id)
+{
+    auto caller = std::make_shared<TestCaller>();
+    HttpRequest request { "POST", path, { { "Host", "h" }, { "X-Request-Id", id } }, "body" };
+    for (const auto& field : extra.fields())
+        request.headers.add(field.name, field.value);
+    caller->connection = ClientConnection::open(daemon().ioContext(), { "127.0.0.1", daemon().frontPort() }, {});
+    caller->connection->send(request, caller);
+    return caller;
+}
+
+bool RelayHarness::runUntil(const std::function<bool()>& condition)
+{
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        daemon().ioContext().run_one_for(std::chrono::milliseconds(20));
+        daemon().ioContext().restart();
+    }
+    return true;
+}
+
+} // namespace lupinknot::internal
