--- /dev/null
+++ b/test/PlatformStoreTest.cpp
@@ -0,0 +1,215 @@
+#include "PeerFeeds.h"
+#include "StoreFeed.h"
+#include "StoreRunLocations.h"
+#include "standin/StoreStandIn.h"
+
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+using namespace lupinknot::platform;
+
+namespace {
+
+// Far longer than anything here takes: reached only by a test that fails.
+constexpr std::chrono::seconds patience { 20 };
+
+// What a feed has told, as a table.
+struct Followed {
+    std::map<std::string, std::string> rows;
+    int snapshots { 0 };
+    std::shared_ptr<StoreFeed> feed;
+
+    void follow(boost::asio::io_context& ioContext, std::int64_t port, const std::string& table)
+    {
+        const StoreFeed::Pace pace { Milliseconds { 40 }, Milliseconds { 1 } };
+        feed = StoreFeed::start(ioContext, { "127.0.0.1", port }, table, pace,
+            { [this](const std::vector<StoreRow>& whole) {
+                 ++snapshots;
+                 rows.clear();
+                 for (const auto& row : whole)
+                     rows[row.key] = row.value;
+             },
+                [this](const std::vector<StoreRow>& changes) {
+                    for (const auto& row : changes) {
+                        if (row.isRemoved)
+                            rows.erase(row.key);
+                        else
+                            rows[row.key] = row.value;
+                    }
+                } });
+    }
+};
+
+} // namespace
+
+TEST_GROUP(PlatformStore)
+{
+    std::unique_ptr<boost::asio::io_context> ioContext;
+    std::unique_ptr<StoreStandIn> store;
+
+    void setup() override
+    {
+        ioContext = std::make_unique<boost::asio::io_context>();
+        store = std::make_unique<StoreStandIn>(*ioContext);
+        store->start();
+    }
+
+    void teardown() override
+    {
+        store.reset();
+        ioContext.reset();
+    }
+
+    bool runUntil(const std::function<bool()>& condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + patience;
+        while (!condition()) {
+            if (std::chrono::steady_clock::now() > end)
+                return false;
+            ioContext->run_one_for(std::chrono::milliseconds(20));
+            ioContext->restart();
+        }
+        return true;
+    }
+};
+
+TEST(PlatformStore, AFeedTellsTheTableAndItsChanges)
+{
+    store->put("servers", "a", "1");
+    Followed followed;
+    followed.follow(*ioContext, store->port(), "servers");
+    CHECK(runUntil([&] { return followed.rows["a"] == "1"; }));
+    store->put("servers", "b", "2");
+    CHECK(runUntil([&] { return followed.rows["b"] == "2"; }));
+    store->remove("servers", "a");
+    CHECK(runUntil([&] { return followed.rows.count("a") == 0; }));
+    LONGS_EQUAL(1, followed.snapshots);
+}
+
+TEST(PlatformStore, AFeedReadsATableOfManyPages)
+{
+    for (int i = 0; i < 1203; ++i)
+        store->put("servers", "k" + std::to_string(i), "v");
+    Followed followed;
+    followed.follow(*ioContext, store->port(), "servers");
+    CHECK(runUntil([&] { return followed.rows.size() == 1203; }));
+    LONGS_EQUAL(1, followed.snapshots);
+}
+
+TEST(PlatformStore, AFeedReadsTheTableAnewAfterItsHistoryHasGone)
+{
+    store->put("servers", "a", "1");
+    Followed followed;
+    followed.follow(*ioContext, store->port(), "servers");
+    CHECK(runUntil([&] { return followed.rows.count("a") == 1; }));
+    store->setFault(StoreFault::Unavailable);
+    store->remove("servers", "a");
+    store->put("servers", "b", "2");
+    store->forgetHistory();
+    store->setFault(StoreFault::None);
+    CHECK(runUntil([&] { return followed.rows.count("b") == 1; }));
+    LONGS_EQUAL(0, followed.rows.count("a"));
+    LONGS_EQUAL(2, followed.snapshots);
+}
+
+TEST(PlatformStore, AFeedKeepsWhatItKnowsThroughAnOutage)
+{
+    for (const auto fault : { StoreFault::Unavailable, StoreFault::Silent }) {
+        store->put("servers", "a", "1");
+        Followed followed;
+        followed.follow(*ioContext, store->port(), "servers");
+        CHECK(runUntil([&] { return followed.rows.count("a") == 1; }));
+        bool hasFailed = false;
+        followed.feed->onFailure([&] { hasFailed = true; });
+        store->setFault(fault);
+        CHECK(runUntil([&] { return hasFailed; }));
+        STRCMP_EQUAL("1", followed.rows["a"].c_str());
+        store->setFault(StoreFault::None);
+        store->put("servers", "a", "2");
+        CHECK(runUntil([&] { return followed.rows["a"] == "2"; }));
+    }
+}
+
+TEST(PlatformStore, AVmThatCannotReachTheStoreHearsItsNewsFromAnother)
+{
+    store->put("op", "config", "1");
+    StoreStandIn brokenStore(*ioContext);
+    brokenStore.start();
+    brokenStore.setFault(StoreFault::Unavailable);
+
+    Followed near;
+    near.follow(*ioContext, store->port(), "op");
+    VmRegistry nearVms(*ioContext, { "127.0.0.1", store->port() }, { "near", "a", {} }, {}, [](std::size_t) {});
+    // A port of the loopback address that no other test of this process uses.
+    const SocketAddress nearAddress { "127.0.0.2", 17200 };
+    PeerFeeds nearFeeds(*ioContext, nearAddress, nearVms);
+    nearFeeds.add(near.feed);
+    CHECK_FALSE(nearFeeds.start().has_value());
+
+    Followed far;
+    far.follow(*ioContext, brokenStore.port(), "op");
+    VmRegistry farVms(*ioContext, { "127.0.0.1", brokenStore.port() }, { "far", "a", {} },
+        { { "near", "a", nearAddress } }, [](std::size_t) {});
+    PeerFeeds farFeeds(*ioContext, { "127.0.0.3", 17200 }, farVms);
+    farFeeds.add(far.feed);
+
+    CHECK(runUntil([&] { return far.rows["config"] == "1"; }));
+    store->put("op", "config", "2");
+    CHECK(runUntil([&] { return far.rows["config"] == "2"; }));
+}
+
+TEST(PlatformStore, VmsFindEachOtherAndCountThemselves)
+{
+    std::size_t count = 0;
+    const SocketAddress address { "127.0.0.1", store->port() };
+    VmRegistry first(*ioContext, address, { "vm1", "a", { "10.0.0.1", 7200 } }, {}, [](std::size_t) {});
+    VmRegistry second(
+        *ioContext, address, { "vm2", "a", { "10.0.0.2", 7200 } }, {}, [&count](std::size_t n) { count = n; });
+    CHECK(runUntil([&] { return count == 2; }));
+    STRCMP_EQUAL("10.0.0.1:7200", second.choosePeer()->address.text().c_str());
+}
+
+TEST(PlatformStore, ALocationIsFoundByAnotherVmUntilTheRunHasEnded)
+{
+    const SocketAddress address { "127.0.0.1", store->port() };
+    StoreRunLocations writer(*ioContext, address);
+    StoreRunLocations reader(*ioContext, address);
+    writer.hurry();
+    writer.note("p1", { "e1", "e2", "r1" });
+    CHECK(runUntil([&] { return store->value("runs", "p1").has_value(); }));
+
+    std::optional<RunLocation> found;
+    bool isAnswered = false;
+    reader.find("p1", [&](const std::optional<RunLocation>& location) {
+        found = location;
+        isAnswered = true;
+    });
+    CHECK(runUntil([&] { return isAnswered; }));
+    STRCMP_EQUAL("e1", found->endpointId.c_str());
+    STRCMP_EQUAL("e2", found->copyHolderId.c_str());
+    STRCMP_EQUAL("r1", found->requestId.c_str());
+
+    writer.forget("p1");
+    writer.note("p2", { "e1", "", "r2" });
+    CHECK(runUntil([&] { return store->value("runs", "p2").has_value(); }));
+    CHECK_FALSE(store->value("runs", "p1").has_value());
+}
+
+TEST(PlatformStore, ALookupThatFailsAnswersThatNothingIsKnown)
+{
+    StoreRunLocations reader(*ioContext, { "127.0.0.1", store->port() });
+    for (const auto fault : { StoreFault::Unavailable, StoreFault::Silent, StoreFault::None }) {
+        store->setFault(fault);
+        bool isAnswered = false;
+        bool isKnown = true;
+        reader.find("p1", [&](const std::optional<RunLocation>& location) {
+            isKnown = location.has_value();
+            isAnswered = true;
+        });
+        CHECK(runUntil([&] { return isAnswered; }));
+        CHECK_FALSE(isKnown);
+    }
+}
