Placement: a prompt's engine may be one call busier than the others

Cause: locations of runs are told by the store now, so the hash need not win against load. Change: preference 2.5 -> 1.0 calls.

--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -75,7 +75,7 @@
 
     // How many calls more than others the engine may have that a prompt's hash prefers: for a new request, and for a
     // caller who comes back behind an event and whose prompt the engine has probably read.
-    double promptPreference { 2.5 };
+    double promptPreference { 1.0 };
     double returningPreference { 100 };
 
     // How long an endpoint is avoided after it refused a connection, fell silent, or broke off an answer.
