Endpoints of a failed zone are doubted until they show life; moves are spread in time

Two moves ended 'unknown': all streams with a copy in that zone moved at the same instant and the stop took more than 350 ms in the queue of copies. Ruled out: a longer time for which the zone is avoided (its living engines would be lost for new work). Change: an endpoint of a zone that failed less than 4 s ago is doubted unless it was listed or answered since; moves are spread over 600 ms by the request's id; a stopped run may take 900 ms to arrive.

--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -41,7 +41,7 @@
     const auto service = entry.service;
     const auto id = entry.id;
     const ClientConnectionSettings connection { .connectTimeout = m_settings.endpointConnectTimeout };
-    const auto endpoint = std::make_shared<RelayEndpoint>(m_ioContext, entry, connection);
+    const auto endpoint = std::make_shared<RelayEndpoint>(m_ioContext, entry, connection, now);
     endpoint->updateEntry(std::move(entry), now);
     m_endpointsById.emplace(id, endpoint);
     m_endpointsByService[service].push_back(endpoint);
@@ -145,6 +145,13 @@
     zone.avoidUntil = now + m_settings.avoidZone;
 }
 
+bool EndpointDirectory::isDoubtful(const RelayEndpoint& endpoint, Milliseconds now) const
+{
+    const auto zone = m_zones.find(endpoint.entry().availabilityZone);
+    return zone != m_zones.end() && zone->second.failedAt > endpoint.lastLife()
+        && now - zone->second.failedAt < m_settings.doubtAfterZoneFailure;
+}
+
 bool EndpointDirectory::hasZoneFailedSince(const std::string& zone, Milliseconds since) const
 {
     const auto found = m_zones.find(zone);
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -35,6 +35,8 @@
     // Takes note that an endpoint failed, and that the zone fails when several did.
     void noteFailure(const RelayEndpoint&, Milliseconds now);
     bool isZoneAvoided(const std::string& zone, Milliseconds now) const;
+    // True for an endpoint of a zone that failed lately and of which nothing has been heard since.
+    bool isDoubtful(const RelayEndpoint&, Milliseconds now) const;
     // True when several endpoints of the zone have failed together since the instant.
     bool hasZoneFailedSince(const std::string& zone, Milliseconds since) const;
 
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -121,7 +121,8 @@
 {
     const auto now = m_context.now();
     return !endpoint.isLeaving() && !endpoint.isAvoided(now)
-        && !m_context.directory.isZoneAvoided(endpoint.entry().availabilityZone, now);
+        && !m_context.directory.isZoneAvoided(endpoint.entry().availabilityZone, now)
+        && !m_context.directory.isDoubtful(endpoint, now);
 }
 
 bool EventStreamCall::mayStartRun()
@@ -550,6 +551,13 @@
 void EventStreamCall::relocate()
 {
     const auto now = m_context.now();
+    if (m_nextRelocationAt == Milliseconds { 0 }) {
+        // Many streams lose their copies at the same instant, and copies queue on the engines' links.
+        const auto spread = static_cast<std::uint64_t>(m_context.settings.relocationSpread.count());
+        const auto delay = std::hash<std::string>()(m_request.fields.requestId) % std::max<std::uint64_t>(spread, 1);
+        m_nextRelocationAt = now + Milliseconds { static_cast<std::int64_t>(delay) };
+        return;
+    }
     m_nextRelocationAt = now + m_context.settings.relocateAfter;
     auto excluded = m_failed;
     excluded.push_back(m_run->endpoint);
--- a/src/relay/Placement.cpp
+++ b/src/relay/Placement.cpp
@@ -76,7 +76,7 @@
     double sum = endpoint.inFlight() + randomCost * random();
     if (zone != m_settings.availabilityZone)
         sum += otherZoneCost;
-    if (m_directory.isZoneAvoided(zone, now))
+    if (m_directory.isZoneAvoided(zone, now) || m_directory.isDoubtful(endpoint, now))
         sum += failingZoneCost;
     if (endpoint.isAvoided(now))
         sum += avoidedCost;
--- a/src/relay/RelayEndpoint.cpp
+++ b/src/relay/RelayEndpoint.cpp
@@ -3,10 +3,11 @@
 namespace lupinknot::internal {
 
 RelayEndpoint::RelayEndpoint(
-    boost::asio::io_context& ioContext, EndpointEntry entry, const ClientConnectionSettings& settings)
+    boost::asio::io_context& ioContext, EndpointEntry entry, const ClientConnectionSettings& settings, Milliseconds now)
     : m_ioContext(ioContext)
     , m_entry(std::move(entry))
     , m_connectionSettings(settings)
+    , m_lastLife(now)
 {
 }
 
--- a/src/relay/RelayEndpoint.h
+++ b/src/relay/RelayEndpoint.h
@@ -13,7 +13,7 @@
 
 class RelayEndpoint {
 public:
-    RelayEndpoint(boost::asio::io_context&, EndpointEntry, const ClientConnectionSettings&);
+    RelayEndpoint(boost::asio::io_context&, EndpointEntry, const ClientConnectionSettings&, Milliseconds now);
     ~RelayEndpoint();
     RelayEndpoint(const RelayEndpoint&) = delete;
     RelayEndpoint& operator=(const RelayEndpoint&) = delete;
@@ -43,6 +43,7 @@
     bool isAvoided(Milliseconds now) const { return now < m_avoidUntil; }
     // An answer or event came: the endpoint lives.
     void noteLife(Milliseconds now);
+    // The last instant at which it was known to live: when it was first listed, or later.
     Milliseconds lastLife() const { return m_lastLife; }
 
 private:
@@ -59,7 +60,7 @@
     std::optional<Milliseconds> m_leavingSince;
     bool m_isRemoved { false };
     Milliseconds m_avoidUntil { 0 };
-    Milliseconds m_lastLife { 0 };
+    Milliseconds m_lastLife;
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -62,7 +62,10 @@
     // between zones, queued behind other copies.
     Milliseconds relocationCopyTimeout { 1500 };
     // The same for the rest that is copied once the run has stopped; the caller waits for it.
-    Milliseconds relocationStopTimeout { 350 };
+    // Begun anew the stream would pause for more than a second.
+    Milliseconds relocationStopTimeout { 900 };
+    // Moves for the same reason are spread over this time.
+    Milliseconds relocationSpread { 600 };
     // A run without a growing copy is left alone this long after its start.
     Milliseconds relocateAfter { 500 };
     // A run that is expected to end sooner than this is not moved: a move costs a copy of its memory, a retry and a
@@ -89,6 +92,9 @@
     unsigned zoneFailureCount { 2 };
     Milliseconds zoneFailureWindow { 400 };
     Milliseconds avoidZone { 1000 };
+    // An endpoint of such a zone of which nothing has been heard since is doubted this long: a dead one stays in the
+    // list for three of its heartbeats of 1.2 s.
+    Milliseconds doubtAfterZoneFailure { 4000 };
     // A leaving endpoint may serve as a last resort for this long: entries also lapse while the list's source is away.
     // The adapter sets it from the time that the deployment allows and the age that its news may have.
     Milliseconds leavingEndpointGrace { 700 };
--- a/test/EndpointDirectoryTest.cpp
+++ b/test/EndpointDirectoryTest.cpp
@@ -120,3 +120,22 @@
     directory->noteFailure(*endpoints[1], now);
     CHECK_FALSE(directory->isZoneAvoided("a", now));
 }
+
+// Found by savinja-knot quiet-1: runs were moved to engines of a zone that had just failed, whose entries were still
+// listed, and had to begin anew.
+TEST(EndpointDirectory, DoubtsEndpointsOfAZoneThatFailedUntilTheyShowLife)
+{
+    directory->replaceAll({ entry("e1", 1), entry("e2", 2), entry("e3", 3), entry("e4", 4) }, now);
+    now += Milliseconds { 10 };
+    const auto endpoints = directory->endpointsOf("s");
+    directory->noteFailure(*endpoints[0], now);
+    directory->noteFailure(*endpoints[1], now);
+    now += settings.avoidZone + Milliseconds { 1 };
+    endpoints[3]->noteLife(now);
+    directory->upsert(entry("e5", 5), now);
+    CHECK(directory->isDoubtful(*endpoints[2], now));
+    CHECK_FALSE_TEXT(directory->isDoubtful(*endpoints[3], now), "one that has answered since lives");
+    CHECK_FALSE_TEXT(directory->isDoubtful(*directory->find("e5"), now), "one that was listed since lives");
+    now += settings.doubtAfterZoneFailure;
+    CHECK_FALSE(directory->isDoubtful(*endpoints[2], now));
+}
--- a/test/EventStreamCallTest.cpp
+++ b/test/EventStreamCallTest.cpp
@@ -187,6 +187,7 @@
     relay->settings.relocateUnlessDoneWithin = Milliseconds { 0 };
     relay->settings.probeAfterSilenceInDoubt = Milliseconds { 5 };
     relay->settings.retrySlackShare = 1;
+    relay->settings.relocationSpread = Milliseconds { 1 };
     std::shared_ptr<ScriptedConnection> running;
     auto& engine = relay->addEndpoint("e1", "a");
     std::vector<std::string> moves;
