--- /dev/null
+++ b/src/ctl/RequestTrace.cpp
@@ -0,0 +1,99 @@
+#include "ctl/RequestTrace.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace lupinknot::internal {
+
+namespace {
+
+// Events that change what a VM believes, by what they are about: of each, the newest one holds.
+constexpr std::array<std::pair<std::string_view, std::string_view>, 6> beliefEvents { {
+    { "process.started", "process" },
+    { "config.applied", "configuration" },
+    { "store.lost", "store" },
+    { "store.regained", "store" },
+    { "feed.heard-from-vm", "feed" },
+    { "zone.avoided", "zone" },
+} };
+
+std::string_view beliefOf(const std::string& event)
+{
+    for (const auto& [name, belief] : beliefEvents) {
+        if (name == event)
+            return belief;
+    }
+    return "";
+}
+
+} // namespace
+
+RequestTrace::RequestTrace(std::string requestId)
+    : m_requestId(std::move(requestId))
+{
+}
+
+void RequestTrace::read(std::istream& log)
+{
+    std::string text;
+    while (std::getline(log, text)) {
+        // Log collectors put a prefix of their own before the line.
+        const auto start = text.find('{');
+        if (start == std::string::npos)
+            continue;
+        text.erase(0, start);
+        const auto object = nlohmann::json::parse(text, nullptr, false);
+        if (!object.is_object() || !object.contains("event"))
+            continue;
+        m_lines.push_back({ object.value("time_ms", std::int64_t { 0 }), object.value("vm", std::string()),
+            object.value("event", std::string()), object.value("request", std::string()),
+            object.value("earlier_request", std::string()), text });
+    }
+}
+
+bool RequestTrace::isOfRequest(const Line& line) const
+{
+    return line.request == m_requestId || line.earlierRequest == m_requestId;
+}
+
+std::vector<const RequestTrace::Line*> RequestTrace::beliefsBefore(const std::string& vm, std::int64_t time) const
+{
+    std::map<std::string_view, const Line*> newest;
+    for (const auto& line : m_lines) {
+        const auto belief = beliefOf(line.event);
+        if (belief.empty() || line.vm != vm || line.time > time)
+            continue;
+        auto& held = newest[belief];
+        if (!held || held->time <= line.time)
+            held = &line;
+    }
+    std::vector<const Line*> beliefs;
+    beliefs.reserve(newest.size());
+    for (const auto& entry : newest)
+        beliefs.push_back(entry.second);
+    std::sort(beliefs.begin(), beliefs.end(), [](const Line* a, const Line* b) { return a->time < b->time; });
+    return beliefs;
+}
+
+std::size_t RequestTrace::write(std::ostream& out) const
+{
+    std::vector<const Line*> own;
+    for (const auto& line : m_lines) {
+        if (isOfRequest(line))
+            own.push_back(&line);
+    }
+    std::stable_sort(own.begin(), own.end(), [](const Line* a, const Line* b) { return a->time < b->time; });
+    std::set<std::string> seenVms;
+    for (const auto* line : own) {
+        if (seenVms.insert(line->vm).second) {
+            for (const auto* belief : beliefsBefore(line->vm, line->time))
+                out << "  believed, " << line->time - belief->time << " ms old: " << belief->text << "\n";
+        }
+        out << "+" << line->time - own.front()->time << " ms " << line->text << "\n";
+    }
+    return own.size();
+}
+
+} // namespace lupinknot::internal
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,8 +1,10 @@
 // lupinknotctl: the operators' tool.
 
 #include "common/Version.h"
+#include "ctl/RequestTrace.h"
 #include "http/HttpFetch.h"
 
+#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <tclap/CmdLine.h>
@@ -22,6 +24,7 @@
     std::string command;
     std::string argument;
     std::vector<SocketAddress> daemons;
+    std::vector<std::string> files;
     bool isJson { false };
 };
 
@@ -93,34 +96,65 @@
     int (*run)(const Options&);
 };
 
-constexpr std::array<Command, 3> commands { {
+// Prints what the logs say of one request.
+int trace(const Options& options)
+{
+    RequestTrace found(options.argument);
+    for (const auto& path : options.files) {
+        std::ifstream file(path);
+        if (!file) {
+            std::cerr << "lupinknotctl: cannot read " << path << "\n";
+            return exitFailed;
+        }
+        found.read(file);
+    }
+    const auto lines = found.write(std::cout);
+    std::cout.flush();
+    if (lines > 0)
+        return exitOk;
+    std::cerr << "lupinknotctl: no line of these logs is of request " << options.argument << "\n";
+    return exitFailed;
+}
+
+constexpr std::array<Command, 4> commands { {
     { "status", showStatus },
     { "drain", drain },
     { "explain", explain },
+    { "trace", trace },
 } };
 
 Options parseOptions(int argc, char** argv)
 {
     TCLAP::CmdLine line(
-        "The operators' tool of lupinknot. Commands: status, drain, explain GENERATION.", ' ', std::string(version));
+        "The operators' tool of lupinknot. Commands: status, drain, explain GENERATION (each with --admin), "
+        "trace REQUEST FILE...",
+        ' ', std::string(version));
     std::vector<std::string> names;
     names.reserve(commands.size());
     for (const auto& command : commands)
         names.emplace_back(command.name);
     TCLAP::ValuesConstraint<std::string> isCommand(names);
     TCLAP::UnlabeledValueArg<std::string> command("command", "What to do.", true, "", &isCommand, line);
-    TCLAP::UnlabeledValueArg<std::string> argument("argument", "What to do it with.", false, "", "argument", line);
-    TCLAP::MultiArg<std::string> admins("a", "admin", "Address of a daemon for operators.", true, "address", line);
+    TCLAP::MultiArg<std::string> admins("a", "admin", "Address of a daemon for operators.", false, "address", line);
     TCLAP::SwitchArg isJson("", "json", "Print JSON.", line);
+    TCLAP::UnlabeledMultiArg<std::string> arguments(
+        "arguments", "A generation; or a request and the logs of the VMs.", false, "argument", line);
     line.parse(argc, argv);
 
-    Options options { command.getValue(), argument.getValue(), {}, isJson.getValue() };
+    Options options { command.getValue(), "", {}, arguments.getValue(), isJson.getValue() };
+    if (!options.files.empty()) {
+        options.argument = options.files.front();
+        options.files.erase(options.files.begin());
+    }
     for (const auto& text : admins.getValue()) {
         const auto address = parseSocketAddress(text);
         if (!address)
             throw TCLAP::ArgException("expected an IP number and a port, as in 127.0.0.1:9080; found " + text);
         options.daemons.push_back(*address);
     }
+    const bool needsFiles = options.command == "trace";
+    if (needsFiles ? options.files.empty() : options.daemons.empty())
+        throw TCLAP::ArgException(needsFiles ? "trace needs the logs to read" : "the command needs --admin ADDRESS");
     return options;
 }
 
--- a/src/settings/SettingsReader.cpp
+++ b/src/settings/SettingsReader.cpp
@@ -15,6 +15,14 @@
 
 namespace {
 
+// Built by appending: with -O3, GCC 12 reports a false overlap for `"\"" + text`.
+std::string quoted(const std::string& text)
+{
+    std::string result(1, '"');
+    result.append(text).append(1, '"');
+    return result;
+}
+
 // Collects the errors of one file.
 class Findings {
 public:
@@ -381,13 +389,10 @@
     std::string operator()(std::int64_t value) const { return std::to_string(value); }
     std::string operator()(unsigned value) const { return std::to_string(value); }
     std::string operator()(Milliseconds value) const { return std::to_string(value.count()); }
-    std::string operator()(const std::string& value) const { return "\"" + value + "\""; }
+    std::string operator()(const std::string& value) const { return quoted(value); }
     std::string operator()(bool value) const { return value ? "true" : "false"; }
     std::string operator()(const std::vector<std::string>&) const { return "[]"; }
-    std::string operator()(DetectorKind value) const
-    {
-        return "\"" + std::string(nameIn(detectorKindNames, value)) + "\"";
-    }
+    std::string operator()(DetectorKind value) const { return quoted(std::string(nameIn(detectorKindNames, value))); }
 };
 
 template <typename Section>
--- /dev/null
+++ b/test/RequestTraceTest.cpp
@@ -0,0 +1,52 @@
+#include "ctl/RequestTrace.h"
+
+#include <sstream>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot::internal;
+
+TEST_GROUP(RequestTrace)
+{
+    RequestTrace trace { "r1" };
+
+    void read(const std::string& text)
+    {
+        std::istringstream log(text);
+        trace.read(log);
+    }
+
+    std::string written(std::size_t expectedLines)
+    {
+        std::ostringstream out;
+        LONGS_EQUAL(expectedLines, trace.write(out));
+        return out.str();
+    }
+};
+
+TEST(RequestTrace, PutsTheLinesOfSeveralVmsInOrder)
+{
+    read(R"({"time_ms":120,"vm":"b","event":"stream.returned","request":"r2","earlier_request":"r1"})"
+         "\n");
+    read("prefix {\"time_ms\":100,\"vm\":\"a\",\"event\":\"request.admitted\",\"request\":\"r1\"}\nno line of ours\n");
+    STRCMP_EQUAL("+0 ms {\"time_ms\":100,\"vm\":\"a\",\"event\":\"request.admitted\",\"request\":\"r1\"}\n"
+                 "+20 ms {\"time_ms\":120,\"vm\":\"b\",\"event\":\"stream.returned\",\"request\":\"r2\","
+                 "\"earlier_request\":\"r1\"}\n",
+        written(2).c_str());
+}
+
+TEST(RequestTrace, ShowsTheNewestBeliefsOfTheVm)
+{
+    read(R"({"time_ms":10,"vm":"a","event":"config.applied","config_version":4}
+{"time_ms":50,"vm":"a","event":"config.applied","config_version":7}
+{"time_ms":60,"vm":"b","event":"config.applied","config_version":8}
+{"time_ms":100,"vm":"a","event":"request.refused","request":"r1"}
+{"time_ms":110,"vm":"a","event":"config.applied","config_version":9}
+)");
+    STRCMP_EQUAL(
+        "  believed, 50 ms old: {\"time_ms\":50,\"vm\":\"a\",\"event\":\"config.applied\",\"config_version\":7}\n"
+        "+0 ms {\"time_ms\":100,\"vm\":\"a\",\"event\":\"request.refused\",\"request\":\"r1\"}\n",
+        written(1).c_str());
+}
+
+TEST(RequestTrace, SaysThatARequestIsUnknown) { STRCMP_EQUAL("", written(0).c_str()); }
