--- a/src/relay/RelayEndpoint.h
+++ b/src/relay/RelayEndpoint.h
@@ -33,8 +33,8 @@
     void callStarted() { ++m_inFlight; }
     void callEnded() { --m_inFlight; }
 
-    // An endpoint leaves when its entry says so or is gone. One that says so gets no work; one whose entry has gone gets
-    // some as a last resort, for a short while only.
+    // An endpoint leaves when its entry says so or is gone. One that says so gets no work; one whose entry has gone
+    // gets some as a last resort, for a short while only.
     bool isLeaving() const { return m_leavingSince.has_value(); }
     bool mayTakeWork(Milliseconds now, Milliseconds grace) const;
     bool isRemoved() const { return m_isRemoved; }
--- a/test/PlatformSettingsTest.cpp
+++ b/test/PlatformSettingsTest.cpp
@@ -23,10 +23,11 @@
 
 TEST(PlatformSettings, ReadsAddressesZoneAndBounds)
 {
-    const auto result = read("node-name = \"edge-1\"\nzone = \"hall-a\"\nunknown = 1\n"
-                             "[listen]\nfront = \"10.1.0.19:8740\"\nready = \"10.1.0.19:8749\"\n"
-                             "[bounds]\nretry-budget-ratio = 0.5\nbudget-slack = 70\ngrace-s = 6\n"
-                             "[platform]\naddress = \"10.200.1.7:8742\"\n");
+    const auto result = read(
+        "node-name = \"edge-1\"\nzone = \"hall-a\"\nunknown = 1\n"
+        "[listen]\nfront = \"10.1.0.19:8740\"\nready = \"10.1.0.19:8749\"\n"
+        "[bounds]\ncontact-ms = 3000\ndrain-ms = 2000\nretry-budget-ratio = 0.5\nbudget-slack = 70\ngrace-s = 6\n"
+        "[platform]\naddress = \"10.200.1.7:8742\"\n");
     STRCMP_EQUAL("", result.problem.c_str());
     const auto& settings = result.settings;
     STRCMP_EQUAL("edge-1", settings.relay.vmName.c_str());
@@ -37,6 +38,9 @@
     DOUBLES_EQUAL(0.5, settings.relay.retryRatio, 1e-9);
     DOUBLES_EQUAL(70, settings.relay.retrySlack, 1e-9);
     LONGS_EQUAL(5700, settings.relay.stopWithin.count());
+    LONGS_EQUAL(2000, settings.configurationWait.count());
+    LONGS_EQUAL(700, settings.endpointsRest.count());
+    LONGS_EQUAL(600, settings.relay.leavingEndpointGrace.count());
 }
 
 TEST(PlatformSettings, NamesTheMissingAddress)
