--- a/src/http/HttpServerSettings.h
+++ b/src/http/HttpServerSettings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "common/ByteSizes.h"
+#include "http/SocketAddress.h"
 #include "lupinknot/Clock.h"
 #include <string>
 
@@ -22,4 +23,13 @@
     Milliseconds writeTimeout { 30000 };
 };
 
+// The usual limits at an address.
+inline HttpServerSettings listenAt(const SocketAddress& address)
+{
+    HttpServerSettings settings;
+    settings.address = address.host;
+    settings.port = address.port;
+    return settings;
+}
+
 } // namespace lupinknot::internal
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -18,14 +18,6 @@
 // Pause between two rounds of housekeeping: expired endpoints and gauges.
 constexpr Milliseconds tickInterval { 500 };
 
-HttpServerSettings listenAt(const SocketAddress& address)
-{
-    HttpServerSettings settings;
-    settings.address = address.host;
-    settings.port = address.port;
-    return settings;
-}
-
 } // namespace
 
 RelayDaemon::RelayDaemon(const RelaySettings& settings, const RelayAddresses& addresses, const CallProtocol& protocol)
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -143,17 +143,16 @@
     Followed near;
     near.follow(*ioContext, store->port(), "op");
     VmRegistry nearVms(*ioContext, { "127.0.0.1", store->port() }, { "near", "a", {} }, {}, [](std::size_t) {});
-    // A port of the loopback address that no other test of this process uses.
-    const SocketAddress nearAddress { "127.0.0.2", 17200 };
-    PeerFeeds nearFeeds(*ioContext, nearAddress, nearVms);
+    PeerFeeds nearFeeds(*ioContext, { "127.0.0.1", 0 }, nearVms);
     nearFeeds.add(near.feed);
     CHECK_FALSE(nearFeeds.start().has_value());
+    const SocketAddress nearAddress { "127.0.0.1", nearFeeds.port() };
 
     Followed far;
     far.follow(*ioContext, brokenStore.port(), "op");
     VmRegistry farVms(*ioContext, { "127.0.0.1", brokenStore.port() }, { "far", "a", {} },
         { { "near", "a", nearAddress } }, [](std::size_t) {});
-    PeerFeeds farFeeds(*ioContext, { "127.0.0.3", 17200 }, farVms);
+    PeerFeeds farFeeds(*ioContext, { "127.0.0.1", 0 }, farVms);
     farFeeds.add(far.feed);
 
     CHECK(runUntil([&] { return far.rows["config"] == "1"; }));
--- a/test/RelayHarness.cpp
+++ b/test/RelayHarness.cpp
@@ -54,7 +54,7 @@
 
 void RelayHarness::list() { daemon().directory().replaceAll(m_entries, daemon().clock().now()); }
 
-std::shared_ptr<TestCaller> RelayHarness::call(const std::string& path, HttpHeaders extra, const std::string& id)
+std::shared_ptr<TestCaller> RelayHarness::call(const std::string& path, const HttpHeaders& extra, const std::string& id)
 {
     auto caller = std::make_shared<TestCaller>();
     HttpRequest request { "POST", path, { { "Host", "h" }, { "X-Request-Id", id } }, "body" };
--- a/test/RelayHarness.h
+++ b/test/RelayHarness.h
@@ -43,7 +43,8 @@
     ScriptedEndpoint& addEndpoint(const std::string& id, const std::string& zone = "a");
     // Tells the relay of the endpoints.
     void list();
-    std::shared_ptr<TestCaller> call(const std::string& path, HttpHeaders extra = {}, const std::string& id = "r1");
+    std::shared_ptr<TestCaller> call(
+        const std::string& path, const HttpHeaders& extra = {}, const std::string& id = "r1");
     // Runs until the condition holds; false when it has not come true for very long.
     bool runUntil(const std::function<bool()>&);
 
