--- a/test/RelayHarness.cpp
+++ b/test/RelayHarness.cpp
@@ -28,7 +28,7 @@
     return *m_daemon;
 }
 
-void RelayHarness::addRoute(const std::string& prefix, RequestKind kind, unsigned maxAttempts)
+void RelayHarness::addRoute(const std::string& prefix, RequestKind kind, unsigned maxAttempts, bool isPublic)
 {
     Route route;
     route.name = prefix;
@@ -36,13 +36,19 @@
     route.pathPrefix = "/" + prefix + "/";
     route.kind = kind;
     route.isResumable = true;
-    route.isPublic = true;
+    route.isPublic = isPublic;
     route.maxAttempts = maxAttempts;
     route.longestPause = Milliseconds { 700 };
     route.services = { { "s", 1 } };
     m_builder.addRoute(std::move(route));
 }
 
+void RelayHarness::addKeyedRoute(const std::string& prefix, const std::string& key, const std::string& organisation)
+{
+    addRoute(prefix, RequestKind::NonIdempotent, 1, false);
+    m_builder.addKey(key, organisation);
+}
+
 void RelayHarness::configure() { daemon().applyConfiguration(m_builder.build()); }
 
 ScriptedEndpoint& RelayHarness::addEndpoint(const std::string& id, const std::string& zone)
--- a/test/RelayHarness.h
+++ b/test/RelayHarness.h
@@ -37,7 +37,9 @@
     RelayHarness();
 
     // Adds a route at /PREFIX/ of the host h.
-    void addRoute(const std::string& prefix, RequestKind, unsigned maxAttempts);
+    void addRoute(const std::string& prefix, RequestKind, unsigned maxAttempts, bool isPublic = true);
+    // Adds a route for plain calls of an organisation, and the key that it wants.
+    void addKeyedRoute(const std::string& prefix, const std::string& key, const std::string& organisation);
     // Puts the routes in force.
     void configure();
     ScriptedEndpoint& addEndpoint(const std::string& id, const std::string& zone = "a");
