--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -261,6 +261,7 @@
     m_run->head.status = head.status;
     m_run->head.headers = head.headers.endToEnd();
     m_run->fields = fields;
+    m_run->isFramed = head.headers.find("Transfer-Encoding") || head.headers.find("Content-Length");
     m_run->isStream = head.status == okStatus && fields.isSigned;
     m_run->endpoint->noteLife(m_context.now());
 }
@@ -349,6 +350,9 @@
         settleWholeAnswer(run);
         return;
     }
+    // A run that is stopped to be moved closes its connection, which ends an unframed answer without being its end.
+    if (!run->isFramed && m_relocation && m_relocation->isStopping())
+        return;
     if (!run->splitter.rest().empty() || m_events.length() == 0) {
         runLost(FailureKind::EarlyEnd);
         return;
@@ -378,6 +382,7 @@
     const auto run = std::exchange(m_run, nullptr);
     const auto now = m_context.now();
     --m_possibleRuns;
+    m_probe.reset();
     LogEvent("stream.turned-away")
         .text("request", m_request.fields.requestId)
         .text("endpoint", run->endpoint->entry().id)
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -51,6 +51,8 @@
         // When it was sent, or its last event came.
         Milliseconds lastActivity { 0 };
         bool isStream { false };
+        // True when the answer says where it ends; one that does not ends with its connection.
+        bool isFramed { false };
         bool hasEvent { false };
         bool isFromCopy { false };
     };
--- a/test/EventStreamCallTest.cpp
+++ b/test/EventStreamCallTest.cpp
@@ -219,6 +219,38 @@
     CHECK(second.hasAsked(0, "/h7\r\n") || third.hasAsked(0, "/h7\r\n"));
 }
 
+// An answer without a length ends with its connection, and so does a run that is stopped to be moved.
+TEST(EventStreamCall, TakesTheEndOfAStoppedRunForNoEndOfItsAnswer)
+{
+    relay->settings.relocateUnlessDoneWithin = Milliseconds { 0 };
+    relay->settings.probeAfterSilenceInDoubt = Milliseconds { 5 };
+    relay->settings.retrySlackShare = 1;
+    relay->settings.relocationSpread = Milliseconds { 1 };
+    relay->settings.relocateAfter = Milliseconds { 1 };
+    std::shared_ptr<ScriptedConnection> running;
+    relay->addEndpoint("e1", "a").onRequest([&](ScriptedConnection& asker, const std::string& request) {
+        if (request.find("/stream/") != std::string::npos) {
+            asker.send("HTTP/1.1 200 OK\r\n" + signedHead + "\r\n" + events(1, 1));
+            running = asker.shared_from_this();
+            return;
+        }
+        if (request.find("\"last\"") == std::string::npos) {
+            asker.answer(200, "", R"({"handle":"h7"})");
+            return;
+        }
+        running->close();
+        const auto answerLater = std::make_shared<boost::asio::steady_timer>(relay->daemon().ioContext());
+        answerLater->expires_after(Milliseconds { 30 });
+        answerLater->async_wait([answerLater, mover = asker.shared_from_this()](
+                                    boost::system::error_code) { mover->answer(200, "", R"({"handle":"h7"})"); });
+    });
+    relay->addEndpoint("e2", "a").onRequest(sends(2, 3));
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    STRCMP_EQUAL(events(1, 3).c_str(), caller->body.c_str());
+}
+
 TEST(EventStreamCall, StopsTheEnginesWorkWhenTheCallerLeaves)
 {
     auto& engine = relay->addEndpoint("e1");
--- a/test/PlatformCallProtocolTest.cpp
+++ b/test/PlatformCallProtocolTest.cpp
@@ -35,6 +35,20 @@
     STRCMP_EQUAL("X-Deadline-Ms", protocol.decodeCaller({ { "X-Deadline-Ms", "" } }).malformedField.c_str());
 }
 
+// What a caller names goes into rows of the store and into orders to engines, as JSON: bytes that are no text would end
+// the process there.
+TEST(PlatformCallProtocol, TakesNoRequestIdThatIsNotPlainText)
+{
+    for (const auto& id : { std::string("a\xff"), std::string("a b"), std::string(201, 'a') })
+        STRCMP_EQUAL("X-Request-Id", protocol.decodeCaller({ { "X-Request-Id", id } }).malformedField.c_str());
+}
+
+TEST(PlatformCallProtocol, KnowsNoPromptByANameThatIsNotHexadecimal)
+{
+    for (const auto& parts : { std::string("5c:8,\xff:2"), std::string("x&table=op:2"), std::string(201, 'a') + ":2" })
+        STRCMP_EQUAL("", protocol.decodeCaller({ { "X-Prompt-Prefix", parts } }).promptId.c_str());
+}
+
 TEST(PlatformCallProtocol, TakesOutWhatACallerMayNotSay)
 {
     HttpRequest caller { "POST", "/a/b?c=d", {}, "body" };
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -22,9 +22,10 @@
     int snapshots { 0 };
     std::shared_ptr<StoreFeed> feed;
 
-    void follow(boost::asio::io_context& ioContext, std::int64_t port, const std::string& table)
+    void follow(boost::asio::io_context& ioContext, std::int64_t port, const std::string& table,
+        Milliseconds longestWait = Milliseconds { 40 })
     {
-        const StoreFeed::Pace pace { Milliseconds { 40 }, Milliseconds { 1 } };
+        const StoreFeed::Pace pace { longestWait, Milliseconds { 1 } };
         feed = StoreFeed::start(ioContext, { "127.0.0.1", port }, table, pace,
             { [this](const std::vector<StoreRow>& whole) {
                  ++snapshots;
@@ -160,6 +161,23 @@
     CHECK(runUntil([&] { return far.rows["config"] == "2"; }));
 }
 
+// A silent store lets the endpoints' long call wait for 20 s; the configuration's feed notices earlier and says so.
+TEST(PlatformStore, AFeedThatIsAskedAnewCountsItsCallAsFailed)
+{
+    Followed followed;
+    followed.follow(*ioContext, store->port(), "servers", Milliseconds { 60000 });
+    CHECK(runUntil([&] { return followed.snapshots == 1; }));
+    store->setFault(StoreFault::Silent);
+    CHECK(runUntil([&] { return store->callCount() == 2; }));
+    bool hasFailed = false;
+    followed.feed->onFailure([&] { hasFailed = true; });
+    followed.feed->askAnew();
+    CHECK_TEXT(hasFailed, "other VMs are asked only when a call has failed");
+    store->setFault(StoreFault::None);
+    store->put("servers", "a", "1");
+    CHECK(runUntil([&] { return followed.rows["a"] == "1"; }));
+}
+
 TEST(PlatformStore, VmsFindEachOtherAndCountThemselves)
 {
     std::size_t count = 0;
