One VM a zone reads the platform's store for the others; both feeds notice a lost answer within the contact time

Apart from that, reading the code: the endpoints' feed waited 20 s at the store, so one lost answer on that connection alone left the list of endpoints silent for 20 s.

Change: in a zone of six VMs or more the others wait at the first by rank (link, then name), which asks the store at a reader's pace. Each answer tells the age of what it says; one that is too old, late or missing sends a VM to the store itself. A VM that the store turns away passes itself over. Both feeds now wait contact time less a second.

--- a/test/PlatformSettingsTest.cpp
+++ b/test/PlatformSettingsTest.cpp
@@ -38,11 +38,28 @@
     DOUBLES_EQUAL(0.5, settings.relay.retryRatio, 1e-9);
     DOUBLES_EQUAL(70, settings.relay.retrySlack, 1e-9);
     LONGS_EQUAL(5700, settings.relay.stopWithin.count());
-    LONGS_EQUAL(2000, settings.configurationWait.count());
+    LONGS_EQUAL(2000, settings.feedWait.count());
     LONGS_EQUAL(700, settings.endpointsRest.count());
     LONGS_EQUAL(600, settings.relay.leavingEndpointGrace.count());
 }
 
+// A reader's knowledge that is just young enough, the wait at it and an answer that never comes, one after the other.
+TEST(PlatformSettings, NewsHeardFromAReaderLeavesTimeForTheStoreAndForALastResort)
+{
+    const auto result = read("zone = \"hall-a\"\n[listen]\nfront = \"10.1.0.19:8740\"\nready = \"10.1.0.19:8749\"\n"
+                             "[limits]\nlink-mbps = 10.0\n[bounds]\ndrain-ms = 3000\nconfig-apply-ms = 2000\n"
+                             "[platform]\naddress = \"10.200.1.7:8742\"\n");
+    STRCMP_EQUAL("", result.problem.c_str());
+    const auto& sharing = result.settings.sharing;
+    const auto worst = sharing.oldestNews + sharing.longestWait + sharing.answerTime;
+    CHECK_TEXT(worst <= Milliseconds { 1200 }, "news may be older than six tenths of the shorter bound, 2000 ms");
+    CHECK_TEXT(worst + result.settings.relay.leavingEndpointGrace < Milliseconds { 3000 },
+        "an endpoint whose entry has gone may get work beyond the 3000 ms that the deployment allows");
+    CHECK_TEXT(sharing.readerPace.restAfterNews + sharing.readerPace.longestWait < sharing.oldestNews,
+        "a reader that rests after news and then waits at the store must count as young enough");
+    DOUBLES_EQUAL(10, result.settings.linkSpeed, 1e-9);
+}
+
 TEST(PlatformSettings, NamesTheMissingAddress)
 {
     const auto result = read("[listen]\nfront = \"10.1.0.19:8740\"\n");
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -1,6 +1,8 @@
 #include "PeerFeeds.h"
 #include "StoreFeed.h"
 #include "StoreRunLocations.h"
+#include "ZoneReaders.h"
+#include "lupinknot/ManualClock.h"
 #include "standin/StoreStandIn.h"
 
 #include <set>
@@ -18,15 +20,19 @@
 
 // What a feed has told, as a table.
 struct Followed {
+    // Goes on from when the test advances it.
+    ManualClock clock;
     std::map<std::string, std::string> rows;
     int snapshots { 0 };
     std::shared_ptr<StoreFeed> feed;
 
+    Followed() { clock.advance(Milliseconds { 1 }); }
+
     void follow(boost::asio::io_context& ioContext, std::int64_t port, const std::string& table,
         Milliseconds longestWait = Milliseconds { 40 })
     {
         const StoreFeed::Pace pace { longestWait, Milliseconds { 1 } };
-        feed = StoreFeed::start(ioContext, { "127.0.0.1", port }, table, pace,
+        feed = StoreFeed::start(ioContext, clock, { "127.0.0.1", port }, table, pace,
             { [this](const std::vector<StoreRow>& whole) {
                  ++snapshots;
                  rows.clear();
@@ -143,7 +149,8 @@
 
     Followed near;
     near.follow(*ioContext, store->port(), "op");
-    VmRegistry nearVms(*ioContext, { "127.0.0.1", store->port() }, { "near", "a", {} }, {}, [](std::size_t) {});
+    VmRegistry nearVms(
+        *ioContext, { "127.0.0.1", store->port() }, { "near", "a", {} }, {}, [](const std::vector<VmEntry>&) {});
     PeerFeeds nearFeeds(*ioContext, { "127.0.0.1", 0 }, nearVms);
     nearFeeds.add(near.feed);
     CHECK_FALSE(nearFeeds.start().has_value());
@@ -152,7 +159,7 @@
     Followed far;
     far.follow(*ioContext, brokenStore.port(), "op");
     VmRegistry farVms(*ioContext, { "127.0.0.1", brokenStore.port() }, { "far", "a", {} },
-        { { "near", "a", nearAddress } }, [](std::size_t) {});
+        { { "near", "a", nearAddress } }, [](const std::vector<VmEntry>&) {});
     PeerFeeds farFeeds(*ioContext, { "127.0.0.1", 0 }, farVms);
     farFeeds.add(far.feed);
 
@@ -178,13 +185,122 @@
     CHECK(runUntil([&] { return followed.rows["a"] == "1"; }));
 }
 
+namespace {
+
+constexpr Milliseconds readerWait { 50 };
+
+// A VM at which others wait for news, and one of those others.
+struct SharedReading {
+    SharedReading(boost::asio::io_context& ioContext, std::int64_t readersStore, std::int64_t followersStore,
+        Milliseconds readersWait = readerWait)
+        : vms(ioContext, { "127.0.0.1", readersStore }, { "vm1", "a", {} }, {}, [](const std::vector<VmEntry>&) {})
+        , feeds(ioContext, { "127.0.0.1", 0 }, vms)
+        , noReaders(reader.clock, { "vm1", "a", {} })
+        , readers(follower.clock, { "vm6", "a", {} })
+    {
+        reader.follow(ioContext, readersStore, "servers", readersWait);
+        reader.feed->follow(noReaders, sharing);
+        feeds.add(reader.feed);
+        CHECK_FALSE(feeds.start().has_value());
+        follower.follow(ioContext, followersStore, "servers");
+        readers.setOthers({ { "vm1", "a", { "127.0.0.1", feeds.port() } }, { "vm2", "a", {} }, { "vm3", "a", {} },
+            { "vm4", "a", {} }, { "vm5", "a", {} } });
+        follower.feed->follow(readers, sharing);
+    }
+
+    static constexpr StoreFeed::Sharing sharing { { readerWait, Milliseconds { 1 } }, readerWait, Milliseconds { 2000 },
+        Milliseconds { 1000 } };
+    Followed reader;
+    Followed follower;
+    VmRegistry vms;
+    PeerFeeds feeds;
+    ZoneReaders noReaders;
+    ZoneReaders readers;
+};
+
+} // namespace
+
+TEST(PlatformStore, AVmHearsItsNewsFromTheReaderOfItsZone)
+{
+    store->put("servers", "a", "1");
+    StoreStandIn ownStore(*ioContext);
+    ownStore.start();
+    ownStore.put("servers", "a", "1");
+    SharedReading shared(*ioContext, store->port(), ownStore.port());
+    CHECK(runUntil([&] { return shared.follower.rows["a"] == "1" && shared.reader.rows["a"] == "1"; }));
+    store->put("servers", "b", "2");
+    store->remove("servers", "a");
+    CHECK_TEXT(runUntil([&] { return shared.follower.rows["b"] == "2" && !shared.follower.rows.count("a"); }),
+        "the news is in the reader's store only, so it can come from the reader alone");
+    CHECK_TEXT(ownStore.callCount() <= 2, "a VM that follows a reader should not ask the store again");
+}
+
+TEST(PlatformStore, AVmAsksTheStoreItselfWhenItsReaderHasNotHeardFromIt)
+{
+    store->put("servers", "a", "1");
+    StoreStandIn ownStore(*ioContext);
+    ownStore.start();
+    ownStore.put("servers", "a", "1");
+    SharedReading shared(*ioContext, store->port(), ownStore.port());
+    CHECK(runUntil([&] { return shared.follower.rows["a"] == "1" && shared.reader.rows["a"] == "1"; }));
+    bool hasFailed = false;
+    shared.reader.feed->onFailure([&] { hasFailed = true; });
+    store->setFault(StoreFault::Unavailable);
+    CHECK(runUntil([&] { return hasFailed; }));
+    shared.reader.clock.advance(Milliseconds { 1500 });
+    // The two stores stand for one: what the second one tells must be newer than what the reader has heard.
+    while (ownStore.version() < store->version())
+        ownStore.put("op", "config", "1");
+    ownStore.put("servers", "b", "2");
+    CHECK(runUntil([&] { return shared.follower.rows["b"] == "2"; }));
+    CHECK_FALSE_TEXT(shared.readers.current().has_value(), "the reader should be passed over for a while");
+}
+
+// The reader was a follower itself, or waits at the store for longer than its knowledge may be old.
+TEST(PlatformStore, AVmThatOthersBeginToAskConfirmsWhatItKnows)
+{
+    store->put("servers", "a", "1");
+    StoreStandIn ownStore(*ioContext);
+    ownStore.start();
+    ownStore.put("servers", "a", "1");
+    SharedReading shared(*ioContext, store->port(), ownStore.port(), Milliseconds { 60000 });
+    CHECK(runUntil([&] { return shared.reader.rows["a"] == "1"; }));
+    shared.reader.clock.advance(Milliseconds { 5000 });
+    CHECK(runUntil([&] { return shared.follower.rows["a"] == "1"; }));
+    const auto calls = store->callCount();
+    CHECK(runUntil([&] { return store->callCount() > calls; }));
+    store->put("servers", "b", "2");
+    CHECK(runUntil([&] { return shared.follower.rows["b"] == "2"; }));
+    CHECK_TEXT(shared.readers.current().has_value(), "the reader should not count as failed");
+}
+
+TEST(PlatformStore, AVmAsksTheStoreItselfWhenItsReaderHasGone)
+{
+    store->put("servers", "a", "1");
+    StoreStandIn ownStore(*ioContext);
+    ownStore.start();
+    ownStore.put("servers", "a", "1");
+    SharedReading shared(*ioContext, store->port(), ownStore.port());
+    // Nobody listens at this address any more: a port of a listener that has been closed.
+    std::int64_t closedPort = 0;
+    {
+        StoreStandIn closed(*ioContext);
+        closed.start();
+        closedPort = closed.port();
+    }
+    shared.readers.setOthers({ { "vm1", "a", { "127.0.0.1", closedPort } }, { "vm2", "a", {} }, { "vm3", "a", {} },
+        { "vm4", "a", {} }, { "vm5", "a", {} } });
+    ownStore.put("servers", "b", "2");
+    CHECK(runUntil([&] { return shared.follower.rows["b"] == "2"; }));
+}
+
 TEST(PlatformStore, VmsFindEachOtherAndCountThemselves)
 {
     std::size_t count = 0;
     const SocketAddress address { "127.0.0.1", store->port() };
-    VmRegistry first(*ioContext, address, { "vm1", "a", { "10.0.0.1", 7200 } }, {}, [](std::size_t) {});
-    VmRegistry second(
-        *ioContext, address, { "vm2", "a", { "10.0.0.2", 7200 } }, {}, [&count](std::size_t n) { count = n; });
+    VmRegistry first(*ioContext, address, { "vm1", "a", { "10.0.0.1", 7200 } }, {}, [](const std::vector<VmEntry>&) {});
+    VmRegistry second(*ioContext, address, { "vm2", "a", { "10.0.0.2", 7200 } }, {},
+        [&count](const std::vector<VmEntry>& others) { count = others.size() + 1; });
     CHECK(runUntil([&] { return count == 2; }));
     STRCMP_EQUAL("10.0.0.1:7200", second.choosePeer()->address.text().c_str());
 }
--- a/test/RowTableTest.cpp
+++ b/test/RowTableTest.cpp
@@ -12,7 +12,7 @@
 
     std::vector<StoreRow> decoded(std::uint64_t after) const
     {
-        return decodeRows(nlohmann::json::parse(table.encodeChanges(after, 9)));
+        return decodeRows(nlohmann::json::parse(table.encodeChanges(after, 9, lupinknot::Milliseconds { 0 })));
     }
 };
 
--- /dev/null
+++ b/test/ZoneReadersTest.cpp
@@ -0,0 +1,76 @@
+#include "ZoneReaders.h"
+#include "lupinknot/ManualClock.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::platform;
+
+TEST_GROUP(ZoneReaders)
+{
+    ManualClock clock;
+
+    // Five VMs of zone a beside the own one, and a fast one of another zone.
+    static std::vector<VmEntry> others()
+    {
+        return { { "b1", "b", {}, 1000 }, { "a1", "a", {}, 10 }, { "a2", "a", {}, 200 }, { "a3", "a", {}, 200 },
+            { "a4", "a", {}, 10 }, { "a5", "a", {}, 10 } };
+    }
+};
+
+TEST(ZoneReaders, TheReaderIsTheFirstByNameAmongTheFastestOfTheZone)
+{
+    ZoneReaders readers(clock, { "a9", "a", {}, 10 });
+    readers.setOthers(others());
+    STRCMP_EQUAL("a2", readers.current()->name.c_str());
+}
+
+TEST(ZoneReaders, TheReaderReadsTheStoreItself)
+{
+    ZoneReaders readers(clock, { "a0", "a", {}, 200 });
+    readers.setOthers(others());
+    CHECK_FALSE(readers.current().has_value());
+}
+
+TEST(ZoneReaders, AZoneOfFewVmsHasNoReader)
+{
+    ZoneReaders readers(clock, { "b9", "b", {}, 10 });
+    CHECK_FALSE_TEXT(readers.current().has_value(), "before the VMs are known, each reads the store itself");
+    readers.setOthers(others());
+    CHECK_FALSE(readers.current().has_value());
+}
+
+TEST(ZoneReaders, AFailedReaderIsFollowedByTheNextOnceThatHadTimeToFindOut)
+{
+    ZoneReaders readers(clock, { "a9", "a", {}, 10 });
+    readers.setOthers(others());
+    readers.avoid("a2");
+    CHECK_FALSE_TEXT(readers.current().has_value(), "right after a failure a VM reads the store itself");
+    clock.advance(Milliseconds { 2000 });
+    STRCMP_EQUAL("a3", readers.current()->name.c_str());
+    clock.advance(Milliseconds { 5000 });
+    STRCMP_EQUAL("a2", readers.current()->name.c_str());
+}
+
+TEST(ZoneReaders, TheNextByRankReadsTheStoreWhenItFindsTheFirstFailed)
+{
+    ZoneReaders readers(clock, { "a3", "a", {}, 200 });
+    auto vms = others();
+    vms.erase(vms.begin() + 3);
+    vms.push_back({ "a6", "a", {}, 10 });
+    readers.setOthers(vms);
+    STRCMP_EQUAL("a2", readers.current()->name.c_str());
+    readers.avoid("a2");
+    clock.advance(Milliseconds { 2000 });
+    CHECK_FALSE_TEXT(readers.current().has_value(), "a3 is the first by rank now and reads the store");
+}
+
+TEST(ZoneReaders, AReaderThatTheStoreTurnsAwayFollowsTheNextByRank)
+{
+    ZoneReaders readers(clock, { "a0", "a", {}, 200 });
+    readers.setOthers(others());
+    readers.avoidSelf();
+    STRCMP_EQUAL("a2", readers.current()->name.c_str());
+    clock.advance(Milliseconds { 7000 });
+    CHECK_FALSE_TEXT(readers.current().has_value(), "the first by rank is to be found again once the store answers");
+}
