A fault soak: the real programs as processes, struck from outside, checked against what callers and endpoints see

Change: soak/ (lupinknot-soak, scripts/soak): entry VMs and engines as processes, the store in the soak's own, proxies on the links to callers, endpoints and the store. Faults are drawn from the seed, each seed with some of the kinds: kills, stops, pauses, hang-ups, crashes of a zone, drains said and unsaid, links delayed, cut one way, silenced or reset, the store down, silent or without history, configurations in storms. Checked: each event once, in order and of the own prompt; whole and own answers; at most one run; refusals that have not run; no work for leaving endpoints; nothing cut by a planned stop; the configuration never going back; no end of their own; service after the faults.

Ruled out, found on the way in the soak itself: ports taken by a second soak (each run has a loopback IP number of its own now), logs closed at exec, so that four checks saw nothing (now a finding of its own), too few calls and too many faults at once for refusals and leaving endpoints to be caught.

Clocks are not struck: nothing outside a process can do that here without privileges.

--- /dev/null
+++ b/soak/LoopbackProxy.cpp
@@ -0,0 +1,159 @@
+#include "LoopbackProxy.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace lupinknot::soak {
+
+namespace net = boost::asio;
+
+namespace {
+
+// Longer than an endpoint's answer to the question whether it lives may take, shorter than a stream's pause.
+constexpr Milliseconds delay { 120 };
+constexpr std::size_t pieceSize = 16384;
+
+net::ip::tcp::endpoint endpointOf(const internal::SocketAddress& address)
+{
+    return { net::ip::make_address(address.host), static_cast<unsigned short>(address.port) };
+}
+
+} // namespace
+
+// One connection and its continuation to the target.
+class LoopbackProxy::Link : public std::enable_shared_from_this<Link> {
+public:
+    Link(net::io_context& ioContext, net::ip::tcp::socket caller, std::shared_ptr<const LinkMode> mode)
+        : m_mode(std::move(mode))
+        , m_forth { std::move(caller), net::steady_timer(ioContext), {}, false }
+        , m_back { net::ip::tcp::socket(ioContext), net::steady_timer(ioContext), {}, false }
+    {
+    }
+
+    void start(const net::ip::tcp::endpoint& target)
+    {
+        m_back.source.async_connect(target, [self = shared_from_this()](boost::system::error_code error) {
+            if (error) {
+                self->reset();
+                return;
+            }
+            self->read(self->m_forth, self->m_back);
+            self->read(self->m_back, self->m_forth);
+        });
+    }
+
+    void reset()
+    {
+        for (auto* direction : { &m_forth, &m_back }) {
+            boost::system::error_code ignored;
+            direction->source.set_option(net::socket_base::linger(true, 0), ignored);
+            direction->source.close(ignored);
+            direction->timer.cancel();
+        }
+    }
+
+private:
+    // What comes from one end.
+    struct Direction {
+        net::ip::tcp::socket source;
+        net::steady_timer timer;
+        std::array<char, pieceSize> piece;
+        bool hasLost;
+    };
+
+    bool isCut(const Direction& from) const
+    {
+        const auto oneWay = &from == &m_forth ? LinkMode::CutForth : LinkMode::CutBack;
+        return from.hasLost || *m_mode == LinkMode::Silent || *m_mode == oneWay;
+    }
+
+    void read(Direction& from, Direction& to)
+    {
+        from.source.async_read_some(net::buffer(from.piece),
+            [this, self = shared_from_this(), &from, &to](boost::system::error_code error, std::size_t size) {
+                if (error)
+                    ended(from, to);
+                else
+                    passOn(from, to, size);
+            });
+    }
+
+    // An end that closes in the middle of a cut is not noticed by the other.
+    void ended(Direction& from, Direction& to)
+    {
+        if (isCut(from))
+            return;
+        boost::system::error_code ignored;
+        to.source.shutdown(net::socket_base::shutdown_send, ignored);
+        if (!from.source.is_open() || m_hasEnded)
+            reset();
+        m_hasEnded = true;
+    }
+
+    void passOn(Direction& from, Direction& to, std::size_t size)
+    {
+        if (isCut(from)) {
+            from.hasLost = true;
+            read(from, to);
+            return;
+        }
+        from.timer.expires_after(*m_mode == LinkMode::Delay ? delay : Milliseconds { 0 });
+        from.timer.async_wait([this, self = shared_from_this(), &from, &to, size](boost::system::error_code cancelled) {
+            if (cancelled)
+                return;
+            net::async_write(to.source, net::buffer(from.piece, size),
+                [this, self, &from, &to](boost::system::error_code error, std::size_t) {
+                    if (error)
+                        reset();
+                    else
+                        read(from, to);
+                });
+        });
+    }
+
+    const std::shared_ptr<const LinkMode> m_mode;
+    Direction m_forth;
+    Direction m_back;
+    bool m_hasEnded { false };
+};
+
+LoopbackProxy::LoopbackProxy(
+    net::io_context& ioContext, const internal::SocketAddress& own, const internal::SocketAddress& target)
+    : m_ioContext(ioContext)
+    , m_own(own)
+    , m_target(endpointOf(target))
+    , m_acceptor(ioContext, endpointOf(own))
+    , m_mode(std::make_shared<LinkMode>(LinkMode::Pass))
+{
+    accept();
+}
+
+LoopbackProxy::~LoopbackProxy() { resetConnections(); }
+
+void LoopbackProxy::setMode(LinkMode mode) { *m_mode = mode; }
+
+void LoopbackProxy::resetConnections()
+{
+    for (const auto& weak : std::exchange(m_links, {})) {
+        if (const auto link = weak.lock())
+            link->reset();
+    }
+}
+
+void LoopbackProxy::accept()
+{
+    m_acceptor.async_accept([this](boost::system::error_code error, net::ip::tcp::socket socket) {
+        if (error)
+            return;
+        const auto link = std::make_shared<Link>(m_ioContext, std::move(socket), m_mode);
+        m_links.erase(std::remove_if(m_links.begin(), m_links.end(),
+                          [](const std::weak_ptr<Link>& other) { return other.expired(); }),
+            m_links.end());
+        m_links.push_back(link);
+        link->start(m_target);
+        accept();
+    });
+}
+
+} // namespace lupinknot::soak
--- /dev/null
+++ b/soak/SoakCaller.cpp
@@ -0,0 +1,205 @@
+#include "SoakCaller.h"
+
+#include "SoakWorld.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lupinknot::soak {
+
+using internal::ClientConnection;
+using internal::ClientFailure;
+
+namespace {
+
+constexpr unsigned okStatus = 200;
+constexpr std::uint64_t eventsOfAStream = 100;
+// A stream takes 3.3 s; what callers allow it, and a call.
+constexpr Milliseconds streamPatience { 20000 };
+constexpr Milliseconds callPatience { 3000 };
+// A caller of a stream that hears nothing for this long comes back to another VM.
+constexpr Milliseconds silencePatience { 3000 };
+constexpr Milliseconds pauseBetweenRequests { 60 };
+constexpr unsigned mostTries { 8 };
+constexpr std::array<double, 4> kindWeights { 0.35, 0.35, 0.15, 0.15 };
+constexpr std::array<double, 4> callWeights { 0, 0.6, 0.2, 0.2 };
+constexpr std::array<std::string_view, 3> callPaths { "/stories/1", "/calls/1", "/looks/1" };
+
+Milliseconds patienceOf(CallKind kind) { return kind == CallKind::Stream ? streamPatience : callPatience; }
+
+} // namespace
+
+SoakCaller::SoakCaller(boost::asio::io_context& ioContext, SoakWorld& world, SoakVerdict& verdict, std::string name,
+    std::uint64_t seed, bool asksStreams)
+    : m_ioContext(ioContext)
+    , m_world(world)
+    , m_verdict(verdict)
+    , m_name(std::move(name))
+    , m_asksStreams(asksStreams)
+    , m_random(seed)
+    , m_timer(ioContext)
+{
+}
+
+void SoakCaller::start() { beginRequest(); }
+
+void SoakCaller::beginRequest()
+{
+    m_call = {};
+    const auto& weights = m_asksStreams ? kindWeights : callWeights;
+    m_call.kind = static_cast<CallKind>(std::discrete_distribution<int>(weights.begin(), weights.end())(m_random));
+    m_call.version = m_world.configurationVersion();
+    ++m_requests;
+    m_prompt.clear();
+    for (const auto letter : m_name + "." + std::to_string(m_requests)) {
+        constexpr std::string_view digits = "0123456789abcdef";
+        const auto byte = static_cast<unsigned char>(letter);
+        m_prompt += { digits[byte / digits.size()], digits[byte % digits.size()] };
+    }
+    m_lastEvent = 0;
+    m_tries = 0;
+    m_requestBegan = m_world.now();
+    beginTry();
+}
+
+internal::HttpRequest SoakCaller::request() const
+{
+    const auto path = m_call.kind == CallKind::VersionProbe
+        ? "/v" + std::to_string(m_call.version) + "/1"
+        : std::string(callPaths.at(static_cast<std::size_t>(m_call.kind)));
+    internal::HttpRequest request { "POST", path, { { "Host", "soak" }, { "Api-Key", "key" } }, "prompt" };
+    request.headers.add("X-Request-Id", m_call.requestId);
+    const auto left = patienceOf(m_call.kind) - (m_world.now() - m_requestBegan);
+    request.headers.add("X-Deadline-Ms", std::to_string(left.count()));
+    if (m_call.kind == CallKind::Stream) {
+        request.headers.add("X-Prompt-Prefix", "aa01:100," + m_prompt + ":900");
+        request.headers.add("X-Token-Usage", "1000,500");
+    }
+    if (m_lastEvent > 0)
+        request.headers.add("Last-Event-Id", std::to_string(m_lastEvent));
+    return request;
+}
+
+void SoakCaller::beginTry()
+{
+    ++m_tries;
+    m_call.requestId = m_name + "." + std::to_string(m_requests) + "." + std::to_string(m_tries);
+    m_call.vm = std::uniform_int_distribution<std::size_t>(0, m_world.vms().size() - 1)(m_random);
+    const auto& vm = *m_world.vms()[m_call.vm];
+    m_call.vmIncarnation = vm.incarnation;
+    m_call.sentAt = m_world.now();
+    m_call.status = 0;
+    m_call.isWhole = false;
+    m_call.isGivenUp = false;
+    m_head = {};
+    m_body.clear();
+    m_parser = {};
+    auto& kept = m_connections[m_call.vm];
+    m_call.wasOnKeptConnection = kept && kept->isIdle();
+    if (!m_call.wasOnKeptConnection)
+        kept = ClientConnection::open(m_ioContext, vm.callersLink->address(), {});
+    m_connection = kept;
+    m_connection->send(request(), weak_from_this());
+    m_timer.expires_after(m_call.kind == CallKind::Stream ? silencePatience : callPatience);
+    m_timer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self)
+            self->timedOut();
+    });
+}
+
+void SoakCaller::broken(const std::string& promise, const std::string& how)
+{
+    m_verdict.broken(promise, "request " + m_call.requestId + " at vm" + std::to_string(m_call.vm) + ": " + how);
+}
+
+void SoakCaller::answerHead(const internal::HttpResponse& head)
+{
+    m_head = head;
+    m_call.status = head.status;
+}
+
+void SoakCaller::answerBody(std::string_view piece)
+{
+    if (m_call.kind != CallKind::Stream || m_head.status != okStatus) {
+        m_body.append(piece);
+        return;
+    }
+    std::vector<internal::SseEvent> events;
+    m_parser.feed(piece, events);
+    for (const auto& event : events)
+        checkEvent(event);
+    m_timer.expires_after(silencePatience);
+    m_timer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self)
+            self->timedOut();
+    });
+}
+
+void SoakCaller::checkEvent(const internal::SseEvent& event)
+{
+    const auto expected = std::to_string(m_lastEvent + 1);
+    if (event.id != expected)
+        broken("each event once and in order", "expected event " + expected + ", got " + event.id);
+    if (event.data.find("part " + expected + " of " + m_prompt + " ") != 0)
+        broken("events of this prompt only", "event " + event.id + " holds '" + event.data + "'");
+    ++m_lastEvent;
+}
+
+bool SoakCaller::answerEnd()
+{
+    m_call.isWhole = true;
+    const bool isServed = m_head.status == okStatus;
+    if (isServed)
+        checkWholeAnswer();
+    endTry(isServed);
+    return false;
+}
+
+void SoakCaller::checkWholeAnswer()
+{
+    if (!m_head.headers.find("X-Response-Signature"))
+        broken("successes are an endpoint's", "no signature");
+    if (m_call.kind == CallKind::Stream) {
+        if (m_lastEvent != eventsOfAStream)
+            broken("a stream that looks complete is", "it ended after event " + std::to_string(m_lastEvent));
+        return;
+    }
+    if (m_body != "answer to " + m_call.requestId)
+        broken("each caller gets the answer to its request", "got '" + m_body + "'");
+}
+
+void SoakCaller::connectionFailed(ClientFailure) { endTry(false); }
+
+void SoakCaller::timedOut()
+{
+    m_call.isGivenUp = true;
+    m_connection->close();
+    endTry(false);
+}
+
+void SoakCaller::endTry(bool isServed)
+{
+    m_timer.cancel();
+    m_call.endedAt = m_world.now();
+    m_verdict.note(m_call);
+    const bool isPatient = m_world.now() - m_requestBegan < patienceOf(m_call.kind) && m_tries < mostTries;
+    const bool isRefused = m_call.isWhole && (m_call.status == 503 || m_call.status == 429);
+    const bool mayRepeat = m_call.kind != CallKind::SingleRun || isRefused;
+    const bool repeats = !isServed && isPatient && mayRepeat && m_call.kind != CallKind::VersionProbe;
+    if (!repeats && m_isFinishing) {
+        m_isDone = true;
+        return;
+    }
+    m_world.after(pauseBetweenRequests, [weak = weak_from_this(), repeats] {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        if (repeats)
+            self->beginTry();
+        else
+            self->beginRequest();
+    });
+}
+
+} // namespace lupinknot::soak
--- /dev/null
+++ b/soak/SoakCaller.h
@@ -0,0 +1,67 @@
+// One caller of a soak: asks one request after the other at VMs taken at random and checks every answer while it comes.
+//
+// Streams must hold each event once and in order, also over several tries; whole answers must be the ones asked for.
+// Connections are kept and used until the VM's process has gone. Used on the thread that runs the io_context.
+#pragma once
+
+#include "SoakVerdict.h"
+#include "http/ClientConnection.h"
+#include "http/SseParser.h"
+#include <boost/asio/steady_timer.hpp>
+#include <random>
+
+namespace lupinknot::soak {
+
+class SoakWorld;
+
+class SoakCaller final : public internal::ClientConnectionListener, public std::enable_shared_from_this<SoakCaller> {
+public:
+    // Streams take most of a caller's time; one that asks for none makes calls at a good pace.
+    SoakCaller(
+        boost::asio::io_context&, SoakWorld&, SoakVerdict&, std::string name, std::uint64_t seed, bool asksStreams);
+
+    void start();
+    // Asks no further request once the present one has ended.
+    void finish() { m_isFinishing = true; }
+    bool isDone() const { return m_isDone; }
+
+    void answerHead(const internal::HttpResponse&) override;
+    void answerBody(std::string_view) override;
+    bool answerEnd() override;
+    void connectionFailed(internal::ClientFailure) override;
+
+private:
+    void beginRequest();
+    void beginTry();
+    void endTry(bool isServed);
+    void timedOut();
+    void checkEvent(const internal::SseEvent&);
+    void checkWholeAnswer();
+    void broken(const std::string& promise, const std::string& how);
+    internal::HttpRequest request() const;
+
+    boost::asio::io_context& m_ioContext;
+    SoakWorld& m_world;
+    SoakVerdict& m_verdict;
+    const std::string m_name;
+    const bool m_asksStreams;
+    std::mt19937_64 m_random;
+    boost::asio::steady_timer m_timer;
+    std::map<std::size_t, std::shared_ptr<internal::ClientConnection>> m_connections;
+    std::shared_ptr<internal::ClientConnection> m_connection;
+    // The present request.
+    CallRecord m_call;
+    std::string m_prompt;
+    std::uint64_t m_lastEvent { 0 };
+    unsigned m_tries { 0 };
+    std::uint64_t m_requests { 0 };
+    Milliseconds m_requestBegan { 0 };
+    // The present answer.
+    internal::HttpResponse m_head;
+    std::string m_body;
+    internal::SseParser m_parser;
+    bool m_isFinishing { false };
+    bool m_isDone { false };
+};
+
+} // namespace lupinknot::soak
--- /dev/null
+++ b/soak/SoakFaults.cpp
@@ -0,0 +1,193 @@
+#include "SoakFaults.h"
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+
+namespace lupinknot::soak {
+
+using platform::StoreFault;
+
+namespace {
+
+// Pause between two strikes; at the short end faults overlap, as in a storm.
+constexpr std::int64_t shortestPause = 40;
+constexpr std::int64_t longestPause = 900;
+constexpr Milliseconds turn { 700 };
+constexpr Milliseconds stormGap { 120 };
+constexpr int stormLength = 6;
+constexpr std::size_t fewestKinds = 3;
+
+} // namespace
+
+const std::vector<SoakFaults::Kind> SoakFaults::kinds {
+    { "kill-vm", &SoakFaults::killVm },
+    { "kill-all-vms", &SoakFaults::killAllVms },
+    { "stop-vm", &SoakFaults::stopVm },
+    { "stop-vms-in-turn", &SoakFaults::stopVmsInTurn },
+    { "pause-vm", &SoakFaults::pauseVm },
+    { "hang-up-vm", &SoakFaults::hangUpVm },
+    { "reset-callers", &SoakFaults::resetCallers },
+    { "delay-callers", &SoakFaults::delayCallers },
+    { "crash-endpoint", &SoakFaults::crashEndpoint },
+    { "crash-endpoint", &SoakFaults::crashEndpoint },
+    { "crash-zone", &SoakFaults::crashZone },
+    { "pause-endpoint", &SoakFaults::pauseEndpoint },
+    { "drain-endpoint", &SoakFaults::drainEndpoint },
+    { "withdraw-endpoint", &SoakFaults::withdrawEndpoint },
+    { "harm-endpoint-link", &SoakFaults::harmEndpointLink },
+    { "harm-endpoint-link", &SoakFaults::harmEndpointLink },
+    { "reset-endpoint", &SoakFaults::resetEndpoint },
+    { "cut-store-from-vm", &SoakFaults::cutStoreFromVm },
+    { "store-down", &SoakFaults::storeDown },
+    { "store-silent", &SoakFaults::storeSilent },
+    { "store-forgets", &SoakFaults::storeForgets },
+    { "change-configuration", &SoakFaults::changeConfiguration },
+    { "storm-of-configurations", &SoakFaults::stormOfConfigurations },
+};
+
+SoakFaults::SoakFaults(SoakWorld& world, std::uint64_t seed)
+    : m_world(world)
+    , m_random(seed)
+{
+    std::sample(kinds.begin(), kinds.end(), std::back_inserter(m_chosen), fewestKinds + below(kinds.size()), m_random);
+}
+
+void SoakFaults::strikeUntil(Milliseconds end)
+{
+    m_end = end;
+    m_world.after(between(shortestPause, longestPause), [this] {
+        if (m_world.now() >= m_end)
+            return;
+        strikeOnce();
+        strikeUntil(m_end);
+    });
+}
+
+void SoakFaults::strikeOnce()
+{
+    const auto& kind = m_chosen[below(m_chosen.size())];
+    std::cout << "fault " << kind.name << " at " << m_world.now().count() << "\n";
+    ++m_count;
+    (this->*kind.strike)();
+}
+
+Milliseconds SoakFaults::between(std::int64_t least, std::int64_t most)
+{
+    return Milliseconds { std::uniform_int_distribution<std::int64_t>(least, most)(m_random) };
+}
+
+LinkMode SoakFaults::anyHarm()
+{
+    constexpr std::array<LinkMode, 4> harms { LinkMode::Delay, LinkMode::CutForth, LinkMode::CutBack,
+        LinkMode::Silent };
+    return harms[below(harms.size())];
+}
+
+std::optional<std::size_t> SoakFaults::freeEndpoint()
+{
+    const auto index = below(m_world.endpoints().size());
+    return m_world.endpoints()[index]->isBusyWithFault ? std::nullopt : std::optional(index);
+}
+
+void SoakFaults::killVm() { m_world.killVm(anyVm()); }
+
+void SoakFaults::killAllVms()
+{
+    for (std::size_t i = 0; i < m_world.vms().size(); ++i)
+        m_world.killVm(i);
+}
+
+void SoakFaults::stopVm() { m_world.stopVm(anyVm()); }
+
+void SoakFaults::stopVmsInTurn()
+{
+    for (std::size_t i = 0; i < m_world.vms().size(); ++i)
+        m_world.after(turn * static_cast<std::int64_t>(i), [this, i] { m_world.stopVm(i); });
+}
+
+void SoakFaults::pauseVm() { m_world.pauseVm(anyVm(), between(100, 3000)); }
+
+void SoakFaults::hangUpVm() { m_world.vms()[anyVm()]->process->signal(SIGHUP); }
+
+void SoakFaults::resetCallers()
+{
+    auto& vm = *m_world.vms()[anyVm()];
+    vm.disturbances.begin(m_world.now());
+    vm.callersLink->resetConnections();
+    vm.disturbances.end(m_world.now());
+}
+
+void SoakFaults::delayCallers()
+{
+    auto& vm = *m_world.vms()[anyVm()];
+    vm.callersLink->setMode(LinkMode::Delay);
+    m_world.after(between(200, 2000), [&vm] { vm.callersLink->setMode(LinkMode::Pass); });
+}
+
+void SoakFaults::crashEndpoint()
+{
+    if (const auto index = freeEndpoint())
+        m_world.crashEndpoint(*index, between(300, 4000));
+}
+
+void SoakFaults::crashZone()
+{
+    const auto zone = m_world.endpoints()[below(m_world.endpoints().size())]->zone;
+    for (std::size_t i = 0; i < m_world.endpoints().size(); ++i) {
+        const auto& endpoint = *m_world.endpoints()[i];
+        if (endpoint.zone == zone && endpoint.service == "llm" && !endpoint.isBusyWithFault)
+            m_world.crashEndpoint(i, Milliseconds { 1200 });
+    }
+}
+
+void SoakFaults::pauseEndpoint()
+{
+    if (const auto index = freeEndpoint())
+        m_world.pauseEndpoint(*index, between(100, 3000));
+}
+
+void SoakFaults::drainEndpoint()
+{
+    if (const auto index = freeEndpoint())
+        m_world.drainEndpoint(*index, true);
+}
+
+void SoakFaults::withdrawEndpoint()
+{
+    if (const auto index = freeEndpoint())
+        m_world.drainEndpoint(*index, false);
+}
+
+void SoakFaults::harmEndpointLink()
+{
+    if (const auto index = freeEndpoint())
+        m_world.harmEndpointLink(*index, anyHarm(), between(200, 3000));
+}
+
+void SoakFaults::resetEndpoint()
+{
+    auto& endpoint = *m_world.endpoints()[below(m_world.endpoints().size())];
+    endpoint.disturbances.begin(m_world.now());
+    endpoint.link->resetConnections();
+    if (!endpoint.isBusyWithFault)
+        endpoint.disturbances.end(m_world.now());
+}
+
+void SoakFaults::cutStoreFromVm() { m_world.harmStoreLink(anyVm(), anyHarm(), between(200, 4000)); }
+
+void SoakFaults::storeDown() { m_world.failStore(StoreFault::Unavailable, between(200, 3000)); }
+
+void SoakFaults::storeSilent() { m_world.failStore(StoreFault::Silent, between(200, 3000)); }
+
+void SoakFaults::storeForgets() { m_world.store().forgetHistory(); }
+
+void SoakFaults::changeConfiguration() { m_world.changeConfiguration(); }
+
+void SoakFaults::stormOfConfigurations()
+{
+    for (int i = 0; i < stormLength; ++i)
+        m_world.after(stormGap * i, [this] { m_world.changeConfiguration(); });
+}
+
+} // namespace lupinknot::soak
--- /dev/null
+++ b/soak/SoakFaults.h
@@ -0,0 +1,65 @@
+// The faults of a soak: drawn from the seed, in series, and overlapping.
+//
+// Each seed strikes with some of the kinds only: where all strike at once, few times are left in which nothing else
+// excuses a broken promise.
+// Used on the thread that runs the io_context.
+#pragma once
+
+#include "SoakWorld.h"
+#include <random>
+
+namespace lupinknot::soak {
+
+class SoakFaults {
+public:
+    SoakFaults(SoakWorld&, std::uint64_t seed);
+    // Strikes now and then until the instant; whatever lasts longer goes on for a few seconds beyond it.
+    void strikeUntil(Milliseconds end);
+    std::size_t count() const { return m_count; }
+
+private:
+    using Strike = void (SoakFaults::*)();
+    struct Kind {
+        std::string_view name;
+        Strike strike;
+    };
+    static const std::vector<Kind> kinds;
+
+    void strikeOnce();
+    void killVm();
+    void killAllVms();
+    void stopVm();
+    void stopVmsInTurn();
+    void pauseVm();
+    void hangUpVm();
+    void resetCallers();
+    void delayCallers();
+    void crashEndpoint();
+    void crashZone();
+    void pauseEndpoint();
+    void drainEndpoint();
+    void withdrawEndpoint();
+    void harmEndpointLink();
+    void resetEndpoint();
+    void cutStoreFromVm();
+    void storeDown();
+    void storeSilent();
+    void storeForgets();
+    void changeConfiguration();
+    void stormOfConfigurations();
+
+    std::size_t below(std::size_t count) { return std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random); }
+    Milliseconds between(std::int64_t least, std::int64_t most);
+    LinkMode anyHarm();
+    std::size_t anyVm() { return below(m_world.vms().size()); }
+    // An endpoint that no other fault works on, if the draw finds one.
+    std::optional<std::size_t> freeEndpoint();
+
+    SoakWorld& m_world;
+    std::mt19937_64 m_random;
+    std::vector<Kind> m_chosen;
+    Milliseconds m_end { 0 };
+    std::size_t m_count { 0 };
+};
+
+} // namespace lupinknot::soak
--- /dev/null
+++ b/soak/SoakVerdict.cpp
@@ -0,0 +1,183 @@
+#include "SoakVerdict.h"
+
+#include "SoakWorld.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+
+namespace lupinknot::soak {
+
+namespace {
+
+constexpr unsigned okStatus = 200;
+constexpr unsigned notFoundStatus = 404;
+constexpr std::array<unsigned, 4> notRunStatuses { 408, 421, 429, 503 };
+// A VM counts as in touch once nothing has struck it or the store for this long.
+constexpr Milliseconds contactTime { 3000 };
+// What this machine's other load may add to a time that the pages bound.
+constexpr Milliseconds loadReserve { 1000 };
+// Time within which a VM may not go back behind a version that it has shown.
+constexpr Milliseconds versionReserve { 250 };
+// Time after the last fault from which callers must be served again, and the share of them that must.
+constexpr Milliseconds recoveryTime { 12000 };
+constexpr double servedShare = 0.9;
+
+} // namespace
+
+void SoakVerdict::broken(const std::string& promise, const std::string& how)
+{
+    m_broken.push_back(promise + ": " + how);
+}
+
+std::size_t SoakVerdict::servedCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_calls.begin(), m_calls.end(),
+        [](const CallRecord& call) { return call.isWhole && call.status == okStatus; }));
+}
+
+void SoakVerdict::settle(SoakWorld& world)
+{
+    readRuns(world);
+    readSenders(world);
+    checkSingleRuns();
+    checkLeavingEndpoints(world);
+    checkPlannedStops(world);
+    checkVersions();
+    checkRecovery();
+    for (const auto& vm : world.vms()) {
+        for (const auto& end : vm->ownEnds)
+            broken("a VM ends only when it is told to", vm->name + " ended by itself, " + end);
+    }
+}
+
+// Lines of an endpoint: "ran REQUEST MILLISECONDS".
+void SoakVerdict::readRuns(const SoakWorld& world)
+{
+    for (const auto& path : world.endpointLogs()) {
+        const auto name = path.substr(path.rfind('/') + 1);
+        std::ifstream file(path);
+        for (std::string line; std::getline(file, line);) {
+            std::istringstream words(line);
+            std::string word;
+            RunRecord run { "", name.substr(0, name.rfind('.')), {} };
+            std::int64_t at = 0;
+            if (words >> word >> run.requestId >> at && word == "ran") {
+                run.at = Milliseconds { at };
+                m_runs.push_back(run);
+            }
+        }
+    }
+    if (m_runs.empty())
+        broken("the soak sees what endpoints run", "no run is in their logs");
+    for (const auto& run : m_runs)
+        m_runsOf[run.requestId].push_back(&run);
+}
+
+void SoakVerdict::readSenders(const SoakWorld& world)
+{
+    const std::set<std::string> sendings { "request.sent", "stream.sent" };
+    for (const auto& vm : const_cast<SoakWorld&>(world).vms()) {
+        std::ifstream file(world.workFolder() + "/" + vm->name + ".log");
+        for (std::string line; std::getline(file, line);) {
+            const auto event = nlohmann::json::parse(line, nullptr, false);
+            if (event.is_object() && sendings.count(event.value("event", std::string())))
+                m_senders[{ event.value("request", std::string()), event.value("endpoint", std::string()) }] = vm->name;
+        }
+    }
+    if (m_senders.empty())
+        broken("the soak sees what VMs send", "no sending is in their logs");
+}
+
+void SoakVerdict::checkSingleRuns()
+{
+    for (const auto& call : m_calls) {
+        const auto runs = m_runsOf.find(call.requestId);
+        const auto count = runs == m_runsOf.end() ? 0 : runs->second.size();
+        if (call.kind == CallKind::SingleRun && count > 1)
+            broken("at most one run", call.requestId + " ran " + std::to_string(count) + " times");
+        const bool isRefused = call.isWhole
+            && std::find(notRunStatuses.begin(), notRunStatuses.end(), call.status) != notRunStatuses.end();
+        if (call.kind == CallKind::SingleRun && isRefused && count > 0)
+            broken("a refused call has not run", call.requestId + " was answered " + std::to_string(call.status));
+    }
+}
+
+void SoakVerdict::checkLeavingEndpoints(SoakWorld& world)
+{
+    for (const auto& run : m_runs) {
+        const auto left = world.leftAt().find(run.endpointId);
+        const auto limit = SoakWorld::drainTime + loadReserve;
+        if (left == world.leftAt().end() || run.at <= left->second + limit)
+            continue;
+        const auto sender = m_senders.find({ run.requestId, run.endpointId });
+        const auto from = left->second - contactTime;
+        const bool isDisturbed = sender == m_senders.end() || world.storeDisturbances().touches(from, run.at)
+            || std::any_of(world.vms().begin(), world.vms().end(),
+                [&](const auto& vm) { return vm->name == sender->second && vm->disturbances.touches(from, run.at); });
+        if (!isDisturbed)
+            broken("no work for leaving endpoints",
+                run.requestId + " ran at " + run.endpointId + " " + std::to_string((run.at - left->second).count())
+                    + " ms after it had left");
+    }
+}
+
+// A call that a VM has passed on before its planned stop gets its answer.
+void SoakVerdict::checkPlannedStops(SoakWorld& world)
+{
+    for (const auto& call : m_calls) {
+        const auto& vm = *world.vms()[call.vm];
+        const auto runs = m_runsOf.find(call.requestId);
+        if (call.kind != CallKind::SingleRun || call.status != 0 || call.isGivenUp || runs == m_runsOf.end())
+            continue;
+        const auto from = call.sentAt - contactTime;
+        const bool isDisturbed = vm.disturbances.touches(from, call.endedAt)
+            || std::any_of(world.endpoints().begin(), world.endpoints().end(),
+                [&](const auto& endpoint) { return endpoint->disturbances.touches(from, call.endedAt); });
+        if (!isDisturbed)
+            broken("nothing is cut by a planned stop",
+                call.requestId + " ran, and its connection ended without an answer");
+    }
+}
+
+void SoakVerdict::checkVersions()
+{
+    // The newest version that an incarnation of a VM has shown, and when.
+    std::map<std::pair<std::size_t, unsigned>, std::vector<const CallRecord*>> shown;
+    for (const auto& call : m_calls) {
+        if (call.kind == CallKind::VersionProbe && call.status == okStatus)
+            shown[{ call.vm, call.vmIncarnation }].push_back(&call);
+    }
+    for (const auto& call : m_calls) {
+        if (call.kind != CallKind::VersionProbe || call.status != notFoundStatus)
+            continue;
+        for (const auto* earlier : shown[{ call.vm, call.vmIncarnation }]) {
+            if (earlier->version >= call.version && earlier->endedAt + versionReserve < call.sentAt)
+                broken("the configuration never goes back",
+                    call.requestId + " found no route of version " + std::to_string(call.version) + ", "
+                        + earlier->requestId + " had found one");
+        }
+    }
+}
+
+void SoakVerdict::checkRecovery()
+{
+    std::size_t asked = 0;
+    std::size_t served = 0;
+    for (const auto& call : m_calls) {
+        if (call.sentAt < m_recoveredAt + recoveryTime || call.isGivenUp)
+            continue;
+        ++asked;
+        served += call.status == okStatus && call.isWhole;
+    }
+    if (m_recoveredAt.count() && static_cast<double>(served) < servedShare * static_cast<double>(asked))
+        broken("callers are served once the faults are over",
+            std::to_string(served) + " of " + std::to_string(asked) + " tries");
+    if (m_recoveredAt.count() && asked == 0)
+        broken("callers are served once the faults are over", "no try was made");
+}
+
+} // namespace lupinknot::soak
--- /dev/null
+++ b/soak/SoakVerdict.h
@@ -0,0 +1,87 @@
+// What a soak has seen, and which promises it found broken.
+//
+// Callers report what they see while the soak runs; settle() then holds it against the logs of endpoints and VMs.
+#pragma once
+
+#include "lupinknot/Clock.h"
+#include "lupinknot/EnumNames.h"
+#include <array>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace lupinknot::soak {
+
+class SoakWorld;
+
+enum class CallKind {
+    Stream,
+    SingleRun, // A call that must not run twice.
+    Repeatable,
+    VersionProbe, // Asks for the route that a version of the configuration has added.
+};
+
+inline constexpr std::array<EnumName<CallKind>, 4> callKindNames { {
+    { CallKind::Stream, "stream" },
+    { CallKind::SingleRun, "single-run" },
+    { CallKind::Repeatable, "repeatable" },
+    { CallKind::VersionProbe, "version-probe" },
+} };
+
+// One try of a caller.
+struct CallRecord {
+    CallKind kind { CallKind::Stream };
+    std::string requestId;
+    std::size_t vm { 0 };
+    unsigned vmIncarnation { 0 };
+    // Of the configuration, for probes.
+    std::uint64_t version { 0 };
+    Milliseconds sentAt { 0 };
+    Milliseconds endedAt { 0 };
+    // 0 when the connection ended without an answer.
+    unsigned status { 0 };
+    bool isWhole { false };
+    // The caller itself gave up.
+    bool isGivenUp { false };
+    bool wasOnKeptConnection { false };
+};
+
+class SoakVerdict {
+public:
+    void note(const CallRecord& call) { m_calls.push_back(call); }
+    void broken(const std::string& promise, const std::string& how);
+    // Holds the callers' view against the logs; call it once, when all processes have ended.
+    void settle(SoakWorld&);
+    // From here on nothing is harmed any more: what callers ask must be served.
+    void noteRecovery(Milliseconds at) { m_recoveredAt = at; }
+
+    const std::vector<std::string>& brokenPromises() const { return m_broken; }
+    std::size_t callCount() const { return m_calls.size(); }
+    std::size_t servedCount() const;
+
+private:
+    // One run of a request at an endpoint.
+    struct RunRecord {
+        std::string requestId;
+        std::string endpointId;
+        Milliseconds at;
+    };
+
+    void readRuns(const SoakWorld&);
+    void readSenders(const SoakWorld&);
+    void checkSingleRuns();
+    void checkLeavingEndpoints(SoakWorld&);
+    void checkPlannedStops(SoakWorld&);
+    void checkVersions();
+    void checkRecovery();
+
+    std::vector<CallRecord> m_calls;
+    std::vector<RunRecord> m_runs;
+    std::map<std::string, std::vector<const RunRecord*>> m_runsOf;
+    // The VM's name, by request and endpoint.
+    std::map<std::pair<std::string, std::string>, std::string> m_senders;
+    std::vector<std::string> m_broken;
+    Milliseconds m_recoveredAt { 0 };
+};
+
+} // namespace lupinknot::soak
--- /dev/null
+++ b/soak/SoakWorld.cpp
@@ -0,0 +1,297 @@
+#include "SoakWorld.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace lupinknot::soak {
+
+namespace net = boost::asio;
+using platform::StoreFault;
+
+namespace {
+
+constexpr Milliseconds superviseInterval { 50 };
+// An entry goes within three heartbeats of 1,200 ms after a crash; here it is the usual case that it goes in between.
+constexpr Milliseconds entryLapse { 1800 };
+// What an endpoint still serves beyond the drain time: at times many seconds.
+constexpr Milliseconds drainReserve { 5000 };
+constexpr std::uint64_t versionStep = 3;
+constexpr std::uint64_t versionsKept = 4;
+
+constexpr std::int64_t firstPort = 7000;
+
+// All of 127.0.0.0/8 is this machine; an IP number by process id keeps runs apart that go on at the same time.
+std::string ownHost()
+{
+    constexpr int numbers = 250;
+    const auto id = ::getpid();
+    return "127.1." + std::to_string(id / numbers % numbers + 1) + "." + std::to_string(id % numbers + 1);
+}
+
+std::string signalEnd(int number) { return "signal " + std::to_string(number); }
+
+std::string zoneName(std::size_t index, std::size_t zones) { return "zone-" + std::to_string(index % zones); }
+
+nlohmann::json route(const std::string& path, const std::string& kind, const std::string& service, bool isResumable)
+{
+    return { { "name", path }, { "host", "soak" }, { "path-prefix", path }, { "kind", kind }, { "service", service },
+        { "timeout-ms", 20000 }, { "slo-ms", 4500 }, { "gap-aim-ms", 700 }, { "max-attempts", 5 },
+        { "resumable", isResumable } };
+}
+
+} // namespace
+
+void DisturbanceLog::end(Milliseconds now)
+{
+    for (auto& disturbance : m_all)
+        disturbance.end = disturbance.end.value_or(now);
+}
+
+bool DisturbanceLog::touches(Milliseconds from, Milliseconds to) const
+{
+    return std::any_of(m_all.begin(), m_all.end(), [from, to](const Disturbance& disturbance) {
+        return disturbance.begin <= to && disturbance.end.value_or(to) >= from;
+    });
+}
+
+SoakWorld::SoakWorld(net::io_context& ioContext, SoakWorldSettings settings)
+    : m_ioContext(ioContext)
+    , m_settings(std::move(settings))
+    , m_lastPort(firstPort)
+{
+}
+
+internal::SocketAddress SoakWorld::nextAddress() { return { ownHost(), ++m_lastPort }; }
+
+SoakWorld::~SoakWorld() { *m_isAlive = false; }
+
+void SoakWorld::after(Milliseconds pause, std::function<void()> callback)
+{
+    const auto timer = std::make_shared<net::steady_timer>(m_ioContext, pause);
+    timer->async_wait([timer, isAlive = m_isAlive, callback = std::move(callback)](boost::system::error_code error) {
+        if (!error && *isAlive)
+            callback();
+    });
+}
+
+std::optional<std::string> SoakWorld::start()
+{
+    const auto storeAddress = nextAddress();
+    m_store = std::make_unique<platform::StoreStandIn>(m_ioContext, storeAddress.host, storeAddress.port);
+    if (auto problem = m_store->start())
+        return problem;
+    changeConfiguration();
+    for (std::size_t i = 0; i < m_settings.engines + m_settings.serviceEndpoints; ++i) {
+        auto endpoint = std::make_unique<SoakEndpoint>();
+        endpoint->service = i < m_settings.engines ? "llm" : "plain";
+        endpoint->zone = zoneName(i, m_settings.zones);
+        endpoint->address = nextAddress();
+        endpoint->link = std::make_unique<LoopbackProxy>(m_ioContext, nextAddress(), endpoint->address);
+        startEndpoint(*endpoint);
+        m_endpoints.push_back(std::move(endpoint));
+    }
+    for (std::size_t i = 0; i < m_settings.vms; ++i) {
+        m_vms.push_back(makeVm(i));
+        startVm(*m_vms.back());
+        if (!m_vms.back()->process->isRunning())
+            return "lupinknot-entry did not start; is it built in " + m_settings.binaries + "?";
+    }
+    superviseVms();
+    return std::nullopt;
+}
+
+std::unique_ptr<SoakVm> SoakWorld::makeVm(std::size_t index)
+{
+    auto vm = std::make_unique<SoakVm>();
+    vm->name = "vm" + std::to_string(index);
+    const auto front = nextAddress();
+    vm->callersLink = std::make_unique<LoopbackProxy>(m_ioContext, nextAddress(), front);
+    vm->storeLink = std::make_unique<LoopbackProxy>(
+        m_ioContext, nextAddress(), internal::SocketAddress { front.host, m_store->port() });
+    // All VMs share an IP number here, so each has a port of its own for the others.
+    const auto path = m_settings.workFolder + "/" + vm->name + ".toml";
+    std::ofstream(path) << "node-name = \"" << vm->name << "\"\nzone = \"" << zoneName(index, m_settings.zones)
+                        << "\"\ninternal-ports = [" << nextAddress().port << "]\n[listen]\nfront = \"" << front.text()
+                        << "\"\nready = \"" << nextAddress().text()
+                        << "\"\n[bounds]\ncontact-ms = 3000\nconfig-apply-ms = 2000\ndrain-ms = " << drainTime.count()
+                        << "\ngrace-s = 8\n[platform]\naddress = \"" << vm->storeLink->address().text() << "\"\n";
+    const std::vector<std::string> command { m_settings.binaries + "/lupinknot-entry", "--settings", path,
+        "--metrics-port", std::to_string(nextAddress().port) };
+    vm->process = std::make_unique<ChildProcess>(command, m_settings.workFolder + "/" + vm->name + ".log");
+    return vm;
+}
+
+void SoakWorld::startVm(SoakVm& vm)
+{
+    ++vm.incarnation;
+    vm.stopRequestedAt.reset();
+    vm.process->start();
+}
+
+// A VM that has ended, by whatever cause, is started again.
+void SoakWorld::superviseVms()
+{
+    for (const auto& vm : m_vms) {
+        if (vm->process->isRunning())
+            continue;
+        const auto& end = vm->process->lastEnd();
+        // A stop that comes before the process has begun to listen, or once it no longer does, ends it by the signal.
+        const bool isStopped = vm->stopRequestedAt && (end == "exit 0" || end == signalEnd(SIGTERM));
+        if (end != signalEnd(SIGKILL) && !isStopped)
+            vm->ownEnds.push_back(end);
+        startVm(*vm);
+    }
+    after(superviseInterval, [this] { superviseVms(); });
+}
+
+void SoakWorld::startEndpoint(SoakEndpoint& endpoint)
+{
+    endpoint.id
+        = endpoint.service + "-" + std::to_string(endpoint.address.port) + "-" + std::to_string(++endpoint.incarnation);
+    m_endpointLogs.push_back(m_settings.workFolder + "/" + endpoint.id + ".log");
+    const std::vector<std::string> command { m_settings.binaries + "/lupinknot-platform-standin", "engine", "--id",
+        endpoint.id, "--service", endpoint.service, "--zone", endpoint.zone, "--address", endpoint.address.host,
+        "--port", std::to_string(endpoint.address.port) };
+    endpoint.process = std::make_unique<ChildProcess>(command, m_endpointLogs.back());
+    endpoint.process->start();
+    enterEndpoint(endpoint, false);
+}
+
+void SoakWorld::enterEndpoint(const SoakEndpoint& endpoint, bool isDraining)
+{
+    const nlohmann::json entry { { "service", endpoint.service }, { "address", endpoint.link->address().text() },
+        { "zone", endpoint.zone }, { "slots", 64 }, { "state", isDraining ? "draining" : "ready" } };
+    m_store->put("servers", endpoint.id, entry.dump());
+    if (isDraining)
+        m_leftAt.emplace(endpoint.id, now());
+}
+
+void SoakWorld::removeEntry(const std::string& id)
+{
+    m_store->remove("servers", id);
+    m_leftAt.emplace(id, now());
+}
+
+void SoakWorld::killVm(std::size_t index)
+{
+    auto& vm = *m_vms[index];
+    vm.disturbances.begin(now());
+    vm.process->kill();
+    after(superviseInterval * 4, [this, &vm] { vm.disturbances.end(now()); });
+}
+
+void SoakWorld::stopVm(std::size_t index)
+{
+    auto& vm = *m_vms[index];
+    vm.stopRequestedAt = vm.stopRequestedAt.value_or(now());
+    vm.process->signal(SIGTERM);
+}
+
+void SoakWorld::pauseVm(std::size_t index, Milliseconds time)
+{
+    auto& vm = *m_vms[index];
+    vm.disturbances.begin(now());
+    vm.process->signal(SIGSTOP);
+    after(time, [this, &vm] {
+        vm.process->signal(SIGCONT);
+        vm.disturbances.end(now());
+    });
+}
+
+void SoakWorld::crashEndpoint(std::size_t index, Milliseconds downFor)
+{
+    auto& endpoint = *m_endpoints[index];
+    endpoint.isBusyWithFault = true;
+    endpoint.disturbances.begin(now());
+    endpoint.process->kill();
+    after(std::min(entryLapse, downFor), [this, id = endpoint.id] { removeEntry(id); });
+    after(downFor, [this, &endpoint] {
+        startEndpoint(endpoint);
+        endpoint.disturbances.end(now());
+        endpoint.isBusyWithFault = false;
+    });
+}
+
+void SoakWorld::pauseEndpoint(std::size_t index, Milliseconds time)
+{
+    auto& endpoint = *m_endpoints[index];
+    endpoint.isBusyWithFault = true;
+    endpoint.disturbances.begin(now());
+    endpoint.process->signal(SIGSTOP);
+    after(time, [this, &endpoint] {
+        endpoint.process->signal(SIGCONT);
+        endpoint.disturbances.end(now());
+        endpoint.isBusyWithFault = false;
+    });
+}
+
+void SoakWorld::drainEndpoint(std::size_t index, bool isSaid)
+{
+    auto& endpoint = *m_endpoints[index];
+    endpoint.isBusyWithFault = true;
+    if (isSaid)
+        enterEndpoint(endpoint, true);
+    else
+        removeEntry(endpoint.id);
+    after(drainTime + drainReserve, [this, &endpoint] {
+        removeEntry(endpoint.id);
+        endpoint.process->kill();
+        startEndpoint(endpoint);
+        endpoint.isBusyWithFault = false;
+    });
+}
+
+void SoakWorld::harmEndpointLink(std::size_t index, LinkMode mode, Milliseconds time)
+{
+    auto& endpoint = *m_endpoints[index];
+    endpoint.isBusyWithFault = true;
+    endpoint.disturbances.begin(now());
+    endpoint.link->setMode(mode);
+    after(time, [this, &endpoint] {
+        endpoint.link->setMode(LinkMode::Pass);
+        endpoint.disturbances.end(now());
+        endpoint.isBusyWithFault = false;
+    });
+}
+
+void SoakWorld::harmStoreLink(std::size_t index, LinkMode mode, Milliseconds time)
+{
+    auto& vm = *m_vms[index];
+    vm.disturbances.begin(now());
+    vm.storeLink->setMode(mode);
+    after(time, [this, &vm] {
+        vm.storeLink->setMode(LinkMode::Pass);
+        vm.disturbances.end(now());
+    });
+}
+
+void SoakWorld::failStore(StoreFault fault, Milliseconds time)
+{
+    m_storeDisturbances.begin(now());
+    m_store->setFault(fault);
+    after(time, [this] {
+        m_store->setFault(StoreFault::None);
+        m_storeDisturbances.end(now());
+    });
+}
+
+void SoakWorld::changeConfiguration()
+{
+    m_configurationVersion += versionStep;
+    auto routes = nlohmann::json::array({ route("/stories/", "streaming", "llm", true),
+        route("/calls/", "non_idempotent", "plain", false), route("/looks/", "idempotent", "plain", false) });
+    for (std::uint64_t i = 0; i < versionsKept && i * versionStep < m_configurationVersion; ++i)
+        routes.push_back(
+            route("/v" + std::to_string(m_configurationVersion - i * versionStep) + "/", "idempotent", "plain", false));
+    const nlohmann::json configuration { { "version", m_configurationVersion }, { "routes", routes },
+        { "services",
+            { { { "name", "llm" }, { "max-conns", 100 }, { "engine", { { "backups", true }, { "stride", 5 } } } },
+                { { "name", "plain" }, { "max-conns", 100 } } } },
+        { "tenants", { { { "name", "org" }, { "api-keys", { "key" } } } } } };
+    m_store->put("op", "config", configuration.dump());
+}
+
+} // namespace lupinknot::soak
--- /dev/null
+++ b/test/SoakPartsTest.cpp
@@ -0,0 +1,84 @@
+#include "LoopbackProxy.h"
+#include "RawConnection.h"
+#include "ScriptedEndpoint.h"
+#include "SoakWorld.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+using namespace lupinknot::soak;
+
+TEST_GROUP(DisturbanceLog) {};
+
+TEST(DisturbanceLog, AnOpenDisturbanceTouchesAllThatComesAfterIt)
+{
+    DisturbanceLog log;
+    log.begin(Milliseconds { 100 });
+    CHECK(log.touches(Milliseconds { 500 }, Milliseconds { 600 }));
+    CHECK_FALSE(log.touches(Milliseconds { 10 }, Milliseconds { 99 }));
+}
+
+TEST(DisturbanceLog, AnEndedDisturbanceTouchesNothingLater)
+{
+    DisturbanceLog log;
+    log.begin(Milliseconds { 100 });
+    log.end(Milliseconds { 200 });
+    CHECK(log.touches(Milliseconds { 150 }, Milliseconds { 900 }));
+    CHECK_FALSE(log.touches(Milliseconds { 201 }, Milliseconds { 900 }));
+}
+
+TEST_GROUP(LoopbackProxy)
+{
+    boost::asio::io_context ioContext;
+
+    // What the proxy's caller has got once the endpoint has seen its request and answered; at most two hundred turns.
+    std::string answerThrough(LinkMode mode)
+    {
+        ScriptedEndpoint endpoint(ioContext);
+        endpoint.onRequest([](ScriptedConnection& asker, const std::string&) { asker.answer(200, "", "whole"); });
+        boost::asio::ip::tcp::acceptor reserved(ioContext, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+        const SocketAddress own { "127.0.0.1", reserved.local_endpoint().port() };
+        reserved.close();
+        LoopbackProxy proxy(ioContext, own, { "127.0.0.1", endpoint.port() });
+        proxy.setMode(mode);
+        boost::asio::ip::tcp::socket socket(ioContext);
+        socket.connect({ boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(own.port) });
+        boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+        std::string received;
+        char piece[512];
+        socket.async_read_some(boost::asio::buffer(piece),
+            [&](boost::system::error_code, std::size_t size) { received.assign(piece, size); });
+        constexpr int mostTurns = 200;
+        for (int turn = 0; turn < mostTurns && received.empty(); ++turn) {
+            ioContext.run_one_for(std::chrono::milliseconds(2));
+            ioContext.restart();
+        }
+        requests = endpoint.requests().size();
+        socket.cancel();
+        proxy.resetConnections();
+        ioContext.poll();
+        ioContext.restart();
+        return received;
+    }
+
+    std::size_t requests { 0 };
+};
+
+TEST(LoopbackProxy, PassesBothWays)
+{
+    STRCMP_CONTAINS("whole", answerThrough(LinkMode::Pass).c_str());
+    LONGS_EQUAL(1, requests);
+}
+
+TEST(LoopbackProxy, ACutBackLosesTheAnswerOnly)
+{
+    STRCMP_EQUAL("", answerThrough(LinkMode::CutBack).c_str());
+    LONGS_EQUAL(1, requests);
+}
+
+TEST(LoopbackProxy, ACutForthLosesTheRequest)
+{
+    STRCMP_EQUAL("", answerThrough(LinkMode::CutForth).c_str());
+    LONGS_EQUAL(0, requests);
+}
