Hints of where streams run: the zone's reader writes them for all its VMs

Ruled out: gathering for less time on every VM (twice the calls for about what it saves); guessing engine and copy by a hash (a copy is named after the caller's earlier attempt, which only a hint tells).

Change: a VM that follows a reader hands its notes to it after 0.3 s; the reader writes once in 0.7 s for all. A note that the reader does not take is written by the VM itself. Bodies of other VMs are checked and refused when they are no notes.

--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -331,6 +331,41 @@
     CHECK_FALSE(store->value("runs", "p1").has_value());
 }
 
+TEST(PlatformStore, AVmOfALargeZoneHasItsNotesWrittenByTheReader)
+{
+    StoreStandIn ownStore(*ioContext);
+    ownStore.start();
+    SharedReading shared(*ioContext, store->port(), ownStore.port());
+    StoreRunLocations readersLocations(*ioContext, { "127.0.0.1", store->port() });
+    shared.feeds.take(
+        StoreRunLocations::peerPath, [&](const std::string& body) { return readersLocations.takeFromPeer(body); });
+    StoreRunLocations locations(*ioContext, { "127.0.0.1", ownStore.port() });
+    locations.shareThrough(shared.readers);
+    locations.note("p1", { "e1", "e2", "r1" });
+    CHECK(runUntil([&] { return store->value("runs", "p1").has_value(); }));
+    locations.forget("p1");
+    locations.note("p2", { "e1", "", "r2" });
+    CHECK(runUntil([&] { return store->value("runs", "p2").has_value() && !store->value("runs", "p1").has_value(); }));
+    CHECK_FALSE_TEXT(ownStore.value("runs", "p1").has_value(), "the VM itself should not have written");
+}
+
+TEST(PlatformStore, NotesThatTheReaderDoesNotTakeAreWrittenByTheVmItself)
+{
+    SharedReading shared(*ioContext, store->port(), store->port());
+    StoreRunLocations locations(*ioContext, { "127.0.0.1", store->port() });
+    locations.shareThrough(shared.readers);
+    locations.note("p1", { "e1", "e2", "r1" });
+    CHECK(runUntil([&] { return store->value("runs", "p1").has_value(); }));
+}
+
+TEST(PlatformStore, NotesOfAnotherVmThatCannotBeReadAreRefused)
+{
+    StoreRunLocations locations(*ioContext, { "127.0.0.1", store->port() });
+    for (const auto* const text : { "", "[]", "{}", "{\"noted\":[],\"forgotten\":[]}", "{\"noted\":{}}" })
+        CHECK_FALSE_TEXT(locations.takeFromPeer(text), text);
+    CHECK(locations.takeFromPeer("{\"noted\":{\"p1\":7},\"forgotten\":[3]}"));
+}
+
 TEST(PlatformStore, ALookupThatFailsAnswersThatNothingIsKnown)
 {
     StoreRunLocations reader(*ioContext, { "127.0.0.1", store->port() });
