--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -61,6 +61,18 @@
 
 void RelayDaemon::run() { m_ioContext.run(); }
 
+void RelayDaemon::changeSettings(const RelaySettings& settings)
+{
+    const auto share = m_settings.retrySlackShare;
+    m_settings = settings;
+    m_settings.retrySlackShare = share;
+    LogEvent("settings.applied")
+        .number("retry_ratio_percent", static_cast<std::int64_t>(100 * m_settings.retryRatio))
+        .number("retry_slack", static_cast<std::int64_t>(m_settings.retrySlack))
+        .number("stop_within_ms", m_settings.stopWithin.count())
+        .write();
+}
+
 bool RelayDaemon::applyConfiguration(std::shared_ptr<const RelayConfiguration> configuration)
 {
     const auto& present = m_context.configuration;
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -46,6 +46,8 @@
     EndpointDirectory& directory() { return m_directory; }
     // Where VMs tell each other of their runs; it outlives the daemon's run.
     void setRunLocations(RunLocations* locations) { m_context.runLocations = locations; }
+    // Puts other limits, times and weights in force, for requests under way too. What is known of other VMs stays.
+    void changeSettings(const RelaySettings&);
     // How many VMs share the retry budget.
     void setVmCount(std::size_t count) { m_settings.retrySlackShare = 1.0 / static_cast<double>(count); }
     const Clock& clock() const { return m_clock; }
--- /dev/null
+++ b/test/EventLogTest.cpp
@@ -0,0 +1,81 @@
+#include "common/EventLog.h"
+
+#include <algorithm>
+#include <fcntl.h>
+#include <future>
+#include <poll.h>
+#include <string>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot::internal;
+
+namespace {
+
+// Far longer than anything here takes: reached only by a test that fails.
+constexpr std::chrono::seconds patience { 20 };
+constexpr int manyLines = 20000;
+// What a second may hold of both kinds, twice over, because the test may begin at a second's end.
+constexpr std::ptrdiff_t mostLines = 2 * 600 + 10;
+
+// Standard output as a short pipe, for as long as the object lives.
+class PipedOutput {
+public:
+    PipedOutput()
+        : m_saved(::dup(STDOUT_FILENO))
+    {
+        constexpr int pipeSize = 4096;
+        CHECK_EQUAL(0, ::pipe(m_pipe));
+        ::fcntl(m_pipe[1], F_SETPIPE_SZ, pipeSize);
+        ::dup2(m_pipe[1], STDOUT_FILENO);
+    }
+
+    ~PipedOutput()
+    {
+        ::dup2(m_saved, STDOUT_FILENO);
+        for (const auto descriptor : { m_saved, m_pipe[0], m_pipe[1] })
+            ::close(descriptor);
+    }
+
+    // Reads until nothing more comes.
+    std::string drain()
+    {
+        constexpr int quietMilliseconds = 300;
+        std::string text;
+        pollfd waiting { m_pipe[0], POLLIN, 0 };
+        char piece[4096];
+        while (::poll(&waiting, 1, quietMilliseconds) == 1) {
+            const auto size = ::read(m_pipe[0], piece, sizeof(piece));
+            text.append(piece, static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+        }
+        return text;
+    }
+
+private:
+    const int m_saved;
+    int m_pipe[2] { -1, -1 };
+};
+
+} // namespace
+
+TEST_GROUP(EventLog) {};
+
+TEST(EventLog, AReaderThatStandsStillDelaysNobodyAndTheVolumeIsBounded)
+{
+    PipedOutput output;
+    startEventLog("vm1");
+    auto written = std::async(std::launch::async, [] {
+        for (int i = 0; i < manyLines; ++i) {
+            LogEvent("request.done", LogImportance::Routine).text("request", "r1").number("number", i).write();
+            LogEvent("request.refused").text("request", "r1").number("number", i).write();
+        }
+        stopEventLog();
+    });
+    const bool isDone = written.wait_for(patience) == std::future_status::ready;
+    const auto text = output.drain();
+    CHECK_TEXT(isDone, "writing lines should never wait for the reader of standard output");
+    const auto lines = std::count(text.begin(), text.end(), '\n');
+    CHECK_TEXT(lines > 0, "some lines should have come once the reader read");
+    CHECK_TEXT(lines <= mostLines, "at most 200 routine and 400 notable lines a second should be written");
+}
--- a/test/WholeAnswerCallTest.cpp
+++ b/test/WholeAnswerCallTest.cpp
@@ -230,3 +230,25 @@
     LONGS_EQUAL(503, caller->head.status);
     CHECK(relay->daemon().directory().find("e1")->isRemoved());
 }
+
+TEST(WholeAnswerCall, SettingsThatChangeHoldForTheNextRequest)
+{
+    relay->settings.retryRatio = 0;
+    relay->settings.retrySlack = 0;
+    relay->settings.rescueDeviations = 0;
+    std::size_t sendings = 0;
+    const auto fail = [&sendings](ScriptedConnection& asker, const std::string&) {
+        ++sendings;
+        asker.answer(500, signedHead, "oops");
+    };
+    relay->addEndpoint("e1").onRequest(fail);
+    relay->addEndpoint("e2").onRequest(fail);
+    ready();
+    await(relay->call("/again/1"));
+    LONGS_EQUAL_TEXT(1, sendings, "without a retry budget a failed call should not be sent again");
+    auto changed = relay->settings;
+    changed.retrySlack = 100;
+    relay->daemon().changeSettings(changed);
+    await(relay->call("/again/2"));
+    LONGS_EQUAL_TEXT(3, sendings, "the new budget should allow a second sending");
+}
