Endpoints are found by their address; each new one no longer walks over all

Each entry of the list compared its address with every endpoint known, so the first reading costs the square of their number.

Ruled out: the log (at most 600 lines a second are written), the following of a reader (one VM a zone pays for it).

Change: an index from the address to the incarnation that has it. An endpoint that moves leaves its old address; the test of that failed with the first form of the index.

--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -21,8 +21,10 @@
 
 void EndpointDirectory::upsert(EndpointEntry entry, Milliseconds now)
 {
-    retireOthersAt(entry, now);
     const auto known = m_endpointsById.find(entry.id);
+    if (known != m_endpointsById.end())
+        m_idsByAddress.erase(known->second->entry().address.text());
+    retireOtherAt(entry, now);
     if (known != m_endpointsById.end()) {
         const auto endpoint = known->second;
         if (endpoint->entry().isDraining != entry.isDraining || endpoint->isRemoved())
@@ -47,21 +49,17 @@
     m_endpointsByService[service].push_back(endpoint);
 }
 
-// A new incarnation at an address proves that the ones before it are gone.
-void EndpointDirectory::retireOthersAt(const EndpointEntry& entry, Milliseconds now)
+// A new incarnation at an address proves that the one before it is gone.
+void EndpointDirectory::retireOtherAt(const EndpointEntry& entry, Milliseconds now)
 {
-    std::vector<std::string> gone;
-    for (const auto& [id, endpoint] : m_endpointsById) {
-        const auto& other = endpoint->entry();
-        if (id != entry.id && !m_endpointsById.count(entry.id) && other.address.port == entry.address.port
-            && other.address.host == entry.address.host)
-            gone.push_back(id);
-    }
-    for (const auto& id : gone) {
-        LogEvent("endpoint.replaced").text("endpoint", id).text("by", entry.id).write();
-        remove(id, now);
-        forget(m_endpointsById.at(id));
-    }
+    auto& id = m_idsByAddress[entry.address.text()];
+    const auto previous = std::exchange(id, entry.id);
+    const auto known = m_endpointsById.find(previous);
+    if (known == m_endpointsById.end() || m_endpointsById.count(entry.id))
+        return;
+    LogEvent("endpoint.replaced").text("endpoint", previous).text("by", entry.id).write();
+    remove(previous, now);
+    forget(std::shared_ptr<RelayEndpoint>(known->second));
 }
 
 void EndpointDirectory::remove(const std::string& id, Milliseconds now)
@@ -116,6 +114,9 @@
 
 void EndpointDirectory::forget(const std::shared_ptr<RelayEndpoint>& endpoint)
 {
+    const auto here = m_idsByAddress.find(endpoint->entry().address.text());
+    if (here != m_idsByAddress.end() && here->second == endpoint->entry().id)
+        m_idsByAddress.erase(here);
     auto& list = m_endpointsByService[endpoint->entry().service];
     list.erase(std::remove(list.begin(), list.end(), endpoint), list.end());
     m_endpointsById.erase(endpoint->entry().id);
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -52,13 +52,15 @@
         Milliseconds failedAt { 0 };
     };
 
-    void retireOthersAt(const EndpointEntry&, Milliseconds now);
+    void retireOtherAt(const EndpointEntry&, Milliseconds now);
     void forget(const std::shared_ptr<RelayEndpoint>&);
 
     boost::asio::io_context& m_ioContext;
     const RelaySettings& m_settings;
     std::unordered_map<std::string, std::shared_ptr<RelayEndpoint>> m_endpointsById;
     std::unordered_map<std::string, std::vector<std::shared_ptr<RelayEndpoint>>> m_endpointsByService;
+    // The newest incarnation at each address.
+    std::unordered_map<std::string, std::string> m_idsByAddress;
     std::unordered_map<std::string, ZoneHealth> m_zones;
     bool m_isKnown { false };
 };
--- a/test/EndpointDirectoryTest.cpp
+++ b/test/EndpointDirectoryTest.cpp
@@ -96,6 +96,17 @@
     LONGS_EQUAL(1, directory->size());
 }
 
+TEST(EndpointDirectory, AnEndpointThatHasMovedIsNotEndedByANewOneAtItsOldAddress)
+{
+    directory->replaceAll({ entry("e1", 1) }, now);
+    directory->upsert(entry("e1", 2), now);
+    directory->upsert(entry("e2", 1), now);
+    CHECK_TEXT(directory->find("e2") != nullptr, "the new endpoint should be known");
+    LONGS_EQUAL_TEXT(2, directory->size(), "e1 lives on at its new address");
+    directory->upsert(entry("e3", 2), now);
+    CHECK_TEXT(directory->find("e1") == nullptr, "e1 has been replaced at the address that it had last");
+}
+
 TEST(EndpointDirectory, ANewIncarnationAtAnAddressEndsTheOneBeforeIt)
 {
     directory->replaceAll({ entry("old", 1), entry("other", 2) }, now);
