--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -2,7 +2,6 @@
 
 #include "common/EventLog.h"
 #include "http/HttpBodySource.h"
-#include "http/HttpQuestion.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/Placement.h"
 #include "relay/RelayConfiguration.h"
@@ -11,6 +10,7 @@
 #include "relay/RelaySettings.h"
 #include "relay/RunLocations.h"
 #include "relay/RunRelocation.h"
+#include "relay/RunWatch.h"
 
 #include <algorithm>
 #include <limits>
@@ -22,11 +22,6 @@
 constexpr unsigned okStatus = 200;
 constexpr unsigned firstServerError = 500;
 
-Milliseconds shareOf(Milliseconds time, double share)
-{
-    return Milliseconds { static_cast<std::int64_t>(static_cast<double>(time.count()) * share) };
-}
-
 } // namespace
 
 // Hands the events on to the caller's connection as it takes them.
@@ -63,7 +58,6 @@
     , m_request(std::move(request))
     , m_events({ .maxTokens = std::numeric_limits<std::size_t>::max(), .stops = {} })
     , m_deadlineTimer(context.ioContext)
-    , m_checkTimer(context.ioContext)
     , m_retryTimer(context.ioContext)
 {
 }
@@ -72,6 +66,15 @@
 
 void EventStreamCall::begin()
 {
+    // Weak, because the watch's own timer may outlive this call by a turn.
+    const auto guarded = [weak = weak_from_this()](void (EventStreamCall::*action)()) {
+        return [weak, action] {
+            if (const auto self = weak.lock(); self && !self->m_isFinished)
+                (self.get()->*action)();
+        };
+    };
+    m_watch = RunWatch::make(
+        m_context, m_request, { guarded(&EventStreamCall::runSilent), guarded(&EventStreamCall::considerRelocation) });
     m_deadlineTimer.expires_after(m_request.deadline - m_context.now());
     m_deadlineTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error)
@@ -190,7 +193,7 @@
 {
     const auto now = m_context.now();
     const auto& exchange = m_request.exchange;
-    auto run = std::make_shared<Run>();
+    auto run = std::make_shared<StreamRun>();
     run->number = m_events.beginAttempt();
     run->endpoint = endpoint;
     run->copyHolder = chooseCopyHolder(*endpoint);
@@ -224,11 +227,10 @@
     ++m_possibleRuns;
     m_run = run;
     noteLocation();
-    m_nextProbeAt = now;
     const auto request = m_context.protocol.encodeForward(exchange->request(), fields);
     run->call = EndpointCall::start(
         m_context, endpoint, request, { m_request.fields.requestId, m_context.settings.maxRest }, weak_from_this());
-    armCheck(m_context.settings.probeAfterSilenceInDoubt);
+    m_watch->begin(m_run);
 }
 
 void EventStreamCall::noteLocation()
@@ -284,7 +286,7 @@
         takeEvents(*run, std::move(events));
 }
 
-void EventStreamCall::takeEvents(Run& run, std::vector<WholeEvent>&& events)
+void EventStreamCall::takeEvents(StreamRun& run, std::vector<WholeEvent>&& events)
 {
     const auto now = m_context.now();
     const auto firstId = m_request.fields.lastEventId.value_or(0) + 1;
@@ -308,7 +310,7 @@
         noteResumed(run, now);
     run.hasEvent = true;
     m_lastEventAt = now;
-    m_probe.reset();
+    m_watch->noteEvent();
     if (!m_isHeadSent) {
         m_isHeadSent = true;
         m_firstEventAt = now;
@@ -324,7 +326,7 @@
     m_request.exchange->wake();
 }
 
-void EventStreamCall::noteResumed(const Run& run, Milliseconds now)
+void EventStreamCall::noteResumed(const StreamRun& run, Milliseconds now)
 {
     const auto gap = m_lastEventAt.count() ? now - m_lastEventAt : Milliseconds { 0 };
     LogEvent("stream.resumed")
@@ -361,7 +363,7 @@
 }
 
 // The engine answered with something other than a stream.
-void EventStreamCall::settleWholeAnswer(const std::shared_ptr<Run>& run)
+void EventStreamCall::settleWholeAnswer(const std::shared_ptr<StreamRun>& run)
 {
     if (run->fields.isNotRun || run->fields.isOtherEndpoint) {
         turnedAway();
@@ -382,7 +384,7 @@
     const auto run = std::exchange(m_run, nullptr);
     const auto now = m_context.now();
     --m_possibleRuns;
-    m_probe.reset();
+    m_watch->stop();
     LogEvent("stream.turned-away")
         .text("request", m_request.fields.requestId)
         .text("endpoint", run->endpoint->entry().id)
@@ -416,7 +418,7 @@
     const auto& settings = m_context.settings;
     const bool wasSent = run->call->hasSent();
     run->call->cancel();
-    m_probe.reset();
+    m_watch->stop();
     m_relocation.reset();
     LogEvent("stream.run-lost")
         .text("request", m_request.fields.requestId)
@@ -447,80 +449,7 @@
     startRun();
 }
 
-void EventStreamCall::armCheck(Milliseconds delay)
-{
-    m_checkTimer.expires_after(delay);
-    m_checkTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
-        const auto self = weak.lock();
-        if (!error && self && !self->m_isFinished && self->m_run)
-            self->check();
-    });
-}
-
-// Silence after which the engine is asked whether it lives.
-Milliseconds EventStreamCall::probeThreshold(const Run& run, Milliseconds now) const
-{
-    const auto& settings = m_context.settings;
-    const bool isInDoubt = m_context.directory.isZoneAvoided(run.endpoint->entry().availabilityZone, now);
-    if (isInDoubt)
-        return settings.probeAfterSilenceInDoubt;
-    if (run.hasEvent || run.isFromCopy)
-        return settings.probeAfterSilence;
-    const Milliseconds promptTokens { static_cast<std::int64_t>(m_request.fields.promptTokens) };
-    return settings.prefillPatience + shareOf(promptTokens, settings.prefillPatiencePerToken);
-}
-
-// Silence after which the stream moves though its engine answers questions.
-Milliseconds EventStreamCall::moveThreshold() const
-{
-    const auto& settings = m_context.settings;
-    return shareOf(m_request.route->longestPause, settings.moveAfterPauseShare);
-}
-
-void EventStreamCall::check()
-{
-    const auto now = m_context.now();
-    const auto& run = *m_run;
-    const auto silence = now - run.lastActivity;
-    if (run.hasEvent && silence >= moveThreshold() && m_request.route->mayRunAgain()) {
-        runLost(FailureKind::Silent);
-        return;
-    }
-    const auto engineSilence = now - std::max(run.lastActivity, run.endpoint->lastLife());
-    const auto threshold = probeThreshold(run, now);
-    if (engineSilence >= threshold && now >= m_nextProbeAt && !m_probe)
-        probe();
-    if (!m_relocation && now >= m_nextRelocationAt && lacksCopy(run, now) && mayRelocate(run, now))
-        relocate();
-    armCheck(m_context.settings.probeAfterSilenceInDoubt);
-}
-
-void EventStreamCall::probe()
-{
-    m_nextProbeAt = m_context.now() + m_context.settings.probeInterval;
-    m_context.metrics.engineProbes.Increment();
-    m_probe = HttpQuestion::ask(m_context.ioContext, m_run->endpoint->openConnection(),
-        m_context.protocol.encodeStateQuery(), m_context.settings.probeTimeout,
-        [weak = weak_from_this()](const HttpOutcome& outcome) {
-            if (const auto self = weak.lock())
-                self->probed(outcome.answer != nullptr);
-        });
-}
-
-void EventStreamCall::probed(bool isAlive)
-{
-    const auto probe = std::exchange(m_probe, nullptr);
-    if (m_isFinished || !m_run)
-        return;
-    if (isAlive) {
-        m_run->endpoint->noteLife(m_context.now());
-        return;
-    }
-    if (m_request.route->mayRunAgain())
-        runLost(FailureKind::Silent);
-}
-
-bool EventStreamCall::lacksCopy(const Run& run, Milliseconds now) const
+bool EventStreamCall::lacksCopy(const StreamRun& run, Milliseconds now) const
 {
     if (!run.copyHolder)
         return now - run.startedAt >= m_context.settings.relocateAfter;
@@ -529,7 +458,7 @@
         || m_context.directory.hasZoneFailedSince(run.copyHolder->entry().availabilityZone, run.startedAt);
 }
 
-bool EventStreamCall::mayRelocate(const Run& run, Milliseconds now) const
+bool EventStreamCall::mayRelocate(const StreamRun& run, Milliseconds now) const
 {
     const auto* service = m_context.configuration->findService(m_request.service);
     const bool isPossible = service && service->copiesRunningMemory && m_request.route->mayRunAgain();
@@ -552,6 +481,15 @@
     return std::max<std::int64_t>(most - made, 0) * pace;
 }
 
+void EventStreamCall::runSilent() { runLost(FailureKind::Silent); }
+
+void EventStreamCall::considerRelocation()
+{
+    const auto now = m_context.now();
+    if (!m_relocation && now >= m_nextRelocationAt && lacksCopy(*m_run, now) && mayRelocate(*m_run, now))
+        relocate();
+}
+
 // Brings the run to an engine where it gets a growing copy again.
 void EventStreamCall::relocate()
 {
@@ -603,7 +541,7 @@
     }
     m_run->call->cancel();
     m_run.reset();
-    m_probe.reset();
+    m_watch->stop();
     m_lossAt = m_context.now();
     const bool isMoved = result == RelocationResult::Moved;
     startRunAt(isMoved ? relocation->target() : relocation->source(),
@@ -665,9 +603,8 @@
         return;
     m_isFinished = true;
     m_deadlineTimer.cancel();
-    m_checkTimer.cancel();
     m_retryTimer.cancel();
-    m_probe.reset();
+    m_watch->stop();
     m_relocation.reset();
     if (const auto run = std::exchange(m_run, nullptr))
         run->call->cancel();
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -9,18 +9,17 @@
 // Used on the relay's thread only. Owned by its pending timers and the exchange's callback.
 #pragma once
 
-#include "lupinknot/Generation.h"
 #include "relay/EndpointCall.h"
-#include "relay/EventSplitter.h"
 #include "relay/RelayRefusal.h"
 #include "relay/RelayRequest.h"
+#include "relay/StreamRun.h"
 #include <boost/asio/steady_timer.hpp>
 #include <vector>
 
 namespace lupinknot::internal {
 
-class HttpQuestion;
 class RunRelocation;
+class RunWatch;
 struct RunLocation;
 enum class RelocationResult;
 
@@ -37,26 +36,6 @@
 private:
     class EventSource;
 
-    // One attempt at one engine.
-    struct Run {
-        AttemptNumber number { 0 };
-        std::shared_ptr<EndpointCall> call;
-        std::shared_ptr<RelayEndpoint> endpoint;
-        // The engine that receives a growing copy, if any.
-        std::shared_ptr<RelayEndpoint> copyHolder;
-        HttpResponse head;
-        AnswerFields fields;
-        EventSplitter splitter;
-        Milliseconds startedAt { 0 };
-        // When it was sent, or its last event came.
-        Milliseconds lastActivity { 0 };
-        bool isStream { false };
-        // True when the answer says where it ends; one that does not ends with its connection.
-        bool isFramed { false };
-        bool hasEvent { false };
-        bool isFromCopy { false };
-    };
-
     EventStreamCall(RelayContext&, RelayRequest);
     void begin();
     void findEarlierRun();
@@ -74,23 +53,19 @@
     void waitForEndpoint();
     bool mayStartRun();
 
-    void takeEvents(Run&, std::vector<WholeEvent>&&);
-    void noteResumed(const Run&, Milliseconds now);
-    void settleWholeAnswer(const std::shared_ptr<Run>&);
+    void takeEvents(StreamRun&, std::vector<WholeEvent>&&);
+    void noteResumed(const StreamRun&, Milliseconds now);
+    void settleWholeAnswer(const std::shared_ptr<StreamRun>&);
     void runLost(FailureKind);
+    void runSilent();
     void turnedAway();
 
-    void armCheck(Milliseconds delay);
-    void check();
-    Milliseconds probeThreshold(const Run&, Milliseconds now) const;
-    Milliseconds moveThreshold() const;
-    void probe();
-    void probed(bool isAlive);
-
     // True when the run would have to begin anew if its engine failed now.
-    bool lacksCopy(const Run&, Milliseconds now) const;
+    bool lacksCopy(const StreamRun&, Milliseconds now) const;
     Milliseconds expectedRest(Milliseconds now) const;
-    bool mayRelocate(const Run&, Milliseconds now) const;
+    bool mayRelocate(const StreamRun&, Milliseconds now) const;
+    // Moves the run ahead if it lacks a copy and a move is worth it.
+    void considerRelocation();
     void relocate();
     void relocated(RelocationResult, const std::string& handle);
 
@@ -105,8 +80,9 @@
     RelayContext& m_context;
     const RelayRequest m_request;
     Generation m_events;
-    std::shared_ptr<Run> m_run;
-    std::shared_ptr<HttpQuestion> m_probe;
+    std::shared_ptr<StreamRun> m_run;
+    // Null before the call begins.
+    std::shared_ptr<RunWatch> m_watch;
     std::shared_ptr<RunRelocation> m_relocation;
     // A relocation that was refused is tried again no earlier.
     Milliseconds m_nextRelocationAt { 0 };
@@ -123,13 +99,11 @@
     unsigned m_sendings { 0 };
     Milliseconds m_firstEventAt { 0 };
     Milliseconds m_lastEventAt { 0 };
-    Milliseconds m_nextProbeAt { 0 };
     std::optional<Milliseconds> m_lossAt;
     bool m_isHeadSent { false };
     bool m_isComplete { false };
     bool m_isFinished { false };
     boost::asio::steady_timer m_deadlineTimer;
-    boost::asio::steady_timer m_checkTimer;
     boost::asio::steady_timer m_retryTimer;
 };
 
--- /dev/null
+++ b/src/relay/RunWatch.cpp
@@ -0,0 +1,121 @@
+#include "relay/RunWatch.h"
+
+#include "http/HttpQuestion.h"
+#include "relay/EndpointDirectory.h"
+#include "relay/RelayContext.h"
+#include "relay/RelayMetrics.h"
+#include "relay/RelayRequest.h"
+#include "relay/RelaySettings.h"
+
+#include <algorithm>
+
+namespace lupinknot::internal {
+
+namespace {
+
+Milliseconds shareOf(Milliseconds time, double share)
+{
+    return Milliseconds { static_cast<std::int64_t>(static_cast<double>(time.count()) * share) };
+}
+
+} // namespace
+
+std::shared_ptr<RunWatch> RunWatch::make(RelayContext& context, const RelayRequest& request, Callbacks callbacks)
+{
+    return std::shared_ptr<RunWatch>(new RunWatch(context, request, std::move(callbacks)));
+}
+
+RunWatch::RunWatch(RelayContext& context, const RelayRequest& request, Callbacks callbacks)
+    : m_context(context)
+    , m_request(request)
+    , m_callbacks(std::move(callbacks))
+    , m_timer(context.ioContext)
+{
+}
+
+RunWatch::~RunWatch() = default;
+
+void RunWatch::begin(std::shared_ptr<const StreamRun> run)
+{
+    m_question.reset();
+    m_run = std::move(run);
+    m_nextQuestionAt = m_context.now();
+    armLook();
+}
+
+void RunWatch::stop()
+{
+    m_run.reset();
+    m_question.reset();
+    m_timer.cancel();
+}
+
+void RunWatch::armLook()
+{
+    m_timer.expires_after(m_context.settings.probeAfterSilenceInDoubt);
+    m_timer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && self->m_run)
+            self->look();
+    });
+}
+
+void RunWatch::look()
+{
+    const auto now = m_context.now();
+    const auto& settings = m_context.settings;
+    const auto longestSilence = shareOf(m_request.route->longestPause, settings.moveAfterPauseShare);
+    if (m_run->hasEvent && now - m_run->lastActivity >= longestSilence && m_request.route->mayRunAgain()) {
+        reportSilent();
+        return;
+    }
+    // Other streams of the engine show that it lives, too.
+    const auto silence = now - std::max(m_run->lastActivity, m_run->endpoint->lastLife());
+    if (silence >= silenceBeforeQuestion(now) && now >= m_nextQuestionAt && !m_question)
+        ask();
+    m_callbacks.looked();
+    if (m_run)
+        armLook();
+}
+
+Milliseconds RunWatch::silenceBeforeQuestion(Milliseconds now) const
+{
+    const auto& settings = m_context.settings;
+    if (m_context.directory.isZoneAvoided(m_run->endpoint->entry().availabilityZone, now))
+        return settings.probeAfterSilenceInDoubt;
+    if (m_run->hasEvent || m_run->isFromCopy)
+        return settings.probeAfterSilence;
+    const Milliseconds promptTokens { static_cast<std::int64_t>(m_request.fields.promptTokens) };
+    return settings.prefillPatience + shareOf(promptTokens, settings.prefillPatiencePerToken);
+}
+
+void RunWatch::ask()
+{
+    m_nextQuestionAt = m_context.now() + m_context.settings.probeInterval;
+    m_context.metrics.engineProbes.Increment();
+    m_question = HttpQuestion::ask(m_context.ioContext, m_run->endpoint->openConnection(),
+        m_context.protocol.encodeStateQuery(), m_context.settings.probeTimeout,
+        [weak = weak_from_this()](const HttpOutcome& outcome) {
+            if (const auto self = weak.lock())
+                self->answered(outcome.answer != nullptr);
+        });
+}
+
+void RunWatch::answered(bool isAlive)
+{
+    const auto question = std::exchange(m_question, nullptr);
+    if (!m_run)
+        return;
+    if (isAlive)
+        m_run->endpoint->noteLife(m_context.now());
+    else if (m_request.route->mayRunAgain())
+        reportSilent();
+}
+
+void RunWatch::reportSilent()
+{
+    stop();
+    m_callbacks.silent();
+}
+
+} // namespace lupinknot::internal
