--- a/src/daemon/Cluster.cpp
+++ b/src/daemon/Cluster.cpp
@@ -90,9 +90,9 @@
         placeLater(key, isForwarded, std::move(decide));
         return;
     }
-    if (const auto placement = placeByRecord(key)) {
+    if (const auto placement = placeByOwnRecord(key)) {
         // An older record may have been left here when the runner moved its journal, so the others are asked first.
-        if (placement->kind == Placement::Kind::TakeOver)
+        if (placement->kind == KeyPlacement::Kind::TakeOver)
             ask(key, std::move(decide));
         else
             decide(*placement);
@@ -100,7 +100,7 @@
     }
     const auto owner = actingOwner(key);
     if (owner && !isForwarded) {
-        decide({ Placement::Kind::Forward, *owner, std::nullopt });
+        decide({ KeyPlacement::Kind::Forward, *owner, std::nullopt });
         return;
     }
     if (isSettled())
@@ -310,21 +310,13 @@
     return m_clock.now() - m_lastChange >= m_settings.generation.retention;
 }
 
-std::optional<Placement> Cluster::placeByRecord(const std::string& key) const
+std::optional<KeyPlacement> Cluster::placeByOwnRecord(const std::string& key) const
 {
     auto record = m_store.find(key);
     if (!record)
         return std::nullopt;
     const auto runner = m_network->find(record->runner.vm);
-    const bool isRunnerUp = runner && runner->incarnation == record->runner.incarnation;
-    if (isRunnerUp)
-        return Placement { Placement::Kind::Forward, *runner, std::nullopt };
-    // A runner that was restarted has forgotten its work, so it cannot be running it.
-    const bool isRunnerGone = runner.has_value();
-    const bool mayTakeOver = record->request.repeatable || isRunnerGone || record->finishReason;
-    if (!mayTakeOver)
-        return Placement { Placement::Kind::Refuse, {}, std::nullopt };
-    return Placement { Placement::Kind::TakeOver, {}, std::move(record) };
+    return placeByRecord(std::move(*record), runner);
 }
 
 // The most responsible VM that can be reached; nothing when it is this one.
@@ -343,7 +335,7 @@
 {
     const auto peers = m_network->up();
     if (peers.empty()) {
-        decide(placeByRecord(key).value_or(Placement {}));
+        decide(placeByOwnRecord(key).value_or(KeyPlacement {}));
         return;
     }
     wire::Envelope envelope;
@@ -394,12 +386,12 @@
 
 // The VM that runs the key goes first, then the one that holds most of it; of two that hold as much, the one with the
 // smaller name.
-Placement Cluster::placementAfter(const Query& query) const
+KeyPlacement Cluster::placementAfter(const Query& query) const
 {
-    auto local = placeByRecord(query.key);
+    auto local = placeByOwnRecord(query.key);
     if (!query.holder)
-        return local.value_or(Placement {});
-    const bool isLocalTakeover = local && local->kind == Placement::Kind::TakeOver;
+        return local.value_or(KeyPlacement {});
+    const bool isLocalTakeover = local && local->kind == KeyPlacement::Kind::TakeOver;
     if (isLocalTakeover && !query.isHolderRunner) {
         const auto length = local->record->tokens.size();
         const bool isLocalBetter
@@ -407,7 +399,7 @@
         if (isLocalBetter)
             return std::move(*local);
     }
-    return { Placement::Kind::Forward, *query.holder, std::nullopt };
+    return { KeyPlacement::Kind::Forward, *query.holder, std::nullopt };
 }
 
 // The most responsible VM beside this one that can be reached.
--- a/src/daemon/Cluster.h
+++ b/src/daemon/Cluster.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "daemon/JournalLink.h"
+#include "daemon/KeyPlacement.h"
 #include "lupinknot/ReplicaStore.h"
 #include "peer/PeerHandler.h"
 #include "peer/PeerNetwork.h"
@@ -21,24 +22,11 @@
 
 class PeerWatcher;
 
-// Where a request with a key is to be served.
-struct Placement {
-    enum class Kind {
-        Here, // This VM is responsible, or holds the generation.
-        Forward, // Another VM is.
-        TakeOver, // The VM that ran the generation is lost, and its record is here.
-        Refuse, // The VM that ran it is lost, but it may still be running, and the request must not be repeated.
-    };
-    Kind kind { Kind::Here };
-    PeerIdentity target;
-    std::optional<ReplicaRecord> record;
-};
-
 // Thread-safe. The journal's links and the store guard themselves; the rest is under one lock, which is never held
 // while a source or a callback is called.
 class Cluster final : public PeerHandler, public std::enable_shared_from_this<Cluster> {
 public:
-    using Decide = std::function<void(const Placement&)>;
+    using Decide = std::function<void(const KeyPlacement&)>;
     using RunsKey = std::function<bool(const std::string& key)>;
 
     Cluster(boost::asio::io_context&, const Clock&, const DaemonSettings&, std::uint64_t incarnation);
@@ -88,12 +76,12 @@
     bool hasJoined();
     void placeLater(const std::string& key, bool isForwarded, Decide);
     bool isSettled() const;
-    std::optional<Placement> placeByRecord(const std::string& key) const;
+    std::optional<KeyPlacement> placeByOwnRecord(const std::string& key) const;
     std::optional<PeerIdentity> actingOwner(const std::string& key) const;
     void ask(const std::string& key, Decide);
     void queryTimedOut(std::uint64_t id);
     void conclude(std::uint64_t id);
-    Placement placementAfter(const Query&) const;
+    KeyPlacement placementAfter(const Query&) const;
     void moveJournals(const std::shared_ptr<JournalLink>&);
     std::shared_ptr<JournalLink> linkFor(const std::string& key, std::string& vm) const;
     void journalArrived(const PeerIdentity&, const wire::Envelope&);
--- a/src/daemon/KeyedRequestRouter.cpp
+++ b/src/daemon/KeyedRequestRouter.cpp
@@ -47,15 +47,15 @@
         return;
     }
     const bool isForwarded = hopsOf(exchange->request()) > 0;
-    m_context.cluster.place(key, isForwarded, [this, exchange, key, actions, tries](const Placement& placement) {
+    m_context.cluster.place(key, isForwarded, [this, exchange, key, actions, tries](const KeyPlacement& placement) {
         placed(exchange, key, actions, tries, placement);
     });
 }
 
 void KeyedRequestRouter::placed(const std::shared_ptr<HttpExchange>& exchange, const std::string& key,
-    const KeyedRequestActions& actions, unsigned tries, const Placement& placement) const
+    const KeyedRequestActions& actions, unsigned tries, const KeyPlacement& placement) const
 {
-    using Kind = Placement::Kind;
+    using Kind = KeyPlacement::Kind;
     const auto retryAfter = m_context.settings.generation.retryAfter;
     if (placement.kind == Kind::Here)
         actions.serve();
--- a/src/daemon/KeyedRequestRouter.h
+++ b/src/daemon/KeyedRequestRouter.h
@@ -11,7 +11,7 @@
 class HttpExchange;
 struct JsonError;
 struct PeerIdentity;
-struct Placement;
+struct KeyPlacement;
 
 // What a handler does with a request that has come to the right VM. Called on any thread, one of them, once.
 struct KeyedRequestActions {
@@ -35,7 +35,7 @@
     void tryRoute(
         const std::shared_ptr<HttpExchange>&, const std::string& key, const KeyedRequestActions&, unsigned tries) const;
     void placed(const std::shared_ptr<HttpExchange>&, const std::string& key, const KeyedRequestActions&,
-        unsigned tries, const Placement&) const;
+        unsigned tries, const KeyPlacement&) const;
     void forward(const std::shared_ptr<HttpExchange>&, const std::string& key, const KeyedRequestActions&,
         unsigned tries, const PeerIdentity& target) const;
 
