Only sendings that may have reached an endpoint count against the retry budget

Change: a sending is a retry only if an earlier one of its request may have arrived; what did not arrive is given back, and so is the retry of a move that an engine refused.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -134,7 +134,8 @@
         giveUp(RefusalReason::EndpointFailed);
         return false;
     }
-    if (m_sendings > 0 && !m_context.retryBudget(m_request.service).take(RetryPurpose::Rescue, m_context.now())) {
+    m_isNextCharged = m_arrivals > 0;
+    if (m_isNextCharged && !m_context.retryBudget(m_request.service).take(RetryPurpose::Rescue, m_context.now())) {
         giveUp(m_possibleRuns > 0 ? RefusalReason::EndpointFailed : RefusalReason::RetryBudgetSpent);
         return false;
     }
@@ -200,6 +201,7 @@
     run->startedAt = now;
     run->lastActivity = now;
     run->isFromCopy = copy.has_value();
+    run->isCharged = std::exchange(m_isNextCharged, false);
 
     ForwardFields fields;
     fields.timeLeft = m_request.deadline - now;
@@ -224,6 +226,7 @@
         .number("config_version", static_cast<std::int64_t>(m_request.configurationVersion))
         .write();
     ++m_sendings;
+    ++m_arrivals;
     ++m_possibleRuns;
     m_run = run;
     noteLocation();
@@ -419,7 +422,7 @@
     const bool wasSent = run->call->hasSent();
     run->call->cancel();
     m_watch->stop();
-    m_relocation.reset();
+    dropRelocation();
     LogEvent("stream.run-lost")
         .text("request", m_request.fields.requestId)
         .text("endpoint", run->endpoint->entry().id)
@@ -432,8 +435,12 @@
         .number("run_ms", (now - run->startedAt).count())
         .write();
     m_context.metrics.countFailure(kind);
-    if (!wasSent)
+    if (!wasSent) {
         --m_possibleRuns;
+        --m_arrivals;
+        if (run->isCharged)
+            m_context.retryBudget(m_request.service).giveBack();
+    }
     const bool isSilent = kind == FailureKind::Silent;
     run->endpoint->avoidUntil(now
         + (isSilent       ? settings.avoidAfterSilence
@@ -533,6 +540,9 @@
         .text("target", relocation->target()->entry().id)
         .number("last_event", static_cast<std::int64_t>(lastEventId()))
         .write();
+    const bool isMoving = m_run && (result == RelocationResult::Moved || result == RelocationResult::Stopped);
+    if (!isMoving)
+        m_context.retryBudget(m_request.service).giveBack();
     if (result == RelocationResult::Refused || !m_run)
         return;
     if (result == RelocationResult::Unknown) {
@@ -543,11 +553,18 @@
     m_run.reset();
     m_watch->stop();
     m_lossAt = m_context.now();
+    m_isNextCharged = true;
     const bool isMoved = result == RelocationResult::Moved;
     startRunAt(isMoved ? relocation->target() : relocation->source(),
         CopySource { relocation->source()->entry().address, handle });
 }
 
+void EventStreamCall::dropRelocation()
+{
+    if (std::exchange(m_relocation, nullptr))
+        m_context.retryBudget(m_request.service).giveBack();
+}
+
 void EventStreamCall::timedOut()
 {
     if (!m_isFinished)
@@ -605,7 +622,7 @@
     m_deadlineTimer.cancel();
     m_retryTimer.cancel();
     m_watch->stop();
-    m_relocation.reset();
+    dropRelocation();
     if (const auto run = std::exchange(m_run, nullptr))
         run->call->cancel();
 }
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -68,6 +68,8 @@
     void considerRelocation();
     void relocate();
     void relocated(RelocationResult, const std::string& handle);
+    // Gives a move up that is under way, and its retry back.
+    void dropRelocation();
 
     void timedOut();
     void complete();
@@ -97,6 +99,10 @@
     // Runs that an engine may have begun.
     unsigned m_possibleRuns { 0 };
     unsigned m_sendings { 0 };
+    // Sendings that may have reached an engine: what follows one of them is a retry.
+    unsigned m_arrivals { 0 };
+    // A retry has been taken for the next run.
+    bool m_isNextCharged { false };
     Milliseconds m_firstEventAt { 0 };
     Milliseconds m_lastEventAt { 0 };
     std::optional<Milliseconds> m_lossAt;
--- a/src/relay/RetryBudget.cpp
+++ b/src/relay/RetryBudget.cpp
@@ -31,6 +31,12 @@
     return true;
 }
 
+void RetryBudget::giveBack()
+{
+    if (!m_retries.empty())
+        m_retries.pop_back();
+}
+
 void RetryBudget::forgetOld(Milliseconds now)
 {
     const auto forget = [this, now](std::deque<Milliseconds>& instants) {
--- a/src/relay/RetryBudget.h
+++ b/src/relay/RetryBudget.h
@@ -24,6 +24,8 @@
     void noteRequest(Milliseconds now);
     // Takes one retry out of the budget; false when there is none left.
     bool take(RetryPurpose, Milliseconds now);
+    // Returns a retry that was taken and has not reached an endpoint: only what arrives counts.
+    void giveBack();
 
 private:
     void forgetOld(Milliseconds now);
--- a/src/relay/StreamRun.h
+++ b/src/relay/StreamRun.h
@@ -32,6 +32,8 @@
     bool isFramed { false };
     bool hasEvent { false };
     bool isFromCopy { false };
+    // A retry was taken for it.
+    bool isCharged { false };
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/WholeAnswerCall.cpp
+++ b/src/relay/WholeAnswerCall.cpp
@@ -48,7 +48,7 @@
         LogEvent("request.caller-gone").text("request", self->m_request.fields.requestId).write();
         self->finish();
     });
-    if (!sendNext()) {
+    if (!sendNext(false)) {
         refuse(RefusalReason::NoEndpoint);
         return;
     }
@@ -56,9 +56,16 @@
         armHedge();
 }
 
+bool WholeAnswerCall::mayHaveArrived() const
+{
+    return std::any_of(m_attempts.begin(), m_attempts.end(), [](const std::unique_ptr<Attempt>& attempt) {
+        return !attempt->call || !attempt->call->isOver() || attempt->call->hasSent();
+    });
+}
+
 bool WholeAnswerCall::maySendAgain() const { return m_possibleRuns < m_request.route->maxAttempts; }
 
-bool WholeAnswerCall::sendNext()
+bool WholeAnswerCall::sendNext(bool isCharged)
 {
     const auto now = m_context.now();
     const auto endpoint = m_context.placement.choose({ .service = m_request.service, .excluded = m_tried }, now);
@@ -81,6 +88,7 @@
         .write();
     ++m_possibleRuns;
     auto attempt = std::make_unique<Attempt>();
+    attempt->isCharged = isCharged;
     auto& stored = *m_attempts.emplace_back(std::move(attempt));
     stored.call
         = EndpointCall::start(m_context, endpoint, request, { m_request.fields.requestId, maxRest }, weak_from_this());
@@ -103,7 +111,8 @@
         return;
     if (!m_context.retryBudget(m_request.service).take(RetryPurpose::Precaution, m_context.now()))
         return;
-    sendNext();
+    if (!sendNext(true))
+        m_context.retryBudget(m_request.service).giveBack();
 }
 
 WholeAnswerCall::Attempt& WholeAnswerCall::attemptOf(const EndpointCall& call)
@@ -194,6 +203,8 @@
     if (!wasSent) {
         --m_possibleRuns;
         endpoint->avoidUntil(now + settings.avoidAfterRefusal);
+        if (attemptOf(call).isCharged)
+            m_context.retryBudget(m_request.service).giveBack();
     } else {
         endpoint->avoidUntil(now + settings.avoidAfterBreak);
     }
@@ -205,10 +216,13 @@
 {
     const bool mayHaveRun = m_possibleRuns > 0;
     const bool isAllowed = maySendAgain() && (!mayHaveRun || m_request.route->mayRunAgain());
-    const bool isFunded
-        = isAllowed && m_context.retryBudget(m_request.service).take(RetryPurpose::Rescue, m_context.now());
-    if (isFunded && sendNext())
+    auto& budget = m_context.retryBudget(m_request.service);
+    const bool isRetry = mayHaveArrived();
+    const bool isFunded = isAllowed && (!isRetry || budget.take(RetryPurpose::Rescue, m_context.now()));
+    if (isFunded && sendNext(isRetry))
         return;
+    if (isFunded && isRetry)
+        budget.giveBack();
     if (hasOpenAttempt())
         return;
     if (m_errorAnswer) {
--- a/src/relay/WholeAnswerCall.h
+++ b/src/relay/WholeAnswerCall.h
@@ -32,12 +32,16 @@
         std::shared_ptr<EndpointCall> call;
         HttpResponse answer;
         AnswerFields fields;
+        // A retry was taken for it.
+        bool isCharged { false };
     };
 
     WholeAnswerCall(RelayContext&, RelayRequest);
     void begin();
     // Sends to one more endpoint; false when there is none or no attempt is left.
-    bool sendNext();
+    bool sendNext(bool isCharged);
+    // True when an earlier attempt may have reached its endpoint: only then is the next one a retry.
+    bool mayHaveArrived() const;
     bool maySendAgain() const;
     void armHedge();
     void hedge();
--- a/test/EventStreamCallTest.cpp
+++ b/test/EventStreamCallTest.cpp
@@ -264,3 +264,30 @@
     caller->connection->close();
     CHECK(relay->runUntil([&] { return engine.connections()[0]->isClosedByPeer(); }));
 }
+
+TEST(EventStreamCall, AnEngineThatCannotBeConnectedToCostsNoRetry)
+{
+    relay->settings.retryRatio = 0;
+    relay->settings.retrySlack = 0;
+    relay->settings.rescueDeviations = 0;
+    auto& dead = relay->addEndpoint("e1", "a");
+    relay->addEndpoint("e2", "b").onRequest(sends(1, 3));
+    ready();
+    dead.crash();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    STRCMP_EQUAL(events(1, 3).c_str(), caller->body.c_str());
+}
+
+TEST(EventStreamCall, ARunThatWasLostCostsARetry)
+{
+    relay->settings.retryRatio = 0;
+    relay->settings.retrySlack = 0;
+    relay->settings.rescueDeviations = 0;
+    relay->addEndpoint("e1", "a").onRequest(sendsAndBreaks(2));
+    relay->addEndpoint("e2", "b").onRequest(sends(3, 4));
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    CHECK_TEXT(caller->isBroken, "without a retry the stream cannot go on");
+}
--- a/test/RetryBudgetTest.cpp
+++ b/test/RetryBudgetTest.cpp
@@ -70,3 +70,11 @@
         budget.noteRequest(now);
     LONGS_EQUAL(12, takeAll(budget));
 }
+
+TEST(RetryBudget, ARetryThatReachedNoEndpointCanBeGivenBack)
+{
+    RetryBudget budget(settings);
+    LONGS_EQUAL(2, takeAll(budget));
+    budget.giveBack();
+    LONGS_EQUAL(1, takeAll(budget));
+}
--- a/test/WholeAnswerCallTest.cpp
+++ b/test/WholeAnswerCallTest.cpp
@@ -252,3 +252,22 @@
     await(relay->call("/again/2"));
     LONGS_EQUAL_TEXT(3, sendings, "the new budget should allow a second sending");
 }
+
+// Found by incident inc-dfd8 of savinja-knot: a VM of a zone that was cut off spent its retries on endpoints that it
+// could not connect to, and then refused calls for want of retries.
+TEST(WholeAnswerCall, AnAttemptThatReachedNoEndpointCostsNoRetry)
+{
+    relay->settings.retryRatio = 0;
+    relay->settings.retrySlack = 0;
+    relay->settings.rescueDeviations = 0;
+    auto& dead = relay->addEndpoint("e1");
+    relay->addEndpoint("e2").onRequest(answers(200, "hello"));
+    ready();
+    dead.crash();
+    // Whichever endpoint comes first, one of these calls meets the dead one.
+    for (int i = 0; i < 6; ++i) {
+        const auto caller = relay->call("/once/1");
+        await(caller);
+        LONGS_EQUAL_TEXT(200, caller->head.status, "a call that was never sent should go on without a retry");
+    }
+}
