--- a/soak/SoakCaller.cpp
+++ b/soak/SoakCaller.cpp
@@ -99,7 +99,12 @@
         kept = ClientConnection::open(m_ioContext, vm.callersLink->address(), {});
     m_connection = kept;
     m_connection->send(request(), weak_from_this());
-    m_timer.expires_after(m_call.kind == CallKind::Stream ? silencePatience : callPatience);
+    awaitAnswer(m_call.kind == CallKind::Stream ? silencePatience : callPatience);
+}
+
+void SoakCaller::awaitAnswer(Milliseconds patience)
+{
+    m_timer.expires_after(patience);
     m_timer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
         const auto self = weak.lock();
         if (!error && self)
@@ -128,12 +133,7 @@
     m_parser.feed(piece, events);
     for (const auto& event : events)
         checkEvent(event);
-    m_timer.expires_after(silencePatience);
-    m_timer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
-        const auto self = weak.lock();
-        if (!error && self)
-            self->timedOut();
-    });
+    awaitAnswer(silencePatience);
 }
 
 void SoakCaller::checkEvent(const internal::SseEvent& event)
--- a/soak/SoakCaller.h
+++ b/soak/SoakCaller.h
@@ -34,6 +34,8 @@
     void beginRequest();
     void beginTry();
     void endTry(bool isServed);
+    // Gives the try up when nothing comes for so long.
+    void awaitAnswer(Milliseconds patience);
     void timedOut();
     void checkEvent(const internal::SseEvent&);
     void checkWholeAnswer();
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -50,6 +50,65 @@
     }
 };
 
+constexpr Milliseconds readerWait { 50 };
+
+// A VM at which others wait for news, and one of those others, each with a store of its own: what the follower hears
+// of the reader's store can come from the reader only. Both stores begin with the same row.
+struct SharedReading {
+    explicit SharedReading(boost::asio::io_context& ioContext, Milliseconds readersWait = readerWait)
+        : readersStore(begun(ioContext))
+        , ownStore(begun(ioContext))
+        , vms(ioContext, { "127.0.0.1", readersStore->port() }, { "vm1", "a", {} }, {}, [](const auto&) {})
+        , feeds(ioContext, { "127.0.0.1", 0 }, vms)
+        , noReaders(reader.clock, { "vm1", "a", {} })
+        , readers(follower.clock, { "vm6", "a", {} })
+    {
+        reader.follow(ioContext, readersStore->port(), "servers", readersWait);
+        reader.feed->follow(noReaders, sharing);
+        feeds.add(reader.feed);
+        CHECK_FALSE(feeds.start().has_value());
+        follower.follow(ioContext, ownStore->port(), "servers");
+        setReader({ "127.0.0.1", feeds.port() });
+        follower.feed->follow(readers, sharing);
+    }
+
+    static std::unique_ptr<StoreStandIn> begun(boost::asio::io_context& ioContext)
+    {
+        auto store = std::make_unique<StoreStandIn>(ioContext);
+        store->start();
+        store->put("servers", "a", "1");
+        return store;
+    }
+
+    // The zone's first by rank is found at the address.
+    void setReader(const SocketAddress& address)
+    {
+        readers.setOthers({ { "vm1", "a", address }, { "vm2", "a", {} }, { "vm3", "a", {} }, { "vm4", "a", {} },
+            { "vm5", "a", {} } });
+    }
+
+    bool haveBothBegun() { return follower.rows["a"] == "1" && reader.rows["a"] == "1"; }
+
+    // The two stores stand for one: what the follower's tells must be newer than what the reader has heard.
+    void putNewerIntoOwnStore(const std::string& key, const std::string& value)
+    {
+        while (ownStore->version() < readersStore->version())
+            ownStore->put("op", "config", "1");
+        ownStore->put("servers", key, value);
+    }
+
+    static constexpr StoreFeed::Sharing sharing { { readerWait, Milliseconds { 1 } }, readerWait, Milliseconds { 2000 },
+        Milliseconds { 1000 } };
+    Followed reader;
+    Followed follower;
+    std::unique_ptr<StoreStandIn> readersStore;
+    std::unique_ptr<StoreStandIn> ownStore;
+    VmRegistry vms;
+    PeerFeeds feeds;
+    ZoneReaders noReaders;
+    ZoneReaders readers;
+};
+
 } // namespace
 
 TEST_GROUP(PlatformStore)
@@ -185,73 +244,27 @@
     CHECK(runUntil([&] { return followed.rows["a"] == "1"; }));
 }
 
-namespace {
-
-constexpr Milliseconds readerWait { 50 };
-
-// A VM at which others wait for news, and one of those others.
-struct SharedReading {
-    SharedReading(boost::asio::io_context& ioContext, std::int64_t readersStore, std::int64_t followersStore,
-        Milliseconds readersWait = readerWait)
-        : vms(ioContext, { "127.0.0.1", readersStore }, { "vm1", "a", {} }, {}, [](const std::vector<VmEntry>&) {})
-        , feeds(ioContext, { "127.0.0.1", 0 }, vms)
-        , noReaders(reader.clock, { "vm1", "a", {} })
-        , readers(follower.clock, { "vm6", "a", {} })
-    {
-        reader.follow(ioContext, readersStore, "servers", readersWait);
-        reader.feed->follow(noReaders, sharing);
-        feeds.add(reader.feed);
-        CHECK_FALSE(feeds.start().has_value());
-        follower.follow(ioContext, followersStore, "servers");
-        readers.setOthers({ { "vm1", "a", { "127.0.0.1", feeds.port() } }, { "vm2", "a", {} }, { "vm3", "a", {} },
-            { "vm4", "a", {} }, { "vm5", "a", {} } });
-        follower.feed->follow(readers, sharing);
-    }
-
-    static constexpr StoreFeed::Sharing sharing { { readerWait, Milliseconds { 1 } }, readerWait, Milliseconds { 2000 },
-        Milliseconds { 1000 } };
-    Followed reader;
-    Followed follower;
-    VmRegistry vms;
-    PeerFeeds feeds;
-    ZoneReaders noReaders;
-    ZoneReaders readers;
-};
-
-} // namespace
-
 TEST(PlatformStore, AVmHearsItsNewsFromTheReaderOfItsZone)
 {
-    store->put("servers", "a", "1");
-    StoreStandIn ownStore(*ioContext);
-    ownStore.start();
-    ownStore.put("servers", "a", "1");
-    SharedReading shared(*ioContext, store->port(), ownStore.port());
-    CHECK(runUntil([&] { return shared.follower.rows["a"] == "1" && shared.reader.rows["a"] == "1"; }));
-    store->put("servers", "b", "2");
-    store->remove("servers", "a");
+    SharedReading shared(*ioContext);
+    CHECK(runUntil([&] { return shared.haveBothBegun(); }));
+    shared.readersStore->put("servers", "b", "2");
+    shared.readersStore->remove("servers", "a");
     CHECK_TEXT(runUntil([&] { return shared.follower.rows["b"] == "2" && !shared.follower.rows.count("a"); }),
         "the news is in the reader's store only, so it can come from the reader alone");
-    CHECK_TEXT(ownStore.callCount() <= 2, "a VM that follows a reader should not ask the store again");
+    CHECK_TEXT(shared.ownStore->callCount() <= 2, "a VM that follows a reader should not ask the store again");
 }
 
 TEST(PlatformStore, AVmAsksTheStoreItselfWhenItsReaderHasNotHeardFromIt)
 {
-    store->put("servers", "a", "1");
-    StoreStandIn ownStore(*ioContext);
-    ownStore.start();
-    ownStore.put("servers", "a", "1");
-    SharedReading shared(*ioContext, store->port(), ownStore.port());
-    CHECK(runUntil([&] { return shared.follower.rows["a"] == "1" && shared.reader.rows["a"] == "1"; }));
+    SharedReading shared(*ioContext);
+    CHECK(runUntil([&] { return shared.haveBothBegun(); }));
     bool hasFailed = false;
     shared.reader.feed->onFailure([&] { hasFailed = true; });
-    store->setFault(StoreFault::Unavailable);
+    shared.readersStore->setFault(StoreFault::Unavailable);
     CHECK(runUntil([&] { return hasFailed; }));
     shared.reader.clock.advance(Milliseconds { 1500 });
-    // The two stores stand for one: what the second one tells must be newer than what the reader has heard.
-    while (ownStore.version() < store->version())
-        ownStore.put("op", "config", "1");
-    ownStore.put("servers", "b", "2");
+    shared.putNewerIntoOwnStore("b", "2");
     CHECK(runUntil([&] { return shared.follower.rows["b"] == "2"; }));
     CHECK_FALSE_TEXT(shared.readers.current().has_value(), "the reader should be passed over for a while");
 }
@@ -259,38 +272,25 @@
 // The reader was a follower itself, or waits at the store for longer than its knowledge may be old.
 TEST(PlatformStore, AVmThatOthersBeginToAskConfirmsWhatItKnows)
 {
-    store->put("servers", "a", "1");
-    StoreStandIn ownStore(*ioContext);
-    ownStore.start();
-    ownStore.put("servers", "a", "1");
-    SharedReading shared(*ioContext, store->port(), ownStore.port(), Milliseconds { 60000 });
+    SharedReading shared(*ioContext, Milliseconds { 60000 });
     CHECK(runUntil([&] { return shared.reader.rows["a"] == "1"; }));
     shared.reader.clock.advance(Milliseconds { 5000 });
     CHECK(runUntil([&] { return shared.follower.rows["a"] == "1"; }));
-    const auto calls = store->callCount();
-    CHECK(runUntil([&] { return store->callCount() > calls; }));
-    store->put("servers", "b", "2");
+    const auto calls = shared.readersStore->callCount();
+    CHECK(runUntil([&] { return shared.readersStore->callCount() > calls; }));
+    shared.readersStore->put("servers", "b", "2");
     CHECK(runUntil([&] { return shared.follower.rows["b"] == "2"; }));
     CHECK_TEXT(shared.readers.current().has_value(), "the reader should not count as failed");
 }
 
 TEST(PlatformStore, AVmAsksTheStoreItselfWhenItsReaderHasGone)
 {
-    store->put("servers", "a", "1");
-    StoreStandIn ownStore(*ioContext);
-    ownStore.start();
-    ownStore.put("servers", "a", "1");
-    SharedReading shared(*ioContext, store->port(), ownStore.port());
+    SharedReading shared(*ioContext);
+    CHECK(runUntil([&] { return shared.haveBothBegun(); }));
     // Nobody listens at this address any more: a port of a listener that has been closed.
-    std::int64_t closedPort = 0;
-    {
-        StoreStandIn closed(*ioContext);
-        closed.start();
-        closedPort = closed.port();
-    }
-    shared.readers.setOthers({ { "vm1", "a", { "127.0.0.1", closedPort } }, { "vm2", "a", {} }, { "vm3", "a", {} },
-        { "vm4", "a", {} }, { "vm5", "a", {} } });
-    ownStore.put("servers", "b", "2");
+    const SocketAddress closed { "127.0.0.1", SharedReading::begun(*ioContext)->port() };
+    shared.setReader(closed);
+    shared.putNewerIntoOwnStore("b", "2");
     CHECK(runUntil([&] { return shared.follower.rows["b"] == "2"; }));
 }
 
@@ -333,29 +333,28 @@
 
 TEST(PlatformStore, AVmOfALargeZoneHasItsNotesWrittenByTheReader)
 {
-    StoreStandIn ownStore(*ioContext);
-    ownStore.start();
-    SharedReading shared(*ioContext, store->port(), ownStore.port());
-    StoreRunLocations readersLocations(*ioContext, { "127.0.0.1", store->port() });
+    SharedReading shared(*ioContext);
+    auto& target = *shared.readersStore;
+    StoreRunLocations readersLocations(*ioContext, { "127.0.0.1", target.port() });
     shared.feeds.take(
         StoreRunLocations::peerPath, [&](const std::string& body) { return readersLocations.takeFromPeer(body); });
-    StoreRunLocations locations(*ioContext, { "127.0.0.1", ownStore.port() });
+    StoreRunLocations locations(*ioContext, { "127.0.0.1", shared.ownStore->port() });
     locations.shareThrough(shared.readers);
     locations.note("p1", { "e1", "e2", "r1" });
-    CHECK(runUntil([&] { return store->value("runs", "p1").has_value(); }));
+    CHECK(runUntil([&] { return target.value("runs", "p1").has_value(); }));
     locations.forget("p1");
     locations.note("p2", { "e1", "", "r2" });
-    CHECK(runUntil([&] { return store->value("runs", "p2").has_value() && !store->value("runs", "p1").has_value(); }));
-    CHECK_FALSE_TEXT(ownStore.value("runs", "p1").has_value(), "the VM itself should not have written");
+    CHECK(runUntil([&] { return target.value("runs", "p2").has_value() && !target.value("runs", "p1").has_value(); }));
+    CHECK_FALSE_TEXT(shared.ownStore->value("runs", "p1").has_value(), "the VM itself should not have written");
 }
 
 TEST(PlatformStore, NotesThatTheReaderDoesNotTakeAreWrittenByTheVmItself)
 {
-    SharedReading shared(*ioContext, store->port(), store->port());
-    StoreRunLocations locations(*ioContext, { "127.0.0.1", store->port() });
+    SharedReading shared(*ioContext);
+    StoreRunLocations locations(*ioContext, { "127.0.0.1", shared.ownStore->port() });
     locations.shareThrough(shared.readers);
     locations.note("p1", { "e1", "e2", "r1" });
-    CHECK(runUntil([&] { return store->value("runs", "p1").has_value(); }));
+    CHECK(runUntil([&] { return shared.ownStore->value("runs", "p1").has_value(); }));
 }
 
 TEST(PlatformStore, NotesOfAnotherVmThatCannotBeReadAreRefused)
