--- a/soak/ChildProcess.cpp
+++ b/soak/ChildProcess.cpp
@@ -6,8 +6,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char** environ;
-
 namespace lupinknot::soak {
 
 ChildProcess::ChildProcess(std::vector<std::string> command, std::string logPath)
--- a/soak/LoopbackProxy.cpp
+++ b/soak/LoopbackProxy.cpp
@@ -129,8 +129,6 @@
     accept();
 }
 
-LoopbackProxy::~LoopbackProxy() { resetConnections(); }
-
 void LoopbackProxy::setMode(LinkMode mode) { *m_mode = mode; }
 
 void LoopbackProxy::resetConnections()
--- a/soak/LoopbackProxy.h
+++ b/soak/LoopbackProxy.h
@@ -5,7 +5,8 @@
 //     proxy.resetConnections();
 //
 // Bytes that a cut holds up are lost, as on a link that comes back after its ends have given the connection up; a
-// connection that lost some stays silent for good. Used on the thread that runs the io_context, and outlived by it.
+// connection that lost some stays silent for good. Connections outlive the proxy until an end closes them. Used on the
+// thread that runs the io_context, and outlived by it.
 #pragma once
 
 #include "http/SocketAddress.h"
@@ -30,7 +31,6 @@
 class LoopbackProxy {
 public:
     LoopbackProxy(boost::asio::io_context&, const internal::SocketAddress& own, const internal::SocketAddress& target);
-    ~LoopbackProxy();
 
     const internal::SocketAddress& address() const { return m_own; }
     void setMode(LinkMode);
