--- a/soak/SoakVerdict.cpp
+++ b/soak/SoakVerdict.cpp
@@ -39,7 +39,7 @@
         [](const CallRecord& call) { return call.isWhole && call.status == okStatus; }));
 }
 
-void SoakVerdict::settle(SoakWorld& world)
+void SoakVerdict::settle(const SoakWorld& world)
 {
     readRuns(world);
     readSenders(world);
@@ -80,7 +80,7 @@
 void SoakVerdict::readSenders(const SoakWorld& world)
 {
     const std::set<std::string> sendings { "request.sent", "stream.sent" };
-    for (const auto& vm : const_cast<SoakWorld&>(world).vms()) {
+    for (const auto& vm : world.vms()) {
         std::ifstream file(world.workFolder() + "/" + vm->name + ".log");
         for (std::string line; std::getline(file, line);) {
             const auto event = nlohmann::json::parse(line, nullptr, false);
@@ -106,7 +106,7 @@
     }
 }
 
-void SoakVerdict::checkLeavingEndpoints(SoakWorld& world)
+void SoakVerdict::checkLeavingEndpoints(const SoakWorld& world)
 {
     for (const auto& run : m_runs) {
         const auto left = world.leftAt().find(run.endpointId);
@@ -126,7 +126,7 @@
 }
 
 // A call that a VM has passed on before its planned stop gets its answer.
-void SoakVerdict::checkPlannedStops(SoakWorld& world)
+void SoakVerdict::checkPlannedStops(const SoakWorld& world)
 {
     for (const auto& call : m_calls) {
         const auto& vm = *world.vms()[call.vm];
--- a/soak/SoakVerdict.h
+++ b/soak/SoakVerdict.h
@@ -51,7 +51,7 @@
     void note(const CallRecord& call) { m_calls.push_back(call); }
     void broken(const std::string& promise, const std::string& how);
     // Holds the callers' view against the logs; call it once, when all processes have ended.
-    void settle(SoakWorld&);
+    void settle(const SoakWorld&);
     // From here on nothing is harmed any more: what callers ask must be served.
     void noteRecovery(Milliseconds at) { m_recoveredAt = at; }
 
@@ -70,8 +70,8 @@
     void readRuns(const SoakWorld&);
     void readSenders(const SoakWorld&);
     void checkSingleRuns();
-    void checkLeavingEndpoints(SoakWorld&);
-    void checkPlannedStops(SoakWorld&);
+    void checkLeavingEndpoints(const SoakWorld&);
+    void checkPlannedStops(const SoakWorld&);
     void checkVersions();
     void checkRecovery();
 
--- a/soak/SoakWorld.h
+++ b/soak/SoakWorld.h
@@ -81,10 +81,10 @@
 
     // Returns what went wrong, or nothing.
     std::optional<std::string> start();
-    std::vector<std::unique_ptr<SoakVm>>& vms() { return m_vms; }
-    std::vector<std::unique_ptr<SoakEndpoint>>& endpoints() { return m_endpoints; }
+    const std::vector<std::unique_ptr<SoakVm>>& vms() const { return m_vms; }
+    const std::vector<std::unique_ptr<SoakEndpoint>>& endpoints() const { return m_endpoints; }
     platform::StoreStandIn& store() { return *m_store; }
-    DisturbanceLog& storeDisturbances() { return m_storeDisturbances; }
+    const DisturbanceLog& storeDisturbances() const { return m_storeDisturbances; }
     Milliseconds now() const { return m_clock.now(); }
     // When an endpoint's incarnation said that it leaves, or was taken off the list.
     const std::map<std::string, Milliseconds>& leftAt() const { return m_leftAt; }
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -283,6 +283,30 @@
     CHECK_TEXT(shared.readers.current().has_value(), "the reader should not count as failed");
 }
 
+// Found by reading: a VM that has been cut off asks one that has started since. The removal of a row that the first one
+// knows happened before the second one's first reading, so no change tells of it.
+TEST(PlatformStore, AVmThatStartedAfterARemovalTellsTheWholeTable)
+{
+    // The two stores stand for one; the first is as the VM that is cut off has seen it last.
+    StoreStandIn earlier(*ioContext);
+    earlier.start();
+    for (auto* const at : { &earlier, store.get() }) {
+        at->put("servers", "a", "1");
+        at->put("servers", "b", "1");
+    }
+    Followed cutOff;
+    cutOff.follow(*ioContext, earlier.port(), "servers");
+    CHECK(runUntil([&] { return cutOff.rows.size() == 2; }));
+    earlier.setFault(StoreFault::Silent);
+    store->remove("servers", "a");
+    Followed started;
+    started.follow(*ioContext, store->port(), "servers");
+    CHECK(runUntil([&] { return started.snapshots == 1; }));
+    cutOff.feed->takeFromPeer(started.feed->encodeChanges(*cutOff.feed->version()));
+    CHECK_TEXT(cutOff.rows.count("a") == 0, "the row that is gone should be gone here too");
+    LONGS_EQUAL(1, cutOff.rows.count("b"));
+}
+
 TEST(PlatformStore, AVmAsksTheStoreItselfWhenItsReaderHasGone)
 {
     SharedReading shared(*ioContext);
