Locations of runs are kept at other VMs too; writes of them neither give each other up nor get lost

Cause: callers who come back to another VM read their prompt again when it does not know where their run was. Notes went to the store alone, which is slow or away just when VMs die; a write begun while another one was under way gave that one up (one connection, one question), and a write that failed was dropped, so a VM whose zone had been cut off never told of its runs. Ruled out: shorter gathering for the store alone (each call has a price, and it does not help while the store is away). The store's writes go one at a time, and what failed goes out again with the next one while its stream runs. Both new tests of the store's writes failed on the old code.

--- /dev/null
+++ b/test/PeerRunLocationsTest.cpp
@@ -0,0 +1,155 @@
+#include "PeerRunLocations.h"
+#include "PeerFeeds.h"
+#include "StoreRunLocations.h"
+#include "lupinknot/ManualClock.h"
+#include "standin/StoreStandIn.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+using namespace lupinknot::platform;
+
+namespace {
+
+// Far longer than anything here takes: reached only by a test that fails.
+constexpr std::chrono::seconds patience { 20 };
+
+// A VM with its address for other VMs, and a store that does not answer it.
+struct TellingVm {
+    TellingVm(boost::asio::io_context& ioContext, const std::string& name, std::int64_t storePort)
+        : registry(ioContext, { "127.0.0.1", storePort }, { name, "a", {} }, {}, [](const auto&) {})
+        , feeds(ioContext, { "127.0.0.1", 0 }, registry)
+        , stored(ioContext, { "127.0.0.1", storePort })
+    {
+        CHECK_FALSE(feeds.start().has_value());
+        entry = { name, "a", { "127.0.0.1", feeds.port() } };
+        locations = std::make_unique<PeerRunLocations>(ioContext, clock, entry, stored);
+        feeds.take(PeerRunLocations::tellPath, [this](const std::string& body) { return locations->take(body); });
+        feeds.tell(
+            PeerRunLocations::askPath, [this](const std::string& promptId) { return locations->tell(promptId); });
+    }
+
+    ManualClock clock;
+    VmRegistry registry;
+    PeerFeeds feeds;
+    StoreRunLocations stored;
+    VmEntry entry;
+    std::unique_ptr<PeerRunLocations> locations;
+};
+
+} // namespace
+
+TEST_GROUP(PeerRunLocations)
+{
+    std::unique_ptr<boost::asio::io_context> ioContext;
+    std::unique_ptr<StoreStandIn> store;
+    std::vector<std::unique_ptr<TellingVm>> vms;
+
+    void setup() override
+    {
+        ioContext = std::make_unique<boost::asio::io_context>();
+        store = std::make_unique<StoreStandIn>(*ioContext);
+        store->start();
+        store->setFault(StoreFault::Unavailable);
+    }
+
+    void teardown() override
+    {
+        vms.clear();
+        store.reset();
+        ioContext.reset();
+    }
+
+    void addVms(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            vms.push_back(std::make_unique<TellingVm>(*ioContext, "vm" + std::to_string(i), store->port()));
+        for (const auto& vm : vms) {
+            std::vector<VmEntry> others;
+            for (const auto& other : vms) {
+                if (other != vm)
+                    others.push_back(other->entry);
+            }
+            vm->locations->setOthers(others);
+        }
+    }
+
+    bool runUntil(const std::function<bool()>& condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + patience;
+        while (!condition()) {
+            if (std::chrono::steady_clock::now() > end)
+                return false;
+            ioContext->run_one_for(std::chrono::milliseconds(20));
+            ioContext->restart();
+        }
+        return true;
+    }
+
+    // How many VMs beside the first keep the prompt's location.
+    std::size_t keptElsewhere(const std::string& promptId) const
+    {
+        return static_cast<std::size_t>(std::count_if(vms.begin() + 1, vms.end(),
+            [&](const std::unique_ptr<TellingVm>& vm) { return vm->locations->tell(promptId).has_value(); }));
+    }
+
+    std::string find(TellingVm & vm, const std::string& promptId)
+    {
+        std::string found;
+        vm.locations->find(promptId, [&found](const std::optional<RunLocation>& location) {
+            found = location ? location->endpointId + " " + location->copyHolderId + " " + location->requestId : "none";
+        });
+        CHECK_TEXT(runUntil([&] { return !found.empty(); }), "a search has to end");
+        return found;
+    }
+};
+
+TEST(PeerRunLocations, AnyVmFindsARunOfADeadVmWhileTheStoreIsAway)
+{
+    addVms(6);
+    vms[0]->locations->note("91bd", { "e1", "e2", "r1" });
+    CHECK(runUntil([&] { return keptElsewhere("91bd") >= 2; }));
+    vms[0].reset();
+    for (std::size_t i = 1; i < vms.size(); ++i)
+        STRCMP_EQUAL("e1 e2 r1", find(*vms[i], "91bd").c_str());
+}
+
+TEST(PeerRunLocations, TheStoreIsAskedToo)
+{
+    addVms(2);
+    store->setFault(StoreFault::None);
+    StoreRunLocations writer(*ioContext, { "127.0.0.1", store->port() });
+    writer.hurry();
+    writer.note("91bd", { "e1", "e2", "r1" });
+    CHECK(runUntil([&] { return store->value("runs", "91bd").has_value(); }));
+    STRCMP_EQUAL("e1 e2 r1", find(*vms[1], "91bd").c_str());
+}
+
+TEST(PeerRunLocations, ASearchThatFindsNothingEnds)
+{
+    addVms(3);
+    vms[2].reset();
+    STRCMP_EQUAL("none", find(*vms[0], "91bd").c_str());
+}
+
+TEST(PeerRunLocations, ANoteThatIsNotSentYetIsNotSentOnceItsRunHasEnded)
+{
+    addVms(4);
+    vms[0]->locations->note("91bd", { "e1", "e2", "r1" });
+    vms[0]->locations->forget("91bd");
+    vms[0]->locations->note("77aa", { "e1", "e2", "r2" });
+    CHECK(runUntil([&] { return keptElsewhere("77aa") >= 2; }));
+    LONGS_EQUAL(0, keptElsewhere("91bd"));
+}
+
+TEST(PeerRunLocations, RefusesWhatItCannotRead)
+{
+    addVms(1);
+    for (const auto* const text : { "", "[]", "7", "{" })
+        CHECK_FALSE_TEXT(vms[0]->locations->take(text), text);
+    CHECK(vms[0]->locations->take(R"({"91bd":7})"));
+    CHECK_FALSE(vms[0]->locations->tell("91bd").has_value());
+}
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -355,6 +355,30 @@
     CHECK_FALSE(store->value("runs", "p1").has_value());
 }
 
+TEST(PlatformStore, NotesThatTheStoreRefusedAreWrittenOnceItIsBack)
+{
+    store->setFault(StoreFault::Unavailable);
+    StoreRunLocations writer(*ioContext, { "127.0.0.1", store->port() });
+    writer.hurry();
+    writer.note("p1", { "e1", "e2", "r1" });
+    CHECK(runUntil([&] { return store->callCount() > 0; }));
+    store->setFault(StoreFault::None);
+    CHECK(runUntil([&] { return store->value("runs", "p1").has_value(); }));
+}
+
+TEST(PlatformStore, ANoteDoesNotGiveUpTheWriteThatIsUnderWay)
+{
+    store->setFault(StoreFault::Silent);
+    StoreRunLocations writer(*ioContext, { "127.0.0.1", store->port() });
+    writer.hurry();
+    writer.note("p1", { "e1", "e2", "r1" });
+    CHECK(runUntil([&] { return store->callCount() == 1; }));
+    store->setFault(StoreFault::None);
+    writer.note("p2", { "e1", "e2", "r2" });
+    CHECK(runUntil([&] { return store->value("runs", "p2").has_value(); }));
+    CHECK(store->value("runs", "p1").has_value());
+}
+
 TEST(PlatformStore, AVmOfALargeZoneHasItsNotesWrittenByTheReader)
 {
     SharedReading shared(*ioContext);
