A stream that no engine can end in the time that is left is refused at once

Ruled out: giving up by the hint of the answer's length (it is far off often); by the most that it may hold (answers are shorter). A stream is refused when reading its prompt (nothing, where its engine may have kept it) and the events that it lacks at least would take longer than the time left at the fastest pace in twenty. It is told to come back when that time is over.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -21,6 +21,8 @@
 
 constexpr unsigned okStatus = 200;
 constexpr unsigned firstServerError = 500;
+// A request is given up beforehand only if it could not end in time though all went as fast as one time in twenty.
+constexpr double fastestShare = 0.05;
 
 } // namespace
 
@@ -149,7 +151,13 @@
             startRunAt(holder, CopySource { holder->entry().address, m_copyName });
         return;
     }
-    if (const auto earlier = std::exchange(m_earlierEngine, nullptr); earlier && isSound(*earlier)) {
+    const auto earlier = std::exchange(m_earlierEngine, nullptr);
+    const bool isPromptKept = earlier && isSound(*earlier);
+    if (m_possibleRuns == 0 && lacksTime(isPromptKept)) {
+        giveUp(RefusalReason::TooLittleTime);
+        return;
+    }
+    if (isPromptKept) {
         if (mayStartRun())
             startRunAt(earlier, std::nullopt);
         return;
@@ -173,6 +181,28 @@
         startRunAt(endpoint, std::nullopt);
 }
 
+bool EventStreamCall::lacksTime(bool isPromptKept) const
+{
+    auto& pace = m_context.pace(m_request.service);
+    const double readTime
+        = isPromptKept ? 0 : pace.readTimePerToken.quantile(fastestShare) * m_request.fields.promptTokens;
+    const auto leastEvents = pace.answerShare.quantile(fastestShare) * static_cast<double>(mostEvents());
+    const auto missing = std::max(leastEvents - static_cast<double>(lastEventId()), 0.0);
+    const auto needed = readTime + missing * pace.eventInterval.quantile(fastestShare);
+    const auto left = m_request.deadline - m_context.now();
+    if (needed <= static_cast<double>(left.count()))
+        return false;
+    LogEvent("stream.lacks-time")
+        .text("request", m_request.fields.requestId)
+        .number("left_ms", left.count())
+        .number("needed_ms", static_cast<std::int64_t>(needed))
+        .number("after_event", static_cast<std::int64_t>(lastEventId()))
+        .flag("is_prompt_kept", isPromptKept)
+        .number("samples", static_cast<std::int64_t>(pace.eventInterval.sampleCount()))
+        .write();
+    return true;
+}
+
 std::shared_ptr<RelayEndpoint> EventStreamCall::soundCopyHolder() const
 {
     return m_copyHolder && isSound(*m_copyHolder) ? m_copyHolder : nullptr;
@@ -317,6 +347,7 @@
     if (!m_isHeadSent) {
         m_isHeadSent = true;
         m_firstEventAt = now;
+        notePromptRead(run, now);
         LogEvent("stream.first-event", LogImportance::Routine)
             .text("request", m_request.fields.requestId)
             .text("endpoint", run.endpoint->entry().id)
@@ -329,6 +360,16 @@
     m_request.exchange->wake();
 }
 
+// Only whole prompts of a first sending show how fast engines read: others may find parts of theirs kept.
+void EventStreamCall::notePromptRead(const StreamRun& run, Milliseconds now)
+{
+    const auto tokens = m_request.fields.promptTokens;
+    if (tokens == 0 || m_request.fields.lastEventId || run.isFromCopy)
+        return;
+    const auto time = static_cast<double>((now - run.startedAt).count());
+    m_context.pace(m_request.service).readTimePerToken.add(time / tokens, now);
+}
+
 void EventStreamCall::noteResumed(const StreamRun& run, Milliseconds now)
 {
     const auto gap = m_lastEventAt.count() ? now - m_lastEventAt : Milliseconds { 0 };
@@ -475,15 +516,20 @@
         && !m_context.directory.isZoneAvoided(run.endpoint->entry().availabilityZone, now);
 }
 
+std::int64_t EventStreamCall::mostEvents() const
+{
+    const auto* service = m_context.configuration->findService(m_request.service);
+    const auto tokensPerEvent = service ? service->tokensPerEvent : 0;
+    return tokensPerEvent == 0 ? 0 : static_cast<std::int64_t>(m_request.fields.maxAnswerTokens / tokensPerEvent);
+}
+
 // How long the stream will probably go on, from its pace so far and the most that it may hold.
 Milliseconds EventStreamCall::expectedRest(Milliseconds now) const
 {
-    const auto* service = m_context.configuration->findService(m_request.service);
     const auto made = static_cast<std::int64_t>(lastEventId());
-    const auto tokensPerEvent = service ? service->tokensPerEvent : 0;
-    if (tokensPerEvent == 0 || m_request.fields.maxAnswerTokens == 0 || m_events.length() < 2)
+    const auto most = mostEvents();
+    if (most == 0 || m_events.length() < 2)
         return Milliseconds::max();
-    const auto most = static_cast<std::int64_t>(m_request.fields.maxAnswerTokens / tokensPerEvent);
     const auto pace = (now - m_firstEventAt) / static_cast<std::int64_t>(m_events.length());
     return std::max<std::int64_t>(most - made, 0) * pace;
 }
@@ -576,11 +622,24 @@
     m_isComplete = true;
     if (m_context.runLocations)
         m_context.runLocations->forget(m_request.fields.promptId);
+    noteWholeAnswer();
     logEnd("complete", m_run->head.status);
     m_request.exchange->wake();
     finish();
 }
 
+void EventStreamCall::noteWholeAnswer()
+{
+    auto& pace = m_context.pace(m_request.service);
+    const auto now = m_context.now();
+    if (mostEvents() > 0)
+        pace.answerShare.add(static_cast<double>(lastEventId()) / static_cast<double>(mostEvents()), now);
+    if (m_events.length() > 1) {
+        const auto time = static_cast<double>((m_lastEventAt - m_firstEventAt).count());
+        pace.eventInterval.add(time / static_cast<double>(m_events.length() - 1), now);
+    }
+}
+
 void EventStreamCall::giveUp(RefusalReason reason)
 {
     if (!m_isHeadSent) {
@@ -595,7 +654,11 @@
 void EventStreamCall::refuse(RefusalReason reason)
 {
     logEnd(traitsOf(reason).name, traitsOf(reason).status);
-    m_request.exchange->respond(refusal(m_context, reason));
+    std::optional<Milliseconds> comeBackIn;
+    // To come back within the same time would end no better.
+    if (reason == RefusalReason::TooLittleTime)
+        comeBackIn = std::max(m_request.deadline - m_context.now(), m_context.settings.retryAfter);
+    m_request.exchange->respond(refusal(m_context, reason, comeBackIn));
     finish();
 }
 
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -44,6 +44,8 @@
     bool isSound(const RelayEndpoint&) const;
     // Tells other VMs where the run is.
     void noteLocation();
+    // True when no engine can finish the stream in the time that is left, because most of it is gone already.
+    bool lacksTime(bool isPromptKept) const;
     // Starts a run somewhere, or waits for an endpoint, or gives the request up.
     void startRun();
     void startRunAt(const std::shared_ptr<RelayEndpoint>&, std::optional<CopySource>);
@@ -54,6 +56,9 @@
     bool mayStartRun();
 
     void takeEvents(StreamRun&, std::vector<WholeEvent>&&);
+    // What a first event and a whole answer show of the service's pace.
+    void notePromptRead(const StreamRun&, Milliseconds now);
+    void noteWholeAnswer();
     void noteResumed(const StreamRun&, Milliseconds now);
     void settleWholeAnswer(const std::shared_ptr<StreamRun>&);
     void runLost(FailureKind);
@@ -62,6 +67,8 @@
 
     // True when the run would have to begin anew if its engine failed now.
     bool lacksCopy(const StreamRun&, Milliseconds now) const;
+    // The most events that the whole answer may have; 0 when unknown.
+    std::int64_t mostEvents() const;
     Milliseconds expectedRest(Milliseconds now) const;
     bool mayRelocate(const StreamRun&, Milliseconds now) const;
     // Moves the run ahead if it lacks a copy and a move is worth it.
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -3,6 +3,7 @@
 
 #include "lupinknot/Clock.h"
 #include "relay/RetryBudget.h"
+#include "relay/ServicePace.h"
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <string>
@@ -29,11 +30,13 @@
     // The newest version; null until one is known.
     std::shared_ptr<const RelayConfiguration> configuration;
     std::unordered_map<std::string, RetryBudget> retryBudgets;
+    std::unordered_map<std::string, ServicePace> paces;
     // Null where VMs tell each other nothing.
     RunLocations* runLocations { nullptr };
     bool isStopping { false };
 
     Milliseconds now() const { return clock.now(); }
+    ServicePace& pace(const std::string& service) { return paces[service]; }
     RetryBudget& retryBudget(const std::string& service)
     {
         return retryBudgets.try_emplace(service, settings).first->second;
--- a/src/relay/RelayRefusal.cpp
+++ b/src/relay/RelayRefusal.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<RefusalTraits, 11> refusalTable { {
+constexpr std::array<RefusalTraits, 12> refusalTable { {
     { RefusalReason::Malformed, "malformed", 400, true, "the request lacks a field or has one that cannot be read" },
     { RefusalReason::UnknownKey, "unknown-key", 401, true, "the key belongs to no organisation; check the key" },
     { RefusalReason::UnknownRoute, "unknown-route", 404, true, "no route has this host and path" },
@@ -22,19 +22,21 @@
         "the endpoint failed and may have run the request" },
     { RefusalReason::TimedOut, "timed-out", 504, false, "no answer came in time; the request may have run" },
     { RefusalReason::TimedOutUnsent, "timed-out-unsent", 503, true, "no endpoint took the request in time; try again" },
+    { RefusalReason::TooLittleTime, "too-little-time", 503, true,
+        "no engine can make the answer in the time that is left; ask again with more" },
 } };
 
 } // namespace
 
 const RefusalTraits& traitsOf(RefusalReason reason) { return refusalTable[static_cast<std::size_t>(reason)]; }
 
-HttpResponse refusal(const RelayContext& context, RefusalReason reason)
+HttpResponse refusal(const RelayContext& context, RefusalReason reason, std::optional<Milliseconds> comeBackIn)
 {
     const auto& traits = traitsOf(reason);
     auto response = errorResponse({ traits.status, std::string(traits.name), std::string(traits.message), "",
         traits.isNotRun ? RunOutcome::NotRun : RunOutcome::Unknown, std::nullopt });
     if (traits.status == 503) {
-        const auto field = context.protocol.encodeRetryAfter(context.settings.retryAfter);
+        const auto field = context.protocol.encodeRetryAfter(comeBackIn.value_or(context.settings.retryAfter));
         response.headers.add(field.name, field.value);
     }
     return response;
--- a/src/relay/RelayRefusal.h
+++ b/src/relay/RelayRefusal.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "http/HttpResponse.h"
+#include "lupinknot/Clock.h"
 #include "lupinknot/EnumNames.h"
+#include <optional>
 
 namespace lupinknot::internal {
 
@@ -20,6 +22,7 @@
     EndpointFailed,
     TimedOut,
     TimedOutUnsent,
+    TooLittleTime,
 };
 
 // One row of the table of what each reason tells the caller.
@@ -34,7 +37,7 @@
 
 const RefusalTraits& traitsOf(RefusalReason);
 
-// The answer for a reason; one that has not run says when to come back.
-HttpResponse refusal(const RelayContext&, RefusalReason);
+// The answer for a reason; one that has not run says when to come back: after the time given, or the usual one.
+HttpResponse refusal(const RelayContext&, RefusalReason, std::optional<Milliseconds> comeBackIn = std::nullopt);
 
 } // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/ServicePace.h
@@ -0,0 +1,25 @@
+// How fast a service is, as this VM sees it: what decisions that depend on speed are taken from.
+//
+// Each figure has a stated value for the time before anything has been seen (Estimate). Figures hold for a service, not
+// for single endpoints: a VM sends each endpoint a request every few seconds, too few to tell it from the others.
+// Used on the relay's thread only. Lives for the process.
+#pragma once
+
+#include "relay/Estimate.h"
+
+namespace lupinknot::internal {
+
+struct ServicePace {
+    // Milliseconds from sending a call to its whole answer, first attempts of plain calls only. Stated: the time after
+    // which a second sending paid on the first customers' services, whose calls take 15 to 30 ms of work.
+    Estimate callTime { 75 };
+    // Milliseconds that a token of a prompt takes to be read, from sending a request to its first event. Stated: that
+    // of an engine that reads 5 tokens a millisecond and nothing else.
+    Estimate readTimePerToken { 0.2 };
+    // Milliseconds between two events of a run, on average over the run. Stated: the first customers' engines, alone.
+    Estimate eventInterval { 31 };
+    // Events of whole answers, as share of the most that the request allowed. Stated: half of it.
+    Estimate answerShare { 0.5 };
+};
+
+} // namespace lupinknot::internal
--- a/test/EventStreamCallTest.cpp
+++ b/test/EventStreamCallTest.cpp
@@ -182,6 +182,35 @@
     STRCMP_EQUAL("0.250", caller->header("Retry-After").c_str());
 }
 
+// To read 9000 tokens takes 1.8 s at the pace that is assumed as long as nothing has been seen.
+TEST(EventStreamCall, RefusesAtOnceARequestThatNoEngineCanEndInTheTimeThatIsLeft)
+{
+    auto& engine = relay->addEndpoint("e1");
+    engine.onRequest(sends(1, 3));
+    ready();
+    const auto caller = relay->call("/stream/1", { { "X-Deadline-Ms", "1000" }, { "X-Token-Usage", "9000,10" } });
+    await(caller);
+    LONGS_EQUAL(503, caller->head.status);
+    LONGS_EQUAL_TEXT(0, engine.requests().size(), "a request that is refused has not run");
+    const auto comeBackIn = std::stod(caller->header("Retry-After"));
+    CHECK_TEXT(comeBackIn > 0.25 && comeBackIn <= 1.0, "to come back within the same time would end no better");
+}
+
+TEST(EventStreamCall, CountsOnlyTheEventsThatACallerWhoComesBackStillLacks)
+{
+    auto& engine = relay->addEndpoint("e1");
+    engine.onRequest(sends(95, 100));
+    ready();
+    // Half of at most 100 events is assumed: 1.6 s from the first one on, nothing behind the 94th.
+    const auto whole = relay->call("/stream/1", { { "X-Deadline-Ms", "1200" }, { "X-Token-Usage", "500,500" } }, "r1");
+    await(whole);
+    LONGS_EQUAL(503, whole->head.status);
+    const HttpHeaders back { { "X-Deadline-Ms", "1200" }, { "X-Token-Usage", "500,500" }, { "Last-Event-Id", "94" } };
+    const auto rest = relay->call("/stream/1", back, "r1");
+    await(rest);
+    STRCMP_EQUAL(events(95, 100).c_str(), rest->body.c_str());
+}
+
 TEST(EventStreamCall, MovesARunWhoseCopyHasDied)
 {
     relay->settings.relocateUnlessDoneWithin = Milliseconds { 0 };
