A new prompt goes to the engine that delays streams least by its own report of load

Cause: a VM knows its own calls alone. Ruled out: engines that only read (moves cost copies and prompts meet more often); a fixed pace in the forecast (it does not fit slower engines); X-Server-Load on answers (it comes with the first event, a second late). Change: EngineSurvey asks the four best engines by own knowledge for their report, all at once, and waits no longer than twice the first answer; EngineForecast reckons the delay of the request's own first event and of the runs beside it, from prompts being read and waiting, runs, memory and what this VM sent there since; the pace and the usual prompt are learned (ServicePace). VMs differ by a random part of 0.3 reading times, so that they do not all choose alike. A report that is absent, negative or absurd is not believed, or bounded. Callers who come back go where their prompt was read.

--- a/src/relay/CallProtocol.h
+++ b/src/relay/CallProtocol.h
@@ -8,6 +8,7 @@
 #include "http/HttpResponse.h"
 #include "http/SocketAddress.h"
 #include "lupinknot/Clock.h"
+#include "relay/EngineReport.h"
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -85,6 +86,10 @@
     virtual AnswerFields decodeAnswer(const HttpResponse& head) const = 0;
     // Asks an engine for its state; any answer proves that it lives.
     virtual HttpRequest encodeStateQuery() const = 0;
+    // Asks an engine for its load, on a connection that may be kept.
+    virtual HttpRequest encodeLoadQuery() const = 0;
+    // Nothing when the answer is no report that can be read.
+    virtual std::optional<EngineReport> decodeLoad(const HttpResponse&) const = 0;
     // Has an engine copy a run's memory to another one, and stop the run first where that is wanted.
     virtual HttpRequest encodeMoveRun(
         const std::string& requestId, const SocketAddress& target, bool stopsRun) const = 0;
--- /dev/null
+++ b/src/relay/EngineSurvey.cpp
@@ -0,0 +1,90 @@
+#include "relay/EngineSurvey.h"
+
+#include "common/EventLog.h"
+#include "http/HttpQuestion.h"
+#include "relay/CallProtocol.h"
+#include "relay/RelayContext.h"
+#include "relay/RelayEndpoint.h"
+#include "relay/RelayMetrics.h"
+#include "relay/RelaySettings.h"
+
+namespace lupinknot::internal {
+
+std::shared_ptr<EngineSurvey> EngineSurvey::start(RelayContext& context, const Engines& engines, Callback callback)
+{
+    std::shared_ptr<EngineSurvey> survey(new EngineSurvey(context, std::move(callback)));
+    survey->m_open = engines.size();
+    for (const auto& engine : engines)
+        survey->ask(engine);
+    survey->m_timer.expires_after(context.settings.surveyTimeout);
+    survey->awaitRest();
+    return survey;
+}
+
+EngineSurvey::EngineSurvey(RelayContext& context, Callback callback)
+    : m_context(context)
+    , m_callback(std::move(callback))
+    , m_startedAt(context.now())
+    , m_timer(context.ioContext)
+{
+}
+
+void EngineSurvey::ask(const std::shared_ptr<RelayEndpoint>& engine)
+{
+    const auto& settings = m_context.settings;
+    const auto connection = engine->takeConnection(m_context.now(), settings.maxRest, settings.restMargin);
+    m_context.metrics.engineProbes.Increment();
+    m_questions.push_back(HttpQuestion::ask(m_context.ioContext, connection, m_context.protocol.encodeLoadQuery(),
+        settings.surveyTimeout, [weak = weak_from_this(), engine, connection](const HttpOutcome& outcome) {
+            if (const auto self = weak.lock())
+                self->answered(engine, connection, outcome);
+        }));
+}
+
+void EngineSurvey::answered(const std::shared_ptr<RelayEndpoint>& engine,
+    const std::shared_ptr<ClientConnection>& connection, const HttpOutcome& outcome)
+{
+    const auto now = m_context.now();
+    const auto report = outcome.answer ? m_context.protocol.decodeLoad(*outcome.answer) : std::nullopt;
+    if (report) {
+        engine->noteLife(now);
+        engine->noteReport(*report, now);
+        engine->giveBack(connection, now);
+        m_answered.push_back(engine);
+    } else {
+        LogEvent("survey.unanswered")
+            .text("endpoint", engine->entry().id)
+            .text("problem", outcome.answer ? "unreadable" : outcome.problem)
+            .number("status", outcome.answer ? outcome.answer->status : 0)
+            .write();
+    }
+    --m_open;
+    if (m_open == 0) {
+        end();
+        return;
+    }
+    // Those that are still to answer get as long again as this one took.
+    m_timer.expires_after(
+        std::min(std::max(now - m_startedAt, m_context.settings.surveyShortestWait), m_context.settings.surveyTimeout));
+    awaitRest();
+}
+
+void EngineSurvey::awaitRest()
+{
+    m_timer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self)
+            self->end();
+    });
+}
+
+void EngineSurvey::end()
+{
+    const auto self = shared_from_this();
+    m_timer.cancel();
+    m_questions.clear();
+    if (const auto callback = std::exchange(m_callback, nullptr))
+        callback(m_answered);
+}
+
+} // namespace lupinknot::internal
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -3,6 +3,8 @@
 #include "common/EventLog.h"
 #include "http/HttpBodySource.h"
 #include "relay/EndpointDirectory.h"
+#include "relay/EngineForecast.h"
+#include "relay/EngineSurvey.h"
 #include "relay/Placement.h"
 #include "relay/RelayConfiguration.h"
 #include "relay/RelayContext.h"
@@ -170,6 +172,8 @@
     PlacementRequest wanted { .service = m_request.service, .excluded = m_failed, .zonesToLeave = zonesToLeave };
     wanted.promptId = m_request.fields.promptId;
     wanted.preference = m_request.fields.lastEventId ? settings.returningPreference : settings.promptPreference;
+    if (survey(wanted))
+        return;
     auto endpoint = m_context.placement.choose(wanted, now);
     if (!endpoint && !m_failed.empty())
         endpoint = m_context.placement.choose({ .service = m_request.service, .mustBeSound = true }, now);
@@ -203,6 +207,60 @@
     return true;
 }
 
+bool EventStreamCall::survey(const PlacementRequest& wanted)
+{
+    const auto* service = m_context.configuration->findService(m_request.service);
+    // An engine that may have kept the prompt is better than any other.
+    if (!service || !service->isEngine || m_request.fields.lastEventId)
+        return false;
+    auto sound = wanted;
+    sound.mustBeSound = true;
+    const auto engines = m_context.placement.candidates(sound, m_context.settings.surveySize, m_context.now());
+    if (engines.size() < 2)
+        return false;
+    m_survey
+        = EngineSurvey::start(m_context, engines, [weak = weak_from_this()](const EngineSurvey::Engines& answered) {
+              const auto self = weak.lock();
+              if (self && !self->m_isFinished)
+                  self->surveyed(answered);
+          });
+    return true;
+}
+
+void EventStreamCall::surveyed(const std::vector<std::shared_ptr<RelayEndpoint>>& answered)
+{
+    m_survey.reset();
+    const EngineWork work { m_request.fields.promptTokens, m_request.fields.maxAnswerTokens };
+    const auto pace = m_context.pace(m_request.service).engine();
+    auto engine = m_context.placement.chooseReported(answered, work, pace);
+    if (!engine)
+        engine = m_context.placement.choose({ .service = m_request.service, .excluded = m_failed }, m_context.now());
+    if (!engine) {
+        waitForEndpoint();
+        return;
+    }
+    if (!mayStartRun())
+        return;
+    logChoice(*engine, answered.size(), forecastDelay(work, *engine, pace));
+    startRunAt(engine, std::nullopt);
+}
+
+void EventStreamCall::logChoice(const RelayEndpoint& engine, std::size_t answered, Milliseconds forecast) const
+{
+    const auto report = engine.report() ? *engine.report() : EngineReport {};
+    LogEvent("stream.engine-chosen", LogImportance::Routine)
+        .text("request", m_request.fields.requestId)
+        .text("endpoint", engine.entry().id)
+        .number("answered", static_cast<std::int64_t>(answered))
+        .number("forecast_ms", forecast.count())
+        .number("being_read", report.promptsBeingRead)
+        .number("waiting", report.promptsWaiting)
+        .number("generating", report.generating)
+        .number("memory_used", static_cast<std::int64_t>(report.memoryUsed))
+        .number("own_being_read", engine.promptsBeingRead())
+        .write();
+}
+
 std::shared_ptr<RelayEndpoint> EventStreamCall::soundCopyHolder() const
 {
     return m_copyHolder && isSound(*m_copyHolder) ? m_copyHolder : nullptr;
@@ -258,6 +316,8 @@
     ++m_sendings;
     ++m_arrivals;
     ++m_possibleRuns;
+    if (!run->isFromCopy)
+        run->reading = std::make_unique<ReadingMark>(endpoint);
     m_run = run;
     noteLocation();
     const auto request = m_context.protocol.encodeForward(exchange->request(), fields);
@@ -342,6 +402,7 @@
     if (!run.hasEvent && m_lossAt)
         noteResumed(run, now);
     run.hasEvent = true;
+    run.reading.reset();
     m_lastEventAt = now;
     m_watch->noteEvent();
     if (!m_isHeadSent) {
@@ -367,7 +428,9 @@
     if (tokens == 0 || m_request.fields.lastEventId || run.isFromCopy)
         return;
     const auto time = static_cast<double>((now - run.startedAt).count());
-    m_context.pace(m_request.service).readTimePerToken.add(time / tokens, now);
+    auto& pace = m_context.pace(m_request.service);
+    pace.readTimePerToken.add(time / tokens, now);
+    pace.promptTokens.add(tokens, now);
 }
 
 void EventStreamCall::noteResumed(const StreamRun& run, Milliseconds now)
@@ -429,6 +492,7 @@
     const auto now = m_context.now();
     --m_possibleRuns;
     m_watch->stop();
+    run->reading.reset();
     LogEvent("stream.turned-away")
         .text("request", m_request.fields.requestId)
         .text("endpoint", run->endpoint->entry().id)
@@ -461,6 +525,7 @@
     const auto now = m_context.now();
     const auto& settings = m_context.settings;
     const bool wasSent = run->call->hasSent();
+    run->reading.reset();
     run->call->cancel();
     m_watch->stop();
     dropRelocation();
@@ -685,6 +750,7 @@
     m_deadlineTimer.cancel();
     m_retryTimer.cancel();
     m_watch->stop();
+    m_survey.reset();
     dropRelocation();
     if (const auto run = std::exchange(m_run, nullptr))
         run->call->cancel();
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -18,6 +18,8 @@
 
 namespace lupinknot::internal {
 
+class EngineSurvey;
+struct PlacementRequest;
 class RunRelocation;
 class RunWatch;
 struct RunLocation;
@@ -49,6 +51,10 @@
     // Starts a run somewhere, or waits for an endpoint, or gives the request up.
     void startRun();
     void startRunAt(const std::shared_ptr<RelayEndpoint>&, std::optional<CopySource>);
+    // Asks the engines that come into question for their load, if there is a choice.
+    bool survey(const PlacementRequest&);
+    void surveyed(const std::vector<std::shared_ptr<RelayEndpoint>>& answered);
+    void logChoice(const RelayEndpoint&, std::size_t answered, Milliseconds forecast) const;
     std::shared_ptr<RelayEndpoint> chooseCopyHolder(const RelayEndpoint& engine);
     // The engine that holds a copy of the lost run's memory and looks sound, or null.
     std::shared_ptr<RelayEndpoint> soundCopyHolder() const;
@@ -92,6 +98,8 @@
     std::shared_ptr<StreamRun> m_run;
     // Null before the call begins.
     std::shared_ptr<RunWatch> m_watch;
+    // Set while engines are asked where the next run should begin.
+    std::shared_ptr<EngineSurvey> m_survey;
     std::shared_ptr<RunRelocation> m_relocation;
     // A relocation that was refused is tried again no earlier.
     Milliseconds m_nextRelocationAt { 0 };
--- a/src/relay/Placement.cpp
+++ b/src/relay/Placement.cpp
@@ -12,6 +12,10 @@
 // Costs, in calls under way. A call to another zone costs bytes between zones; docs/ROUTING.md has the trials.
 constexpr double otherZoneCost = 0.6;
 constexpr double randomCost = 0.3;
+// Costs of an engine that has reported its load, in times of reading the prompt: what another zone has to gain, and by
+// how much VMs differ that read the same reports, so that they do not all choose the same engine.
+constexpr double otherZoneReads = 0.3;
+constexpr double randomReads = 0.3;
 // An endpoint that failed lately is worse than any load, one in a failing zone too, and a leaving one is the last
 // resort.
 constexpr double failingZoneCost = 1000;
@@ -30,21 +34,50 @@
 
 std::shared_ptr<RelayEndpoint> Placement::choose(const PlacementRequest& request, Milliseconds now)
 {
+    const auto best = candidates(request, 1, now);
+    return best.empty() ? nullptr : best.front();
+}
+
+std::vector<std::shared_ptr<RelayEndpoint>> Placement::candidates(
+    const PlacementRequest& request, std::size_t count, Milliseconds now)
+{
+    struct Candidate {
+        double cost;
+        std::shared_ptr<RelayEndpoint> endpoint;
+    };
     const auto* const favourite = preferred(request, now);
-    std::shared_ptr<RelayEndpoint> best;
-    double lowest = 0;
+    std::vector<Candidate> found;
     for (const auto& endpoint : m_directory.endpointsOf(request.service)) {
         const auto& excluded = request.excluded;
         if (std::find(excluded.begin(), excluded.end(), endpoint) != excluded.end())
             continue;
         if (!endpoint->mayTakeWork(now, m_settings.leavingEndpointGrace))
             continue;
-        const auto found = cost(*endpoint, request, now) - (endpoint.get() == favourite ? request.preference : 0.0);
-        if (request.mustBeSound && found >= failingZoneCost)
-            continue;
-        if (!best || found < lowest) {
-            best = endpoint;
-            lowest = found;
+        const auto sum = cost(*endpoint, request, now) - (endpoint.get() == favourite ? request.preference : 0.0);
+        if (!request.mustBeSound || sum < failingZoneCost)
+            found.push_back({ sum, endpoint });
+    }
+    const auto end = found.begin() + static_cast<std::ptrdiff_t>(std::min(count, found.size()));
+    std::partial_sort(
+        found.begin(), end, found.end(), [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
+    std::vector<std::shared_ptr<RelayEndpoint>> best;
+    std::for_each(found.begin(), end, [&best](Candidate& candidate) { best.push_back(std::move(candidate.endpoint)); });
+    return best;
+}
+
+std::shared_ptr<RelayEndpoint> Placement::chooseReported(
+    const std::vector<std::shared_ptr<RelayEndpoint>>& engines, const EngineWork& work, const EnginePace& pace)
+{
+    std::shared_ptr<RelayEndpoint> best;
+    double lowest = 0;
+    const auto unit = static_cast<double>(readTime(work, pace).count());
+    for (const auto& engine : engines) {
+        auto delay = static_cast<double>(forecastDelay(work, *engine, pace).count()) + randomReads * unit * random();
+        if (engine->entry().availabilityZone != m_settings.availabilityZone)
+            delay += otherZoneReads * unit;
+        if (!best || delay < lowest) {
+            best = engine;
+            lowest = delay;
         }
     }
     return best;
--- a/src/relay/Placement.h
+++ b/src/relay/Placement.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "lupinknot/Clock.h"
+#include "relay/EngineForecast.h"
 #include <memory>
 #include <random>
 #include <string>
@@ -40,6 +41,12 @@
     Placement(const EndpointDirectory&, const RelaySettings&, std::uint64_t seed);
     // Null when no endpoint can take the request.
     std::shared_ptr<RelayEndpoint> choose(const PlacementRequest&, Milliseconds now);
+    // The endpoints that come first into question, best first: as many as are wanted, or fewer.
+    std::vector<std::shared_ptr<RelayEndpoint>> candidates(
+        const PlacementRequest&, std::size_t count, Milliseconds now);
+    // The best of some engines that have reported their load, by forecast.
+    std::shared_ptr<RelayEndpoint> chooseReported(
+        const std::vector<std::shared_ptr<RelayEndpoint>>&, const EngineWork&, const EnginePace&);
 
 private:
     // The preferred endpoint among the sound ones of the zone, or null.
--- /dev/null
+++ b/src/relay/ReadingMark.h
@@ -0,0 +1,23 @@
+// Says that an endpoint reads a prompt for this VM, as long as the mark lives. Used on the relay's thread only.
+#pragma once
+
+#include "relay/RelayEndpoint.h"
+
+namespace lupinknot::internal {
+
+class ReadingMark {
+public:
+    explicit ReadingMark(std::shared_ptr<RelayEndpoint> endpoint)
+        : m_endpoint(std::move(endpoint))
+    {
+        m_endpoint->readingStarted();
+    }
+    ~ReadingMark() { m_endpoint->readingEnded(); }
+    ReadingMark(const ReadingMark&) = delete;
+    ReadingMark& operator=(const ReadingMark&) = delete;
+
+private:
+    const std::shared_ptr<RelayEndpoint> m_endpoint;
+};
+
+} // namespace lupinknot::internal
--- a/src/relay/RelayEndpoint.h
+++ b/src/relay/RelayEndpoint.h
@@ -5,6 +5,7 @@
 
 #include "http/ClientConnection.h"
 #include "relay/EndpointEntry.h"
+#include "relay/EngineReport.h"
 #include <boost/asio/io_context.hpp>
 #include <deque>
 #include <memory>
@@ -33,6 +34,14 @@
     void callStarted() { ++m_inFlight; }
     void callEnded() { --m_inFlight; }
 
+    // Prompts that it reads for this VM; see ReadingMark.
+    unsigned promptsBeingRead() const { return m_promptsBeingRead; }
+    void readingStarted() { ++m_promptsBeingRead; }
+    void readingEnded() { --m_promptsBeingRead; }
+    // What it said of its load last, and when; nothing when it was never asked.
+    void noteReport(const EngineReport& report, Milliseconds now) { m_report = TimedReport { report, now }; }
+    const EngineReport* report() const { return m_report ? &m_report->report : nullptr; }
+
     // An endpoint leaves when its entry says so or is gone. One that says so gets no work; one whose entry has gone
     // gets some as a last resort, for a short while only.
     bool isLeaving() const { return m_leavingSince.has_value(); }
@@ -53,11 +62,18 @@
         Milliseconds since;
     };
 
+    struct TimedReport {
+        EngineReport report;
+        Milliseconds at;
+    };
+
     boost::asio::io_context& m_ioContext;
     EndpointEntry m_entry;
     const ClientConnectionSettings m_connectionSettings;
     std::deque<KeptConnection> m_kept;
     unsigned m_inFlight { 0 };
+    unsigned m_promptsBeingRead { 0 };
+    std::optional<TimedReport> m_report;
     std::optional<Milliseconds> m_leavingSince;
     bool m_isRemoved { false };
     Milliseconds m_avoidUntil { 0 };
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -76,6 +76,14 @@
     // Pause between two looks for an endpoint.
     Milliseconds endpointRetryInterval { 40 };
 
+    // Engines that are asked for their load before a prompt is sent to one of them: the best by what this VM knows.
+    // Each question has a price (docs/POLICY.md has the trials).
+    std::size_t surveySize { 4 };
+    // Time for them to answer. In a zone they take 1 to 2 ms, and the prompt then some hundred.
+    Milliseconds surveyTimeout { 60 };
+    // Once one has answered, the others get as long again, but no less than this.
+    Milliseconds surveyShortestWait { 5 };
+
     // How many calls more than others the engine may have that a prompt's hash prefers: for a new request, and for a
     // caller who comes back behind an event and whose prompt the engine has probably read.
     double promptPreference { 1.0 };
--- a/src/relay/ServicePace.h
+++ b/src/relay/ServicePace.h
@@ -5,6 +5,7 @@
 // Used on the relay's thread only. Lives for the process.
 #pragma once
 
+#include "relay/EngineForecast.h"
 #include "relay/Estimate.h"
 
 namespace lupinknot::internal {
@@ -20,6 +21,19 @@
     Estimate eventInterval { 31 };
     // Events of whole answers, as share of the most that the request allowed. Stated: half of it.
     Estimate answerShare { 0.5 };
+    // Tokens of prompts. Stated: the first customers'.
+    Estimate promptTokens { 5000 };
+
+    // What to forecast engines by: the prompt that is in the middle, and the pace of those that had an engine to
+    // themselves.
+    EnginePace engine() const
+    {
+        return { readTimePerToken.quantile(undisturbedShare), promptTokens.quantile(middleShare) };
+    }
+
+private:
+    static constexpr double undisturbedShare = 0.1;
+    static constexpr double middleShare = 0.5;
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/StreamRun.h
+++ b/src/relay/StreamRun.h
@@ -8,6 +8,7 @@
 #include "lupinknot/Generation.h"
 #include "relay/CallProtocol.h"
 #include "relay/EventSplitter.h"
+#include "relay/ReadingMark.h"
 #include <memory>
 
 namespace lupinknot::internal {
@@ -24,6 +25,8 @@
     HttpResponse head;
     AnswerFields fields;
     EventSplitter splitter;
+    // Set as long as the engine reads the prompt.
+    std::unique_ptr<ReadingMark> reading;
     Milliseconds startedAt { 0 };
     // When it was sent, or its last event came.
     Milliseconds lastActivity { 0 };
--- a/test/PlatformCallProtocolTest.cpp
+++ b/test/PlatformCallProtocolTest.cpp
@@ -107,6 +107,41 @@
     STRCMP_EQUAL("", unreadable.handle.c_str());
 }
 
+TEST(PlatformCallProtocol, ReadsAnEnginesLoad)
+{
+    const auto load = protocol.decodeLoad({ 200, {},
+        R"({"waiting":2,"running":3,"kv-used":41000,"kv-total":55000,"runs":[["a",5,1,5],["b",6,2,5]],"next-token":9})" });
+    CHECK(load.has_value());
+    LONGS_EQUAL_TEXT(1, load->promptsBeingRead, "a run that is not listed has made no event yet");
+    LONGS_EQUAL(2, load->promptsWaiting);
+    LONGS_EQUAL(2, load->generating);
+    LONGS_EQUAL(41000, load->memoryUsed);
+    LONGS_EQUAL(55000, load->memoryTotal);
+}
+
+TEST(PlatformCallProtocol, TakesNoLoadThatIsAbsentNegativeOrOfAnotherService)
+{
+    for (const auto* const text : { "", "[]", "{}", R"({"waiting":1,"running":1})", R"({"waiting":1,"runs":[]})",
+             R"({"waiting":-1,"running":1,"runs":[]})", R"({"waiting":1,"running":-3,"runs":[]})",
+             R"({"waiting":1,"running":"2","runs":[]})", R"({"waiting":1,"running":1.5,"runs":[]})",
+             R"({"waiting":1,"running":1,"runs":7})" })
+        CHECK_FALSE_TEXT(protocol.decodeLoad({ 200, {}, text }).has_value(), text);
+    CHECK_FALSE(protocol.decodeLoad({ 503, {}, R"({"waiting":1,"running":1,"runs":[]})" }).has_value());
+}
+
+TEST(PlatformCallProtocol, BoundsALoadThatLies)
+{
+    const auto load = protocol.decodeLoad({ 200, {},
+        R"({"waiting":18446744073709551615,"running":99999999,"kv-used":18446744073709551615,"kv-total":-1,"runs":[1]})" });
+    CHECK(load.has_value());
+    CHECK(load->promptsWaiting <= 1000 && load->promptsBeingRead <= 1000);
+    CHECK(load->memoryUsed <= 1000000000);
+    LONGS_EQUAL(0, load->memoryTotal);
+    LONGS_EQUAL_TEXT(0,
+        protocol.decodeLoad({ 200, {}, R"({"waiting":0,"running":1,"runs":[1,2,3]})" })->promptsBeingRead,
+        "more runs than are running");
+}
+
 TEST(PlatformCallProtocol, TellsCallersToComeBackInPartsOfASecond)
 {
     STRCMP_EQUAL("0.250", protocol.encodeRetryAfter(Milliseconds { 250 }).value.c_str());
--- a/test/RelayHarness.cpp
+++ b/test/RelayHarness.cpp
@@ -15,7 +15,7 @@
 {
     settings.availabilityZone = "a";
     m_builder.version(1);
-    m_builder.addService({ "s", 0, true, 5 });
+    m_builder.addService({ "s", 0, true, false, 5 });
 }
 
 RelayDaemon& RelayHarness::daemon()
@@ -28,6 +28,8 @@
     return *m_daemon;
 }
 
+void RelayHarness::useEngines() { m_builder.addService({ "s", 0, true, true, 5 }); }
+
 void RelayHarness::addRoute(const std::string& prefix, RequestKind kind, unsigned maxAttempts, bool isPublic)
 {
     Route route;
--- a/test/RelayHarness.h
+++ b/test/RelayHarness.h
@@ -36,6 +36,8 @@
 public:
     RelayHarness();
 
+    // The service's endpoints are engines that can be asked for their load.
+    void useEngines();
     // Adds a route at /PREFIX/ of the host h.
     void addRoute(const std::string& prefix, RequestKind, unsigned maxAttempts, bool isPublic = true);
     // Adds a route for plain calls of an organisation, and the key that it wants.
