Silence, patience and second sendings follow the pace that a VM has seen

Cause: 75 ms for the second sending of a call, 170 ms of silence and 0.3 ms of patience a prompt token fit the first customers' engines. Ruled out: a pace for each endpoint (a VM sends one a request every few seconds).

--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -32,9 +32,10 @@
     // Time for a connection to an endpoint to come about. A round trip is about 2 ms between zones and setting one up
     // costs an endpoint 1 ms; a lost opening packet is sent again only after a second.
     Milliseconds endpointConnectTimeout { 80 };
-    // Time after which an unanswered idempotent call is also sent to a second endpoint. Most calls take 15 to 30 ms of
-    // work, so only a few in a hundred get there.
-    Milliseconds hedgeDelay { 75 };
+    // Bounds of the time after which an unanswered idempotent call is also sent to a second endpoint; between them it
+    // follows from the calls that this VM has seen (ServicePace).
+    Milliseconds shortestHedgeDelay { 10 };
+    Milliseconds longestHedgeDelay { 2000 };
     // Longest rest after which a kept connection still carries a call that must not run twice. A peer may close a
     // resting connection at any time, and the call that crosses the close may have run.
     Milliseconds maxRestForSingleRun { 1500 };
@@ -43,8 +44,8 @@
     // Margin by which a kept connection is given up before its peer says it closes it.
     Milliseconds restMargin { 700 };
 
-    // Silence of a stream after which its engine is asked whether it lives. Events come every 30 ms, every 150 ms
-    // beside a prompt that is being read.
+    // Silence of a stream after which its engine is asked whether it lives, as long as the pace of the service is not
+    // known. Events come every 30 ms, every 150 ms beside a prompt that is being read.
     Milliseconds probeAfterSilence { 170 };
     // The same once another engine of the same availability zone has just failed.
     Milliseconds probeAfterSilenceInDoubt { 90 };
@@ -54,9 +55,8 @@
     Milliseconds probeInterval { 150 };
     // Silence after which a stream moves though its engine lives, counted as share of the route's longest pause.
     double moveAfterPauseShare { 0.75 };
-    // A stream waits for its first event this long per token of its prompt, and at least the fixed time, before its
-    // engine is asked. Engines read 5 tokens a millisecond when they read one prompt alone.
-    double prefillPatiencePerToken { 0.3 };
+    // A stream waits for its first event this long beyond the usual time of reading its prompt before its engine is
+    // asked.
     Milliseconds prefillPatience { 300 };
     // Time for an engine to copy a running request's memory to another one. 1.6 GB take 50 ms in a zone and 100 ms
     // between zones, queued behind other copies.
--- a/src/relay/RunWatch.cpp
+++ b/src/relay/RunWatch.cpp
@@ -81,12 +81,12 @@
 Milliseconds RunWatch::silenceBeforeQuestion(Milliseconds now) const
 {
     const auto& settings = m_context.settings;
+    const auto& pace = m_context.pace(m_request.service);
     if (m_context.directory.isZoneAvoided(m_run->endpoint->entry().availabilityZone, now))
         return settings.probeAfterSilenceInDoubt;
     if (m_run->hasEvent || m_run->isFromCopy)
-        return settings.probeAfterSilence;
-    const Milliseconds promptTokens { static_cast<std::int64_t>(m_request.fields.promptTokens) };
-    return settings.prefillPatience + shareOf(promptTokens, settings.prefillPatiencePerToken);
+        return pace.silenceBeforeQuestion(settings.probeAfterSilence);
+    return settings.prefillPatience + pace.silenceBeforeFirstEvent(m_request.fields.promptTokens);
 }
 
 void RunWatch::ask()
--- a/src/relay/ServicePace.h
+++ b/src/relay/ServicePace.h
@@ -31,7 +31,32 @@
         return { readTimePerToken.quantile(undisturbedShare), promptTokens.quantile(middleShare) };
     }
 
+    // Silence of a run after which its engine is asked whether it lives. While an engine reads a prompt, its other runs
+    // make an event in five times their own time. The setting holds until the pace is known.
+    Milliseconds silenceBeforeQuestion(Milliseconds setting) const
+    {
+        if (!eventInterval.isKnown())
+            return setting;
+        return milliseconds(intervalsOfSilence * eventInterval.quantile(undisturbedShare));
+    }
+
+    // The same before a run's first event, while its prompt is read or waits for others.
+    Milliseconds silenceBeforeFirstEvent(double tokens) const
+    {
+        return milliseconds(patienceShare * readTimePerToken.quantile(mostShare) * tokens);
+    }
+
+    // Time after which an unanswered call is also sent to a second endpoint.
+    Milliseconds hedgeDelay() const { return milliseconds(callTime.quantile(hedgedShare)); }
+
 private:
+    static Milliseconds milliseconds(double time) { return Milliseconds { static_cast<std::int64_t>(time) }; }
+
+    static constexpr double intervalsOfSilence = 5.5;
+    static constexpr double patienceShare = 1.5;
+    static constexpr double mostShare = 0.75;
+    // One call in twenty is sent twice.
+    static constexpr double hedgedShare = 0.95;
     static constexpr double undisturbedShare = 0.1;
     static constexpr double middleShare = 0.5;
 };
--- a/src/relay/WholeAnswerCall.cpp
+++ b/src/relay/WholeAnswerCall.cpp
@@ -97,7 +97,9 @@
 
 void WholeAnswerCall::armHedge()
 {
-    m_hedgeTimer.expires_after(m_context.settings.hedgeDelay);
+    const auto& settings = m_context.settings;
+    const auto usual = m_context.pace(m_request.service).hedgeDelay();
+    m_hedgeTimer.expires_after(std::clamp(usual, settings.shortestHedgeDelay, settings.longestHedgeDelay));
     m_hedgeTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
         const auto self = weak.lock();
         if (!error && self && !self->m_isFinished)
@@ -250,9 +252,17 @@
     refuse(wasSent ? RefusalReason::TimedOut : RefusalReason::TimedOutUnsent);
 }
 
+// Only a call that was sent once shows how long calls take: a second sending is sent because the first one is slow.
+void WholeAnswerCall::noteCallTime(Milliseconds now)
+{
+    if (m_tried.size() == 1)
+        m_context.pace(m_request.service).callTime.add(static_cast<double>((now - m_request.admittedAt).count()), now);
+}
+
 void WholeAnswerCall::answer(HttpResponse response, std::string_view outcome, std::string_view endpointId)
 {
     const auto now = m_context.now();
+    noteCallTime(now);
     LogEvent("request.done", LogImportance::Routine)
         .text("request", m_request.fields.requestId)
         .text("outcome", outcome)
--- a/src/relay/WholeAnswerCall.h
+++ b/src/relay/WholeAnswerCall.h
@@ -51,6 +51,7 @@
     bool hasOpenAttempt() const;
     Attempt& attemptOf(const EndpointCall&);
     void answer(HttpResponse, std::string_view outcome, std::string_view endpointId);
+    void noteCallTime(Milliseconds now);
     void refuse(RefusalReason);
     void finish();
 
--- a/test/WholeAnswerCallTest.cpp
+++ b/test/WholeAnswerCallTest.cpp
@@ -14,7 +14,7 @@
     {
         relay = std::make_unique<RelayHarness>();
         // No second sending to a slow endpoint, unless a test wants it.
-        relay->settings.hedgeDelay = Milliseconds { 100000 };
+        relay->settings.shortestHedgeDelay = relay->settings.longestHedgeDelay = Milliseconds { 100000 };
         relay->addRoute("once", RequestKind::NonIdempotent, 1);
         relay->addRoute("again", RequestKind::Idempotent, 2);
     }
@@ -189,7 +189,7 @@
 
 TEST(WholeAnswerCall, AsksASecondEndpointWhenTheFirstIsSlow)
 {
-    relay->settings.hedgeDelay = Milliseconds { 5 };
+    relay->settings.shortestHedgeDelay = relay->settings.longestHedgeDelay = Milliseconds { 5 };
     auto& slow = relay->addEndpoint("e1");
     relay->addEndpoint("e2", "b").onRequest(answers(200, "hello"));
     ready();
