Policies have names and can be switched off one at a time

Cause: what each mechanism is worth can be measured only if it can be switched off without changing the code. Ruled out: a table in the settings file (the platform lays that file out; the program's own settings tree is not built yet); switches by compile-time options (each would need a build of its own). All are on unless told otherwise.

--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -124,6 +124,8 @@
 
 void EndpointDirectory::noteFailure(const RelayEndpoint& endpoint, Milliseconds now)
 {
+    if (!m_settings.policies.has(Policy::ZoneAvoidance))
+        return;
     auto& zone = m_zones[endpoint.entry().availabilityZone];
     auto& failures = zone.failures;
     while (!failures.empty() && now - failures.front().at > m_settings.zoneFailureWindow)
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -90,16 +90,21 @@
         LogEvent("request.caller-gone").text("request", self->m_request.fields.requestId).write();
         self->finish();
     });
-    if (m_request.fields.lastEventId && !m_request.fields.promptId.empty() && m_context.runLocations)
+    if (m_request.fields.lastEventId && !m_request.fields.promptId.empty() && runLocations())
         findEarlierRun();
     else
         startRun();
 }
 
+RunLocations* EventStreamCall::runLocations() const
+{
+    return m_context.has(Policy::LocationHints) ? m_context.runLocations : nullptr;
+}
+
 // The caller has come back behind an event: another VM may have served it, and an engine has read its prompt.
 void EventStreamCall::findEarlierRun()
 {
-    m_context.runLocations->find(
+    runLocations()->find(
         m_request.fields.promptId, [weak = weak_from_this()](const std::optional<RunLocation>& location) {
             const auto self = weak.lock();
             if (self && !self->m_isFinished)
@@ -155,7 +160,7 @@
     }
     const auto earlier = std::exchange(m_earlierEngine, nullptr);
     const bool isPromptKept = earlier && isSound(*earlier);
-    if (m_possibleRuns == 0 && lacksTime(isPromptKept)) {
+    if (m_possibleRuns == 0 && m_context.has(Policy::TimeCheck) && lacksTime(isPromptKept)) {
         giveUp(RefusalReason::TooLittleTime);
         return;
     }
@@ -170,7 +175,8 @@
         zonesToLeave.push_back(m_failed.back()->entry().availabilityZone);
     const auto& settings = m_context.settings;
     PlacementRequest wanted { .service = m_request.service, .excluded = m_failed, .zonesToLeave = zonesToLeave };
-    wanted.promptId = m_request.fields.promptId;
+    if (m_context.has(Policy::PromptPreference))
+        wanted.promptId = m_request.fields.promptId;
     wanted.preference = m_request.fields.lastEventId ? settings.returningPreference : settings.promptPreference;
     if (survey(wanted))
         return;
@@ -211,7 +217,7 @@
 {
     const auto* service = m_context.configuration->findService(m_request.service);
     // An engine that may have kept the prompt is better than any other.
-    if (!service || !service->isEngine || m_request.fields.lastEventId)
+    if (!m_context.has(Policy::LoadSurvey) || !service || !service->isEngine || m_request.fields.lastEventId)
         return false;
     auto sound = wanted;
     sound.mustBeSound = true;
@@ -269,7 +275,8 @@
 std::shared_ptr<RelayEndpoint> EventStreamCall::chooseCopyHolder(const RelayEndpoint& engine)
 {
     const auto* service = m_context.configuration->findService(m_request.service);
-    if (!service || !service->copiesRunningMemory || !m_request.route->mayRunAgain())
+    if (!m_context.has(Policy::GrowingCopies) || !service || !service->copiesRunningMemory
+        || !m_request.route->mayRunAgain())
         return nullptr;
     const PlacementRequest wanted { .service = m_request.service,
         .excluded = m_failed,
@@ -328,8 +335,8 @@
 
 void EventStreamCall::noteLocation()
 {
-    if (m_context.runLocations && !m_request.fields.promptId.empty() && m_request.route->mayRunAgain())
-        m_context.runLocations->note(m_request.fields.promptId,
+    if (runLocations() && !m_request.fields.promptId.empty() && m_request.route->mayRunAgain())
+        runLocations()->note(m_request.fields.promptId,
             { m_run->endpoint->entry().id, m_run->copyHolder ? m_run->copyHolder->entry().id : "",
                 m_request.fields.requestId });
 }
@@ -425,7 +432,7 @@
 void EventStreamCall::notePromptRead(const StreamRun& run, Milliseconds now)
 {
     const auto tokens = m_request.fields.promptTokens;
-    if (tokens == 0 || m_request.fields.lastEventId || run.isFromCopy)
+    if (tokens == 0 || m_request.fields.lastEventId || run.isFromCopy || !m_context.has(Policy::LearnedPace))
         return;
     const auto time = static_cast<double>((now - run.startedAt).count());
     auto& pace = m_context.pace(m_request.service);
@@ -604,7 +611,8 @@
 void EventStreamCall::considerRelocation()
 {
     const auto now = m_context.now();
-    if (!m_relocation && now >= m_nextRelocationAt && lacksCopy(*m_run, now) && mayRelocate(*m_run, now))
+    if (m_context.has(Policy::MovesAhead) && !m_relocation && now >= m_nextRelocationAt && lacksCopy(*m_run, now)
+        && mayRelocate(*m_run, now))
         relocate();
 }
 
@@ -685,8 +693,8 @@
 void EventStreamCall::complete()
 {
     m_isComplete = true;
-    if (m_context.runLocations)
-        m_context.runLocations->forget(m_request.fields.promptId);
+    if (runLocations())
+        runLocations()->forget(m_request.fields.promptId);
     noteWholeAnswer();
     logEnd("complete", m_run->head.status);
     m_request.exchange->wake();
@@ -695,6 +703,8 @@
 
 void EventStreamCall::noteWholeAnswer()
 {
+    if (!m_context.has(Policy::LearnedPace))
+        return;
     auto& pace = m_context.pace(m_request.service);
     const auto now = m_context.now();
     if (mostEvents() > 0)
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -20,6 +20,7 @@
 
 class EngineSurvey;
 struct PlacementRequest;
+class RunLocations;
 class RunRelocation;
 class RunWatch;
 struct RunLocation;
@@ -40,6 +41,8 @@
 
     EventStreamCall(RelayContext&, RelayRequest);
     void begin();
+    // Null where VMs tell each other nothing.
+    RunLocations* runLocations() const;
     void findEarlierRun();
     void earlierRunFound(const std::optional<RunLocation>&);
     // True when nothing speaks against sending the stream to the endpoint.
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -17,6 +17,7 @@
 class RelayConfiguration;
 class RelayMetrics;
 class RunLocations;
+enum class Policy;
 struct RelaySettings;
 
 struct RelayContext {
@@ -36,6 +37,7 @@
     bool isStopping { false };
 
     Milliseconds now() const { return clock.now(); }
+    bool has(Policy) const;
     ServicePace& pace(const std::string& service) { return paces[service]; }
     RetryBudget& retryBudget(const std::string& service)
     {
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "lupinknot/Clock.h"
+#include "relay/Policy.h"
 #include <cstdint>
 #include <string>
 
@@ -12,6 +13,9 @@
     std::string vmName;
     std::string availabilityZone;
 
+    // What the relay decides by; all mechanisms unless the operator has switched some off.
+    PolicySet policies;
+
     // Retries that all VMs together may send to a service: a share of its requests within the window, and a fixed
     // number. From the deployment.
     double retryRatio { 0.8 };
--- a/src/relay/RunWatch.cpp
+++ b/src/relay/RunWatch.cpp
@@ -71,7 +71,8 @@
     }
     // Other streams of the engine show that it lives, too.
     const auto silence = now - std::max(m_run->lastActivity, m_run->endpoint->lastLife());
-    if (silence >= silenceBeforeQuestion(now) && now >= m_nextQuestionAt && !m_question)
+    if (m_context.has(Policy::LivenessQuestions) && silence >= silenceBeforeQuestion(now) && now >= m_nextQuestionAt
+        && !m_question)
         ask();
     m_callbacks.looked();
     if (m_run)
--- a/src/relay/WholeAnswerCall.cpp
+++ b/src/relay/WholeAnswerCall.cpp
@@ -52,7 +52,7 @@
         refuse(RefusalReason::NoEndpoint);
         return;
     }
-    if (m_request.route->mayRunAgain())
+    if (m_request.route->mayRunAgain() && m_context.has(Policy::SecondSendings))
         armHedge();
 }
 
@@ -255,7 +255,7 @@
 // Only a call that was sent once shows how long calls take: a second sending is sent because the first one is slow.
 void WholeAnswerCall::noteCallTime(Milliseconds now)
 {
-    if (m_tried.size() == 1)
+    if (m_tried.size() == 1 && m_context.has(Policy::LearnedPace))
         m_context.pace(m_request.service).callTime.add(static_cast<double>((now - m_request.admittedAt).count()), now);
 }
 
