--- /dev/null
+++ b/src/ctl/LossReport.cpp
@@ -0,0 +1,176 @@
+#include "ctl/LossReport.h"
+
+#include "ctl/LogReader.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <nlohmann/json.hpp>
+
+namespace lupinknot::internal {
+
+namespace {
+
+constexpr int firstServerError = 500;
+
+std::int64_t numberIn(const nlohmann::json& event, const char* name)
+{
+    const auto found = event.find(name);
+    return found != event.end() && found->is_number() ? found->get<std::int64_t>() : 0;
+}
+
+std::string textIn(const nlohmann::json& event, const char* name)
+{
+    const auto found = event.find(name);
+    return found != event.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+bool flagIn(const nlohmann::json& event, const char* name)
+{
+    const auto found = event.find(name);
+    return found != event.end() && found->is_boolean() && found->get<bool>();
+}
+
+} // namespace
+
+struct LossReport::Attempt {
+    // From the route; 0 when the log does not say.
+    std::int64_t objective { 0 };
+    std::int64_t longestPause { 0 };
+    std::int64_t promptTokens { 0 };
+    bool isStream { false };
+    bool hasReturned { false };
+    bool hasFirstEvent { false };
+    bool isRunCold { false };
+    std::int64_t firstEventAfter { 0 };
+    std::int64_t longestResumption { 0 };
+    bool wasLongestCold { false };
+    bool hasLeft { false };
+    // Set by the line that ends it.
+    bool isDone { false };
+    std::string outcome;
+    std::int64_t status { 0 };
+    std::int64_t took { 0 };
+};
+
+LossReport::LossReport() = default;
+
+LossReport::~LossReport() = default;
+
+void LossReport::read(std::istream& log)
+{
+    readLog(log, [this](const nlohmann::json& event, const std::string&) { take(event); });
+}
+
+void LossReport::take(const nlohmann::json& event)
+{
+    const auto name = event["event"].get<std::string>();
+    const auto request = textIn(event, "request");
+    if (request.empty())
+        return;
+    if (name == "request.admitted") {
+        auto& attempt = m_attempts[request];
+        attempt.objective = numberIn(event, "objective_ms");
+        attempt.longestPause = numberIn(event, "longest_pause_ms");
+        attempt.promptTokens = numberIn(event, "prompt_tokens");
+        return;
+    }
+    const auto known = m_attempts.find(request);
+    if (known == m_attempts.end())
+        return;
+    auto& attempt = known->second;
+    if (name == "stream.done" || name == "request.done" || name == "request.refused")
+        takeDone(attempt, event);
+    else if (name == "request.caller-gone")
+        attempt.hasLeft = true;
+    else if (name.rfind("stream.", 0) == 0)
+        takeStreamEvent(attempt, name, event);
+}
+
+void LossReport::takeStreamEvent(Attempt& attempt, const std::string& name, const nlohmann::json& event)
+{
+    attempt.isStream = true;
+    if (name == "stream.returned") {
+        attempt.hasReturned = true;
+    } else if (name == "stream.sent") {
+        attempt.isRunCold = !flagIn(event, "from_copy");
+        if (attempt.isRunCold && numberIn(event, "after_event") > 0) {
+            ++m_coldResumptions;
+            m_tokensReadAgain += static_cast<std::uint64_t>(std::max<std::int64_t>(attempt.promptTokens, 0));
+        }
+    } else if (name == "stream.first-event") {
+        attempt.hasFirstEvent = true;
+        attempt.firstEventAfter = numberIn(event, "since_admitted_ms");
+    } else if (name == "stream.run-lost") {
+        ++m_lostRuns[textIn(event, "failure") + (attempt.hasFirstEvent ? "" : ", before the first event")];
+    } else if (name == "stream.resumed" && numberIn(event, "pause_ms") > attempt.longestResumption) {
+        attempt.longestResumption = numberIn(event, "pause_ms");
+        attempt.wasLongestCold = !flagIn(event, "from_copy");
+    }
+}
+
+void LossReport::takeDone(Attempt& attempt, const nlohmann::json& event)
+{
+    attempt.isDone = true;
+    attempt.outcome = textIn(event, textIn(event, "outcome").empty() ? "reason" : "outcome");
+    attempt.status = numberIn(event, "status");
+    attempt.took = numberIn(event, "took_ms");
+}
+
+AttemptEnd LossReport::endOf(const Attempt& attempt)
+{
+    if (!attempt.isDone) {
+        if (!attempt.hasLeft)
+            return AttemptEnd::VmEnded;
+        return attempt.hasFirstEvent ? AttemptEnd::CallerLeftLate : AttemptEnd::CallerLeftEarly;
+    }
+    if (attempt.outcome == "endpoint-status" && attempt.status >= firstServerError)
+        return AttemptEnd::ServiceError;
+    const bool isServed
+        = attempt.outcome == "complete" || attempt.outcome == "answered" || attempt.outcome == "endpoint-status";
+    constexpr std::array<std::int64_t, 4> promises { 408, 421, 429, 503 };
+    if (!isServed)
+        return std::count(promises.begin(), promises.end(), attempt.status) > 0 ? AttemptEnd::Refused
+                                                                                : AttemptEnd::Failed;
+    if (!attempt.isStream)
+        return attempt.objective > 0 && attempt.took > attempt.objective ? AttemptEnd::LateAnswer : AttemptEnd::InTime;
+    if (attempt.longestPause > 0 && attempt.longestResumption > attempt.longestPause)
+        return attempt.wasLongestCold ? AttemptEnd::LateCold : AttemptEnd::LateFromCopy;
+    const bool isLate = attempt.objective > 0 && attempt.firstEventAfter > attempt.objective;
+    return isLate ? AttemptEnd::LateFirstEvent : AttemptEnd::InTime;
+}
+
+std::size_t LossReport::count(AttemptEnd end, bool hasReturned) const
+{
+    return static_cast<std::size_t>(std::count_if(m_attempts.begin(), m_attempts.end(),
+        [&](const auto& entry) { return entry.second.hasReturned == hasReturned && endOf(entry.second) == end; }));
+}
+
+std::size_t LossReport::write(std::ostream& out) const
+{
+    struct Row {
+        std::size_t calls { 0 };
+        std::size_t streams { 0 };
+        std::size_t returned { 0 };
+    };
+    std::array<Row, attemptEndNames.size()> rows;
+    for (const auto& entry : m_attempts) {
+        const auto& attempt = entry.second;
+        auto& row = rows[static_cast<std::size_t>(endOf(attempt))];
+        ++(attempt.hasReturned ? row.returned : attempt.isStream ? row.streams : row.calls);
+    }
+    constexpr int width = 9;
+    out << std::setw(width) << "calls" << std::setw(width) << "streams" << std::setw(width) << "returned"
+        << "  ended\n";
+    for (const auto& name : attemptEndNames) {
+        const auto& row = rows[static_cast<std::size_t>(name.value)];
+        out << std::setw(width) << row.calls << std::setw(width) << row.streams << std::setw(width) << row.returned
+            << "  " << name.name << "\n";
+    }
+    for (const auto& [failure, number] : m_lostRuns)
+        out << std::setw(width) << number << "  runs lost: " << failure << "\n";
+    out << std::setw(width) << m_coldResumptions << "  runs that went on by reading the prompt again, "
+        << m_tokensReadAgain << " tokens\n";
+    return m_attempts.size();
+}
+
+} // namespace lupinknot::internal
--- a/src/ctl/RequestTrace.cpp
+++ b/src/ctl/RequestTrace.cpp
@@ -1,5 +1,7 @@
 #include "ctl/RequestTrace.h"
 
+#include "ctl/LogReader.h"
+
 #include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
@@ -37,20 +39,11 @@
 
 void RequestTrace::read(std::istream& log)
 {
-    std::string text;
-    while (std::getline(log, text)) {
-        // Log collectors put a prefix of their own before the line.
-        const auto start = text.find('{');
-        if (start == std::string::npos)
-            continue;
-        text.erase(0, start);
-        const auto object = nlohmann::json::parse(text, nullptr, false);
-        if (!object.is_object() || !object.contains("event"))
-            continue;
-        m_lines.push_back({ object.value("time_ms", std::int64_t { 0 }), object.value("vm", std::string()),
-            object.value("event", std::string()), object.value("request", std::string()),
-            object.value("earlier_request", std::string()), text });
-    }
+    readLog(log, [this](const nlohmann::json& event, const std::string& text) {
+        m_lines.push_back({ event.value("time_ms", std::int64_t { 0 }), event.value("vm", std::string()),
+            event.value("event", std::string()), event.value("request", std::string()),
+            event.value("earlier_request", std::string()), text });
+    });
 }
 
 bool RequestTrace::isOfRequest(const Line& line) const
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,6 +1,7 @@
 // lupinknotctl: the operators' tool.
 
 #include "common/Version.h"
+#include "ctl/LossReport.h"
 #include "ctl/RequestTrace.h"
 #include "http/HttpFetch.h"
 
@@ -96,18 +97,26 @@
     int (*run)(const Options&);
 };
 
-// Prints what the logs say of one request.
-int trace(const Options& options)
+// Has a report read all logs; false, with the reason on standard error, when one cannot be read.
+template <typename Report> bool readFiles(const Options& options, Report& report)
 {
-    RequestTrace found(options.argument);
     for (const auto& path : options.files) {
         std::ifstream file(path);
         if (!file) {
             std::cerr << "lupinknotctl: cannot read " << path << "\n";
-            return exitFailed;
+            return false;
         }
-        found.read(file);
+        report.read(file);
     }
+    return true;
+}
+
+// Prints what the logs say of one request.
+int trace(const Options& options)
+{
+    RequestTrace found(options.argument);
+    if (!readFiles(options, found))
+        return exitFailed;
     const auto lines = found.write(std::cout);
     std::cout.flush();
     if (lines > 0)
@@ -116,18 +125,33 @@
     return exitFailed;
 }
 
-constexpr std::array<Command, 4> commands { {
+// Prints by cause how requests ended late or not at all.
+int losses(const Options& options)
+{
+    LossReport report;
+    if (!readFiles(options, report))
+        return exitFailed;
+    const auto attempts = report.write(std::cout);
+    std::cout.flush();
+    if (attempts > 0)
+        return exitOk;
+    std::cerr << "lupinknotctl: these logs tell of no request\n";
+    return exitFailed;
+}
+
+constexpr std::array<Command, 5> commands { {
     { "status", showStatus },
     { "drain", drain },
     { "explain", explain },
     { "trace", trace },
+    { "losses", losses },
 } };
 
 Options parseOptions(int argc, char** argv)
 {
     TCLAP::CmdLine line(
         "The operators' tool of lupinknot. Commands: status, drain, explain GENERATION (each with --admin), "
-        "trace REQUEST FILE...",
+        "trace REQUEST FILE..., losses FILE...",
         ' ', std::string(version));
     std::vector<std::string> names;
     names.reserve(commands.size());
@@ -142,7 +166,8 @@
     line.parse(argc, argv);
 
     Options options { command.getValue(), "", {}, arguments.getValue(), isJson.getValue() };
-    if (!options.files.empty()) {
+    const bool namesFilesOnly = options.command == "losses";
+    if (!options.files.empty() && !namesFilesOnly) {
         options.argument = options.files.front();
         options.files.erase(options.files.begin());
     }
@@ -152,9 +177,10 @@
             throw TCLAP::ArgException("expected an IP number and a port, as in 127.0.0.1:9080; found " + text);
         options.daemons.push_back(*address);
     }
-    const bool needsFiles = options.command == "trace";
+    const bool needsFiles = namesFilesOnly || options.command == "trace";
     if (needsFiles ? options.files.empty() : options.daemons.empty())
-        throw TCLAP::ArgException(needsFiles ? "trace needs the logs to read" : "the command needs --admin ADDRESS");
+        throw TCLAP::ArgException(
+            needsFiles ? options.command + " needs the logs to read" : "the command needs --admin ADDRESS");
     return options;
 }
 
--- /dev/null
+++ b/test/LossReportTest.cpp
@@ -0,0 +1,111 @@
+#include "ctl/LossReport.h"
+
+#include <sstream>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot::internal;
+
+TEST_GROUP(LossReport)
+{
+    LossReport report;
+
+    void read(const std::string& text)
+    {
+        std::istringstream log(text);
+        report.read(log);
+    }
+
+    static std::string line(const std::string& event, const std::string& fields)
+    {
+        return R"({"time_ms":1,"vm":"a","event":")" + event + R"(","request":"r1")" + (fields.empty() ? "" : ",")
+            + fields + "}\n";
+    }
+
+    // A request with an objective of 4500 ms and pauses of 700 ms.
+    void readAttempt(const std::string& lines)
+    {
+        read(line("request.admitted", R"("objective_ms":4500,"longest_pause_ms":700,"prompt_tokens":5000)") + lines);
+    }
+
+    void checkOnly(AttemptEnd expected, bool hasReturned = false)
+    {
+        for (const auto& row : attemptEndNames)
+            LONGS_EQUAL_TEXT(row.value == expected ? 1 : 0, report.count(row.value, hasReturned), row.name.data());
+    }
+};
+
+TEST(LossReport, AStreamWithinItsTimesIsInTime)
+{
+    readAttempt(line("stream.first-event", R"("since_admitted_ms":4500)")
+        + line("stream.resumed", R"("pause_ms":700,"from_copy":true)")
+        + line("stream.done", R"("outcome":"complete","status":200,"took_ms":9000)"));
+    checkOnly(AttemptEnd::InTime);
+}
+
+TEST(LossReport, TellsTheCausesOfALateStreamApart)
+{
+    const auto first = line("stream.first-event", R"("since_admitted_ms":1000)");
+    const auto done = line("stream.done", R"("outcome":"complete","status":200)");
+    readAttempt(first + line("stream.resumed", R"("pause_ms":701,"from_copy":true)") + done);
+    checkOnly(AttemptEnd::LateFromCopy);
+}
+
+TEST(LossReport, ALongPauseByReadingAgainCountsAsCold)
+{
+    readAttempt(line("stream.sent", R"("from_copy":false,"after_event":0)")
+        + line("stream.first-event", R"("since_admitted_ms":1000)") + line("stream.run-lost", R"("failure":"silent")")
+        + line("stream.sent", R"("from_copy":false,"after_event":9)")
+        + line("stream.resumed", R"("pause_ms":1701,"from_copy":false)")
+        + line("stream.done", R"("outcome":"complete","status":200)"));
+    checkOnly(AttemptEnd::LateCold);
+    std::ostringstream out;
+    LONGS_EQUAL(1, report.write(out));
+    STRCMP_CONTAINS("1  runs lost: silent\n", out.str().c_str());
+    STRCMP_CONTAINS("1  runs that went on by reading the prompt again, 5000 tokens\n", out.str().c_str());
+}
+
+TEST(LossReport, ALateFirstEventIsACauseOfItsOwn)
+{
+    readAttempt(line("stream.first-event", R"("since_admitted_ms":4501)")
+        + line("stream.done", R"("outcome":"complete","status":200)"));
+    checkOnly(AttemptEnd::LateFirstEvent);
+}
+
+TEST(LossReport, ReturnedCallersAreCountedApart)
+{
+    readAttempt(line("stream.returned", "") + line("stream.first-event", R"("since_admitted_ms":20)")
+        + line("stream.done", R"("outcome":"complete","status":200)"));
+    checkOnly(AttemptEnd::InTime, true);
+}
+
+TEST(LossReport, TellsRefusalsFailuresAndErrorsOfTheServiceApart)
+{
+    readAttempt(line("request.refused", R"("reason":"no-endpoint","status":503)"));
+    checkOnly(AttemptEnd::Refused);
+    readAttempt(line("request.refused", R"("reason":"timed-out","status":504)"));
+    checkOnly(AttemptEnd::Failed);
+    readAttempt(line("request.done", R"("outcome":"endpoint-status","status":500)"));
+    checkOnly(AttemptEnd::ServiceError);
+    readAttempt(line("request.done", R"("outcome":"answered","status":200,"took_ms":4501)"));
+    checkOnly(AttemptEnd::LateAnswer);
+}
+
+TEST(LossReport, AnAttemptWithoutAnEndFellWithItsVm)
+{
+    readAttempt(line("stream.sent", R"("from_copy":false,"after_event":0)"));
+    checkOnly(AttemptEnd::VmEnded);
+}
+
+TEST(LossReport, ACallerWhoLeavesIsNoLossOfTheVm)
+{
+    readAttempt(line("stream.first-event", R"("since_admitted_ms":20)") + line("request.caller-gone", ""));
+    checkOnly(AttemptEnd::CallerLeftLate);
+}
+
+TEST(LossReport, PassesOverLinesThatAreNoEventsOrOfAnUnknownRequest)
+{
+    read("nonsense\n{\"event\":7}\n{}\n" + line("stream.sent", R"("after_event":"x")"));
+    std::ostringstream out;
+    LONGS_EQUAL(0, report.write(out));
+}
