StreamPace: what a stream shows of its service's pace is a class of its own; a leaving engine is not chosen by its report

Cause: EventStreamCall had grown by the new decisions. Change: StreamPace takes the time check and the notes of pace; wantedPlacement() says once where a reading run should begin; chooseReported() passes over engines that may take no work any more (ChoosesNoEngineThatBeganToLeaveWhileItWasAsked).

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -23,8 +23,6 @@
 
 constexpr unsigned okStatus = 200;
 constexpr unsigned firstServerError = 500;
-// A request is given up beforehand only if it could not end in time though all went as fast as one time in twenty.
-constexpr double fastestShare = 0.05;
 
 } // namespace
 
@@ -60,6 +58,7 @@
 EventStreamCall::EventStreamCall(RelayContext& context, RelayRequest request)
     : m_context(context)
     , m_request(std::move(request))
+    , m_pace(m_context, m_request)
     , m_events({ .maxTokens = std::numeric_limits<std::size_t>::max(), .stops = {} })
     , m_deadlineTimer(context.ioContext)
     , m_retryTimer(context.ioContext)
@@ -160,7 +159,7 @@
     }
     const auto earlier = std::exchange(m_earlierEngine, nullptr);
     const bool isPromptKept = earlier && isSound(*earlier);
-    if (m_possibleRuns == 0 && m_context.has(Policy::TimeCheck) && lacksTime(isPromptKept)) {
+    if (m_possibleRuns == 0 && m_context.has(Policy::TimeCheck) && m_pace.lacksTime(lastEventId(), isPromptKept)) {
         giveUp(RefusalReason::TooLittleTime);
         return;
     }
@@ -169,17 +168,10 @@
             startRunAt(earlier, std::nullopt);
         return;
     }
-    const auto now = m_context.now();
-    std::vector<std::string> zonesToLeave;
-    if (!m_failed.empty())
-        zonesToLeave.push_back(m_failed.back()->entry().availabilityZone);
-    const auto& settings = m_context.settings;
-    PlacementRequest wanted { .service = m_request.service, .excluded = m_failed, .zonesToLeave = zonesToLeave };
-    if (m_context.has(Policy::PromptPreference))
-        wanted.promptId = m_request.fields.promptId;
-    wanted.preference = m_request.fields.lastEventId ? settings.returningPreference : settings.promptPreference;
+    const auto wanted = wantedPlacement();
     if (survey(wanted))
         return;
+    const auto now = m_context.now();
     auto endpoint = m_context.placement.choose(wanted, now);
     if (!endpoint && !m_failed.empty())
         endpoint = m_context.placement.choose({ .service = m_request.service, .mustBeSound = true }, now);
@@ -191,26 +183,16 @@
         startRunAt(endpoint, std::nullopt);
 }
 
-bool EventStreamCall::lacksTime(bool isPromptKept) const
+PlacementRequest EventStreamCall::wantedPlacement() const
 {
-    auto& pace = m_context.pace(m_request.service);
-    const double readTime
-        = isPromptKept ? 0 : pace.readTimePerToken.quantile(fastestShare) * m_request.fields.promptTokens;
-    const auto leastEvents = pace.answerShare.quantile(fastestShare) * static_cast<double>(mostEvents());
-    const auto missing = std::max(leastEvents - static_cast<double>(lastEventId()), 0.0);
-    const auto needed = readTime + missing * pace.eventInterval.quantile(fastestShare);
-    const auto left = m_request.deadline - m_context.now();
-    if (needed <= static_cast<double>(left.count()))
-        return false;
-    LogEvent("stream.lacks-time")
-        .text("request", m_request.fields.requestId)
-        .number("left_ms", left.count())
-        .number("needed_ms", static_cast<std::int64_t>(needed))
-        .number("after_event", static_cast<std::int64_t>(lastEventId()))
-        .flag("is_prompt_kept", isPromptKept)
-        .number("samples", static_cast<std::int64_t>(pace.eventInterval.sampleCount()))
-        .write();
-    return true;
+    const auto& settings = m_context.settings;
+    PlacementRequest wanted { .service = m_request.service, .excluded = m_failed };
+    if (!m_failed.empty())
+        wanted.zonesToLeave.push_back(m_failed.back()->entry().availabilityZone);
+    if (m_context.has(Policy::PromptPreference))
+        wanted.promptId = m_request.fields.promptId;
+    wanted.preference = m_request.fields.lastEventId ? settings.returningPreference : settings.promptPreference;
+    return wanted;
 }
 
 bool EventStreamCall::survey(const PlacementRequest& wanted)
@@ -238,9 +220,10 @@
     m_survey.reset();
     const EngineWork work { m_request.fields.promptTokens, m_request.fields.maxAnswerTokens };
     const auto pace = m_context.pace(m_request.service).engine();
-    auto engine = m_context.placement.chooseReported(answered, work, pace);
+    const auto now = m_context.now();
+    auto engine = m_context.placement.chooseReported(answered, work, pace, now);
     if (!engine)
-        engine = m_context.placement.choose({ .service = m_request.service, .excluded = m_failed }, m_context.now());
+        engine = m_context.placement.choose(wantedPlacement(), now);
     if (!engine) {
         waitForEndpoint();
         return;
@@ -415,7 +398,7 @@
     if (!m_isHeadSent) {
         m_isHeadSent = true;
         m_firstEventAt = now;
-        notePromptRead(run, now);
+        m_pace.notePromptRead(run, now);
         LogEvent("stream.first-event", LogImportance::Routine)
             .text("request", m_request.fields.requestId)
             .text("endpoint", run.endpoint->entry().id)
@@ -428,18 +411,6 @@
     m_request.exchange->wake();
 }
 
-// Only whole prompts of a first sending show how fast engines read: others may find parts of theirs kept.
-void EventStreamCall::notePromptRead(const StreamRun& run, Milliseconds now)
-{
-    const auto tokens = m_request.fields.promptTokens;
-    if (tokens == 0 || m_request.fields.lastEventId || run.isFromCopy || !m_context.has(Policy::LearnedPace))
-        return;
-    const auto time = static_cast<double>((now - run.startedAt).count());
-    auto& pace = m_context.pace(m_request.service);
-    pace.readTimePerToken.add(time / tokens, now);
-    pace.promptTokens.add(tokens, now);
-}
-
 void EventStreamCall::noteResumed(const StreamRun& run, Milliseconds now)
 {
     const auto gap = m_lastEventAt.count() ? now - m_lastEventAt : Milliseconds { 0 };
@@ -588,18 +559,11 @@
         && !m_context.directory.isZoneAvoided(run.endpoint->entry().availabilityZone, now);
 }
 
-std::int64_t EventStreamCall::mostEvents() const
-{
-    const auto* service = m_context.configuration->findService(m_request.service);
-    const auto tokensPerEvent = service ? service->tokensPerEvent : 0;
-    return tokensPerEvent == 0 ? 0 : static_cast<std::int64_t>(m_request.fields.maxAnswerTokens / tokensPerEvent);
-}
-
 // How long the stream will probably go on, from its pace so far and the most that it may hold.
 Milliseconds EventStreamCall::expectedRest(Milliseconds now) const
 {
     const auto made = static_cast<std::int64_t>(lastEventId());
-    const auto most = mostEvents();
+    const auto most = m_pace.mostEvents();
     if (most == 0 || m_events.length() < 2)
         return Milliseconds::max();
     const auto pace = (now - m_firstEventAt) / static_cast<std::int64_t>(m_events.length());
@@ -695,26 +659,12 @@
     m_isComplete = true;
     if (runLocations())
         runLocations()->forget(m_request.fields.promptId);
-    noteWholeAnswer();
+    m_pace.noteWholeAnswer(lastEventId(), m_events.length(), m_lastEventAt - m_firstEventAt);
     logEnd("complete", m_run->head.status);
     m_request.exchange->wake();
     finish();
 }
 
-void EventStreamCall::noteWholeAnswer()
-{
-    if (!m_context.has(Policy::LearnedPace))
-        return;
-    auto& pace = m_context.pace(m_request.service);
-    const auto now = m_context.now();
-    if (mostEvents() > 0)
-        pace.answerShare.add(static_cast<double>(lastEventId()) / static_cast<double>(mostEvents()), now);
-    if (m_events.length() > 1) {
-        const auto time = static_cast<double>((m_lastEventAt - m_firstEventAt).count());
-        pace.eventInterval.add(time / static_cast<double>(m_events.length() - 1), now);
-    }
-}
-
 void EventStreamCall::giveUp(RefusalReason reason)
 {
     if (!m_isHeadSent) {
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -12,6 +12,7 @@
 #include "relay/EndpointCall.h"
 #include "relay/RelayRefusal.h"
 #include "relay/RelayRequest.h"
+#include "relay/StreamPace.h"
 #include "relay/StreamRun.h"
 #include <boost/asio/steady_timer.hpp>
 #include <vector>
@@ -49,11 +50,11 @@
     bool isSound(const RelayEndpoint&) const;
     // Tells other VMs where the run is.
     void noteLocation();
-    // True when no engine can finish the stream in the time that is left, because most of it is gone already.
-    bool lacksTime(bool isPromptKept) const;
     // Starts a run somewhere, or waits for an endpoint, or gives the request up.
     void startRun();
     void startRunAt(const std::shared_ptr<RelayEndpoint>&, std::optional<CopySource>);
+    // Where a run that reads the prompt should begin.
+    PlacementRequest wantedPlacement() const;
     // Asks the engines that come into question for their load, if there is a choice.
     bool survey(const PlacementRequest&);
     void surveyed(const std::vector<std::shared_ptr<RelayEndpoint>>& answered);
@@ -65,9 +66,6 @@
     bool mayStartRun();
 
     void takeEvents(StreamRun&, std::vector<WholeEvent>&&);
-    // What a first event and a whole answer show of the service's pace.
-    void notePromptRead(const StreamRun&, Milliseconds now);
-    void noteWholeAnswer();
     void noteResumed(const StreamRun&, Milliseconds now);
     void settleWholeAnswer(const std::shared_ptr<StreamRun>&);
     void runLost(FailureKind);
@@ -76,8 +74,6 @@
 
     // True when the run would have to begin anew if its engine failed now.
     bool lacksCopy(const StreamRun&, Milliseconds now) const;
-    // The most events that the whole answer may have; 0 when unknown.
-    std::int64_t mostEvents() const;
     Milliseconds expectedRest(Milliseconds now) const;
     bool mayRelocate(const StreamRun&, Milliseconds now) const;
     // Moves the run ahead if it lacks a copy and a move is worth it.
@@ -97,6 +93,7 @@
 
     RelayContext& m_context;
     const RelayRequest m_request;
+    StreamPace m_pace;
     Generation m_events;
     std::shared_ptr<StreamRun> m_run;
     // Null before the call begins.
--- a/src/relay/Placement.cpp
+++ b/src/relay/Placement.cpp
@@ -65,13 +65,16 @@
     return best;
 }
 
-std::shared_ptr<RelayEndpoint> Placement::chooseReported(
-    const std::vector<std::shared_ptr<RelayEndpoint>>& engines, const EngineWork& work, const EnginePace& pace)
+std::shared_ptr<RelayEndpoint> Placement::chooseReported(const std::vector<std::shared_ptr<RelayEndpoint>>& engines,
+    const EngineWork& work, const EnginePace& pace, Milliseconds now)
 {
     std::shared_ptr<RelayEndpoint> best;
     double lowest = 0;
     const auto unit = static_cast<double>(readTime(work, pace).count());
     for (const auto& engine : engines) {
+        // It may have begun to leave while it was asked.
+        if (!engine->mayTakeWork(now, m_settings.leavingEndpointGrace))
+            continue;
         auto delay = static_cast<double>(forecastDelay(work, *engine, pace).count()) + randomReads * unit * random();
         if (engine->entry().availabilityZone != m_settings.availabilityZone)
             delay += otherZoneReads * unit;
--- a/src/relay/Placement.h
+++ b/src/relay/Placement.h
@@ -44,9 +44,9 @@
     // The endpoints that come first into question, best first: as many as are wanted, or fewer.
     std::vector<std::shared_ptr<RelayEndpoint>> candidates(
         const PlacementRequest&, std::size_t count, Milliseconds now);
-    // The best of some engines that have reported their load, by forecast.
+    // The best of some engines that have reported their load, by forecast; null when none may take work any more.
     std::shared_ptr<RelayEndpoint> chooseReported(
-        const std::vector<std::shared_ptr<RelayEndpoint>>&, const EngineWork&, const EnginePace&);
+        const std::vector<std::shared_ptr<RelayEndpoint>>&, const EngineWork&, const EnginePace&, Milliseconds now);
 
 private:
     // The preferred endpoint among the sound ones of the zone, or null.
--- /dev/null
+++ b/src/relay/StreamPace.cpp
@@ -0,0 +1,80 @@
+#include "relay/StreamPace.h"
+
+#include "common/EventLog.h"
+#include "relay/Policy.h"
+#include "relay/RelayConfiguration.h"
+#include "relay/RelayContext.h"
+#include "relay/RelayRequest.h"
+#include "relay/StreamRun.h"
+
+#include <algorithm>
+
+namespace lupinknot::internal {
+
+namespace {
+
+// A request is given up beforehand only if it could not end in time though all went as fast as one time in twenty.
+constexpr double fastestShare = 0.05;
+
+} // namespace
+
+StreamPace::StreamPace(RelayContext& context, const RelayRequest& request)
+    : m_context(context)
+    , m_request(request)
+{
+}
+
+std::int64_t StreamPace::mostEvents() const
+{
+    const auto* service = m_context.configuration->findService(m_request.service);
+    const auto tokensPerEvent = service ? service->tokensPerEvent : 0;
+    return tokensPerEvent == 0 ? 0 : static_cast<std::int64_t>(m_request.fields.maxAnswerTokens / tokensPerEvent);
+}
+
+bool StreamPace::lacksTime(std::uint64_t lastEventId, bool isPromptKept) const
+{
+    const auto& pace = m_context.pace(m_request.service);
+    const auto reading
+        = isPromptKept ? 0.0 : pace.readTimePerToken.quantile(fastestShare) * m_request.fields.promptTokens;
+    const auto leastEvents = pace.answerShare.quantile(fastestShare) * static_cast<double>(mostEvents());
+    const auto missing = std::max(leastEvents - static_cast<double>(lastEventId), 0.0);
+    const auto needed = reading + missing * pace.eventInterval.quantile(fastestShare);
+    const auto left = m_request.deadline - m_context.now();
+    if (needed <= static_cast<double>(left.count()))
+        return false;
+    LogEvent("stream.lacks-time")
+        .text("request", m_request.fields.requestId)
+        .number("left_ms", left.count())
+        .number("needed_ms", static_cast<std::int64_t>(needed))
+        .number("after_event", static_cast<std::int64_t>(lastEventId))
+        .flag("is_prompt_kept", isPromptKept)
+        .number("samples", static_cast<std::int64_t>(pace.eventInterval.sampleCount()))
+        .number("newest_sample_age_ms", (m_context.now() - pace.eventInterval.newestAt()).count())
+        .write();
+    return true;
+}
+
+// Only whole prompts of a first sending show how fast engines read: others may find parts of theirs kept.
+void StreamPace::notePromptRead(const StreamRun& run, Milliseconds now)
+{
+    const auto tokens = m_request.fields.promptTokens;
+    if (tokens == 0 || m_request.fields.lastEventId || run.isFromCopy || !m_context.has(Policy::LearnedPace))
+        return;
+    auto& pace = m_context.pace(m_request.service);
+    pace.readTimePerToken.add(static_cast<double>((now - run.startedAt).count()) / tokens, now);
+    pace.promptTokens.add(tokens, now);
+}
+
+void StreamPace::noteWholeAnswer(std::uint64_t lastEventId, std::size_t events, Milliseconds time)
+{
+    if (!m_context.has(Policy::LearnedPace))
+        return;
+    auto& pace = m_context.pace(m_request.service);
+    const auto now = m_context.now();
+    if (mostEvents() > 0)
+        pace.answerShare.add(static_cast<double>(lastEventId) / static_cast<double>(mostEvents()), now);
+    if (events > 1)
+        pace.eventInterval.add(static_cast<double>(time.count()) / static_cast<double>(events - 1), now);
+}
+
+} // namespace lupinknot::internal
--- a/test/PlacementTest.cpp
+++ b/test/PlacementTest.cpp
@@ -88,6 +88,26 @@
     CHECK_TEXT(choose({}) != nullptr, "an avoided endpoint is still better than none");
 }
 
+TEST(Placement, ChoosesTheEngineThatReportsLeastToDo)
+{
+    const auto busy = directory->find("a0");
+    const auto idle = directory->find("a1");
+    busy->noteReport({ .promptsWaiting = 2 }, now);
+    idle->noteReport({}, now);
+    Placement placement(*directory, settings, 1);
+    POINTERS_EQUAL(idle.get(), placement.chooseReported({ busy, idle }, { 5000, 1000 }, {}, now).get());
+}
+
+TEST(Placement, ChoosesNoEngineThatBeganToLeaveWhileItWasAsked)
+{
+    const auto leaving = directory->find("a0");
+    leaving->noteReport({}, now);
+    auto entry = leaving->entry();
+    entry.isDraining = true;
+    directory->upsert(entry, now);
+    CHECK(!Placement(*directory, settings, 1).chooseReported({ leaving }, { 5000, 1000 }, {}, now));
+}
+
 TEST(Placement, NeverChoosesAnExcludedEndpoint)
 {
     PlacementRequest request;
