--- a/test/PeerRunLocationsTest.cpp
+++ b/test/PeerRunLocationsTest.cpp
@@ -1,5 +1,6 @@
 #include "PeerRunLocations.h"
 #include "PeerFeeds.h"
+#include "RunUntil.h"
 #include "StoreRunLocations.h"
 #include "lupinknot/ManualClock.h"
 #include "standin/StoreStandIn.h"
@@ -14,9 +15,6 @@
 
 namespace {
 
-// Far longer than anything here takes: reached only by a test that fails.
-constexpr std::chrono::seconds patience { 20 };
-
 // A VM with its address for other VMs, and a store that does not answer it.
 struct TellingVm {
     TellingVm(boost::asio::io_context& ioContext, const std::string& name, std::int64_t storePort)
@@ -77,17 +75,7 @@
         }
     }
 
-    bool runUntil(const std::function<bool()>& condition)
-    {
-        const auto end = std::chrono::steady_clock::now() + patience;
-        while (!condition()) {
-            if (std::chrono::steady_clock::now() > end)
-                return false;
-            ioContext->run_one_for(std::chrono::milliseconds(20));
-            ioContext->restart();
-        }
-        return true;
-    }
+    bool runUntil(const std::function<bool()>& condition) { return internal::runUntil(*ioContext, condition); }
 
     // How many VMs beside the first keep the prompt's location.
     std::size_t keptElsewhere(const std::string& promptId) const
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -1,4 +1,5 @@
 #include "PeerFeeds.h"
+#include "RunUntil.h"
 #include "StoreFeed.h"
 #include "StoreRunLocations.h"
 #include "ZoneReaders.h"
@@ -15,9 +16,6 @@
 
 namespace {
 
-// Far longer than anything here takes: reached only by a test that fails.
-constexpr std::chrono::seconds patience { 20 };
-
 // What a feed has told, as a table.
 struct Followed {
     // Goes on from when the test advances it.
@@ -129,17 +127,7 @@
         ioContext.reset();
     }
 
-    bool runUntil(const std::function<bool()>& condition)
-    {
-        const auto end = std::chrono::steady_clock::now() + patience;
-        while (!condition()) {
-            if (std::chrono::steady_clock::now() > end)
-                return false;
-            ioContext->run_one_for(std::chrono::milliseconds(20));
-            ioContext->restart();
-        }
-        return true;
-    }
+    bool runUntil(const std::function<bool()>& condition) { return internal::runUntil(*ioContext, condition); }
 };
 
 TEST(PlatformStore, AFeedTellsTheTableAndItsChanges)
--- a/test/RelayHarness.cpp
+++ b/test/RelayHarness.cpp
@@ -1,16 +1,8 @@
 #include "RelayHarness.h"
-
-#include <chrono>
+#include "RunUntil.h"
 
 namespace lupinknot::internal {
 
-namespace {
-
-// Far longer than anything here takes: reached only by a test that fails.
-constexpr std::chrono::seconds patience { 20 };
-
-} // namespace
-
 RelayHarness::RelayHarness()
 {
     settings.availabilityZone = "a";
@@ -75,14 +67,7 @@
 
 bool RelayHarness::runUntil(const std::function<bool()>& condition)
 {
-    const auto end = std::chrono::steady_clock::now() + patience;
-    while (!condition()) {
-        if (std::chrono::steady_clock::now() > end)
-            return false;
-        daemon().ioContext().run_one_for(std::chrono::milliseconds(20));
-        daemon().ioContext().restart();
-    }
-    return true;
+    return internal::runUntil(daemon().ioContext(), condition);
 }
 
 } // namespace lupinknot::internal
