--- a/src/relay/KeeperChoice.cpp
+++ b/src/relay/KeeperChoice.cpp
@@ -30,6 +30,7 @@
     std::sort(ranked.begin(), ranked.end(), isBefore);
     ranked.resize(std::min(ranked.size(), keepersOfALocation));
     std::vector<std::size_t> numbers;
+    numbers.reserve(ranked.size());
     for (const auto& keeper : ranked)
         numbers.push_back(keeper.number);
     return numbers;
