Requests wait for a starting VM's news, and calls for a place at an endpoint, before they are refused

Ruled out: endpoints' own errors and answers that were lost are not refusals and stay as they are; waiting for the whole time of a request, which would leave no time for a try elsewhere. Change: src/admission holds pure decisions, each with its load pattern and a replay of it: StartupWait (an eighth of the caller's patience, 400 ms from the start of the VM), WaitForPlace (pauses that double from the usual time of a call, up to half of the call's time; when to come back by cause) and WaitingRoom (256 requests, 16 MB). StartupQueue and WholeAnswerCall carry them out. A chain of tries ends where the next endpoint is known to be full or out of reach. New ones failed before the change.

--- /dev/null
+++ b/src/admission/WaitForPlace.cpp
@@ -0,0 +1,37 @@
+#include "admission/WaitForPlace.h"
+
+#include <algorithm>
+
+namespace lupinknot::internal {
+
+namespace {
+
+// Beyond this many doublings every pause is the longest one.
+constexpr unsigned mostDoublings = 10;
+
+Milliseconds scaled(Milliseconds time, double factor)
+{
+    return Milliseconds { static_cast<std::int64_t>(static_cast<double>(time.count()) * factor) };
+}
+
+} // namespace
+
+WaitDecision waitForPlace(const WaitingCall& call, Milliseconds usualCallTime, double spread, Milliseconds now)
+{
+    const auto first = std::clamp(usualCallTime, shortestPause, longestPause);
+    const auto doubled = std::min(first * (1 << std::min(call.rounds, mostDoublings)), longestPause);
+    const auto pause = scaled(doubled, 1 - pauseSpread + 2 * pauseSpread * spread);
+    const auto latest = call.arrivedAt + scaled(call.deadline - call.arrivedAt, waitingShare);
+    const bool endsInTime = now + pause + usualCallTime <= call.deadline;
+    return { now + pause <= latest && endsInTime, pause };
+}
+
+Milliseconds comeBackIn(PlaceObstacle obstacle, Milliseconds timeLeft, double spread)
+{
+    const auto most = std::max(scaled(timeLeft, comeBackShare), Milliseconds { 0 });
+    if (obstacle == PlaceObstacle::Unreachable)
+        return most;
+    return std::min(scaled(comeBackWhenFull, 0.5 + spread), most);
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/admission/WaitingRoom.cpp
@@ -0,0 +1,20 @@
+#include "admission/WaitingRoom.h"
+
+namespace lupinknot::internal {
+
+bool WaitingRoom::enter(std::size_t bytes)
+{
+    if (m_count >= mostRequests || bytes > mostBytes - m_bytes)
+        return false;
+    ++m_count;
+    m_bytes += bytes;
+    return true;
+}
+
+void WaitingRoom::leave(std::size_t bytes)
+{
+    --m_count;
+    m_bytes -= bytes;
+}
+
+} // namespace lupinknot::internal
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -74,7 +74,7 @@
 
 void EndpointDirectory::replaceAll(std::vector<EndpointEntry> entries, Milliseconds now)
 {
-    m_isKnown = true;
+    const bool isFirst = !std::exchange(m_isKnown, true);
     std::set<std::string> listed;
     for (auto& entry : entries) {
         listed.insert(entry.id);
@@ -87,6 +87,8 @@
     }
     for (const auto& id : gone)
         remove(id, now);
+    if (isFirst && m_onFirstList)
+        m_onFirstList();
 }
 
 std::shared_ptr<RelayEndpoint> EndpointDirectory::find(const std::string& id) const
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -10,6 +10,7 @@
 #include "relay/RelayEndpoint.h"
 #include "relay/RelaySettings.h"
 #include <deque>
+#include <functional>
 #include <unordered_map>
 #include <vector>
 
@@ -24,6 +25,8 @@
     void replaceAll(std::vector<EndpointEntry>, Milliseconds now);
     // True once a list has been taken over, also an empty one.
     bool isKnown() const { return m_isKnown; }
+    // What to call once the first list has been taken over.
+    void onFirstList(std::function<void()> callback) { m_onFirstList = std::move(callback); }
     std::size_t size() const { return m_endpointsById.size(); }
 
     // The endpoint with this id, or null.
@@ -63,6 +66,7 @@
     std::unordered_map<std::string, std::string> m_idsByAddress;
     std::unordered_map<std::string, ZoneHealth> m_zones;
     bool m_isKnown { false };
+    std::function<void()> m_onFirstList;
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -1,6 +1,7 @@
 // What every request of the relay uses. Lives for the process; used on the relay's thread only.
 #pragma once
 
+#include "admission/WaitingRoom.h"
 #include "lupinknot/Clock.h"
 #include "relay/RetryBudget.h"
 #include "relay/ServicePace.h"
@@ -35,6 +36,8 @@
     // Null where VMs tell each other nothing.
     RunLocations* runLocations { nullptr };
     bool isStopping { false };
+    // Requests that wait, for news or for a place.
+    WaitingRoom waitingRoom {};
 
     Milliseconds now() const { return clock.now(); }
     bool has(Policy) const;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -38,6 +38,7 @@
     , m_stopTimer(m_ioContext)
     , m_tickTimer(m_ioContext)
 {
+    m_directory.onFirstList([this] { m_handler.newsArrived(); });
 }
 
 RelayDaemon::~RelayDaemon() = default;
@@ -75,7 +76,7 @@
 
 bool RelayDaemon::applyConfiguration(std::shared_ptr<const RelayConfiguration> configuration)
 {
-    const auto& present = m_context.configuration;
+    const auto present = m_context.configuration;
     if (present && configuration->version() <= present->version())
         return false;
     LogEvent("config.applied")
@@ -86,6 +87,8 @@
     m_context.configuration = std::move(configuration);
     m_front.changeSettings(m_context.configuration->callerLimits());
     m_metrics.configurationVersion.Set(static_cast<double>(m_context.configuration->version()));
+    if (!present)
+        m_handler.newsArrived();
     return true;
 }
 
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -56,6 +56,8 @@
     const std::shared_ptr<const RelayConfiguration>& configuration() const { return m_context.configuration; }
     // The port that callers reach, also when the settings asked for any (0).
     unsigned short frontPort() const { return m_front.port(); }
+    // Requests that wait, for news or for a place at an endpoint.
+    std::size_t waitingCount() const { return m_context.waitingRoom.count(); }
     // What to do when the settings file may have changed.
     void onReload(std::function<void()> callback) { m_onReload = std::move(callback); }
     // Called once when a stop begins.
--- a/src/relay/RelayHandler.cpp
+++ b/src/relay/RelayHandler.cpp
@@ -1,6 +1,8 @@
 #include "relay/RelayHandler.h"
 
+#include "admission/StartupWait.h"
 #include "common/EventLog.h"
+#include "relay/EndpointDirectory.h"
 #include "relay/EventStreamCall.h"
 #include "relay/RelayConfiguration.h"
 #include "relay/RelayContext.h"
@@ -36,15 +38,41 @@
 
 RelayHandler::RelayHandler(RelayContext& context)
     : m_context(context)
+    , m_startedAt(context.now())
+    , m_startupQueue(context, [this](const StartupQueue::Request& request) { decide(request); })
 {
 }
 
-void RelayHandler::handle(const std::shared_ptr<HttpExchange>& exchange)
+void RelayHandler::handle(const std::shared_ptr<HttpExchange>& exchange) { decide({ exchange, m_context.now() }); }
+
+void RelayHandler::decide(const StartupQueue::Request& arrived)
+{
+    const StartupState state { m_startedAt, m_context.configuration != nullptr, m_context.directory.isKnown() };
+    if ((state.hasConfiguration && state.hasEndpoints) || !m_context.has(Policy::Waiting)) {
+        serve(arrived);
+        return;
+    }
+    const auto now = m_context.now();
+    const auto fields = m_context.protocol.decodeCaller(arrived.exchange->request().headers);
+    const auto decision = decideStartup(state, { arrived.arrivedAt, fields.patience }, now);
+    if (decision.action != StartupAction::Wait || !m_startupQueue.hold(arrived, decision.until)) {
+        serve(arrived);
+        return;
+    }
+    LogEvent("request.waits-for-news")
+        .text("request", fields.requestId)
+        .flag("has_configuration", state.hasConfiguration)
+        .number("up_for_ms", (now - m_startedAt).count())
+        .number("at_most_ms", (decision.until - now).count())
+        .write();
+}
+
+void RelayHandler::serve(const StartupQueue::Request& arrived)
 {
     RelayRequest request;
-    request.exchange = exchange;
-    request.admittedAt = m_context.now();
-    request.fields = m_context.protocol.decodeCaller(exchange->request().headers);
+    request.exchange = arrived.exchange;
+    request.admittedAt = arrived.arrivedAt;
+    request.fields = m_context.protocol.decodeCaller(arrived.exchange->request().headers);
     if (const auto reason = admit(request)) {
         refuse(request, *reason);
         return;
--- a/src/relay/ServicePace.h
+++ b/src/relay/ServicePace.h
@@ -49,6 +49,9 @@
     // Time after which an unanswered call is also sent to a second endpoint.
     Milliseconds hedgeDelay() const { return milliseconds(callTime.quantile(hedgedShare)); }
 
+    // What a call takes in the middle.
+    Milliseconds usualCallTime() const { return milliseconds(callTime.quantile(middleShare)); }
+
 private:
     static Milliseconds milliseconds(double time) { return Milliseconds { static_cast<std::int64_t>(time) }; }
 
--- /dev/null
+++ b/src/relay/StartupQueue.cpp
@@ -0,0 +1,55 @@
+#include "relay/StartupQueue.h"
+
+#include "common/EventLog.h"
+#include "http/HttpExchange.h"
+#include "relay/RelayContext.h"
+
+#include <algorithm>
+
+namespace lupinknot::internal {
+
+StartupQueue::StartupQueue(RelayContext& context, Released released)
+    : m_context(context)
+    , m_released(std::move(released))
+{
+}
+
+bool StartupQueue::hold(const Request& request, Milliseconds until)
+{
+    if (!m_context.waitingRoom.enter(request.exchange->request().body.size()))
+        return false;
+    auto timer = std::make_unique<boost::asio::steady_timer>(m_context.ioContext);
+    timer->expires_after(until - m_context.now());
+    timer->async_wait([this, request](boost::system::error_code error) {
+        if (!error && take(request.exchange))
+            m_released(request);
+    });
+    m_held.push_back({ request, std::move(timer) });
+    request.exchange->onGone([this, weak = std::weak_ptr(request.exchange)] {
+        if (const auto exchange = weak.lock())
+            take(exchange);
+    });
+    return true;
+}
+
+void StartupQueue::release()
+{
+    // One that still lacks something is held again.
+    for (const auto& held : std::exchange(m_held, {})) {
+        m_context.waitingRoom.leave(held.request.exchange->request().body.size());
+        m_released(held.request);
+    }
+}
+
+bool StartupQueue::take(const std::shared_ptr<HttpExchange>& exchange)
+{
+    const auto found = std::find_if(
+        m_held.begin(), m_held.end(), [&exchange](const Held& held) { return held.request.exchange == exchange; });
+    if (found == m_held.end())
+        return false;
+    m_context.waitingRoom.leave(exchange->request().body.size());
+    m_held.erase(found);
+    return true;
+}
+
+} // namespace lupinknot::internal
--- a/src/relay/WholeAnswerCall.cpp
+++ b/src/relay/WholeAnswerCall.cpp
@@ -1,5 +1,6 @@
 #include "relay/WholeAnswerCall.h"
 
+#include "admission/WaitForPlace.h"
 #include "common/EventLog.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/Placement.h"
@@ -8,6 +9,8 @@
 #include "relay/RelaySettings.h"
 
 #include <algorithm>
+#include <limits>
+#include <xxhash.h>
 
 namespace lupinknot::internal {
 
@@ -15,6 +18,11 @@
 
 constexpr unsigned firstServerError = 500;
 
+PlaceObstacle obstacleOf(RefusalReason reason)
+{
+    return reason == RefusalReason::NoEndpoint ? PlaceObstacle::Unreachable : PlaceObstacle::Full;
+}
+
 bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
 
 } // namespace
@@ -30,6 +38,7 @@
     , m_request(std::move(request))
     , m_deadlineTimer(context.ioContext)
     , m_hedgeTimer(context.ioContext)
+    , m_waitTimer(context.ioContext)
 {
 }
 
@@ -49,7 +58,7 @@
         self->finish();
     });
     if (!sendNext(false)) {
-        refuse(RefusalReason::NoEndpoint);
+        waitOrRefuse(RefusalReason::NoEndpoint);
         return;
     }
     if (m_request.route->mayRunAgain() && m_context.has(Policy::SecondSendings))
@@ -65,10 +74,11 @@
 
 bool WholeAnswerCall::maySendAgain() const { return m_possibleRuns < m_request.route->maxAttempts; }
 
-bool WholeAnswerCall::sendNext(bool isCharged)
+bool WholeAnswerCall::sendNext(bool isCharged, bool mustBeSound)
 {
     const auto now = m_context.now();
-    const auto endpoint = m_context.placement.choose({ .service = m_request.service, .excluded = m_tried }, now);
+    const auto endpoint = m_context.placement.choose(
+        { .service = m_request.service, .excluded = m_tried, .mustBeSound = mustBeSound }, now);
     if (!endpoint || m_request.deadline <= now)
         return false;
     m_tried.push_back(endpoint);
@@ -79,10 +89,10 @@
     const auto request = m_context.protocol.encodeForward(m_request.exchange->request(), fields);
     const auto& settings = m_context.settings;
     const auto maxRest = m_request.route->mayRunAgain() ? settings.maxRest : settings.maxRestForSingleRun;
-    LogEvent("request.sent", m_tried.size() > 1 ? LogImportance::Notable : LogImportance::Routine)
+    LogEvent("request.sent", !m_attempts.empty() ? LogImportance::Notable : LogImportance::Routine)
         .text("request", m_request.fields.requestId)
         .text("endpoint", endpoint->entry().id)
-        .number("attempt", static_cast<std::int64_t>(m_tried.size()))
+        .number("attempt", static_cast<std::int64_t>(m_attempts.size() + 1))
         .number("in_flight", endpoint->inFlight())
         .number("config_version", static_cast<std::int64_t>(m_request.configurationVersion))
         .write();
@@ -221,7 +231,8 @@
     auto& budget = m_context.retryBudget(m_request.service);
     const bool isRetry = mayHaveArrived();
     const bool isFunded = isAllowed && (!isRetry || budget.take(RetryPurpose::Rescue, m_context.now()));
-    if (isFunded && sendNext(isRetry))
+    // Endpoints that are known to be full or out of reach are not tried one after the other: the call waits instead.
+    if (isFunded && sendNext(isRetry, mayWait()))
         return;
     if (isFunded && isRetry)
         budget.giveBack();
@@ -235,7 +246,69 @@
     if (mayHaveRun)
         refuse(RefusalReason::EndpointFailed);
     else
-        refuse(isAllowed && !isFunded ? RefusalReason::RetryBudgetSpent : lastReason);
+        waitOrRefuse(isAllowed && !isFunded ? RefusalReason::RetryBudgetSpent : lastReason);
+}
+
+bool WholeAnswerCall::mayWait() const
+{
+    return m_possibleRuns == 0 && !m_errorAnswer && m_context.has(Policy::Waiting);
+}
+
+double WholeAnswerCall::spread() const
+{
+    const auto& id = m_request.fields.requestId;
+    const auto hash = static_cast<std::uint32_t>(XXH64(id.data(), id.size(), m_waits));
+    return static_cast<double>(hash) / std::numeric_limits<std::uint32_t>::max();
+}
+
+void WholeAnswerCall::waitOrRefuse(RefusalReason reason)
+{
+    const auto now = m_context.now();
+    const auto usual = m_context.pace(m_request.service).usualCallTime();
+    const auto decision = waitForPlace({ m_request.admittedAt, m_request.deadline, m_waits }, usual, spread(), now);
+    m_isWaiting = mayWait() && decision.waits && m_context.waitingRoom.enter(m_request.exchange->request().body.size());
+    if (!m_isWaiting) {
+        refuse(reason);
+        return;
+    }
+    LogEvent("request.waits-for-place")
+        .text("request", m_request.fields.requestId)
+        .text("reason", traitsOf(reason).name)
+        .number("pause_ms", decision.pause.count())
+        .number("usual_call_ms", usual.count())
+        .number("time_left_ms", (m_request.deadline - now).count())
+        .number("waiting", static_cast<std::int64_t>(m_context.waitingRoom.count()))
+        .write();
+    ++m_waits;
+    m_waitTimer.expires_after(decision.pause);
+    m_waitTimer.async_wait([weak = weak_from_this(), reason](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->m_isFinished)
+            self->tryAgain(reason);
+    });
+}
+
+void WholeAnswerCall::leaveWaitingRoom()
+{
+    if (std::exchange(m_isWaiting, false))
+        m_context.waitingRoom.leave(m_request.exchange->request().body.size());
+}
+
+void WholeAnswerCall::tryAgain(RefusalReason lastReason)
+{
+    leaveWaitingRoom();
+    m_tried.clear();
+    auto& budget = m_context.retryBudget(m_request.service);
+    const bool isRetry = mayHaveArrived();
+    if (isRetry && !budget.take(RetryPurpose::Rescue, m_context.now())) {
+        waitOrRefuse(RefusalReason::RetryBudgetSpent);
+        return;
+    }
+    if (sendNext(isRetry))
+        return;
+    if (isRetry)
+        budget.giveBack();
+    waitOrRefuse(lastReason);
 }
 
 void WholeAnswerCall::timedOut()
@@ -255,7 +328,7 @@
 // Only a call that was sent once shows how long calls take: a second sending is sent because the first one is slow.
 void WholeAnswerCall::noteCallTime(Milliseconds now)
 {
-    if (m_tried.size() == 1 && m_context.has(Policy::LearnedPace))
+    if (m_attempts.size() == 1 && m_context.has(Policy::LearnedPace))
         m_context.pace(m_request.service).callTime.add(static_cast<double>((now - m_request.admittedAt).count()), now);
 }
 
@@ -268,7 +341,7 @@
         .text("outcome", outcome)
         .text("endpoint", endpointId)
         .number("status", response.status)
-        .number("attempts", static_cast<std::int64_t>(m_tried.size()))
+        .number("attempts", static_cast<std::int64_t>(m_attempts.size()))
         .number("took_ms", (now - m_request.admittedAt).count())
         .write();
     m_context.metrics.countRequest(m_request.route->kind, response.status, now - m_request.admittedAt);
@@ -284,11 +357,12 @@
         .text("request", m_request.fields.requestId)
         .text("reason", traits.name)
         .number("status", traits.status)
-        .number("attempts", static_cast<std::int64_t>(m_tried.size()))
+        .number("attempts", static_cast<std::int64_t>(m_attempts.size()))
         .number("took_ms", (now - m_request.admittedAt).count())
         .write();
     m_context.metrics.countRequest(m_request.route->kind, traits.status, now - m_request.admittedAt);
-    m_request.exchange->respond(refusal(m_context, reason));
+    const auto comeBack = comeBackIn(obstacleOf(reason), m_request.deadline - now, spread());
+    m_request.exchange->respond(refusal(m_context, reason, comeBack));
     finish();
 }
 
@@ -299,6 +373,8 @@
     m_isFinished = true;
     m_deadlineTimer.cancel();
     m_hedgeTimer.cancel();
+    m_waitTimer.cancel();
+    leaveWaitingRoom();
     for (const auto& attempt : m_attempts)
         attempt->call->cancel();
 }
--- a/src/relay/WholeAnswerCall.h
+++ b/src/relay/WholeAnswerCall.h
@@ -5,6 +5,8 @@
 // second endpoint, and the first good answer wins.
 //
 // A call that must not run twice is sent again only where the first sending provably did not run.
+//
+// A call that no endpoint has taken waits for a place; admission/WaitForPlace decides how long.
 // Used on the relay's thread only. Owned by its pending timers and the exchange's callback.
 #pragma once
 
@@ -16,6 +18,8 @@
 
 namespace lupinknot::internal {
 
+enum class PlaceObstacle;
+
 class WholeAnswerCall final : public EndpointCallListener, public std::enable_shared_from_this<WholeAnswerCall> {
 public:
     static void serve(RelayContext&, RelayRequest);
@@ -38,8 +42,17 @@
 
     WholeAnswerCall(RelayContext&, RelayRequest);
     void begin();
-    // Sends to one more endpoint; false when there is none or no attempt is left.
-    bool sendNext(bool isCharged);
+    // Sends to one more endpoint; false when there is none. Only an endpoint of which nothing bad is known is good
+    // enough where the call can wait instead.
+    bool sendNext(bool isCharged, bool mustBeSound = false);
+    // True when the call has run nowhere and may be sent again.
+    bool mayWait() const;
+    // Waits for a place, or refuses for the reason when that is not worth it.
+    void waitOrRefuse(RefusalReason);
+    void tryAgain(RefusalReason lastReason);
+    void leaveWaitingRoom();
+    // A number from 0 to 1 that differs from call to call.
+    double spread() const;
     // True when an earlier attempt may have reached its endpoint: only then is the next one a retry.
     bool mayHaveArrived() const;
     bool maySendAgain() const;
@@ -58,6 +71,7 @@
     RelayContext& m_context;
     const RelayRequest m_request;
     std::vector<std::unique_ptr<Attempt>> m_attempts;
+    // Endpoints tried since the call waited last.
     std::vector<std::shared_ptr<RelayEndpoint>> m_tried;
     // Sendings that an endpoint may have run.
     unsigned m_possibleRuns { 0 };
@@ -65,6 +79,10 @@
     std::unique_ptr<Attempt> m_errorAnswer;
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_hedgeTimer;
+    boost::asio::steady_timer m_waitTimer;
+    // How often it has waited for a place.
+    unsigned m_waits { 0 };
+    bool m_isWaiting { false };
     bool m_isFinished { false };
 };
 
--- a/test/RelayHandlerTest.cpp
+++ b/test/RelayHandlerTest.cpp
@@ -106,6 +106,31 @@
     LONGS_EQUAL_TEXT(503, caller->head.status, "a VM that knows no route must not say that there is none");
 }
 
+TEST(RelayHandler, ServesARequestThatCameBeforeTheConfigurationAndTheEndpoints)
+{
+    RelayHarness fresh;
+    fresh.addRoute("open", RequestKind::NonIdempotent, 1);
+    fresh.addEndpoint("e1").onRequest(
+        [](ScriptedConnection& asker, const std::string&) { asker.answer(200, signedHead, "hello"); });
+    const auto caller = fresh.call("/open/1");
+    CHECK(fresh.runUntil([&] { return fresh.daemon().waitingCount() == 1; }));
+    fresh.configure();
+    LONGS_EQUAL_TEXT(1, fresh.daemon().waitingCount(), "without endpoints it waits on");
+    fresh.list();
+    CHECK(fresh.runUntil([&] { return caller->isWhole; }));
+    LONGS_EQUAL_TEXT(200, caller->head.status, "the configuration came some milliseconds after the request");
+    LONGS_EQUAL(0, fresh.daemon().waitingCount());
+}
+
+TEST(RelayHandler, ACallerThatLeavesBeforeTheConfigurationWaitsNoMore)
+{
+    RelayHarness fresh;
+    const auto caller = fresh.call("/open/1");
+    CHECK(fresh.runUntil([&] { return fresh.daemon().waitingCount() == 1; }));
+    caller->connection->close();
+    CHECK(fresh.runUntil([&] { return fresh.daemon().waitingCount() == 0; }));
+}
+
 TEST(RelayHandler, AConfigurationNeverGoesBack)
 {
     RelayConfigurationBuilder older;
