The log tells of a list of endpoints in one line; lupinknotctl losses counts refusals, waits and calls to the store

What refusals and calls to the store were for could not be told from logs. Ruled out: a finer level that is off, because nothing reads it: where a decision touches an endpoint, its line names it. Change: endpoints.applied says the version and how many were added, changed, replaced and removed; `losses` counts refusals by reason and zone, also of requests that were not admitted, waits by what was lacking and calls to the store by purpose.

--- a/src/ctl/LossReport.cpp
+++ b/src/ctl/LossReport.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int firstServerError = 500;
+constexpr int columnWidth = 9;
 
 std::int64_t numberIn(const nlohmann::json& event, const char* name)
 {
@@ -30,6 +31,13 @@
     return found != event.end() && found->is_boolean() && found->get<bool>();
 }
 
+// Answers that promise that the request has not run.
+bool isPromise(std::int64_t status)
+{
+    constexpr std::array<std::int64_t, 4> promises { 408, 421, 429, 503 };
+    return std::count(promises.begin(), promises.end(), status) > 0;
+}
+
 } // namespace
 
 struct LossReport::Attempt {
@@ -64,6 +72,7 @@
 void LossReport::take(const nlohmann::json& event)
 {
     const auto name = event["event"].get<std::string>();
+    takeVmEvent(name, event);
     const auto request = textIn(event, "request");
     if (request.empty())
         return;
@@ -86,6 +95,23 @@
         takeStreamEvent(attempt, name, event);
 }
 
+void LossReport::takeVmEvent(const std::string& name, const nlohmann::json& event)
+{
+    if (name == "process.started") {
+        m_zonesOfVms[textIn(event, "vm")] = textIn(event, "zone");
+    } else if (name == "store.called") {
+        ++m_storeCalls[textIn(event, "purpose") + " " + textIn(event, "table")];
+    } else if (name == "request.waits-for-news") {
+        ++m_waits["news at the start of the VM"];
+    } else if (name == "request.waits-for-place") {
+        ++m_waits["a place, after " + textIn(event, "reason")];
+    } else if (name == "request.refused" || (name == "stream.done" && isPromise(numberIn(event, "status")))) {
+        const auto zone = m_zonesOfVms.find(textIn(event, "vm"));
+        const auto reason = textIn(event, name == "request.refused" ? "reason" : "outcome");
+        ++m_refusals[reason + " in " + (zone == m_zonesOfVms.end() ? "an unknown zone" : zone->second)];
+    }
+}
+
 void LossReport::takeStreamEvent(Attempt& attempt, const std::string& name, const nlohmann::json& event)
 {
     attempt.isStream = true;
@@ -127,10 +153,8 @@
         return AttemptEnd::ServiceError;
     const bool isServed
         = attempt.outcome == "complete" || attempt.outcome == "answered" || attempt.outcome == "endpoint-status";
-    constexpr std::array<std::int64_t, 4> promises { 408, 421, 429, 503 };
     if (!isServed)
-        return std::count(promises.begin(), promises.end(), attempt.status) > 0 ? AttemptEnd::Refused
-                                                                                : AttemptEnd::Failed;
+        return isPromise(attempt.status) ? AttemptEnd::Refused : AttemptEnd::Failed;
     if (!attempt.isStream)
         return attempt.objective > 0 && attempt.took > attempt.objective ? AttemptEnd::LateAnswer : AttemptEnd::InTime;
     if (attempt.longestPause > 0 && attempt.longestResumption > attempt.longestPause)
@@ -145,6 +169,12 @@
         [&](const auto& entry) { return entry.second.hasReturned == hasReturned && endOf(entry.second) == end; }));
 }
 
+void LossReport::writeCounts(std::ostream& out, const std::map<std::string, std::size_t>& counts, std::string_view what)
+{
+    for (const auto& [name, number] : counts)
+        out << std::setw(columnWidth) << number << "  " << what << name << "\n";
+}
+
 std::size_t LossReport::write(std::ostream& out) const
 {
     struct Row {
@@ -158,7 +188,7 @@
         auto& row = rows[static_cast<std::size_t>(endOf(attempt))];
         ++(attempt.hasReturned ? row.returned : attempt.isStream ? row.streams : row.calls);
     }
-    constexpr int width = 9;
+    constexpr int width = columnWidth;
     out << std::setw(width) << "calls" << std::setw(width) << "streams" << std::setw(width) << "returned"
         << "  ended\n";
     for (const auto& name : attemptEndNames) {
@@ -170,6 +200,9 @@
         out << std::setw(width) << number << "  runs lost: " << failure << "\n";
     out << std::setw(width) << m_coldResumptions << "  runs that went on by reading the prompt again, "
         << m_tokensReadAgain << " tokens\n";
+    writeCounts(out, m_refusals, "refused: ");
+    writeCounts(out, m_waits, "waits for ");
+    writeCounts(out, m_storeCalls, "calls to the store: ");
     return m_attempts.size();
 }
 
--- a/src/ctl/LossReport.h
+++ b/src/ctl/LossReport.h
@@ -5,7 +5,9 @@
 //     report.read(file2);
 //     report.write(std::cout);
 //
-// A request is one attempt of a caller; one that comes back is counted again, as returned. Not thread-safe.
+// A request is one attempt of a caller; one that comes back is counted again, as returned. Refusals are also counted by
+// reason and availability zone, waits by what the request waited for, calls to the platform's store by purpose.
+// Not thread-safe.
 #pragma once
 
 #include "lupinknot/EnumNames.h"
@@ -61,6 +63,10 @@
     std::size_t write(std::ostream&) const;
     // How many attempts ended so; for tests and other reports.
     std::size_t count(AttemptEnd end, bool hasReturned = false) const;
+    // By "REASON in ZONE", by "waits for WHAT" and by "PURPOSE TABLE".
+    const std::map<std::string, std::size_t>& refusals() const { return m_refusals; }
+    const std::map<std::string, std::size_t>& waits() const { return m_waits; }
+    const std::map<std::string, std::size_t>& storeCalls() const { return m_storeCalls; }
 
 private:
     struct Attempt;
@@ -70,7 +76,16 @@
     static void takeDone(Attempt&, const nlohmann::json& event);
     static AttemptEnd endOf(const Attempt&);
 
+    // What concerns the VM itself, and requests that were never admitted.
+    void takeVmEvent(const std::string& name, const nlohmann::json& event);
+    static void writeCounts(std::ostream&, const std::map<std::string, std::size_t>&, std::string_view what);
+
     std::map<std::string, Attempt> m_attempts;
+    std::map<std::string, std::string> m_zonesOfVms;
+    // Refusals by reason and zone, waits by what was lacking, calls to the platform's store by purpose.
+    std::map<std::string, std::size_t> m_refusals;
+    std::map<std::string, std::size_t> m_waits;
+    std::map<std::string, std::size_t> m_storeCalls;
     // Runs that were lost, by failure, and the tokens that had to be read again.
     std::map<std::string, std::size_t> m_lostRuns;
     std::size_t m_coldResumptions { 0 };
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -28,18 +28,13 @@
     if (known != m_endpointsById.end()) {
         const auto endpoint = known->second;
         if (endpoint->entry().isDraining != entry.isDraining || endpoint->isRemoved())
-            LogEvent("endpoint.changed").text("endpoint", entry.id).flag("draining", entry.isDraining).write();
+            ++m_counts.changed;
         if (entry.isDraining)
             endpoint->closeKeptConnections();
         endpoint->updateEntry(std::move(entry), now);
         return;
     }
-    LogEvent("endpoint.added")
-        .text("endpoint", entry.id)
-        .text("service", entry.service)
-        .text("address", entry.address.text())
-        .text("zone", entry.availabilityZone)
-        .write();
+    ++m_counts.added;
     const auto service = entry.service;
     const auto id = entry.id;
     const ClientConnectionSettings connection { .connectTimeout = m_settings.endpointConnectTimeout };
@@ -57,7 +52,7 @@
     const auto known = m_endpointsById.find(previous);
     if (known == m_endpointsById.end() || m_endpointsById.count(entry.id))
         return;
-    LogEvent("endpoint.replaced").text("endpoint", previous).text("by", entry.id).write();
+    ++m_counts.replaced;
     remove(previous, now);
     forget(std::shared_ptr<RelayEndpoint>(known->second));
 }
@@ -67,12 +62,39 @@
     const auto known = m_endpointsById.find(id);
     if (known == m_endpointsById.end() || known->second->isRemoved())
         return;
-    LogEvent("endpoint.removed").text("endpoint", id).text("service", known->second->entry().service).write();
+    ++m_counts.removed;
     known->second->setRemoved(now);
     known->second->closeKeptConnections();
 }
 
-void EndpointDirectory::replaceAll(std::vector<EndpointEntry> entries, Milliseconds now)
+EndpointCounts EndpointDirectory::change(EndpointChanges changes, Milliseconds now)
+{
+    for (const auto& id : changes.removed)
+        remove(id, now);
+    for (auto& entry : changes.listed)
+        upsert(std::move(entry), now);
+    return logCounts(false, changes.version);
+}
+
+EndpointCounts EndpointDirectory::logCounts(bool isWhole, std::uint64_t version)
+{
+    const auto counts = std::exchange(m_counts, {});
+    if (!isWhole && counts.added + counts.changed + counts.replaced + counts.removed == 0)
+        return counts;
+    LogEvent("endpoints.applied")
+        .flag("whole", isWhole)
+        .number("list_version", static_cast<std::int64_t>(version))
+        .number("added", counts.added)
+        .number("changed", counts.changed)
+        .number("replaced", counts.replaced)
+        .number("removed", counts.removed)
+        .number("known", static_cast<std::int64_t>(size()))
+        .write();
+    return counts;
+}
+
+EndpointCounts EndpointDirectory::replaceAll(
+    std::vector<EndpointEntry> entries, Milliseconds now, std::uint64_t version)
 {
     const bool isFirst = !std::exchange(m_isKnown, true);
     std::set<std::string> listed;
@@ -87,8 +109,10 @@
     }
     for (const auto& id : gone)
         remove(id, now);
+    const auto counts = logCounts(true, version);
     if (isFirst && m_onFirstList)
         m_onFirstList();
+    return counts;
 }
 
 std::shared_ptr<RelayEndpoint> EndpointDirectory::find(const std::string& id) const
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -1,9 +1,12 @@
 // The endpoints that this VM knows, and which availability zones fail right now.
 //
-//     directory.upsert(entry, now);
-//     directory.remove("i-1", now);              // Kept as a last resort for a while.
+//     directory.change({ entries, removedIds, version }, now);
 //     directory.replaceAll(entries, now);        // After a gap in the list's changes.
+//     directory.remove("i-1", now);              // An answer shows that it has gone; kept as a last resort for a
+//     while.
 //
+// One line of the log tells of each list or change that was applied: with hundreds of VMs and engines, a line for each
+// endpoint on each VM was three quarters of a day's log.
 // Used on the relay's thread only. Lives for the process.
 #pragma once
 
@@ -16,13 +19,33 @@
 
 namespace lupinknot::internal {
 
+// Changes of the list, in one version.
+struct EndpointChanges {
+    std::vector<EndpointEntry> listed;
+    // Ids of endpoints whose entries have gone.
+    std::vector<std::string> removed;
+    // Of the list; 0 when unknown.
+    std::uint64_t version { 0 };
+};
+
+// What a list or a change of it has done, as the log says it.
+struct EndpointCounts {
+    std::int64_t added { 0 };
+    // Leaving now, or listed again.
+    std::int64_t changed { 0 };
+    // Ended by a new one at their address.
+    std::int64_t replaced { 0 };
+    std::int64_t removed { 0 };
+};
+
 class EndpointDirectory {
 public:
     EndpointDirectory(boost::asio::io_context&, const RelaySettings&);
 
     void upsert(EndpointEntry, Milliseconds now);
     void remove(const std::string& id, Milliseconds now);
-    void replaceAll(std::vector<EndpointEntry>, Milliseconds now);
+    EndpointCounts change(EndpointChanges, Milliseconds now);
+    EndpointCounts replaceAll(std::vector<EndpointEntry>, Milliseconds now, std::uint64_t version = 0);
     // True once a list has been taken over, also an empty one.
     bool isKnown() const { return m_isKnown; }
     // What to call once the first list has been taken over.
@@ -55,6 +78,8 @@
         Milliseconds failedAt { 0 };
     };
 
+    // Ends a list or a change of it with its line of the log.
+    EndpointCounts logCounts(bool isWhole, std::uint64_t version);
     void retireOtherAt(const EndpointEntry&, Milliseconds now);
     void forget(const std::shared_ptr<RelayEndpoint>&);
 
@@ -65,6 +90,8 @@
     // The newest incarnation at each address.
     std::unordered_map<std::string, std::string> m_idsByAddress;
     std::unordered_map<std::string, ZoneHealth> m_zones;
+    // Of the list or the change that is being applied.
+    EndpointCounts m_counts;
     bool m_isKnown { false };
     std::function<void()> m_onFirstList;
 };
--- a/test/EndpointDirectoryTest.cpp
+++ b/test/EndpointDirectoryTest.cpp
@@ -156,3 +156,24 @@
     now += settings.doubtAfterZoneFailure;
     CHECK_FALSE(directory->isDoubtful(*endpoints[2], now));
 }
+
+// A zone of 64 engines that fails and comes back used to write 128 lines and more on each VM.
+TEST(EndpointDirectory, AChangeOfTheListIsToldAsOne)
+{
+    std::vector<EndpointEntry> zone;
+    EndpointChanges loss;
+    EndpointChanges returned;
+    for (int i = 0; i < 64; ++i) {
+        zone.push_back(entry("old" + std::to_string(i), i + 1));
+        loss.removed.push_back(zone.back().id);
+        returned.listed.push_back(entry("new" + std::to_string(i), i + 1));
+    }
+    LONGS_EQUAL(64, directory->replaceAll(zone, now).added);
+    LONGS_EQUAL(64, directory->change(loss, now).removed);
+    const auto counts = directory->change(returned, now);
+    LONGS_EQUAL(64, counts.added);
+    LONGS_EQUAL(64, counts.replaced);
+    LONGS_EQUAL_TEXT(0, counts.removed, "what a new one has replaced counts once");
+    directory->remove("new0", now);
+    LONGS_EQUAL_TEXT(1, directory->change({}, now).removed, "what an answer has shown to be gone comes with the next");
+}
--- a/test/LossReportTest.cpp
+++ b/test/LossReportTest.cpp
@@ -109,3 +109,28 @@
     std::ostringstream out;
     LONGS_EQUAL(0, report.write(out));
 }
+
+TEST(LossReport, CountsRefusalsByReasonAndZoneAlsoOfRequestsThatWereNotAdmitted)
+{
+    read(R"({"event":"process.started","vm":"v1","zone":"a"})"
+         "\n"
+         R"({"event":"request.refused","vm":"v1","request":"r9","reason":"no-configuration","status":503})"
+         "\n"
+         R"({"event":"stream.done","vm":"v2","request":"r8","outcome":"no-endpoint","status":503})"
+         "\n"
+         R"({"event":"stream.done","vm":"v1","request":"r7","outcome":"complete","status":200})"
+         "\n");
+    LONGS_EQUAL(2, report.refusals().size());
+    LONGS_EQUAL(1, report.refusals().at("no-configuration in a"));
+    LONGS_EQUAL(1, report.refusals().at("no-endpoint in an unknown zone"));
+}
+
+TEST(LossReport, CountsWaitsAndCallsToTheStoreByPurpose)
+{
+    read(R"({"event":"store.called","vm":"v1","purpose":"changes","table":"servers"})"
+         "\n"
+         R"({"event":"request.waits-for-place","vm":"v1","request":"r1","reason":"endpoints-busy"})"
+         "\n");
+    LONGS_EQUAL(1, report.storeCalls().at("changes servers"));
+    LONGS_EQUAL(1, report.waits().at("a place, after endpoints-busy"));
+}
