A zone's first few VMs ask a store that fails, one after the other; the others ask those

Cause: calls to the store are the largest price of the large site. Each of 295 VMs also read the table of VMs from the store three times a minute, again every 1.5 s when that failed, and asked the store for each returning caller's run beside the keepers. Change: a reader with old news is passed over for the next of the zone's first five by rank, which confirms what it knows when it is asked; pauses double while all have old news, and such a reader answers at once. Rows are taken whatever the age of the answer, since each carries its version, and a failing reader that hears from another VM passes on how old that is. The table of VMs comes from the reader. Replay: of 59 VMs of a zone at most five ask a store that answers nobody, all 59 before.

--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -78,10 +78,10 @@
         return store;
     }
 
-    // The zone's first by rank is found at the address.
-    void setReader(const SocketAddress& address)
+    // The zone's first by rank is found at the address, and the second one, if it is to be found.
+    void setReader(const SocketAddress& address, const SocketAddress& second = {})
     {
-        readers.setOthers({ { "vm1", "a", address }, { "vm2", "a", {} }, { "vm3", "a", {} }, { "vm4", "a", {} },
+        readers.setOthers({ { "vm1", "a", address }, { "vm2", "a", second }, { "vm3", "a", {} }, { "vm4", "a", {} },
             { "vm5", "a", {} } });
     }
 
@@ -257,6 +257,42 @@
     CHECK_FALSE_TEXT(shared.readers.current().has_value(), "the reader should be passed over for a while");
 }
 
+TEST(PlatformStore, AVmGoesOnToTheNextReaderWhenTheFirstOneHasOldNews)
+{
+    SharedReading shared(*ioContext);
+    CHECK(runUntil([&] { return shared.haveBothBegun(); }));
+    const auto secondStore = SharedReading::begun(*ioContext);
+    Followed second;
+    second.follow(*ioContext, secondStore->port(), "servers");
+    PeerFeeds secondFeeds(*ioContext, { "127.0.0.1", 0 }, shared.vms);
+    secondFeeds.add(second.feed);
+    CHECK_FALSE(secondFeeds.start().has_value());
+    shared.setReader({ "127.0.0.1", shared.feeds.port() }, { "127.0.0.1", secondFeeds.port() });
+    bool hasFailed = false;
+    shared.reader.feed->onFailure([&] { hasFailed = true; });
+    shared.readersStore->setFault(StoreFault::Unavailable);
+    CHECK(runUntil([&] { return hasFailed; }));
+    shared.reader.clock.advance(Milliseconds { 1500 });
+    while (secondStore->version() < shared.readersStore->version())
+        secondStore->put("op", "config", "1");
+    const auto calls = shared.ownStore->callCount();
+    secondStore->put("servers", "b", "2");
+    CHECK_TEXT(runUntil([&] { return shared.follower.rows["b"] == "2"; }), "the next reader has the news");
+    LONGS_EQUAL_TEXT(calls, shared.ownStore->callCount(), "old news of one VM is no reason to ask the store");
+}
+
+TEST(PlatformStore, ARowIsTakenFromAReaderWhateverItsAge)
+{
+    SharedReading shared(*ioContext);
+    CHECK(runUntil([&] { return shared.haveBothBegun(); }));
+    shared.readersStore->put("servers", "b", "2");
+    CHECK(runUntil([&] { return shared.reader.rows["b"] == "2"; }));
+    shared.readersStore->setFault(StoreFault::Unavailable);
+    shared.reader.clock.advance(Milliseconds { 1500 });
+    shared.ownStore->setFault(StoreFault::Unavailable);
+    CHECK_TEXT(runUntil([&] { return shared.follower.rows["b"] == "2"; }), "its version says that it is news");
+}
+
 // The reader was a follower itself, or waits at the store for longer than its knowledge may be old.
 TEST(PlatformStore, AVmThatOthersBeginToAskConfirmsWhatItKnows)
 {
@@ -317,6 +353,21 @@
     STRCMP_EQUAL("10.0.0.1:7200", second.choosePeer()->address.text().c_str());
 }
 
+TEST(PlatformStore, AVmOfALargeZoneHearsOfOthersFromTheReader)
+{
+    SharedReading shared(*ioContext);
+    shared.feeds.tell(VmRegistry::peerPath, [&shared](const std::string&) { return shared.vms.text(); });
+    const SocketAddress address { "127.0.0.1", store->port() };
+    CHECK(runUntil([&] { return shared.vms.text().has_value(); }));
+    std::size_t count = 0;
+    VmRegistry vms(*ioContext, address, { "vm7", "a", { "10.0.0.7", 7200 } }, {},
+        [&count](const std::vector<VmEntry>& others) { count = others.size() + 1; });
+    vms.shareThrough(shared.readers);
+    CHECK(runUntil([&] { return count > 0; }));
+    LONGS_EQUAL_TEXT(2, count, "the reader's table names vm1 only");
+    LONGS_EQUAL_TEXT(1, store->callCount(), "the VM enters itself, and does not read the table at the store");
+}
+
 TEST(PlatformStore, ALocationIsFoundByAnotherVmUntilTheRunHasEnded)
 {
     const SocketAddress address { "127.0.0.1", store->port() };
--- a/test/ZoneReadersTest.cpp
+++ b/test/ZoneReadersTest.cpp
@@ -1,6 +1,8 @@
 #include "ZoneReaders.h"
 #include "lupinknot/ManualClock.h"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace lupinknot;
@@ -52,6 +54,44 @@
     STRCMP_EQUAL("a2", readers.current()->name.c_str());
 }
 
+TEST(ZoneReaders, AReaderWithOldNewsIsFollowedByTheNextAtOnce)
+{
+    ZoneReaders readers(clock, { "a9", "a", {}, 10 });
+    readers.setOthers(others());
+    readers.passOver("a2");
+    STRCMP_EQUAL("a3", readers.current()->name.c_str());
+    readers.passOver("a3");
+    STRCMP_EQUAL("a1", readers.current()->name.c_str());
+    clock.advance(Milliseconds { 6001 });
+    STRCMP_EQUAL("a2", readers.current()->name.c_str());
+}
+
+// Replay of a store that answers nobody, in a zone of 59 VMs that each find one reader after the other to have old
+// news.
+TEST(ZoneReaders, OnlyTheFirstFewAskAStoreThatAnswersNobody)
+{
+    std::vector<VmEntry> vms;
+    for (int i = 0; i < 59; ++i)
+        vms.push_back({ "a" + std::to_string(100 + i), "a", {}, 10 });
+    int askTheStore = 0;
+    for (const auto& self : vms) {
+        ZoneReaders readers(clock, self);
+        auto known = vms;
+        known.erase(
+            std::find_if(known.begin(), known.end(), [&self](const VmEntry& vm) { return vm.name == self.name; }));
+        readers.setOthers(known);
+        bool asksTheStore = false;
+        for (int question = 0; question < 20; ++question) {
+            const auto reader = readers.current();
+            asksTheStore = asksTheStore || !reader;
+            if (reader)
+                readers.passOver(reader->name);
+        }
+        askTheStore += asksTheStore ? 1 : 0;
+    }
+    CHECK_TEXT(askTheStore <= 5, "a store that cannot answer must not be asked by the whole zone");
+}
+
 TEST(ZoneReaders, TheNextByRankReadsTheStoreWhenItFindsTheFirstFailed)
 {
     ZoneReaders readers(clock, { "a3", "a", {}, 200 });
