Changes of the list of endpoints hold in their order: one that comes and goes within an answer is gone

Cause: since the log tells of a change in one line, removals of an answer were applied before its listings. An engine that was listed and removed in one answer was unknown when its removal came and was then added for good. Ruled out: a feed that heard late (all six had the version 0.3 s after the removal); a row dropped for its version. Change: a change is one ordered list of listings and removals. Tests: AnEndpointThatComesAndGoesWithinOneChangeIsGone and ChangesOfOneEndpointHoldInTheirOrder, red with the order before.

--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -67,13 +67,15 @@
     known->second->closeKeptConnections();
 }
 
-EndpointCounts EndpointDirectory::change(EndpointChanges changes, Milliseconds now)
+EndpointCounts EndpointDirectory::change(std::vector<EndpointChange> changes, Milliseconds now, std::uint64_t version)
 {
-    for (const auto& id : changes.removed)
-        remove(id, now);
-    for (auto& entry : changes.listed)
-        upsert(std::move(entry), now);
-    return logCounts(false, changes.version);
+    for (auto& change : changes) {
+        if (change.isRemoval)
+            remove(change.entry.id, now);
+        else
+            upsert(std::move(change.entry), now);
+    }
+    return logCounts(false, version);
 }
 
 EndpointCounts EndpointDirectory::logCounts(bool isWhole, std::uint64_t version)
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -1,6 +1,6 @@
 // The endpoints that this VM knows, and which availability zones fail right now.
 //
-//     directory.change({ entries, removedIds, version }, now);
+//     directory.change(changes, now);
 //     directory.replaceAll(entries, now);        // After a gap in the list's changes.
 //     directory.remove("i-1", now);              // An answer shows that it has gone; kept as a last resort for a
 //     while.
@@ -19,13 +19,11 @@
 
 namespace lupinknot::internal {
 
-// Changes of the list, in one version.
-struct EndpointChanges {
-    std::vector<EndpointEntry> listed;
-    // Ids of endpoints whose entries have gone.
-    std::vector<std::string> removed;
-    // Of the list; 0 when unknown.
-    std::uint64_t version { 0 };
+// One change of the list: an endpoint is listed as it is now, or its entry has gone.
+struct EndpointChange {
+    // Of one that has gone only the id counts.
+    EndpointEntry entry;
+    bool isRemoval { false };
 };
 
 // What a list or a change of it has done, as the log says it.
@@ -44,7 +42,8 @@
 
     void upsert(EndpointEntry, Milliseconds now);
     void remove(const std::string& id, Milliseconds now);
-    EndpointCounts change(EndpointChanges, Milliseconds now);
+    // Changes hold in their order: an endpoint may come and go within one answer of the list's source.
+    EndpointCounts change(std::vector<EndpointChange>, Milliseconds now, std::uint64_t version = 0);
     EndpointCounts replaceAll(std::vector<EndpointEntry>, Milliseconds now, std::uint64_t version = 0);
     // True once a list has been taken over, also an empty one.
     bool isKnown() const { return m_isKnown; }
--- a/test/EndpointDirectoryTest.cpp
+++ b/test/EndpointDirectoryTest.cpp
@@ -161,12 +161,12 @@
 TEST(EndpointDirectory, AChangeOfTheListIsToldAsOne)
 {
     std::vector<EndpointEntry> zone;
-    EndpointChanges loss;
-    EndpointChanges returned;
+    std::vector<EndpointChange> loss;
+    std::vector<EndpointChange> returned;
     for (int i = 0; i < 64; ++i) {
         zone.push_back(entry("old" + std::to_string(i), i + 1));
-        loss.removed.push_back(zone.back().id);
-        returned.listed.push_back(entry("new" + std::to_string(i), i + 1));
+        loss.push_back({ zone.back(), true });
+        returned.push_back({ entry("new" + std::to_string(i), i + 1), false });
     }
     LONGS_EQUAL(64, directory->replaceAll(zone, now).added);
     LONGS_EQUAL(64, directory->change(loss, now).removed);
@@ -177,3 +177,25 @@
     directory->remove("new0", now);
     LONGS_EQUAL_TEXT(1, directory->change({}, now).removed, "what an answer has shown to be gone comes with the next");
 }
+
+// Found by pwani-pay trouble-1 with seed 301: an engine that came back after a crash and was taken away 0.4 s later was
+// listed and removed within one answer of the list's source. It stayed in use, and got a request 3.3 s after it had
+// left.
+TEST(EndpointDirectory, AnEndpointThatComesAndGoesWithinOneChangeIsGone)
+{
+    directory->replaceAll({ entry("e1", 1) }, now);
+    directory->change({ { entry("new", 2), false }, { { .id = "new" }, true } }, now);
+    CHECK(directory->find("new")->isRemoved());
+    now += settings.leavingEndpointGrace + Milliseconds { 1 };
+    for (int i = 0; i < 20; ++i)
+        STRCMP_EQUAL("e1", chosen().c_str());
+}
+
+TEST(EndpointDirectory, ChangesOfOneEndpointHoldInTheirOrder)
+{
+    directory->replaceAll({ entry("e1", 1), entry("e2", 2) }, now);
+    directory->change({ { entry("e1", 1), false }, { entry("e1", 1), true } }, now);
+    CHECK_TEXT(directory->find("e1")->isRemoved(), "it was listed once more and then removed");
+    directory->change({ { entry("e2", 2), true }, { entry("e2", 2), false } }, now);
+    CHECK_FALSE_TEXT(directory->find("e2")->isRemoved(), "it was removed and is listed again");
+}
