--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -27,14 +27,17 @@
     retireOtherAt(entry, now);
     if (known != m_endpointsById.end()) {
         const auto endpoint = known->second;
-        if (endpoint->entry().isDraining != entry.isDraining || endpoint->isRemoved())
+        if (endpoint->entry().isDraining != entry.isDraining || endpoint->isRemoved()) {
             ++m_counts.changed;
+            logEndpoint("endpoint.changed", entry);
+        }
         if (entry.isDraining)
             endpoint->closeKeptConnections();
         endpoint->updateEntry(std::move(entry), now);
         return;
     }
     ++m_counts.added;
+    logEndpoint("endpoint.added", entry);
     const auto service = entry.service;
     const auto id = entry.id;
     const ClientConnectionSettings connection { .connectTimeout = m_settings.endpointConnectTimeout };
@@ -53,6 +56,7 @@
     if (known == m_endpointsById.end() || m_endpointsById.count(entry.id))
         return;
     ++m_counts.replaced;
+    logEndpoint("endpoint.replaced", known->second->entry());
     remove(previous, now);
     forget(std::shared_ptr<RelayEndpoint>(known->second));
 }
@@ -63,6 +67,7 @@
     if (known == m_endpointsById.end() || known->second->isRemoved())
         return;
     ++m_counts.removed;
+    logEndpoint("endpoint.removed", known->second->entry());
     known->second->setRemoved(now);
     known->second->closeKeptConnections();
 }
@@ -78,6 +83,19 @@
     return logCounts(false, version);
 }
 
+void EndpointDirectory::logEndpoint(std::string_view event, const EndpointEntry& entry) const
+{
+    if (!m_settings.logsEndpoints)
+        return;
+    LogEvent(event)
+        .text("endpoint", entry.id)
+        .text("service", entry.service)
+        .text("address", entry.address.text())
+        .text("zone", entry.availabilityZone)
+        .flag("draining", entry.isDraining)
+        .write();
+}
+
 EndpointCounts EndpointDirectory::logCounts(bool isWhole, std::uint64_t version)
 {
     const auto counts = std::exchange(m_counts, {});
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -77,6 +77,8 @@
         Milliseconds failedAt { 0 };
     };
 
+    // Names an endpoint in the log, if the settings say so.
+    void logEndpoint(std::string_view event, const EndpointEntry&) const;
     // Ends a list or a change of it with its line of the log.
     EndpointCounts logCounts(bool isWhole, std::uint64_t version);
     void retireOtherAt(const EndpointEntry&, Milliseconds now);
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -16,6 +16,10 @@
     // What the relay decides by; all mechanisms unless the operator has switched some off.
     PolicySet policies;
 
+    // Whether the log names each endpoint that comes, changes or goes. With hundreds of VMs and engines that is three
+    // quarters of a log, so it is for the search for a fault.
+    bool logsEndpoints { false };
+
     // Retries that all VMs together may send to a service: a share of its requests within the window, and a fixed
     // number. From the deployment.
     double retryRatio { 0.8 };
--- a/test/PeerRunLocationsTest.cpp
+++ b/test/PeerRunLocationsTest.cpp
@@ -38,6 +38,20 @@
     std::unique_ptr<PeerRunLocations> locations;
 };
 
+// A store that knows nothing and counts its questions.
+class CountingLocations final : public RunLocations {
+public:
+    void note(const std::string&, const RunLocation&) override { }
+    void forget(const std::string&) override { }
+    void find(const std::string&, Found found) override
+    {
+        ++finds;
+        found(std::nullopt);
+    }
+
+    int finds { 0 };
+};
+
 } // namespace
 
 TEST_GROUP(PeerRunLocations)
@@ -84,6 +98,42 @@
             [&](const std::unique_ptr<TellingVm>& vm) { return vm->locations->tell(promptId).has_value(); }));
     }
 
+    // A VM beside six others, two of which know the run of prompt 91bd.
+    struct AskingVm {
+        template <typename Group>
+        explicit AskingVm(Group& group)
+            : ioContext(*group.ioContext)
+            , self({ "vm9", "a", { "127.0.0.1", 1 } })
+            , locations(ioContext, clock, self, store)
+        {
+            group.addVms(6);
+            std::vector<VmEntry> others;
+            for (const auto& vm : group.vms)
+                others.push_back(vm->entry);
+            locations.setOthers(others);
+            others.push_back(self);
+            group.vms[0]->locations->setOthers(others);
+            group.vms[0]->locations->note("91bd", { "e1", "e2", "r1" });
+            CHECK(group.runUntil([&] { return group.keptElsewhere("91bd") >= 2; }));
+        }
+
+        std::string find(const std::string& promptId)
+        {
+            std::string found;
+            locations.find(promptId, [&found](const std::optional<RunLocation>& location) {
+                found = location ? location->endpointId : "none";
+            });
+            CHECK(internal::runUntil(ioContext, [&] { return !found.empty(); }));
+            return found;
+        }
+
+        boost::asio::io_context& ioContext;
+        ManualClock clock;
+        CountingLocations store;
+        const VmEntry self;
+        PeerRunLocations locations;
+    };
+
     std::string find(TellingVm & vm, const std::string& promptId)
     {
         std::string found;
@@ -116,6 +166,23 @@
     STRCMP_EQUAL("e1 e2 r1", find(*vms[1], "91bd").c_str());
 }
 
+TEST(PeerRunLocations, TheStoreIsAskedOnlyWhenNoVmKnowsTheRun)
+{
+    AskingVm asking(*this);
+    asking.clock.advance(Milliseconds { 10001 });
+    STRCMP_EQUAL("e1", asking.find("91bd").c_str());
+    LONGS_EQUAL_TEXT(0, asking.store.finds, "a VM knew the run");
+    STRCMP_EQUAL("none", asking.find("77aa").c_str());
+    LONGS_EQUAL_TEXT(1, asking.store.finds, "nobody knew the run");
+}
+
+TEST(PeerRunLocations, AVmThatHasJustStartedAsksTheStoreAtOnce)
+{
+    AskingVm asking(*this);
+    STRCMP_EQUAL("e1", asking.find("91bd").c_str());
+    LONGS_EQUAL(1, asking.store.finds);
+}
+
 TEST(PeerRunLocations, ASearchThatFindsNothingEnds)
 {
     addVms(3);
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -353,6 +353,50 @@
     STRCMP_EQUAL("10.0.0.1:7200", second.choosePeer()->address.text().c_str());
 }
 
+TEST(PlatformStore, AVmThatStartsAgainReadsTheTableAndWritesNothing)
+{
+    const SocketAddress address { "127.0.0.1", store->port() };
+    const VmEntry self { "vm1", "a", { "10.0.0.1", 7200 }, 100 };
+    const auto start = [&](const VmEntry& vm, std::size_t& told) {
+        return std::make_unique<VmRegistry>(
+            *ioContext, address, vm, std::vector<VmEntry> {},
+            [&told](const std::vector<VmEntry>& others) { told = others.size() + 1; }, FleetStart::Earlier);
+    };
+    std::size_t told = 0;
+    auto first = start(self, told);
+    CHECK(runUntil([&] { return store->value("vms", "vm1").has_value(); }));
+    LONGS_EQUAL_TEXT(2, store->callCount(), "a VM that is not in the table enters itself");
+    first.reset();
+    const auto calls = store->callCount();
+    const auto again = start(self, told = 0);
+    CHECK(runUntil([&] { return told == 1; }));
+    LONGS_EQUAL(calls + 1, store->callCount());
+    // It comes back at another address.
+    const auto moved = start({ "vm1", "a", { "10.0.0.9", 7200 }, 100 }, told = 0);
+    CHECK(runUntil([&] { return store->value("vms", "vm1")->find("10.0.0.9") != std::string::npos; }));
+}
+
+TEST(PlatformStore, AFeedWaitsForTheReadersOfItsZoneAfterItsFirstReading)
+{
+    SharedReading shared(*ioContext);
+    CHECK(runUntil([&] { return shared.haveBothBegun(); }));
+    Followed starting;
+    ZoneReaders readers(starting.clock, { "vm6", "a", {} });
+    store->put("servers", "a", "1");
+    starting.follow(*ioContext, store->port(), "servers", Milliseconds { 60000 });
+    starting.feed->follow(readers, SharedReading::sharing);
+    CHECK(runUntil([&] { return starting.rows["a"] == "1"; }));
+    LONGS_EQUAL(1, store->callCount());
+    readers.setOthers({ { "vm1", "a", { "127.0.0.1", shared.feeds.port() } }, { "vm2", "a", {} }, { "vm3", "a", {} },
+        { "vm4", "a", {} }, { "vm5", "a", {} } });
+    starting.feed->readersKnown();
+    while (shared.readersStore->version() < store->version())
+        shared.readersStore->put("op", "config", "1");
+    shared.readersStore->put("servers", "b", "2");
+    CHECK(runUntil([&] { return starting.rows["b"] == "2"; }));
+    LONGS_EQUAL_TEXT(1, store->callCount(), "it went on at the reader");
+}
+
 TEST(PlatformStore, AVmOfALargeZoneHearsOfOthersFromTheReader)
 {
     SharedReading shared(*ioContext);
