--- a/test/ZoneReadersTest.cpp
+++ b/test/ZoneReadersTest.cpp
@@ -70,8 +70,10 @@
 // news.
 TEST(ZoneReaders, OnlyTheFirstFewAskAStoreThatAnswersNobody)
 {
+    constexpr int vmCount = 59;
     std::vector<VmEntry> vms;
-    for (int i = 0; i < 59; ++i)
+    vms.reserve(vmCount);
+    for (int i = 0; i < vmCount; ++i)
         vms.push_back({ "a" + std::to_string(100 + i), "a", {}, 10 });
     int askTheStore = 0;
     for (const auto& self : vms) {
