A VM whose zone's readers all have old news asks the store itself

The store turned away all five first VMs of a zone and served the zone's others; these followed the five in turn, half a second each, and never asked the store: one applied version 17 at 8.2 s, 5.6 s after the acknowledgement.

Ruled out: a lost answer or a feed that hangs (the log shows feed.reader-behind for each of the five in turn).

Tests: AVmAsksTheStoreItselfWhenTheStoreTurnsAllReadersAway (failed first), AVmAsksASilentStoreRarelyBesideItsReaders.

--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -96,7 +96,7 @@
     }
 
     static constexpr StoreFeed::Sharing sharing { { readerWait, Milliseconds { 1 } }, readerWait, Milliseconds { 2000 },
-        Milliseconds { 1000 } };
+        Milliseconds { 1000 }, Milliseconds { 1200 } };
     Followed reader;
     Followed follower;
     std::unique_ptr<StoreStandIn> readersStore;
@@ -281,6 +281,49 @@
     LONGS_EQUAL_TEXT(calls, shared.ownStore->callCount(), "old news of one VM is no reason to ask the store");
 }
 
+// Found by trouble-1 of pwani-pay-grown: the store turned away all readers of a zone and served the zone's other VMs,
+// which followed the readers in turn and applied a configuration six seconds late.
+TEST(PlatformStore, AVmAsksTheStoreItselfWhenTheStoreTurnsAllReadersAway)
+{
+    SharedReading shared(*ioContext);
+    CHECK(runUntil([&] { return shared.haveBothBegun(); }));
+    const SocketAddress address { "127.0.0.1", shared.feeds.port() };
+    shared.readers.setOthers({ { "vm1", "a", address }, { "vm2", "a", address }, { "vm3", "a", address },
+        { "vm4", "a", address }, { "vm5", "a", address } });
+    bool hasFailed = false;
+    shared.reader.feed->onFailure([&] { hasFailed = true; });
+    shared.readersStore->setFault(StoreFault::Unavailable);
+    CHECK(runUntil([&] { return hasFailed; }));
+    shared.reader.clock.advance(Milliseconds { 1500 });
+    shared.follower.clock.advance(Milliseconds { 1500 });
+    shared.putNewerIntoOwnStore("b", "2");
+    CHECK(runUntil([&] { return shared.follower.rows["b"] == "2"; }));
+}
+
+// A store that answers nobody is asked once by each VM, and again only after a pause that grows.
+TEST(PlatformStore, AVmAsksASilentStoreRarelyBesideItsReaders)
+{
+    SharedReading shared(*ioContext);
+    CHECK(runUntil([&] { return shared.haveBothBegun(); }));
+    const SocketAddress address { "127.0.0.1", shared.feeds.port() };
+    shared.readers.setOthers({ { "vm1", "a", address }, { "vm2", "a", address }, { "vm3", "a", address },
+        { "vm4", "a", address }, { "vm5", "a", address } });
+    bool hasFailed = false;
+    shared.reader.feed->onFailure([&] { hasFailed = true; });
+    for (auto* const asked : { shared.readersStore.get(), shared.ownStore.get() })
+        asked->setFault(StoreFault::Unavailable);
+    CHECK(runUntil([&] { return hasFailed; }));
+    const auto calls = shared.ownStore->callCount();
+    shared.reader.clock.advance(Milliseconds { 1500 });
+    shared.follower.clock.advance(Milliseconds { 1500 });
+    int failures = 0;
+    shared.follower.feed->onFailure([&] { ++failures; });
+    CHECK(runUntil([&] { return failures > 0; }));
+    const auto heard = shared.readersStore->callCount() + 3;
+    CHECK(runUntil([&] { return shared.readersStore->callCount() > heard; }));
+    LONGS_EQUAL_TEXT(calls + 1, shared.ownStore->callCount(), "the clock stands still, so no second call is due");
+}
+
 TEST(PlatformStore, ARowIsTakenFromAReaderWhateverItsAge)
 {
     SharedReading shared(*ioContext);
