A run's copy is found by its engine's address after the list has renamed the engine

Cause: copies are ordered by address. While the store is silent the engines of a zone start again under other ids; the copies of runs that begin then lie with these engines, but this VM knows them by the earlier ids.

Ruled out: copies that had not begun (their runs were 5 to 11 s old), copies in a zone that had failed since.

Change: copyHolderOf finds the engine that is listed at the copy's address, unless its zone has failed since the run began; hints of locations carry the address. An engine that has no copy says so and costs a retry, as before.

Tests: FindsItsCopyAtAnEngineThatTheListHasRenamed (failed first), FindsWhoeverIsListedAtAnAddress.

--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -141,6 +141,13 @@
     return found == m_endpointsById.end() ? nullptr : found->second;
 }
 
+std::shared_ptr<RelayEndpoint> EndpointDirectory::findAt(const std::string& service, const SocketAddress& address) const
+{
+    const auto id = m_idsByAddress.find(address.text());
+    const auto endpoint = id == m_idsByAddress.end() ? nullptr : find(id->second);
+    return endpoint && !endpoint->isRemoved() && endpoint->entry().service == service ? endpoint : nullptr;
+}
+
 const std::vector<std::shared_ptr<RelayEndpoint>>& EndpointDirectory::endpointsOf(const std::string& service) const
 {
     const auto found = m_endpointsByService.find(service);
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -53,6 +53,8 @@
 
     // The endpoint with this id, or null.
     std::shared_ptr<RelayEndpoint> find(const std::string& id) const;
+    // The endpoint of the service that is listed at the address, or null.
+    std::shared_ptr<RelayEndpoint> findAt(const std::string& service, const SocketAddress&) const;
     const std::vector<std::shared_ptr<RelayEndpoint>>& endpointsOf(const std::string& service) const;
     // Drops endpoints whose entries went longer ago than the grace.
     void dropExpired(Milliseconds now);
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -10,6 +10,7 @@
 #include "relay/RelayContext.h"
 #include "relay/RelayMetrics.h"
 #include "relay/RelaySettings.h"
+#include "relay/RunCopy.h"
 #include "relay/RunLocations.h"
 #include "relay/RunRelocation.h"
 #include "relay/RunWatch.h"
@@ -116,6 +117,8 @@
     if (location) {
         m_earlierEngine = m_context.directory.find(location->endpointId);
         m_copyHolder = m_context.directory.find(location->copyHolderId);
+        if (!m_copyHolder || m_copyHolder->isRemoved())
+            m_copyHolder = m_context.directory.findAt(m_request.service, location->copyHolderAddress);
         m_copyName = location->requestId;
     }
     LogEvent("stream.returned")
@@ -321,7 +324,8 @@
     if (runLocations() && !m_request.fields.promptId.empty() && m_request.route->mayRunAgain())
         runLocations()->note(m_request.fields.promptId,
             { m_run->endpoint->entry().id, m_run->copyHolder ? m_run->copyHolder->entry().id : "",
-                m_request.fields.requestId });
+                m_request.fields.requestId,
+                m_run->copyHolder ? m_run->copyHolder->entry().address : SocketAddress {} });
 }
 
 void EventStreamCall::waitForEndpoint()
@@ -533,7 +537,7 @@
     m_context.directory.noteFailure(*run->endpoint, now);
     m_failed.push_back(run->endpoint);
     // A run is copied from its first event on: before it there is nothing to ask for.
-    m_copyHolder = run->hasEvent ? run->copyHolder : nullptr;
+    m_copyHolder = run->hasEvent ? copyHolderOf(*run, m_context.directory) : nullptr;
     m_copyName = m_request.fields.requestId;
     if (!m_lossAt)
         m_lossAt = now;
@@ -542,11 +546,12 @@
 
 bool EventStreamCall::lacksCopy(const StreamRun& run, Milliseconds now) const
 {
-    if (!run.copyHolder)
+    const auto holder = copyHolderOf(run, m_context.directory);
+    if (!holder)
         return now - run.startedAt >= m_context.settings.relocateAfter;
     // The engines of a zone go together, and the list of endpoints says so only seconds later.
-    return run.copyHolder->isLeaving()
-        || m_context.directory.hasZoneFailedSince(run.copyHolder->entry().availabilityZone, run.startedAt);
+    return holder->isLeaving()
+        || m_context.directory.hasZoneFailedSince(holder->entry().availabilityZone, run.startedAt);
 }
 
 bool EventStreamCall::mayRelocate(const StreamRun& run, Milliseconds now) const
--- a/src/relay/RunLocations.h
+++ b/src/relay/RunLocations.h
@@ -6,6 +6,7 @@
 // relay's thread only.
 #pragma once
 
+#include "http/SocketAddress.h"
 #include <functional>
 #include <optional>
 #include <string>
@@ -18,6 +19,8 @@
     std::string copyHolderId;
     // The caller's attempt that the run and its copy are named after.
     std::string requestId;
+    // Where the copy's holder is: it may have started again under another id before the copy was sent there.
+    SocketAddress copyHolderAddress {};
 };
 
 class RunLocations {
--- a/test/EndpointDirectoryTest.cpp
+++ b/test/EndpointDirectoryTest.cpp
@@ -114,6 +114,17 @@
     LONGS_EQUAL(2, directory->size());
 }
 
+TEST(EndpointDirectory, FindsWhoeverIsListedAtAnAddress)
+{
+    const SocketAddress address { "127.0.0.1", 1 };
+    directory->upsert(entry("e1", 1), now);
+    directory->upsert(entry("e2", 1), now);
+    STRCMP_EQUAL("e2", directory->findAt("s", address)->entry().id.c_str());
+    CHECK_TEXT(!directory->findAt("other", address), "an address may be given to an endpoint of another service");
+    directory->remove("e2", now);
+    CHECK_FALSE(directory->findAt("s", address));
+}
+
 TEST(EndpointDirectory, AvoidsAZoneAfterSeveralOfItsEndpointsFailed)
 {
     directory->replaceAll({ entry("e1", 1), entry("e2", 2), entry("e3", 3), entry("far", 4, "b") }, now);
--- a/test/EventStreamCallTest.cpp
+++ b/test/EventStreamCallTest.cpp
@@ -84,6 +84,30 @@
     CHECK(holder.hasAsked(0, "/r1\r\n"));
 }
 
+// Found by trouble-3 of the shifted site: while the list was silent the copy's engine had started again, the copy went
+// there, and the list's return took the engine's earlier id away.
+TEST(EventStreamCall, FindsItsCopyAtAnEngineThatTheListHasRenamed)
+{
+    auto& engine = relay->addEndpoint("e1", "a");
+    engine.onRequest([](ScriptedConnection& asker, const std::string&) {
+        asker.beginStream(signedHead);
+        asker.sendEvent(1);
+        asker.sendEvent(2);
+    });
+    auto& holder = relay->addEndpoint("e2", "b");
+    holder.onRequest(sends(3, 4, "X-Request-Id: r1\r\nX-Response-Signature: t\r\n"));
+    ready();
+    const auto caller = relay->call("/stream/1");
+    CHECK(relay->runUntil([&] { return caller->body.size() >= events(1, 2).size(); }));
+    relay->daemon().directory().upsert(
+        { "e9", "s", { "127.0.0.1", holder.port() }, "b", 4, false }, relay->daemon().clock().now());
+    engine.connections().front()->reset();
+    await(caller);
+    STRCMP_EQUAL(events(1, 4).c_str(), caller->body.c_str());
+    CHECK_TEXT(holder.hasAsked(0, "X-Expect-Instance: e9\r\n"), "the engine goes by its present id");
+    CHECK(holder.hasAsked(0, "/r1\r\n"));
+}
+
 TEST(EventStreamCall, BeginsAnewElsewhereWhenTheCopyIsNotThere)
 {
     relay->addEndpoint("e1", "a").onRequest(sendsAndBreaks(2));
