Roll-outs: a candidate version gets a bounded part until it is judged, then everything or nothing

Ruled out: a decision from the record alone with counts in the store, and a lease holder; both need the store just when it may be away (docs/design/rollouts.md).

Change: src/rollout decides (ExposureBudget, Rollout, VersionEvidence, RolloutJudge, RolloutGatherer), platform/ carries (PeerRollouts, RolloutRecord, rows), the relay asks which runners a request may go to (RolloutPart, VersionChoice). Each VM has a part of the exposure; the first VM of each zone gathers; the first write to the store's record decides. The store's stand-in answers a failed condition with the present rows, as the platform does.

--- /dev/null
+++ b/bench/RolloutStudy.cpp
@@ -0,0 +1,78 @@
+// Plays many roll-outs on the model and prints, for each fault of a candidate and each traffic, how many went wrong.
+//
+//     RolloutStudy [plays a row] [VMs] [first seed]
+
+#include "model/RolloutModel.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <vector>
+
+namespace {
+
+using namespace lupinknot::internal;
+
+struct Row {
+    int wrong { 0 };
+    int undecided { 0 };
+    int broken { 0 };
+    unsigned brokenSeed { 0 };
+    std::vector<int> excess;
+    std::vector<std::int64_t> afterFifty;
+    std::vector<std::int64_t> decidedAfter;
+};
+
+template <typename T> T quantile(std::vector<T> values, double share)
+{
+    if (values.empty())
+        return {};
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+
+Row playRow(RolloutPlay play, int count, unsigned firstSeed)
+{
+    Row row;
+    for (int i = 0; i < count; ++i) {
+        play.seed = firstSeed + static_cast<unsigned>(i);
+        const auto outcome = playRollout(play);
+        const bool isBad = isBadVersion(play.fault);
+        row.undecided += outcome.decision == RolloutDecision::Undecided ? 1 : 0;
+        row.wrong += outcome.decision == (isBad ? RolloutDecision::Completed : RolloutDecision::RolledBack) ? 1 : 0;
+        if (!outcome.violation.empty()) {
+            ++row.broken;
+            row.brokenSeed = play.seed;
+        }
+        row.excess.push_back(100 * outcome.exposed / std::max(outcome.mostExposed, 1));
+        row.afterFifty.push_back(outcome.lastSentAfterFiftyBad.count());
+        if (outcome.decision != RolloutDecision::Undecided)
+            row.decidedAfter.push_back(outcome.decidedAfter.count());
+    }
+    return row;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const int count = argc > 1 ? std::atoi(argv[1]) : 200;
+    const int vmCount = argc > 2 ? std::atoi(argv[2]) : 90;
+    const auto firstSeed = static_cast<unsigned>(argc > 3 ? std::atoi(argv[3]) : 1);
+    std::printf("%-24s %8s %6s %9s %7s %6s %13s %13s %14s\n", "candidate", "req/s", "plays", "wrong", "undec.",
+        "broken", "exposed% p99", "after50 ms p99", "decided ms p50");
+    for (const auto& fault : versionFaultNames) {
+        for (const double rate : { 10.0, 46.0, 100.0, 400.0, 1500.0 }) {
+            RolloutPlay play { .vmCount = vmCount, .requestsPerSecond = rate, .fault = fault.value };
+            if (play.fault == VersionFault::FlakyBothSides)
+                play.usualBadShare = 0.15;
+            const auto row = playRow(play, count, firstSeed);
+            std::printf("%-24s %8.0f %6d %9d %7d %6d %13d %13lld %14lld %s\n", std::string(fault.name).c_str(), rate,
+                count, row.wrong, row.undecided, row.broken, quantile(row.excess, 0.99),
+                static_cast<long long>(quantile(row.afterFifty, 0.99)),
+                static_cast<long long>(quantile(row.decidedAfter, 0.5)),
+                row.broken ? ("seed " + std::to_string(row.brokenSeed)).c_str() : "");
+        }
+    }
+    return 0;
+}
--- a/src/relay/EndpointEntry.h
+++ b/src/relay/EndpointEntry.h
@@ -15,6 +15,8 @@
     std::uint32_t slots { 1 };
     // True when the endpoint leaves and takes no new work.
     bool isDraining { false };
+    // Of its software; empty when unknown.
+    std::string version;
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -60,6 +60,7 @@
     : m_context(context)
     , m_request(std::move(request))
     , m_pace(m_context, m_request)
+    , m_rollout(m_context, m_request)
     , m_events({ .maxTokens = std::numeric_limits<std::size_t>::max(), .stops = {} })
     , m_deadlineTimer(context.ioContext)
     , m_retryTimer(context.ioContext)
@@ -161,7 +162,7 @@
         return;
     }
     const auto earlier = std::exchange(m_earlierEngine, nullptr);
-    const bool isPromptKept = earlier && isSound(*earlier);
+    const bool isPromptKept = earlier && isSound(*earlier) && m_rollout.next().admits(earlier->entry().version);
     if (m_possibleRuns == 0 && m_context.has(Policy::TimeCheck) && m_pace.lacksTime(lastEventId(), isPromptKept)) {
         giveUp(RefusalReason::TooLittleTime);
         return;
@@ -177,7 +178,8 @@
     const auto now = m_context.now();
     auto endpoint = m_context.placement.choose(wanted, now);
     if (!endpoint && !m_failed.empty())
-        endpoint = m_context.placement.choose({ .service = m_request.service, .mustBeSound = true }, now);
+        endpoint = m_context.placement.choose(
+            { .service = m_request.service, .version = m_rollout.next(), .mustBeSound = true }, now);
     if (!endpoint) {
         waitForEndpoint();
         return;
@@ -186,10 +188,10 @@
         startRunAt(endpoint, std::nullopt);
 }
 
-PlacementRequest EventStreamCall::wantedPlacement() const
+PlacementRequest EventStreamCall::wantedPlacement()
 {
     const auto& settings = m_context.settings;
-    PlacementRequest wanted { .service = m_request.service, .excluded = m_failed };
+    PlacementRequest wanted { .service = m_request.service, .excluded = m_failed, .version = m_rollout.next() };
     if (!m_failed.empty())
         wanted.zonesToLeave.push_back(m_failed.back()->entry().availabilityZone);
     if (m_context.has(Policy::PromptPreference))
@@ -253,9 +255,11 @@
         .write();
 }
 
-std::shared_ptr<RelayEndpoint> EventStreamCall::soundCopyHolder() const
+std::shared_ptr<RelayEndpoint> EventStreamCall::soundCopyHolder()
 {
-    return m_copyHolder && isSound(*m_copyHolder) ? m_copyHolder : nullptr;
+    const bool isUsable
+        = m_copyHolder && isSound(*m_copyHolder) && m_rollout.next().admits(m_copyHolder->entry().version);
+    return isUsable ? m_copyHolder : nullptr;
 }
 
 std::shared_ptr<RelayEndpoint> EventStreamCall::chooseCopyHolder(const RelayEndpoint& engine)
@@ -267,6 +271,7 @@
     const PlacementRequest wanted { .service = m_request.service,
         .excluded = m_failed,
         .zonesToLeave = { engine.entry().availabilityZone },
+        .version = m_rollout.forCopies(engine),
         .mustBeSound = true };
     return m_context.placement.choose(wanted, m_context.now());
 }
@@ -306,6 +311,7 @@
         .number("in_flight", endpoint->inFlight())
         .number("config_version", static_cast<std::int64_t>(m_request.configurationVersion))
         .write();
+    m_rollout.noteSent();
     ++m_sendings;
     ++m_arrivals;
     ++m_possibleRuns;
@@ -402,7 +408,7 @@
     if (!m_isHeadSent) {
         m_isHeadSent = true;
         m_firstEventAt = now;
-        m_pace.notePromptRead(run, now);
+        noteFirstEventTime(run, now);
         LogEvent("stream.first-event", LogImportance::Routine)
             .text("request", m_request.fields.requestId)
             .text("endpoint", run.endpoint->entry().id)
@@ -415,6 +421,14 @@
     m_request.exchange->wake();
 }
 
+void EventStreamCall::noteFirstEventTime(const StreamRun& run, Milliseconds now)
+{
+    const auto usual = m_context.pace(m_request.service).usualFirstEvent(m_request.fields.promptTokens);
+    if (!run.isFromCopy && !m_request.fields.lastEventId)
+        m_rollout.noteAnswerAfter(*run.endpoint, now - run.startedAt, usual);
+    m_pace.notePromptRead(run, now);
+}
+
 void EventStreamCall::noteResumed(const StreamRun& run, Milliseconds now)
 {
     const auto gap = m_lastEventAt.count() ? now - m_lastEventAt : Milliseconds { 0 };
@@ -523,6 +537,8 @@
         .number("run_ms", (now - run->startedAt).count())
         .write();
     m_context.metrics.countFailure(kind);
+    if (wasSent)
+        m_rollout.noteAnswer(*run->endpoint, AnswerQuality::Bad);
     if (!wasSent) {
         --m_possibleRuns;
         --m_arrivals;
@@ -554,12 +570,14 @@
         || m_context.directory.hasZoneFailedSince(holder->entry().availabilityZone, run.startedAt);
 }
 
-bool EventStreamCall::mayRelocate(const StreamRun& run, Milliseconds now) const
+bool EventStreamCall::mayRelocate(const StreamRun& run, Milliseconds now)
 {
     const auto* service = m_context.configuration->findService(m_request.service);
     const bool isPossible = service && service->copiesRunningMemory && m_request.route->mayRunAgain();
     const bool leavesAttempt = m_possibleRuns + 1 < m_request.route->maxAttempts;
-    return isPossible && leavesAttempt && run.hasEvent
+    // A run at a candidate version is not sent to it again, and its memory stays with its version.
+    const bool isAtHome = m_rollout.next().admits(run.endpoint->entry().version);
+    return isPossible && isAtHome && leavesAttempt && run.hasEvent
         && expectedRest(now) >= m_context.settings.relocateUnlessDoneWithin
         && !m_context.directory.isZoneAvoided(run.endpoint->entry().availabilityZone, now);
 }
@@ -599,8 +617,11 @@
     m_nextRelocationAt = now + m_context.settings.relocateAfter;
     auto excluded = m_failed;
     excluded.push_back(m_run->endpoint);
-    const auto target = m_context.placement.choose(
-        { .service = m_request.service, .excluded = std::move(excluded), .mustBeSound = true }, now);
+    const auto target = m_context.placement.choose({ .service = m_request.service,
+                                                       .excluded = std::move(excluded),
+                                                       .version = m_rollout.next(),
+                                                       .mustBeSound = true },
+        now);
     // The retry is taken here: once the run has been stopped it has to go on.
     if (!target || !m_context.retryBudget(m_request.service).take(RetryPurpose::Precaution, now))
         return;
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -12,6 +12,7 @@
 #include "relay/EndpointCall.h"
 #include "relay/RelayRefusal.h"
 #include "relay/RelayRequest.h"
+#include "relay/RolloutPart.h"
 #include "relay/StreamPace.h"
 #include "relay/StreamRun.h"
 #include <boost/asio/steady_timer.hpp>
@@ -54,18 +55,19 @@
     void startRun();
     void startRunAt(const std::shared_ptr<RelayEndpoint>&, std::optional<CopySource>);
     // Where a run that reads the prompt should begin.
-    PlacementRequest wantedPlacement() const;
+    PlacementRequest wantedPlacement();
     // Asks the engines that come into question for their load, if there is a choice.
     bool survey(const PlacementRequest&);
     void surveyed(const std::vector<std::shared_ptr<RelayEndpoint>>& answered);
     void logChoice(const RelayEndpoint&, std::size_t answered, Milliseconds forecast) const;
     std::shared_ptr<RelayEndpoint> chooseCopyHolder(const RelayEndpoint& engine);
     // The engine that holds a copy of the lost run's memory and looks sound, or null.
-    std::shared_ptr<RelayEndpoint> soundCopyHolder() const;
+    std::shared_ptr<RelayEndpoint> soundCopyHolder();
     void waitForEndpoint();
     bool mayStartRun();
 
     void takeEvents(StreamRun&, std::vector<WholeEvent>&&);
+    void noteFirstEventTime(const StreamRun&, Milliseconds now);
     void noteResumed(const StreamRun&, Milliseconds now);
     void settleWholeAnswer(const std::shared_ptr<StreamRun>&);
     void runLost(FailureKind);
@@ -75,7 +77,7 @@
     // True when the run would have to begin anew if its engine failed now.
     bool lacksCopy(const StreamRun&, Milliseconds now) const;
     Milliseconds expectedRest(Milliseconds now) const;
-    bool mayRelocate(const StreamRun&, Milliseconds now) const;
+    bool mayRelocate(const StreamRun&, Milliseconds now);
     // Moves the run ahead if it lacks a copy and a move is worth it.
     void considerRelocation();
     void relocate();
@@ -94,6 +96,7 @@
     RelayContext& m_context;
     const RelayRequest m_request;
     StreamPace m_pace;
+    RolloutPart m_rollout;
     Generation m_events;
     std::shared_ptr<StreamRun> m_run;
     // Null before the call begins.
--- a/src/relay/Placement.cpp
+++ b/src/relay/Placement.cpp
@@ -51,7 +51,8 @@
         const auto& excluded = request.excluded;
         if (std::find(excluded.begin(), excluded.end(), endpoint) != excluded.end())
             continue;
-        if (!endpoint->mayTakeWork(now, m_settings.leavingEndpointGrace))
+        if (!endpoint->mayTakeWork(now, m_settings.leavingEndpointGrace)
+            || !request.version.admits(endpoint->entry().version))
             continue;
         const auto sum = cost(*endpoint, request, now) - (endpoint.get() == favourite ? request.preference : 0.0);
         if (!request.mustBeSound || sum < failingZoneCost)
@@ -95,7 +96,8 @@
     const auto seed = XXH64(request.promptId.data(), request.promptId.size(), 0);
     for (const auto& endpoint : m_directory.endpointsOf(request.service)) {
         const auto& entry = endpoint->entry();
-        if (entry.availabilityZone != m_settings.availabilityZone || endpoint->isLeaving() || endpoint->isAvoided(now))
+        if (entry.availabilityZone != m_settings.availabilityZone || endpoint->isLeaving() || endpoint->isAvoided(now)
+            || !request.version.admits(entry.version))
             continue;
         const auto score = XXH64(entry.id.data(), entry.id.size(), seed);
         if (!best || score > highest) {
--- a/src/relay/Placement.h
+++ b/src/relay/Placement.h
@@ -10,6 +10,7 @@
 
 #include "lupinknot/Clock.h"
 #include "relay/EngineForecast.h"
+#include "rollout/VersionChoice.h"
 #include <memory>
 #include <random>
 #include <string>
@@ -31,6 +32,8 @@
     std::string promptId;
     // How much the preferred endpoint may be busier than others, in calls.
     double preference { 0 };
+    // Which runners come into question, by their version.
+    VersionChoice version;
     // True for the place of a copy: an endpoint that is avoided or leaving is no place for it.
     bool mustBeSound { false };
 };
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -5,6 +5,7 @@
 #include "lupinknot/Clock.h"
 #include "relay/RetryBudget.h"
 #include "relay/ServicePace.h"
+#include "rollout/Rollouts.h"
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <string>
@@ -36,6 +37,8 @@
     // Null where VMs tell each other nothing.
     RunLocations* runLocations { nullptr };
     bool isStopping { false };
+    // Orders to move a service's traffic to another version.
+    Rollouts rollouts {};
     // Requests that wait, for news or for a place.
     WaitingRoom waitingRoom {};
 
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -94,6 +94,13 @@
     return true;
 }
 
+bool RelayDaemon::beginRollout(const RolloutOrder& order)
+{
+    // A VM that has just started may have spent its share already.
+    const auto share = m_clock.now() < m_settings.retrySlackFrom ? 0.0 : m_settings.retrySlackShare;
+    return m_context.rollouts.begin(order, { m_settings.exposureLimit, share, m_settings.vmName });
+}
+
 bool RelayDaemon::isReady() const { return m_context.configuration && m_directory.isKnown() && !m_stopRequestedAt; }
 
 void RelayDaemon::answerReadiness(const std::shared_ptr<HttpExchange>& exchange)
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -56,6 +56,9 @@
     {
         m_settings.retrySlackFrom = m_clock.now() + time + m_settings.retryWindow;
     }
+    Rollouts& rollouts() { return m_context.rollouts; }
+    // Takes part in a roll-out from here on. Returns whether the order is new.
+    bool beginRollout(const RolloutOrder&);
     const Clock& clock() const { return m_clock; }
     // Puts a configuration in force unless it is older than the present one. Returns whether it did.
     bool applyConfiguration(std::shared_ptr<const RelayConfiguration>);
--- a/src/relay/RelayHandler.cpp
+++ b/src/relay/RelayHandler.cpp
@@ -78,6 +78,8 @@
         return;
     }
     m_context.retryBudget(request.service).noteRequest(request.admittedAt);
+    if (auto* const rollout = m_context.rollouts.find(request.service))
+        rollout->noteRequest();
     const bool isStream = request.route->kind == RequestKind::EventStream;
     LogEvent("request.admitted", LogImportance::Routine)
         .text("request", request.fields.requestId)
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -3,6 +3,7 @@
 
 #include "lupinknot/Clock.h"
 #include "relay/Policy.h"
+#include "rollout/ExposureBudget.h"
 #include <cstdint>
 #include <string>
 
@@ -34,6 +35,9 @@
     // Share of this VM's part that may go into precautions, and into calls that a full service turns away.
     double precautionShare { 0.6 };
 
+    // Requests that all VMs together may send to a version whose roll-out is undecided. From the deployment.
+    ExposureLimit exposureLimit {};
+
     // Time for a connection to an endpoint to come about. A round trip is about 2 ms between zones and setting one up
     // costs an endpoint 1 ms; a lost opening packet is sent again only after a second.
     Milliseconds endpointConnectTimeout { 80 };
--- a/src/relay/RetryBudget.cpp
+++ b/src/relay/RetryBudget.cpp
@@ -1,21 +1,13 @@
 #include "relay/RetryBudget.h"
 
+#include "common/NameHash.h"
 #include "relay/RelaySettings.h"
 
-#include <xxhash.h>
-
 namespace lupinknot::internal {
 
-namespace {
-
-// One more than the greatest hash.
-constexpr double hashRange = 4294967296.0;
-
-} // namespace
-
 RetryBudget::RetryBudget(const RelaySettings& settings)
     : m_settings(settings)
-    , m_rounding(static_cast<double>(XXH32(settings.vmName.data(), settings.vmName.size(), 0)) / hashRange)
+    , m_rounding(fractionOfName(settings.vmName))
 {
 }
 
--- a/src/relay/ServicePace.h
+++ b/src/relay/ServicePace.h
@@ -46,6 +46,12 @@
         return milliseconds(patienceShare * readTimePerToken.quantile(mostShare) * tokens);
     }
 
+    // What a stream's first event takes in the middle, with a prompt of so many tokens.
+    Milliseconds usualFirstEvent(double tokens) const
+    {
+        return milliseconds(readTimePerToken.quantile(middleShare) * tokens);
+    }
+
     // Time after which an unanswered call is also sent to a second endpoint.
     Milliseconds hedgeDelay() const { return milliseconds(callTime.quantile(hedgedShare)); }
 
--- a/src/relay/WholeAnswerCall.cpp
+++ b/src/relay/WholeAnswerCall.cpp
@@ -43,6 +43,7 @@
 WholeAnswerCall::WholeAnswerCall(RelayContext& context, RelayRequest request)
     : m_context(context)
     , m_request(std::move(request))
+    , m_rollout(m_context, m_request)
     , m_deadlineTimer(context.ioContext)
     , m_hedgeTimer(context.ioContext)
     , m_waitTimer(context.ioContext)
@@ -85,7 +86,8 @@
 {
     const auto now = m_context.now();
     const auto endpoint = m_context.placement.choose(
-        { .service = m_request.service, .excluded = m_tried, .mustBeSound = mustBeSound }, now);
+        { .service = m_request.service, .excluded = m_tried, .version = m_rollout.next(), .mustBeSound = mustBeSound },
+        now);
     if (!endpoint || m_request.deadline <= now)
         return false;
     m_tried.push_back(endpoint);
@@ -103,6 +105,7 @@
         .number("in_flight", endpoint->inFlight())
         .number("config_version", static_cast<std::int64_t>(m_request.configurationVersion))
         .write();
+    m_rollout.noteSent();
     ++m_possibleRuns;
     auto attempt = std::make_unique<Attempt>();
     attempt->isCharged = isCharged;
@@ -190,6 +193,11 @@
         callFailed(*attempt.call, FailureKind::MalformedEvent);
         return;
     }
+    if (status >= firstServerError)
+        m_rollout.noteAnswer(*endpoint, AnswerQuality::Bad);
+    else
+        m_rollout.noteAnswerAfter(
+            *endpoint, m_context.now() - attempt.call->startedAt(), m_context.pace(m_request.service).usualCallTime());
     if (status >= firstServerError && m_request.route->mayRunAgain()) {
         LogEvent("request.endpoint-error")
             .text("request", m_request.fields.requestId)
@@ -225,6 +233,7 @@
         if (attemptOf(call).isCharged)
             m_context.retryBudget(m_request.service).giveBack();
     } else {
+        m_rollout.noteAnswer(*endpoint, AnswerQuality::Bad);
         endpoint->avoidUntil(now + settings.avoidAfterBreak);
     }
     recover(wasSent ? RefusalReason::EndpointFailed : RefusalReason::NoEndpoint);
--- a/src/relay/WholeAnswerCall.h
+++ b/src/relay/WholeAnswerCall.h
@@ -13,6 +13,7 @@
 #include "relay/EndpointCall.h"
 #include "relay/RelayRefusal.h"
 #include "relay/RelayRequest.h"
+#include "relay/RolloutPart.h"
 #include <boost/asio/steady_timer.hpp>
 #include <vector>
 
@@ -70,6 +71,7 @@
 
     RelayContext& m_context;
     const RelayRequest m_request;
+    RolloutPart m_rollout;
     std::vector<std::unique_ptr<Attempt>> m_attempts;
     // Endpoints tried since the call waited last.
     std::vector<std::shared_ptr<RelayEndpoint>> m_tried;
--- /dev/null
+++ b/src/rollout/ExposureBudget.cpp
@@ -0,0 +1,30 @@
+#include "rollout/ExposureBudget.h"
+
+#include "common/NameHash.h"
+
+namespace lupinknot::internal {
+
+namespace {
+
+// The rest covers what VMs round up, and what the candidate receives after it has been completed.
+constexpr double spentShare = 0.8;
+
+} // namespace
+
+ExposureBudget::ExposureBudget(const ExposureLimit& limit, double slackShare, const std::string& vmName)
+    : m_limit(limit)
+    , m_slackShare(slackShare)
+    , m_rounding(fractionOfName(vmName))
+{
+}
+
+bool ExposureBudget::take()
+{
+    const auto part = spentShare * (m_limit.share * m_requests + m_limit.slack * m_slackShare);
+    if (m_taken + 1 > part + m_rounding)
+        return false;
+    ++m_taken;
+    return true;
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/rollout/Rollout.cpp
@@ -0,0 +1,57 @@
+#include "rollout/Rollout.h"
+
+#include <algorithm>
+
+namespace lupinknot::internal {
+
+Rollout::Rollout(RolloutOrder order, const RolloutTerms& terms)
+    : m_order(std::move(order))
+    , m_budget(terms.limit, terms.slackShare, terms.vmName)
+{
+}
+
+VersionChoice Rollout::proven(Milliseconds now) const
+{
+    if (m_decision != RolloutDecision::Completed)
+        return { VersionChoice::Rule::Not, m_order.candidate };
+    if (now - m_decidedAt < replacedLeaveWithin)
+        return { VersionChoice::Rule::Only, m_order.candidate };
+    return {};
+}
+
+VersionChoice Rollout::choose(Milliseconds now)
+{
+    if (m_decision == RolloutDecision::Undecided && mayTry(now) && m_budget.take())
+        return { VersionChoice::Rule::Only, m_order.candidate };
+    return proven(now);
+}
+
+VersionChoice Rollout::forCopies(Milliseconds now) const
+{
+    if (m_decision == RolloutDecision::Undecided && m_isReady && mayTry(now))
+        return { VersionChoice::Rule::Only, m_order.candidate };
+    return proven(now);
+}
+
+void Rollout::noteAnswer(const std::string& route, RunnerVersion version, AnswerQuality quality)
+{
+    m_evidence.note(route, version, quality);
+}
+
+void Rollout::hear(GathererWord word, Milliseconds now)
+{
+    m_isStopped = m_isStopped || word == GathererWord::Stop;
+    m_isReady = m_isReady || word == GathererWord::Ready;
+    if (word != GathererWord::Stop)
+        m_mayTryUntil = std::max(m_mayTryUntil, now + permissionHolds);
+}
+
+void Rollout::decide(RolloutDecision decision, Milliseconds now)
+{
+    if (m_decision != RolloutDecision::Undecided)
+        return;
+    m_decision = decision;
+    m_decidedAt = now;
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/rollout/Rollouts.cpp
@@ -0,0 +1,20 @@
+#include "rollout/Rollouts.h"
+
+namespace lupinknot::internal {
+
+bool Rollouts::begin(const RolloutOrder& order, const RolloutTerms& terms)
+{
+    auto& rollout = m_byService[order.service];
+    if (rollout && rollout->order().revision >= order.revision)
+        return false;
+    rollout = std::make_unique<Rollout>(order, terms);
+    return true;
+}
+
+Rollout* Rollouts::find(const std::string& service) const
+{
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? nullptr : found->second.get();
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/test/PeerRolloutsTest.cpp
@@ -0,0 +1,139 @@
+#include "PeerRollouts.h"
+#include "PlatformCallProtocol.h"
+#include "RunUntil.h"
+#include "relay/RelaySettings.h"
+#include "standin/StoreStandIn.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+using namespace lupinknot::platform;
+
+namespace {
+
+constexpr const char* orderText = R"({"service":"s","target-version":"v2","duration-s":0.5})";
+constexpr std::uint64_t orderRevision = 3;
+
+} // namespace
+
+TEST_GROUP(PeerRollouts)
+{
+    PlatformCallProtocol protocol;
+    std::unique_ptr<RelayDaemon> daemon;
+    std::unique_ptr<StoreStandIn> store;
+    std::unique_ptr<PeerRollouts> rollouts;
+
+    void setup() override
+    {
+        RelaySettings settings;
+        settings.vmName = "vm1";
+        daemon = std::make_unique<RelayDaemon>(settings, RelayAddresses {}, protocol);
+        store = std::make_unique<StoreStandIn>(daemon->ioContext());
+        store->start();
+        const VmEntry self { "vm1", "a", {} };
+        rollouts = std::make_unique<PeerRollouts>(*daemon, SocketAddress { "127.0.0.1", store->port() }, self);
+        rollouts->setOthers({});
+    }
+
+    void teardown() override
+    {
+        rollouts.reset();
+        store.reset();
+        daemon.reset();
+    }
+
+    void begin(std::uint64_t revision = orderRevision)
+    {
+        rollouts->takeRow({ "rollout/s", orderText, false, revision });
+    }
+
+    bool runUntil(const std::function<bool()>& condition) { return internal::runUntil(daemon->ioContext(), condition); }
+
+    Rollout& rollout() { return *daemon->rollouts().find("s"); }
+
+    std::string status() { return store->value("status", "rollout/s").value_or("none"); }
+
+    // An account of another process with so many bad answers of the candidate.
+    static std::string account(unsigned candidateAnswers, unsigned candidateBad, std::uint64_t revision = orderRevision)
+    {
+        return R"({"service":"s","process":"vm2/1","stopped":false,"revision":)" + std::to_string(revision)
+            + R"(,"routes":{"r":{"present":[200,2],"candidate":[)" + std::to_string(candidateAnswers) + ","
+            + std::to_string(candidateBad) + "]}}}";
+    }
+
+    // Versions of the store grow beyond the order's.
+    void advanceStore()
+    {
+        while (store->version() <= orderRevision)
+            store->put("op", "config", "1");
+    }
+};
+
+TEST(PeerRollouts, WritesThatAnOrderIsUnderWayAndRollsItBackForWantOfEvidence)
+{
+    advanceStore();
+    begin();
+    CHECK(runUntil([&] { return status().find("running") != std::string::npos; }));
+    CHECK(runUntil([&] { return status().find("rolled_back") != std::string::npos; }));
+    CHECK(runUntil([&] { return rollout().decision() == RolloutDecision::RolledBack; }));
+    CHECK_FALSE(rollout().choose(daemon->clock().now()).admits("v2"));
+}
+
+TEST(PeerRollouts, RollsABadCandidateBackAsSoonAsOtherVmsHaveSeenIt)
+{
+    advanceStore();
+    begin();
+    const auto told = rollouts->takeAccount(account(20, 12));
+    CHECK(told && told->find("stop") != std::string::npos);
+    CHECK(runUntil([&] { return rollout().decision() == RolloutDecision::RolledBack; }));
+    CHECK_TEXT(rollout().isStopped(), "its own requests stop as well");
+}
+
+TEST(PeerRollouts, CompletesACandidateThatOtherVmsFoundGood)
+{
+    advanceStore();
+    begin();
+    rollouts->takeAccount(account(90, 1));
+    CHECK(runUntil([&] { return status().find("completed") != std::string::npos; }));
+    CHECK(runUntil([&] { return rollout().decision() == RolloutDecision::Completed; }));
+}
+
+TEST(PeerRollouts, TakesTheDecisionThatAnotherVmHasWritten)
+{
+    advanceStore();
+    store->put("status", "rollout/s", R"({"state":"completed","target-version":"v2"})");
+    begin();
+    rollouts->takeAccount(account(20, 12));
+    CHECK(runUntil([&] { return rollout().decision() != RolloutDecision::Undecided; }));
+    CHECK_TEXT(rollout().decision() == RolloutDecision::Completed, "a decision that is written never turns");
+}
+
+TEST(PeerRollouts, TheRecordOfAnEarlierOrderIsNoDecision)
+{
+    store->put("status", "rollout/s", R"({"state":"completed","target-version":"v2"})");
+    advanceStore();
+    begin(orderRevision);
+    CHECK(runUntil([&] { return status().find("running") != std::string::npos; }));
+}
+
+TEST(PeerRollouts, OrdersAndAccountsThatCannotBeReadChangeNothing)
+{
+    for (const auto* text : { "", "[]", "{}", R"({"service":"s","target-version":"v2","duration-s":0})",
+             R"({"service":"other","target-version":"v2","duration-s":5})", R"({"target-version":7,"duration-s":5})" })
+        rollouts->takeRow({ "rollout/s", text, false, 1 });
+    rollouts->takeRow({ "rollout/", orderText, false, 1 });
+    CHECK(daemon->rollouts().all().empty());
+    begin();
+    for (const auto* text : { "", "7", "{}", R"({"service":"s","revision":3,"process":1,"routes":{}})",
+             R"({"service":"s","revision":3,"process":"p","routes":{"r":{"present":[1],"candidate":[1,1]}}})" })
+        CHECK_FALSE(rollouts->takeAccount(text).has_value());
+    CHECK_FALSE_TEXT(rollouts->takeAccount(account(1, 1, 99)).has_value(), "an account of another order");
+}
+
+TEST(PeerRollouts, AnOrderThatIsGoneTellsVersionsApartNoMore)
+{
+    begin();
+    rollouts->takeRow({ "rollout/s", "", true, orderRevision + 1 });
+    CHECK(daemon->rollouts().all().empty());
+}
--- a/test/RelayHarness.cpp
+++ b/test/RelayHarness.cpp
@@ -45,10 +45,10 @@
 
 void RelayHarness::configure() { daemon().applyConfiguration(m_builder.build()); }
 
-ScriptedEndpoint& RelayHarness::addEndpoint(const std::string& id, const std::string& zone)
+ScriptedEndpoint& RelayHarness::addEndpoint(const std::string& id, const std::string& zone, const std::string& version)
 {
     auto& endpoint = m_endpoints.emplace_back(daemon().ioContext());
-    m_entries.push_back({ id, "s", { "127.0.0.1", endpoint.port() }, zone, 4, false });
+    m_entries.push_back({ id, "s", { "127.0.0.1", endpoint.port() }, zone, 4, false, version });
     return endpoint;
 }
 
--- a/test/RelayHarness.h
+++ b/test/RelayHarness.h
@@ -44,7 +44,8 @@
     void addKeyedRoute(const std::string& prefix, const std::string& key, const std::string& organisation);
     // Puts the routes in force.
     void configure();
-    ScriptedEndpoint& addEndpoint(const std::string& id, const std::string& zone = "a");
+    ScriptedEndpoint& addEndpoint(
+        const std::string& id, const std::string& zone = "a", const std::string& version = "v1");
     // Tells the relay of the endpoints.
     void list();
     std::shared_ptr<TestCaller> call(
