A call that only confirms what is known ends as soon as it cannot be answered

Cause: such a call does not wait at the store, but its limit held the wait of a usual one: a VM that the store is silent to stood still for 3.9 s before it went on to its readers, which might have had news meanwhile.

Test: AVmThatTheStoreIsSilentToGoesOnToItsReadersSoon (failed first: 20 s without the news).

Zones of fewer than six VMs, so the small sites, do not use what is changed here.

--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -53,7 +53,8 @@
 // A VM at which others wait for news, and one of those others, each with a store of its own: what the follower hears
 // of the reader's store can come from the reader only. Both stores begin with the same row.
 struct SharedReading {
-    explicit SharedReading(boost::asio::io_context& ioContext, Milliseconds readersWait = readerWait)
+    explicit SharedReading(boost::asio::io_context& ioContext, Milliseconds readersWait = readerWait,
+        Milliseconds followersWait = Milliseconds { 40 })
         : readersStore(begun(ioContext))
         , ownStore(begun(ioContext))
         , vms(ioContext, { "127.0.0.1", readersStore->port() }, { "vm1", "a", {} }, {}, [](const auto&) {})
@@ -65,7 +66,7 @@
         reader.feed->follow(noReaders, sharing);
         feeds.add(reader.feed);
         CHECK_FALSE(feeds.start().has_value());
-        follower.follow(ioContext, ownStore->port(), "servers");
+        follower.follow(ioContext, ownStore->port(), "servers", followersWait);
         setReader({ "127.0.0.1", feeds.port() });
         follower.feed->follow(readers, sharing);
     }
@@ -300,6 +301,28 @@
     CHECK(runUntil([&] { return shared.follower.rows["b"] == "2"; }));
 }
 
+// A call that only confirms what is known does not wait for news, and the readers may have some before it would end.
+TEST(PlatformStore, AVmThatTheStoreIsSilentToGoesOnToItsReadersSoon)
+{
+    SharedReading shared(*ioContext, readerWait, Milliseconds { 60000 });
+    CHECK(runUntil([&] { return shared.haveBothBegun(); }));
+    const SocketAddress address { "127.0.0.1", shared.feeds.port() };
+    shared.readers.setOthers({ { "vm1", "a", address }, { "vm2", "a", address }, { "vm3", "a", address },
+        { "vm4", "a", address }, { "vm5", "a", address } });
+    bool hasFailed = false;
+    shared.reader.feed->onFailure([&] { hasFailed = true; });
+    shared.readersStore->setFault(StoreFault::Unavailable);
+    shared.ownStore->setFault(StoreFault::Silent);
+    CHECK(runUntil([&] { return hasFailed; }));
+    const auto calls = shared.ownStore->callCount();
+    shared.reader.clock.advance(Milliseconds { 1500 });
+    shared.follower.clock.advance(Milliseconds { 1500 });
+    CHECK(runUntil([&] { return shared.ownStore->callCount() > calls; }));
+    shared.readersStore->setFault(StoreFault::None);
+    shared.readersStore->put("servers", "b", "2");
+    CHECK(runUntil([&] { return shared.follower.rows["b"] == "2"; }));
+}
+
 // A store that answers nobody is asked once by each VM, and again only after a pause that grows.
 TEST(PlatformStore, AVmAsksASilentStoreRarelyBesideItsReaders)
 {
