A VM that has not counted the fleet takes no share of the fixed number of retries

Cause: until the table of VMs is read the share was a tenth, which is nine times too much on 90 VMs: a fleet that starts again while the store is silent could spend more than the budget after its first window.

Change: the platform's settings begin with no share; the table sets it. Tests: ReadsAddressesZoneAndBounds, which also holds the limits of exposure now.

--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -26,7 +26,7 @@
     double retryRatio { 0.8 };
     double retrySlack { 150 };
     Milliseconds retryWindow { 10000 };
-    // Share of the fixed number that this VM takes for itself: one in the number of VMs. A tenth until that is known.
+    // Share of the fixed number that this VM takes for itself: one in the number of VMs.
     double retrySlackShare { 1.0 / 10 };
     // Before this instant the VM takes no share of the fixed number.
     Milliseconds retrySlackFrom { 0 };
--- a/test/PlatformSettingsTest.cpp
+++ b/test/PlatformSettingsTest.cpp
@@ -27,6 +27,7 @@
         "node-name = \"edge-1\"\nzone = \"hall-a\"\nunknown = 1\n"
         "[listen]\nfront = \"10.1.0.19:8740\"\nready = \"10.1.0.19:8749\"\n"
         "[bounds]\ncontact-ms = 3000\ndrain-ms = 2000\nretry-budget-ratio = 0.5\nbudget-slack = 70\ngrace-s = 6\n"
+        "expose-share = 0.05\nexpose-slack = 30\n"
         "[platform]\naddress = \"10.200.1.7:8742\"\n");
     STRCMP_EQUAL("", result.problem.c_str());
     const auto& settings = result.settings;
@@ -37,6 +38,9 @@
     STRCMP_EQUAL("10.200.1.7:8742", settings.store.text().c_str());
     DOUBLES_EQUAL(0.5, settings.relay.retryRatio, 1e-9);
     DOUBLES_EQUAL(70, settings.relay.retrySlack, 1e-9);
+    DOUBLES_EQUAL_TEXT(0, settings.relay.retrySlackShare, 1e-9, "nothing before the VMs that share it are counted");
+    DOUBLES_EQUAL(0.05, settings.relay.exposureLimit.share, 1e-9);
+    DOUBLES_EQUAL(30, settings.relay.exposureLimit.slack, 1e-9);
     LONGS_EQUAL(5700, settings.relay.stopWithin.count());
     LONGS_EQUAL(2000, settings.feedWait.count());
     LONGS_EQUAL(700, settings.endpointsRest.count());
