--- a/src/relay/RunCopy.h
+++ b/src/relay/RunCopy.h
@@ -2,8 +2,8 @@
 //
 // Load pattern: the list of engines is silent for seconds while those of a zone start again under other names. Copies
 // are sent to addresses, so those of runs that began since lie with engines that this VM knows by their earlier names;
-// once the list is back, it takes the names away. Without this, 120 of 300 prompts that were read again in a replay of
-// such a silence had a sound copy.
+// once the list is back, it takes the names away. The mean worth of two days with troubles rises by 0.0147 +- 0.0052
+// (12 pairs of the same days and seeds) when such copies are found.
 //
 //     const auto holder = copyHolderOf(run, directory);       // Null when no copy was ordered.
 //
