Sight: the log names a request across its attempts and says whether a lost run had begun

Cause: the attempts of a caller have a request id each, so no log could show what one request has cost over attempts and VMs, and a lost run did not say whether the engine had begun it. Ruled out: the prompt's own part as the name; plain calls have none, and what is sent again is recognised by host, method, target, body and organisation. Change: request.admitted has a digest (quarantine/RequestDigest: 128 bits of the content behind 64 of the organisation, so that no organisation can make a request taken for another one's); stream.run-lost has begun_ms, -1 where no head had come. No decision changes.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -353,6 +353,7 @@
 {
     if (!m_run || m_run->call.get() != &call)
         return;
+    m_run->begunAt = m_context.now();
     m_run->head.status = head.status;
     m_run->head.headers = head.headers.endToEnd();
     m_run->fields = fields;
@@ -535,6 +536,7 @@
         .number("last_event", static_cast<std::int64_t>(lastEventId()))
         .number("silent_ms", (now - run->lastActivity).count())
         .number("run_ms", (now - run->startedAt).count())
+        .number("begun_ms", run->begunAt ? (now - *run->begunAt).count() : -1)
         .write();
     m_context.metrics.countFailure(kind);
     if (wasSent)
--- a/src/relay/RelayHandler.cpp
+++ b/src/relay/RelayHandler.cpp
@@ -2,6 +2,7 @@
 
 #include "admission/StartupWait.h"
 #include "common/EventLog.h"
+#include "quarantine/RequestDigest.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/EventStreamCall.h"
 #include "relay/RelayConfiguration.h"
@@ -86,6 +87,7 @@
         .text("route", request.route->name)
         .text("service", request.service)
         .text("organisation", request.organisation)
+        .text("digest", request.digest)
         .number("time_left_ms", (request.deadline - request.admittedAt).count())
         .number("objective_ms", request.route->objective.count())
         .number("longest_pause_ms", isStream ? request.route->longestPause.count() : 0)
@@ -119,6 +121,7 @@
     }
     if (request.fields.requestId.empty() || !request.fields.malformedField.empty())
         return RefusalReason::Malformed;
+    request.digest = digestOf(http, request.organisation);
     request.service = chooseService(*request.route, request.fields.requestId);
     const auto patience = std::min(request.fields.patience.value_or(request.route->timeout), request.route->timeout);
     request.deadline = request.admittedAt + patience;
--- a/src/relay/RelayRequest.h
+++ b/src/relay/RelayRequest.h
@@ -16,6 +16,8 @@
     std::string service;
     // Empty on public routes.
     std::string organisation;
+    // What it asks for, the same at each attempt of its caller (digestOf).
+    std::string digest;
     std::uint64_t configurationVersion { 0 };
     Milliseconds admittedAt { 0 };
     // When the caller, or the route, gives the request up.
--- a/src/relay/StreamRun.h
+++ b/src/relay/StreamRun.h
@@ -10,6 +10,7 @@
 #include "relay/EventSplitter.h"
 #include "relay/ReadingMark.h"
 #include <memory>
+#include <optional>
 
 namespace lupinknot::internal {
 
@@ -28,6 +29,8 @@
     // Set as long as the engine reads the prompt.
     std::unique_ptr<ReadingMark> reading;
     Milliseconds startedAt { 0 };
+    // When the head of its answer came: the engine has begun it. Nothing as long as none has.
+    std::optional<Milliseconds> begunAt;
     // When it was sent, or its last event came.
     Milliseconds lastActivity { 0 };
     bool isStream { false };
--- /dev/null
+++ b/test/RequestDigestTest.cpp
@@ -0,0 +1,42 @@
+#include "quarantine/RequestDigest.h"
+#include "http/HttpRequest.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot::internal;
+
+TEST_GROUP(RequestDigest)
+{
+    const HttpRequest request { "POST", "/plan/7", { { "Host", "h" }, { "X-Request-Id", "r1" } }, "body" };
+
+    void checkDiffers(const HttpRequest& other, const char* what)
+    {
+        CHECK_TEXT(digestOf(request, "o") != digestOf(other, "o"), what);
+    }
+};
+
+TEST(RequestDigest, IsThatOfEachAttemptOfACaller)
+{
+    auto again = request;
+    again.headers = { { "X-Request-Id", "r2" }, { "Last-Event-Id", "3" }, { "Host", "h" } };
+    STRCMP_EQUAL(digestOf(request, "o").c_str(), digestOf(again, "o").c_str());
+    LONGS_EQUAL(48, digestOf(request, "o").size());
+}
+
+TEST(RequestDigest, DiffersWhereTheWorkDiffers)
+{
+    checkDiffers({ "GET", "/plan/7", { { "Host", "h" } }, "body" }, "another method");
+    checkDiffers({ "POST", "/plan/8", { { "Host", "h" } }, "body" }, "another target");
+    checkDiffers({ "POST", "/plan/7", { { "Host", "g" } }, "body" }, "another host");
+    checkDiffers({ "POST", "/plan/7", { { "Host", "h" } }, "Body" }, "another body");
+    checkDiffers({ "POST", "/plan/7b", { { "Host", "h" } }, "ody" }, "a border that has moved");
+}
+
+TEST(RequestDigest, OfTwoOrganisationsNeverMeet)
+{
+    const auto one = digestOf(request, "o");
+    const auto other = digestOf(request, "p");
+    CHECK(one != other);
+    CHECK_TEXT(one.substr(0, 16) != other.substr(0, 16), "no body can make up for the organisation");
+    STRCMP_EQUAL_TEXT(one.substr(16).c_str(), other.substr(16).c_str(), "the rest is that of the content");
+}
