--- a/test/ScriptedEndpoint.h
+++ b/test/ScriptedEndpoint.h
@@ -126,6 +126,7 @@
     {
         return number < m_requests.size() && m_requests[number].find(text) != std::string::npos;
     }
+    void forgetRequests() { m_requests.clear(); }
     // Ends the endpoint: open connections are reset and new ones refused.
     void crash()
     {
