A request that ends each engine that begins it is held back, on all VMs, from the third one on

Cause: every loss of an endpoint was the endpoint's fault; nothing took note of what one request had cost, on one VM or on all of them. A request that ends what begins it went on to the route's limit of sendings and came back at any VM for the same again. Ruled out: engines that crash by themselves (of 57 other attempts with three sendings or more none had lost an engine that had just begun it), and our own copies or moves (none of the lost runs had gone on from a copy). Change: src/quarantine decides. CrashWeight: how far the end of an endpoint speaks against one request (full when it had just been begun, half when that is not shown or some seconds ago, none when it waited, had made events for 3 s or the endpoint was leaving). EndpointLosses: one that went together with others of its zone or service speaks against nobody. Quarantine: from three on the request is held for ten minutes. CrashGuard (relay) judges each loss half a second after it, lets a request wait that would be held, ends calls under way and refuses new ones at once, 503 with the time until then. StoreCrashReports keeps the records in a table of the platform's store that all VMs follow, so that they count together and outlive a start of all VMs; whatever serves the request clears it.

--- /dev/null
+++ b/src/quarantine/CrashWeight.h
@@ -0,0 +1,53 @@
+// Decides how far the end of an endpoint speaks against one request that it was running.
+//
+// Load pattern: a request ends each endpoint that begins it, some 50 to 110 ms after the beginning, and is then sent to
+// the next one. The endpoint's other requests are lost with it; most of them had run for seconds or were still waiting.
+//
+// A request counts as fully suspect when the endpoint had just begun it, as half suspect when it had worked on it for a
+// while or when the service does not show what it has begun, and not at all when it had not begun it, had made events
+// of it for long, or was about to leave. Pure; no state.
+#pragma once
+
+#include "lupinknot/Clock.h"
+#include "lupinknot/EnumNames.h"
+#include "lupinknot/FailureKind.h"
+
+namespace lupinknot::internal {
+
+// What the answer shows of the moment at which the endpoint began to run the request.
+enum class RunBeginning {
+    Producing, // Events had come.
+    Begun, // The head of the answer had come.
+    NotYet, // It had not, and heads of this service come before the first event.
+    Hidden, // It had not, and none of this service has been seen to come before the first event.
+    Assumed, // A call with a whole answer: it begins as soon as the endpoint has a place.
+};
+
+inline constexpr std::array<EnumName<RunBeginning>, 5> runBeginningNames { {
+    { RunBeginning::Producing, "producing" },
+    { RunBeginning::Begun, "begun" },
+    { RunBeginning::NotYet, "not-yet" },
+    { RunBeginning::Hidden, "hidden" },
+    { RunBeginning::Assumed, "assumed" },
+} };
+
+// A run that its endpoint did not finish.
+struct UnfinishedRun {
+    FailureKind failure { FailureKind::ConnectionLost };
+    RunBeginning beginning { RunBeginning::Hidden };
+    // From the first event, else from the head, else from the sending, to the last sign of the endpoint.
+    Milliseconds workedFor { 0 };
+    // The endpoint had said that it leaves.
+    bool wasLeaving { false };
+};
+
+inline constexpr double fullSuspicion = 1;
+inline constexpr double halfSuspicion = 0.5;
+
+// From 0 to fullSuspicion.
+double crashWeight(const UnfinishedRun&);
+
+// A request of which an endpoint has made events for so long has shown that it does not end what begins it.
+inline constexpr Milliseconds harmlessAfter { 3000 };
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/quarantine/Quarantine.cpp
@@ -0,0 +1,116 @@
+#include "quarantine/Quarantine.h"
+
+#include "quarantine/CrashWeight.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lupinknot::internal {
+
+namespace {
+
+// What a further end at the same address counts.
+constexpr double repeatShare = 0.5;
+
+} // namespace
+
+bool Quarantine::add(const CrashRecord& record, Milliseconds now, bool isShared)
+{
+    if (!m_suspects.count(record.digest))
+        makeRoom();
+    auto& suspect = m_suspects[record.digest];
+    if (suspect.entries.size() >= mostRecordsOfOne
+        || !suspect.entries.emplace(record.endpointId, Entry { record, now, isShared }).second)
+        return false;
+    suspect.lastAt = now;
+    return true;
+}
+
+void Quarantine::remove(const std::string& digest, const std::string& endpointId)
+{
+    const auto suspect = m_suspects.find(digest);
+    if (suspect == m_suspects.end())
+        return;
+    suspect->second.entries.erase(endpointId);
+    if (suspect->second.entries.empty())
+        m_suspects.erase(suspect);
+}
+
+std::vector<CrashRecord> Quarantine::takeUnshared(const std::string& digest)
+{
+    std::vector<CrashRecord> unshared;
+    const auto suspect = m_suspects.find(digest);
+    if (suspect == m_suspects.end() || scoreOf(suspect->second) < sharedFrom)
+        return unshared;
+    for (auto& [id, entry] : suspect->second.entries) {
+        if (!std::exchange(entry.isShared, true))
+            unshared.push_back(entry.record);
+    }
+    return unshared;
+}
+
+std::vector<std::string> Quarantine::clear(const std::string& digest)
+{
+    std::vector<std::string> shared;
+    const auto suspect = m_suspects.find(digest);
+    if (suspect == m_suspects.end())
+        return shared;
+    if (scoreOf(suspect->second) + fullSuspicion >= heldFrom) {
+        for (const auto& [id, entry] : suspect->second.entries) {
+            if (entry.isShared)
+                shared.push_back(id);
+        }
+    }
+    m_suspects.erase(suspect);
+    return shared;
+}
+
+void Quarantine::forgetOld(Milliseconds now)
+{
+    for (auto suspect = m_suspects.begin(); suspect != m_suspects.end();) {
+        auto& entries = suspect->second.entries;
+        for (auto entry = entries.begin(); entry != entries.end();)
+            entry = now - entry->second.at < recordTime ? std::next(entry) : entries.erase(entry);
+        suspect = entries.empty() ? m_suspects.erase(suspect) : std::next(suspect);
+    }
+}
+
+double Quarantine::scoreOf(const Suspect& suspect)
+{
+    // The greatest weight of each address counts whole.
+    std::map<std::string, double> greatest;
+    double sum = 0;
+    for (const auto& [id, entry] : suspect.entries) {
+        auto& most = greatest[entry.record.address];
+        most = std::max(most, entry.record.weight);
+        sum += repeatShare * entry.record.weight;
+    }
+    for (const auto& [address, weight] : greatest)
+        sum += (1 - repeatShare) * weight;
+    return sum;
+}
+
+Milliseconds Quarantine::heldUntil(const std::string& digest) const
+{
+    const auto suspect = m_suspects.find(digest);
+    if (suspect == m_suspects.end() || scoreOf(suspect->second) < heldFrom)
+        return Milliseconds { 0 };
+    return suspect->second.lastAt + holdTime;
+}
+
+bool Quarantine::wouldBeHeld(const std::string& digest, double more) const
+{
+    const auto suspect = m_suspects.find(digest);
+    const auto score = suspect == m_suspects.end() ? 0 : scoreOf(suspect->second);
+    return score + more >= heldFrom;
+}
+
+void Quarantine::makeRoom()
+{
+    if (m_suspects.size() < mostSuspects)
+        return;
+    m_suspects.erase(std::min_element(m_suspects.begin(), m_suspects.end(),
+        [](const auto& a, const auto& b) { return a.second.lastAt < b.second.lastAt; }));
+}
+
+} // namespace lupinknot::internal
--- a/src/quarantine/RequestDigest.cpp
+++ b/src/quarantine/RequestDigest.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr std::size_t digestDigits = 48;
-
 // The length goes in before the text, so that the border between two texts counts.
 void add(XXH3_state_t& state, std::string_view text)
 {
@@ -32,10 +30,10 @@
         add(*state, text);
     const auto content = XXH3_128bits_digest(state.get());
     const auto owner = XXH3_64bits(organisation.data(), organisation.size());
-    char digits[digestDigits + 1];
+    char digits[digestLength + 1];
     std::snprintf(digits, sizeof(digits), "%016" PRIx64 "%016" PRIx64 "%016" PRIx64, static_cast<std::uint64_t>(owner),
         static_cast<std::uint64_t>(content.high64), static_cast<std::uint64_t>(content.low64));
-    return { digits, digestDigits };
+    return { digits, digestLength };
 }
 
 } // namespace lupinknot::internal
--- a/src/quarantine/RequestDigest.h
+++ b/src/quarantine/RequestDigest.h
@@ -12,7 +12,8 @@
 
 struct HttpRequest;
 
-// 48 hexadecimal digits, the same in every process. The organisation is empty on public routes.
+// Hexadecimal digits, the same in every process. The organisation is empty on public routes.
+inline constexpr std::size_t digestLength = 48;
 std::string digestOf(const HttpRequest&, std::string_view organisation);
 
 } // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/CrashGuard.cpp
@@ -0,0 +1,223 @@
+#include "relay/CrashGuard.h"
+
+#include "common/EventLog.h"
+#include "lupinknot/Clock.h"
+#include "quarantine/CrashReports.h"
+#include "relay/EndpointDirectory.h"
+#include "relay/RelaySettings.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+namespace lupinknot::internal {
+
+namespace {
+
+// Hundreds of charges at once are a lost zone's; more than these are not looked at.
+constexpr std::size_t mostCharges = 2000;
+constexpr Milliseconds forgettingInterval { 60'000 };
+// The log has whole numbers.
+constexpr double percent = 100;
+
+std::int64_t inPercent(double weight) { return static_cast<std::int64_t>(weight * percent); }
+
+} // namespace
+
+CrashGuard::CrashGuard(boost::asio::io_context& ioContext, const Clock& clock, const RelaySettings& settings,
+    const EndpointDirectory& directory)
+    : m_ioContext(ioContext)
+    , m_clock(clock)
+    , m_settings(settings)
+    , m_directory(directory)
+    , m_judgementTimer(ioContext)
+    , m_forgettingTimer(ioContext)
+{
+    armForgetting();
+}
+
+CrashGuard::~CrashGuard() = default;
+
+double CrashGuard::openWeight(const std::string& digest) const
+{
+    double weight = 0;
+    for (const auto& charge : m_charges) {
+        if (charge.loss.digest == digest)
+            weight += charge.weight;
+    }
+    return weight;
+}
+
+Standing CrashGuard::standing(const std::string& digest) const
+{
+    if (m_quarantine.isHeld(digest, m_clock.now()))
+        return Standing::Held;
+    const auto open = openWeight(digest);
+    return open > 0 && m_quarantine.wouldBeHeld(digest, open) ? Standing::UnderJudgement : Standing::Free;
+}
+
+Milliseconds CrashGuard::heldFor(const std::string& digest) const
+{
+    return std::max(m_quarantine.heldUntil(digest) - m_clock.now(), Milliseconds { 0 });
+}
+
+bool CrashGuard::isSuspect(const std::string& digest) const
+{
+    return m_quarantine.isSuspect(digest) || openWeight(digest) > 0;
+}
+
+void CrashGuard::watch(const std::string& digest, const std::shared_ptr<HeldListener>& listener)
+{
+    m_watching.emplace(digest, listener);
+}
+
+void CrashGuard::unwatch(const std::string& digest, const HeldListener& listener)
+{
+    const auto [begin, end] = m_watching.equal_range(digest);
+    const auto known
+        = std::find_if(begin, end, [&listener](const auto& entry) { return entry.second.get() == &listener; });
+    if (known != end)
+        m_watching.erase(known);
+}
+
+void CrashGuard::noteLoss(RequestLoss loss)
+{
+    if (!m_settings.policies.has(Policy::CrashQuarantine))
+        return;
+    const auto& entry = loss.endpoint->entry();
+    EndpointLoss event { entry.id, entry.service, entry.availabilityZone, m_clock.now() };
+    m_losses.note(event);
+    const auto weight = crashWeight(loss.run);
+    if (weight <= 0 || m_charges.size() >= mostCharges)
+        return;
+    m_charges.push_back({ std::move(loss), std::move(event), weight });
+    armJudgement();
+}
+
+void CrashGuard::armJudgement()
+{
+    if (m_isJudgementArmed || m_charges.empty())
+        return;
+    m_isJudgementArmed = true;
+    m_judgementTimer.expires_after(m_charges.front().event.at + EndpointLosses::moment - m_clock.now());
+    m_judgementTimer.async_wait([this](boost::system::error_code error) {
+        if (error)
+            return;
+        m_isJudgementArmed = false;
+        judge();
+    });
+}
+
+void CrashGuard::judge()
+{
+    const auto due = m_clock.now() - EndpointLosses::moment;
+    while (!m_charges.empty() && m_charges.front().event.at <= due) {
+        const auto charge = std::move(m_charges.front());
+        m_charges.pop_front();
+        judge(charge);
+    }
+    armJudgement();
+}
+
+bool CrashGuard::isExplained(const Charge& charge) const
+{
+    OtherEndpoints others;
+    for (const auto& endpoint : m_directory.endpointsOf(charge.event.service)) {
+        if (endpoint->entry().id == charge.event.endpointId)
+            continue;
+        ++others.inService;
+        others.inZone += endpoint->entry().availabilityZone == charge.event.zone;
+    }
+    // One that has said in the meantime that it leaves was leaving already.
+    return charge.loss.endpoint->entry().isDraining
+        || m_losses.wentWithOthers(charge.event, others, *charge.loss.ownEndpointIds);
+}
+
+void CrashGuard::judge(const Charge& charge)
+{
+    const auto& loss = charge.loss;
+    const bool isExplained = this->isExplained(charge);
+    LogEvent("quarantine.judged")
+        .text("request", loss.requestId)
+        .text("digest", loss.digest)
+        .text("endpoint", charge.event.endpointId)
+        .text("zone", charge.event.zone)
+        .text("failure", traitsOf(loss.run.failure).name)
+        .text("beginning", nameIn(runBeginningNames, loss.run.beginning))
+        .number("worked_ms", loss.run.workedFor.count())
+        .number("weight_percent", inPercent(charge.weight))
+        .flag("went_with_others", isExplained)
+        .write();
+    if (isExplained)
+        return;
+    const CrashRecord record { loss.digest, charge.event.endpointId, loss.endpoint->entry().address.text(),
+        charge.weight };
+    add(record, false);
+    for (const auto& unshared : m_quarantine.takeUnshared(loss.digest)) {
+        if (m_reports)
+            m_reports->publish(unshared);
+    }
+}
+
+void CrashGuard::add(const CrashRecord& record, bool isShared)
+{
+    const auto now = m_clock.now();
+    const bool wasHeld = m_quarantine.isHeld(record.digest, now);
+    if (!m_quarantine.add(record, now, isShared) || wasHeld || !m_quarantine.isHeld(record.digest, now))
+        return;
+    LogEvent("quarantine.held")
+        .text("digest", record.digest)
+        .text("last_endpoint", record.endpointId)
+        .number("for_ms", heldFor(record.digest).count())
+        .number("suspects", static_cast<std::int64_t>(m_quarantine.suspectCount()))
+        .write();
+    tellHeld(record.digest);
+}
+
+// Later, because a call that ends takes itself off the list.
+void CrashGuard::tellHeld(const std::string& digest)
+{
+    const auto [begin, end] = m_watching.equal_range(digest);
+    for (auto watching = begin; watching != end; ++watching)
+        boost::asio::post(m_ioContext, [listener = watching->second] { listener->requestHeld(); });
+}
+
+void CrashGuard::noteHarmless(const std::string& digest)
+{
+    m_charges.erase(std::remove_if(m_charges.begin(), m_charges.end(),
+                        [&digest](const Charge& charge) { return charge.loss.digest == digest; }),
+        m_charges.end());
+    const bool wasSuspect = m_quarantine.isSuspect(digest);
+    const auto endpoints = m_quarantine.clear(digest);
+    if (!wasSuspect)
+        return;
+    LogEvent("quarantine.cleared")
+        .text("digest", digest)
+        .number("taken_back", static_cast<std::int64_t>(endpoints.size()))
+        .write();
+    if (m_reports && !endpoints.empty())
+        m_reports->withdraw(digest, endpoints);
+}
+
+void CrashGuard::take(const CrashRecord& record)
+{
+    if (m_settings.policies.has(Policy::CrashQuarantine))
+        add(record, true);
+}
+
+void CrashGuard::drop(const std::string& digest, const std::string& endpointId)
+{
+    m_quarantine.remove(digest, endpointId);
+}
+
+void CrashGuard::armForgetting()
+{
+    m_forgettingTimer.expires_after(forgettingInterval);
+    m_forgettingTimer.async_wait([this](boost::system::error_code error) {
+        if (error)
+            return;
+        m_quarantine.forgetOld(m_clock.now());
+        armForgetting();
+    });
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/CrashGuard.h
@@ -0,0 +1,115 @@
+// Keeps requests that end each endpoint that begins them from being sent on and on.
+//
+// Every loss of an endpoint under a request is first an open charge. After a moment (EndpointLosses::moment) it is
+// judged: one that went together with others, or that had said it leaves, speaks against nobody; the rest goes into the
+// Quarantine and to the other VMs (CrashReports). A request that would be held if its open charges stood waits for the
+// judgement. When it is held, calls under way are told, and new ones are refused.
+//
+//     guard.watch(digest, call);                           // call->requestHeld() may follow.
+//     guard.noteLoss(loss);
+//     switch (guard.standing(digest)) ...
+//     guard.noteHarmless(digest);
+//
+// Used on the relay's thread only. Lives for the process.
+#pragma once
+
+#include "quarantine/CrashWeight.h"
+#include "quarantine/EndpointLosses.h"
+#include "quarantine/Quarantine.h"
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+namespace lupinknot {
+class Clock;
+}
+
+namespace lupinknot::internal {
+
+class CrashReports;
+class EndpointDirectory;
+class RelayEndpoint;
+struct RelaySettings;
+
+// Whether a request may be sent to an endpoint.
+enum class Standing {
+    Free,
+    UnderJudgement, // Wait; what has just been lost under it is being judged.
+    Held,
+};
+
+// A run that its endpoint did not finish, and whose it was.
+struct RequestLoss {
+    std::string requestId;
+    std::string digest;
+    std::shared_ptr<RelayEndpoint> endpoint;
+    UnfinishedRun run;
+    // All endpoints that the same call has lost, also those that it loses until the judgement.
+    std::shared_ptr<const std::vector<std::string>> ownEndpointIds;
+};
+
+class HeldListener {
+public:
+    virtual ~HeldListener() = default;
+    // The request is held from here on. Called outside of any call to the guard.
+    virtual void requestHeld() = 0;
+};
+
+class CrashGuard {
+public:
+    CrashGuard(boost::asio::io_context&, const Clock&, const RelaySettings&, const EndpointDirectory&);
+    ~CrashGuard();
+    CrashGuard(const CrashGuard&) = delete;
+    CrashGuard& operator=(const CrashGuard&) = delete;
+
+    // Where other VMs hear of what is found here; it outlives the guard's use. Null where there are none.
+    void setReports(CrashReports* reports) { m_reports = reports; }
+
+    Standing standing(const std::string& digest) const;
+    // How long the request is still held; 0 when it is not.
+    Milliseconds heldFor(const std::string& digest) const;
+    // True when something speaks against the request, judged or not.
+    bool isSuspect(const std::string& digest) const;
+    // Tells the listener when the request is held, until it is taken off again.
+    void watch(const std::string& digest, const std::shared_ptr<HeldListener>&);
+    void unwatch(const std::string& digest, const HeldListener&);
+    void noteLoss(RequestLoss);
+    // The request has been served, or an endpoint has worked on it for long.
+    void noteHarmless(const std::string& digest);
+
+    // What another VM has published, or taken back.
+    void take(const CrashRecord&);
+    void drop(const std::string& digest, const std::string& endpointId);
+
+private:
+    struct Charge {
+        RequestLoss loss;
+        EndpointLoss event;
+        double weight;
+    };
+
+    void armJudgement();
+    void judge();
+    void judge(const Charge&);
+    bool isExplained(const Charge&) const;
+    double openWeight(const std::string& digest) const;
+    void add(const CrashRecord&, bool isShared);
+    void tellHeld(const std::string& digest);
+    void armForgetting();
+
+    boost::asio::io_context& m_ioContext;
+    const Clock& m_clock;
+    const RelaySettings& m_settings;
+    const EndpointDirectory& m_directory;
+    CrashReports* m_reports { nullptr };
+    EndpointLosses m_losses;
+    Quarantine m_quarantine;
+    // Oldest first.
+    std::deque<Charge> m_charges;
+    // By digest.
+    std::unordered_multimap<std::string, std::shared_ptr<HeldListener>> m_watching;
+    boost::asio::steady_timer m_judgementTimer;
+    boost::asio::steady_timer m_forgettingTimer;
+    bool m_isJudgementArmed { false };
+};
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/CrashWatch.cpp
@@ -0,0 +1,67 @@
+#include "relay/CrashWatch.h"
+
+#include "relay/RelayContext.h"
+#include "relay/RelayEndpoint.h"
+#include "relay/RelayRequest.h"
+
+namespace lupinknot::internal {
+
+class CrashWatch::Listener final : public HeldListener {
+public:
+    explicit Listener(std::function<void()> held)
+        : m_held(std::move(held))
+    {
+    }
+
+    void requestHeld() override
+    {
+        // The callback may end the call, and this with it.
+        const auto held = m_held;
+        if (held)
+            held();
+    }
+
+    void forget() { m_held = nullptr; }
+
+private:
+    std::function<void()> m_held;
+};
+
+CrashWatch::CrashWatch(RelayContext& context, const RelayRequest& request)
+    : m_context(context)
+    , m_request(request)
+    , m_lostEndpointIds(std::make_shared<std::vector<std::string>>())
+{
+}
+
+CrashWatch::~CrashWatch() { end(); }
+
+void CrashWatch::begin(std::function<void()> held)
+{
+    m_listener = std::make_shared<Listener>(std::move(held));
+    m_context.crashGuard.watch(m_request.digest, m_listener);
+}
+
+void CrashWatch::end()
+{
+    if (!m_listener)
+        return;
+    m_listener->forget();
+    m_context.crashGuard.unwatch(m_request.digest, *m_listener);
+    m_listener.reset();
+}
+
+Standing CrashWatch::standing() const { return m_context.crashGuard.standing(m_request.digest); }
+
+bool CrashWatch::isSuspect() const { return m_context.crashGuard.isSuspect(m_request.digest); }
+
+void CrashWatch::noteUnfinished(const std::shared_ptr<RelayEndpoint>& endpoint, UnfinishedRun run)
+{
+    run.wasLeaving = endpoint->isLeaving();
+    m_lostEndpointIds->push_back(endpoint->entry().id);
+    m_context.crashGuard.noteLoss({ m_request.fields.requestId, m_request.digest, endpoint, run, m_lostEndpointIds });
+}
+
+void CrashWatch::noteHarmless() { m_context.crashGuard.noteHarmless(m_request.digest); }
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/CrashWatch.h
@@ -0,0 +1,47 @@
+// One request's dealings with the CrashGuard, for as long as its call goes on.
+//
+//     CrashWatch watch(context, request);
+//     watch.begin([this] { held(); });             // Called when the request is held from then on.
+//     watch.noteUnfinished(endpoint, run);         // An endpoint did not finish a run of it.
+//     if (watch.standing() == Standing::Free) ...  // It may be sent to the next one.
+//     watch.end();
+//
+// Used on the relay's thread only. Owned by the request's call.
+#pragma once
+
+#include "relay/CrashGuard.h"
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace lupinknot::internal {
+
+struct RelayContext;
+struct RelayRequest;
+
+class CrashWatch {
+public:
+    CrashWatch(RelayContext&, const RelayRequest&);
+    ~CrashWatch();
+    CrashWatch(const CrashWatch&) = delete;
+    CrashWatch& operator=(const CrashWatch&) = delete;
+
+    // The callback is not called after end(), nor from within a call to this object.
+    void begin(std::function<void()> held);
+    void end();
+    Standing standing() const;
+    // True when something speaks against the request, judged or not.
+    bool isSuspect() const;
+    void noteUnfinished(const std::shared_ptr<RelayEndpoint>&, UnfinishedRun);
+    void noteHarmless();
+
+private:
+    class Listener;
+
+    RelayContext& m_context;
+    const RelayRequest& m_request;
+    std::shared_ptr<Listener> m_listener;
+    const std::shared_ptr<std::vector<std::string>> m_lostEndpointIds;
+};
+
+} // namespace lupinknot::internal
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -24,6 +24,8 @@
 
 constexpr unsigned okStatus = 200;
 constexpr unsigned firstServerError = 500;
+// A head that comes so long before the first event came by itself, and not with it.
+constexpr Milliseconds shownBefore { 5 };
 
 } // namespace
 
@@ -61,6 +63,7 @@
     , m_request(std::move(request))
     , m_pace(m_context, m_request)
     , m_rollout(m_context, m_request)
+    , m_crashWatch(m_context, m_request)
     , m_events({ .maxTokens = std::numeric_limits<std::size_t>::max(), .stops = {} })
     , m_deadlineTimer(context.ioContext)
     , m_retryTimer(context.ioContext)
@@ -80,6 +83,7 @@
     };
     m_watch = RunWatch::make(
         m_context, m_request, { guarded(&EventStreamCall::runSilent), guarded(&EventStreamCall::considerRelocation) });
+    m_crashWatch.begin(guarded(&EventStreamCall::held));
     m_deadlineTimer.expires_after(m_request.deadline - m_context.now());
     m_deadlineTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error)
@@ -154,8 +158,22 @@
     return true;
 }
 
+bool EventStreamCall::isSendable()
+{
+    const auto standing = m_crashWatch.standing();
+    if (standing == Standing::Held)
+        held();
+    else if (standing == Standing::UnderJudgement)
+        startRunLater();
+    return standing == Standing::Free;
+}
+
+void EventStreamCall::held() { giveUp(m_possibleRuns > 0 ? RefusalReason::EndedEndpoints : RefusalReason::HeldBack); }
+
 void EventStreamCall::startRun()
 {
+    if (!isSendable())
+        return;
     if (const auto holder = soundCopyHolder()) {
         if (mayStartRun())
             startRunAt(holder, CopySource { holder->entry().address, m_copyName });
@@ -341,6 +359,11 @@
         giveUp(m_possibleRuns > 0 ? RefusalReason::EndpointFailed : RefusalReason::NoEndpoint);
         return;
     }
+    startRunLater();
+}
+
+void EventStreamCall::startRunLater()
+{
     m_retryTimer.expires_after(m_context.settings.endpointRetryInterval);
     m_retryTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
         const auto self = weak.lock();
@@ -402,7 +425,12 @@
     run.endpoint->noteLife(now);
     if (!run.hasEvent && m_lossAt)
         noteResumed(run, now);
+    if (!run.hasEvent && now - run.begunAt.value_or(now) >= shownBefore)
+        m_context.pace(m_request.service).showsBeginnings = true;
     run.hasEvent = true;
+    run.firstEventAt = run.firstEventAt.value_or(now);
+    if (now - *run.firstEventAt >= harmlessAfter)
+        m_crashWatch.noteHarmless();
     run.reading.reset();
     m_lastEventAt = now;
     m_watch->noteEvent();
@@ -539,9 +567,10 @@
         .number("begun_ms", run->begunAt ? (now - *run->begunAt).count() : -1)
         .write();
     m_context.metrics.countFailure(kind);
-    if (wasSent)
+    if (wasSent) {
         m_rollout.noteAnswer(*run->endpoint, AnswerQuality::Bad);
-    if (!wasSent) {
+        noteUnfinished(*run, kind, now);
+    } else {
         --m_possibleRuns;
         --m_arrivals;
         if (run->isCharged)
@@ -562,6 +591,19 @@
     startRun();
 }
 
+void EventStreamCall::noteUnfinished(const StreamRun& run, FailureKind kind, Milliseconds now)
+{
+    auto& pace = m_context.pace(m_request.service);
+    pace.showsBeginnings = pace.showsBeginnings || (run.begunAt && !run.hasEvent);
+    const auto unseen = pace.showsBeginnings ? RunBeginning::NotYet : RunBeginning::Hidden;
+    const auto begun = run.begunAt ? RunBeginning::Begun : unseen;
+    const auto since = run.firstEventAt.value_or(run.begunAt.value_or(run.startedAt));
+    // A break is a sign of the engine, silence is none.
+    const auto lastSign = kind == FailureKind::Silent ? std::max(since, run.lastActivity) : now;
+    m_crashWatch.noteUnfinished(
+        run.endpoint, { kind, run.hasEvent ? RunBeginning::Producing : begun, lastSign - since });
+}
+
 bool EventStreamCall::lacksCopy(const StreamRun& run, Milliseconds now) const
 {
     const auto holder = copyHolderOf(run, m_context.directory);
@@ -687,6 +729,7 @@
     m_isComplete = true;
     if (runLocations())
         runLocations()->forget(m_request.fields.promptId);
+    m_crashWatch.noteHarmless();
     m_pace.noteWholeAnswer(lastEventId(), m_events.length(), m_lastEventAt - m_firstEventAt);
     logEnd("complete", m_run->head.status);
     m_request.exchange->wake();
@@ -711,6 +754,8 @@
     // To come back within the same time would end no better.
     if (reason == RefusalReason::TooLittleTime)
         comeBackIn = std::max(m_request.deadline - m_context.now(), m_context.settings.retryAfter);
+    if (reason == RefusalReason::HeldBack)
+        comeBackIn = m_context.crashGuard.heldFor(m_request.digest);
     m_request.exchange->respond(refusal(m_context, reason, comeBackIn));
     finish();
 }
@@ -735,6 +780,7 @@
     if (m_isFinished)
         return;
     m_isFinished = true;
+    m_crashWatch.end();
     m_deadlineTimer.cancel();
     m_retryTimer.cancel();
     m_watch->stop();
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -9,6 +9,7 @@
 // Used on the relay's thread only. Owned by its pending timers and the exchange's callback.
 #pragma once
 
+#include "relay/CrashWatch.h"
 #include "relay/EndpointCall.h"
 #include "relay/RelayRefusal.h"
 #include "relay/RelayRequest.h"
@@ -64,7 +65,10 @@
     // The engine that holds a copy of the lost run's memory and looks sound, or null.
     std::shared_ptr<RelayEndpoint> soundCopyHolder();
     void waitForEndpoint();
+    void startRunLater();
     bool mayStartRun();
+    // False when the request is held back, which ends it, or may be soon, which it waits for.
+    bool isSendable();
 
     void takeEvents(StreamRun&, std::vector<WholeEvent>&&);
     void noteFirstEventTime(const StreamRun&, Milliseconds now);
@@ -73,6 +77,9 @@
     void runLost(FailureKind);
     void runSilent();
     void turnedAway();
+    // What the loss of the run says of the request.
+    void noteUnfinished(const StreamRun&, FailureKind, Milliseconds now);
+    void held();
 
     // True when the run would have to begin anew if its engine failed now.
     bool lacksCopy(const StreamRun&, Milliseconds now) const;
@@ -97,6 +104,7 @@
     const RelayRequest m_request;
     StreamPace m_pace;
     RolloutPart m_rollout;
+    CrashWatch m_crashWatch;
     Generation m_events;
     std::shared_ptr<StreamRun> m_run;
     // Null before the call begins.
--- a/src/relay/Policy.h
+++ b/src/relay/Policy.h
@@ -24,10 +24,11 @@
     LearnedPace, // Waits follow what this VM has seen of a service.
     TimeCheck, // A stream that cannot end in the time that is left is refused at once.
     LocationHints, // VMs tell each other where runs are.
+    CrashQuarantine, // A request is held back once endpoint after endpoint has ended under it.
     Waiting, // Requests wait for what a VM is about to learn, and calls for a place at an endpoint.
 };
 
-inline constexpr std::array<EnumName<Policy>, 11> policyNames { {
+inline constexpr std::array<EnumName<Policy>, 12> policyNames { {
     { Policy::GrowingCopies, "growing-copies" },
     { Policy::MovesAhead, "moves-ahead" },
     { Policy::PromptPreference, "prompt-preference" },
@@ -38,6 +39,7 @@
     { Policy::LearnedPace, "learned-pace" },
     { Policy::TimeCheck, "time-check" },
     { Policy::LocationHints, "location-hints" },
+    { Policy::CrashQuarantine, "crash-quarantine" },
     { Policy::Waiting, "waiting" },
 } };
 
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -14,6 +14,7 @@
 namespace lupinknot::internal {
 
 class CallProtocol;
+class CrashGuard;
 class EndpointDirectory;
 class Placement;
 class RelayConfiguration;
@@ -30,6 +31,7 @@
     EndpointDirectory& directory;
     Placement& placement;
     RelayMetrics& metrics;
+    CrashGuard& crashGuard;
     // The newest version; null until one is known.
     std::shared_ptr<const RelayConfiguration> configuration;
     std::unordered_map<std::string, RetryBudget> retryBudgets;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -25,8 +25,9 @@
     , m_ioContext(1)
     , m_directory(m_ioContext, m_settings)
     , m_placement(m_directory, m_settings, std::random_device()())
-    , m_context { m_ioContext, m_settings, m_clock, protocol, m_directory, m_placement, m_metrics, nullptr, {}, {},
-        nullptr, false }
+    , m_crashGuard(m_ioContext, m_clock, m_settings, m_directory)
+    , m_context { m_ioContext, m_settings, m_clock, protocol, m_directory, m_placement, m_metrics, m_crashGuard,
+        nullptr, {}, {}, nullptr, false }
     , m_handler(m_context)
     , m_front(m_ioContext, listenAt(addresses.front),
           [this](const std::shared_ptr<HttpExchange>& exchange) { m_handler.handle(exchange); })
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -12,6 +12,7 @@
 #include "http/HttpServer.h"
 #include "http/SocketAddress.h"
 #include "lupinknot/MonotonicClock.h"
+#include "relay/CrashGuard.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/Placement.h"
 #include "relay/RelayContext.h"
@@ -46,6 +47,8 @@
     EndpointDirectory& directory() { return m_directory; }
     // Where VMs tell each other of their runs; it outlives the daemon's run.
     void setRunLocations(RunLocations* locations) { m_context.runLocations = locations; }
+    // Which requests are held back because endpoints have ended under them.
+    CrashGuard& crashGuard() { return m_crashGuard; }
     // Puts other limits, times and weights in force, for requests under way too. What is known of other VMs stays.
     void changeSettings(const RelaySettings&);
     // How many VMs share the retry budget.
@@ -88,6 +91,7 @@
     EndpointDirectory m_directory;
     Placement m_placement;
     RelayMetrics m_metrics;
+    CrashGuard m_crashGuard;
     RelayContext m_context;
     RelayHandler m_handler;
     HttpServer m_front;
--- a/src/relay/RelayHandler.cpp
+++ b/src/relay/RelayHandler.cpp
@@ -3,6 +3,7 @@
 #include "admission/StartupWait.h"
 #include "common/EventLog.h"
 #include "quarantine/RequestDigest.h"
+#include "relay/CrashGuard.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/EventStreamCall.h"
 #include "relay/RelayConfiguration.h"
@@ -95,7 +96,9 @@
         .number("max_answer_tokens", request.fields.maxAnswerTokens)
         .number("config_version", static_cast<std::int64_t>(request.configurationVersion))
         .write();
-    if (isStream)
+    if (m_context.crashGuard.standing(request.digest) == Standing::Held)
+        refuse(request, RefusalReason::HeldBack);
+    else if (isStream)
         EventStreamCall::serve(m_context, std::move(request));
     else
         WholeAnswerCall::serve(m_context, std::move(request));
@@ -138,7 +141,10 @@
         .number("status", traits.status)
         .number("config_version", static_cast<std::int64_t>(request.configurationVersion))
         .write();
-    request.exchange->respond(refusal(m_context, reason));
+    std::optional<Milliseconds> comeBackIn;
+    if (reason == RefusalReason::HeldBack)
+        comeBackIn = m_context.crashGuard.heldFor(request.digest);
+    request.exchange->respond(refusal(m_context, reason, comeBackIn));
 }
 
 } // namespace lupinknot::internal
--- a/src/relay/RelayRefusal.cpp
+++ b/src/relay/RelayRefusal.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<RefusalTraits, 12> refusalTable { {
+constexpr std::array<RefusalTraits, 14> refusalTable { {
     { RefusalReason::Malformed, "malformed", 400, true, "the request lacks a field or has one that cannot be read" },
     { RefusalReason::UnknownKey, "unknown-key", 401, true, "the key belongs to no organisation; check the key" },
     { RefusalReason::UnknownRoute, "unknown-route", 404, true, "no route has this host and path" },
@@ -24,6 +24,10 @@
     { RefusalReason::TimedOutUnsent, "timed-out-unsent", 503, true, "no endpoint took the request in time; try again" },
     { RefusalReason::TooLittleTime, "too-little-time", 503, true,
         "no engine can make the answer in the time that is left; ask again with more" },
+    { RefusalReason::HeldBack, "held-back", 503, true,
+        "endpoints have ended each time they began this request; it is not sent to any for a while" },
+    { RefusalReason::EndedEndpoints, "ended-endpoints", 502, false,
+        "endpoints have ended each time they began this request, and it is sent to no more of them" },
 } };
 
 } // namespace
--- a/src/relay/RelayRefusal.h
+++ b/src/relay/RelayRefusal.h
@@ -23,6 +23,8 @@
     TimedOut,
     TimedOutUnsent,
     TooLittleTime,
+    HeldBack,
+    EndedEndpoints,
 };
 
 // One row of the table of what each reason tells the caller.
--- a/src/relay/ServicePace.h
+++ b/src/relay/ServicePace.h
@@ -24,6 +24,10 @@
     // Tokens of prompts. Stated: the first customers'.
     Estimate promptTokens { 5000 };
 
+    // The heads of its streams have been seen to come before the first event: an engine that has sent none has not
+    // begun.
+    bool showsBeginnings { false };
+
     // What to forecast engines by: the prompt that is in the middle, and the pace of those that had an engine to
     // themselves.
     EnginePace engine() const
--- a/src/relay/StreamRun.h
+++ b/src/relay/StreamRun.h
@@ -31,6 +31,7 @@
     Milliseconds startedAt { 0 };
     // When the head of its answer came: the engine has begun it. Nothing as long as none has.
     std::optional<Milliseconds> begunAt;
+    std::optional<Milliseconds> firstEventAt;
     // When it was sent, or its last event came.
     Milliseconds lastActivity { 0 };
     bool isStream { false };
--- a/src/relay/WholeAnswerCall.cpp
+++ b/src/relay/WholeAnswerCall.cpp
@@ -44,6 +44,7 @@
     : m_context(context)
     , m_request(std::move(request))
     , m_rollout(m_context, m_request)
+    , m_crashWatch(m_context, m_request)
     , m_deadlineTimer(context.ioContext)
     , m_hedgeTimer(context.ioContext)
     , m_waitTimer(context.ioContext)
@@ -54,6 +55,10 @@
 
 void WholeAnswerCall::begin()
 {
+    m_crashWatch.begin([weak = weak_from_this()] {
+        if (const auto self = weak.lock(); self && !self->m_isFinished)
+            self->held();
+    });
     m_deadlineTimer.expires_after(m_request.deadline - m_context.now());
     m_deadlineTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error)
@@ -129,7 +134,8 @@
 
 void WholeAnswerCall::hedge()
 {
-    if (!hasOpenAttempt() || !maySendAgain())
+    // A second endpoint must not end under a request that may have ended the first ones.
+    if (!hasOpenAttempt() || !maySendAgain() || m_crashWatch.isSuspect())
         return;
     if (!m_context.retryBudget(m_request.service).take(RetryPurpose::Precaution, m_context.now()))
         return;
@@ -193,6 +199,7 @@
         callFailed(*attempt.call, FailureKind::MalformedEvent);
         return;
     }
+    m_crashWatch.noteHarmless();
     if (status >= firstServerError)
         m_rollout.noteAnswer(*endpoint, AnswerQuality::Bad);
     else
@@ -234,6 +241,7 @@
             m_context.retryBudget(m_request.service).giveBack();
     } else {
         m_rollout.noteAnswer(*endpoint, AnswerQuality::Bad);
+        m_crashWatch.noteUnfinished(endpoint, { kind, RunBeginning::Assumed, now - call.startedAt() });
         endpoint->avoidUntil(now + settings.avoidAfterBreak);
     }
     recover(wasSent ? RefusalReason::EndpointFailed : RefusalReason::NoEndpoint);
@@ -242,6 +250,8 @@
 // Goes on elsewhere if that is allowed, waits for an attempt that is still open, or gives the request up.
 void WholeAnswerCall::recover(RefusalReason lastReason)
 {
+    if (!isSendable(lastReason))
+        return;
     const bool mayHaveRun = m_possibleRuns > 0;
     const bool isAllowed = maySendAgain() && (!mayHaveRun || m_request.route->mayRunAgain());
     auto& budget = m_context.retryBudget(m_request.service);
@@ -265,6 +275,24 @@
         waitOrRefuse(isAllowed && !isFunded ? RefusalReason::RetryBudgetSpent : lastReason);
 }
 
+bool WholeAnswerCall::isSendable(RefusalReason lastReason)
+{
+    const auto standing = m_crashWatch.standing();
+    if (standing == Standing::Held) {
+        held();
+    } else if (standing == Standing::UnderJudgement) {
+        m_waitTimer.expires_after(m_context.settings.endpointRetryInterval);
+        m_waitTimer.async_wait([weak = weak_from_this(), lastReason](boost::system::error_code error) {
+            const auto self = weak.lock();
+            if (!error && self && !self->m_isFinished)
+                self->recover(lastReason);
+        });
+    }
+    return standing == Standing::Free;
+}
+
+void WholeAnswerCall::held() { refuse(m_possibleRuns > 0 ? RefusalReason::EndedEndpoints : RefusalReason::HeldBack); }
+
 bool WholeAnswerCall::mayWait() const
 {
     return m_possibleRuns == 0 && !m_errorAnswer && m_context.has(Policy::Waiting);
@@ -377,7 +405,9 @@
         .number("took_ms", (now - m_request.admittedAt).count())
         .write();
     m_context.metrics.countRequest(m_request.route->kind, traits.status, now - m_request.admittedAt);
-    const auto comeBack = comeBackIn(obstacleOf(reason), m_request.deadline - now, spread());
+    const auto comeBack = reason == RefusalReason::HeldBack
+        ? m_context.crashGuard.heldFor(m_request.digest)
+        : comeBackIn(obstacleOf(reason), m_request.deadline - now, spread());
     m_request.exchange->respond(refusal(m_context, reason, comeBack));
     finish();
 }
@@ -387,6 +417,7 @@
     if (m_isFinished)
         return;
     m_isFinished = true;
+    m_crashWatch.end();
     m_deadlineTimer.cancel();
     m_hedgeTimer.cancel();
     m_waitTimer.cancel();
--- a/src/relay/WholeAnswerCall.h
+++ b/src/relay/WholeAnswerCall.h
@@ -10,6 +10,7 @@
 // Used on the relay's thread only. Owned by its pending timers and the exchange's callback.
 #pragma once
 
+#include "relay/CrashWatch.h"
 #include "relay/EndpointCall.h"
 #include "relay/RelayRefusal.h"
 #include "relay/RelayRequest.h"
@@ -62,6 +63,9 @@
     void timedOut();
     void settle(Attempt&);
     void recover(RefusalReason lastReason);
+    // False when the request is held back, or may be soon and has been put off.
+    bool isSendable(RefusalReason lastReason);
+    void held();
     bool hasOpenAttempt() const;
     Attempt& attemptOf(const EndpointCall&);
     void answer(HttpResponse, std::string_view outcome, std::string_view endpointId);
@@ -72,6 +76,7 @@
     RelayContext& m_context;
     const RelayRequest m_request;
     RolloutPart m_rollout;
+    CrashWatch m_crashWatch;
     std::vector<std::unique_ptr<Attempt>> m_attempts;
     // Endpoints tried since the call waited last.
     std::vector<std::shared_ptr<RelayEndpoint>> m_tried;
--- /dev/null
+++ b/test/CrashWeightTest.cpp
@@ -0,0 +1,50 @@
+#include "quarantine/CrashWeight.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+
+TEST_GROUP(CrashWeight) {
+    static double weight(RunBeginning beginning, int workedFor, FailureKind failure = FailureKind::EarlyEnd) {
+        return crashWeight({ failure, beginning, Milliseconds { workedFor }, false });
+}
+}
+;
+
+TEST(CrashWeight, IsFullForARunThatHadJustBegun)
+{
+    // What was seen: engines ended 40 to 120 ms after the beginning.
+    for (const auto workedFor : { 0, 40, 120 }) {
+        DOUBLES_EQUAL(fullSuspicion, weight(RunBeginning::Begun, workedFor), 0);
+        DOUBLES_EQUAL(fullSuspicion, weight(RunBeginning::Producing, workedFor), 0);
+        DOUBLES_EQUAL(fullSuspicion, weight(RunBeginning::Assumed, workedFor), 0);
+    }
+    DOUBLES_EQUAL(fullSuspicion, weight(RunBeginning::Begun, 0, FailureKind::Silent), 0);
+}
+
+TEST(CrashWeight, IsHalfForARunThatHadBegunAWhileAgoOrMayHave)
+{
+    DOUBLES_EQUAL(halfSuspicion, weight(RunBeginning::Producing, 1000), 0);
+    DOUBLES_EQUAL(halfSuspicion, weight(RunBeginning::Assumed, 1000), 0);
+    DOUBLES_EQUAL(halfSuspicion, weight(RunBeginning::Hidden, 50), 0);
+    DOUBLES_EQUAL_TEXT(halfSuspicion, weight(RunBeginning::Begun, 9000), 0, "its head may have come while it waited");
+}
+
+TEST(CrashWeight, IsNoneForARunThatHadNotBegunOrHadShownItself)
+{
+    DOUBLES_EQUAL(0, weight(RunBeginning::NotYet, 50), 0);
+    DOUBLES_EQUAL(0, weight(RunBeginning::Producing, static_cast<int>(harmlessAfter.count())), 0);
+}
+
+TEST(CrashWeight, IsNoneForAnEndpointThatHadSaidItLeaves)
+{
+    DOUBLES_EQUAL(0, crashWeight({ FailureKind::EarlyEnd, RunBeginning::Begun, Milliseconds { 50 }, true }), 0);
+}
+
+TEST(CrashWeight, IsNoneForFailuresThatAnEndpointSurvives)
+{
+    for (const auto failure : { FailureKind::ConnectionRefused, FailureKind::Overloaded, FailureKind::ErrorStatus,
+             FailureKind::MalformedEvent, FailureKind::WrongPosition })
+        DOUBLES_EQUAL(0, weight(RunBeginning::Begun, 50, failure), 0);
+}
--- /dev/null
+++ b/test/StoreCrashReportsTest.cpp
@@ -0,0 +1,164 @@
+#include "StoreCrashReports.h"
+#include "PlatformCallProtocol.h"
+#include "RunUntil.h"
+#include "StoreFeed.h"
+#include "lupinknot/ManualClock.h"
+#include "relay/RelayDaemon.h"
+#include "relay/RelaySettings.h"
+#include "standin/StoreStandIn.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+using namespace lupinknot::platform;
+
+namespace {
+
+// A VM as far as it hears of crashed endpoints.
+struct Vm {
+    Vm(boost::asio::io_context& ioContext, const SocketAddress& store, const std::string& name)
+        : directory(ioContext, settings)
+        , guard(ioContext, clock, settings, directory)
+        , reports(ioContext, clock, store, name, guard)
+    {
+        guard.setReports(&reports);
+        feed = StoreFeed::start(ioContext, clock, store, StoreCrashReports::tableName,
+            { Milliseconds { 1000 }, Milliseconds { 1 } },
+            { [this](const std::vector<StoreRow>& rows) { reports.takeAll(rows); },
+                [this](const std::vector<StoreRow>& rows) { reports.takeChanges(rows); } });
+    }
+
+    RelaySettings settings;
+    ManualClock clock;
+    EndpointDirectory directory;
+    CrashGuard guard;
+    StoreCrashReports reports;
+    std::shared_ptr<StoreFeed> feed;
+};
+
+} // namespace
+
+TEST_GROUP(StoreCrashReports)
+{
+    boost::asio::io_context ioContext;
+    std::unique_ptr<StoreStandIn> store;
+    std::unique_ptr<Vm> one;
+    std::unique_ptr<Vm> other;
+    const std::string digest = std::string(48, 'd');
+
+    void setup() override
+    {
+        store = std::make_unique<StoreStandIn>(ioContext);
+        store->start();
+        one = newVm("vm1");
+        other = newVm("vm2");
+    }
+
+    void teardown() override
+    {
+        one.reset();
+        other.reset();
+        store.reset();
+    }
+
+    std::unique_ptr<Vm> newVm(const std::string& name)
+    {
+        return std::make_unique<Vm>(ioContext, SocketAddress { "127.0.0.1", store->port() }, name);
+    }
+
+    bool runUntil(const std::function<bool()>& condition) { return internal::runUntil(ioContext, condition); }
+
+    CrashRecord record(int number) const
+    {
+        return { digest, "e" + std::to_string(number), "10.0.0." + std::to_string(number) + ":80", 1 };
+    }
+
+    void publish(Vm & vm, int first, int last)
+    {
+        for (int i = first; i <= last; ++i)
+            vm.reports.publish(record(i));
+    }
+
+    bool isHeldAt(const Vm& vm) const { return vm.guard.standing(digest) == Standing::Held; }
+};
+
+TEST(StoreCrashReports, WhatVmsFindTogetherHoldsARequestAtAllOfThem)
+{
+    publish(*one, 1, 2);
+    publish(*other, 3, 3);
+    CHECK(runUntil([&] { return isHeldAt(*one) && isHeldAt(*other); }));
+}
+
+// All VMs were ended at once and started again, and the same request came to them.
+TEST(StoreCrashReports, AVmThatStartsAgainKnowsWhatWasFoundBefore)
+{
+    publish(*one, 1, 3);
+    CHECK(runUntil([&] { return isHeldAt(*other); }));
+    one.reset();
+    other.reset();
+    one = newVm("vm1");
+    CHECK(runUntil([&] { return isHeldAt(*one); }));
+}
+
+TEST(StoreCrashReports, WhatIsTakenBackCountsNowhere)
+{
+    publish(*one, 1, 3);
+    CHECK(runUntil([&] { return isHeldAt(*other); }));
+    other->guard.noteHarmless(digest);
+    CHECK(runUntil([&] { return !isHeldAt(*one) && !store->value("crashes", digest + "/e1"); }));
+    CHECK_FALSE(isHeldAt(*other));
+}
+
+TEST(StoreCrashReports, WritesAgainWhatAStoreThatWasAwayHasNotTaken)
+{
+    store->setFault(StoreFault::Unavailable);
+    publish(*one, 1, 3);
+    const auto before = store->callCount();
+    CHECK(runUntil([&] { return store->callCount() > before + 2; }));
+    store->setFault(StoreFault::None);
+    CHECK(runUntil([&] { return isHeldAt(*other); }));
+}
+
+TEST(StoreCrashReports, ARowThatIsShownAgainAfterAGapDoesNotUndoAClearance)
+{
+    for (const auto* id : { "/e1", "/e2", "/e3" })
+        one->reports.takeChanges(
+            { { digest + id, std::string(R"({"address":"at )") + id + R"(","weight":1})", false, 9 } });
+    CHECK(isHeldAt(*one));
+    one->guard.noteHarmless(digest);
+    one->reports.takeAll({ { digest + "/e1", R"({"address":"10.0.0.1:80","weight":1})", false, 91 } });
+    CHECK_FALSE(one->guard.isSuspect(digest));
+}
+
+TEST(StoreCrashReports, PassesOverRowsThatItCannotRead)
+{
+    for (const auto& value :
+        { "", "{", "[]", "{}", R"({"address":1,"weight":1})", R"({"address":"a","weight":"1"})", "\xff\xfe" })
+        one->reports.takeChanges({ { digest + "/e1", value, false, 1 } });
+    one->reports.takeChanges({ { "no digest", R"({"address":"a","weight":1})", false, 1 } });
+    one->reports.takeChanges({ { "short/e1", R"({"address":"a","weight":1})", false, 1 } });
+    CHECK_FALSE(one->guard.isSuspect(digest));
+    CHECK_FALSE(one->guard.isSuspect("short"));
+}
+
+TEST(StoreCrashReports, NoRowCountsForMoreThanAFullSuspicion)
+{
+    for (const auto* id : { "/e1", "/e2" })
+        one->reports.takeChanges({ { digest + id, R"({"address":"a","weight":99})", false, 1 } });
+    CHECK(one->guard.isSuspect(digest));
+    CHECK_FALSE(isHeldAt(*one));
+}
+
+TEST(StoreCrashReports, SweepsRowsThatCountNoMore)
+{
+    publish(*one, 1, 1);
+    CHECK(runUntil([&] { return one->guard.isSuspect(digest) || other->guard.isSuspect(digest); }));
+    CHECK(runUntil([&] { return store->value("crashes", digest + "/e1").has_value(); }));
+    other->reports.sweep();
+    CHECK_TEXT(store->value("crashes", digest + "/e1"), "it is still young");
+    CHECK(runUntil([&] { return other->guard.isSuspect(digest); }));
+    other->clock.advance(2 * Quarantine::recordTime);
+    other->reports.sweep();
+    CHECK(runUntil([&] { return !store->value("crashes", digest + "/e1"); }));
+}
