--- a/src/quarantine/CrashWeight.cpp
+++ b/src/quarantine/CrashWeight.cpp
@@ -1,5 +1,7 @@
 #include "quarantine/CrashWeight.h"
 
+#include <algorithm>
+
 namespace lupinknot::internal {
 
 namespace {
@@ -7,6 +9,13 @@
 // Endpoints ended 40 to 120 ms after the beginning; a quarter of a second more is for links and a busy VM. Of the other
 // requests of an engine, which take 4 to 8 s, one in twenty has begun so lately.
 constexpr Milliseconds justBegun { 350 };
+// A call that is lost sooner than an endpoint could have done anything may have met one that had ended already, behind
+// something that still took connections.
+constexpr Milliseconds shortestWork { 5 };
+// A run that was lost after so much of its answer is one of many that an endpoint had.
+constexpr Milliseconds longRun { 3000 };
+constexpr Milliseconds shortestProof { 1000 };
+constexpr int proofOfWork = 3;
 
 // Kinds of failure that the end of an endpoint looks like.
 bool looksLikeAnEnd(FailureKind kind)
@@ -27,15 +36,23 @@
     case RunBeginning::Hidden:
         return halfSuspicion;
     case RunBeginning::Producing:
-        if (run.workedFor >= harmlessAfter)
+        if (run.workedFor >= longRun)
             return 0;
         break;
-    // Without an event nothing clears it: heads may come when a request is taken, long before it begins.
+    // Without an event nothing clears it.
     case RunBeginning::Begun:
+        break;
     case RunBeginning::Assumed:
+        if (run.workedFor < shortestWork)
+            return halfSuspicion;
         break;
     }
     return isSharp ? fullSuspicion : halfSuspicion;
 }
 
+bool provesHarmless(Milliseconds producedFor, Milliseconds longestWork)
+{
+    return producedFor >= std::max(shortestProof, proofOfWork * longestWork);
+}
+
 } // namespace lupinknot::internal
--- a/src/quarantine/CrashWeight.h
+++ b/src/quarantine/CrashWeight.h
@@ -19,7 +19,7 @@
     Producing, // Events had come.
     Begun, // The head of the answer had come.
     NotYet, // It had not, and heads of this service come before the first event.
-    Hidden, // It had not, and none of this service has been seen to come before the first event.
+    Hidden, // Heads of this service say nothing of it: they come with the first event, or long before it.
     Assumed, // A call with a whole answer: it begins as soon as the endpoint has a place.
 };
 
@@ -47,7 +47,8 @@
 // From 0 to fullSuspicion.
 double crashWeight(const UnfinishedRun&);
 
-// A request of which an endpoint has made events for so long has shown that it does not end what begins it.
-inline constexpr Milliseconds harmlessAfter { 3000 };
+// True when a run that has made events for so long shows that the request does not end what begins it: much longer than
+// any endpoint had worked on it that has ended under it.
+bool provesHarmless(Milliseconds producedFor, Milliseconds longestWork);
 
 } // namespace lupinknot::internal
--- a/src/quarantine/EndpointLosses.cpp
+++ b/src/quarantine/EndpointLosses.cpp
@@ -11,33 +11,45 @@
 constexpr std::size_t othersByZone = 2;
 // Of a service without zones of any size, half of the others.
 constexpr std::size_t leastOthersByService = 2;
-// Losses are kept for as long as a judgement may look back, and never more than a fleet of engines.
+// Losses are kept for as long as a judgement looks back, and never more than a fleet of engines. No endpoint is back
+// within this time: whatever is sent to one until then meets it as it was lost.
 constexpr Milliseconds keptFor { 3 * EndpointLosses::moment };
+constexpr std::size_t mostDigests = 16;
 constexpr std::size_t mostKept = 4096;
 
 Milliseconds distance(Milliseconds a, Milliseconds b) { return a > b ? a - b : b - a; }
 
 } // namespace
 
-void EndpointLosses::note(EndpointLoss loss)
+void EndpointLosses::note(EndpointLoss loss, Milliseconds lastLife)
 {
-    while (!m_losses.empty() && (loss.at - m_losses.front().at > keptFor || m_losses.size() >= mostKept))
+    while (!m_losses.empty() && (loss.at - m_losses.front().first.at > keptFor || m_losses.size() >= mostKept))
         m_losses.pop_front();
-    const auto isKnown = std::any_of(m_losses.begin(), m_losses.end(),
-        [&loss](const EndpointLoss& known) { return known.endpointId == loss.endpointId; });
-    if (!isKnown)
-        m_losses.push_back(std::move(loss));
+    const auto known = std::find_if(m_losses.begin(), m_losses.end(),
+        [&](const Lost& lost) { return lost.first.endpointId == loss.endpointId && lost.first.at >= lastLife; });
+    if (known == m_losses.end())
+        m_losses.push_back({ loss, { loss.digest } });
+    else if (known->digests.size() < mostDigests)
+        known->digests.push_back(loss.digest);
 }
 
-bool EndpointLosses::wentWithOthers(
-    const EndpointLoss& loss, const OtherEndpoints& others, const std::vector<std::string>& excludedIds) const
+bool EndpointLosses::wasLostBefore(const std::string& endpointId, Milliseconds instant, Milliseconds lastLife) const
+{
+    return std::any_of(m_losses.begin(), m_losses.end(), [&](const Lost& lost) {
+        const auto at = lost.first.at;
+        return lost.first.endpointId == endpointId && at < instant && at >= lastLife && instant - at < keptFor;
+    });
+}
+
+bool EndpointLosses::wentWithOthers(const EndpointLoss& loss, const OtherEndpoints& others) const
 {
     std::size_t inZone = 0;
     std::size_t inService = 0;
-    for (const auto& other : m_losses) {
-        const bool isExcluded = other.endpointId == loss.endpointId
-            || std::find(excludedIds.begin(), excludedIds.end(), other.endpointId) != excludedIds.end();
-        if (isExcluded || other.service != loss.service || distance(other.at, loss.at) > moment)
+    for (const auto& lost : m_losses) {
+        const auto& other = lost.first;
+        const bool isOwn = other.endpointId == loss.endpointId
+            || std::find(lost.digests.begin(), lost.digests.end(), loss.digest) != lost.digests.end();
+        if (isOwn || other.service != loss.service || distance(other.at, loss.at) > moment)
             continue;
         ++inService;
         inZone += other.zone == loss.zone;
--- a/src/quarantine/EndpointLosses.h
+++ b/src/quarantine/EndpointLosses.h
@@ -1,8 +1,8 @@
 // The endpoints that this VM has lost lately, and whether one of them went together with others.
 //
 // Load pattern: a zone's endpoints, or most of a service's, end within a moment of each other. Whatever ran there has
-// lost its endpoint with others and is not to blame. The endpoints that one request has lost one after the other do not
-// count as others: a request that ends whatever runs it makes such a row by itself.
+// lost its endpoint with others and is not to blame. Endpoints that were lost under the same request do not count as
+// others: a request that ends whatever runs it makes such a row by itself, within one attempt and over several.
 // Used on the relay's thread only.
 #pragma once
 
@@ -17,6 +17,8 @@
     std::string endpointId;
     std::string service;
     std::string zone;
+    // Of the request that has seen it (digestOf).
+    std::string digest;
     Milliseconds at { 0 };
 };
 
@@ -28,15 +30,25 @@
 
 class EndpointLosses {
 public:
-    void note(EndpointLoss);
-    // True when enough others went within the moment to explain the loss; of those, the excluded ones do not count.
-    bool wentWithOthers(const EndpointLoss&, const OtherEndpoints&, const std::vector<std::string>& excludedIds) const;
+    // Of an endpoint that has shown life since its last loss, this is another one.
+    void note(EndpointLoss, Milliseconds lastLife);
+    // True when the endpoint was lost before the instant and had shown no life since: whatever was sent to it then has
+    // not ended it.
+    bool wasLostBefore(const std::string& endpointId, Milliseconds instant, Milliseconds lastLife) const;
+    // True when enough others went within the moment to explain the loss.
+    bool wentWithOthers(const EndpointLoss&, const OtherEndpoints&) const;
 
     // Losses so close to each other are one event: breaks are seen at once, silence within some 300 ms.
     static constexpr Milliseconds moment { 500 };
 
 private:
-    std::deque<EndpointLoss> m_losses;
+    // One endpoint, whoever has seen it go.
+    struct Lost {
+        EndpointLoss first;
+        std::vector<std::string> digests;
+    };
+
+    std::deque<Lost> m_losses;
 };
 
 } // namespace lupinknot::internal
--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -1,5 +1,6 @@
 #include "quarantine/Quarantine.h"
 
+#include "common/NameHash.h"
 #include "quarantine/CrashWeight.h"
 
 #include <algorithm>
@@ -12,8 +13,19 @@
 // What a further end at the same address counts.
 constexpr double repeatShare = 0.5;
 
+Milliseconds spreadOf(std::string_view vmName)
+{
+    const auto spread = static_cast<double>(Quarantine::holdSpread.count());
+    return Milliseconds { static_cast<std::int64_t>(spread * fractionOfName(vmName)) };
+}
+
 } // namespace
 
+Quarantine::Quarantine(std::string_view vmName)
+    : m_firstHold(firstHold + spreadOf(vmName))
+{
+}
+
 bool Quarantine::add(const CrashRecord& record, Milliseconds now, bool isShared)
 {
     if (!m_suspects.count(record.digest))
@@ -23,6 +35,35 @@
         || !suspect.entries.emplace(record.endpointId, Entry { record, now, isShared }).second)
         return false;
     suspect.lastAt = now;
+    suspect.hasFailedTrial = suspect.hasFailedTrial || record.endsTrial;
+    if (scoreOf(suspect) >= heldFrom)
+        hold(suspect, now);
+    return true;
+}
+
+void Quarantine::hold(Suspect& suspect, Milliseconds now) const
+{
+    suspect.trialUntil = Milliseconds { 0 };
+    suspect.heldUntil = now + (suspect.hasFailedTrial ? longHold : m_firstHold);
+}
+
+bool Quarantine::isOnTrial(const std::string& digest, Milliseconds now) const
+{
+    const auto suspect = m_suspects.find(digest);
+    return suspect != m_suspects.end() && suspect->second.heldUntil > Milliseconds { 0 }
+    && now >= suspect->second.heldUntil;
+}
+
+bool Quarantine::admit(const std::string& digest, Milliseconds now)
+{
+    if (isHeld(digest, now))
+        return false;
+    if (!isOnTrial(digest, now))
+        return true;
+    auto& trialUntil = m_suspects[digest].trialUntil;
+    if (now < trialUntil)
+        return false;
+    trialUntil = now + longestTrial;
     return true;
 }
 
@@ -34,6 +75,8 @@
     suspect->second.entries.erase(endpointId);
     if (suspect->second.entries.empty())
         m_suspects.erase(suspect);
+    else if (scoreOf(suspect->second) < heldFrom)
+        suspect->second.heldUntil = Milliseconds { 0 };
 }
 
 std::vector<CrashRecord> Quarantine::takeUnshared(const std::string& digest)
@@ -93,9 +136,7 @@
 Milliseconds Quarantine::heldUntil(const std::string& digest) const
 {
     const auto suspect = m_suspects.find(digest);
-    if (suspect == m_suspects.end() || scoreOf(suspect->second) < heldFrom)
-        return Milliseconds { 0 };
-    return suspect->second.lastAt + holdTime;
+    return suspect == m_suspects.end() ? Milliseconds { 0 } : suspect->second.heldUntil;
 }
 
 bool Quarantine::wouldBeHeld(const std::string& digest, double more) const
@@ -105,6 +146,17 @@
     return score + more >= heldFrom;
 }
 
+Milliseconds Quarantine::longestWork(const std::string& digest) const
+{
+    Milliseconds longest { 0 };
+    const auto suspect = m_suspects.find(digest);
+    if (suspect == m_suspects.end())
+        return longest;
+    for (const auto& [id, entry] : suspect->second.entries)
+        longest = std::max(longest, entry.record.workedFor);
+    return longest;
+}
+
 void Quarantine::makeRoom()
 {
     if (m_suspects.size() < mostSuspects)
--- a/src/relay/CrashGuard.cpp
+++ b/src/relay/CrashGuard.cpp
@@ -29,6 +29,7 @@
     , m_clock(clock)
     , m_settings(settings)
     , m_directory(directory)
+    , m_quarantine(settings.vmName)
     , m_judgementTimer(ioContext)
     , m_forgettingTimer(ioContext)
 {
@@ -57,7 +58,7 @@
 
 Milliseconds CrashGuard::heldFor(const std::string& digest) const
 {
-    return std::max(m_quarantine.heldUntil(digest) - m_clock.now(), Milliseconds { 0 });
+    return std::max(m_quarantine.heldUntil(digest) - m_clock.now(), m_settings.retryAfter);
 }
 
 bool CrashGuard::isSuspect(const std::string& digest) const
@@ -84,9 +85,11 @@
     if (!m_settings.policies.has(Policy::CrashQuarantine))
         return;
     const auto& entry = loss.endpoint->entry();
-    EndpointLoss event { entry.id, entry.service, entry.availabilityZone, m_clock.now() };
-    m_losses.note(event);
-    const auto weight = crashWeight(loss.run);
+    EndpointLoss event { entry.id, entry.service, entry.availabilityZone, loss.digest, m_clock.now() };
+    const auto lastLife = loss.endpoint->lastLife();
+    const bool wasLost = m_losses.wasLostBefore(entry.id, loss.sentAt, lastLife);
+    m_losses.note(event, lastLife);
+    const auto weight = wasLost ? 0 : crashWeight(loss.run);
     if (weight <= 0 || m_charges.size() >= mostCharges)
         return;
     m_charges.push_back({ std::move(loss), std::move(event), weight });
@@ -118,7 +121,7 @@
     armJudgement();
 }
 
-bool CrashGuard::isExplained(const Charge& charge) const
+bool CrashGuard::wentWithOthers(const Charge& charge) const
 {
     OtherEndpoints others;
     for (const auto& endpoint : m_directory.endpointsOf(charge.event.service)) {
@@ -128,14 +131,13 @@
         others.inZone += endpoint->entry().availabilityZone == charge.event.zone;
     }
     // One that has said in the meantime that it leaves was leaving already.
-    return charge.loss.endpoint->entry().isDraining
-        || m_losses.wentWithOthers(charge.event, others, *charge.loss.ownEndpointIds);
+    return charge.loss.endpoint->entry().isDraining || m_losses.wentWithOthers(charge.event, others);
 }
 
 void CrashGuard::judge(const Charge& charge)
 {
     const auto& loss = charge.loss;
-    const bool isExplained = this->isExplained(charge);
+    const bool isExplained = wentWithOthers(charge);
     LogEvent("quarantine.judged")
         .text("request", loss.requestId)
         .text("digest", loss.digest)
@@ -150,7 +152,7 @@
     if (isExplained)
         return;
     const CrashRecord record { loss.digest, charge.event.endpointId, loss.endpoint->entry().address.text(),
-        charge.weight };
+        charge.weight, loss.run.workedFor, m_quarantine.isOnTrial(loss.digest, m_clock.now()) };
     add(record, false);
     for (const auto& unshared : m_quarantine.takeUnshared(loss.digest)) {
         if (m_reports)
@@ -181,6 +183,12 @@
         boost::asio::post(m_ioContext, [listener = watching->second] { listener->requestHeld(); });
 }
 
+void CrashGuard::noteProducing(const std::string& digest, Milliseconds producedFor)
+{
+    if (isSuspect(digest) && provesHarmless(producedFor, m_quarantine.longestWork(digest)))
+        noteHarmless(digest);
+}
+
 void CrashGuard::noteHarmless(const std::string& digest)
 {
     m_charges.erase(std::remove_if(m_charges.begin(), m_charges.end(),
--- a/src/relay/CrashGuard.h
+++ b/src/relay/CrashGuard.h
@@ -42,9 +42,9 @@
     std::string requestId;
     std::string digest;
     std::shared_ptr<RelayEndpoint> endpoint;
+    // When the endpoint was sent the request.
+    Milliseconds sentAt { 0 };
     UnfinishedRun run;
-    // All endpoints that the same call has lost, also those that it loses until the judgement.
-    std::shared_ptr<const std::vector<std::string>> ownEndpointIds;
 };
 
 class HeldListener {
@@ -64,8 +64,10 @@
     // Where other VMs hear of what is found here; it outlives the guard's use. Null where there are none.
     void setReports(CrashReports* reports) { m_reports = reports; }
 
+    // Whether a new attempt of the request may be served.
+    bool admit(const std::string& digest) { return m_quarantine.admit(digest, m_clock.now()); }
     Standing standing(const std::string& digest) const;
-    // How long the request is still held; 0 when it is not.
+    // How long the request is still held, or until another trial of it may be over.
     Milliseconds heldFor(const std::string& digest) const;
     // True when something speaks against the request, judged or not.
     bool isSuspect(const std::string& digest) const;
@@ -73,7 +75,9 @@
     void watch(const std::string& digest, const std::shared_ptr<HeldListener>&);
     void unwatch(const std::string& digest, const HeldListener&);
     void noteLoss(RequestLoss);
-    // The request has been served, or an endpoint has worked on it for long.
+    // An endpoint has made events of the request for so long.
+    void noteProducing(const std::string& digest, Milliseconds producedFor);
+    // The request has been served, or has otherwise shown that endpoints survive it.
     void noteHarmless(const std::string& digest);
 
     // What another VM has published, or taken back.
@@ -90,7 +94,7 @@
     void armJudgement();
     void judge();
     void judge(const Charge&);
-    bool isExplained(const Charge&) const;
+    bool wentWithOthers(const Charge&) const;
     double openWeight(const std::string& digest) const;
     void add(const CrashRecord&, bool isShared);
     void tellHeld(const std::string& digest);
--- a/src/relay/CrashWatch.cpp
+++ b/src/relay/CrashWatch.cpp
@@ -30,7 +30,6 @@
 CrashWatch::CrashWatch(RelayContext& context, const RelayRequest& request)
     : m_context(context)
     , m_request(request)
-    , m_lostEndpointIds(std::make_shared<std::vector<std::string>>())
 {
 }
 
@@ -55,11 +54,15 @@
 
 bool CrashWatch::isSuspect() const { return m_context.crashGuard.isSuspect(m_request.digest); }
 
-void CrashWatch::noteUnfinished(const std::shared_ptr<RelayEndpoint>& endpoint, UnfinishedRun run)
+void CrashWatch::noteUnfinished(const std::shared_ptr<RelayEndpoint>& endpoint, Milliseconds sentAt, UnfinishedRun run)
 {
     run.wasLeaving = endpoint->isLeaving();
-    m_lostEndpointIds->push_back(endpoint->entry().id);
-    m_context.crashGuard.noteLoss({ m_request.fields.requestId, m_request.digest, endpoint, run, m_lostEndpointIds });
+    m_context.crashGuard.noteLoss({ m_request.fields.requestId, m_request.digest, endpoint, sentAt, run });
+}
+
+void CrashWatch::noteProducing(Milliseconds producedFor)
+{
+    m_context.crashGuard.noteProducing(m_request.digest, producedFor);
 }
 
 void CrashWatch::noteHarmless() { m_context.crashGuard.noteHarmless(m_request.digest); }
--- a/src/relay/CrashWatch.h
+++ b/src/relay/CrashWatch.h
@@ -2,7 +2,7 @@
 //
 //     CrashWatch watch(context, request);
 //     watch.begin([this] { held(); });             // Called when the request is held from then on.
-//     watch.noteUnfinished(endpoint, run);         // An endpoint did not finish a run of it.
+//     watch.noteUnfinished(endpoint, sentAt, run); // An endpoint did not finish a run of it.
 //     if (watch.standing() == Standing::Free) ...  // It may be sent to the next one.
 //     watch.end();
 //
@@ -12,7 +12,6 @@
 #include "relay/CrashGuard.h"
 #include <functional>
 #include <string>
-#include <vector>
 
 namespace lupinknot::internal {
 
@@ -32,7 +31,8 @@
     Standing standing() const;
     // True when something speaks against the request, judged or not.
     bool isSuspect() const;
-    void noteUnfinished(const std::shared_ptr<RelayEndpoint>&, UnfinishedRun);
+    void noteUnfinished(const std::shared_ptr<RelayEndpoint>&, Milliseconds sentAt, UnfinishedRun);
+    void noteProducing(Milliseconds producedFor);
     void noteHarmless();
 
 private:
@@ -41,7 +41,6 @@
     RelayContext& m_context;
     const RelayRequest& m_request;
     std::shared_ptr<Listener> m_listener;
-    const std::shared_ptr<std::vector<std::string>> m_lostEndpointIds;
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -24,8 +24,6 @@
 
 constexpr unsigned okStatus = 200;
 constexpr unsigned firstServerError = 500;
-// A head that comes so long before the first event came by itself, and not with it.
-constexpr Milliseconds shownBefore { 5 };
 
 } // namespace
 
@@ -83,7 +81,7 @@
     };
     m_watch = RunWatch::make(
         m_context, m_request, { guarded(&EventStreamCall::runSilent), guarded(&EventStreamCall::considerRelocation) });
-    m_crashWatch.begin(guarded(&EventStreamCall::held));
+    m_crashWatch.begin(guarded(&EventStreamCall::heldMeanwhile));
     m_deadlineTimer.expires_after(m_request.deadline - m_context.now());
     m_deadlineTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error)
@@ -170,6 +168,13 @@
 
 void EventStreamCall::held() { giveUp(m_possibleRuns > 0 ? RefusalReason::EndedEndpoints : RefusalReason::HeldBack); }
 
+// A run that makes events does not end its engine, whatever others of the same request have done.
+void EventStreamCall::heldMeanwhile()
+{
+    if (!m_run || !m_run->hasEvent)
+        held();
+}
+
 void EventStreamCall::startRun()
 {
     if (!isSendable())
@@ -425,12 +430,13 @@
     run.endpoint->noteLife(now);
     if (!run.hasEvent && m_lossAt)
         noteResumed(run, now);
-    if (!run.hasEvent && now - run.begunAt.value_or(now) >= shownBefore)
-        m_context.pace(m_request.service).showsBeginnings = true;
     run.hasEvent = true;
-    run.firstEventAt = run.firstEventAt.value_or(now);
-    if (now - *run.firstEventAt >= harmlessAfter)
-        m_crashWatch.noteHarmless();
+    if (!run.firstEventAt) {
+        run.firstEventAt = now;
+        const auto lead = std::max(now - run.begunAt.value_or(now), Milliseconds { 1 });
+        m_context.pace(m_request.service).headLead.add(static_cast<double>(lead.count()), now);
+    }
+    m_crashWatch.noteProducing(now - *run.firstEventAt);
     run.reading.reset();
     m_lastEventAt = now;
     m_watch->noteEvent();
@@ -595,13 +601,14 @@
 {
     auto& pace = m_context.pace(m_request.service);
     pace.showsBeginnings = pace.showsBeginnings || (run.begunAt && !run.hasEvent);
-    const auto unseen = pace.showsBeginnings ? RunBeginning::NotYet : RunBeginning::Hidden;
-    const auto begun = run.begunAt ? RunBeginning::Begun : unseen;
+    const auto withoutHead = pace.showsBeginnings ? RunBeginning::NotYet : RunBeginning::Hidden;
+    const auto withHead = pace.sendsHeadsEarly() ? RunBeginning::Hidden : RunBeginning::Begun;
+    const auto withoutEvent = run.begunAt ? withHead : withoutHead;
     const auto since = run.firstEventAt.value_or(run.begunAt.value_or(run.startedAt));
     // A break is a sign of the engine, silence is none.
     const auto lastSign = kind == FailureKind::Silent ? std::max(since, run.lastActivity) : now;
     m_crashWatch.noteUnfinished(
-        run.endpoint, { kind, run.hasEvent ? RunBeginning::Producing : begun, lastSign - since });
+        run.endpoint, run.startedAt, { kind, run.hasEvent ? RunBeginning::Producing : withoutEvent, lastSign - since });
 }
 
 bool EventStreamCall::lacksCopy(const StreamRun& run, Milliseconds now) const
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -80,6 +80,7 @@
     // What the loss of the run says of the request.
     void noteUnfinished(const StreamRun&, FailureKind, Milliseconds now);
     void held();
+    void heldMeanwhile();
 
     // True when the run would have to begin anew if its engine failed now.
     bool lacksCopy(const StreamRun&, Milliseconds now) const;
--- a/src/relay/RelayHandler.cpp
+++ b/src/relay/RelayHandler.cpp
@@ -96,7 +96,7 @@
         .number("max_answer_tokens", request.fields.maxAnswerTokens)
         .number("config_version", static_cast<std::int64_t>(request.configurationVersion))
         .write();
-    if (m_context.crashGuard.standing(request.digest) == Standing::Held)
+    if (!m_context.crashGuard.admit(request.digest))
         refuse(request, RefusalReason::HeldBack);
     else if (isStream)
         EventStreamCall::serve(m_context, std::move(request));
--- a/src/relay/ServicePace.h
+++ b/src/relay/ServicePace.h
@@ -24,8 +24,9 @@
     // Tokens of prompts. Stated: the first customers'.
     Estimate promptTokens { 5000 };
 
-    // The heads of its streams have been seen to come before the first event: an engine that has sent none has not
-    // begun.
+    // Milliseconds from a stream's head to its first event. Stated: they come together.
+    Estimate headLead { 1 };
+    // A head has come without an event: an engine that has sent none has not begun.
     bool showsBeginnings { false };
 
     // What to forecast engines by: the prompt that is in the middle, and the pace of those that had an engine to
@@ -59,12 +60,16 @@
     // Time after which an unanswered call is also sent to a second endpoint.
     Milliseconds hedgeDelay() const { return milliseconds(callTime.quantile(hedgedShare)); }
 
+    // True where heads come when a request is taken, long before the engine begins it.
+    bool sendsHeadsEarly() const { return headLead.quantile(middleShare) > longestLead; }
+
     // What a call takes in the middle.
     Milliseconds usualCallTime() const { return milliseconds(callTime.quantile(middleShare)); }
 
 private:
     static Milliseconds milliseconds(double time) { return Milliseconds { static_cast<std::int64_t>(time) }; }
 
+    static constexpr double longestLead = 100;
     static constexpr double intervalsOfSilence = 5.5;
     static constexpr double patienceShare = 1.5;
     static constexpr double mostShare = 0.75;
--- a/src/relay/WholeAnswerCall.cpp
+++ b/src/relay/WholeAnswerCall.cpp
@@ -241,7 +241,8 @@
             m_context.retryBudget(m_request.service).giveBack();
     } else {
         m_rollout.noteAnswer(*endpoint, AnswerQuality::Bad);
-        m_crashWatch.noteUnfinished(endpoint, { kind, RunBeginning::Assumed, now - call.startedAt() });
+        m_crashWatch.noteUnfinished(
+            endpoint, call.startedAt(), { kind, RunBeginning::Assumed, now - call.startedAt() });
         endpoint->avoidUntil(now + settings.avoidAfterBreak);
     }
     recover(wasSent ? RefusalReason::EndpointFailed : RefusalReason::NoEndpoint);
