Endpoints that start again under their id, entries of other writers, machines that were suspended

Cause: three things that were held for true are not. An endpoint that starts again may keep its id (its entry says when it was born): all that was believed of the earlier start was believed of the new one, and a request that crashes it again counted once. An entry may come from another writer: any state but one was taken as ready, a port was read without bounds or rest, a host was not looked at, and an entry of a service that nobody names took away the endpoint that has its address. The steady clock stands still while a machine is suspended, so that connections, retries and news seemed younger than they are. Ruled out: leaving out entries of services that no configuration names: the configuration that names them may come later. EndpointDirectory::setServices. MonotonicClock counts since boot.

--- a/include/lupinknot/MonotonicClock.h
+++ b/include/lupinknot/MonotonicClock.h
@@ -1,7 +1,11 @@
-// The clock of a running process: the system's monotonic clock, which changes of the wall clock do not touch.
+// The clock of a running process: the system's clock since boot, which changes of the time of day do not touch.
+//
+// It also counts the time for which the machine was suspended, because what was believed before has aged by it: kept
+// connections, copies, the store's news.
 #pragma once
 
 #include "lupinknot/Clock.h"
+#include <ctime>
 
 namespace lupinknot {
 
@@ -10,7 +14,10 @@
 public:
     Milliseconds now() const override
     {
-        return std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now().time_since_epoch());
+        timespec time {};
+        ::clock_gettime(CLOCK_BOOTTIME, &time);
+        return std::chrono::duration_cast<Milliseconds>(
+            std::chrono::seconds { time.tv_sec } + std::chrono::nanoseconds { time.tv_nsec });
     }
 };
 
--- a/src/quarantine/EndpointLosses.h
+++ b/src/quarantine/EndpointLosses.h
@@ -14,6 +14,7 @@
 namespace lupinknot::internal {
 
 struct EndpointLoss {
+    // Names the start of the endpoint.
     std::string endpointId;
     std::string service;
     std::string zone;
--- a/src/relay/CrashGuard.cpp
+++ b/src/relay/CrashGuard.cpp
@@ -85,9 +85,9 @@
     if (!m_settings.policies.has(Policy::CrashQuarantine))
         return;
     const auto& entry = loss.endpoint->entry();
-    EndpointLoss event { entry.id, entry.service, entry.availabilityZone, loss.digest, m_clock.now() };
+    EndpointLoss event { entry.startName(), entry.service, entry.availabilityZone, loss.digest, m_clock.now() };
     const auto lastLife = loss.endpoint->lastLife();
-    const bool wasLost = m_losses.wasLostBefore(entry.id, loss.sentAt, lastLife);
+    const bool wasLost = m_losses.wasLostBefore(event.endpointId, loss.sentAt, lastLife);
     m_losses.note(event, lastLife);
     const auto weight = wasLost ? 0 : crashWeight(loss.run);
     if (weight <= 0 || m_charges.size() >= mostCharges)
@@ -125,7 +125,7 @@
 {
     OtherEndpoints others;
     for (const auto& endpoint : m_directory.endpointsOf(charge.event.service)) {
-        if (endpoint->entry().id == charge.event.endpointId)
+        if (endpoint->entry().startName() == charge.event.endpointId)
             continue;
         ++others.inService;
         others.inZone += endpoint->entry().availabilityZone == charge.event.zone;
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -21,12 +21,16 @@
 
 void EndpointDirectory::upsert(EndpointEntry entry, Milliseconds now)
 {
+    if (!retireEarlierStart(entry, now))
+        return;
     const auto known = m_endpointsById.find(entry.id);
     if (known != m_endpointsById.end())
         m_idsByAddress.erase(known->second->entry().address.text());
     retireOtherAt(entry, now);
     if (known != m_endpointsById.end()) {
         const auto endpoint = known->second;
+        // One that does not say when it started is of the start that is known.
+        entry.born = std::max(entry.born, endpoint->entry().born);
         if (endpoint->entry().isDraining != entry.isDraining || endpoint->isRemoved()) {
             ++m_counts.changed;
             logEndpoint("endpoint.changed", entry);
@@ -47,9 +51,34 @@
     m_endpointsByService[service].push_back(endpoint);
 }
 
+bool EndpointDirectory::retireEarlierStart(const EndpointEntry& entry, Milliseconds now)
+{
+    const auto known = m_endpointsById.find(entry.id);
+    if (known == m_endpointsById.end() || entry.born == 0)
+        return true;
+    const auto present = known->second;
+    if (entry.born < present->entry().born) {
+        LogEvent("endpoint.stale-entry")
+            .text("endpoint", entry.id)
+            .number("born", static_cast<std::int64_t>(entry.born))
+            .number("known_born", static_cast<std::int64_t>(present->entry().born))
+            .write();
+        return false;
+    }
+    if (present->entry().born == 0 || entry.born == present->entry().born)
+        return true;
+    ++m_counts.replaced;
+    logEndpoint("endpoint.restarted", entry);
+    remove(entry.id, now);
+    forget(present);
+    return true;
+}
+
 // A new incarnation at an address proves that the one before it is gone.
 void EndpointDirectory::retireOtherAt(const EndpointEntry& entry, Milliseconds now)
 {
+    if (m_isService && !m_isService(entry.service))
+        return;
     auto& id = m_idsByAddress[entry.address.text()];
     const auto previous = std::exchange(id, entry.id);
     const auto known = m_endpointsById.find(previous);
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -47,6 +47,9 @@
     EndpointCounts replaceAll(std::vector<EndpointEntry>, Milliseconds now, std::uint64_t version = 0);
     // True once a list has been taken over, also an empty one.
     bool isKnown() const { return m_isKnown; }
+    // Says which services count; an entry of another one takes no endpoint's address. All do as long as nothing is
+    // said.
+    void setServices(std::function<bool(const std::string& service)> isKnown) { m_isService = std::move(isKnown); }
     // What to call once the first list has been taken over.
     void onFirstList(std::function<void()> callback) { m_onFirstList = std::move(callback); }
     std::size_t size() const { return m_endpointsById.size(); }
@@ -84,6 +87,8 @@
     // Ends a list or a change of it with its line of the log.
     EndpointCounts logCounts(bool isWhole, std::uint64_t version);
     void retireOtherAt(const EndpointEntry&, Milliseconds now);
+    // Ends what is believed of an earlier start of the endpoint. False when the entry itself is of an earlier start.
+    bool retireEarlierStart(const EndpointEntry&, Milliseconds now);
     void forget(const std::shared_ptr<RelayEndpoint>&);
 
     boost::asio::io_context& m_ioContext;
@@ -96,6 +101,7 @@
     // Of the list or the change that is being applied.
     EndpointCounts m_counts;
     bool m_isKnown { false };
+    std::function<bool(const std::string&)> m_isService;
     std::function<void()> m_onFirstList;
 };
 
--- a/src/relay/EndpointEntry.h
+++ b/src/relay/EndpointEntry.h
@@ -1,4 +1,4 @@
-// What the list of endpoints says of one endpoint. An endpoint that starts again gets a new id.
+// What the list of endpoints says of one endpoint. An endpoint that starts again has a new id, or was born later.
 #pragma once
 
 #include "http/SocketAddress.h"
@@ -17,6 +17,11 @@
     bool isDraining { false };
     // Of its software; empty when unknown.
     std::string version;
+    // The time of day of its start, in milliseconds; 0 when it does not say.
+    std::uint64_t born { 0 };
+
+    // Names this start of the endpoint.
+    std::string startName() const { return born == 0 ? id : id + "@" + std::to_string(born); }
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -40,6 +40,9 @@
     , m_tickTimer(m_ioContext)
 {
     m_directory.onFirstList([this] { m_handler.newsArrived(); });
+    m_directory.setServices([this](const std::string& service) {
+        return !m_context.configuration || m_context.configuration->findService(service);
+    });
 }
 
 RelayDaemon::~RelayDaemon() = default;
--- a/test/EndpointDirectoryTest.cpp
+++ b/test/EndpointDirectoryTest.cpp
@@ -210,3 +210,62 @@
     directory->change({ { entry("e2", 2), true }, { entry("e2", 2), false } }, now);
     CHECK_FALSE_TEXT(directory->find("e2")->isRemoved(), "it was removed and is listed again");
 }
+
+// An endpoint may start again under the id that it had; it then knows nothing of what it ran before.
+TEST(EndpointDirectory, ALaterStartUnderTheSameIdIsAnotherEndpoint)
+{
+    auto first = entry("e1", 1);
+    first.born = 100;
+    directory->upsert(first, now);
+    const auto earlier = directory->find("e1");
+    earlier->avoidUntil(now + Milliseconds { 5000 });
+    auto second = first;
+    second.born = 200;
+    directory->upsert(second, now);
+    const auto later = directory->find("e1");
+    CHECK_TEXT(later != earlier, "what was believed of the earlier start is not believed of this one");
+    CHECK(earlier->isRemoved());
+    CHECK_FALSE(later->isAvoided(now));
+    CHECK(directory->findAt("s", { "127.0.0.1", 1 }) == later);
+    LONGS_EQUAL(1, directory->size());
+    STRCMP_EQUAL("e1", chosen().c_str());
+}
+
+TEST(EndpointDirectory, NewsOfAnEarlierStartThatComesLateChangesNothing)
+{
+    auto second = entry("e1", 1);
+    second.born = 200;
+    directory->upsert(second, now);
+    const auto present = directory->find("e1");
+    auto first = entry("e1", 9);
+    first.born = 100;
+    first.isDraining = true;
+    directory->upsert(first, now);
+    CHECK(directory->find("e1") == present);
+    CHECK_FALSE(present->isLeaving());
+    LONGS_EQUAL(1, present->entry().address.port);
+}
+
+TEST(EndpointDirectory, AnEntryThatDoesNotSayWhenItStartedIsOfTheSameStart)
+{
+    auto first = entry("e1", 1);
+    first.born = 100;
+    directory->upsert(first, now);
+    const auto present = directory->find("e1");
+    directory->upsert(entry("e1", 1), now);
+    CHECK(directory->find("e1") == present);
+    LONGS_EQUAL_TEXT(100, present->entry().born, "it is still known which start that is");
+}
+
+// Another writer's entry names a service of its own and an endpoint's address.
+TEST(EndpointDirectory, AnEntryOfAServiceThatIsNotNamedTakesNoEndpointsAddress)
+{
+    directory->setServices([](const std::string& service) { return service == "s"; });
+    directory->upsert(entry("e1", 1), now);
+    auto foreign = entry("x1", 1);
+    foreign.service = "unheard-of";
+    directory->upsert(foreign, now);
+    CHECK_FALSE(directory->find("e1")->isRemoved());
+    CHECK(directory->findAt("s", { "127.0.0.1", 1 }) == directory->find("e1"));
+    STRCMP_EQUAL("e1", chosen().c_str());
+}
--- /dev/null
+++ b/test/MonotonicClockTest.cpp
@@ -0,0 +1,35 @@
+#include "lupinknot/MonotonicClock.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fstream>
+
+using namespace lupinknot;
+
+TEST_GROUP(MonotonicClock) {};
+
+// Time for which the machine was suspended is part of the time since boot, and not of the steady clock.
+TEST(MonotonicClock, CountsTheTimeSinceBootWithAllSuspensions)
+{
+    const auto sinceBoot = [] {
+        double seconds = 0;
+        std::ifstream("/proc/uptime") >> seconds;
+        return Milliseconds { static_cast<std::int64_t>(seconds * 1000) };
+    };
+    constexpr Milliseconds rounding { 10 };
+    const auto before = sinceBoot();
+    const auto now = MonotonicClock().now();
+    const auto after = sinceBoot();
+    CHECK(now >= before - rounding);
+    CHECK(now <= after + rounding);
+}
+
+TEST(MonotonicClock, NeverGoesBack)
+{
+    const MonotonicClock clock;
+    auto last = clock.now();
+    for (int i = 0; i < 1000; ++i) {
+        const auto now = clock.now();
+        CHECK(now >= last);
+        last = now;
+    }
+}
--- a/test/PlatformRowsTest.cpp
+++ b/test/PlatformRowsTest.cpp
@@ -79,3 +79,38 @@
     CHECK(!decodeEndpoint("i-7f", R"({"service":"llm","address":"nowhere"})", problem));
     CHECK(!problem.empty());
 }
+
+// Entries of other writers stand in the same table; they name no endpoint to use, and the others hold.
+TEST(PlatformRows, TakesNoEntryForAnEndpointThatCannotBeOne)
+{
+    for (const auto* text :
+        { "", "[]", "7", "null", "\xff\xfe{", R"({"service":"llm"})", R"({"service":"llm","address":"10.1.0.9:8080"})",
+            R"({"service":7,"address":"10.1.0.9:8080","state":"ready"})",
+            R"({"service":"llm","address":["10.1.0.9:8080"],"state":"ready"})",
+            R"({"service":"llm","address":"10.1.0.9:8080","state":7})",
+            R"({"service":"llm","address":"10.1.0.9:8080","state":"resting"})",
+            R"({"service":"llm","address":"10.1.0.9:8080","state":"ready","slots":"many"})",
+            R"({"service":"llm","address":"10.1.0.9:80x","state":"ready"})",
+            R"({"service":"llm","address":"10.1.0.9:0","state":"ready"})",
+            R"({"service":"llm","address":"10.1.0.9:65536","state":"ready"})",
+            R"({"service":"llm","address":"10.1.0.9:99999999999999999999","state":"ready"})",
+            R"({"service":"llm","address":"10.1.0.9:-1","state":"ready"})",
+            R"({"service":"llm","address":"somewhere:80","state":"ready"})",
+            R"({"service":"llm","address":":80","state":"ready"})" }) {
+        problem.clear();
+        CHECK_TEXT(!decodeEndpoint("i-7f", text, problem), text);
+        CHECK_TEXT(!problem.empty(), text);
+    }
+}
+
+TEST(PlatformRows, ReadsWhenAnEndpointStarted)
+{
+    const auto entry = [this](const std::string& rest) {
+        return decodeEndpoint(
+            "i-7f", R"({"service":"llm","address":"10.1.0.9:8080","state":"ready")" + rest + "}", problem);
+    };
+    CHECK(entry(R"(,"born":1791000000123)")->born == 1791000000123);
+    CHECK_TEXT(entry("")->born == 0, "an endpoint need not say it");
+    STRCMP_EQUAL("i-7f@1791000000123", entry(R"(,"born":1791000000123)")->startName().c_str());
+    CHECK_TEXT(!entry(R"(,"born":"yesterday")"), "an entry with a field of another type is another writer's");
+}
