--- a/test/PlatformRowsTest.cpp
+++ b/test/PlatformRowsTest.cpp
@@ -90,6 +90,9 @@
             R"({"service":"llm","address":"10.1.0.9:8080","state":7})",
             R"({"service":"llm","address":"10.1.0.9:8080","state":"resting"})",
             R"({"service":"llm","address":"10.1.0.9:8080","state":"ready","slots":"many"})",
+            R"({"service":"llm","address":"10.1.0.9:8080","state":"ready","slots":-1})",
+            R"({"service":"llm","address":"10.1.0.9:8080","state":"ready","slots":1e18})",
+            R"({"service":"llm","address":"10.1.0.9:8080","state":"ready","born":1.5})",
             R"({"service":"llm","address":"10.1.0.9:80x","state":"ready"})",
             R"({"service":"llm","address":"10.1.0.9:0","state":"ready"})",
             R"({"service":"llm","address":"10.1.0.9:65536","state":"ready"})",
@@ -111,6 +114,17 @@
     };
     CHECK(entry(R"(,"born":1791000000123)")->born == 1791000000123);
     CHECK_TEXT(entry("")->born == 0, "an endpoint need not say it");
+    CHECK_TEXT(entry(R"(,"born":-5)")->born == 0, "it is no start");
+    CHECK_TEXT(entry(R"(,"born":0)")->born == 0, "it is no start");
     STRCMP_EQUAL("i-7f@1791000000123", entry(R"(,"born":1791000000123)")->startName().c_str());
     CHECK_TEXT(!entry(R"(,"born":"yesterday")"), "an entry with a field of another type is another writer's");
 }
+
+TEST(PlatformRows, SurvivesEntriesThatAreDeepOrLong)
+{
+    constexpr std::size_t depth = 100'000;
+    const auto deep = std::string(depth, '[') + std::string(depth, ']');
+    CHECK(!decodeEndpoint("i-7f", deep, problem));
+    CHECK(!decodeEndpoint("i-7f", R"({"service":)" + deep + "}", problem));
+    CHECK(!decodeEndpoint("i-7f", R"({"service":")" + std::string(5'000'000, 'x') + R"("})", problem));
+}
