--- a/src/quarantine/CrashWeight.cpp
+++ b/src/quarantine/CrashWeight.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Endpoints ended 42 to 116 ms after the beginning (17 crashes); a quarter of a second more is for links and a busy VM.
-// Of the other requests of an engine, which take 4 to 8 s, one in twenty has begun so lately.
+// Of the other requests of an engine, which take 4 to 8 s, one in twenty has begun so lately (reckoned).
 constexpr Milliseconds justBegun { 350 };
 // A call that is lost sooner than an endpoint could have done anything may have met one that had ended already, behind
 // something that still took connections.
