--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -1,10 +1,6 @@
-#include "PeerFeeds.h"
+#include "FeedHarness.h"
 #include "RunUntil.h"
-#include "StoreFeed.h"
 #include "StoreRunLocations.h"
-#include "ZoneReaders.h"
-#include "lupinknot/ManualClock.h"
-#include "standin/StoreStandIn.h"
 
 #include <set>
 
@@ -14,102 +10,6 @@
 using namespace lupinknot::internal;
 using namespace lupinknot::platform;
 
-namespace {
-
-// What a feed has told, as a table.
-struct Followed {
-    // Goes on from when the test advances it.
-    ManualClock clock;
-    std::map<std::string, std::string> rows;
-    int snapshots { 0 };
-    std::shared_ptr<StoreFeed> feed;
-
-    Followed() { clock.advance(Milliseconds { 1 }); }
-
-    void follow(boost::asio::io_context& ioContext, std::int64_t port, const std::string& table,
-        Milliseconds longestWait = Milliseconds { 40 })
-    {
-        const StoreFeed::Pace pace { longestWait, Milliseconds { 1 } };
-        feed = StoreFeed::start(ioContext, clock, { "127.0.0.1", port }, table, pace,
-            { [this](const std::vector<StoreRow>& whole) {
-                 ++snapshots;
-                 rows.clear();
-                 for (const auto& row : whole)
-                     rows[row.key] = row.value;
-             },
-                [this](const std::vector<StoreRow>& changes) {
-                    for (const auto& row : changes) {
-                        if (row.isRemoved)
-                            rows.erase(row.key);
-                        else
-                            rows[row.key] = row.value;
-                    }
-                } });
-    }
-};
-
-constexpr Milliseconds readerWait { 50 };
-
-// A VM at which others wait for news, and one of those others, each with a store of its own: what the follower hears
-// of the reader's store can come from the reader only. Both stores begin with the same row.
-struct SharedReading {
-    explicit SharedReading(boost::asio::io_context& ioContext, Milliseconds readersWait = readerWait,
-        Milliseconds followersWait = Milliseconds { 40 })
-        : readersStore(begun(ioContext))
-        , ownStore(begun(ioContext))
-        , vms(ioContext, { "127.0.0.1", readersStore->port() }, { "vm1", "a", {} }, {}, [](const auto&) {})
-        , feeds(ioContext, { "127.0.0.1", 0 }, vms)
-        , noReaders(reader.clock, { "vm1", "a", {} })
-        , readers(follower.clock, { "vm6", "a", {} })
-    {
-        reader.follow(ioContext, readersStore->port(), "servers", readersWait);
-        reader.feed->follow(noReaders, sharing);
-        feeds.add(reader.feed);
-        CHECK_FALSE(feeds.start().has_value());
-        follower.follow(ioContext, ownStore->port(), "servers", followersWait);
-        setReader({ "127.0.0.1", feeds.port() });
-        follower.feed->follow(readers, sharing);
-    }
-
-    static std::unique_ptr<StoreStandIn> begun(boost::asio::io_context& ioContext)
-    {
-        auto store = std::make_unique<StoreStandIn>(ioContext);
-        store->start();
-        store->put("servers", "a", "1");
-        return store;
-    }
-
-    // The zone's first by rank is found at the address, and the second one, if it is to be found.
-    void setReader(const SocketAddress& address, const SocketAddress& second = {})
-    {
-        readers.setOthers({ { "vm1", "a", address }, { "vm2", "a", second }, { "vm3", "a", {} }, { "vm4", "a", {} },
-            { "vm5", "a", {} } });
-    }
-
-    bool haveBothBegun() { return follower.rows["a"] == "1" && reader.rows["a"] == "1"; }
-
-    // The two stores stand for one: what the follower's tells must be newer than what the reader has heard.
-    void putNewerIntoOwnStore(const std::string& key, const std::string& value)
-    {
-        while (ownStore->version() < readersStore->version())
-            ownStore->put("op", "config", "1");
-        ownStore->put("servers", key, value);
-    }
-
-    static constexpr StoreFeed::Sharing sharing { { readerWait, Milliseconds { 1 } }, readerWait, Milliseconds { 2000 },
-        Milliseconds { 1000 }, Milliseconds { 1200 } };
-    Followed reader;
-    Followed follower;
-    std::unique_ptr<StoreStandIn> readersStore;
-    std::unique_ptr<StoreStandIn> ownStore;
-    VmRegistry vms;
-    PeerFeeds feeds;
-    ZoneReaders noReaders;
-    ZoneReaders readers;
-};
-
-} // namespace
-
 TEST_GROUP(PlatformStore)
 {
     std::unique_ptr<boost::asio::io_context> ioContext;
