What the store says is ordered by its era first, and what an endpoint has said of itself goes before an older list

Ruled out: late news (changes of endpoints came within 10 ms on the same VMs), and other VMs' old news (nobody asked any). Change: HistoryPosition, era and version, compared as a whole. EndpointDirectory: that a start leaves is final; for a while after the return endpoints that the list lacks stay, and those known to have gone stay gone.

--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 const std::vector<std::shared_ptr<RelayEndpoint>> noEndpoints;
+// An entry that has gone is remembered for as long as a copy of the list may be old that names it.
+constexpr Milliseconds departureRemembered { 60'000 };
 
 } // namespace
 
@@ -23,6 +25,9 @@
 {
     if (!retireEarlierStart(entry, now))
         return;
+    keepLeaving(entry);
+    m_doubt.missing.erase(entry.id);
+    m_doubt.returned.erase(entry.id);
     const auto known = m_endpointsById.find(entry.id);
     if (known != m_endpointsById.end())
         m_idsByAddress.erase(known->second->entry().address.text());
@@ -51,6 +56,24 @@
     m_endpointsByService[service].push_back(endpoint);
 }
 
+void EndpointDirectory::keepLeaving(EndpointEntry& entry) const
+{
+    const auto known = m_endpointsById.find(entry.id);
+    if (known != m_endpointsById.end() && !known->second->isRemoved()) {
+        entry.isDraining = entry.isDraining || known->second->entry().isDraining;
+        return;
+    }
+    const auto departure = m_departures.find(entry.startName());
+    entry.isDraining = entry.isDraining || (departure != m_departures.end() && departure->second.wasDraining);
+}
+
+bool EndpointDirectory::isKnownGone(const EndpointEntry& entry) const
+{
+    const auto known = m_endpointsById.find(entry.id);
+    const bool isListed = known != m_endpointsById.end() && !known->second->isRemoved();
+    return !isListed && m_departures.count(entry.startName()) > 0;
+}
+
 bool EndpointDirectory::retireEarlierStart(const EndpointEntry& entry, Milliseconds now)
 {
     const auto known = m_endpointsById.find(entry.id);
@@ -92,9 +115,13 @@
 
 void EndpointDirectory::remove(const std::string& id, Milliseconds now)
 {
+    m_doubt.missing.erase(id);
+    m_doubt.returned.erase(id);
     const auto known = m_endpointsById.find(id);
     if (known == m_endpointsById.end() || known->second->isRemoved())
         return;
+    const auto& entry = known->second->entry();
+    m_departures.insert_or_assign(entry.startName(), Departure { now, entry.isDraining });
     ++m_counts.removed;
     logEndpoint("endpoint.removed", known->second->entry());
     known->second->setRemoved(now);
@@ -137,6 +164,7 @@
         .number("changed", counts.changed)
         .number("replaced", counts.replaced)
         .number("removed", counts.removed)
+        .number("in_doubt", static_cast<std::int64_t>(m_doubt.missing.size() + m_doubt.returned.size()))
         .number("known", static_cast<std::int64_t>(size()))
         .write();
     return counts;
@@ -146,18 +174,27 @@
     std::vector<EndpointEntry> entries, Milliseconds now, std::uint64_t version)
 {
     const bool isFirst = !std::exchange(m_isKnown, true);
+    const bool mayNameGone = now < m_goneStayUntil;
+    const bool mayLackPresent = now < m_missingStayUntil;
     std::set<std::string> listed;
     for (auto& entry : entries) {
         listed.insert(entry.id);
-        upsert(std::move(entry), now);
+        if (mayNameGone && isKnownGone(entry))
+            m_doubt.returned.insert_or_assign(entry.id, std::move(entry));
+        else
+            upsert(std::move(entry), now);
     }
     std::vector<std::string> gone;
-    for (const auto& known : m_endpointsById) {
-        if (!listed.count(known.first))
-            gone.push_back(known.first);
+    for (const auto& [id, endpoint] : m_endpointsById) {
+        if (!listed.count(id) && !endpoint->isRemoved())
+            gone.push_back(id);
+    }
+    for (const auto& id : gone) {
+        if (mayLackPresent)
+            m_doubt.missing.insert(id);
+        else
+            remove(id, now);
     }
-    for (const auto& id : gone)
-        remove(id, now);
     const auto counts = logCounts(true, version);
     if (isFirst && m_onFirstList)
         m_onFirstList();
@@ -183,8 +220,38 @@
     return found == m_endpointsByService.end() ? noEndpoints : found->second;
 }
 
+void EndpointDirectory::listRestored(Milliseconds now)
+{
+    m_doubt = {};
+    m_missingStayUntil = now + m_settings.missingEndpointsStay;
+    m_goneStayUntil = now + m_settings.goneEndpointsStay;
+}
+
+void EndpointDirectory::settleList(Milliseconds now)
+{
+    const auto missing = now < m_missingStayUntil ? std::set<std::string>() : std::exchange(m_doubt.missing, {});
+    const auto returned
+        = now < m_goneStayUntil ? std::map<std::string, EndpointEntry>() : std::exchange(m_doubt.returned, {});
+    if (missing.empty() && returned.empty())
+        return;
+    // The time as a last resort counts from the end of the doubt, not from when it is noticed.
+    for (const auto& id : missing)
+        remove(id, m_missingStayUntil);
+    for (const auto& entry : returned)
+        upsert(entry.second, now);
+    m_counts = {};
+    LogEvent("endpoints.settled")
+        .number("missing", static_cast<std::int64_t>(missing.size()))
+        .number("returned", static_cast<std::int64_t>(returned.size()))
+        .number("known", static_cast<std::int64_t>(size()))
+        .write();
+}
+
 void EndpointDirectory::dropExpired(Milliseconds now)
 {
+    settleList(now);
+    std::erase_if(
+        m_departures, [now](const auto& departure) { return now - departure.second.at > departureRemembered; });
     std::vector<std::shared_ptr<RelayEndpoint>> expired;
     for (const auto& known : m_endpointsById) {
         if (known.second->isRemoved() && !known.second->mayTakeWork(now, m_settings.leavingEndpointGrace))
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -4,6 +4,11 @@
 //     directory.replaceAll(entries, now);        // After a gap in the list's changes.
 //     directory.remove("i-1", now);              // An answer shows that it has gone; kept as a last resort for a
 //     while.
+//     directory.listRestored(now);               // The next lists come from an older copy of the list's source.
+//
+// A source that comes back from an older copy names endpoints that have gone since, lacks some that have come, and
+// shows as ready who has said that it leaves. So what is known goes before such a list until the endpoints have had the
+// time to write there again; that an endpoint leaves is final for its start, whatever a list says later.
 //
 // One line of the log tells of each list or change that was applied: with hundreds of VMs and engines, a line for each
 // endpoint on each VM is three quarters of a log.
@@ -14,6 +19,8 @@
 #include "relay/RelaySettings.h"
 #include <deque>
 #include <functional>
+#include <map>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -45,6 +52,9 @@
     // Changes hold in their order: an endpoint may come and go within one answer of the list's source.
     EndpointCounts change(std::vector<EndpointChange>, Milliseconds now, std::uint64_t version = 0);
     EndpointCounts replaceAll(std::vector<EndpointEntry>, Milliseconds now, std::uint64_t version = 0);
+    // The lists that come within a while may be older than what is known: until an endpoint's change is told, or the
+    // while is over (RelaySettings), those that they lack stay, and those that are known to have gone do not come back.
+    void listRestored(Milliseconds now);
     // True once a list has been taken over, also an empty one.
     bool isKnown() const { return m_isKnown; }
     // Says which services count; an entry of another one takes no endpoint's address. All do as long as nothing is
@@ -59,7 +69,7 @@
     // The endpoint of the service that is listed at the address, or null.
     std::shared_ptr<RelayEndpoint> findAt(const std::string& service, const SocketAddress&) const;
     const std::vector<std::shared_ptr<RelayEndpoint>>& endpointsOf(const std::string& service) const;
-    // Drops endpoints whose entries went longer ago than the grace.
+    // Drops endpoints whose entries went longer ago than the grace, and ends the doubt about a list that is over.
     void dropExpired(Milliseconds now);
 
     // Takes note that an endpoint failed, and that the zone fails when several did.
@@ -75,6 +85,16 @@
         std::string endpointId;
         Milliseconds at;
     };
+    // A start of an endpoint whose entry has gone.
+    struct Departure {
+        Milliseconds at;
+        bool wasDraining;
+    };
+    // What a list in doubt says otherwise than is known, by id.
+    struct Doubt {
+        std::set<std::string> missing;
+        std::map<std::string, EndpointEntry> returned;
+    };
     struct ZoneHealth {
         std::deque<Failure> failures;
         Milliseconds avoidUntil { 0 };
@@ -90,6 +110,13 @@
     // Ends what is believed of an earlier start of the endpoint. False when the entry itself is of an earlier start.
     bool retireEarlierStart(const EndpointEntry&, Milliseconds now);
     void forget(const std::shared_ptr<RelayEndpoint>&);
+    // Takes back that the endpoint is ready if this start of it has said that it leaves.
+    void keepLeaving(EndpointEntry&) const;
+    // True for a start that is known to have gone and that a list in doubt names.
+    bool isKnownGone(const EndpointEntry&) const;
+    // Removes what the list in doubt lacked, and lists what it named although it was known to have gone, each in its
+    // time.
+    void settleList(Milliseconds now);
 
     boost::asio::io_context& m_ioContext;
     const RelaySettings& m_settings;
@@ -100,6 +127,12 @@
     std::unordered_map<std::string, ZoneHealth> m_zones;
     // Of the list or the change that is being applied.
     EndpointCounts m_counts;
+    // By the start's name.
+    std::map<std::string, Departure> m_departures;
+    Doubt m_doubt;
+    // Until when those that the list lacks stay, and those that have gone do not come back.
+    Milliseconds m_missingStayUntil { 0 };
+    Milliseconds m_goneStayUntil { 0 };
     bool m_isKnown { false };
     std::function<bool(const std::string&)> m_isService;
     std::function<void()> m_onFirstList;
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -292,7 +292,7 @@
     Followed started;
     started.follow(*ioContext, store->port(), "servers");
     CHECK(runUntil([&] { return started.snapshots == 1; }));
-    cutOff.feed->takeFromPeer(started.feed->encodeChanges(*cutOff.feed->version()));
+    cutOff.feed->takeFromPeer(started.feed->encodeChanges(*cutOff.feed->position()));
     CHECK_TEXT(cutOff.rows.count("a") == 0, "the row that is gone should be gone here too");
     LONGS_EQUAL(1, cutOff.rows.count("b"));
 }
--- a/test/RowTableTest.cpp
+++ b/test/RowTableTest.cpp
@@ -43,7 +43,7 @@
 TEST(RowTable, TakesRowsThatAWholeTableLacksForGone)
 {
     table.apply({ { "a", "1", false, 3 }, { "b", "2", false, 4 } });
-    const auto present = table.replace({ { "b", "2", false, 4 } }, 7);
+    const auto present = table.replace({ { "b", "2", false, 4 } }, { 0, 7 });
     LONGS_EQUAL(1, present.size());
     CHECK(decoded(4)[0].isRemoved);
 }
--- a/test/StoreCrashReportsTest.cpp
+++ b/test/StoreCrashReportsTest.cpp
@@ -130,7 +130,7 @@
     const auto quick = StoreFeed::start(ioContext, patient.clock, SocketAddress { "127.0.0.1", store->port() }, "op",
         { Milliseconds { 200 }, Milliseconds { 1 } }, { [](auto) {}, [](auto) {} });
     quick->onFailure([&patient] { patient.feed->askAnew(); });
-    CHECK(runUntil([&] { return patient.feed->version() && quick->version(); }));
+    CHECK(runUntil([&] { return patient.feed->position() && quick->position(); }));
     const auto before = store->callCount();
     CHECK(runUntil([&] { return store->callCount() > before + 1; }));
     store->setFault(StoreFault::Silent);
--- a/test/StoreHistoryTest.cpp
+++ b/test/StoreHistoryTest.cpp
@@ -70,7 +70,8 @@
     store->put("servers", "c", "1");
     for (int i = 0; i < 20; ++i)
         store->put("runs", "r" + std::to_string(i), "");
-    CHECK_TEXT(runUntil([&] { return followed.rows.count("c") == 1; }), "c was written under a version given out again");
+    CHECK_TEXT(
+        runUntil([&] { return followed.rows.count("c") == 1; }), "c was written under a version given out again");
 }
 
 TEST(StoreHistory, AVmHearsFromTheReaderOfItsZoneWhatIsWrittenAfterTheStoreHasGoneBack)
