Tests, red: what this system wrote into the store and a return from an older copy takes away

Cause to be held: VMs take a write that was acknowledged for done. After the store has come back from a copy, an entry of a VM, the location of a running stream and records of crashed endpoints are gone for good; a lost record counts as taken back, a record that was taken back counts again.

--- a/test/FeedHarness.h
+++ b/test/FeedHarness.h
@@ -25,7 +25,7 @@
     Followed() { clock.advance(Milliseconds { 1 }); }
 
     void follow(boost::asio::io_context& ioContext, std::int64_t port, const std::string& table,
-        Milliseconds longestWait = Milliseconds { 40 })
+        Milliseconds longestWait = Milliseconds { 40 }, std::shared_ptr<StoreEra> era = nullptr)
     {
         const StoreFeed::Pace pace { longestWait, Milliseconds { 1 } };
         feed = StoreFeed::start(ioContext, clock, { "127.0.0.1", port }, table, pace,
@@ -42,7 +42,8 @@
                         else
                             rows[row.key] = row.value;
                     }
-                } });
+                } },
+            std::move(era));
     }
 };
 
--- a/test/StoreCrashReportsTest.cpp
+++ b/test/StoreCrashReportsTest.cpp
@@ -21,19 +21,23 @@
         Milliseconds longestWait = Milliseconds { 1000 })
         : directory(ioContext, settings)
         , guard(ioContext, clock, settings, directory)
-        , reports(ioContext, clock, store, name, guard)
+        , era(StoreEra::create(ioContext))
+        , reports(ioContext, clock, store, name, guard, era)
     {
         guard.setReports(&reports);
         feed = StoreFeed::start(ioContext, clock, store, StoreCrashReports::tableName,
             { longestWait, Milliseconds { 1 } },
             { [this](const std::vector<StoreRow>& rows) { reports.takeAll(rows); },
-                [this](const std::vector<StoreRow>& rows) { reports.takeChanges(rows); } });
+                [this](const std::vector<StoreRow>& rows) { reports.takeChanges(rows); },
+                [this] { reports.storeRestored(); } },
+            era);
     }
 
     RelaySettings settings;
     ManualClock clock;
     EndpointDirectory directory;
     CrashGuard guard;
+    std::shared_ptr<StoreEra> era;
     StoreCrashReports reports;
     std::shared_ptr<StoreFeed> feed;
 };
@@ -112,6 +116,36 @@
     CHECK_FALSE(isHeldAt(*other));
 }
 
+// The store came back from a copy without the records: every VM took them for withdrawn, and the request went on.
+TEST(StoreCrashReports, WhatTheStoreHasLostIsWrittenAgainAndHoldsTheRequest)
+{
+    store->keepCopy();
+    publish(*one, 1, 2);
+    publish(*other, 3, 3);
+    CHECK(runUntil([&] { return isHeldAt(*one) && isHeldAt(*other); }));
+    store->restoreCopy();
+    CHECK(runUntil([&] { return one->feed->position()->era == 1 && other->feed->position()->era == 1; }));
+    CHECK(isHeldAt(*one) && isHeldAt(*other));
+    CHECK_TEXT(
+        runUntil([&] { return store->value("crashes", digest + "/e1") && store->value("crashes", digest + "/e3"); }),
+        "each VM writes again what it had written, for VMs that start later");
+}
+
+// The copy holds records that were taken back since: the request that was served would be held again.
+TEST(StoreCrashReports, WhatWasTakenBackStaysSoWhenTheStoreHasItAgain)
+{
+    publish(*one, 1, 3);
+    CHECK(runUntil([&] { return isHeldAt(*other); }));
+    store->keepCopy();
+    other->guard.noteHarmless(digest);
+    CHECK(runUntil([&] { return !isHeldAt(*one) && !store->value("crashes", digest + "/e1"); }));
+    store->restoreCopy();
+    CHECK(store->value("crashes", digest + "/e1").has_value());
+    CHECK(runUntil([&] { return one->feed->position()->era == 1 && other->feed->position()->era == 1; }));
+    CHECK_FALSE(isHeldAt(*one) || isHeldAt(*other));
+    CHECK_TEXT(runUntil([&] { return !store->value("crashes", digest + "/e1"); }), "it is taken back there, too");
+}
+
 TEST(StoreCrashReports, WritesAgainWhatAStoreThatWasAwayHasNotTaken)
 {
     store->setFault(StoreFault::Unavailable);
--- a/test/StoreHistoryTest.cpp
+++ b/test/StoreHistoryTest.cpp
@@ -1,5 +1,6 @@
 #include "FeedHarness.h"
 #include "RunUntil.h"
+#include "StoreRunLocations.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/Placement.h"
 
@@ -124,3 +125,122 @@
     for (int i = 0; i < 20; ++i)
         STRCMP_EQUAL("e2", placement.choose(request, now)->entry().id.c_str());
 }
+
+TEST(StoreHistory, AVmWhoseEntryTheStoreHasLostEntersItselfAgain)
+{
+    const auto era = StoreEra::create(*ioContext);
+    const SocketAddress address { "127.0.0.1", store->port() };
+    store->keepCopy();
+    const VmRegistry vms(
+        *ioContext, address, { "vm1", "a", { "10.0.0.1", 7200 } }, {}, [](const std::vector<VmEntry>&) {},
+        FleetStart::Together, era);
+    CHECK(runUntil([&] { return store->value("vms", "vm1").has_value(); }));
+    Followed followed;
+    followed.follow(*ioContext, store->port(), "op", Milliseconds { 40 }, era);
+    CHECK(runUntil([&] { return followed.snapshots == 1; }));
+    store->restoreCopy();
+    CHECK_FALSE(store->value("vms", "vm1").has_value());
+    CHECK(runUntil([&] { return store->value("vms", "vm1").has_value(); }));
+}
+
+TEST(StoreHistory, TheLocationOfAStreamThatRunsIsWrittenAgainAfterTheStoreHasLostIt)
+{
+    const auto era = StoreEra::create(*ioContext);
+    store->keepCopy();
+    StoreRunLocations locations(*ioContext, { "127.0.0.1", store->port() }, era);
+    locations.hurry();
+    locations.note("beef", { "i-1", "", "r1" });
+    locations.note("dead", { "i-1", "", "r2" });
+    CHECK(runUntil([&] { return store->value("runs", "beef") && store->value("runs", "dead"); }));
+    locations.forget("dead");
+    Followed followed;
+    followed.follow(*ioContext, store->port(), "op", Milliseconds { 40 }, era);
+    CHECK(runUntil([&] { return followed.snapshots == 1; }));
+    store->restoreCopy();
+    CHECK(runUntil([&] { return store->value("runs", "beef").has_value(); }));
+    CHECK_FALSE_TEXT(store->value("runs", "dead").has_value(), "its stream has ended");
+}
+
+namespace {
+
+// Endpoints on both sides of a return of the list's source from an older copy.
+struct RestoredList {
+    explicit RestoredList(boost::asio::io_context& ioContext)
+        : directory(ioContext, settings)
+    {
+        directory.replaceAll({ entry(1), entry(2) }, now);
+    }
+
+    static EndpointEntry entry(int number)
+    {
+        return { "e" + std::to_string(number), "s", { "127.0.0.1", number }, "a", 4, false };
+    }
+
+    void restore(std::vector<EndpointEntry> copy)
+    {
+        directory.listRestored(now);
+        directory.replaceAll(std::move(copy), now);
+    }
+
+    void pass(Milliseconds time)
+    {
+        now += time;
+        directory.dropExpired(now);
+    }
+
+    bool isListed(int number) const
+    {
+        const auto endpoint = directory.find("e" + std::to_string(number));
+        return endpoint && !endpoint->isRemoved();
+    }
+
+    const RelaySettings settings;
+    EndpointDirectory directory;
+    Milliseconds now { 100000 };
+};
+
+} // namespace
+
+TEST(StoreHistory, AnEndpointThatHasComeSinceTheCopyStaysUntilItHasHadTimeToWriteAgain)
+{
+    RestoredList list(*ioContext);
+    list.restore({ RestoredList::entry(1) });
+    CHECK(list.isListed(2));
+    list.directory.upsert(RestoredList::entry(2), list.now);
+    list.pass(list.settings.missingEndpointsStay);
+    CHECK_TEXT(list.isListed(2), "it has written its entry again");
+
+    list.restore({ RestoredList::entry(1) });
+    list.pass(list.settings.missingEndpointsStay - Milliseconds { 1 });
+    CHECK(list.isListed(2));
+    list.pass(Milliseconds { 1 });
+    CHECK_FALSE_TEXT(list.isListed(2), "it may have left");
+}
+
+TEST(StoreHistory, AnEndpointThatHasGoneSinceTheCopyDoesNotComeBackBeforeItsEntryCouldHaveLapsed)
+{
+    RestoredList list(*ioContext);
+    list.directory.remove("e2", list.now);
+    list.restore({ RestoredList::entry(1), RestoredList::entry(2) });
+    CHECK_FALSE(list.isListed(2));
+    list.directory.change({ { { .id = "e2" }, true } }, list.now);
+    list.pass(list.settings.goneEndpointsStay);
+    CHECK_FALSE_TEXT(list.isListed(2), "its entry has lapsed");
+
+    list.restore({ RestoredList::entry(1), RestoredList::entry(2) });
+    list.pass(list.settings.goneEndpointsStay);
+    CHECK_TEXT(list.isListed(2), "its entry is still there: it lives");
+}
+
+TEST(StoreHistory, AnEndpointThatLeftSinceTheCopyGetsNoWorkWhenItsEntryIsStillThereAfterAll)
+{
+    RestoredList list(*ioContext);
+    auto leaving = RestoredList::entry(2);
+    leaving.isDraining = true;
+    list.directory.upsert(leaving, list.now);
+    list.directory.remove("e2", list.now);
+    list.restore({ RestoredList::entry(1), RestoredList::entry(2) });
+    list.pass(list.settings.goneEndpointsStay);
+    const auto endpoint = list.directory.find("e2");
+    CHECK(endpoint && !endpoint->mayTakeWork(list.now, list.settings.leavingEndpointGrace));
+}
