Roll-outs: an order is known by era and revision, and what was decided of it outlives its row

Cause: an order was known by the version of its row, which the store gives out again after a return from an older copy: another order under that version counted as known. A known order that is written again had another version and began anew, with a bad candidate's share of the requests once more; an older order in the copy took the place of the known one; the record of the decision was lost. Change: orders compare by era and revision; one with the same content that appears in a later era, or within a minute of its beginning, is the known one at a new place, with its evidence and decision, which the gatherers write again; the first table of an era begins no order that differs from the known one or has ended; records are not written in a later era than the order's. Cost: an operator who orders the same candidate again within a minute of a drill is told the earlier decision.

--- a/src/rollout/Rollout.cpp
+++ b/src/rollout/Rollout.cpp
@@ -10,6 +10,12 @@
 {
 }
 
+void Rollout::moveTo(const HistoryPosition& position)
+{
+    m_order.revision = position.version;
+    m_order.era = position.era;
+}
+
 VersionChoice Rollout::proven(Milliseconds now) const
 {
     if (m_decision != RolloutDecision::Completed)
--- a/src/rollout/Rollout.h
+++ b/src/rollout/Rollout.h
@@ -47,6 +47,8 @@
     Rollout(RolloutOrder, const RolloutTerms&);
 
     const RolloutOrder& order() const { return m_order; }
+    // The order has been written again after its store had lost it.
+    void moveTo(const HistoryPosition&);
     RolloutDecision decision() const { return m_decision; }
     bool isStopped() const { return m_isStopped; }
     const VersionEvidence& evidence() const { return m_evidence; }
@@ -76,7 +78,7 @@
 private:
     bool mayTry(Milliseconds now) const { return !m_isStopped && now < m_mayTryUntil; }
 
-    const RolloutOrder m_order;
+    RolloutOrder m_order;
     ExposureBudget m_budget;
     VersionEvidence m_evidence;
     Milliseconds m_mayTryUntil { 0 };
--- a/src/rollout/RolloutOrder.h
+++ b/src/rollout/RolloutOrder.h
@@ -2,6 +2,7 @@
 // stay beside those of the new one, the candidate, until it is decided.
 #pragma once
 
+#include "common/HistoryPosition.h"
 #include "lupinknot/Clock.h"
 #include "lupinknot/EnumNames.h"
 #include <array>
@@ -16,8 +17,17 @@
     std::string candidate;
     // The time within which it is to be decided.
     Milliseconds duration { 0 };
-    // Distinguishes orders for one service: later ones have greater revisions.
+    // Distinguishes orders for one service: later ones have greater revisions, or are of a later era of the store that
+    // holds them, which gives revisions out again.
     std::uint64_t revision { 0 };
+    std::uint64_t era { 0 };
+
+    HistoryPosition position() const { return { era, revision }; }
+    // The same content, whenever it was written.
+    bool asksSameAs(const RolloutOrder& other) const
+    {
+        return service == other.service && candidate == other.candidate && duration == other.duration;
+    }
 };
 
 // What is decided of an order. Written once, a decision never changes.
--- a/src/rollout/Rollouts.cpp
+++ b/src/rollout/Rollouts.cpp
@@ -5,7 +5,7 @@
 bool Rollouts::begin(const RolloutOrder& order, const RolloutTerms& terms)
 {
     auto& rollout = m_byService[order.service];
-    if (rollout && rollout->order().revision >= order.revision)
+    if (rollout && rollout->order().position() >= order.position())
         return false;
     rollout = std::make_unique<Rollout>(order, terms);
     return true;
--- a/test/PeerRolloutsTest.cpp
+++ b/test/PeerRolloutsTest.cpp
@@ -23,6 +23,7 @@
     PlatformCallProtocol protocol;
     std::unique_ptr<RelayDaemon> daemon;
     std::unique_ptr<StoreStandIn> store;
+    std::shared_ptr<StoreEra> era;
     std::unique_ptr<PeerRollouts> rollouts;
 
     void setup() override
@@ -33,13 +34,15 @@
         store = std::make_unique<StoreStandIn>(daemon->ioContext());
         store->start();
         const VmEntry self { "vm1", "a", {} };
-        rollouts = std::make_unique<PeerRollouts>(*daemon, SocketAddress { "127.0.0.1", store->port() }, self);
+        era = StoreEra::create(daemon->ioContext());
+        rollouts = std::make_unique<PeerRollouts>(*daemon, SocketAddress { "127.0.0.1", store->port() }, self, era);
         rollouts->setOthers({});
     }
 
     void teardown() override
     {
         rollouts.reset();
+        era.reset();
         store.reset();
         daemon.reset();
     }
@@ -63,6 +66,15 @@
             + std::to_string(candidateBad) + "]}}}";
     }
 
+    // The store has come back from its copy, and this VM has heard of it.
+    void restoreStore()
+    {
+        store->restoreCopy();
+        era->hearFromVm(0);
+        era->hearFromVm(1);
+        rollouts->storeRestored();
+    }
+
     // Versions of the store grow beyond the order's.
     void advanceStore()
     {
@@ -139,6 +151,61 @@
     CHECK(daemon->rollouts().all().empty());
 }
 
+// The store came back from a copy without the order and without its record. To begin anew would send the bad candidate
+// its share of the requests once more.
+TEST(PeerRollouts, WhatWasDecidedOfAnOrderHoldsAndIsWrittenAgainWhenTheStoreHasLostBoth)
+{
+    advanceStore();
+    store->keepCopy();
+    begin();
+    rollouts->takeAccount(account(20, 12));
+    CHECK(runUntil([&] { return rollout().decision() == RolloutDecision::RolledBack; }));
+    restoreStore();
+    rollouts->takeTable({});
+    CHECK_TEXT(rollout().decision() == RolloutDecision::RolledBack, "the order that the copy lacks is in force");
+    rollouts->takeRow({ "rollout/s", orderText, false, 2, 1 });
+    CHECK(rollout().decision() == RolloutDecision::RolledBack);
+    LONGS_EQUAL_TEXT(1, rollout().order().era, "it is the same order, at its new place");
+    CHECK(runUntil([&] { return status().find("rolled_back") != std::string::npos; }));
+}
+
+TEST(PeerRollouts, EvidenceAgainstACandidateHoldsWhenItsOrderIsWrittenAgain)
+{
+    advanceStore();
+    store->keepCopy();
+    begin();
+    rollout().hear(GathererWord::Stop, daemon->clock().now());
+    restoreStore();
+    rollouts->takeTable({ { "rollout/s", orderText, false, 2, 1 } });
+    rollouts->takeRow({ "rollout/s", orderText, false, 5, 1 });
+    CHECK_TEXT(rollout().isStopped(), "in the copy, and written once more behind it");
+    LONGS_EQUAL(5, rollout().order().revision);
+}
+
+// The revision of the earlier order was given out again.
+TEST(PeerRollouts, AnotherOrderUnderTheSameRevisionOfALaterEraIsAnotherOrder)
+{
+    begin();
+    rollout().decide(RolloutDecision::RolledBack, daemon->clock().now());
+    restoreStore();
+    rollouts->takeRow(
+        { "rollout/s", R"({"service":"s","target-version":"v3","duration-s":1.5})", false, orderRevision, 1 });
+    STRCMP_EQUAL("v3", rollout().order().candidate.c_str());
+    CHECK(rollout().decision() == RolloutDecision::Undecided);
+}
+
+TEST(PeerRollouts, AnOlderOrderInACopyOfTheStoreIsNotBegunAgain)
+{
+    begin();
+    rollouts->takeRow({ "rollout/t", R"({"service":"t","target-version":"v2","duration-s":1.5})", false, 4 });
+    rollouts->takeRow({ "rollout/t", "", true, 5 });
+    restoreStore();
+    rollouts->takeTable({ { "rollout/s", R"({"service":"s","target-version":"v1","duration-s":1.5})", false, 1, 1 },
+        { "rollout/t", R"({"service":"t","target-version":"v2","duration-s":1.5})", false, 2, 1 } });
+    STRCMP_EQUAL_TEXT("v2", rollout().order().candidate.c_str(), "the copy is older than the order that is known");
+    CHECK_TEXT(!daemon->rollouts().find("t"), "the order has gone since the copy");
+}
+
 // Two VMs: one gathers, the other tells it what it has seen and takes its word.
 TEST(PeerRollouts, AVmTellsTheGathererOfItsZoneAndHearsTheDecision)
 {
