--- a/test/StoreHistoryTest.cpp
+++ b/test/StoreHistoryTest.cpp
@@ -243,8 +243,8 @@
     CHECK_TEXT(list.isListed(2), "its entry is still there: it lives");
 }
 
-// Found by the interleavings: the removal was heard first, the older list told that the endpoint had said that it leaves,
-// and it stayed a last resort.
+// Found by the interleavings: the removal was heard first, the older list told that the endpoint had said that it
+// leaves, and it stayed a last resort.
 TEST(StoreHistory, AnEndpointThatHasGoneIsNoLastResortOnceAnOlderListTellsThatItLeft)
 {
     RestoredList list(*ioContext);
