--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -98,6 +98,12 @@
     return true;
 }
 
+void RelayDaemon::listRestored()
+{
+    m_directory.listRestored(m_clock.now());
+    m_metrics.listsRestored.Increment();
+}
+
 bool RelayDaemon::beginRollout(const RolloutOrder& order)
 {
     // A VM that has just started may have spent its share already.
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -45,6 +45,8 @@
 
     boost::asio::io_context& ioContext() { return m_ioContext; }
     EndpointDirectory& directory() { return m_directory; }
+    // The source of the list of endpoints has come back from an older copy of itself.
+    void listRestored();
     // Where VMs tell each other of their runs; it outlives the daemon's run.
     void setRunLocations(RunLocations* locations) { m_context.runLocations = locations; }
     // Which requests are held back because endpoints have ended under them.
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -51,6 +51,8 @@
     , configurationVersion(
           addGauge(*m_registry, "lupinknot_relay_configuration_version", "The configuration in force."))
     , endpointsKnown(addGauge(*m_registry, "lupinknot_relay_endpoints_known", "Endpoints in the directory."))
+    , listsRestored(addCounter(*m_registry, "lupinknot_relay_lists_restored_total",
+          "Lists of endpoints that came from an older copy of their source."))
 {
 }
 
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -38,6 +38,8 @@
     prometheus::Counter& engineProbes;
     prometheus::Gauge& configurationVersion;
     prometheus::Gauge& endpointsKnown;
+    // Lists of endpoints that came from an older copy of their source.
+    prometheus::Counter& listsRestored;
 };
 
 } // namespace lupinknot::internal
--- a/test/StoreInterleavingTest.cpp
+++ b/test/StoreInterleavingTest.cpp
@@ -40,7 +40,6 @@
 // An answer under way to a VM.
 struct Delivery {
     Milliseconds at;
-    std::size_t vm;
     std::function<void()> deliver;
 };
 
@@ -64,7 +63,9 @@
     std::uint64_t configuration { 0 };
     // Starts of which this VM has heard that they leave.
     std::set<std::string> heardLeaving;
-    bool isAsking[2] { false, false };
+    // By table: questions to the store and to other VMs go side by side.
+    bool isAskingStore[2] { false, false };
+    bool isAskingVm[2] { false, false };
     // This VM cannot reach the store until then.
     Milliseconds cutUntil { 0 };
 };
@@ -247,24 +248,24 @@
     void askSomebody(std::size_t index)
     {
         for (const int table : { 0, 1 }) {
-            if (m_vms[index].isAsking[table])
-                continue;
+            auto& vm = m_vms[index];
             // The last one hears all but its first news from the others.
-            const bool isFollower = index + 1 == m_vms.size() && historyOf(m_vms[index], table).position();
-            if (isFollower || happens(0.2))
+            const bool isFollower = index + 1 == m_vms.size() && historyOf(vm, table).position();
+            if (!vm.isAskingVm[table] && (isFollower || happens(0.1)))
                 askVm(index, table);
-            else if (m_now >= m_vms[index].cutUntil && !m_isAway)
+            if (!vm.isAskingStore[table] && !isFollower && m_now >= vm.cutUntil && !m_isAway)
                 askStore(index, table);
         }
     }
 
     TableHistory& historyOf(SimulatedVm& vm, int table) { return table == 0 ? vm.configurations : vm.endpoints; }
 
-    void later(std::size_t index, int table, std::function<void()> handle)
+    // The flag says that the question is under way.
+    void later(bool& isAsking, std::function<void()> handle)
     {
-        m_vms[index].isAsking[table] = true;
-        m_deliveries.push_back({ m_now + Milliseconds { number(0, 300) }, index, [this, index, table, handle] {
-                                    m_vms[index].isAsking[table] = false;
+        isAsking = true;
+        m_deliveries.push_back({ m_now + Milliseconds { number(0, 300) }, [&isAsking, handle] {
+                                    isAsking = false;
                                     handle();
                                 } });
     }
@@ -293,7 +294,7 @@
                     told.push_back(row.second);
             }
         }
-        later(index, table, [this, &vm, &history, table, told, hasMore, isGone, answered, at = m_now] {
+        later(vm.isAskingStore[table], [this, &vm, &history, table, told, hasMore, isGone, answered, at = m_now] {
             const bool isEarlier = answered.era < vm.era;
             vm.era = std::max(vm.era, answered.era);
             if (isGone)
@@ -311,12 +312,12 @@
         auto& vm = m_vms[index];
         auto& history = historyOf(vm, table);
         const auto& othersHistory = historyOf(m_vms[other], table);
-        if (other == index || !othersHistory.position() || history.isReadingPages())
+        if (other == index || !othersHistory.position())
             return;
         const auto text
             = othersHistory.encodeChanges(history.position().value_or(HistoryPosition {}), Milliseconds { 0 });
         const auto position = *othersHistory.position();
-        later(index, table, [this, &vm, &history, table, text, position, at = m_vms[other].confirmedAt] {
+        later(vm.isAskingVm[table], [this, &vm, &history, table, text, position, at = m_vms[other].confirmedAt] {
             const auto body = nlohmann::json::parse(text);
             vm.era = std::max(vm.era, position.era);
             if (position.era != vm.era)
