Positions compare by operators of their own; interleavings check that what has gone stays away

clang-tidy takes the defaulted three-way operator for a null pointer. The interleavings check, too, that no endpoint is listed again of which a VM has heard that its entry has gone: without that check the planted fault 'those known to have gone are listed at once' was not found.

--- a/src/common/HistoryPosition.h
+++ b/src/common/HistoryPosition.h
@@ -7,8 +7,8 @@
 //     const HistoryPosition after { 2, 480 };        // Later, although its version is smaller.
 #pragma once
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace lupinknot::internal {
 
@@ -16,7 +16,14 @@
     std::uint64_t era { 0 };
     std::uint64_t version { 0 };
 
-    friend auto operator<=>(const HistoryPosition&, const HistoryPosition&) = default;
+    friend bool operator==(const HistoryPosition&, const HistoryPosition&) = default;
+    friend bool operator<(const HistoryPosition& left, const HistoryPosition& right)
+    {
+        return std::tie(left.era, left.version) < std::tie(right.era, right.version);
+    }
+    friend bool operator>(const HistoryPosition& left, const HistoryPosition& right) { return right < left; }
+    friend bool operator<=(const HistoryPosition& left, const HistoryPosition& right) { return !(right < left); }
+    friend bool operator>=(const HistoryPosition& left, const HistoryPosition& right) { return !(left < right); }
 };
 
 } // namespace lupinknot::internal
--- a/test/StoreInterleavingTest.cpp
+++ b/test/StoreInterleavingTest.cpp
@@ -63,6 +63,8 @@
     std::uint64_t configuration { 0 };
     // Starts of which this VM has heard that they leave.
     std::set<std::string> heardLeaving;
+    // Starts of which this VM has heard that their entries have gone.
+    std::set<std::string> heardGone;
     // By table: questions to the store and to other VMs go side by side.
     bool isAskingStore[2] { false, false };
     bool isAskingVm[2] { false, false };
@@ -344,7 +346,9 @@
         std::vector<EndpointChange> changes;
         for (const auto& row : news->rows) {
             auto entry = entryOf(row);
-            if (!row.isRemoved && entry.isDraining)
+            if (row.isRemoved)
+                vm.heardGone.insert(row.key);
+            else if (entry.isDraining)
                 vm.heardLeaving.insert(row.key);
             changes.push_back({ entry, row.isRemoved });
             entries.push_back(std::move(entry));
@@ -383,10 +387,20 @@
                 if (known && known->mayTakeWork(m_now, m_settings.leavingEndpointGrace))
                     m_problem = id + " gets work after it was heard that it leaves";
             }
+            checkGoneStayAway(vm);
             checkLivingStay(vm);
         }
     }
 
+    void checkGoneStayAway(const SimulatedVm& vm)
+    {
+        for (const auto& id : vm.heardGone) {
+            const auto known = vm.directory->find(id);
+            if (known && !known->isRemoved())
+                m_problem = id + " is listed again after it was heard that it has gone";
+        }
+    }
+
     // An endpoint that this VM had listed and that has not left stays listed.
     void checkLivingStay(SimulatedVm& vm)
     {
