A feed that hears of a return itself reads the table once; a VM that knows nothing names no era

Cause, found by reading the change: the news of an era cut off the very call that had begun to read in it, one call to the store more for each feed; and a VM that had just started told others era 0, which they took for the era before the store's. Ruled out by test: eras that are empty, negative, no number, beyond 64 bits or far ahead change nothing.

--- a/test/StoreHistoryTest.cpp
+++ b/test/StoreHistoryTest.cpp
@@ -75,6 +75,43 @@
         runUntil([&] { return followed.rows.count("c") == 1; }), "c was written under a version given out again");
 }
 
+// Each call to the store has a price, and all VMs hear of a return at once.
+TEST(StoreHistory, AFeedThatHearsOfAReturnItselfReadsTheTableOnce)
+{
+    store->put("servers", "a", "1");
+    store->keepCopy();
+    store->put("servers", "b", "1");
+    Followed followed;
+    followed.follow(*ioContext, store->port(), "servers", Milliseconds { 60000 });
+    CHECK(runUntil([&] { return store->callCount() == 2; }));
+    store->restoreCopy();
+    CHECK(runUntil([&] { return followed.snapshots == 2; }));
+    LONGS_EQUAL_TEXT(4, store->callCount(), "the one that was cut off, the next one, which gets 410, and the table");
+}
+
+TEST(StoreHistory, AVmThatKnowsNothingNamesNoEra)
+{
+    STRCMP_EQUAL("/rows/op/0/50", PeerFeeds::target("op", {}, Milliseconds { 50 }).c_str());
+    STRCMP_EQUAL("/rows/op/7/50?era=2", PeerFeeds::target("op", { 2, 7 }, Milliseconds { 50 }).c_str());
+}
+
+TEST(StoreHistory, AnEraThatCannotBeChangesNothing)
+{
+    store->put("servers", "a", "1");
+    for (const auto* const odd : { "", "-1", "x", "99999999999999999999999", "5000000" }) {
+        Followed followed;
+        store->sayEra(std::nullopt);
+        followed.follow(*ioContext, store->port(), "servers");
+        CHECK(runUntil([&] { return followed.snapshots == 1; }));
+        store->sayEra(odd);
+        store->put("servers", "a", odd);
+        CHECK_TEXT(runUntil([&] { return followed.rows["a"] == odd; }), odd);
+        LONGS_EQUAL_TEXT(1, followed.snapshots, odd);
+        LONGS_EQUAL_TEXT(0, followed.feed->position()->era, odd);
+        store->put("servers", "a", "1");
+    }
+}
+
 TEST(StoreHistory, AVmHearsFromTheReaderOfItsZoneWhatIsWrittenAfterTheStoreHasGoneBack)
 {
     SharedReading shared(*ioContext);
