The log says when an endpoint's answer names a limit

Callers saw nothing; operators could not see that an endpoint names the requests a second that it takes from all VMs together: no line told it. The incident's hypotheses (nobody acts on it; each VM keeps it for itself; retries break it) could not be told apart from an endpoint that names it where no VM looks.

Change: answers are read for it (decimal numbers only; what cannot be read is said once and changes nothing), each endpoint keeps what was heard last, and endpoint.limit says when it was named, changed or ended. An answer without one ends it only if its request was sent after the limit was heard, because answers overtake each other. No decision depends on it yet.

Tests: two of PlatformCallProtocol, on what is a number and what is not.

--- /dev/null
+++ b/src/limits/HeardLimit.h
@@ -0,0 +1,49 @@
+// What this VM believes of the requests a second that one endpoint takes from all VMs together.
+//
+// An endpoint in need names its limit in its answers and names it no more once the need is over, so the newest answer
+// holds. Answers overtake each other: one that names no limit ends it only if its request was sent after the limit was
+// last heard of.
+//
+//     switch (limit.noteAnswer(perSecond, sentAt, now)) ...
+//     if (limit.perSecond()) ...
+//
+// A plain value without input or output; it belongs to one start of an endpoint. Not thread-safe.
+#pragma once
+
+#include "lupinknot/Clock.h"
+#include "lupinknot/EnumNames.h"
+#include <optional>
+
+namespace lupinknot::internal {
+
+enum class LimitChange {
+    None,
+    Named,
+    Changed,
+    Ended,
+};
+
+inline constexpr std::array<EnumName<LimitChange>, 4> limitChangeNames { {
+    { LimitChange::None, "none" },
+    { LimitChange::Named, "named" },
+    { LimitChange::Changed, "changed" },
+    { LimitChange::Ended, "ended" },
+} };
+
+class HeardLimit {
+public:
+    // Nothing when the endpoint takes what it gets.
+    const std::optional<double>& perSecond() const { return m_perSecond; }
+    // When this was last said; 0 when nothing ever was.
+    Milliseconds heardAt() const { return m_heardAt; }
+    // Takes over what an answer says that came now to a request sent at the instant.
+    LimitChange noteAnswer(std::optional<double> perSecond, Milliseconds sentAt, Milliseconds now);
+
+private:
+    LimitChange set(std::optional<double> perSecond, Milliseconds heardAt);
+
+    std::optional<double> m_perSecond;
+    Milliseconds m_heardAt { 0 };
+};
+
+} // namespace lupinknot::internal
--- a/src/relay/CallProtocol.h
+++ b/src/relay/CallProtocol.h
@@ -64,6 +64,14 @@
     std::optional<CopySource> continueFrom;
 };
 
+// What an endpoint's answer says of the requests a second that it takes from all VMs together.
+struct AnsweredLimit {
+    // Nothing when the answer names no limit, or none that can be read.
+    std::optional<double> perSecond;
+    // What stands there and cannot be read; empty when all can.
+    std::string unreadable;
+};
+
 // What an endpoint's answer says, once decoded.
 struct AnswerFields {
     // The request that the answer belongs to; empty when it does not say.
@@ -74,6 +82,7 @@
     bool isNotRun { false };
     // True when the address belongs to another incarnation than the one that was asked for.
     bool isOtherEndpoint { false };
+    AnsweredLimit limit {};
 };
 
 // Stateless and thread-safe.
--- a/src/relay/EndpointCall.cpp
+++ b/src/relay/EndpointCall.cpp
@@ -81,6 +81,9 @@
             .write();
         return;
     }
+    // Other bytes and other starts of the endpoint say nothing of its limit.
+    if ((fields.isSigned || fields.isNotRun) && !fields.isOtherEndpoint)
+        m_endpoint->noteLimit(fields.limit, m_startedAt, m_context.now());
     if (const auto listener = m_listener.lock())
         listener->callHead(*this, head, fields);
 }
--- a/src/relay/RelayEndpoint.cpp
+++ b/src/relay/RelayEndpoint.cpp
@@ -1,7 +1,24 @@
 #include "relay/RelayEndpoint.h"
 
+#include "common/EventLog.h"
+#include "relay/CallProtocol.h"
+
+#include <cstdio>
+
 namespace lupinknot::internal {
 
+namespace {
+
+// The log's numbers are whole ones.
+std::string decimalText(double number)
+{
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.3g", number);
+    return text;
+}
+
+} // namespace
+
 RelayEndpoint::RelayEndpoint(
     boost::asio::io_context& ioContext, EndpointEntry entry, const ClientConnectionSettings& settings, Milliseconds now)
     : m_ioContext(ioContext)
@@ -71,6 +88,27 @@
     m_kept.clear();
 }
 
+void RelayEndpoint::noteLimit(const AnsweredLimit& answered, Milliseconds sentAt, Milliseconds now)
+{
+    if (!answered.unreadable.empty()) {
+        if (!std::exchange(m_isUnreadableLimitSaid, true))
+            LogEvent("endpoint.limit-unreadable")
+                .text("endpoint", m_entry.id)
+                .text("limit", answered.unreadable)
+                .write();
+        return;
+    }
+    const auto change = m_limit.noteAnswer(answered.perSecond, sentAt, now);
+    if (change == LimitChange::None)
+        return;
+    LogEvent("endpoint.limit")
+        .text("endpoint", m_entry.id)
+        .text("service", m_entry.service)
+        .text("change", nameIn(limitChangeNames, change))
+        .text("per_second", answered.perSecond ? decimalText(*answered.perSecond) : "")
+        .write();
+}
+
 void RelayEndpoint::noteLife(Milliseconds now)
 {
     m_lastLife = now;
--- a/src/relay/RelayEndpoint.h
+++ b/src/relay/RelayEndpoint.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "http/ClientConnection.h"
+#include "limits/HeardLimit.h"
 #include "relay/EndpointEntry.h"
 #include "relay/EngineReport.h"
 #include <boost/asio/io_context.hpp>
@@ -12,6 +13,8 @@
 
 namespace lupinknot::internal {
 
+struct AnsweredLimit;
+
 class RelayEndpoint {
 public:
     RelayEndpoint(boost::asio::io_context&, EndpointEntry, const ClientConnectionSettings&, Milliseconds now);
@@ -42,6 +45,10 @@
     void noteReport(const EngineReport& report, Milliseconds now) { m_report = TimedReport { report, now }; }
     const EngineReport* report() const { return m_report ? &m_report->report : nullptr; }
 
+    const HeardLimit& limit() const { return m_limit; }
+    // Takes over what an answer says of the endpoint's limit that came now to a request sent at the instant.
+    void noteLimit(const AnsweredLimit&, Milliseconds sentAt, Milliseconds now);
+
     // An endpoint leaves when its entry says so or is gone. One that says so gets no work; one whose entry has gone
     // gets some as a last resort, for a short while only.
     bool isLeaving() const { return m_leavingSince.has_value(); }
@@ -76,6 +83,9 @@
     unsigned m_inFlight { 0 };
     unsigned m_promptsBeingRead { 0 };
     std::optional<TimedReport> m_report;
+    HeardLimit m_limit;
+    // A limit that cannot be read is said once.
+    bool m_isUnreadableLimitSaid { false };
     std::optional<Milliseconds> m_leavingSince;
     bool m_isRemoved { false };
     Milliseconds m_avoidUntil { 0 };
--- a/test/PlatformCallProtocolTest.cpp
+++ b/test/PlatformCallProtocolTest.cpp
@@ -146,3 +146,29 @@
 {
     STRCMP_EQUAL("0.250", protocol.encodeRetryAfter(Milliseconds { 250 }).value.c_str());
 }
+
+TEST(PlatformCallProtocol, ReadsALimitThatIsADecimalNumber)
+{
+    const auto limitOf = [this](const std::string& text) {
+        return protocol.decodeAnswer({ 200, { { "Server-Limit", text } }, "" }).limit;
+    };
+    DOUBLES_EQUAL(2.3, *limitOf("2.3").perSecond, 1e-9);
+    DOUBLES_EQUAL(0, *limitOf("0").perSecond, 1e-9);
+    DOUBLES_EQUAL(200, *limitOf("200").perSecond, 1e-9);
+    const auto none = protocol.decodeAnswer({ 200, {}, "" }).limit;
+    CHECK(!none.perSecond && none.unreadable.empty());
+}
+
+TEST(PlatformCallProtocol, NamesALimitThatCannotBeReadAndTakesNoNumberFromIt)
+{
+    for (const auto* text : { "", "-1", "+1", "nan", "inf", "1e9", "1,5", "1.2.3", ".", " ", "0x1", "1 a second" }) {
+        const auto limit = protocol.decodeAnswer({ 200, { { "Server-Limit", text } }, "" }).limit;
+        CHECK_TEXT(!limit.perSecond && !limit.unreadable.empty(), text);
+    }
+    const auto decode = [this](const char* first, const char* second) {
+        return protocol.decodeAnswer({ 200, { { "Server-Limit", first }, { "server-limit", second } }, "" }).limit;
+    };
+    DOUBLES_EQUAL(1, *decode("1", "1").perSecond, 1e-9);
+    for (const auto& limit : { decode("1", "2"), decode("x", "2"), decode("2", "x") })
+        CHECK(!limit.perSecond && !limit.unreadable.empty());
+}
