An endpoint's limit is kept by all VMs together

What callers saw: nothing. Endpoints that had named how many requests a second they take from all VMs together got up to twice what is allowed (22 in 4 s at 1.1 a second, allowed 12), from VMs whose answers had said so.

Cause: what an answer says of a limit was read nowhere; each sending, retry and moved stream chose its endpoint as if there were none. Ruled out: shares that each VM keeps for itself (one VM alone sent 18 in 4 s) and retries beyond the count (four of 30). The class: a field of an answer that no VM acts on, for something of which no VM knows how much the others use.

Change: in front of every sending to an endpoint under a limit stands the question for a permit. One VM, worked out from the endpoint's start by hash, spaces the requests of all; a VM that cannot reach it asks the next one, which gives out 0.4 of the limit until the first has been away for 4 s (both together stay under the 1.5 that is borne). A limit counts by the start of the endpoint, changes with each answer, and ends with an answer to a request that was sent after it was last heard. Endpoints in need are left out of second sendings, moves ahead and questions for the load; copies stay there. If all endpoints of a service are limited a request waits for its place, or is refused at once with the time at which there is one.

Why it holds: no VM sends on its own count, so neither the number of VMs nor how uneven their callers are adds anything; what can add is a permit used late and a second VM that counts, and both have their part in the bound.

--- a/src/admission/WaitForPlace.cpp
+++ b/src/admission/WaitForPlace.cpp
@@ -21,9 +21,20 @@
     const auto first = std::clamp(usualCallTime, shortestPause, longestPause);
     const auto doubled = std::min(first * (1 << std::min(call.rounds, mostDoublings)), longestPause);
     const auto pause = scaled(doubled, 1 - pauseSpread + 2 * pauseSpread * spread);
-    const auto latest = call.arrivedAt + scaled(call.deadline - call.arrivedAt, waitingShare);
     const bool endsInTime = now + pause + usualCallTime <= call.deadline;
-    return { now + pause <= latest && endsInTime, pause };
+    return { pause <= timeToWait(call, now) && endsInTime, pause };
+}
+
+Milliseconds timeToWait(const WaitingCall& call, Milliseconds now)
+{
+    const auto latest = call.arrivedAt + scaled(call.deadline - call.arrivedAt, waitingShare);
+    return std::max(latest - now, Milliseconds { 0 });
+}
+
+WaitDecision waitForPermit(const WaitingCall& call, Milliseconds permitIn, Milliseconds usualCallTime, Milliseconds now)
+{
+    const bool endsInTime = now + permitIn + usualCallTime <= call.deadline;
+    return { permitIn <= timeToWait(call, now) && endsInTime, permitIn };
 }
 
 Milliseconds comeBackIn(PlaceObstacle obstacle, Milliseconds timeLeft, double spread)
--- a/src/admission/WaitForPlace.h
+++ b/src/admission/WaitForPlace.h
@@ -50,6 +50,13 @@
 // `usualCallTime` is what an answer of the service takes, `spread` a random number from 0 to 1.
 WaitDecision waitForPlace(const WaitingCall&, Milliseconds usualCallTime, double spread, Milliseconds now);
 
+// How long a call may go on waiting for a place: it keeps time for one more try of its caller.
+Milliseconds timeToWait(const WaitingCall&, Milliseconds now);
+
+// The same decision for a call whose endpoints take only so many requests a second: when the next place may be there is
+// known. A call that cannot wait until then is refused at once.
+WaitDecision waitForPermit(const WaitingCall&, Milliseconds permitIn, Milliseconds usualCallTime, Milliseconds now);
+
 // The most of its time that a caller spends before it comes back; a longer wait is cut to this by callers.
 inline constexpr double comeBackShare = 1.0 / 3;
 // Full endpoints have places again after a few calls: callers are spread from half to one and a half of this.
--- a/src/limits/HeardLimit.cpp
+++ b/src/limits/HeardLimit.cpp
@@ -8,6 +8,11 @@
     return isNews ? set(perSecond, now) : LimitChange::None;
 }
 
+LimitChange HeardLimit::noteNews(std::optional<double> perSecond, Milliseconds heardAt)
+{
+    return heardAt > m_heardAt ? set(perSecond, heardAt) : LimitChange::None;
+}
+
 LimitChange HeardLimit::set(std::optional<double> perSecond, Milliseconds heardAt)
 {
     const auto before = m_perSecond;
--- a/src/limits/HeardLimit.h
+++ b/src/limits/HeardLimit.h
@@ -38,6 +38,8 @@
     Milliseconds heardAt() const { return m_heardAt; }
     // Takes over what an answer says that came now to a request sent at the instant.
     LimitChange noteAnswer(std::optional<double> perSecond, Milliseconds sentAt, Milliseconds now);
+    // Takes over what another VM heard at the instant, if it is newer.
+    LimitChange noteNews(std::optional<double> perSecond, Milliseconds heardAt);
 
 private:
     LimitChange set(std::optional<double> perSecond, Milliseconds heardAt);
--- /dev/null
+++ b/src/limits/PermitSchedule.cpp
@@ -0,0 +1,34 @@
+#include "limits/PermitSchedule.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lupinknot::internal {
+
+namespace {
+
+constexpr double millisecondsPerSecond = 1000;
+
+} // namespace
+
+void PermitSchedule::setRate(double perSecond, Milliseconds now)
+{
+    const auto interval = millisecondsPerSecond / std::max(perSecond, slowestRate);
+    const auto instant = static_cast<double>(now.count());
+    if (interval < m_interval && m_nextAt > instant)
+        m_nextAt = instant + (m_nextAt - instant) * interval / m_interval;
+    m_interval = interval;
+}
+
+Milliseconds PermitSchedule::waitFor(Milliseconds now) const
+{
+    const auto wait = m_nextAt - static_cast<double>((now + tolerance).count());
+    return Milliseconds { static_cast<std::int64_t>(std::ceil(std::max(wait, 0.0))) };
+}
+
+void PermitSchedule::take(Milliseconds now)
+{
+    m_nextAt = std::max(m_nextAt, static_cast<double>(now.count())) + m_interval;
+}
+
+} // namespace lupinknot::internal
--- a/src/relay/EndpointCall.cpp
+++ b/src/relay/EndpointCall.cpp
@@ -82,8 +82,10 @@
         return;
     }
     // Other bytes and other starts of the endpoint say nothing of its limit.
-    if ((fields.isSigned || fields.isNotRun) && !fields.isOtherEndpoint)
-        m_endpoint->noteLimit(fields.limit, m_startedAt, m_context.now());
+    const auto now = m_context.now();
+    const bool isItsWord = (fields.isSigned || fields.isNotRun) && !fields.isOtherEndpoint;
+    if (isItsWord && m_endpoint->noteLimit(fields.limit, m_startedAt, now))
+        m_context.permits->tell(m_endpoint->entry().startName(), m_endpoint->limitNews(now));
     if (const auto listener = m_listener.lock())
         listener->callHead(*this, head, fields);
 }
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -5,6 +5,7 @@
 #include "relay/EndpointDirectory.h"
 #include "relay/EngineForecast.h"
 #include "relay/EngineSurvey.h"
+#include "relay/PermitWait.h"
 #include "relay/Placement.h"
 #include "relay/RelayConfiguration.h"
 #include "relay/RelayContext.h"
@@ -137,7 +138,7 @@
 bool EventStreamCall::isSound(const RelayEndpoint& endpoint) const
 {
     const auto now = m_context.now();
-    return !endpoint.isLeaving() && !endpoint.isAvoided(now)
+    return !endpoint.isLeaving() && !endpoint.isAvoided(now) && now >= endpoint.noPermitUntil()
         && !m_context.directory.isZoneAvoided(endpoint.entry().availabilityZone, now)
         && !m_context.directory.isDoubtful(endpoint, now);
 }
@@ -229,8 +230,10 @@
     // An engine that may have kept the prompt is better than any other.
     if (!m_context.has(Policy::LoadSurvey) || !service || !service->isEngine || m_request.fields.lastEventId)
         return false;
+    // A question may count as a request at an engine that takes only so many.
     auto sound = wanted;
     sound.mustBeSound = true;
+    sound.limited = LimitedEndpoints::LeftOut;
     const auto engines = m_context.placement.candidates(sound, m_context.settings.surveySize, m_context.now());
     if (engines.size() < 2)
         return false;
@@ -295,11 +298,57 @@
         .excluded = m_failed,
         .zonesToLeave = { engine.entry().availabilityZone },
         .version = m_rollout.forCopies(engine),
-        .mustBeSound = true };
+        .mustBeSound = true,
+        .limited = LimitedEndpoints::NotSent };
     return m_context.placement.choose(wanted, m_context.now());
 }
 
 void EventStreamCall::startRunAt(const std::shared_ptr<RelayEndpoint>& endpoint, std::optional<CopySource> copy)
+{
+    if (!endpoint->isLimited()) {
+        sendTo(endpoint, std::move(copy));
+        return;
+    }
+    const auto patience = patienceForPermit(copy.has_value());
+    m_permit = PermitWait::start(
+        m_context, endpoint, patience, [weak = weak_from_this(), endpoint, copy = std::move(copy)](bool isGranted) {
+            const auto self = weak.lock();
+            if (!self || self->m_isFinished)
+                return;
+            self->m_permit.reset();
+            if (isGranted) {
+                self->sendTo(endpoint, copy);
+                return;
+            }
+            if (std::exchange(self->m_isNextCharged, false))
+                self->m_context.retryBudget(self->m_request.service).giveBack();
+            self->startRun();
+        });
+}
+
+Milliseconds EventStreamCall::patienceForPermit(bool isFromCopy)
+{
+    // A copy saves the prompt from being read again, which takes longer than this pause.
+    if (isFromCopy)
+        return m_request.route->longestPause / 2;
+    const auto now = m_context.now();
+    auto other = wantedPlacement();
+    other.mustBeSound = true;
+    other.limited = LimitedEndpoints::LeftOut;
+    if (m_context.placement.choose(other, now))
+        return Milliseconds { 0 };
+    return std::max(m_request.admittedAt + m_context.settings.waitForEndpoint - now, Milliseconds { 0 });
+}
+
+std::optional<Milliseconds> EventStreamCall::nextPermitIn()
+{
+    const auto now = m_context.now();
+    const auto next
+        = m_context.placement.nextPermitAt({ .service = m_request.service, .version = m_rollout.next() }, now);
+    return next ? std::optional(*next - now) : std::nullopt;
+}
+
+void EventStreamCall::sendTo(const std::shared_ptr<RelayEndpoint>& endpoint, std::optional<CopySource> copy)
 {
     const auto now = m_context.now();
     const auto& exchange = m_request.exchange;
@@ -360,7 +409,13 @@
 void EventStreamCall::waitForEndpoint()
 {
     const auto now = m_context.now();
-    if (m_events.length() == 0 && now - m_request.admittedAt >= m_context.settings.waitForEndpoint) {
+    const auto permitIn = nextPermitIn();
+    const auto waitsUntil = m_request.admittedAt + m_context.settings.waitForEndpoint;
+    if (m_events.length() == 0 && m_possibleRuns == 0 && permitIn && now + *permitIn > waitsUntil) {
+        giveUp(RefusalReason::EndpointsLimited);
+        return;
+    }
+    if (m_events.length() == 0 && now >= waitsUntil) {
         giveUp(m_possibleRuns > 0 ? RefusalReason::EndpointFailed : RefusalReason::NoEndpoint);
         return;
     }
@@ -671,7 +726,8 @@
     const auto target = m_context.placement.choose({ .service = m_request.service,
                                                        .excluded = std::move(excluded),
                                                        .version = m_rollout.next(),
-                                                       .mustBeSound = true },
+                                                       .mustBeSound = true,
+                                                       .limited = LimitedEndpoints::LeftOut },
         now);
     // The retry is taken here: once the run has been stopped it has to go on.
     if (!target || !m_context.retryBudget(m_request.service).take(RetryPurpose::Precaution, now))
@@ -763,6 +819,8 @@
         comeBackIn = std::max(m_request.deadline - m_context.now(), m_context.settings.retryAfter);
     if (reason == RefusalReason::HeldBack)
         comeBackIn = m_context.crashGuard.heldFor(m_request.digest);
+    if (reason == RefusalReason::EndpointsLimited)
+        comeBackIn = nextPermitIn();
     m_request.exchange->respond(refusal(m_context, reason, comeBackIn));
     finish();
 }
@@ -792,6 +850,7 @@
     m_retryTimer.cancel();
     m_watch->stop();
     m_survey.reset();
+    m_permit.reset();
     dropRelocation();
     if (const auto run = std::exchange(m_run, nullptr))
         run->call->cancel();
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -22,6 +22,7 @@
 namespace lupinknot::internal {
 
 class EngineSurvey;
+class PermitWait;
 struct PlacementRequest;
 class RunLocations;
 class RunRelocation;
@@ -54,7 +55,13 @@
     void noteLocation();
     // Starts a run somewhere, or waits for an endpoint, or gives the request up.
     void startRun();
+    // Starts a run at the endpoint, or elsewhere if it is limited and no permit is to be had.
     void startRunAt(const std::shared_ptr<RelayEndpoint>&, std::optional<CopySource>);
+    void sendTo(const std::shared_ptr<RelayEndpoint>&, std::optional<CopySource>);
+    // How long the stream can wait for its place at an endpoint under a limit.
+    Milliseconds patienceForPermit(bool isFromCopy);
+    // How long until a permit may be had for an endpoint that is left out for want of one; nothing when there is none.
+    std::optional<Milliseconds> nextPermitIn();
     // Where a run that reads the prompt should begin.
     PlacementRequest wantedPlacement();
     // Asks the engines that come into question for their load, if there is a choice.
@@ -112,6 +119,8 @@
     std::shared_ptr<RunWatch> m_watch;
     // Set while engines are asked where the next run should begin.
     std::shared_ptr<EngineSurvey> m_survey;
+    // Set while a permit is asked for.
+    std::shared_ptr<PermitWait> m_permit;
     std::shared_ptr<RunRelocation> m_relocation;
     // A relocation that was refused is tried again no earlier.
     Milliseconds m_nextRelocationAt { 0 };
--- a/src/relay/Placement.cpp
+++ b/src/relay/Placement.cpp
@@ -16,6 +16,11 @@
 // how much VMs differ that read the same reports, so that they do not all choose the same engine.
 constexpr double otherZoneReads = 0.3;
 constexpr double randomReads = 0.3;
+// A limited endpoint gets work once the others have so many calls more, the more of them there are: it is in need. One
+// whose limit has not been heard for a while gets as much as the others, within its limit, because only its answers
+// tell that the limit has ended.
+constexpr double limitedCost = 2;
+constexpr Milliseconds limitBelievedFor { 2000 };
 // An endpoint that failed lately is worse than any load, one in a failing zone too, and a leaving one is the last
 // resort.
 constexpr double failingZoneCost = 1000;
@@ -23,6 +28,12 @@
 constexpr double zoneToLeaveCost = 10000;
 constexpr double leavingCost = 100000;
 
+// True while the endpoint is believed to be better off with less work.
+bool isInNeed(const RelayEndpoint& endpoint, Milliseconds now)
+{
+    return endpoint.isLimited() && now - endpoint.limit().heardAt() < limitBelievedFor;
+}
+
 } // namespace
 
 Placement::Placement(const EndpointDirectory& directory, const RelaySettings& settings, std::uint64_t seed)
@@ -47,17 +58,25 @@
     };
     const auto* const favourite = preferred(request, now);
     std::vector<Candidate> found;
-    for (const auto& endpoint : m_directory.endpointsOf(request.service)) {
-        const auto& excluded = request.excluded;
-        if (std::find(excluded.begin(), excluded.end(), endpoint) != excluded.end())
+    const auto& endpoints = m_directory.endpointsOf(request.service);
+    std::size_t freeCount = 0;
+    for (const auto& endpoint : endpoints) {
+        freeCount += endpoint->isLimited() ? 0 : 1;
+        if (!isEligible(*endpoint, request, now))
             continue;
-        if (!endpoint->mayTakeWork(now, m_settings.leavingEndpointGrace)
-            || !request.version.admits(endpoint->entry().version))
+        if (request.limited == LimitedEndpoints::Admitted && now < endpoint->noPermitUntil())
             continue;
         const auto sum = cost(*endpoint, request, now) - (endpoint.get() == favourite ? request.preference : 0.0);
         if (!request.mustBeSound || sum < failingZoneCost)
             found.push_back({ sum, endpoint });
     }
+    if (freeCount < endpoints.size() && request.limited == LimitedEndpoints::Admitted) {
+        const auto extra = limitedCost * static_cast<double>(freeCount) / static_cast<double>(endpoints.size());
+        for (auto& candidate : found) {
+            if (isInNeed(*candidate.endpoint, now))
+                candidate.cost += extra;
+        }
+    }
     const auto end = found.begin() + static_cast<std::ptrdiff_t>(std::min(count, found.size()));
     std::partial_sort(
         found.begin(), end, found.end(), [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
@@ -66,6 +85,29 @@
     return best;
 }
 
+bool Placement::isEligible(const RelayEndpoint& endpoint, const PlacementRequest& request, Milliseconds now) const
+{
+    const auto& excluded = request.excluded;
+    const auto isSame = [&endpoint](const std::shared_ptr<RelayEndpoint>& other) { return other.get() == &endpoint; };
+    if (std::any_of(excluded.begin(), excluded.end(), isSame))
+        return false;
+    if (request.limited == LimitedEndpoints::LeftOut && endpoint.isLimited())
+        return false;
+    return endpoint.mayTakeWork(now, m_settings.leavingEndpointGrace)
+        && request.version.admits(endpoint.entry().version);
+}
+
+std::optional<Milliseconds> Placement::nextPermitAt(const PlacementRequest& request, Milliseconds now) const
+{
+    std::optional<Milliseconds> next;
+    for (const auto& endpoint : m_directory.endpointsOf(request.service)) {
+        const auto until = endpoint->noPermitUntil();
+        if (now < until && isEligible(*endpoint, request, now) && !endpoint->isLeaving())
+            next = std::min(next.value_or(until), until);
+    }
+    return next;
+}
+
 std::shared_ptr<RelayEndpoint> Placement::chooseReported(const std::vector<std::shared_ptr<RelayEndpoint>>& engines,
     const EngineWork& work, const EnginePace& pace, Milliseconds now)
 {
--- a/src/relay/Placement.h
+++ b/src/relay/Placement.h
@@ -12,6 +12,7 @@
 #include "relay/EngineForecast.h"
 #include "rollout/VersionChoice.h"
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -22,6 +23,13 @@
 class RelayEndpoint;
 struct RelaySettings;
 
+// What becomes of endpoints that take only so many requests a second.
+enum class LimitedEndpoints {
+    Admitted, // As endpoints of that size; those for which no permit is to be had now are left out.
+    LeftOut, // For what need not be sent at all.
+    NotSent, // As any other: nothing is sent there.
+};
+
 struct PlacementRequest {
     std::string service;
     // Endpoints that this request has tried or uses already.
@@ -36,6 +44,7 @@
     VersionChoice version;
     // True for the place of a copy: an endpoint that is avoided or leaving is no place for it.
     bool mustBeSound { false };
+    LimitedEndpoints limited { LimitedEndpoints::Admitted };
 };
 
 // Used on the relay's thread only.
@@ -47,6 +56,8 @@
     // The endpoints that come first into question, best first: as many as are wanted, or fewer.
     std::vector<std::shared_ptr<RelayEndpoint>> candidates(
         const PlacementRequest&, std::size_t count, Milliseconds now);
+    // When a permit may be had for one of the endpoints that are left out for want of one; nothing when there is none.
+    std::optional<Milliseconds> nextPermitAt(const PlacementRequest&, Milliseconds now) const;
     // The best of some engines that have reported their load, by forecast; null when none may take work any more.
     std::shared_ptr<RelayEndpoint> chooseReported(
         const std::vector<std::shared_ptr<RelayEndpoint>>&, const EngineWork&, const EnginePace&, Milliseconds now);
@@ -54,6 +65,8 @@
 private:
     // The preferred endpoint among the sound ones of the zone, or null.
     const RelayEndpoint* preferred(const PlacementRequest&, Milliseconds now) const;
+    // True when the request may be sent to the endpoint, if a permit can be had for it.
+    bool isEligible(const RelayEndpoint&, const PlacementRequest&, Milliseconds now) const;
     double cost(const RelayEndpoint&, const PlacementRequest&, Milliseconds now);
     double random() { return m_uniform(m_random); }
 
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -16,6 +16,7 @@
 class CallProtocol;
 class CrashGuard;
 class EndpointDirectory;
+class PermitSource;
 class Placement;
 class RelayConfiguration;
 class RelayMetrics;
@@ -32,6 +33,8 @@
     Placement& placement;
     RelayMetrics& metrics;
     CrashGuard& crashGuard;
+    // Where permits for endpoints under a limit come from.
+    PermitSource* permits;
     // The newest version; null until one is known.
     std::shared_ptr<const RelayConfiguration> configuration;
     std::unordered_map<std::string, RetryBudget> retryBudgets;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -26,8 +26,9 @@
     , m_directory(m_ioContext, m_settings)
     , m_placement(m_directory, m_settings, std::random_device()())
     , m_crashGuard(m_ioContext, m_clock, m_settings, m_directory)
+    , m_localPermits(m_ioContext, m_clock)
     , m_context { m_ioContext, m_settings, m_clock, protocol, m_directory, m_placement, m_metrics, m_crashGuard,
-        nullptr, {}, {}, nullptr, false }
+        &m_localPermits, nullptr, {}, {}, nullptr, false }
     , m_handler(m_context)
     , m_front(m_ioContext, listenAt(addresses.front),
           [this](const std::shared_ptr<HttpExchange>& exchange) { m_handler.handle(exchange); })
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -11,6 +11,7 @@
 
 #include "http/HttpServer.h"
 #include "http/SocketAddress.h"
+#include "limits/LocalPermits.h"
 #include "lupinknot/MonotonicClock.h"
 #include "relay/CrashGuard.h"
 #include "relay/EndpointDirectory.h"
@@ -49,6 +50,9 @@
     void listRestored();
     // Where VMs tell each other of their runs; it outlives the daemon's run.
     void setRunLocations(RunLocations* locations) { m_context.runLocations = locations; }
+    // Where permits for endpoints under a limit come from; it outlives the daemon's run. Without one this VM counts for
+    // itself alone.
+    void setPermits(PermitSource* permits) { m_context.permits = permits; }
     // Which requests are held back because endpoints have ended under them.
     CrashGuard& crashGuard() { return m_crashGuard; }
     // Puts other limits, times and weights in force, for requests under way too. What is known of other VMs stays.
@@ -94,6 +98,7 @@
     Placement m_placement;
     RelayMetrics m_metrics;
     CrashGuard m_crashGuard;
+    LocalPermits m_localPermits;
     RelayContext m_context;
     RelayHandler m_handler;
     HttpServer m_front;
--- a/src/relay/RelayEndpoint.cpp
+++ b/src/relay/RelayEndpoint.cpp
@@ -88,7 +88,7 @@
     m_kept.clear();
 }
 
-void RelayEndpoint::noteLimit(const AnsweredLimit& answered, Milliseconds sentAt, Milliseconds now)
+bool RelayEndpoint::noteLimit(const AnsweredLimit& answered, Milliseconds sentAt, Milliseconds now)
 {
     if (!answered.unreadable.empty()) {
         if (!std::exchange(m_isUnreadableLimitSaid, true))
@@ -96,16 +96,29 @@
                 .text("endpoint", m_entry.id)
                 .text("limit", answered.unreadable)
                 .write();
-        return;
+        return false;
     }
     const auto change = m_limit.noteAnswer(answered.perSecond, sentAt, now);
+    limitChanged(change, "answer");
+    return change != LimitChange::None;
+}
+
+void RelayEndpoint::noteLimitNews(const LimitNews& news, Milliseconds now)
+{
+    limitChanged(m_limit.noteNews(news.perSecond, now - news.age), "vm");
+}
+
+void RelayEndpoint::limitChanged(LimitChange change, std::string_view heardFrom) const
+{
     if (change == LimitChange::None)
         return;
+    const auto& perSecond = m_limit.perSecond();
     LogEvent("endpoint.limit")
         .text("endpoint", m_entry.id)
         .text("service", m_entry.service)
         .text("change", nameIn(limitChangeNames, change))
-        .text("per_second", answered.perSecond ? decimalText(*answered.perSecond) : "")
+        .text("per_second", perSecond ? decimalText(*perSecond) : "")
+        .text("heard_from", heardFrom)
         .write();
 }
 
--- a/src/relay/RelayEndpoint.h
+++ b/src/relay/RelayEndpoint.h
@@ -5,6 +5,7 @@
 
 #include "http/ClientConnection.h"
 #include "limits/HeardLimit.h"
+#include "limits/PermitSource.h"
 #include "relay/EndpointEntry.h"
 #include "relay/EngineReport.h"
 #include <boost/asio/io_context.hpp>
@@ -46,8 +47,16 @@
     const EngineReport* report() const { return m_report ? &m_report->report : nullptr; }
 
     const HeardLimit& limit() const { return m_limit; }
-    // Takes over what an answer says of the endpoint's limit that came now to a request sent at the instant.
-    void noteLimit(const AnsweredLimit&, Milliseconds sentAt, Milliseconds now);
+    // Takes over what an answer says of the endpoint's limit that came now to a request sent at the instant. Returns
+    // whether that is news for other VMs.
+    bool noteLimit(const AnsweredLimit&, Milliseconds sentAt, Milliseconds now);
+    // Takes over what another VM has heard of it.
+    void noteLimitNews(const LimitNews&, Milliseconds now);
+    LimitNews limitNews(Milliseconds now) const { return { m_limit.perSecond(), now - m_limit.heardAt() }; }
+    bool isLimited() const { return m_limit.perSecond().has_value(); }
+    // While it is limited, no permit for it is to be had until the instant.
+    void denyPermitsUntil(Milliseconds instant) { m_noPermitUntil = instant; }
+    Milliseconds noPermitUntil() const { return isLimited() ? m_noPermitUntil : Milliseconds { 0 }; }
 
     // An endpoint leaves when its entry says so or is gone. One that says so gets no work; one whose entry has gone
     // gets some as a last resort, for a short while only.
@@ -71,6 +80,8 @@
         Milliseconds since;
     };
 
+    void limitChanged(LimitChange, std::string_view heardFrom) const;
+
     struct TimedReport {
         EngineReport report;
         Milliseconds at;
@@ -84,6 +95,7 @@
     unsigned m_promptsBeingRead { 0 };
     std::optional<TimedReport> m_report;
     HeardLimit m_limit;
+    Milliseconds m_noPermitUntil { 0 };
     // A limit that cannot be read is said once.
     bool m_isUnreadableLimitSaid { false };
     std::optional<Milliseconds> m_leavingSince;
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -53,6 +53,10 @@
     , endpointsKnown(addGauge(*m_registry, "lupinknot_relay_endpoints_known", "Endpoints in the directory."))
     , listsRestored(addCounter(*m_registry, "lupinknot_relay_lists_restored_total",
           "Lists of endpoints that came from an older copy of their source."))
+    , permitsGranted(addCounter(*m_registry, "lupinknot_relay_permits_granted_total",
+          "Requests let through to an endpoint that takes only so many a second."))
+    , permitsDenied(addCounter(*m_registry, "lupinknot_relay_permits_denied_total",
+          "Requests that an endpoint takes no more now and that went elsewhere, waited or were refused."))
 {
 }
 
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -40,6 +40,9 @@
     prometheus::Gauge& endpointsKnown;
     // Lists of endpoints that came from an older copy of their source.
     prometheus::Counter& listsRestored;
+    // Permits for endpoints under a limit.
+    prometheus::Counter& permitsGranted;
+    prometheus::Counter& permitsDenied;
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/RelayRefusal.cpp
+++ b/src/relay/RelayRefusal.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<RefusalTraits, 14> refusalTable { {
+constexpr std::array<RefusalTraits, 15> refusalTable { {
     { RefusalReason::Malformed, "malformed", 400, true, "the request lacks a field or has one that cannot be read" },
     { RefusalReason::UnknownKey, "unknown-key", 401, true, "the key belongs to no organisation; check the key" },
     { RefusalReason::UnknownRoute, "unknown-route", 404, true, "no route has this host and path" },
@@ -17,6 +17,8 @@
     { RefusalReason::Stopping, "stopping", 503, true, "this VM is being stopped; try again at another one" },
     { RefusalReason::NoEndpoint, "no-endpoint", 503, true, "no endpoint of the service can be reached; try again" },
     { RefusalReason::EndpointsBusy, "endpoints-busy", 503, true, "the service's endpoints are full; try again" },
+    { RefusalReason::EndpointsLimited, "endpoints-limited", 503, true,
+        "the service's endpoints take only so many requests a second now; try again" },
     { RefusalReason::RetryBudgetSpent, "retry-budget-spent", 503, true, "too many requests are retried; try again" },
     { RefusalReason::EndpointFailed, "endpoint-failed", 502, false,
         "the endpoint failed and may have run the request" },
--- a/src/relay/RelayRefusal.h
+++ b/src/relay/RelayRefusal.h
@@ -18,6 +18,7 @@
     Stopping,
     NoEndpoint,
     EndpointsBusy,
+    EndpointsLimited,
     RetryBudgetSpent,
     EndpointFailed,
     TimedOut,
--- a/src/relay/WholeAnswerCall.cpp
+++ b/src/relay/WholeAnswerCall.cpp
@@ -3,6 +3,7 @@
 #include "admission/WaitForPlace.h"
 #include "common/EventLog.h"
 #include "relay/EndpointDirectory.h"
+#include "relay/PermitWait.h"
 #include "relay/Placement.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayMetrics.h"
@@ -26,7 +27,8 @@
 // What a retry is for that follows an attempt which ended so.
 RetryPurpose purposeAfter(RefusalReason reason)
 {
-    const bool isFull = reason == RefusalReason::EndpointsBusy || reason == RefusalReason::RetryBudgetSpent;
+    const bool isFull = reason == RefusalReason::EndpointsBusy || reason == RefusalReason::EndpointsLimited
+        || reason == RefusalReason::RetryBudgetSpent;
     return isFull ? RetryPurpose::FullService : RetryPurpose::Rescue;
 }
 
@@ -70,12 +72,8 @@
         LogEvent("request.caller-gone").text("request", self->m_request.fields.requestId).write();
         self->finish();
     });
-    if (!sendNext(false)) {
+    if (!sendNext(anyEndpoint(), false))
         waitOrRefuse(RefusalReason::NoEndpoint);
-        return;
-    }
-    if (m_request.route->mayRunAgain() && m_context.has(Policy::SecondSendings))
-        armHedge();
 }
 
 bool WholeAnswerCall::mayHaveArrived() const
@@ -87,14 +85,62 @@
 
 bool WholeAnswerCall::maySendAgain() const { return m_possibleRuns < m_request.route->maxAttempts; }
 
-bool WholeAnswerCall::sendNext(bool isCharged, bool mustBeSound)
+PlacementRequest WholeAnswerCall::anyEndpoint()
+{
+    return { .service = m_request.service, .excluded = m_tried, .version = m_rollout.next() };
+}
+
+PlacementRequest WholeAnswerCall::soundEndpoint()
+{
+    auto wanted = anyEndpoint();
+    wanted.mustBeSound = true;
+    return wanted;
+}
+
+bool WholeAnswerCall::sendNext(PlacementRequest wanted, bool isCharged)
 {
     const auto now = m_context.now();
-    const auto endpoint = m_context.placement.choose(
-        { .service = m_request.service, .excluded = m_tried, .version = m_rollout.next(), .mustBeSound = mustBeSound },
-        now);
+    const auto endpoint = m_context.placement.choose(wanted, now);
     if (!endpoint || m_request.deadline <= now)
         return false;
+    if (endpoint->isLimited())
+        askForPermit(endpoint, isCharged);
+    else
+        sendTo(endpoint, isCharged);
+    return true;
+}
+
+void WholeAnswerCall::askForPermit(const std::shared_ptr<RelayEndpoint>& endpoint, bool isCharged)
+{
+    const auto now = m_context.now();
+    auto other = soundEndpoint();
+    other.limited = LimitedEndpoints::LeftOut;
+    // Where another endpoint can serve the call at once, it does not wait for its place at this one.
+    const bool waits = mayWait() && !m_context.placement.choose(other, now);
+    const auto patience = waits ? timeToWait(waitingCall(), now) : Milliseconds { 0 };
+    m_permit = PermitWait::start(
+        m_context, endpoint, patience, [weak = weak_from_this(), endpoint, isCharged](bool isGranted) {
+            const auto self = weak.lock();
+            if (self && !self->m_isFinished)
+                self->permitAnswered(endpoint, isGranted, isCharged);
+        });
+}
+
+void WholeAnswerCall::permitAnswered(const std::shared_ptr<RelayEndpoint>& endpoint, bool isGranted, bool isCharged)
+{
+    m_permit.reset();
+    if (isGranted) {
+        sendTo(endpoint, isCharged);
+        return;
+    }
+    if (isCharged)
+        m_context.retryBudget(m_request.service).giveBack();
+    recover(RefusalReason::EndpointsLimited);
+}
+
+void WholeAnswerCall::sendTo(const std::shared_ptr<RelayEndpoint>& endpoint, bool isCharged)
+{
+    const auto now = m_context.now();
     m_tried.push_back(endpoint);
     ForwardFields fields;
     fields.timeLeft = m_request.deadline - now;
@@ -117,7 +163,9 @@
     auto& stored = *m_attempts.emplace_back(std::move(attempt));
     stored.call
         = EndpointCall::start(m_context, endpoint, request, { m_request.fields.requestId, maxRest }, weak_from_this());
-    return true;
+    const bool isFirst = m_attempts.size() == 1 && m_waits == 0;
+    if (isFirst && m_request.route->mayRunAgain() && m_context.has(Policy::SecondSendings))
+        armHedge();
 }
 
 void WholeAnswerCall::armHedge()
@@ -139,7 +187,10 @@
         return;
     if (!m_context.retryBudget(m_request.service).take(RetryPurpose::Precaution, m_context.now()))
         return;
-    if (!sendNext(true))
+    // An endpoint in need is spared what is only a precaution.
+    auto wanted = anyEndpoint();
+    wanted.limited = LimitedEndpoints::LeftOut;
+    if (!sendNext(std::move(wanted), true))
         m_context.retryBudget(m_request.service).giveBack();
 }
 
@@ -251,7 +302,7 @@
 // Goes on elsewhere if that is allowed, waits for an attempt that is still open, or gives the request up.
 void WholeAnswerCall::recover(RefusalReason lastReason)
 {
-    if (!isSendable(lastReason))
+    if (m_permit || !isSendable(lastReason))
         return;
     const bool mayHaveRun = m_possibleRuns > 0;
     const bool isAllowed = maySendAgain() && (!mayHaveRun || m_request.route->mayRunAgain());
@@ -259,7 +310,7 @@
     const bool isRetry = mayHaveArrived();
     const bool isFunded = isAllowed && (!isRetry || budget.take(purposeAfter(lastReason), m_context.now()));
     // Endpoints that are known to be full or out of reach are not tried one after the other: the call waits instead.
-    if (isFunded && sendNext(isRetry, mayWait()))
+    if (isFunded && sendNext(mayWait() ? soundEndpoint() : anyEndpoint(), isRetry))
         return;
     if (isFunded && isRetry)
         budget.giveBack();
@@ -306,11 +357,26 @@
     return static_cast<double>(hash) / std::numeric_limits<std::uint32_t>::max();
 }
 
+WaitingCall WholeAnswerCall::waitingCall() const { return { m_request.admittedAt, m_request.deadline, m_waits }; }
+
+std::optional<Milliseconds> WholeAnswerCall::nextPermitIn()
+{
+    auto wanted = anyEndpoint();
+    wanted.excluded.clear();
+    const auto now = m_context.now();
+    const auto next = m_context.placement.nextPermitAt(wanted, now);
+    return next ? std::optional(*next - now) : std::nullopt;
+}
+
 void WholeAnswerCall::waitOrRefuse(RefusalReason reason)
 {
     const auto now = m_context.now();
     const auto usual = m_context.pace(m_request.service).usualCallTime();
-    const auto decision = waitForPlace({ m_request.admittedAt, m_request.deadline, m_waits }, usual, spread(), now);
+    const auto permitIn = nextPermitIn();
+    if (permitIn)
+        reason = RefusalReason::EndpointsLimited;
+    const auto decision = permitIn ? waitForPermit(waitingCall(), *permitIn, usual, now)
+                                   : waitForPlace(waitingCall(), usual, spread(), now);
     m_isWaiting = mayWait() && decision.waits && m_context.waitingRoom.enter(m_request.exchange->request().body.size());
     if (!m_isWaiting) {
         refuse(reason);
@@ -349,7 +415,7 @@
         waitOrRefuse(RefusalReason::RetryBudgetSpent);
         return;
     }
-    if (sendNext(isRetry))
+    if (sendNext(anyEndpoint(), isRetry))
         return;
     if (isRetry)
         budget.giveBack();
@@ -406,13 +472,19 @@
         .number("took_ms", (now - m_request.admittedAt).count())
         .write();
     m_context.metrics.countRequest(m_request.route->kind, traits.status, now - m_request.admittedAt);
-    const auto comeBack = reason == RefusalReason::HeldBack
-        ? m_context.crashGuard.heldFor(m_request.digest)
-        : comeBackIn(obstacleOf(reason), m_request.deadline - now, spread());
-    m_request.exchange->respond(refusal(m_context, reason, comeBack));
+    m_request.exchange->respond(refusal(m_context, reason, comeBackAfter(reason)));
     finish();
 }
 
+Milliseconds WholeAnswerCall::comeBackAfter(RefusalReason reason)
+{
+    if (reason == RefusalReason::HeldBack)
+        return m_context.crashGuard.heldFor(m_request.digest);
+    if (const auto permitIn = nextPermitIn(); permitIn && reason == RefusalReason::EndpointsLimited)
+        return *permitIn;
+    return comeBackIn(obstacleOf(reason), m_request.deadline - m_context.now(), spread());
+}
+
 void WholeAnswerCall::finish()
 {
     if (m_isFinished)
@@ -422,6 +494,7 @@
     m_deadlineTimer.cancel();
     m_hedgeTimer.cancel();
     m_waitTimer.cancel();
+    m_permit.reset();
     leaveWaitingRoom();
     for (const auto& attempt : m_attempts)
         attempt->call->cancel();
--- a/src/relay/WholeAnswerCall.h
+++ b/src/relay/WholeAnswerCall.h
@@ -21,6 +21,9 @@
 namespace lupinknot::internal {
 
 enum class PlaceObstacle;
+struct WaitingCall;
+class PermitWait;
+struct PlacementRequest;
 
 class WholeAnswerCall final : public EndpointCallListener, public std::enable_shared_from_this<WholeAnswerCall> {
 public:
@@ -44,13 +47,22 @@
 
     WholeAnswerCall(RelayContext&, RelayRequest);
     void begin();
-    // Sends to one more endpoint; false when there is none. Only an endpoint of which nothing bad is known is good
-    // enough where the call can wait instead.
-    bool sendNext(bool isCharged, bool mustBeSound = false);
+    // Sends to one more endpoint, or asks for a permit to; false when there is none. Only an endpoint of which nothing
+    // bad is known is good enough where the call can wait instead.
+    bool sendNext(PlacementRequest, bool isCharged);
+    void sendTo(const std::shared_ptr<RelayEndpoint>&, bool isCharged);
+    void askForPermit(const std::shared_ptr<RelayEndpoint>&, bool isCharged);
+    void permitAnswered(const std::shared_ptr<RelayEndpoint>&, bool isGranted, bool isCharged);
+    PlacementRequest anyEndpoint();
+    PlacementRequest soundEndpoint();
+    // How long until a permit may be had for an endpoint that is left out for want of one; nothing when there is none.
+    std::optional<Milliseconds> nextPermitIn();
     // True when the call has run nowhere and may be sent again.
     bool mayWait() const;
     // Waits for a place, or refuses for the reason when that is not worth it.
     void waitOrRefuse(RefusalReason);
+    WaitingCall waitingCall() const;
+    Milliseconds comeBackAfter(RefusalReason);
     void tryAgain(RefusalReason lastReason);
     void leaveWaitingRoom();
     // A number from 0 to 1 that differs from call to call.
@@ -78,6 +90,8 @@
     RolloutPart m_rollout;
     CrashWatch m_crashWatch;
     std::vector<std::unique_ptr<Attempt>> m_attempts;
+    // Set while a permit is asked for.
+    std::shared_ptr<PermitWait> m_permit;
     // Endpoints tried since the call waited last.
     std::vector<std::shared_ptr<RelayEndpoint>> m_tried;
     // Sendings that an endpoint may have run.
--- /dev/null
+++ b/test/PeerPermitsTest.cpp
@@ -0,0 +1,174 @@
+#include "PeerPermits.h"
+#include "PeerFeeds.h"
+#include "RunUntil.h"
+#include "lupinknot/MonotonicClock.h"
+#include "relay/KeeperChoice.h"
+#include "standin/StoreStandIn.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+using namespace lupinknot::platform;
+
+namespace {
+
+// A VM with its address for other VMs.
+struct AskingVm {
+    AskingVm(boost::asio::io_context& ioContext, const Clock& clock, const std::string& name, std::int64_t storePort)
+        : registry(ioContext, { "127.0.0.1", storePort }, { name, "a", {} }, {}, [](const auto&) {})
+        , feeds(std::make_unique<PeerFeeds>(ioContext, SocketAddress { "127.0.0.1", 0 }, registry))
+    {
+        CHECK_FALSE(feeds->start().has_value());
+        entry = { name, "a", { "127.0.0.1", feeds->port() } };
+        permits = std::make_unique<PeerPermits>(ioContext, clock, entry);
+        feeds->exchange(PeerPermits::askPath, [this](const std::string& body) { return permits->answer(body); });
+        feeds->take(PeerPermits::tellPath, [this](const std::string& body) { return permits->take(body); });
+    }
+
+    VmRegistry registry;
+    std::unique_ptr<PeerFeeds> feeds;
+    VmEntry entry;
+    std::unique_ptr<PeerPermits> permits;
+};
+
+} // namespace
+
+TEST_GROUP(PeerPermits)
+{
+    std::unique_ptr<boost::asio::io_context> ioContext;
+    std::unique_ptr<StoreStandIn> store;
+    MonotonicClock clock;
+    std::vector<std::unique_ptr<AskingVm>> vms;
+
+    void setup() override
+    {
+        ioContext = std::make_unique<boost::asio::io_context>();
+        store = std::make_unique<StoreStandIn>(*ioContext);
+        store->start();
+    }
+
+    void teardown() override
+    {
+        vms.clear();
+        store.reset();
+        ioContext.reset();
+    }
+
+    void addVms(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            vms.push_back(std::make_unique<AskingVm>(*ioContext, clock, "vm" + std::to_string(i), store->port()));
+        std::vector<VmEntry> all;
+        for (const auto& vm : vms)
+            all.push_back(vm->entry);
+        for (const auto& vm : vms) {
+            vm->permits->setOthers(all);
+            vm->permits->listWasRead(false);
+        }
+    }
+
+    // The number of the VM that counts for the endpoint, and of the one that follows it.
+    std::vector<std::size_t> keepersOf(const std::string& endpoint) const
+    {
+        std::vector<std::string> names;
+        for (const auto& vm : vms)
+            names.push_back(vm->entry.address.text());
+        return chooseKeepers(endpoint, names);
+    }
+
+    PermitAnswer ask(std::size_t vm, double perSecond)
+    {
+        std::optional<PermitAnswer> got;
+        vms[vm]->permits->ask({ "e1", { perSecond, Milliseconds { 0 } }, Milliseconds { 0 } },
+            [&got](const PermitAnswer& answer) { got = answer; });
+        CHECK(runUntil(*ioContext, [&got] { return got.has_value(); }));
+        return *got;
+    }
+
+    // All VMs ask in turn for so long, one of them nine times as often; how many permits they got.
+    int grantedWithin(Milliseconds time, double perSecond)
+    {
+        int granted = 0;
+        const auto end = clock.now() + time;
+        for (std::size_t i = 0; clock.now() < end; ++i)
+            granted += ask(i % 10 == 0 ? (i / 10) % vms.size() : 1, perSecond).isGranted;
+        return granted;
+    }
+};
+
+// Each VM that keeps an endpoint's limit for itself sends it the whole of it.
+TEST(PeerPermits, AllVmsTogetherGetNoMoreThanTheEndpointTakes)
+{
+    addVms(7);
+    const auto granted = grantedWithin(Milliseconds { 2000 }, 5);
+    CHECK_TEXT(granted >= 9 && granted <= 12, std::to_string(granted).c_str());
+}
+
+TEST(PeerPermits, AnotherVmCountsForLessWhenTheFirstDoesNotAnswer)
+{
+    addVms(7);
+    const auto keepers = keepersOf("e1");
+    vms[keepers[0]]->feeds.reset();
+    std::size_t asking = 0;
+    while (asking == keepers[0] || asking == keepers[1])
+        ++asking;
+    int granted = 0;
+    const auto end = clock.now() + Milliseconds { 2000 };
+    while (clock.now() < end)
+        granted += ask(asking, 5).isGranted;
+    CHECK_TEXT(granted >= 3 && granted <= 7, std::to_string(granted).c_str());
+}
+
+TEST(PeerPermits, AVmThatReachesNoOtherKeepsToItsPart)
+{
+    addVms(5);
+    const auto keepers = keepersOf("e1");
+    std::size_t alone = 0;
+    while (std::find(keepers.begin(), keepers.end(), alone) != keepers.end())
+        ++alone;
+    for (const auto keeper : keepers)
+        vms[keeper]->feeds.reset();
+    int granted = 0;
+    const auto end = clock.now() + Milliseconds { 1500 };
+    while (clock.now() < end)
+        granted += ask(alone, 5).isGranted;
+    CHECK_TEXT(granted >= 1 && granted <= 3, std::to_string(granted).c_str());
+}
+
+TEST(PeerPermits, OneVmsNewsThatALimitHasEndedReachesTheOthersWithTheirNextQuestion)
+{
+    addVms(4);
+    ask(0, 1);
+    CHECK_FALSE(ask(1, 1).isGranted);
+    // An answer without a limit comes some time after the last one with it.
+    const auto later = clock.now() + Milliseconds { 5 };
+    CHECK(runUntil(*ioContext, [&] { return clock.now() > later; }));
+    vms[2]->permits->tell("e1", { std::nullopt, Milliseconds { 0 } });
+    std::optional<PermitAnswer> got;
+    CHECK(runUntil(*ioContext, [&] {
+        if (!got || !got->isGranted) {
+            vms[3]->permits->ask({ "e1", { 1.0, Milliseconds { 5000 } }, Milliseconds { 0 } },
+                [&got](const PermitAnswer& answer) { got = answer; });
+            return false;
+        }
+        return true;
+    }));
+    CHECK_FALSE(got->news.perSecond.has_value());
+}
+
+TEST(PeerPermits, AnswersNoQuestionThatCannotBeRead)
+{
+    addVms(1);
+    auto& asked = *vms[0]->permits;
+    for (const auto* text : { "", "[]", "{}", R"({"endpoint":1,"age_ms":0,"patience_ms":0,"rank":0})",
+             R"({"endpoint":"e","age_ms":-1,"patience_ms":0,"rank":0})",
+             R"({"endpoint":"e","age_ms":0,"per_second":-1,"patience_ms":0,"rank":0})",
+             R"({"endpoint":"e","age_ms":0,"per_second":"1","patience_ms":0,"rank":0})",
+             R"({"endpoint":"e","age_ms":0,"per_second":1,"rank":0})" }) {
+        CHECK_TEXT(!asked.answer(text).has_value(), text);
+    }
+    CHECK_FALSE(asked.take("{}"));
+}
