Test, red: a stream is not held for engines that had gone before it was sent

Its trace: all 28 losses that were judged against the one digest that all callers share are connections that something still took and closed within 0 to 1 ms, each half suspect as 'hidden'. The store's return adds nothing: the six VMs hold anew at the same moment, until the same instants as before.

--- a/test/CrashingRequestTest.cpp
+++ b/test/CrashingRequestTest.cpp
@@ -195,6 +195,25 @@
     LONGS_EQUAL(200, caller->head.status);
 }
 
+// All callers asked for the same while the engines of a zone were gone and what stands before them still took
+// connections: each stream lost four engines within a few milliseconds, and all callers were held back for 24 s, later
+// for ten minutes (178 to 189 of 286 to 430 tries served where nine tenths have to be). What settled it: 28 of 28
+// losses were of this form, on six VMs, most of them within 0.6 s after all VMs had started anew and knew of no loss,
+//     quarantine.judged request=c8.2.4 endpoint=llm-7012-1 beginning=hidden worked_ms=0 weight_percent=50
+// and the trial that followed met another engine that had gone. A stream's run begins with its prompt being read, which
+// takes longer than any of these connections lasted. The store's return in between added nothing: the records came
+// back as they were, and the holds ended when they would have ended without it.
+TEST(CrashingRequest, IsNotWhatARequestIsThatMeetsEnginesThatHadGoneBeforeIt)
+{
+    addInFourZones(8, [](ScriptedConnection& asker, const std::string&) { asker.close(); });
+    ready();
+    comeBack("/stream/1", 4);
+    for (std::size_t i = 0; i < 4; ++i)
+        add("back" + std::to_string(i), "a", serves());
+    relay->list();
+    LONGS_EQUAL_TEXT(200, comeBack("/stream/1", 1)->head.status, "it is held for engines that it did not end");
+}
+
 // Each engine says that it leaves, and ends, just after the request has begun there.
 TEST(CrashingRequest, IsNotWhatARequestIsThatMeetsARollingStop)
 {
