A stream that is lost within a few milliseconds has not begun at its engine

Cause: a lost run counted as half suspect where the service does not show when it begins a run, also when the connection was closed in the millisecond in which the stream was sent, by what stands before an engine that has gone. VMs that have just started know of no loss and no zone, so that one stream met four such engines in a row, and the trial after the hold another one.

Change: such a loss within 5 ms of the sending speaks against nobody. A run begins with its prompt, which takes longer; engines that a request does end showed a head and went 42 to 116 ms after it. Calls with a whole answer may be done within that time and still count half.

--- a/src/quarantine/CrashWeight.cpp
+++ b/src/quarantine/CrashWeight.cpp
@@ -33,8 +33,9 @@
     switch (run.beginning) {
     case RunBeginning::NotYet:
         return 0;
+    // To read a prompt takes longer than this: the engine had gone already, behind something that took the connection.
     case RunBeginning::Hidden:
-        return halfSuspicion;
+        return run.workedFor < shortestWork ? 0 : halfSuspicion;
     case RunBeginning::Producing:
         if (run.workedFor >= longRun)
             return 0;
--- a/src/quarantine/CrashWeight.h
+++ b/src/quarantine/CrashWeight.h
@@ -4,8 +4,8 @@
 // the next one. The endpoint's other requests are lost with it; most of them had run for seconds or were still waiting.
 //
 // A request counts as fully suspect when the endpoint had just begun it, as half suspect when it had worked on it for a
-// while or when the service does not show what it has begun, and not at all when it had not begun it, had made events
-// of it for long, or was about to leave. Pure; no state.
+// while or when the service does not show what it has begun, and not at all when it had not begun it, cannot have begun
+// it in so short a time, had made events of it for long, or was about to leave. Pure; no state.
 #pragma once
 
 #include "lupinknot/Clock.h"
--- a/test/CrashWeightTest.cpp
+++ b/test/CrashWeightTest.cpp
@@ -37,6 +37,8 @@
 TEST(CrashWeight, IsNoneForARunThatHadNotBegunOrHadShownItself)
 {
     DOUBLES_EQUAL(0, weight(RunBeginning::NotYet, 50), 0);
+    DOUBLES_EQUAL_TEXT(0, weight(RunBeginning::Hidden, 4), 0, "a prompt is not read in so short a time");
+    DOUBLES_EQUAL(halfSuspicion, weight(RunBeginning::Hidden, 5), 0);
     DOUBLES_EQUAL(0, weight(RunBeginning::Producing, 3000), 0);
 }
 
