Test, red: VMs that enter the table together know each other soon

Each VM read the table of VMs before any had entered itself and counted alone for 30 s. Callers saw nothing.

--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -342,6 +342,25 @@
     CHECK(runUntil([&] { return store->value("vms", "vm1")->find("10.0.0.9") != std::string::npos; }));
 }
 
+// Thirty VMs that were new to the table started at the same moment. Each read the table before any of them was in it,
+// and took itself for the only one until it read it again 30 s later; an endpoint that takes 2.3 requests a second from
+// all VMs got 34 in four seconds (18 are allowed), because each VM counted for it alone. What settled it:
+//     vm0 vms.read others=0 ... 30 s later: vms.read others=29
+TEST(PlatformStore, NewcomersThatStartTogetherKnowEachOtherSoon)
+{
+    const SocketAddress address { "127.0.0.1", store->port() };
+    std::array<std::size_t, 2> known { 0, 0 };
+    const auto start = [&](std::size_t i) {
+        return std::make_unique<VmRegistry>(
+            *ioContext, address, VmEntry { "vm" + std::to_string(i), "a", { "10.0.0.1", 7200 } },
+            std::vector<VmEntry> {}, [&known, i](const std::vector<VmEntry>& others) { known[i] = others.size() + 1; },
+            FleetStart::Earlier);
+    };
+    const auto first = start(0);
+    const auto second = start(1);
+    CHECK(runUntil([&] { return known[0] == 2 && known[1] == 2; }));
+}
+
 TEST(PlatformStore, AFeedWaitsForTheReadersOfItsZoneAfterItsFirstReading)
 {
     SharedReading shared(*ioContext);
