Endpoints' limits on modelled fleets, and what the plays showed

Purpose: the promise holds at any number of VMs and through their troubles.

Causes: all three VMs that count lay in one zone and were cut off together, and those that counted alone each sent one at once; a VM that counts let a burst through at each of its starts; too many permits were out when a limit fell; the first to ask had heard an old limit long ago.

A place that nobody took is kept for 0.4 s, so that a slow limit is used.

--- /dev/null
+++ b/bench/LimitStudy.cpp
@@ -0,0 +1,81 @@
+// Compares the ways in which VMs keep to an endpoint's limit that is meant for all of them, on simulated fleets.
+//
+//     LimitStudy [PLAYS]      # A table without trouble for each way, then so many plays with trouble of the kept way.
+#include "model/LimitModel.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+
+namespace {
+
+constexpr std::array<std::size_t, 4> vmCounts { 3, 7, 88, 300 };
+constexpr std::array<double, 5> limits { 0.2, 1, 2.3, 20, 200 };
+constexpr std::uint64_t seedsOfACell = 5;
+
+void printWay(LimitWay way, bool hasTrouble)
+{
+    std::printf("\n%s, %s trouble: worst four seconds as a share of what is allowed / use / calls a second\n",
+        std::string(nameIn(limitWayNames, way)).c_str(), hasTrouble ? "with" : "without");
+    std::printf("%8s %10s", "a second", "demand");
+    for (const auto vms : vmCounts)
+        std::printf("  %8zu VMs        ", vms);
+    std::printf("\n");
+    for (const auto limit : limits) {
+        for (const bool isUneven : { false, true }) {
+            std::printf("%8.1f %10s", limit, isUneven ? "uneven" : "even");
+            for (const auto vms : vmCounts) {
+                LimitOutcome sum;
+                for (std::uint64_t seed = 1; seed <= seedsOfACell; ++seed) {
+                    const auto outcome = playLimit({ .way = way,
+                        .vmCount = vms,
+                        .perSecond = limit,
+                        .isUneven = isUneven,
+                        .hasTrouble = hasTrouble,
+                        .seed = seed });
+                    sum.worstShare = std::max(sum.worstShare, outcome.worstShare);
+                    sum.use += outcome.use / seedsOfACell;
+                    sum.callsPerSecond += outcome.callsPerSecond / seedsOfACell;
+                }
+                std::printf("  %5.2f %5.2f %8.1f", sum.worstShare, sum.use, sum.callsPerSecond);
+            }
+            std::printf("\n");
+        }
+    }
+}
+
+void playMany(std::uint64_t count)
+{
+    std::uint64_t broken = 0;
+    double worst = 0;
+    for (std::uint64_t seed = 1; seed <= count; ++seed) {
+        const auto outcome = playLimit({ .vmCount = vmCounts.at(seed % vmCounts.size()),
+            .perSecond = limits.at(seed / vmCounts.size() % limits.size()),
+            .isUneven = seed / 3 % 2 == 0,
+            .seed = seed });
+        worst = std::max(worst, outcome.worstShare);
+        if (outcome.worstExcess > 0) {
+            ++broken;
+            std::printf(
+                "seed %llu: %.1f beyond what is allowed\n", static_cast<unsigned long long>(seed), outcome.worstExcess);
+        }
+    }
+    std::printf("%llu plays with trouble: %llu over the bound, the worst four seconds %.2f of it\n",
+        static_cast<unsigned long long>(count), static_cast<unsigned long long>(broken), worst);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    for (const auto way : { LimitWay::EvenShare, LimitWay::DemandShares, LimitWay::OneCounts, LimitWay::BackOff })
+        printWay(way, false);
+    printWay(LimitWay::OneCounts, true);
+    playMany(argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1000);
+    return 0;
+}
--- a/src/limits/HeardLimit.cpp
+++ b/src/limits/HeardLimit.cpp
@@ -5,7 +5,11 @@
 LimitChange HeardLimit::noteAnswer(std::optional<double> perSecond, Milliseconds sentAt, Milliseconds now)
 {
     const bool isNews = perSecond || (m_perSecond && sentAt >= m_heardAt);
-    return isNews ? set(perSecond, now) : LimitChange::None;
+    if (!isNews)
+        return LimitChange::None;
+    const bool wasBelieved = isBelieved(now);
+    const auto change = set(perSecond, now);
+    return change == LimitChange::None && !wasBelieved ? LimitChange::Confirmed : change;
 }
 
 LimitChange HeardLimit::noteNews(std::optional<double> perSecond, Milliseconds heardAt)
--- a/src/limits/HeardLimit.h
+++ b/src/limits/HeardLimit.h
@@ -21,17 +21,23 @@
     Named,
     Changed,
     Ended,
+    Confirmed, // The same limit is heard again after a while in which nobody was known to have heard it.
 };
 
-inline constexpr std::array<EnumName<LimitChange>, 4> limitChangeNames { {
+inline constexpr std::array<EnumName<LimitChange>, 5> limitChangeNames { {
     { LimitChange::None, "none" },
     { LimitChange::Named, "named" },
     { LimitChange::Changed, "changed" },
     { LimitChange::Ended, "ended" },
+    { LimitChange::Confirmed, "confirmed" },
 } };
 
 class HeardLimit {
 public:
+    // A limit that was not heard for so long may have changed.
+    static constexpr Milliseconds believedFor { 1000 };
+
+    bool isBelieved(Milliseconds now) const { return now - m_heardAt < believedFor; }
     // Nothing when the endpoint takes what it gets.
     const std::optional<double>& perSecond() const { return m_perSecond; }
     // When this was last said; 0 when nothing ever was.
--- a/src/limits/LimitKeeper.cpp
+++ b/src/limits/LimitKeeper.cpp
@@ -1,6 +1,7 @@
 #include "limits/LimitKeeper.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lupinknot::internal {
 
@@ -13,6 +14,9 @@
 constexpr Milliseconds farthestReturns { 500 };
 // No VM stays away for longer than this as long as few ask, so that it hears soon that the limit has ended.
 constexpr Milliseconds longestReturn { 2000 };
+// A limit that nobody has heard for a while may have fallen meanwhile: requests go one at a time until one has told, as
+// VMs do that hear it again after a while (LimitChange::Confirmed).
+constexpr double doubtfulRate = 4;
 // Beyond this many, more than all VMs of a fleet, those that ask are told the time of the last one.
 constexpr std::size_t mostReturns = 1000;
 
@@ -25,7 +29,7 @@
     const auto known = m_counts.find(endpoint);
     if (known == m_counts.end())
         forgetUnused(now);
-    auto& count = m_counts.try_emplace(endpoint, Count { {}, PermitSchedule(now), {}, now }).first->second;
+    auto& count = m_counts.try_emplace(endpoint, Count { {}, PermitSchedule(now), false, {}, now }).first->second;
     count.usedAt = now;
     return count;
 }
@@ -54,7 +58,10 @@
     if (!perSecond)
         return { true, Milliseconds { 0 }, newsOf(count.limit, now) };
     auto& schedule = count.schedule;
-    schedule.setRate(*perSecond * share, now);
+    const auto rate = std::max(*perSecond, PermitSchedule::slowestRate) * share;
+    schedule.setRate(count.limit.isBelieved(now) ? rate : std::min(rate, doubtfulRate), now);
+    if (!std::exchange(count.hasBegun, true))
+        schedule.delay(m_firstPlaceAfter);
     const auto wait = schedule.waitFor(now);
     if (wait > std::min(request.patience, mostWaiting * schedule.interval()))
         return { false, returnAfter(count, std::max(wait, Milliseconds { 1 }), now), newsOf(count.limit, now) };
--- a/src/limits/LimitKeeper.h
+++ b/src/limits/LimitKeeper.h
@@ -21,13 +21,22 @@
 
 class LimitKeeper {
 public:
+    // The first place of an endpoint is there after a share of the time between two: a VM that begins to count does not
+    // know what was given out just before. VMs that count for themselves alone all begin at the same moment, when they
+    // lose the one that counted, and each has a share of its own.
+    explicit LimitKeeper(double firstPlaceAfter = 1)
+        : m_firstPlaceAfter(firstPlaceAfter)
+    {
+    }
+
     // Share of a limit that is given out: the rest covers permits that are used a little late.
     static constexpr double wholeShare = 0.95;
     // The same where another VM may count for the same endpoint at the same time, because VMs know different lists of
-    // VMs or some cannot reach it. Both shares together stay below the one and a half times that endpoints bear.
-    static constexpr double substituteShare = 0.4;
+    // VMs or some cannot reach it. Both shares together, and what each lets through at its start, stay below the one
+    // and a half times that endpoints bear.
+    static constexpr double substituteShare = 0.35;
     // No more requests than this wait for places of one endpoint, so that a limit that falls finds few permits out.
-    static constexpr int mostWaiting = 4;
+    static constexpr int mostWaiting = 2;
 
     PermitAnswer ask(const PermitRequest&, double share, Milliseconds now);
     void tell(const std::string& endpoint, const LimitNews&, Milliseconds now);
@@ -40,6 +49,7 @@
     struct Count {
         HeardLimit limit;
         PermitSchedule schedule;
+        bool hasBegun { false };
         // When those that got no permit were told to ask again, oldest first.
         std::deque<Milliseconds> returns;
         Milliseconds usedAt { 0 };
@@ -50,6 +60,7 @@
     // When one that gets no permit should ask again; the next place is free after the time.
     static Milliseconds returnAfter(Count&, Milliseconds free, Milliseconds now);
 
+    double m_firstPlaceAfter;
     // By start of an endpoint.
     std::map<std::string, Count> m_counts;
 };
--- a/src/limits/PermitSchedule.cpp
+++ b/src/limits/PermitSchedule.cpp
@@ -13,7 +13,7 @@
 
 void PermitSchedule::setRate(double perSecond, Milliseconds now)
 {
-    const auto interval = millisecondsPerSecond / std::max(perSecond, slowestRate);
+    const auto interval = millisecondsPerSecond / perSecond;
     const auto instant = static_cast<double>(now.count());
     if (interval < m_interval && m_nextAt > instant)
         m_nextAt = instant + (m_nextAt - instant) * interval / m_interval;
@@ -22,13 +22,13 @@
 
 Milliseconds PermitSchedule::waitFor(Milliseconds now) const
 {
-    const auto wait = m_nextAt - static_cast<double>((now + tolerance).count());
+    const auto wait = m_nextAt - static_cast<double>(now.count());
     return Milliseconds { static_cast<std::int64_t>(std::ceil(std::max(wait, 0.0))) };
 }
 
 void PermitSchedule::take(Milliseconds now)
 {
-    m_nextAt = std::max(m_nextAt, static_cast<double>(now.count())) + m_interval;
+    m_nextAt = std::max(m_nextAt, static_cast<double>((now - placesKeptFor).count())) + m_interval;
 }
 
 } // namespace lupinknot::internal
--- a/src/relay/RelayEndpoint.cpp
+++ b/src/relay/RelayEndpoint.cpp
@@ -110,7 +110,7 @@
 
 void RelayEndpoint::limitChanged(LimitChange change, std::string_view heardFrom) const
 {
-    if (change == LimitChange::None)
+    if (change == LimitChange::None || change == LimitChange::Confirmed)
         return;
     const auto& perSecond = m_limit.perSecond();
     LogEvent("endpoint.limit")
--- a/test/EndpointLimitTest.cpp
+++ b/test/EndpointLimitTest.cpp
@@ -1,8 +1,8 @@
 // Endpoints in need named in their answers how many requests a second they take from all VMs together, and got up to
 // twice what that allows: an endpoint that named 1.1 a second got 22 requests in 4 s (12 are allowed), one of 2.5 a
-// second got 22 (20 are allowed), from VMs that had passed such answers on. No VM acted on what the answers said, and an
-// endpoint's limit for all VMs is the first thing of which no VM alone knows how much is used. What settled it: one VM
-// sent 18 in four seconds to the endpoint of 1.1 a second, four of the 30 sendings of all VMs were retries, and the
+// second got 22 (20 are allowed), from VMs that had passed such answers on. No VM acted on what the answers said, and
+// an endpoint's limit for all VMs is the first thing of which no VM alone knows how much is used. What settled it: one
+// VM sent 18 in four seconds to the endpoint of 1.1 a second, four of the 30 sendings of all VMs were retries, and the
 // shares of the four endpoints were the same before and after:
 //     request.sent to i-20e08d9a6b: 13 in the four seconds before, 30 after; i-e2782c44e0: 30 before, 36 after
 #include "RelayHarness.h"
