--- a/src/relay/WholeAnswerCall.cpp
+++ b/src/relay/WholeAnswerCall.cpp
@@ -97,7 +97,7 @@
     return wanted;
 }
 
-bool WholeAnswerCall::sendNext(PlacementRequest wanted, bool isCharged)
+bool WholeAnswerCall::sendNext(const PlacementRequest& wanted, bool isCharged)
 {
     const auto now = m_context.now();
     const auto endpoint = m_context.placement.choose(wanted, now);
@@ -190,7 +190,7 @@
     // An endpoint in need is spared what is only a precaution.
     auto wanted = anyEndpoint();
     wanted.limited = LimitedEndpoints::LeftOut;
-    if (!sendNext(std::move(wanted), true))
+    if (!sendNext(wanted, true))
         m_context.retryBudget(m_request.service).giveBack();
 }
 
--- a/src/relay/WholeAnswerCall.h
+++ b/src/relay/WholeAnswerCall.h
@@ -49,7 +49,7 @@
     void begin();
     // Sends to one more endpoint, or asks for a permit to; false when there is none. Only an endpoint of which nothing
     // bad is known is good enough where the call can wait instead.
-    bool sendNext(PlacementRequest, bool isCharged);
+    bool sendNext(const PlacementRequest&, bool isCharged);
     void sendTo(const std::shared_ptr<RelayEndpoint>&, bool isCharged);
     void askForPermit(const std::shared_ptr<RelayEndpoint>&, bool isCharged);
     void permitAnswered(const std::shared_ptr<RelayEndpoint>&, bool isGranted, bool isCharged);
--- a/test/EndpointLimitTest.cpp
+++ b/test/EndpointLimitTest.cpp
@@ -73,6 +73,7 @@
     void serveTogether(const std::string& path, int count)
     {
         std::vector<std::shared_ptr<TestCaller>> callers;
+        callers.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
             callers.push_back(relay->call(path, {}, "r" + std::to_string(++calls)));
         for (const auto& caller : callers) {
