Choosing an endpoint looks at limits only where one may be chosen

Callers saw nothing.

Cause: a look at each endpoint and a count of those without a limit. Since a limit only makes an endpoint dearer or leaves it out, it matters only if a limited one is among the best: otherwise the choice is the same.

Change: the best are found as before; only if one of them is limited are limits applied and the best found again.

--- a/src/relay/Placement.cpp
+++ b/src/relay/Placement.cpp
@@ -28,6 +28,12 @@
 constexpr double zoneToLeaveCost = 10000;
 constexpr double leavingCost = 100000;
 
+// Whether an endpoint comes into question with the limit that it may have.
+bool isOpen(const RelayEndpoint& endpoint, LimitedEndpoints wanted, Milliseconds now)
+{
+    return !endpoint.isLimited() || (wanted == LimitedEndpoints::Admitted && now >= endpoint.noPermitUntil());
+}
+
 // True while the endpoint is believed to be better off with less work.
 bool isInNeed(const RelayEndpoint& endpoint, Milliseconds now)
 {
@@ -52,47 +58,56 @@
 std::vector<std::shared_ptr<RelayEndpoint>> Placement::candidates(
     const PlacementRequest& request, std::size_t count, Milliseconds now)
 {
-    struct Candidate {
-        double cost;
-        std::shared_ptr<RelayEndpoint> endpoint;
-    };
     const auto* const favourite = preferred(request, now);
     std::vector<Candidate> found;
-    const auto& endpoints = m_directory.endpointsOf(request.service);
-    std::size_t freeCount = 0;
-    for (const auto& endpoint : endpoints) {
-        freeCount += endpoint->isLimited() ? 0 : 1;
+    for (const auto& endpoint : m_directory.endpointsOf(request.service)) {
         if (!isEligible(*endpoint, request, now))
             continue;
-        if (request.limited == LimitedEndpoints::Admitted && now < endpoint->noPermitUntil())
-            continue;
         const auto sum = cost(*endpoint, request, now) - (endpoint.get() == favourite ? request.preference : 0.0);
         if (!request.mustBeSound || sum < failingZoneCost)
             found.push_back({ sum, endpoint });
     }
-    if (freeCount < endpoints.size() && request.limited == LimitedEndpoints::Admitted) {
-        const auto extra = limitedCost * static_cast<double>(freeCount) / static_cast<double>(endpoints.size());
-        for (auto& candidate : found) {
-            if (isInNeed(*candidate.endpoint, now))
-                candidate.cost += extra;
-        }
+    auto best = cheapest(found, count);
+    // Limits only make endpoints dearer or leave them out: without one among the best the others do not matter.
+    if (std::any_of(best.begin(), best.end(), [](const auto& endpoint) { return endpoint->isLimited(); })) {
+        applyLimits(found, request.limited, now);
+        best = cheapest(found, count);
     }
+    return best;
+}
+
+// Takes out endpoints that are not open and makes those dearer that are better off with less work.
+void Placement::applyLimits(std::vector<Candidate>& found, LimitedEndpoints wanted, Milliseconds now)
+{
+    if (wanted == LimitedEndpoints::NotSent)
+        return;
+    const auto isFree = [](const Candidate& candidate) { return !candidate.endpoint->isLimited(); };
+    const auto freeCount = std::count_if(found.begin(), found.end(), isFree);
+    const auto extra = limitedCost * static_cast<double>(freeCount) / static_cast<double>(found.size());
+    std::erase_if(
+        found, [wanted, now](const Candidate& candidate) { return !isOpen(*candidate.endpoint, wanted, now); });
+    for (auto& candidate : found) {
+        if (isInNeed(*candidate.endpoint, now))
+            candidate.cost += extra;
+    }
+}
+
+std::vector<std::shared_ptr<RelayEndpoint>> Placement::cheapest(std::vector<Candidate>& found, std::size_t count)
+{
     const auto end = found.begin() + static_cast<std::ptrdiff_t>(std::min(count, found.size()));
     std::partial_sort(
         found.begin(), end, found.end(), [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
     std::vector<std::shared_ptr<RelayEndpoint>> best;
-    std::for_each(found.begin(), end, [&best](Candidate& candidate) { best.push_back(std::move(candidate.endpoint)); });
+    std::for_each(found.begin(), end, [&best](const Candidate& candidate) { best.push_back(candidate.endpoint); });
     return best;
 }
 
 bool Placement::isEligible(const RelayEndpoint& endpoint, const PlacementRequest& request, Milliseconds now) const
 {
-    const auto& excluded = request.excluded;
-    const auto isSame = [&endpoint](const std::shared_ptr<RelayEndpoint>& other) { return other.get() == &endpoint; };
-    if (std::any_of(excluded.begin(), excluded.end(), isSame))
-        return false;
-    if (request.limited == LimitedEndpoints::LeftOut && endpoint.isLimited())
-        return false;
+    for (const auto& excluded : request.excluded) {
+        if (excluded.get() == &endpoint)
+            return false;
+    }
     return endpoint.mayTakeWork(now, m_settings.leavingEndpointGrace)
         && request.version.admits(endpoint.entry().version);
 }
--- a/src/relay/Placement.h
+++ b/src/relay/Placement.h
@@ -63,6 +63,15 @@
         const std::vector<std::shared_ptr<RelayEndpoint>>&, const EngineWork&, const EnginePace&, Milliseconds now);
 
 private:
+    struct Candidate {
+        // In calls under way.
+        double cost;
+        std::shared_ptr<RelayEndpoint> endpoint;
+    };
+
+    static void applyLimits(std::vector<Candidate>&, LimitedEndpoints, Milliseconds now);
+    // The first so many by cost; the candidates are put in order as far as that.
+    static std::vector<std::shared_ptr<RelayEndpoint>> cheapest(std::vector<Candidate>&, std::size_t count);
     // The preferred endpoint among the sound ones of the zone, or null.
     const RelayEndpoint* preferred(const PlacementRequest&, Milliseconds now) const;
     // True when the request may be sent to the endpoint, if a permit can be had for it.
