--- a/test/EndpointLimitTest.cpp
+++ b/test/EndpointLimitTest.cpp
@@ -70,12 +70,12 @@
     }
 
     // So many callers come at once; all of them are served.
-    void serveTogether(const std::string& path, int count)
+    void serveTogether(const std::string& path, int count, const HttpHeaders& extra = {})
     {
         std::vector<std::shared_ptr<TestCaller>> callers;
         callers.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
-            callers.push_back(relay->call(path, {}, "r" + std::to_string(++calls)));
+            callers.push_back(relay->call(path, extra, "r" + std::to_string(++calls)));
         for (const auto& caller : callers) {
             CHECK_TEXT(relay->runUntil([&] { return caller->isWhole || caller->isBroken; }), "no answer came");
             LONGS_EQUAL(200, caller->head.status);
@@ -120,3 +120,23 @@
     CHECK_TEXT(static_cast<double>(inNeed.requests().size()) <= mostInFourSeconds(1),
         ("in under four seconds it got " + std::to_string(inNeed.requests().size())).c_str());
 }
+
+// A call went to an endpoint that was full for a moment, beside one that takes a request every five seconds. It was
+// refused at once with the five seconds, although the full one had a place again within its time.
+TEST(EndpointLimit, DoesNotKeepACallFromWaitingForAFullEndpointBesideIt)
+{
+    relay->addEndpoint("e1").onRequest(answersWith("Server-Limit: 0.2\r\n"));
+    auto& full = relay->addEndpoint("e2");
+    full.onRequest(answersWith(""));
+    ready();
+    // Until the limit has been heard, and its places are taken.
+    serveInRounds("/once/1");
+    int turnedAway = 0;
+    full.onRequest([&turnedAway](ScriptedConnection& asker, const std::string& request) {
+        if (++turnedAway <= 8)
+            asker.answer(503, "X-Request-Id: " + idOf(request) + "\r\nX-Not-Executed: full\r\n", "");
+        else
+            answersWith("")(asker, request);
+    });
+    serveTogether("/once/1", 4, { { "X-Deadline-Ms", "1500" } });
+}
