A call waits for a full endpoint beside a limited one

What callers saw: a call with 1.5 s left was refused at once, with the time until an endpoint that takes one request every five seconds has a place, although another endpoint was only full for a moment.

Cause: the time of a limited endpoint decided as soon as one was left out for want of a permit, whatever other endpoints there were. Ruled out: the retry budget and the waiting room (the refusal says endpoints-limited).

Change: the time of a permit decides only where all endpoints of the service are limited; otherwise the call waits as it always did. A place that was missed is asked for again no sooner than after the shortest pause.

One more test on the waiting time itself.

--- a/src/admission/WaitForPlace.cpp
+++ b/src/admission/WaitForPlace.cpp
@@ -33,8 +33,9 @@
 
 WaitDecision waitForPermit(const WaitingCall& call, Milliseconds permitIn, Milliseconds usualCallTime, Milliseconds now)
 {
-    const bool endsInTime = now + permitIn + usualCallTime <= call.deadline;
-    return { permitIn <= timeToWait(call, now) && endsInTime, permitIn };
+    const auto pause = std::max(permitIn, shortestPause);
+    const bool endsInTime = now + pause + usualCallTime <= call.deadline;
+    return { pause <= timeToWait(call, now) && endsInTime, pause };
 }
 
 Milliseconds comeBackIn(PlaceObstacle obstacle, Milliseconds timeLeft, double spread)
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -60,7 +60,7 @@
     void sendTo(const std::shared_ptr<RelayEndpoint>&, std::optional<CopySource>);
     // How long the stream can wait for its place at an endpoint under a limit.
     Milliseconds patienceForPermit(bool isFromCopy);
-    // How long until a permit may be had for an endpoint that is left out for want of one; nothing when there is none.
+    // How long until a permit may be had where all engines are limited; nothing otherwise.
     std::optional<Milliseconds> nextPermitIn();
     // Where a run that reads the prompt should begin.
     PlacementRequest wantedPlacement();
--- a/src/relay/Placement.cpp
+++ b/src/relay/Placement.cpp
@@ -116,9 +116,13 @@
 {
     std::optional<Milliseconds> next;
     for (const auto& endpoint : m_directory.endpointsOf(request.service)) {
-        const auto until = endpoint->noPermitUntil();
-        if (now < until && isEligible(*endpoint, request, now) && !endpoint->isLeaving())
-            next = std::min(next.value_or(until), until);
+        if (endpoint->isLeaving() || !isEligible(*endpoint, request, now))
+            continue;
+        // One that is only full or out of reach may have a place sooner.
+        if (!endpoint->isLimited())
+            return std::nullopt;
+        const auto until = std::max(endpoint->noPermitUntil(), now);
+        next = std::min(next.value_or(until), until);
     }
     return next;
 }
--- a/src/relay/Placement.h
+++ b/src/relay/Placement.h
@@ -56,7 +56,8 @@
     // The endpoints that come first into question, best first: as many as are wanted, or fewer.
     std::vector<std::shared_ptr<RelayEndpoint>> candidates(
         const PlacementRequest&, std::size_t count, Milliseconds now);
-    // When a permit may be had for one of the endpoints that are left out for want of one; nothing when there is none.
+    // When a permit may be had if all endpoints in question take only so many requests a second; nothing when one takes
+    // what it gets, or when there is none.
     std::optional<Milliseconds> nextPermitAt(const PlacementRequest&, Milliseconds now) const;
     // The best of some engines that have reported their load, by forecast; null when none may take work any more.
     std::shared_ptr<RelayEndpoint> chooseReported(
--- a/src/relay/WholeAnswerCall.h
+++ b/src/relay/WholeAnswerCall.h
@@ -55,7 +55,7 @@
     void permitAnswered(const std::shared_ptr<RelayEndpoint>&, bool isGranted, bool isCharged);
     PlacementRequest anyEndpoint();
     PlacementRequest soundEndpoint();
-    // How long until a permit may be had for an endpoint that is left out for want of one; nothing when there is none.
+    // How long until a permit may be had where all endpoints are limited; nothing otherwise.
     std::optional<Milliseconds> nextPermitIn();
     // True when the call has run nowhere and may be sent again.
     bool mayWait() const;
--- a/test/WaitForPlaceTest.cpp
+++ b/test/WaitForPlaceTest.cpp
@@ -170,3 +170,16 @@
     room.leave(1);
     CHECK(room.enter(1));
 }
+
+TEST(WaitForPlace, ACallWaitsForAPlaceAtALimitedEndpointOnlyIfItComesInItsTime)
+{
+    const WaitingCall call { Milliseconds { 0 }, Milliseconds { 1500 }, 0 };
+    const Milliseconds usual { 50 };
+    const auto soon = waitForPermit(call, Milliseconds { 600 }, usual, Milliseconds { 100 });
+    CHECK(soon.waits);
+    LONGS_EQUAL(600, soon.pause.count());
+    CHECK_FALSE(waitForPermit(call, Milliseconds { 700 }, usual, Milliseconds { 100 }).waits);
+    LONGS_EQUAL_TEXT(shortestPause.count(),
+        waitForPermit(call, Milliseconds { 0 }, usual, Milliseconds { 100 }).pause.count(),
+        "a place that was missed is not asked for again and again");
+}
