--- a/bench/PlacementBenchmark.cpp
+++ b/bench/PlacementBenchmark.cpp
@@ -30,7 +30,7 @@
     Placement placement(directory, settings, 1);
     PlacementRequest request;
     request.service = "s";
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(placement.choose(request, Milliseconds { 2 }));
 }
 
