--- a/src/model/LimitModel.h
+++ b/src/model/LimitModel.h
@@ -59,7 +59,7 @@
     double worstShare { 0 };
     // Share of the limit that was used while requests for it were refused.
     double use { 0 };
-    // Calls between VMs a second while the limit held, and the most of one VM.
+    // Calls between VMs a second, on the mean of the play.
     double callsPerSecond { 0 };
 };
 
