Rejections in the log say how long the endpoint asked for rest

The hypotheses on the requests that an endpoint got in spite of its Retry-After could not be told apart: the log did not say that a rejection carried a time, nor whether an endpoint was still avoided when it was chosen.

No decision changes.

--- a/src/relay/CallProtocol.h
+++ b/src/relay/CallProtocol.h
@@ -72,6 +72,14 @@
     std::string unreadable;
 };
 
+// How long an endpoint that rejects a request wants no further one from this VM.
+struct AnsweredRest {
+    // Nothing when the answer asks for no rest, or its time cannot be read.
+    std::optional<Milliseconds> time;
+    // The value that cannot be read; empty when there is none.
+    std::string unreadable;
+};
+
 // What an endpoint's answer says, once decoded.
 struct AnswerFields {
     // The request that the answer belongs to; empty when it does not say.
@@ -83,6 +91,9 @@
     // True when the address belongs to another incarnation than the one that was asked for.
     bool isOtherEndpoint { false };
     AnsweredLimit limit {};
+    AnsweredRest rest {};
+    // True when the endpoint says that it is about to end.
+    bool isLeaving { false };
 };
 
 // Stateless and thread-safe.
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -381,6 +381,7 @@
         .number("run", run->number)
         .number("after_event", static_cast<std::int64_t>(lastEventId()))
         .number("in_flight", endpoint->inFlight())
+        .flag("avoided", endpoint->isAvoided(now))
         .number("config_version", static_cast<std::int64_t>(m_request.configurationVersion))
         .write();
     m_rollout.noteSent();
@@ -584,6 +585,8 @@
         .text("endpoint", run->endpoint->entry().id)
         .flag("from_copy", run->isFromCopy)
         .number("status", run->head.status)
+        .number("retry_after_ms", run->fields.rest.time.value_or(Milliseconds { -1 }).count())
+        .flag("leaving", run->fields.isLeaving)
         .write();
     if (run->fields.isOtherEndpoint) {
         m_context.directory.remove(run->endpoint->entry().id, now);
--- a/src/relay/WholeAnswerCall.cpp
+++ b/src/relay/WholeAnswerCall.cpp
@@ -154,6 +154,7 @@
         .text("endpoint", endpoint->entry().id)
         .number("attempt", static_cast<std::int64_t>(m_attempts.size() + 1))
         .number("in_flight", endpoint->inFlight())
+        .flag("avoided", endpoint->isAvoided(now))
         .number("config_version", static_cast<std::int64_t>(m_request.configurationVersion))
         .write();
     m_rollout.noteSent();
@@ -236,6 +237,8 @@
             .text("request", m_request.fields.requestId)
             .text("endpoint", endpoint->entry().id)
             .number("status", status)
+            .number("retry_after_ms", attempt.fields.rest.time.value_or(Milliseconds { -1 }).count())
+            .flag("leaving", attempt.fields.isLeaving)
             .write();
         const auto now = m_context.now();
         if (attempt.fields.isOtherEndpoint)
