Endpoints that asked for rest, or leave, get no requests

Callers were served; an endpoint in need was not spared: after 503 with Retry-After: 3 it got 6 requests from the same VM within that time.

Cause: no code read Retry-After or Server-Leaving of an endpoint's answer. A rejecting endpoint was avoided for a fixed 150 ms, whatever it said. Ruled out: a resting endpoint as a last resort (the others were free), and requests under way (one call at a time shows it).

EndpointSignals holds what a start of an endpoint says of itself; Placement and the streams' own choices (kept prompts, copies) ask it, and so do questions after load and life and orders to move a run. Where all endpoints rest, a request waits for the first or is refused at once with the true time.

EndpointRestTest, before: 3, 4, 4 and 16 requests where none is allowed; after: none.

--- a/src/admission/WaitForPlace.cpp
+++ b/src/admission/WaitForPlace.cpp
@@ -31,13 +31,19 @@
     return std::max(latest - now, Milliseconds { 0 });
 }
 
-WaitDecision waitForPermit(const WaitingCall& call, Milliseconds permitIn, Milliseconds usualCallTime, Milliseconds now)
+WaitDecision waitForOpening(
+    const WaitingCall& call, Milliseconds opensIn, Milliseconds usualCallTime, double spread, Milliseconds now)
 {
-    const auto pause = std::max(permitIn, shortestPause);
+    const auto pause = std::max(opensIn, shortestPause) + scaled(comeBackWhenFull, spread);
     const bool endsInTime = now + pause + usualCallTime <= call.deadline;
     return { pause <= timeToWait(call, now) && endsInTime, pause };
 }
 
+Milliseconds comeBackAfterRest(Milliseconds restsFor, double spread)
+{
+    return restsFor + scaled(comeBackWhenFull, spread);
+}
+
 Milliseconds comeBackIn(PlaceObstacle obstacle, Milliseconds timeLeft, double spread)
 {
     const auto most = std::max(scaled(timeLeft, comeBackShare), Milliseconds { 0 });
--- a/src/admission/WaitForPlace.h
+++ b/src/admission/WaitForPlace.h
@@ -53,15 +53,20 @@
 // How long a call may go on waiting for a place: it keeps time for one more try of its caller.
 Milliseconds timeToWait(const WaitingCall&, Milliseconds now);
 
-// The same decision for a call whose endpoints take only so many requests a second: when the next place may be there is
-// known. A call that cannot wait until then is refused at once.
-WaitDecision waitForPermit(const WaitingCall&, Milliseconds permitIn, Milliseconds usualCallTime, Milliseconds now);
+// The same decision where it is known when the first endpoint takes requests again, because all have asked for a pause
+// or take only so many a second. A call that cannot wait until then is refused at once. The spread keeps calls that
+// wait for the end of one rest from arriving together; permits are spread already (0).
+WaitDecision waitForOpening(
+    const WaitingCall&, Milliseconds opensIn, Milliseconds usualCallTime, double spread, Milliseconds now);
 
 // The most of its time that a caller spends before it comes back; a longer wait is cut to this by callers.
 inline constexpr double comeBackShare = 1.0 / 3;
 // Full endpoints have places again after a few calls: callers are spread from half to one and a half of this.
 inline constexpr Milliseconds comeBackWhenFull { 250 };
 
+// When a caller should come back that is refused because all endpoints rest: after the first rest, spread as above.
+Milliseconds comeBackAfterRest(Milliseconds restsFor, double spread);
+
 // When a caller that is refused should come back. What cannot be reached stays so for seconds, so that the latest time
 // that the caller can use is the best one.
 Milliseconds comeBackIn(PlaceObstacle, Milliseconds timeLeft, double spread);
--- a/src/relay/EndpointCall.cpp
+++ b/src/relay/EndpointCall.cpp
@@ -72,6 +72,11 @@
 void EndpointCall::answerHead(const HttpResponse& head)
 {
     const auto fields = m_context.protocol.decodeAnswer(head);
+    const auto now = m_context.now();
+    // Other bytes and other starts of the endpoint say nothing of it.
+    const bool isItsOwn = (fields.isSigned || fields.isNotRun) && !fields.isOtherEndpoint;
+    if (isItsOwn)
+        m_endpoint->noteSignals(fields, now);
     m_isSkipping = !fields.requestId.empty() && fields.requestId != m_options.requestId;
     if (m_isSkipping) {
         LogEvent("answer.skipped")
@@ -81,10 +86,7 @@
             .write();
         return;
     }
-    // Other bytes and other starts of the endpoint say nothing of its limit.
-    const auto now = m_context.now();
-    const bool isItsWord = (fields.isSigned || fields.isNotRun) && !fields.isOtherEndpoint;
-    if (isItsWord && m_endpoint->noteLimit(fields.limit, m_startedAt, now))
+    if (isItsOwn && m_endpoint->noteLimit(fields.limit, m_startedAt, now))
         m_context.permits->tell(m_endpoint->entry().startName(), m_endpoint->limitNews(now));
     if (const auto listener = m_listener.lock())
         listener->callHead(*this, head, fields);
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -51,6 +51,8 @@
     const auto id = entry.id;
     const ClientConnectionSettings connection { .connectTimeout = m_settings.endpointConnectTimeout };
     const auto endpoint = std::make_shared<RelayEndpoint>(m_ioContext, entry, connection, now);
+    if (const auto departure = m_departures.find(entry.startName()); departure != m_departures.end())
+        endpoint->restoreSignals(departure->second.signals, now);
     endpoint->updateEntry(std::move(entry), now);
     m_endpointsById.emplace(id, endpoint);
     m_endpointsByService[service].push_back(endpoint);
@@ -64,7 +66,7 @@
         return;
     }
     const auto departure = m_departures.find(entry.startName());
-    entry.isDraining = entry.isDraining || (departure != m_departures.end() && departure->second.wasDraining);
+    entry.isDraining = entry.isDraining || (departure != m_departures.end() && departure->second.signals.isLeaving());
 }
 
 bool EndpointDirectory::isKnownGone(const EndpointEntry& entry) const
@@ -74,13 +76,13 @@
     return !isListed && m_departures.count(entry.startName()) > 0;
 }
 
-void EndpointDirectory::takeReturned(EndpointEntry entry)
+void EndpointDirectory::takeReturned(EndpointEntry entry, Milliseconds now)
 {
     // That it leaves is believed at once: it may still be a last resort.
     if (entry.isDraining) {
-        m_departures.at(entry.startName()).wasDraining = true;
+        m_departures.at(entry.startName()).signals.noteLeaving();
         if (const auto known = find(entry.id))
-            known->setDraining();
+            known->setDraining(now);
     }
     m_doubt.returned.insert_or_assign(entry.id, std::move(entry));
 }
@@ -132,7 +134,7 @@
     if (known == m_endpointsById.end() || known->second->isRemoved())
         return;
     const auto& entry = known->second->entry();
-    m_departures.insert_or_assign(entry.startName(), Departure { now, entry.isDraining });
+    m_departures.insert_or_assign(entry.startName(), Departure { now, known->second->signals() });
     ++m_counts.removed;
     logEndpoint("endpoint.removed", known->second->entry());
     known->second->setRemoved(now);
@@ -191,7 +193,7 @@
     for (auto& entry : entries) {
         listed.insert(entry.id);
         if (mayNameGone && isKnownGone(entry))
-            takeReturned(std::move(entry));
+            takeReturned(std::move(entry), now);
         else
             upsert(std::move(entry), now);
     }
@@ -262,11 +264,13 @@
 void EndpointDirectory::dropExpired(Milliseconds now)
 {
     settleList(now);
-    std::erase_if(
-        m_departures, [now](const auto& departure) { return now - departure.second.at > departureRemembered; });
+    std::erase_if(m_departures, [now](const auto& entry) {
+        const auto& departure = entry.second;
+        return now - departure.at > departureRemembered && !departure.signals.isResting(now);
+    });
     std::vector<std::shared_ptr<RelayEndpoint>> expired;
     for (const auto& known : m_endpointsById) {
-        if (known.second->isRemoved() && !known.second->mayTakeWork(now, m_settings.leavingEndpointGrace))
+        if (known.second->isExpired(now, m_settings.leavingEndpointGrace))
             expired.push_back(known.second);
     }
     for (const auto& endpoint : expired)
@@ -275,6 +279,9 @@
 
 void EndpointDirectory::forget(const std::shared_ptr<RelayEndpoint>& endpoint)
 {
+    // Its entry may only have lapsed: what it said of itself still holds when it is listed again.
+    if (const auto departure = m_departures.find(endpoint->entry().startName()); departure != m_departures.end())
+        departure->second.signals.merge(endpoint->signals());
     const auto here = m_idsByAddress.find(endpoint->entry().address.text());
     if (here != m_idsByAddress.end() && here->second == endpoint->entry().id)
         m_idsByAddress.erase(here);
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -91,7 +91,7 @@
     // A start of an endpoint whose entry has gone.
     struct Departure {
         Milliseconds at;
-        bool wasDraining;
+        EndpointSignals signals;
     };
     // What a list in doubt says otherwise than is known, by id.
     struct Doubt {
@@ -118,7 +118,7 @@
     // True for a start that is known to have gone.
     bool isKnownGone(const EndpointEntry&) const;
     // A list in doubt names a start that is known to have gone: it is listed only if it is still there at the end.
-    void takeReturned(EndpointEntry);
+    void takeReturned(EndpointEntry, Milliseconds now);
     // Removes what the list in doubt lacked, and lists what it named although it was known to have gone, each in its
     // time.
     void settleList(Milliseconds now);
--- a/src/relay/EngineSurvey.cpp
+++ b/src/relay/EngineSurvey.cpp
@@ -45,6 +45,8 @@
     const std::shared_ptr<ClientConnection>& connection, const HttpOutcome& outcome)
 {
     const auto now = m_context.now();
+    if (outcome.answer)
+        engine->noteSignals(m_context.protocol.decodeAnswer(*outcome.answer), now);
     const auto report = outcome.answer ? m_context.protocol.decodeLoad(*outcome.answer) : std::nullopt;
     if (report) {
         engine->noteLife(now);
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -138,8 +138,8 @@
 bool EventStreamCall::isSound(const RelayEndpoint& endpoint) const
 {
     const auto now = m_context.now();
-    return !endpoint.isLeaving() && !endpoint.isAvoided(now) && now >= endpoint.noPermitUntil()
-        && !m_context.directory.isZoneAvoided(endpoint.entry().availabilityZone, now)
+    return !endpoint.isLeaving() && !endpoint.isAvoided(now) && !endpoint.isResting(now)
+        && now >= endpoint.noPermitUntil() && !m_context.directory.isZoneAvoided(endpoint.entry().availabilityZone, now)
         && !m_context.directory.isDoubtful(endpoint, now);
 }
 
@@ -340,12 +340,10 @@
     return std::max(m_request.admittedAt + m_context.settings.waitForEndpoint - now, Milliseconds { 0 });
 }
 
-std::optional<Milliseconds> EventStreamCall::nextPermitIn()
+std::optional<EndpointOpening> EventStreamCall::nextOpening()
 {
-    const auto now = m_context.now();
-    const auto next
-        = m_context.placement.nextPermitAt({ .service = m_request.service, .version = m_rollout.next() }, now);
-    return next ? std::optional(*next - now) : std::nullopt;
+    return m_context.placement.nextOpening(
+        { .service = m_request.service, .version = m_rollout.next() }, m_context.now());
 }
 
 void EventStreamCall::sendTo(const std::shared_ptr<RelayEndpoint>& endpoint, std::optional<CopySource> copy)
@@ -410,10 +408,10 @@
 void EventStreamCall::waitForEndpoint()
 {
     const auto now = m_context.now();
-    const auto permitIn = nextPermitIn();
+    const auto opening = nextOpening();
     const auto waitsUntil = m_request.admittedAt + m_context.settings.waitForEndpoint;
-    if (m_events.length() == 0 && m_possibleRuns == 0 && permitIn && now + *permitIn > waitsUntil) {
-        giveUp(RefusalReason::EndpointsLimited);
+    if (m_events.length() == 0 && m_possibleRuns == 0 && opening && opening->at > waitsUntil) {
+        giveUp(opening->isAfterRest ? RefusalReason::EndpointsResting : RefusalReason::EndpointsLimited);
         return;
     }
     if (m_events.length() == 0 && now >= waitsUntil) {
@@ -682,7 +680,8 @@
 bool EventStreamCall::mayRelocate(const StreamRun& run, Milliseconds now)
 {
     const auto* service = m_context.configuration->findService(m_request.service);
-    const bool isPossible = service && service->copiesRunningMemory && m_request.route->mayRunAgain();
+    const bool isPossible
+        = service && service->copiesRunningMemory && m_request.route->mayRunAgain() && !run.endpoint->isResting(now);
     const bool leavesAttempt = m_possibleRuns + 1 < m_request.route->maxAttempts;
     // A run at a candidate version is not sent to it again, and its memory stays with its version.
     const bool isAtHome = m_rollout.next().admits(run.endpoint->entry().version);
@@ -822,8 +821,9 @@
         comeBackIn = std::max(m_request.deadline - m_context.now(), m_context.settings.retryAfter);
     if (reason == RefusalReason::HeldBack)
         comeBackIn = m_context.crashGuard.heldFor(m_request.digest);
-    if (reason == RefusalReason::EndpointsLimited)
-        comeBackIn = nextPermitIn();
+    const bool isOpeningKnown = reason == RefusalReason::EndpointsLimited || reason == RefusalReason::EndpointsResting;
+    if (const auto opening = nextOpening(); opening && isOpeningKnown)
+        comeBackIn = opening->at - m_context.now();
     m_request.exchange->respond(refusal(m_context, reason, comeBackIn));
     finish();
 }
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -23,6 +23,7 @@
 
 class EngineSurvey;
 class PermitWait;
+struct EndpointOpening;
 struct PlacementRequest;
 class RunLocations;
 class RunRelocation;
@@ -60,8 +61,8 @@
     void sendTo(const std::shared_ptr<RelayEndpoint>&, std::optional<CopySource>);
     // How long the stream can wait for its place at an endpoint under a limit.
     Milliseconds patienceForPermit(bool isFromCopy);
-    // How long until a permit may be had where all engines are limited; nothing otherwise.
-    std::optional<Milliseconds> nextPermitIn();
+    // When the first engine takes a request again where all are limited or rest; nothing otherwise.
+    std::optional<EndpointOpening> nextOpening();
     // Where a run that reads the prompt should begin.
     PlacementRequest wantedPlacement();
     // Asks the engines that come into question for their load, if there is a choice.
--- a/src/relay/Placement.cpp
+++ b/src/relay/Placement.cpp
@@ -102,27 +102,31 @@
     return best;
 }
 
+bool Placement::isInQuestion(const RelayEndpoint& endpoint, const PlacementRequest& request)
+{
+    const bool isExcluded = std::any_of(request.excluded.begin(), request.excluded.end(),
+        [&endpoint](const auto& excluded) { return excluded.get() == &endpoint; });
+    return !isExcluded && request.version.admits(endpoint.entry().version);
+}
+
 bool Placement::isEligible(const RelayEndpoint& endpoint, const PlacementRequest& request, Milliseconds now) const
 {
-    for (const auto& excluded : request.excluded) {
-        if (excluded.get() == &endpoint)
-            return false;
-    }
-    return endpoint.mayTakeWork(now, m_settings.leavingEndpointGrace)
-        && request.version.admits(endpoint.entry().version);
+    return endpoint.mayTakeWork(now, m_settings.leavingEndpointGrace) && isInQuestion(endpoint, request);
 }
 
-std::optional<Milliseconds> Placement::nextPermitAt(const PlacementRequest& request, Milliseconds now) const
+std::optional<EndpointOpening> Placement::nextOpening(const PlacementRequest& request, Milliseconds now) const
 {
-    std::optional<Milliseconds> next;
+    std::optional<EndpointOpening> next;
     for (const auto& endpoint : m_directory.endpointsOf(request.service)) {
-        if (endpoint->isLeaving() || !isEligible(*endpoint, request, now))
+        if (endpoint->isLeaving() || !isInQuestion(*endpoint, request))
             continue;
+        const bool isResting = endpoint->isResting(now);
         // One that is only full or out of reach may have a place sooner.
-        if (!endpoint->isLimited())
+        if (!isResting && !endpoint->isLimited())
             return std::nullopt;
-        const auto until = std::max(endpoint->noPermitUntil(), now);
-        next = std::min(next.value_or(until), until);
+        const auto at = std::max({ endpoint->noPermitUntil(), endpoint->signals().restsUntil(), now });
+        if (!next || at < next->at)
+            next = EndpointOpening { at, isResting };
     }
     return next;
 }
@@ -158,7 +162,7 @@
     for (const auto& endpoint : m_directory.endpointsOf(request.service)) {
         const auto& entry = endpoint->entry();
         if (entry.availabilityZone != m_settings.availabilityZone || endpoint->isLeaving() || endpoint->isAvoided(now)
-            || !request.version.admits(entry.version))
+            || endpoint->isResting(now) || !request.version.admits(entry.version))
             continue;
         const auto score = XXH64(entry.id.data(), entry.id.size(), seed);
         if (!best || score > highest) {
--- a/src/relay/Placement.h
+++ b/src/relay/Placement.h
@@ -47,6 +47,13 @@
     LimitedEndpoints limited { LimitedEndpoints::Admitted };
 };
 
+// When an endpoint takes a request again that takes none now.
+struct EndpointOpening {
+    Milliseconds at { 0 };
+    // What it waits for: the end of its rest, or else a permit.
+    bool isAfterRest { false };
+};
+
 // Used on the relay's thread only.
 class Placement {
 public:
@@ -56,9 +63,9 @@
     // The endpoints that come first into question, best first: as many as are wanted, or fewer.
     std::vector<std::shared_ptr<RelayEndpoint>> candidates(
         const PlacementRequest&, std::size_t count, Milliseconds now);
-    // When a permit may be had if all endpoints in question take only so many requests a second; nothing when one takes
-    // what it gets, or when there is none.
-    std::optional<Milliseconds> nextPermitAt(const PlacementRequest&, Milliseconds now) const;
+    // When the first endpoint takes a request again if all in question rest or are limited; nothing when one takes what
+    // it gets, or when there is none.
+    std::optional<EndpointOpening> nextOpening(const PlacementRequest&, Milliseconds now) const;
     // The best of some engines that have reported their load, by forecast; null when none may take work any more.
     std::shared_ptr<RelayEndpoint> chooseReported(
         const std::vector<std::shared_ptr<RelayEndpoint>>&, const EngineWork&, const EnginePace&, Milliseconds now);
@@ -75,6 +82,8 @@
     static std::vector<std::shared_ptr<RelayEndpoint>> cheapest(std::vector<Candidate>&, std::size_t count);
     // The preferred endpoint among the sound ones of the zone, or null.
     const RelayEndpoint* preferred(const PlacementRequest&, Milliseconds now) const;
+    // True unless the request rules the endpoint out, whatever the endpoint says.
+    static bool isInQuestion(const RelayEndpoint&, const PlacementRequest&);
     // True when the request may be sent to the endpoint, if a permit can be had for it.
     bool isEligible(const RelayEndpoint&, const PlacementRequest&, Milliseconds now) const;
     double cost(const RelayEndpoint&, const PlacementRequest&, Milliseconds now);
--- a/src/relay/RelayEndpoint.cpp
+++ b/src/relay/RelayEndpoint.cpp
@@ -61,6 +61,9 @@
 void RelayEndpoint::updateEntry(EndpointEntry entry, Milliseconds now)
 {
     m_entry = std::move(entry);
+    m_entry.isDraining = m_entry.isDraining || m_signals.isLeaving();
+    if (m_entry.isDraining)
+        m_signals.noteLeaving();
     m_isRemoved = false;
     if (m_entry.isDraining)
         m_leavingSince = m_leavingSince.value_or(now);
@@ -74,13 +77,52 @@
     m_leavingSince = m_leavingSince.value_or(now);
 }
 
+void RelayEndpoint::setDraining(Milliseconds now)
+{
+    m_signals.noteLeaving();
+    m_entry.isDraining = true;
+    m_leavingSince = m_leavingSince.value_or(now);
+    closeKeptConnections();
+}
+
 bool RelayEndpoint::mayTakeWork(Milliseconds now, Milliseconds grace) const
 {
-    if (m_entry.isDraining)
+    if (!m_signals.accepts(now))
         return false;
     return !m_leavingSince || now - *m_leavingSince <= grace;
 }
 
+bool RelayEndpoint::isExpired(Milliseconds now, Milliseconds grace) const
+{
+    return m_isRemoved && (m_entry.isDraining || now - m_leavingSince.value_or(now) > grace);
+}
+
+void RelayEndpoint::noteSignals(const AnswerFields& fields, Milliseconds now)
+{
+    const auto& rest = fields.rest;
+    if (!rest.unreadable.empty() && !std::exchange(m_isUnreadableRestSaid, true))
+        LogEvent("endpoint.rest-unreadable").text("endpoint", m_entry.id).text("value", rest.unreadable).write();
+    const bool wasResting = m_signals.isResting(now);
+    if (rest.time && m_signals.noteRest(*rest.time, now))
+        LogEvent("endpoint.rests", wasResting ? LogImportance::Routine : LogImportance::Notable)
+            .text("endpoint", m_entry.id)
+            .text("service", m_entry.service)
+            .number("for_ms", rest.time->count())
+            .flag("was_resting", wasResting)
+            .write();
+    if (!fields.isLeaving || m_signals.isLeaving())
+        return;
+    LogEvent("endpoint.leaves").text("endpoint", m_entry.id).text("service", m_entry.service).write();
+    setDraining(now);
+}
+
+void RelayEndpoint::restoreSignals(const EndpointSignals& earlier, Milliseconds now)
+{
+    m_signals.merge(earlier);
+    if (m_signals.isLeaving())
+        setDraining(now);
+}
+
 void RelayEndpoint::closeKeptConnections()
 {
     for (const auto& kept : m_kept)
--- a/src/relay/RelayEndpoint.h
+++ b/src/relay/RelayEndpoint.h
@@ -3,6 +3,7 @@
 // Lives from its first entry until its last call, in the process. Used on the relay's thread only.
 #pragma once
 
+#include "endpoint/EndpointSignals.h"
 #include "http/ClientConnection.h"
 #include "limits/HeardLimit.h"
 #include "limits/PermitSource.h"
@@ -15,6 +16,7 @@
 namespace lupinknot::internal {
 
 struct AnsweredLimit;
+struct AnswerFields;
 
 class RelayEndpoint {
 public:
@@ -46,6 +48,13 @@
     void noteReport(const EngineReport& report, Milliseconds now) { m_report = TimedReport { report, now }; }
     const EngineReport* report() const { return m_report ? &m_report->report : nullptr; }
 
+    // Takes over what an answer that came now says of rest and of leaving.
+    void noteSignals(const AnswerFields&, Milliseconds now);
+    const EndpointSignals& signals() const { return m_signals; }
+    // Takes over what was known of this start before it was forgotten.
+    void restoreSignals(const EndpointSignals&, Milliseconds now);
+    bool isResting(Milliseconds now) const { return m_signals.isResting(now); }
+
     const HeardLimit& limit() const { return m_limit; }
     // Takes over what an answer says of the endpoint's limit that came now to a request sent at the instant. Returns
     // whether that is news for other VMs.
@@ -58,14 +67,17 @@
     void denyPermitsUntil(Milliseconds instant) { m_noPermitUntil = instant; }
     Milliseconds noPermitUntil() const { return isLimited() ? m_noPermitUntil : Milliseconds { 0 }; }
 
-    // An endpoint leaves when its entry says so or is gone. One that says so gets no work; one whose entry has gone
-    // gets some as a last resort, for a short while only.
+    // An endpoint leaves when it says so, in its entry or in an answer, or when its entry is gone.
     bool isLeaving() const { return m_leavingSince.has_value(); }
+    // False for one that says that it leaves or rests. One whose entry has gone gets work as a last resort, for a short
+    // while only.
     bool mayTakeWork(Milliseconds now, Milliseconds grace) const;
+    // True for one whose entry has gone and that takes no work any more.
+    bool isExpired(Milliseconds now, Milliseconds grace) const;
     bool isRemoved() const { return m_isRemoved; }
     void setRemoved(Milliseconds now);
     // It has said that it leaves; whether it is listed stays as it is.
-    void setDraining() { m_entry.isDraining = true; }
+    void setDraining(Milliseconds now);
 
     void avoidUntil(Milliseconds instant) { m_avoidUntil = std::max(m_avoidUntil, instant); }
     bool isAvoided(Milliseconds now) const { return now < m_avoidUntil; }
@@ -94,10 +106,12 @@
     unsigned m_inFlight { 0 };
     unsigned m_promptsBeingRead { 0 };
     std::optional<TimedReport> m_report;
+    EndpointSignals m_signals;
     HeardLimit m_limit;
     Milliseconds m_noPermitUntil { 0 };
-    // A limit that cannot be read is said once.
+    // Values that cannot be read are logged once each.
     bool m_isUnreadableLimitSaid { false };
+    bool m_isUnreadableRestSaid { false };
     std::optional<Milliseconds> m_leavingSince;
     bool m_isRemoved { false };
     Milliseconds m_avoidUntil { 0 };
--- a/src/relay/RelayRefusal.cpp
+++ b/src/relay/RelayRefusal.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<RefusalTraits, 15> refusalTable { {
+constexpr std::array<RefusalTraits, 16> refusalTable { {
     { RefusalReason::Malformed, "malformed", 400, true, "the request lacks a field or has one that cannot be read" },
     { RefusalReason::UnknownKey, "unknown-key", 401, true, "the key belongs to no organisation; check the key" },
     { RefusalReason::UnknownRoute, "unknown-route", 404, true, "no route has this host and path" },
@@ -19,6 +19,8 @@
     { RefusalReason::EndpointsBusy, "endpoints-busy", 503, true, "the service's endpoints are full; try again" },
     { RefusalReason::EndpointsLimited, "endpoints-limited", 503, true,
         "the service's endpoints take only so many requests a second now; try again" },
+    { RefusalReason::EndpointsResting, "endpoints-resting", 503, true,
+        "the service's endpoints have asked for a pause; try again after it" },
     { RefusalReason::RetryBudgetSpent, "retry-budget-spent", 503, true, "too many requests are retried; try again" },
     { RefusalReason::EndpointFailed, "endpoint-failed", 502, false,
         "the endpoint failed and may have run the request" },
--- a/src/relay/RelayRefusal.h
+++ b/src/relay/RelayRefusal.h
@@ -19,6 +19,7 @@
     NoEndpoint,
     EndpointsBusy,
     EndpointsLimited,
+    EndpointsResting,
     RetryBudgetSpent,
     EndpointFailed,
     TimedOut,
--- a/src/relay/RunRelocation.cpp
+++ b/src/relay/RunRelocation.cpp
@@ -40,9 +40,12 @@
 
 void RunRelocation::answered(const HttpOutcome& outcome)
 {
+    if (outcome.answer)
+        m_source->noteSignals(m_context.protocol.decodeAnswer(*outcome.answer), m_context.now());
     const auto moved = outcome.answer ? m_context.protocol.decodeMoveRun(*outcome.answer) : MoveRunAnswer {};
     if (!m_isStopping) {
-        if (!moved.isCopied) {
+        // The run goes on where it is, too, if its engine has asked for a rest meanwhile.
+        if (!moved.isCopied || m_source->isResting(m_context.now())) {
             settle(RelocationResult::Refused, "");
             return;
         }
--- a/src/relay/RunWatch.cpp
+++ b/src/relay/RunWatch.cpp
@@ -71,8 +71,8 @@
     }
     // Other streams of the engine show that it lives, too.
     const auto silence = now - std::max(m_run->lastActivity, m_run->endpoint->lastLife());
-    if (m_context.has(Policy::LivenessQuestions) && silence >= silenceBeforeQuestion(now) && now >= m_nextQuestionAt
-        && !m_question)
+    const bool mayAsk = m_context.has(Policy::LivenessQuestions) && !m_run->endpoint->isResting(now);
+    if (mayAsk && silence >= silenceBeforeQuestion(now) && now >= m_nextQuestionAt && !m_question)
         ask();
     m_callbacks.looked();
     if (m_run)
@@ -98,18 +98,20 @@
         m_context.protocol.encodeStateQuery(), m_context.settings.probeTimeout,
         [weak = weak_from_this()](const HttpOutcome& outcome) {
             if (const auto self = weak.lock())
-                self->answered(outcome.answer != nullptr);
+                self->answered(outcome);
         });
 }
 
-void RunWatch::answered(bool isAlive)
+void RunWatch::answered(const HttpOutcome& outcome)
 {
     const auto question = std::exchange(m_question, nullptr);
     if (!m_run)
         return;
-    if (isAlive)
-        m_run->endpoint->noteLife(m_context.now());
-    else if (m_request.route->mayRunAgain())
+    const auto now = m_context.now();
+    if (outcome.answer) {
+        m_run->endpoint->noteLife(now);
+        m_run->endpoint->noteSignals(m_context.protocol.decodeAnswer(*outcome.answer), now);
+    } else if (m_request.route->mayRunAgain())
         reportSilent();
 }
 
--- a/src/relay/RunWatch.h
+++ b/src/relay/RunWatch.h
@@ -17,6 +17,7 @@
 namespace lupinknot::internal {
 
 class HttpQuestion;
+struct HttpOutcome;
 struct RelayContext;
 struct RelayRequest;
 
@@ -44,7 +45,7 @@
     void look();
     Milliseconds silenceBeforeQuestion(Milliseconds now) const;
     void ask();
-    void answered(bool isAlive);
+    void answered(const HttpOutcome&);
     void reportSilent();
 
     RelayContext& m_context;
--- a/src/relay/WholeAnswerCall.cpp
+++ b/src/relay/WholeAnswerCall.cpp
@@ -28,7 +28,7 @@
 RetryPurpose purposeAfter(RefusalReason reason)
 {
     const bool isFull = reason == RefusalReason::EndpointsBusy || reason == RefusalReason::EndpointsLimited
-        || reason == RefusalReason::RetryBudgetSpent;
+        || reason == RefusalReason::EndpointsResting || reason == RefusalReason::RetryBudgetSpent;
     return isFull ? RetryPurpose::FullService : RetryPurpose::Rescue;
 }
 
@@ -362,24 +362,23 @@
 
 WaitingCall WholeAnswerCall::waitingCall() const { return { m_request.admittedAt, m_request.deadline, m_waits }; }
 
-std::optional<Milliseconds> WholeAnswerCall::nextPermitIn()
+std::optional<EndpointOpening> WholeAnswerCall::nextOpening()
 {
     auto wanted = anyEndpoint();
     wanted.excluded.clear();
-    const auto now = m_context.now();
-    const auto next = m_context.placement.nextPermitAt(wanted, now);
-    return next ? std::optional(*next - now) : std::nullopt;
+    return m_context.placement.nextOpening(wanted, m_context.now());
 }
 
 void WholeAnswerCall::waitOrRefuse(RefusalReason reason)
 {
     const auto now = m_context.now();
     const auto usual = m_context.pace(m_request.service).usualCallTime();
-    const auto permitIn = nextPermitIn();
-    if (permitIn)
-        reason = RefusalReason::EndpointsLimited;
-    const auto decision = permitIn ? waitForPermit(waitingCall(), *permitIn, usual, now)
-                                   : waitForPlace(waitingCall(), usual, spread(), now);
+    const auto opening = nextOpening();
+    if (opening)
+        reason = opening->isAfterRest ? RefusalReason::EndpointsResting : RefusalReason::EndpointsLimited;
+    const auto decision = opening
+        ? waitForOpening(waitingCall(), opening->at - now, usual, opening->isAfterRest ? spread() : 0, now)
+        : waitForPlace(waitingCall(), usual, spread(), now);
     m_isWaiting = mayWait() && decision.waits && m_context.waitingRoom.enter(m_request.exchange->request().body.size());
     if (!m_isWaiting) {
         refuse(reason);
@@ -483,9 +482,13 @@
 {
     if (reason == RefusalReason::HeldBack)
         return m_context.crashGuard.heldFor(m_request.digest);
-    if (const auto permitIn = nextPermitIn(); permitIn && reason == RefusalReason::EndpointsLimited)
-        return *permitIn;
-    return comeBackIn(obstacleOf(reason), m_request.deadline - m_context.now(), spread());
+    const auto now = m_context.now();
+    const auto opening = nextOpening();
+    if (opening && reason == RefusalReason::EndpointsLimited)
+        return opening->at - now;
+    if (opening && reason == RefusalReason::EndpointsResting)
+        return comeBackAfterRest(opening->at - now, spread());
+    return comeBackIn(obstacleOf(reason), m_request.deadline - now, spread());
 }
 
 void WholeAnswerCall::finish()
--- a/src/relay/WholeAnswerCall.h
+++ b/src/relay/WholeAnswerCall.h
@@ -23,6 +23,7 @@
 enum class PlaceObstacle;
 struct WaitingCall;
 class PermitWait;
+struct EndpointOpening;
 struct PlacementRequest;
 
 class WholeAnswerCall final : public EndpointCallListener, public std::enable_shared_from_this<WholeAnswerCall> {
@@ -55,8 +56,8 @@
     void permitAnswered(const std::shared_ptr<RelayEndpoint>&, bool isGranted, bool isCharged);
     PlacementRequest anyEndpoint();
     PlacementRequest soundEndpoint();
-    // How long until a permit may be had where all endpoints are limited; nothing otherwise.
-    std::optional<Milliseconds> nextPermitIn();
+    // When the first endpoint takes a request again where all are limited or rest; nothing otherwise.
+    std::optional<EndpointOpening> nextOpening();
     // True when the call has run nowhere and may be sent again.
     bool mayWait() const;
     // Waits for a place, or refuses for the reason when that is not worth it.
--- a/test/EndpointRestTest.cpp
+++ b/test/EndpointRestTest.cpp
@@ -128,3 +128,94 @@
     callFor("/once/1", Milliseconds { 800 });
     LONGS_EQUAL_TEXT(0, leaving.requests().size(), "requests to an endpoint that had said that it leaves");
 }
+
+TEST(EndpointRest, TellsCallersAtOnceWhenTheFirstOfAllRestingEndpointsIsBack)
+{
+    auto& first = relay->addEndpoint("e1");
+    first.onRequest(rejectsWith("Retry-After: 3\r\n"));
+    auto& second = relay->addEndpoint("e2");
+    second.onRequest(rejectsWith("Retry-After: 4\r\n"));
+    ready();
+    const auto& clock = relay->daemon().clock();
+    const auto begin = clock.now();
+    for (const auto* path : { "/once/1", "/again/1", "/stream/1" }) {
+        const auto caller = relay->call(path, { { "X-Deadline-Ms", "3000" } }, path);
+        CHECK(relay->runUntil([&] { return caller->isWhole || caller->isBroken; }));
+        LONGS_EQUAL(503, caller->head.status);
+        STRCMP_CONTAINS("endpoints-resting", caller->body.c_str());
+        const auto comeBackIn = std::stod(caller->header("Retry-After"));
+        CHECK_TEXT(comeBackIn > 2.5 && comeBackIn < 3.5, caller->header("Retry-After").c_str());
+    }
+    CHECK_TEXT(clock.now() - begin < Milliseconds { 700 }, "they were held although nobody could serve them");
+    LONGS_EQUAL(1, first.requests().size());
+    LONGS_EQUAL(1, second.requests().size());
+}
+
+TEST(EndpointRest, IsWaitedForByACallThatHasTheTime)
+{
+    auto& endpoint = relay->addEndpoint("e1");
+    endpoint.onRequest(rejectsWith("Retry-After: 0.3\r\n"));
+    ready();
+    const auto& clock = relay->daemon().clock();
+    const auto begin = clock.now();
+    const auto caller = relay->call("/once/1", { { "X-Deadline-Ms", "4000" } });
+    CHECK(relay->runUntil([&] { return endpoint.requests().size() == 1; }));
+    endpoint.onRequest(answerWhole);
+    CHECK(relay->runUntil([&] { return caller->isWhole || caller->isBroken; }));
+    LONGS_EQUAL(200, caller->head.status);
+    CHECK(clock.now() - begin >= Milliseconds { 300 });
+    LONGS_EQUAL(2, endpoint.requests().size());
+}
+
+// The list's source may lose an entry for some seconds while the endpoint lives and rests.
+TEST(EndpointRest, IsKeptByAnEndpointWhoseEntryLapsesAndReturns)
+{
+    auto& resting = relay->addEndpoint("e1");
+    resting.onRequest(rejectsWith("Retry-After: 5\r\n"));
+    relay->addEndpoint("e2").onRequest(answerWhole);
+    ready();
+    callUntilReached("/once/1", resting);
+    auto& directory = relay->daemon().directory();
+    const auto now = relay->daemon().clock().now();
+    directory.remove("e1", now);
+    directory.dropExpired(now + Milliseconds { 2000 });
+    CHECK_TEXT(!directory.find("e1"), "the entry should have expired");
+    relay->list();
+    CHECK(directory.find("e1") != nullptr);
+    resting.forgetRequests();
+    callFor("/once/1", Milliseconds { 300 });
+    LONGS_EQUAL(0, resting.requests().size());
+}
+
+TEST(EndpointRest, SparesTheEngineQuestionsAfterItsLoad)
+{
+    relay->useEngines();
+    auto& resting = relay->addEndpoint("e1");
+    resting.onRequest(rejectsWith("Retry-After: 2\r\n"));
+    for (const auto* id : { "e2", "e3" })
+        relay->addEndpoint(id).onRequest([](ScriptedConnection& asker, const std::string& request) {
+            if (request.find("/api/report") != std::string::npos)
+                asker.answer(200, "", R"({"waiting":0,"running":0,"runs":[]})");
+            else
+                answerStream(asker, request);
+        });
+    ready();
+    callUntilReached("/stream/1", resting);
+    resting.forgetRequests();
+    callFor("/stream/1", Milliseconds { 300 });
+    LONGS_EQUAL(0, resting.requests().size());
+}
+
+// Such an endpoint may answer a request that it gave a 421 or bytes that are not its own.
+TEST(EndpointRest, IsNotTakenFromAnAnswerThatIsNotTheEndpoints)
+{
+    auto& endpoint = relay->addEndpoint("e1");
+    endpoint.onRequest([](ScriptedConnection& asker, const std::string& request) {
+        asker.answer(503, "X-Request-Id: " + idOf(request) + "\r\nRetry-After: 60\r\nServer-Leaving: 1\r\n", "");
+    });
+    ready();
+    callAndWait("/once/1");
+    const auto known = relay->daemon().directory().find("e1");
+    CHECK_FALSE(known->isResting(relay->daemon().clock().now()));
+    CHECK_FALSE(known->isLeaving());
+}
--- /dev/null
+++ b/test/EndpointSignalsTest.cpp
@@ -0,0 +1,52 @@
+#include "endpoint/EndpointSignals.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+
+TEST_GROUP(EndpointSignals)
+{
+    EndpointSignals signals;
+    const Milliseconds now { 10'000 };
+};
+
+TEST(EndpointSignals, AcceptsUntilSomethingElseIsSaid) { CHECK(signals.accepts(now)); }
+
+TEST(EndpointSignals, AcceptsAgainAtTheEndOfItsRest)
+{
+    CHECK(signals.noteRest(Milliseconds { 800 }, now));
+    CHECK_FALSE(signals.accepts(now + Milliseconds { 799 }));
+    CHECK(signals.accepts(now + Milliseconds { 800 }));
+}
+
+// Answers to requests that were under way together may ask for rests of different length.
+TEST(EndpointSignals, KeepsTheLongestOfOverlappingRests)
+{
+    CHECK(signals.noteRest(Milliseconds { 3000 }, now));
+    CHECK_FALSE(signals.noteRest(Milliseconds { 1000 }, now + Milliseconds { 10 }));
+    LONGS_EQUAL((now + Milliseconds { 3000 }).count(), signals.restsUntil().count());
+    CHECK(signals.noteRest(Milliseconds { 3000 }, now + Milliseconds { 20 }));
+}
+
+TEST(EndpointSignals, TakesNoRestFromATimeOfZero)
+{
+    CHECK_FALSE(signals.noteRest(Milliseconds { 0 }, now));
+    CHECK(signals.accepts(now));
+}
+
+TEST(EndpointSignals, NeverAcceptsAgainOnceItLeaves)
+{
+    CHECK(signals.noteLeaving());
+    CHECK_FALSE(signals.noteLeaving());
+    CHECK_FALSE(signals.accepts(now + Milliseconds { 1'000'000 }));
+}
+
+TEST(EndpointSignals, KeepsWhatWasKnownOfTheSameStart)
+{
+    EndpointSignals earlier;
+    earlier.noteRest(Milliseconds { 500 }, now);
+    earlier.noteLeaving();
+    signals.merge(earlier);
+    CHECK(signals.isLeaving() && signals.isResting(now));
+}
--- a/test/WaitForPlaceTest.cpp
+++ b/test/WaitForPlaceTest.cpp
@@ -175,11 +175,11 @@
 {
     const WaitingCall call { Milliseconds { 0 }, Milliseconds { 1500 }, 0 };
     const Milliseconds usual { 50 };
-    const auto soon = waitForPermit(call, Milliseconds { 600 }, usual, Milliseconds { 100 });
+    const auto soon = waitForOpening(call, Milliseconds { 600 }, usual, 0, Milliseconds { 100 });
     CHECK(soon.waits);
     LONGS_EQUAL(600, soon.pause.count());
-    CHECK_FALSE(waitForPermit(call, Milliseconds { 700 }, usual, Milliseconds { 100 }).waits);
+    CHECK_FALSE(waitForOpening(call, Milliseconds { 700 }, usual, 0, Milliseconds { 100 }).waits);
     LONGS_EQUAL_TEXT(shortestPause.count(),
-        waitForPermit(call, Milliseconds { 0 }, usual, Milliseconds { 100 }).pause.count(),
+        waitForOpening(call, Milliseconds { 0 }, usual, 0, Milliseconds { 100 }).pause.count(),
         "a place that was missed is not asked for again and again");
 }
