--- /dev/null
+++ b/src/model/RetryModel.cpp
@@ -0,0 +1,220 @@
+#include "model/RetryModel.h"
+
+#include "relay/RelaySettings.h"
+#include "relay/RetryBudget.h"
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace lupinknot::internal {
+
+namespace {
+
+constexpr Milliseconds tick { 100 };
+constexpr int ticksInSecond = 10;
+constexpr int zoneCount = 3;
+
+// Its budget refers to its settings, so it stays where it is.
+struct SimulatedVm {
+    SimulatedVm(const SimulatedVm&) = delete;
+    SimulatedVm& operator=(const SimulatedVm&) = delete;
+    SimulatedVm(int number, Milliseconds now)
+    {
+        settings.vmName = "vm-" + std::to_string(number);
+        start(now);
+    }
+
+    void start(Milliseconds now)
+    {
+        settings.retrySlackFrom = now + settings.retryWindow;
+        budget = std::make_unique<RetryBudget>(settings);
+        runs.clear();
+    }
+
+    struct Run {
+        int endsAt;
+        int zone;
+    };
+
+    RelaySettings settings;
+    std::unique_ptr<RetryBudget> budget;
+    std::vector<Run> runs;
+};
+
+class Fleet {
+public:
+    explicit Fleet(const RetryPlay& play)
+        : m_play(play)
+        , m_random(static_cast<std::mt19937::result_type>(play.seed))
+    {
+        for (int i = 0; i < play.vmCount; ++i) {
+            m_vms.emplace_back(i, now());
+            m_vms.back().settings.retrySlackShare = 1.0 / play.vmCount;
+        }
+    }
+
+    void run()
+    {
+        for (m_tick = 0; m_tick < m_play.seconds * ticksInSecond; ++m_tick) {
+            m_requests.push_back(0);
+            m_retries.push_back(0);
+            const int second = m_tick / ticksInSecond;
+            if (m_tick % ticksInSecond == 0)
+                strike(second);
+            takeRequests(second);
+            for (auto& vm : m_vms) {
+                vm.runs.erase(std::remove_if(vm.runs.begin(), vm.runs.end(),
+                                  [this](const SimulatedVm::Run& run) { return run.endsAt <= m_tick; }),
+                    vm.runs.end());
+            }
+        }
+    }
+
+    // The greatest excess over what the budget allows, over all windows.
+    double greatestExcess() const
+    {
+        const RelaySettings settings;
+        const auto window = static_cast<int>(settings.retryWindow / tick);
+        double worst = -settings.retrySlack;
+        for (int end = window; end <= static_cast<int>(m_retries.size()); ++end) {
+            const auto counted
+                = std::max({ sum(m_requests, end - window, end), sum(m_requests, end - 2 * window, end - window),
+                    sum(m_requests, end - window * 3 / 2, end - window / 2) });
+            const auto allowed = settings.retryRatio * counted + settings.retrySlack;
+            worst = std::max(worst, sum(m_retries, end - window, end) - allowed);
+        }
+        return worst;
+    }
+
+    int retries() const { return sum(m_retries, 0, static_cast<int>(m_retries.size())); }
+    int denied() const { return m_denied; }
+
+private:
+    Milliseconds now() const { return Milliseconds { 100000 } + m_tick * tick; }
+    double chance() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+    bool isSilent(int second) const { return second >= m_play.silentFromSecond && second < m_play.silentToSecond; }
+    static int zoneOf(std::size_t vm) { return static_cast<int>(vm % zoneCount); }
+
+    static int sum(const std::vector<int>& counts, int from, int to)
+    {
+        int total = 0;
+        for (int i = std::max(from, 0); i < to; ++i)
+            total += counts[static_cast<std::size_t>(i)];
+        return total;
+    }
+
+    void takeRequests(int second)
+    {
+        const double factor = second % 10 < 3 ? m_play.surge : 1;
+        std::poisson_distribution<int> arrivals(m_play.requestsPerSecond * factor / ticksInSecond);
+        for (int i = arrivals(m_random); i > 0; --i) {
+            auto vm = std::uniform_int_distribution<std::size_t>(0, m_vms.size() - 1)(m_random);
+            while (second >= m_play.zoneLeftAtSecond && zoneOf(vm) == 0)
+                vm = std::uniform_int_distribution<std::size_t>(0, m_vms.size() - 1)(m_random);
+            m_vms[vm].budget->noteRequest(now());
+            ++m_requests.back();
+            send(m_vms[vm], second);
+        }
+    }
+
+    // A run begins somewhere, perhaps after it was turned away elsewhere.
+    void send(SimulatedVm& vm, int second)
+    {
+        const auto away = isSilent(second) ? m_play.turnedAwayWhileSilent : m_play.turnedAwayShare;
+        while (chance() < away) {
+            if (!retry(vm, RetryPurpose::Rescue))
+                return;
+        }
+        const auto length = static_cast<int>(m_play.runSeconds * ticksInSecond * (0.5 + chance()));
+        vm.runs.push_back({ m_tick + length, std::uniform_int_distribution<int>(0, zoneCount - 1)(m_random) });
+    }
+
+    bool retry(SimulatedVm& vm, RetryPurpose purpose)
+    {
+        if (!vm.budget->take(purpose, now())) {
+            ++m_denied;
+            return false;
+        }
+        ++m_retries.back();
+        return true;
+    }
+
+    void strike(int second)
+    {
+        if (m_play.restartShare > 0 && second % m_play.restartEverySeconds == 0) {
+            for (auto& vm : m_vms) {
+                if (chance() < m_play.restartShare)
+                    vm.start(now());
+            }
+        }
+        if (second % m_play.lossEverySeconds != 0)
+            return;
+        const int zone = second / m_play.lossEverySeconds % zoneCount;
+        for (auto& vm : m_vms)
+            loseZone(vm, zone, second);
+    }
+
+    void loseZone(SimulatedVm& vm, int zone, int second)
+    {
+        std::vector<SimulatedVm::Run> kept;
+        int lost = 0;
+        for (const auto& run : vm.runs) {
+            if (run.zone == zone && chance() < m_play.lossShare)
+                ++lost;
+            else
+                kept.push_back(run);
+        }
+        vm.runs = std::move(kept);
+        for (; lost > 0; --lost) {
+            if (retry(vm, RetryPurpose::Rescue))
+                send(vm, second);
+        }
+        for (std::size_t i = 0; i < vm.runs.size(); ++i) {
+            if (chance() < m_play.movedShare)
+                retry(vm, RetryPurpose::Precaution);
+        }
+    }
+
+    const RetryPlay m_play;
+    std::mt19937 m_random;
+    std::deque<SimulatedVm> m_vms;
+    std::vector<int> m_requests;
+    std::vector<int> m_retries;
+    int m_tick { 0 };
+    int m_denied { 0 };
+};
+
+} // namespace
+
+RetryOutcome playRetries(const RetryPlay& play)
+{
+    Fleet fleet(play);
+    fleet.run();
+    return { fleet.greatestExcess(), fleet.retries(), fleet.denied() };
+}
+
+RetryPlay RetryPlays::next()
+{
+    const auto between
+        = [this](double least, double most) { return std::uniform_real_distribution<double>(least, most)(m_random); };
+    const auto seed = ++m_seed;
+    RetryPlay play { .seed = seed };
+    play.vmCount = static_cast<int>(between(6, 340));
+    play.requestsPerSecond = between(5, 300);
+    play.runSeconds = between(2, 12);
+    play.lossEverySeconds = static_cast<int>(between(2, 9));
+    play.turnedAwayShare = between(0, 0.6);
+    play.turnedAwayWhileSilent = between(0.2, 0.9);
+    play.movedShare = between(0, 1);
+    play.restartShare = seed % 2 ? between(0, 1) : 0;
+    play.restartEverySeconds = static_cast<int>(between(3, 12));
+    play.zoneLeftAtSecond = seed % 3 ? 1000 : 25;
+    play.surge = seed % 4 ? 1 : 3;
+    return play;
+}
+
+} // namespace lupinknot::internal
--- a/src/relay/RetryBudget.h
+++ b/src/relay/RetryBudget.h
@@ -31,7 +31,10 @@
 
 class RetryBudget {
 public:
+    // The settings outlive the budget.
     explicit RetryBudget(const RelaySettings&);
+    RetryBudget(const RetryBudget&) = delete;
+    RetryBudget& operator=(const RetryBudget&) = delete;
     void noteRequest(Milliseconds now);
     // Takes one retry out of the budget; false when there is none left.
     bool take(RetryPurpose, Milliseconds now);
--- a/test/RetryBudgetTest.cpp
+++ b/test/RetryBudgetTest.cpp
@@ -1,6 +1,7 @@
 #include "relay/RetryBudget.h"
 #include "relay/RelaySettings.h"
 
+#include <deque>
 #include <numeric>
 #include <random>
 #include <vector>
@@ -127,7 +128,9 @@
     settings.retryShare = 0.9;
     settings.retrySlack = 150;
     settings.retrySlackShare = 1.0 / vmCount;
-    std::vector<RetryBudget> vms(vmCount, RetryBudget(settings));
+    std::deque<RetryBudget> vms;
+    for (int i = 0; i < vmCount; ++i)
+        vms.emplace_back(settings);
     std::mt19937 random(35);
     std::poisson_distribution<int> arrivals(0.08);
     std::vector<int> requests;
