--- /dev/null
+++ b/src/endpoint/EndpointOpening.h
@@ -0,0 +1,14 @@
+// When an endpoint takes a request again that takes none now.
+#pragma once
+
+#include "lupinknot/Clock.h"
+
+namespace lupinknot::internal {
+
+struct EndpointOpening {
+    Milliseconds at { 0 };
+    // What it waits for: the end of the endpoint's rest, or else a permit.
+    bool isAfterRest { false };
+};
+
+} // namespace lupinknot::internal
--- a/src/relay/CrashGuard.h
+++ b/src/relay/CrashGuard.h
@@ -17,6 +17,7 @@
 #include "quarantine/EndpointLosses.h"
 #include "quarantine/Quarantine.h"
 #include "quarantine/ServedRequests.h"
+#include "quarantine/Standing.h"
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 
@@ -31,13 +32,6 @@
 class RelayEndpoint;
 struct RelaySettings;
 
-// Whether a request may be sent to an endpoint.
-enum class Standing {
-    Free,
-    UnderJudgement, // Wait; what has just been lost under it is being judged.
-    Held,
-};
-
 // A run that its endpoint did not finish, and whose it was.
 struct RequestLoss {
     std::string requestId;
--- /dev/null
+++ b/src/relay/EngineChoice.cpp
@@ -0,0 +1,229 @@
+#include "relay/EngineChoice.h"
+
+#include "common/EventLog.h"
+#include "relay/EndpointDirectory.h"
+#include "relay/EngineForecast.h"
+#include "relay/EngineSurvey.h"
+#include "relay/Placement.h"
+#include "relay/RelayConfiguration.h"
+#include "relay/RelayContext.h"
+#include "relay/RelayRequest.h"
+#include "relay/RelaySettings.h"
+#include "relay/RolloutPart.h"
+#include "relay/RunLocations.h"
+#include "relay/StreamRun.h"
+
+#include <algorithm>
+
+namespace lupinknot::internal {
+
+std::shared_ptr<EngineChoice> EngineChoice::make(
+    RelayContext& context, const RelayRequest& request, RolloutPart& rollout)
+{
+    return std::shared_ptr<EngineChoice>(new EngineChoice(context, request, rollout));
+}
+
+EngineChoice::EngineChoice(RelayContext& context, const RelayRequest& request, RolloutPart& rollout)
+    : m_context(context)
+    , m_request(request)
+    , m_rollout(rollout)
+{
+}
+
+EngineChoice::~EngineChoice() = default;
+
+RunLocations* EngineChoice::runLocations() const
+{
+    return m_context.has(Policy::LocationHints) ? m_context.runLocations : nullptr;
+}
+
+// The caller has come back behind an event: another VM may have served it, and an engine has read its prompt.
+bool EngineChoice::findEarlierRun(std::function<void()> callback)
+{
+    if (!m_request.fields.lastEventId || m_request.fields.promptId.empty() || !runLocations())
+        return false;
+    runLocations()->find(m_request.fields.promptId,
+        [weak = weak_from_this(), callback = std::move(callback)](const std::optional<RunLocation>& location) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            self->earlierRunFound(location);
+            callback();
+        });
+    return true;
+}
+
+void EngineChoice::earlierRunFound(const std::optional<RunLocation>& location)
+{
+    if (location) {
+        m_earlierEngine = m_context.directory.find(location->endpointId);
+        m_copyHolder = m_context.directory.find(location->copyHolderId);
+        if (!m_copyHolder || m_copyHolder->isRemoved())
+            m_copyHolder = m_context.directory.findAt(m_request.service, location->copyHolderAddress);
+        m_copyName = location->requestId;
+    }
+    LogEvent("stream.returned")
+        .text("request", m_request.fields.requestId)
+        .text("earlier_request", m_copyName)
+        .text("earlier_endpoint", location ? location->endpointId : "")
+        .flag("is_engine_known", m_earlierEngine != nullptr)
+        .flag("is_copy_known", m_copyHolder != nullptr)
+        .write();
+}
+
+void EngineChoice::noteLocation(const StreamRun& run) const
+{
+    if (!runLocations() || m_request.fields.promptId.empty() || !m_request.route->mayRunAgain())
+        return;
+    const auto& holder = run.copyHolder;
+    runLocations()->note(m_request.fields.promptId,
+        { run.endpoint->entry().id, holder ? holder->entry().id : "", m_request.fields.requestId,
+            holder ? holder->entry().address : SocketAddress {} });
+}
+
+void EngineChoice::forgetLocation() const
+{
+    if (runLocations())
+        runLocations()->forget(m_request.fields.promptId);
+}
+
+bool EngineChoice::isSound(const RelayEndpoint& engine) const
+{
+    const auto now = m_context.now();
+    return !engine.isLeaving() && !engine.isAvoided(now) && !engine.isResting(now) && now >= engine.noPermitUntil()
+        && !m_context.directory.isZoneAvoided(engine.entry().availabilityZone, now)
+        && !m_context.directory.isDoubtful(engine, now);
+}
+
+std::optional<RunPlace> EngineChoice::placeOfCopy() const
+{
+    if (!m_copyHolder || !isSound(*m_copyHolder) || !m_rollout.next().admits(m_copyHolder->entry().version))
+        return std::nullopt;
+    return RunPlace { m_copyHolder, { m_copyHolder->entry().address, m_copyName } };
+}
+
+void EngineChoice::setCopy(std::shared_ptr<RelayEndpoint> holder, std::string name)
+{
+    m_copyHolder = std::move(holder);
+    m_copyName = std::move(name);
+}
+
+std::shared_ptr<RelayEndpoint> EngineChoice::takeEarlierEngine()
+{
+    const auto earlier = std::exchange(m_earlierEngine, nullptr);
+    const bool isUsable = earlier && isSound(*earlier) && m_rollout.next().admits(earlier->entry().version);
+    return isUsable ? earlier : nullptr;
+}
+
+PlacementRequest EngineChoice::wantedPlacement() const
+{
+    const auto& settings = m_context.settings;
+    PlacementRequest wanted { .service = m_request.service, .excluded = m_failed, .version = m_rollout.next() };
+    if (!m_failed.empty())
+        wanted.zonesToLeave.push_back(m_failed.back()->entry().availabilityZone);
+    if (m_context.has(Policy::PromptPreference))
+        wanted.promptId = m_request.fields.promptId;
+    wanted.preference = m_request.fields.lastEventId ? settings.returningPreference : settings.promptPreference;
+    return wanted;
+}
+
+void EngineChoice::choose(Callback callback)
+{
+    if (survey(callback))
+        return;
+    const auto now = m_context.now();
+    auto engine = m_context.placement.choose(wantedPlacement(), now);
+    if (!engine && !m_failed.empty())
+        engine = m_context.placement.choose(
+            { .service = m_request.service, .version = m_rollout.next(), .mustBeSound = true }, now);
+    callback(engine);
+}
+
+bool EngineChoice::survey(const Callback& callback)
+{
+    const auto* service = m_context.configuration->findService(m_request.service);
+    // An engine that may have kept the prompt is better than any other.
+    if (!m_context.has(Policy::LoadSurvey) || !service || !service->isEngine || m_request.fields.lastEventId)
+        return false;
+    // A question may count as a request at an engine that takes only so many.
+    auto sound = wantedPlacement();
+    sound.mustBeSound = true;
+    sound.limited = LimitedEndpoints::LeftOut;
+    const auto engines = m_context.placement.candidates(sound, m_context.settings.surveySize, m_context.now());
+    if (engines.size() < 2)
+        return false;
+    m_survey = EngineSurvey::start(m_context, engines, [weak = weak_from_this(), callback](const Engines& answered) {
+        if (const auto self = weak.lock())
+            self->surveyed(answered, callback);
+    });
+    return true;
+}
+
+void EngineChoice::surveyed(const Engines& answered, const Callback& callback)
+{
+    m_survey.reset();
+    const EngineWork work { m_request.fields.promptTokens, m_request.fields.maxAnswerTokens };
+    const auto pace = m_context.pace(m_request.service).engine();
+    const auto now = m_context.now();
+    auto engine = m_context.placement.chooseReported(answered, work, pace, now);
+    if (!engine)
+        engine = m_context.placement.choose(wantedPlacement(), now);
+    if (engine)
+        logChoice(*engine, answered.size(), forecastDelay(work, *engine, pace));
+    callback(engine);
+}
+
+void EngineChoice::logChoice(const RelayEndpoint& engine, std::size_t answered, Milliseconds forecast) const
+{
+    const auto report = engine.report() ? *engine.report() : EngineReport {};
+    LogEvent("stream.engine-chosen", LogImportance::Routine)
+        .text("request", m_request.fields.requestId)
+        .text("endpoint", engine.entry().id)
+        .number("answered", static_cast<std::int64_t>(answered))
+        .number("forecast_ms", forecast.count())
+        .number("being_read", report.promptsBeingRead)
+        .number("waiting", report.promptsWaiting)
+        .number("generating", report.generating)
+        .number("memory_used", static_cast<std::int64_t>(report.memoryUsed))
+        .number("own_being_read", engine.promptsBeingRead())
+        .write();
+}
+
+void EngineChoice::cancel() { m_survey.reset(); }
+
+std::shared_ptr<RelayEndpoint> EngineChoice::copyHolderFor(const RelayEndpoint& engine) const
+{
+    const auto* service = m_context.configuration->findService(m_request.service);
+    if (!m_context.has(Policy::GrowingCopies) || !service || !service->copiesRunningMemory
+        || !m_request.route->mayRunAgain())
+        return nullptr;
+    const PlacementRequest wanted { .service = m_request.service,
+        .excluded = m_failed,
+        .zonesToLeave = { engine.entry().availabilityZone },
+        .version = m_rollout.forCopies(engine),
+        .mustBeSound = true,
+        .limited = LimitedEndpoints::NotSent };
+    return m_context.placement.choose(wanted, m_context.now());
+}
+
+Milliseconds EngineChoice::patienceForPermit(bool isFromCopy) const
+{
+    // A copy saves the prompt from being read again, which takes longer than this pause.
+    if (isFromCopy)
+        return m_request.route->longestPause / 2;
+    const auto now = m_context.now();
+    auto other = wantedPlacement();
+    other.mustBeSound = true;
+    other.limited = LimitedEndpoints::LeftOut;
+    if (m_context.placement.choose(other, now))
+        return Milliseconds { 0 };
+    return std::max(m_request.admittedAt + m_context.settings.waitForEndpoint - now, Milliseconds { 0 });
+}
+
+std::optional<EndpointOpening> EngineChoice::nextOpening() const
+{
+    return m_context.placement.nextOpening(
+        { .service = m_request.service, .version = m_rollout.next() }, m_context.now());
+}
+
+} // namespace lupinknot::internal
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -1,18 +1,16 @@
 #include "relay/EventStreamCall.h"
 
+#include "admission/AttemptAdmission.h"
 #include "common/EventLog.h"
 #include "http/HttpBodySource.h"
 #include "relay/EndpointDirectory.h"
-#include "relay/EngineForecast.h"
-#include "relay/EngineSurvey.h"
+#include "relay/EngineChoice.h"
 #include "relay/PermitWait.h"
-#include "relay/Placement.h"
-#include "relay/RelayConfiguration.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayMetrics.h"
 #include "relay/RelaySettings.h"
 #include "relay/RunCopy.h"
-#include "relay/RunLocations.h"
+#include "relay/RunMover.h"
 #include "relay/RunRelocation.h"
 #include "relay/RunWatch.h"
 
@@ -63,6 +61,7 @@
     , m_pace(m_context, m_request)
     , m_rollout(m_context, m_request)
     , m_crashWatch(m_context, m_request)
+    , m_choice(EngineChoice::make(m_context, m_request, m_rollout))
     , m_events({ .maxTokens = std::numeric_limits<std::size_t>::max(), .stops = {} })
     , m_deadlineTimer(context.ioContext)
     , m_retryTimer(context.ioContext)
@@ -81,7 +80,12 @@
         };
     };
     m_watch = RunWatch::make(
-        m_context, m_request, { guarded(&EventStreamCall::runSilent), guarded(&EventStreamCall::considerRelocation) });
+        m_context, m_request, { guarded(&EventStreamCall::runSilent), guarded(&EventStreamCall::considerMove) });
+    m_mover
+        = std::make_unique<RunMover>(m_context, m_request, m_rollout, [weak = weak_from_this()](const RunMove& move) {
+              if (const auto self = weak.lock(); self && !self->m_isFinished)
+                  self->moved(move);
+          });
     m_crashWatch.begin(guarded(&EventStreamCall::heldMeanwhile));
     m_deadlineTimer.expires_after(m_request.deadline - m_context.now());
     m_deadlineTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
@@ -94,82 +98,38 @@
         LogEvent("request.caller-gone").text("request", self->m_request.fields.requestId).write();
         self->finish();
     });
-    if (m_request.fields.lastEventId && !m_request.fields.promptId.empty() && runLocations())
-        findEarlierRun();
-    else
+    if (!m_choice->findEarlierRun(guarded(&EventStreamCall::startRun)))
         startRun();
 }
 
-RunLocations* EventStreamCall::runLocations() const
-{
-    return m_context.has(Policy::LocationHints) ? m_context.runLocations : nullptr;
-}
-
-// The caller has come back behind an event: another VM may have served it, and an engine has read its prompt.
-void EventStreamCall::findEarlierRun()
-{
-    runLocations()->find(
-        m_request.fields.promptId, [weak = weak_from_this()](const std::optional<RunLocation>& location) {
-            const auto self = weak.lock();
-            if (self && !self->m_isFinished)
-                self->earlierRunFound(location);
-        });
-}
-
-void EventStreamCall::earlierRunFound(const std::optional<RunLocation>& location)
-{
-    if (location) {
-        m_earlierEngine = m_context.directory.find(location->endpointId);
-        m_copyHolder = m_context.directory.find(location->copyHolderId);
-        if (!m_copyHolder || m_copyHolder->isRemoved())
-            m_copyHolder = m_context.directory.findAt(m_request.service, location->copyHolderAddress);
-        m_copyName = location->requestId;
-    }
-    LogEvent("stream.returned")
-        .text("request", m_request.fields.requestId)
-        .text("earlier_request", m_copyName)
-        .text("earlier_endpoint", location ? location->endpointId : "")
-        .flag("is_engine_known", m_earlierEngine != nullptr)
-        .flag("is_copy_known", m_copyHolder != nullptr)
-        .write();
-    startRun();
-}
-
-bool EventStreamCall::isSound(const RelayEndpoint& endpoint) const
+AttemptState EventStreamCall::attemptState() const
 {
-    const auto now = m_context.now();
-    return !endpoint.isLeaving() && !endpoint.isAvoided(now) && !endpoint.isResting(now)
-        && now >= endpoint.noPermitUntil() && !m_context.directory.isZoneAvoided(endpoint.entry().availabilityZone, now)
-        && !m_context.directory.isDoubtful(endpoint, now);
+    return { m_crashWatch.standing(), m_possibleRuns, m_request.route->maxAttempts, m_request.route->mayRunAgain() };
 }
 
 bool EventStreamCall::mayStartRun()
 {
-    if (m_possibleRuns >= m_request.route->maxAttempts || (m_possibleRuns > 0 && !m_request.route->mayRunAgain())) {
-        giveUp(RefusalReason::EndpointFailed);
-        return false;
-    }
-    m_isNextCharged = m_arrivals > 0;
-    if (m_isNextCharged
-        && !m_context.retryBudget(m_request.service)
-                .take(RetryPurpose::Rescue, m_request.admittedAt, m_context.now())) {
-        giveUp(m_possibleRuns > 0 ? RefusalReason::EndpointFailed : RefusalReason::RetryBudgetSpent);
-        return false;
-    }
-    return true;
+    auto verdict = mayRunOnceMore(attemptState()) ? AttemptVerdict::Allowed : AttemptVerdict::RunsSpent;
+    m_isNextCharged = verdict == AttemptVerdict::Allowed && m_arrivals > 0;
+    auto& budget = m_context.retryBudget(m_request.service);
+    if (m_isNextCharged && !budget.take(RetryPurpose::Rescue, m_request.admittedAt, m_context.now()))
+        verdict = AttemptVerdict::RetriesSpent;
+    if (verdict != AttemptVerdict::Allowed)
+        giveUp(refusalAfter(verdict, m_possibleRuns));
+    return verdict == AttemptVerdict::Allowed;
 }
 
 bool EventStreamCall::isSendable()
 {
-    const auto standing = m_crashWatch.standing();
-    if (standing == Standing::Held)
+    const auto verdict = judgeAttempt(attemptState());
+    if (verdict == AttemptVerdict::Held)
         held();
-    else if (standing == Standing::UnderJudgement)
+    else if (verdict == AttemptVerdict::Undecided)
         startRunLater();
-    return standing == Standing::Free;
+    return verdict != AttemptVerdict::Held && verdict != AttemptVerdict::Undecided;
 }
 
-void EventStreamCall::held() { giveUp(m_possibleRuns > 0 ? RefusalReason::EndedEndpoints : RefusalReason::HeldBack); }
+void EventStreamCall::held() { giveUp(refusalAfter(AttemptVerdict::Held, m_possibleRuns)); }
 
 // A run that makes events does not end its engine, whatever others of the same request have done.
 void EventStreamCall::heldMeanwhile()
@@ -182,127 +142,34 @@
 {
     if (!isSendable())
         return;
-    if (const auto holder = soundCopyHolder()) {
+    if (const auto place = m_choice->placeOfCopy()) {
         if (mayStartRun())
-            startRunAt(holder, CopySource { holder->entry().address, m_copyName });
+            startRunAt(place->engine, place->copy);
         return;
     }
-    const auto earlier = std::exchange(m_earlierEngine, nullptr);
-    const bool isPromptKept = earlier && isSound(*earlier) && m_rollout.next().admits(earlier->entry().version);
-    if (m_possibleRuns == 0 && m_context.has(Policy::TimeCheck) && m_pace.lacksTime(lastEventId(), isPromptKept)) {
+    const auto earlier = m_choice->takeEarlierEngine();
+    if (m_possibleRuns == 0 && m_context.has(Policy::TimeCheck)
+        && m_pace.lacksTime(lastEventId(), earlier != nullptr)) {
         giveUp(RefusalReason::TooLittleTime);
         return;
     }
-    if (isPromptKept) {
-        if (mayStartRun())
-            startRunAt(earlier, std::nullopt);
-        return;
-    }
-    const auto wanted = wantedPlacement();
-    if (survey(wanted))
-        return;
-    const auto now = m_context.now();
-    auto endpoint = m_context.placement.choose(wanted, now);
-    if (!endpoint && !m_failed.empty())
-        endpoint = m_context.placement.choose(
-            { .service = m_request.service, .version = m_rollout.next(), .mustBeSound = true }, now);
-    if (!endpoint) {
-        waitForEndpoint();
+    if (earlier) {
+        engineChosen(earlier);
         return;
     }
-    if (mayStartRun())
-        startRunAt(endpoint, std::nullopt);
-}
-
-PlacementRequest EventStreamCall::wantedPlacement()
-{
-    const auto& settings = m_context.settings;
-    PlacementRequest wanted { .service = m_request.service, .excluded = m_failed, .version = m_rollout.next() };
-    if (!m_failed.empty())
-        wanted.zonesToLeave.push_back(m_failed.back()->entry().availabilityZone);
-    if (m_context.has(Policy::PromptPreference))
-        wanted.promptId = m_request.fields.promptId;
-    wanted.preference = m_request.fields.lastEventId ? settings.returningPreference : settings.promptPreference;
-    return wanted;
-}
-
-bool EventStreamCall::survey(const PlacementRequest& wanted)
-{
-    const auto* service = m_context.configuration->findService(m_request.service);
-    // An engine that may have kept the prompt is better than any other.
-    if (!m_context.has(Policy::LoadSurvey) || !service || !service->isEngine || m_request.fields.lastEventId)
-        return false;
-    // A question may count as a request at an engine that takes only so many.
-    auto sound = wanted;
-    sound.mustBeSound = true;
-    sound.limited = LimitedEndpoints::LeftOut;
-    const auto engines = m_context.placement.candidates(sound, m_context.settings.surveySize, m_context.now());
-    if (engines.size() < 2)
-        return false;
-    m_survey
-        = EngineSurvey::start(m_context, engines, [weak = weak_from_this()](const EngineSurvey::Engines& answered) {
-              const auto self = weak.lock();
-              if (self && !self->m_isFinished)
-                  self->surveyed(answered);
-          });
-    return true;
+    m_choice->choose([weak = weak_from_this()](const std::shared_ptr<RelayEndpoint>& engine) {
+        const auto self = weak.lock();
+        if (self && !self->m_isFinished)
+            self->engineChosen(engine);
+    });
 }
 
-void EventStreamCall::surveyed(const std::vector<std::shared_ptr<RelayEndpoint>>& answered)
+void EventStreamCall::engineChosen(const std::shared_ptr<RelayEndpoint>& engine)
 {
-    m_survey.reset();
-    const EngineWork work { m_request.fields.promptTokens, m_request.fields.maxAnswerTokens };
-    const auto pace = m_context.pace(m_request.service).engine();
-    const auto now = m_context.now();
-    auto engine = m_context.placement.chooseReported(answered, work, pace, now);
     if (!engine)
-        engine = m_context.placement.choose(wantedPlacement(), now);
-    if (!engine) {
         waitForEndpoint();
-        return;
-    }
-    if (!mayStartRun())
-        return;
-    logChoice(*engine, answered.size(), forecastDelay(work, *engine, pace));
-    startRunAt(engine, std::nullopt);
-}
-
-void EventStreamCall::logChoice(const RelayEndpoint& engine, std::size_t answered, Milliseconds forecast) const
-{
-    const auto report = engine.report() ? *engine.report() : EngineReport {};
-    LogEvent("stream.engine-chosen", LogImportance::Routine)
-        .text("request", m_request.fields.requestId)
-        .text("endpoint", engine.entry().id)
-        .number("answered", static_cast<std::int64_t>(answered))
-        .number("forecast_ms", forecast.count())
-        .number("being_read", report.promptsBeingRead)
-        .number("waiting", report.promptsWaiting)
-        .number("generating", report.generating)
-        .number("memory_used", static_cast<std::int64_t>(report.memoryUsed))
-        .number("own_being_read", engine.promptsBeingRead())
-        .write();
-}
-
-std::shared_ptr<RelayEndpoint> EventStreamCall::soundCopyHolder()
-{
-    const bool isUsable
-        = m_copyHolder && isSound(*m_copyHolder) && m_rollout.next().admits(m_copyHolder->entry().version);
-    return isUsable ? m_copyHolder : nullptr;
-}
-
-std::shared_ptr<RelayEndpoint> EventStreamCall::chooseCopyHolder(const RelayEndpoint& engine)
-{
-    const auto* service = m_context.configuration->findService(m_request.service);
-    if (!m_context.has(Policy::GrowingCopies) || !service || !service->copiesRunningMemory
-        || !m_request.route->mayRunAgain())
-        return nullptr;
-    const PlacementRequest wanted { .service = m_request.service,
-        .excluded = m_failed,
-        .zonesToLeave = { engine.entry().availabilityZone },
-        .version = m_rollout.forCopies(engine),
-        .mustBeSound = true,
-        .limited = LimitedEndpoints::NotSent };
-    return m_context.placement.choose(wanted, m_context.now());
+    else if (mayStartRun())
+        startRunAt(engine, std::nullopt);
 }
 
 void EventStreamCall::startRunAt(const std::shared_ptr<RelayEndpoint>& endpoint, std::optional<CopySource> copy)
@@ -311,7 +178,7 @@
         sendTo(endpoint, std::move(copy));
         return;
     }
-    const auto patience = patienceForPermit(copy.has_value());
+    const auto patience = m_choice->patienceForPermit(copy.has_value());
     m_permit = PermitWait::start(
         m_context, endpoint, patience, [weak = weak_from_this(), endpoint, copy = std::move(copy)](bool isGranted) {
             const auto self = weak.lock();
@@ -328,26 +195,6 @@
         });
 }
 
-Milliseconds EventStreamCall::patienceForPermit(bool isFromCopy)
-{
-    // A copy saves the prompt from being read again, which takes longer than this pause.
-    if (isFromCopy)
-        return m_request.route->longestPause / 2;
-    const auto now = m_context.now();
-    auto other = wantedPlacement();
-    other.mustBeSound = true;
-    other.limited = LimitedEndpoints::LeftOut;
-    if (m_context.placement.choose(other, now))
-        return Milliseconds { 0 };
-    return std::max(m_request.admittedAt + m_context.settings.waitForEndpoint - now, Milliseconds { 0 });
-}
-
-std::optional<EndpointOpening> EventStreamCall::nextOpening()
-{
-    return m_context.placement.nextOpening(
-        { .service = m_request.service, .version = m_rollout.next() }, m_context.now());
-}
-
 void EventStreamCall::sendTo(const std::shared_ptr<RelayEndpoint>& endpoint, std::optional<CopySource> copy)
 {
     const auto now = m_context.now();
@@ -355,7 +202,7 @@
     auto run = std::make_shared<StreamRun>();
     run->number = m_events.beginAttempt();
     run->endpoint = endpoint;
-    run->copyHolder = chooseCopyHolder(*endpoint);
+    run->copyHolder = m_choice->copyHolderFor(*endpoint);
     run->startedAt = now;
     run->lastActivity = now;
     run->isFromCopy = copy.has_value();
@@ -370,7 +217,7 @@
     if (run->copyHolder)
         fields.copyTo = run->copyHolder->entry().address;
     fields.continueFrom = std::move(copy);
-    m_copyHolder.reset();
+    m_choice->forgetCopy();
 
     LogEvent("stream.sent", m_sendings > 0 ? LogImportance::Notable : LogImportance::Routine)
         .text("request", m_request.fields.requestId)
@@ -391,34 +238,23 @@
     if (!run->isFromCopy)
         run->reading = std::make_unique<ReadingMark>(endpoint);
     m_run = run;
-    noteLocation();
+    m_choice->noteLocation(*run);
     const auto request = m_context.protocol.encodeForward(exchange->request(), fields);
     run->call = EndpointCall::start(
         m_context, endpoint, request, { m_request.fields.requestId, m_context.settings.maxRest }, weak_from_this());
     m_watch->begin(m_run);
 }
 
-void EventStreamCall::noteLocation()
-{
-    if (runLocations() && !m_request.fields.promptId.empty() && m_request.route->mayRunAgain())
-        runLocations()->note(m_request.fields.promptId,
-            { m_run->endpoint->entry().id, m_run->copyHolder ? m_run->copyHolder->entry().id : "",
-                m_request.fields.requestId,
-                m_run->copyHolder ? m_run->copyHolder->entry().address : SocketAddress {} });
-}
-
 void EventStreamCall::waitForEndpoint()
 {
-    const auto now = m_context.now();
-    const auto opening = nextOpening();
-    const auto waitsUntil = m_request.admittedAt + m_context.settings.waitForEndpoint;
-    if (m_events.length() == 0 && m_possibleRuns == 0 && opening && opening->at > waitsUntil) {
-        giveUp(opening->isAfterRest ? RefusalReason::EndpointsResting : RefusalReason::EndpointsLimited);
-        return;
-    }
-    if (m_events.length() == 0 && now >= waitsUntil) {
-        giveUp(m_possibleRuns > 0 ? RefusalReason::EndpointFailed : RefusalReason::NoEndpoint);
-        return;
+    if (m_events.length() == 0) {
+        const auto& settings = m_context.settings;
+        const auto decision = waitOrRefuseStream(m_choice->nextOpening(), m_possibleRuns,
+            m_request.admittedAt + settings.waitForEndpoint, settings.endpointRetryInterval, m_context.now());
+        if (!decision.waits) {
+            giveUp(decision.reason);
+            return;
+        }
     }
     startRunLater();
 }
@@ -547,7 +383,7 @@
         return;
     }
     // A run that is stopped to be moved closes its connection, which ends an unframed answer without being its end.
-    if (!run->isFramed && m_relocation && m_relocation->isStopping())
+    if (!run->isFramed && m_mover->isStopping())
         return;
     if (!run->splitter.rest().empty() || m_events.length() == 0) {
         runLost(FailureKind::EarlyEnd);
@@ -590,10 +426,10 @@
         .write();
     if (run->fields.isOtherEndpoint) {
         m_context.directory.remove(run->endpoint->entry().id, now);
-        m_failed.push_back(run->endpoint);
+        m_choice->noteFailed(run->endpoint);
     } else if (!run->isFromCopy) {
         run->endpoint->avoidUntil(now + m_context.settings.avoidAfterShed);
-        m_failed.push_back(run->endpoint);
+        m_choice->noteFailed(run->endpoint);
     }
     startRun();
 }
@@ -603,7 +439,7 @@
     if (!m_run || m_run->call.get() != &call || m_isFinished)
         return;
     // A run that is being moved ends its stream; the answer to the move says how to go on.
-    if (m_relocation && m_relocation->isStopping())
+    if (m_mover->isStopping())
         return;
     runLost(kind);
 }
@@ -617,7 +453,7 @@
     run->reading.reset();
     run->call->cancel();
     m_watch->stop();
-    dropRelocation();
+    m_mover->cancel();
     LogEvent("stream.run-lost")
         .text("request", m_request.fields.requestId)
         .text("endpoint", run->endpoint->entry().id)
@@ -646,10 +482,9 @@
                 : wasSent ? settings.avoidAfterBreak
                           : settings.avoidAfterRefusal));
     m_context.directory.noteFailure(*run->endpoint, now);
-    m_failed.push_back(run->endpoint);
+    m_choice->noteFailed(run->endpoint);
     // A run is copied from its first event on: before it there is nothing to ask for.
-    m_copyHolder = run->hasEvent ? copyHolderOf(*run, m_context.directory) : nullptr;
-    m_copyName = m_request.fields.requestId;
+    m_choice->setCopy(run->hasEvent ? copyHolderOf(*run, m_context.directory) : nullptr, m_request.fields.requestId);
     if (!m_lossAt)
         m_lossAt = now;
     startRun();
@@ -669,29 +504,6 @@
         run.endpoint, run.startedAt, { kind, run.hasEvent ? RunBeginning::Producing : withoutEvent, lastSign - since });
 }
 
-bool EventStreamCall::lacksCopy(const StreamRun& run, Milliseconds now) const
-{
-    const auto holder = copyHolderOf(run, m_context.directory);
-    if (!holder)
-        return now - run.startedAt >= m_context.settings.relocateAfter;
-    // The engines of a zone go together, and the list of endpoints says so only seconds later.
-    return holder->isLeaving()
-        || m_context.directory.hasZoneFailedSince(holder->entry().availabilityZone, run.startedAt);
-}
-
-bool EventStreamCall::mayRelocate(const StreamRun& run, Milliseconds now)
-{
-    const auto* service = m_context.configuration->findService(m_request.service);
-    const bool isPossible
-        = service && service->copiesRunningMemory && m_request.route->mayRunAgain() && !run.endpoint->isResting(now);
-    const bool leavesAttempt = m_possibleRuns + 1 < m_request.route->maxAttempts;
-    // A run at a candidate version is not sent to it again, and its memory stays with its version.
-    const bool isAtHome = m_rollout.next().admits(run.endpoint->entry().version);
-    return isPossible && isAtHome && leavesAttempt && run.hasEvent
-        && expectedRest(now) >= m_context.settings.relocateUnlessDoneWithin
-        && !m_context.directory.isZoneAvoided(run.endpoint->entry().availabilityZone, now);
-}
-
 // How long the stream will probably go on, from its pace so far and the most that it may hold.
 Milliseconds EventStreamCall::expectedRest(Milliseconds now) const
 {
@@ -705,67 +517,27 @@
 
 void EventStreamCall::runSilent() { runLost(FailureKind::Silent); }
 
-void EventStreamCall::considerRelocation()
+void EventStreamCall::considerMove()
 {
-    const auto now = m_context.now();
-    if (m_context.has(Policy::MovesAhead) && !m_relocation && now >= m_nextRelocationAt && lacksCopy(*m_run, now)
-        && mayRelocate(*m_run, now))
-        relocate();
-}
-
-// Brings the run to an engine where it gets a growing copy again.
-void EventStreamCall::relocate()
-{
-    const auto now = m_context.now();
-    if (m_nextRelocationAt == Milliseconds { 0 }) {
-        // Many streams lose their copies at the same instant, and copies queue on the engines' links.
-        const auto spread = static_cast<std::uint64_t>(m_context.settings.relocationSpread.count());
-        const auto delay = std::hash<std::string>()(m_request.fields.requestId) % std::max<std::uint64_t>(spread, 1);
-        m_nextRelocationAt = now + Milliseconds { static_cast<std::int64_t>(delay) };
-        return;
-    }
-    m_nextRelocationAt = now + m_context.settings.relocateAfter;
-    auto excluded = m_failed;
-    excluded.push_back(m_run->endpoint);
-    const auto target = m_context.placement.choose({ .service = m_request.service,
-                                                       .excluded = std::move(excluded),
-                                                       .version = m_rollout.next(),
-                                                       .mustBeSound = true,
-                                                       .limited = LimitedEndpoints::LeftOut },
-        now);
-    // The retry is taken here: once the run has been stopped it has to go on.
-    if (!target || !m_context.retryBudget(m_request.service).take(RetryPurpose::Precaution, m_request.admittedAt, now))
-        return;
-    LogEvent("stream.relocating")
-        .text("request", m_request.fields.requestId)
-        .text("endpoint", m_run->endpoint->entry().id)
-        .text("target", target->entry().id)
-        .text("lost_copy", m_run->copyHolder ? m_run->copyHolder->entry().id : "")
-        .write();
-    m_relocation = RunRelocation::start(m_context, m_run->endpoint, target, m_request.fields.requestId,
-        [weak = weak_from_this()](RelocationResult result, const std::string& handle) {
-            const auto self = weak.lock();
-            if (self && !self->m_isFinished)
-                self->relocated(result, handle);
-        });
+    const bool leavesAttempt = m_possibleRuns + 1 < m_request.route->maxAttempts;
+    m_mover->consider(*m_run, { leavesAttempt, expectedRest(m_context.now()) }, m_choice->failed());
 }
 
-void EventStreamCall::relocated(RelocationResult result, const std::string& handle)
+void EventStreamCall::moved(const RunMove& move)
 {
-    const auto relocation = std::exchange(m_relocation, nullptr);
     LogEvent("stream.relocated")
         .text("request", m_request.fields.requestId)
-        .text("result", nameIn(relocationResultNames, result))
-        .text("endpoint", relocation->source()->entry().id)
-        .text("target", relocation->target()->entry().id)
+        .text("result", nameIn(relocationResultNames, move.result))
+        .text("endpoint", move.source->entry().id)
+        .text("target", move.target->entry().id)
         .number("last_event", static_cast<std::int64_t>(lastEventId()))
         .write();
-    const bool isMoving = m_run && (result == RelocationResult::Moved || result == RelocationResult::Stopped);
+    const bool isMoving = m_run && (move.result == RelocationResult::Moved || move.result == RelocationResult::Stopped);
     if (!isMoving)
         m_context.retryBudget(m_request.service).giveBack();
-    if (result == RelocationResult::Refused || !m_run)
+    if (move.result == RelocationResult::Refused || !m_run)
         return;
-    if (result == RelocationResult::Unknown) {
+    if (move.result == RelocationResult::Unknown) {
         runLost(FailureKind::ConnectionLost);
         return;
     }
@@ -774,15 +546,8 @@
     m_watch->stop();
     m_lossAt = m_context.now();
     m_isNextCharged = true;
-    const bool isMoved = result == RelocationResult::Moved;
-    startRunAt(isMoved ? relocation->target() : relocation->source(),
-        CopySource { relocation->source()->entry().address, handle });
-}
-
-void EventStreamCall::dropRelocation()
-{
-    if (std::exchange(m_relocation, nullptr))
-        m_context.retryBudget(m_request.service).giveBack();
+    const bool isMoved = move.result == RelocationResult::Moved;
+    startRunAt(isMoved ? move.target : move.source, CopySource { move.source->entry().address, move.handle });
 }
 
 void EventStreamCall::timedOut()
@@ -794,8 +559,7 @@
 void EventStreamCall::complete()
 {
     m_isComplete = true;
-    if (runLocations())
-        runLocations()->forget(m_request.fields.promptId);
+    m_choice->forgetLocation();
     m_crashWatch.noteHarmless();
     m_pace.noteWholeAnswer(lastEventId(), m_events.length(), m_lastEventAt - m_firstEventAt);
     logEnd("complete", m_run->head.status);
@@ -824,7 +588,7 @@
     if (reason == RefusalReason::HeldBack)
         comeBackIn = m_context.crashGuard.heldFor(m_request.digest);
     const bool isOpeningKnown = reason == RefusalReason::EndpointsLimited || reason == RefusalReason::EndpointsResting;
-    if (const auto opening = nextOpening(); opening && isOpeningKnown)
+    if (const auto opening = m_choice->nextOpening(); opening && isOpeningKnown)
         comeBackIn = opening->at - m_context.now();
     m_request.exchange->respond(refusal(m_context, reason, comeBackIn));
     finish();
@@ -854,9 +618,10 @@
     m_deadlineTimer.cancel();
     m_retryTimer.cancel();
     m_watch->stop();
-    m_survey.reset();
+    m_choice->cancel();
     m_permit.reset();
-    dropRelocation();
+    if (m_mover)
+        m_mover->cancel();
     if (const auto run = std::exchange(m_run, nullptr))
         run->call->cancel();
 }
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -21,15 +21,12 @@
 
 namespace lupinknot::internal {
 
-class EngineSurvey;
+class EngineChoice;
 class PermitWait;
-struct EndpointOpening;
-struct PlacementRequest;
-class RunLocations;
-class RunRelocation;
+class RunMover;
 class RunWatch;
-struct RunLocation;
-enum class RelocationResult;
+struct AttemptState;
+struct RunMove;
 
 class EventStreamCall final : public EndpointCallListener, public std::enable_shared_from_this<EventStreamCall> {
 public:
@@ -46,32 +43,14 @@
 
     EventStreamCall(RelayContext&, RelayRequest);
     void begin();
-    // Null where VMs tell each other nothing.
-    RunLocations* runLocations() const;
-    void findEarlierRun();
-    void earlierRunFound(const std::optional<RunLocation>&);
-    // True when nothing speaks against sending the stream to the endpoint.
-    bool isSound(const RelayEndpoint&) const;
-    // Tells other VMs where the run is.
-    void noteLocation();
+    AttemptState attemptState() const;
     // Starts a run somewhere, or waits for an endpoint, or gives the request up.
     void startRun();
     // Starts a run at the endpoint, or elsewhere if it is limited and no permit is to be had.
     void startRunAt(const std::shared_ptr<RelayEndpoint>&, std::optional<CopySource>);
     void sendTo(const std::shared_ptr<RelayEndpoint>&, std::optional<CopySource>);
-    // How long the stream can wait for its place at an endpoint under a limit.
-    Milliseconds patienceForPermit(bool isFromCopy);
-    // When the first engine takes a request again where all are limited or rest; nothing otherwise.
-    std::optional<EndpointOpening> nextOpening();
-    // Where a run that reads the prompt should begin.
-    PlacementRequest wantedPlacement();
-    // Asks the engines that come into question for their load, if there is a choice.
-    bool survey(const PlacementRequest&);
-    void surveyed(const std::vector<std::shared_ptr<RelayEndpoint>>& answered);
-    void logChoice(const RelayEndpoint&, std::size_t answered, Milliseconds forecast) const;
-    std::shared_ptr<RelayEndpoint> chooseCopyHolder(const RelayEndpoint& engine);
-    // The engine that holds a copy of the lost run's memory and looks sound, or null.
-    std::shared_ptr<RelayEndpoint> soundCopyHolder();
+    // Null where there is none.
+    void engineChosen(const std::shared_ptr<RelayEndpoint>&);
     void waitForEndpoint();
     void startRunLater();
     bool mayStartRun();
@@ -90,16 +69,10 @@
     void held();
     void heldMeanwhile();
 
-    // True when the run would have to begin anew if its engine failed now.
-    bool lacksCopy(const StreamRun&, Milliseconds now) const;
     Milliseconds expectedRest(Milliseconds now) const;
-    bool mayRelocate(const StreamRun&, Milliseconds now);
     // Moves the run ahead if it lacks a copy and a move is worth it.
-    void considerRelocation();
-    void relocate();
-    void relocated(RelocationResult, const std::string& handle);
-    // Gives a move up that is under way, and its retry back.
-    void dropRelocation();
+    void considerMove();
+    void moved(const RunMove&);
 
     void timedOut();
     void complete();
@@ -114,25 +87,15 @@
     StreamPace m_pace;
     RolloutPart m_rollout;
     CrashWatch m_crashWatch;
+    const std::shared_ptr<EngineChoice> m_choice;
     Generation m_events;
     std::shared_ptr<StreamRun> m_run;
     // Null before the call begins.
     std::shared_ptr<RunWatch> m_watch;
-    // Set while engines are asked where the next run should begin.
-    std::shared_ptr<EngineSurvey> m_survey;
     // Set while a permit is asked for.
     std::shared_ptr<PermitWait> m_permit;
-    std::shared_ptr<RunRelocation> m_relocation;
-    // A relocation that was refused is tried again no earlier.
-    Milliseconds m_nextRelocationAt { 0 };
-    // Engines that failed this request; they are asked again only when no other is left.
-    std::vector<std::shared_ptr<RelayEndpoint>> m_failed;
-    // The engine that ran the request for another VM.
-    std::shared_ptr<RelayEndpoint> m_earlierEngine;
-    // The engine that holds a copy of the run that was lost.
-    std::shared_ptr<RelayEndpoint> m_copyHolder;
-    // The attempt that the copy is named after.
-    std::string m_copyName;
+    // Null before the call begins.
+    std::unique_ptr<RunMover> m_mover;
     // Runs that an engine may have begun.
     unsigned m_possibleRuns { 0 };
     unsigned m_sendings { 0 };
--- a/src/relay/Placement.h
+++ b/src/relay/Placement.h
@@ -8,6 +8,7 @@
 // the engine that has read its prompt.
 #pragma once
 
+#include "endpoint/EndpointOpening.h"
 #include "lupinknot/Clock.h"
 #include "relay/EngineForecast.h"
 #include "rollout/VersionChoice.h"
@@ -47,13 +48,6 @@
     LimitedEndpoints limited { LimitedEndpoints::Admitted };
 };
 
-// When an endpoint takes a request again that takes none now.
-struct EndpointOpening {
-    Milliseconds at { 0 };
-    // What it waits for: the end of its rest, or else a permit.
-    bool isAfterRest { false };
-};
-
 // Used on the relay's thread only.
 class Placement {
 public:
--- a/src/relay/RelayRefusal.h
+++ b/src/relay/RelayRefusal.h
@@ -1,6 +1,7 @@
 // The relay's own answers: refusals and failures, in one place.
 #pragma once
 
+#include "admission/RefusalReason.h"
 #include "http/HttpResponse.h"
 #include "lupinknot/Clock.h"
 #include "lupinknot/EnumNames.h"
@@ -10,25 +11,6 @@
 
 struct RelayContext;
 
-enum class RefusalReason {
-    Malformed,
-    UnknownKey,
-    UnknownRoute,
-    NoConfiguration,
-    Stopping,
-    NoEndpoint,
-    EndpointsBusy,
-    EndpointsLimited,
-    EndpointsResting,
-    RetryBudgetSpent,
-    EndpointFailed,
-    TimedOut,
-    TimedOutUnsent,
-    TooLittleTime,
-    HeldBack,
-    EndedEndpoints,
-};
-
 // One row of the table of what each reason tells the caller.
 struct RefusalTraits {
     RefusalReason reason;
--- a/src/relay/RetryBudget.h
+++ b/src/relay/RetryBudget.h
@@ -17,20 +17,14 @@
 // One budget for each service. Used on the relay's thread only.
 #pragma once
 
+#include "admission/RetryPurpose.h"
 #include "lupinknot/Clock.h"
-#include "lupinknot/EnumNames.h"
 #include <deque>
 
 namespace lupinknot::internal {
 
 struct RelaySettings;
 
-enum class RetryPurpose {
-    Rescue, // An answer that has begun, or a request whose endpoint failed, goes on elsewhere.
-    FullService, // An endpoint turned the request away. A service that is full is full for all VMs at once.
-    Precaution, // Nothing has failed yet: a second sending of a slow call, or a move to where a copy can grow.
-};
-
 class RetryBudget {
 public:
     // The settings outlive the budget.
--- /dev/null
+++ b/src/relay/RunMover.cpp
@@ -0,0 +1,101 @@
+#include "relay/RunMover.h"
+
+#include "admission/RetryPurpose.h"
+#include "common/EventLog.h"
+#include "relay/EndpointDirectory.h"
+#include "relay/Placement.h"
+#include "relay/RelayConfiguration.h"
+#include "relay/RelayContext.h"
+#include "relay/RelayRequest.h"
+#include "relay/RelaySettings.h"
+#include "relay/RolloutPart.h"
+#include "relay/RunCopy.h"
+#include "relay/RunRelocation.h"
+#include "relay/StreamRun.h"
+
+#include <algorithm>
+
+namespace lupinknot::internal {
+
+RunMover::RunMover(RelayContext& context, const RelayRequest& request, RolloutPart& rollout, Callback callback)
+    : m_context(context)
+    , m_request(request)
+    , m_rollout(rollout)
+    , m_callback(std::move(callback))
+{
+}
+
+RunMover::~RunMover() = default;
+
+bool RunMover::isStopping() const { return m_relocation && m_relocation->isStopping(); }
+
+void RunMover::cancel()
+{
+    if (std::exchange(m_relocation, nullptr))
+        m_context.retryBudget(m_request.service).giveBack();
+}
+
+void RunMover::consider(const StreamRun& run, const StreamOutlook& outlook, Engines failed)
+{
+    const auto now = m_context.now();
+    if (m_context.has(Policy::MovesAhead) && !m_relocation && now >= m_nextAt && lacksCopy(run, now)
+        && mayMove(run, outlook, now))
+        move(run, std::move(failed), now);
+}
+
+bool RunMover::lacksCopy(const StreamRun& run, Milliseconds now) const
+{
+    const auto holder = copyHolderOf(run, m_context.directory);
+    if (!holder)
+        return now - run.startedAt >= m_context.settings.relocateAfter;
+    // The engines of a zone go together, and the list of endpoints says so only seconds later.
+    return holder->isLeaving()
+        || m_context.directory.hasZoneFailedSince(holder->entry().availabilityZone, run.startedAt);
+}
+
+bool RunMover::mayMove(const StreamRun& run, const StreamOutlook& outlook, Milliseconds now)
+{
+    const auto* service = m_context.configuration->findService(m_request.service);
+    const bool isPossible
+        = service && service->copiesRunningMemory && m_request.route->mayRunAgain() && !run.endpoint->isResting(now);
+    // A run at a candidate version is not sent to it again, and its memory stays with its version.
+    const bool isAtHome = m_rollout.next().admits(run.endpoint->entry().version);
+    return isPossible && isAtHome && outlook.leavesAttempt && run.hasEvent
+        && outlook.expectedRest >= m_context.settings.relocateUnlessDoneWithin
+        && !m_context.directory.isZoneAvoided(run.endpoint->entry().availabilityZone, now);
+}
+
+void RunMover::move(const StreamRun& run, Engines excluded, Milliseconds now)
+{
+    if (m_nextAt == Milliseconds { 0 }) {
+        // Many streams lose their copies at the same instant, and copies queue on the engines' links.
+        const auto spread = static_cast<std::uint64_t>(m_context.settings.relocationSpread.count());
+        const auto delay = std::hash<std::string>()(m_request.fields.requestId) % std::max<std::uint64_t>(spread, 1);
+        m_nextAt = now + Milliseconds { static_cast<std::int64_t>(delay) };
+        return;
+    }
+    m_nextAt = now + m_context.settings.relocateAfter;
+    excluded.push_back(run.endpoint);
+    const auto target = m_context.placement.choose({ .service = m_request.service,
+                                                       .excluded = std::move(excluded),
+                                                       .version = m_rollout.next(),
+                                                       .mustBeSound = true,
+                                                       .limited = LimitedEndpoints::LeftOut },
+        now);
+    auto& budget = m_context.retryBudget(m_request.service);
+    if (!target || !budget.take(RetryPurpose::Precaution, m_request.admittedAt, now))
+        return;
+    LogEvent("stream.relocating")
+        .text("request", m_request.fields.requestId)
+        .text("endpoint", run.endpoint->entry().id)
+        .text("target", target->entry().id)
+        .text("lost_copy", run.copyHolder ? run.copyHolder->entry().id : "")
+        .write();
+    m_relocation = RunRelocation::start(m_context, run.endpoint, target, m_request.fields.requestId,
+        [this](RelocationResult result, const std::string& handle) {
+            const auto relocation = std::exchange(m_relocation, nullptr);
+            m_callback({ result, relocation->source(), relocation->target(), handle });
+        });
+}
+
+} // namespace lupinknot::internal
--- a/src/relay/WholeAnswerCall.cpp
+++ b/src/relay/WholeAnswerCall.cpp
@@ -1,6 +1,6 @@
 #include "relay/WholeAnswerCall.h"
 
-#include "admission/WaitForPlace.h"
+#include "admission/AttemptAdmission.h"
 #include "common/EventLog.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/PermitWait.h"
@@ -19,19 +19,6 @@
 
 constexpr unsigned firstServerError = 500;
 
-PlaceObstacle obstacleOf(RefusalReason reason)
-{
-    return reason == RefusalReason::NoEndpoint ? PlaceObstacle::Unreachable : PlaceObstacle::Full;
-}
-
-// What a retry is for that follows an attempt which ended so.
-RetryPurpose purposeAfter(RefusalReason reason)
-{
-    const bool isFull = reason == RefusalReason::EndpointsBusy || reason == RefusalReason::EndpointsLimited
-        || reason == RefusalReason::EndpointsResting || reason == RefusalReason::RetryBudgetSpent;
-    return isFull ? RetryPurpose::FullService : RetryPurpose::Rescue;
-}
-
 bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
 
 } // namespace
@@ -73,7 +60,7 @@
         self->finish();
     });
     if (!sendNext(anyEndpoint(), false))
-        waitOrRefuse(RefusalReason::NoEndpoint);
+        waitForPlace(RefusalReason::NoEndpoint);
 }
 
 bool WholeAnswerCall::mayHaveArrived() const
@@ -83,7 +70,10 @@
     });
 }
 
-bool WholeAnswerCall::maySendAgain() const { return m_possibleRuns < m_request.route->maxAttempts; }
+AttemptState WholeAnswerCall::attemptState() const
+{
+    return { m_crashWatch.standing(), m_possibleRuns, m_request.route->maxAttempts, m_request.route->mayRunAgain() };
+}
 
 PlacementRequest WholeAnswerCall::anyEndpoint()
 {
@@ -184,7 +174,7 @@
 void WholeAnswerCall::hedge()
 {
     // A second endpoint must not end under a request that may have ended the first ones.
-    if (!hasOpenAttempt() || !maySendAgain() || m_crashWatch.isSuspect())
+    if (!hasOpenAttempt() || m_possibleRuns >= m_request.route->maxAttempts || m_crashWatch.isSuspect())
         return;
     if (!m_context.retryBudget(m_request.service).take(RetryPurpose::Precaution, m_request.admittedAt, m_context.now()))
         return;
@@ -305,49 +295,52 @@
 // Goes on elsewhere if that is allowed, waits for an attempt that is still open, or gives the request up.
 void WholeAnswerCall::recover(RefusalReason lastReason)
 {
-    if (m_permit || !isSendable(lastReason))
+    if (m_permit)
         return;
-    const bool mayHaveRun = m_possibleRuns > 0;
-    const bool isAllowed = maySendAgain() && (!mayHaveRun || m_request.route->mayRunAgain());
+    auto verdict = judgeAttempt(attemptState());
+    if (verdict == AttemptVerdict::Held) {
+        refuse(refusalAfter(verdict, m_possibleRuns));
+        return;
+    }
+    if (verdict == AttemptVerdict::Undecided) {
+        recoverLater(lastReason);
+        return;
+    }
     auto& budget = m_context.retryBudget(m_request.service);
     const bool isRetry = mayHaveArrived();
-    const bool isFunded
-        = isAllowed && (!isRetry || budget.take(purposeAfter(lastReason), m_request.admittedAt, m_context.now()));
+    if (verdict == AttemptVerdict::Allowed && isRetry
+        && !budget.take(purposeAfter(lastReason), m_request.admittedAt, m_context.now()))
+        verdict = AttemptVerdict::RetriesSpent;
     // Endpoints that are known to be full or out of reach are not tried one after the other: the call waits instead.
-    if (isFunded && sendNext(mayWait() ? soundEndpoint() : anyEndpoint(), isRetry))
-        return;
-    if (isFunded && isRetry)
-        budget.giveBack();
+    if (verdict == AttemptVerdict::Allowed) {
+        if (sendNext(mayWait() ? soundEndpoint() : anyEndpoint(), isRetry))
+            return;
+        if (isRetry)
+            budget.giveBack();
+    }
     if (hasOpenAttempt())
         return;
     if (m_errorAnswer) {
         const auto endpointId = m_errorAnswer->call->endpoint()->entry().id;
         answer(std::move(m_errorAnswer->answer), "endpoint-status", endpointId);
-        return;
-    }
-    if (mayHaveRun)
+    } else if (m_possibleRuns > 0) {
         refuse(RefusalReason::EndpointFailed);
-    else
-        waitOrRefuse(isAllowed && !isFunded ? RefusalReason::RetryBudgetSpent : lastReason);
+    } else {
+        waitForPlace(verdict == AttemptVerdict::RetriesSpent ? RefusalReason::RetryBudgetSpent : lastReason);
+    }
 }
 
-bool WholeAnswerCall::isSendable(RefusalReason lastReason)
+void WholeAnswerCall::recoverLater(RefusalReason lastReason)
 {
-    const auto standing = m_crashWatch.standing();
-    if (standing == Standing::Held) {
-        held();
-    } else if (standing == Standing::UnderJudgement) {
-        m_waitTimer.expires_after(m_context.settings.endpointRetryInterval);
-        m_waitTimer.async_wait([weak = weak_from_this(), lastReason](boost::system::error_code error) {
-            const auto self = weak.lock();
-            if (!error && self && !self->m_isFinished)
-                self->recover(lastReason);
-        });
-    }
-    return standing == Standing::Free;
+    m_waitTimer.expires_after(m_context.settings.endpointRetryInterval);
+    m_waitTimer.async_wait([weak = weak_from_this(), lastReason](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->m_isFinished)
+            self->recover(lastReason);
+    });
 }
 
-void WholeAnswerCall::held() { refuse(m_possibleRuns > 0 ? RefusalReason::EndedEndpoints : RefusalReason::HeldBack); }
+void WholeAnswerCall::held() { refuse(refusalAfter(AttemptVerdict::Held, m_possibleRuns)); }
 
 bool WholeAnswerCall::mayWait() const
 {
@@ -363,23 +356,20 @@
 
 WaitingCall WholeAnswerCall::waitingCall() const { return { m_request.admittedAt, m_request.deadline, m_waits }; }
 
-std::optional<EndpointOpening> WholeAnswerCall::nextOpening()
+UnplacedRequest WholeAnswerCall::unplaced(RefusalReason lastReason)
 {
     auto wanted = anyEndpoint();
     wanted.excluded.clear();
-    return m_context.placement.nextOpening(wanted, m_context.now());
+    return { waitingCall(), m_context.placement.nextOpening(wanted, m_context.now()),
+        m_context.pace(m_request.service).usualCallTime(), spread(), lastReason };
 }
 
-void WholeAnswerCall::waitOrRefuse(RefusalReason reason)
+void WholeAnswerCall::waitForPlace(RefusalReason lastReason)
 {
     const auto now = m_context.now();
-    const auto usual = m_context.pace(m_request.service).usualCallTime();
-    const auto opening = nextOpening();
-    if (opening)
-        reason = opening->isAfterRest ? RefusalReason::EndpointsResting : RefusalReason::EndpointsLimited;
-    const auto decision = opening
-        ? waitForOpening(waitingCall(), opening->at - now, usual, opening->isAfterRest ? spread() : 0, now)
-        : waitForPlace(waitingCall(), usual, spread(), now);
+    const auto state = unplaced(lastReason);
+    const auto decision = waitOrRefuse(state, now);
+    const auto reason = decision.reason;
     m_isWaiting = mayWait() && decision.waits && m_context.waitingRoom.enter(m_request.exchange->request().body.size());
     if (!m_isWaiting) {
         refuse(reason);
@@ -389,7 +379,7 @@
         .text("request", m_request.fields.requestId)
         .text("reason", traitsOf(reason).name)
         .number("pause_ms", decision.pause.count())
-        .number("usual_call_ms", usual.count())
+        .number("usual_call_ms", state.usualCallTime.count())
         .number("time_left_ms", (m_request.deadline - now).count())
         .number("waiting", static_cast<std::int64_t>(m_context.waitingRoom.count()))
         .write();
@@ -415,14 +405,14 @@
     auto& budget = m_context.retryBudget(m_request.service);
     const bool isRetry = mayHaveArrived();
     if (isRetry && !budget.take(purposeAfter(lastReason), m_request.admittedAt, m_context.now())) {
-        waitOrRefuse(RefusalReason::RetryBudgetSpent);
+        waitForPlace(RefusalReason::RetryBudgetSpent);
         return;
     }
     if (sendNext(anyEndpoint(), isRetry))
         return;
     if (isRetry)
         budget.giveBack();
-    waitOrRefuse(lastReason);
+    waitForPlace(lastReason);
 }
 
 void WholeAnswerCall::timedOut()
@@ -475,23 +465,12 @@
         .number("took_ms", (now - m_request.admittedAt).count())
         .write();
     m_context.metrics.countRequest(m_request.route->kind, traits.status, now - m_request.admittedAt);
-    m_request.exchange->respond(refusal(m_context, reason, comeBackAfter(reason)));
+    const auto comeBackIn = reason == RefusalReason::HeldBack ? m_context.crashGuard.heldFor(m_request.digest)
+                                                              : comeBackAfter(unplaced(reason), now);
+    m_request.exchange->respond(refusal(m_context, reason, comeBackIn));
     finish();
 }
 
-Milliseconds WholeAnswerCall::comeBackAfter(RefusalReason reason)
-{
-    if (reason == RefusalReason::HeldBack)
-        return m_context.crashGuard.heldFor(m_request.digest);
-    const auto now = m_context.now();
-    const auto opening = nextOpening();
-    if (opening && reason == RefusalReason::EndpointsLimited)
-        return opening->at - now;
-    if (opening && reason == RefusalReason::EndpointsResting)
-        return comeBackAfterRest(opening->at - now, spread());
-    return comeBackIn(obstacleOf(reason), m_request.deadline - now, spread());
-}
-
 void WholeAnswerCall::finish()
 {
     if (m_isFinished)
--- a/src/relay/WholeAnswerCall.h
+++ b/src/relay/WholeAnswerCall.h
@@ -20,10 +20,10 @@
 
 namespace lupinknot::internal {
 
-enum class PlaceObstacle;
+struct AttemptState;
+struct UnplacedRequest;
 struct WaitingCall;
 class PermitWait;
-struct EndpointOpening;
 struct PlacementRequest;
 
 class WholeAnswerCall final : public EndpointCallListener, public std::enable_shared_from_this<WholeAnswerCall> {
@@ -56,28 +56,25 @@
     void permitAnswered(const std::shared_ptr<RelayEndpoint>&, bool isGranted, bool isCharged);
     PlacementRequest anyEndpoint();
     PlacementRequest soundEndpoint();
-    // When the first endpoint takes a request again where all are limited or rest; nothing otherwise.
-    std::optional<EndpointOpening> nextOpening();
     // True when the call has run nowhere and may be sent again.
     bool mayWait() const;
     // Waits for a place, or refuses for the reason when that is not worth it.
-    void waitOrRefuse(RefusalReason);
+    void waitForPlace(RefusalReason lastReason);
+    UnplacedRequest unplaced(RefusalReason lastReason);
     WaitingCall waitingCall() const;
-    Milliseconds comeBackAfter(RefusalReason);
     void tryAgain(RefusalReason lastReason);
     void leaveWaitingRoom();
     // A number from 0 to 1 that differs from call to call.
     double spread() const;
     // True when an earlier attempt may have reached its endpoint: only then is the next one a retry.
     bool mayHaveArrived() const;
-    bool maySendAgain() const;
+    AttemptState attemptState() const;
     void armHedge();
     void hedge();
     void timedOut();
     void settle(Attempt&);
     void recover(RefusalReason lastReason);
-    // False when the request is held back, or may be soon and has been put off.
-    bool isSendable(RefusalReason lastReason);
+    void recoverLater(RefusalReason lastReason);
     void held();
     bool hasOpenAttempt() const;
     Attempt& attemptOf(const EndpointCall&);
