A stream's answer, its log lines and its pace stand apart from its call

StreamAnswer holds the events that have come and hands them on, StreamLog writes the lines on runs, StreamPace says what an unfinished run shows. AttemptState comes from one place for streams and calls.

--- a/src/relay/CrashWatch.cpp
+++ b/src/relay/CrashWatch.cpp
@@ -50,7 +50,11 @@
     m_listener.reset();
 }
 
-Standing CrashWatch::standing() const { return m_context.crashGuard.standing(m_request.digest); }
+AttemptState CrashWatch::attemptState(unsigned possibleRuns) const
+{
+    const auto& route = *m_request.route;
+    return { m_context.crashGuard.standing(m_request.digest), possibleRuns, route.maxAttempts, route.mayRunAgain() };
+}
 
 bool CrashWatch::isSuspect() const { return m_context.crashGuard.isSuspect(m_request.digest); }
 
--- a/src/relay/CrashWatch.h
+++ b/src/relay/CrashWatch.h
@@ -3,12 +3,13 @@
 //     CrashWatch watch(context, request);
 //     watch.begin([this] { held(); });             // Called when the request is held from then on.
 //     watch.noteUnfinished(endpoint, sentAt, run); // An endpoint did not finish a run of it.
-//     if (watch.standing() == Standing::Free) ...  // It may be sent to the next one.
+//     if (judgeAttempt(watch.attemptState(runs)) == AttemptVerdict::Allowed) ...  // It may be sent to the next one.
 //     watch.end();
 //
 // Used on the relay's thread only. Owned by the request's call.
 #pragma once
 
+#include "admission/AttemptAdmission.h"
 #include "relay/CrashGuard.h"
 #include <functional>
 #include <string>
@@ -28,7 +29,8 @@
     // The callback is not called after end(), nor from within a call to this object.
     void begin(std::function<void()> held);
     void end();
-    Standing standing() const;
+    // What is known of the request in front of an attempt, after so many that may have run.
+    AttemptState attemptState(unsigned possibleRuns) const;
     // True when something speaks against the request, judged or not.
     bool isSuspect() const;
     void noteUnfinished(const std::shared_ptr<RelayEndpoint>&, Milliseconds sentAt, UnfinishedRun);
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -2,7 +2,7 @@
 
 #include "admission/AttemptAdmission.h"
 #include "common/EventLog.h"
-#include "http/HttpBodySource.h"
+#include "http/HttpExchange.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/EngineChoice.h"
 #include "relay/PermitWait.h"
@@ -13,9 +13,10 @@
 #include "relay/RunMover.h"
 #include "relay/RunRelocation.h"
 #include "relay/RunWatch.h"
+#include "relay/StreamAnswer.h"
+#include "relay/StreamLog.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace lupinknot::internal {
 
@@ -26,29 +27,6 @@
 
 } // namespace
 
-// Hands the events on to the caller's connection as it takes them.
-class EventStreamCall::EventSource final : public HttpBodySource {
-public:
-    explicit EventSource(const EventStreamCall& call)
-        : m_call(call.shared_from_this())
-    {
-    }
-
-    HttpBodyPiece next() override
-    {
-        HttpBodyPiece piece;
-        const auto& events = m_call->m_events.tokens();
-        for (; m_handedOn < events.size(); ++m_handedOn)
-            piece.bytes.append(events[m_handedOn].text);
-        piece.isLast = m_call->m_isComplete;
-        return piece;
-    }
-
-private:
-    const std::shared_ptr<const EventStreamCall> m_call;
-    std::size_t m_handedOn { 0 };
-};
-
 void EventStreamCall::serve(RelayContext& context, RelayRequest request)
 {
     const std::shared_ptr<EventStreamCall> call(new EventStreamCall(context, std::move(request)));
@@ -62,7 +40,7 @@
     , m_rollout(m_context, m_request)
     , m_crashWatch(m_context, m_request)
     , m_choice(EngineChoice::make(m_context, m_request, m_rollout))
-    , m_events({ .maxTokens = std::numeric_limits<std::size_t>::max(), .stops = {} })
+    , m_answer(StreamAnswer::make(m_request))
     , m_deadlineTimer(context.ioContext)
     , m_retryTimer(context.ioContext)
 {
@@ -102,14 +80,10 @@
         startRun();
 }
 
-AttemptState EventStreamCall::attemptState() const
-{
-    return { m_crashWatch.standing(), m_possibleRuns, m_request.route->maxAttempts, m_request.route->mayRunAgain() };
-}
-
 bool EventStreamCall::mayStartRun()
 {
-    auto verdict = mayRunOnceMore(attemptState()) ? AttemptVerdict::Allowed : AttemptVerdict::RunsSpent;
+    auto verdict = mayRunOnceMore(m_crashWatch.attemptState(m_possibleRuns)) ? AttemptVerdict::Allowed
+                                                                             : AttemptVerdict::RunsSpent;
     m_isNextCharged = verdict == AttemptVerdict::Allowed && m_arrivals > 0;
     auto& budget = m_context.retryBudget(m_request.service);
     if (m_isNextCharged && !budget.take(RetryPurpose::Rescue, m_request.admittedAt, m_context.now()))
@@ -121,7 +95,7 @@
 
 bool EventStreamCall::isSendable()
 {
-    const auto verdict = judgeAttempt(attemptState());
+    const auto verdict = judgeAttempt(m_crashWatch.attemptState(m_possibleRuns));
     if (verdict == AttemptVerdict::Held)
         held();
     else if (verdict == AttemptVerdict::Undecided)
@@ -149,7 +123,7 @@
     }
     const auto earlier = m_choice->takeEarlierEngine();
     if (m_possibleRuns == 0 && m_context.has(Policy::TimeCheck)
-        && m_pace.lacksTime(lastEventId(), earlier != nullptr)) {
+        && m_pace.lacksTime(m_answer->lastEventId(), earlier != nullptr)) {
         giveUp(RefusalReason::TooLittleTime);
         return;
     }
@@ -200,7 +174,7 @@
     const auto now = m_context.now();
     const auto& exchange = m_request.exchange;
     auto run = std::make_shared<StreamRun>();
-    run->number = m_events.beginAttempt();
+    run->number = m_answer->beginRun();
     run->endpoint = endpoint;
     run->copyHolder = m_choice->copyHolderFor(*endpoint);
     run->startedAt = now;
@@ -212,25 +186,14 @@
     fields.timeLeft = m_request.deadline - now;
     fields.endpointId = endpoint->entry().id;
     fields.organisation = m_request.organisation;
-    if (m_request.fields.lastEventId || m_events.length() > 0)
-        fields.lastEventId = lastEventId();
+    if (m_request.fields.lastEventId || m_answer->length() > 0)
+        fields.lastEventId = m_answer->lastEventId();
     if (run->copyHolder)
         fields.copyTo = run->copyHolder->entry().address;
     fields.continueFrom = std::move(copy);
     m_choice->forgetCopy();
 
-    LogEvent("stream.sent", m_sendings > 0 ? LogImportance::Notable : LogImportance::Routine)
-        .text("request", m_request.fields.requestId)
-        .text("endpoint", endpoint->entry().id)
-        .text("zone", endpoint->entry().availabilityZone)
-        .text("copy_to", run->copyHolder ? run->copyHolder->entry().id : "")
-        .flag("from_copy", run->isFromCopy)
-        .number("run", run->number)
-        .number("after_event", static_cast<std::int64_t>(lastEventId()))
-        .number("in_flight", endpoint->inFlight())
-        .flag("avoided", endpoint->isAvoided(now))
-        .number("config_version", static_cast<std::int64_t>(m_request.configurationVersion))
-        .write();
+    logRunSent(m_request, *run, *m_answer, m_sendings == 0, now);
     m_rollout.noteSent();
     ++m_sendings;
     ++m_arrivals;
@@ -247,7 +210,7 @@
 
 void EventStreamCall::waitForEndpoint()
 {
-    if (m_events.length() == 0) {
+    if (m_answer->length() == 0) {
         const auto& settings = m_context.settings;
         const auto decision = waitOrRefuseStream(m_choice->nextOpening(), m_possibleRuns,
             m_request.admittedAt + settings.waitForEndpoint, settings.endpointRetryInterval, m_context.now());
@@ -303,20 +266,9 @@
 void EventStreamCall::takeEvents(StreamRun& run, std::vector<WholeEvent>&& events)
 {
     const auto now = m_context.now();
-    const auto firstId = m_request.fields.lastEventId.value_or(0) + 1;
-    for (auto& event : events) {
-        const auto position = static_cast<std::size_t>(event.id - firstId);
-        Token token { static_cast<TokenId>(position), std::move(event.bytes) };
-        if (m_events.append(run.number, position, std::move(token)) != AppendResult::Appended) {
-            LogEvent("stream.wrong-event")
-                .text("request", m_request.fields.requestId)
-                .text("endpoint", run.endpoint->entry().id)
-                .number("expected", static_cast<std::int64_t>(lastEventId() + 1))
-                .number("came", static_cast<std::int64_t>(event.id))
-                .write();
-            runLost(FailureKind::WrongPosition);
-            return;
-        }
+    if (!m_answer->append(run, std::move(events))) {
+        runLost(FailureKind::WrongPosition);
+        return;
     }
     run.lastActivity = now;
     run.endpoint->noteLife(now);
@@ -325,50 +277,27 @@
     run.hasEvent = true;
     if (!run.firstEventAt) {
         run.firstEventAt = now;
-        const auto lead = std::max(now - run.begunAt.value_or(now), Milliseconds { 1 });
-        m_context.pace(m_request.service).headLead.add(static_cast<double>(lead.count()), now);
+        m_pace.noteFirstEvent(run, now);
     }
     m_crashWatch.noteProducing(now - *run.firstEventAt);
     run.reading.reset();
-    m_lastEventAt = now;
     m_watch->noteEvent();
-    if (!m_isHeadSent) {
-        m_isHeadSent = true;
-        m_firstEventAt = now;
-        noteFirstEventTime(run, now);
-        LogEvent("stream.first-event", LogImportance::Routine)
-            .text("request", m_request.fields.requestId)
-            .text("endpoint", run.endpoint->entry().id)
-            .number("since_admitted_ms", (now - m_request.admittedAt).count())
-            .number("since_sent_ms", (now - run.startedAt).count())
-            .flag("returned", m_request.fields.lastEventId.has_value())
-            .write();
-        m_request.exchange->stream(run.head, std::make_shared<EventSource>(*this));
+    if (!m_answer->hasBegun()) {
+        const auto usual = m_context.pace(m_request.service).usualFirstEvent(m_request.fields.promptTokens);
+        if (!run.isFromCopy && !m_request.fields.lastEventId)
+            m_rollout.noteAnswerAfter(*run.endpoint, now - run.startedAt, usual);
+        m_pace.notePromptRead(run, now);
+        logFirstEvent(m_request, run, now);
     }
-    m_request.exchange->wake();
-}
-
-void EventStreamCall::noteFirstEventTime(const StreamRun& run, Milliseconds now)
-{
-    const auto usual = m_context.pace(m_request.service).usualFirstEvent(m_request.fields.promptTokens);
-    if (!run.isFromCopy && !m_request.fields.lastEventId)
-        m_rollout.noteAnswerAfter(*run.endpoint, now - run.startedAt, usual);
-    m_pace.notePromptRead(run, now);
+    m_answer->handOn(run.head, now);
 }
 
 void EventStreamCall::noteResumed(const StreamRun& run, Milliseconds now)
 {
-    const auto gap = m_lastEventAt.count() ? now - m_lastEventAt : Milliseconds { 0 };
-    LogEvent("stream.resumed")
-        .text("request", m_request.fields.requestId)
-        .text("endpoint", run.endpoint->entry().id)
-        .flag("from_copy", run.isFromCopy)
-        .number("pause_ms", gap.count())
-        .number("detection_ms", m_lastEventAt.count() ? (*m_lossAt - m_lastEventAt).count() : 0)
-        .number("since_loss_ms", (now - *m_lossAt).count())
-        .write();
-    if (gap.count())
-        m_context.metrics.resumeGap.Observe(static_cast<double>(gap.count()));
+    const auto lastEventAt = m_answer->lastEventAt();
+    logRunResumed(m_request, run, lastEventAt, *m_lossAt, now);
+    if (lastEventAt && now > *lastEventAt)
+        m_context.metrics.resumeGap.Observe(static_cast<double>((now - *lastEventAt).count()));
     (run.isFromCopy ? m_context.metrics.resumedFromCopy : m_context.metrics.resumedCold).Increment();
     m_lossAt.reset();
 }
@@ -385,7 +314,7 @@
     // A run that is stopped to be moved closes its connection, which ends an unframed answer without being its end.
     if (!run->isFramed && m_mover->isStopping())
         return;
-    if (!run->splitter.rest().empty() || m_events.length() == 0) {
+    if (!run->splitter.rest().empty() || m_answer->length() == 0) {
         runLost(FailureKind::EarlyEnd);
         return;
     }
@@ -400,7 +329,7 @@
         return;
     }
     const bool isError = run->head.status >= firstServerError;
-    if (!run->fields.isSigned || m_isHeadSent || (isError && m_request.route->mayRunAgain())) {
+    if (!run->fields.isSigned || m_answer->hasBegun() || (isError && m_request.route->mayRunAgain())) {
         runLost(run->fields.isSigned ? FailureKind::ErrorStatus : FailureKind::MalformedEvent);
         return;
     }
@@ -416,14 +345,7 @@
     --m_possibleRuns;
     m_watch->stop();
     run->reading.reset();
-    LogEvent("stream.turned-away")
-        .text("request", m_request.fields.requestId)
-        .text("endpoint", run->endpoint->entry().id)
-        .flag("from_copy", run->isFromCopy)
-        .number("status", run->head.status)
-        .number("retry_after_ms", run->fields.rest.time.value_or(Milliseconds { -1 }).count())
-        .flag("leaving", run->fields.isLeaving)
-        .write();
+    logRunTurnedAway(m_request, *run);
     if (run->fields.isOtherEndpoint) {
         m_context.directory.remove(run->endpoint->entry().id, now);
         m_choice->noteFailed(run->endpoint);
@@ -439,9 +361,8 @@
     if (!m_run || m_run->call.get() != &call || m_isFinished)
         return;
     // A run that is being moved ends its stream; the answer to the move says how to go on.
-    if (m_mover->isStopping())
-        return;
-    runLost(kind);
+    if (!m_mover->isStopping())
+        runLost(kind);
 }
 
 void EventStreamCall::runLost(FailureKind kind)
@@ -454,22 +375,11 @@
     run->call->cancel();
     m_watch->stop();
     m_mover->cancel();
-    LogEvent("stream.run-lost")
-        .text("request", m_request.fields.requestId)
-        .text("endpoint", run->endpoint->entry().id)
-        .text("zone", run->endpoint->entry().availabilityZone)
-        .text("failure", traitsOf(kind).name)
-        .flag("sent", wasSent)
-        .number("run", run->number)
-        .number("last_event", static_cast<std::int64_t>(lastEventId()))
-        .number("silent_ms", (now - run->lastActivity).count())
-        .number("run_ms", (now - run->startedAt).count())
-        .number("begun_ms", run->begunAt ? (now - *run->begunAt).count() : -1)
-        .write();
+    logRunLost(m_request, *run, *m_answer, kind, now);
     m_context.metrics.countFailure(kind);
     if (wasSent) {
         m_rollout.noteAnswer(*run->endpoint, AnswerQuality::Bad);
-        noteUnfinished(*run, kind, now);
+        m_crashWatch.noteUnfinished(run->endpoint, run->startedAt, m_pace.unfinishedRun(*run, kind, now));
     } else {
         --m_possibleRuns;
         --m_arrivals;
@@ -485,53 +395,22 @@
     m_choice->noteFailed(run->endpoint);
     // A run is copied from its first event on: before it there is nothing to ask for.
     m_choice->setCopy(run->hasEvent ? copyHolderOf(*run, m_context.directory) : nullptr, m_request.fields.requestId);
-    if (!m_lossAt)
-        m_lossAt = now;
+    m_lossAt = m_lossAt.value_or(now);
     startRun();
 }
 
-void EventStreamCall::noteUnfinished(const StreamRun& run, FailureKind kind, Milliseconds now)
-{
-    auto& pace = m_context.pace(m_request.service);
-    pace.showsBeginnings = pace.showsBeginnings || (run.begunAt && !run.hasEvent);
-    const auto withoutHead = pace.showsBeginnings ? RunBeginning::NotYet : RunBeginning::Hidden;
-    const auto withHead = pace.sendsHeadsEarly() ? RunBeginning::Hidden : RunBeginning::Begun;
-    const auto withoutEvent = run.begunAt ? withHead : withoutHead;
-    const auto since = run.firstEventAt.value_or(run.begunAt.value_or(run.startedAt));
-    // A break is a sign of the engine, silence is none.
-    const auto lastSign = kind == FailureKind::Silent ? std::max(since, run.lastActivity) : now;
-    m_crashWatch.noteUnfinished(
-        run.endpoint, run.startedAt, { kind, run.hasEvent ? RunBeginning::Producing : withoutEvent, lastSign - since });
-}
-
-// How long the stream will probably go on, from its pace so far and the most that it may hold.
-Milliseconds EventStreamCall::expectedRest(Milliseconds now) const
-{
-    const auto made = static_cast<std::int64_t>(lastEventId());
-    const auto most = m_pace.mostEvents();
-    if (most == 0 || m_events.length() < 2)
-        return Milliseconds::max();
-    const auto pace = (now - m_firstEventAt) / static_cast<std::int64_t>(m_events.length());
-    return std::max<std::int64_t>(most - made, 0) * pace;
-}
-
 void EventStreamCall::runSilent() { runLost(FailureKind::Silent); }
 
 void EventStreamCall::considerMove()
 {
     const bool leavesAttempt = m_possibleRuns + 1 < m_request.route->maxAttempts;
-    m_mover->consider(*m_run, { leavesAttempt, expectedRest(m_context.now()) }, m_choice->failed());
+    const auto expectedRest = m_answer->expectedRest(m_pace.mostEvents(), m_context.now());
+    m_mover->consider(*m_run, { leavesAttempt, expectedRest }, m_choice->failed());
 }
 
 void EventStreamCall::moved(const RunMove& move)
 {
-    LogEvent("stream.relocated")
-        .text("request", m_request.fields.requestId)
-        .text("result", nameIn(relocationResultNames, move.result))
-        .text("endpoint", move.source->entry().id)
-        .text("target", move.target->entry().id)
-        .number("last_event", static_cast<std::int64_t>(lastEventId()))
-        .write();
+    logRunMoved(m_request, move, *m_answer);
     const bool isMoving = m_run && (move.result == RelocationResult::Moved || move.result == RelocationResult::Stopped);
     if (!isMoving)
         m_context.retryBudget(m_request.service).giveBack();
@@ -558,10 +437,10 @@
 
 void EventStreamCall::complete()
 {
-    m_isComplete = true;
+    m_answer->complete();
     m_choice->forgetLocation();
     m_crashWatch.noteHarmless();
-    m_pace.noteWholeAnswer(lastEventId(), m_events.length(), m_lastEventAt - m_firstEventAt);
+    m_pace.noteWholeAnswer(m_answer->lastEventId(), m_answer->length(), m_answer->duration());
     logEnd("complete", m_run->head.status);
     m_request.exchange->wake();
     finish();
@@ -569,7 +448,7 @@
 
 void EventStreamCall::giveUp(RefusalReason reason)
 {
-    if (!m_isHeadSent) {
+    if (!m_answer->hasBegun()) {
         refuse(reason);
         return;
     }
@@ -587,25 +466,17 @@
         comeBackIn = std::max(m_request.deadline - m_context.now(), m_context.settings.retryAfter);
     if (reason == RefusalReason::HeldBack)
         comeBackIn = m_context.crashGuard.heldFor(m_request.digest);
-    const bool isOpeningKnown = reason == RefusalReason::EndpointsLimited || reason == RefusalReason::EndpointsResting;
-    if (const auto opening = m_choice->nextOpening(); opening && isOpeningKnown)
+    const bool waitsForOpening = reason == RefusalReason::EndpointsLimited || reason == RefusalReason::EndpointsResting;
+    if (const auto opening = waitsForOpening ? m_choice->nextOpening() : std::nullopt)
         comeBackIn = opening->at - m_context.now();
     m_request.exchange->respond(refusal(m_context, reason, comeBackIn));
     finish();
 }
 
-// A status of 0 stands for a stream that was broken off.
 void EventStreamCall::logEnd(std::string_view outcome, unsigned status)
 {
     const auto took = m_context.now() - m_request.admittedAt;
-    LogEvent("stream.done", m_isComplete ? LogImportance::Routine : LogImportance::Notable)
-        .text("request", m_request.fields.requestId)
-        .text("outcome", outcome)
-        .number("status", status)
-        .number("events", static_cast<std::int64_t>(m_events.length()))
-        .number("sendings", m_sendings)
-        .number("took_ms", took.count())
-        .write();
+    logStreamDone(m_request, *m_answer, outcome, status, m_sendings, took);
     m_context.metrics.countRequest(m_request.route->kind, status, took);
 }
 
@@ -620,8 +491,7 @@
     m_watch->stop();
     m_choice->cancel();
     m_permit.reset();
-    if (m_mover)
-        m_mover->cancel();
+    m_mover->cancel();
     if (const auto run = std::exchange(m_run, nullptr))
         run->call->cancel();
 }
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -25,7 +25,7 @@
 class PermitWait;
 class RunMover;
 class RunWatch;
-struct AttemptState;
+class StreamAnswer;
 struct RunMove;
 
 class EventStreamCall final : public EndpointCallListener, public std::enable_shared_from_this<EventStreamCall> {
@@ -39,11 +39,8 @@
     void callFailed(EndpointCall&, FailureKind) override;
 
 private:
-    class EventSource;
-
     EventStreamCall(RelayContext&, RelayRequest);
     void begin();
-    AttemptState attemptState() const;
     // Starts a run somewhere, or waits for an endpoint, or gives the request up.
     void startRun();
     // Starts a run at the endpoint, or elsewhere if it is limited and no permit is to be had.
@@ -58,18 +55,14 @@
     bool isSendable();
 
     void takeEvents(StreamRun&, std::vector<WholeEvent>&&);
-    void noteFirstEventTime(const StreamRun&, Milliseconds now);
     void noteResumed(const StreamRun&, Milliseconds now);
     void settleWholeAnswer(const std::shared_ptr<StreamRun>&);
     void runLost(FailureKind);
     void runSilent();
     void turnedAway();
-    // What the loss of the run says of the request.
-    void noteUnfinished(const StreamRun&, FailureKind, Milliseconds now);
     void held();
     void heldMeanwhile();
 
-    Milliseconds expectedRest(Milliseconds now) const;
     // Moves the run ahead if it lacks a copy and a move is worth it.
     void considerMove();
     void moved(const RunMove&);
@@ -80,7 +73,6 @@
     void giveUp(RefusalReason);
     void logEnd(std::string_view outcome, unsigned status);
     void finish();
-    std::uint64_t lastEventId() const { return m_request.fields.lastEventId.value_or(0) + m_events.length(); }
 
     RelayContext& m_context;
     const RelayRequest m_request;
@@ -88,7 +80,7 @@
     RolloutPart m_rollout;
     CrashWatch m_crashWatch;
     const std::shared_ptr<EngineChoice> m_choice;
-    Generation m_events;
+    const std::shared_ptr<StreamAnswer> m_answer;
     std::shared_ptr<StreamRun> m_run;
     // Null before the call begins.
     std::shared_ptr<RunWatch> m_watch;
@@ -103,11 +95,7 @@
     unsigned m_arrivals { 0 };
     // A retry has been taken for the next run.
     bool m_isNextCharged { false };
-    Milliseconds m_firstEventAt { 0 };
-    Milliseconds m_lastEventAt { 0 };
     std::optional<Milliseconds> m_lossAt;
-    bool m_isHeadSent { false };
-    bool m_isComplete { false };
     bool m_isFinished { false };
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_retryTimer;
--- /dev/null
+++ b/src/relay/StreamAnswer.cpp
@@ -0,0 +1,86 @@
+#include "relay/StreamAnswer.h"
+
+#include "common/EventLog.h"
+#include "http/HttpBodySource.h"
+#include "http/HttpExchange.h"
+#include "relay/RelayEndpoint.h"
+#include "relay/RelayRequest.h"
+#include "relay/StreamRun.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace lupinknot::internal {
+
+// Hands the events on to the caller's connection as it takes them.
+class StreamAnswer::Source final : public HttpBodySource {
+public:
+    explicit Source(std::shared_ptr<const StreamAnswer> answer)
+        : m_answer(std::move(answer))
+    {
+    }
+
+    HttpBodyPiece next() override
+    {
+        HttpBodyPiece piece;
+        const auto& events = m_answer->m_events.tokens();
+        for (; m_handedOn < events.size(); ++m_handedOn)
+            piece.bytes.append(events[m_handedOn].text);
+        piece.isLast = m_answer->m_isComplete;
+        return piece;
+    }
+
+private:
+    const std::shared_ptr<const StreamAnswer> m_answer;
+    std::size_t m_handedOn { 0 };
+};
+
+std::shared_ptr<StreamAnswer> StreamAnswer::make(const RelayRequest& request)
+{
+    return std::shared_ptr<StreamAnswer>(new StreamAnswer(request));
+}
+
+StreamAnswer::StreamAnswer(const RelayRequest& request)
+    : m_request(request)
+    , m_firstPosition(request.fields.lastEventId.value_or(0))
+    , m_events({ .maxTokens = std::numeric_limits<std::size_t>::max(), .stops = {} })
+{
+}
+
+bool StreamAnswer::append(const StreamRun& run, std::vector<WholeEvent>&& events)
+{
+    for (auto& event : events) {
+        const auto position = static_cast<std::size_t>(event.id - m_firstPosition - 1);
+        Token token { static_cast<TokenId>(position), std::move(event.bytes) };
+        if (m_events.append(run.number, position, std::move(token)) == AppendResult::Appended)
+            continue;
+        LogEvent("stream.wrong-event")
+            .text("request", m_request.fields.requestId)
+            .text("endpoint", run.endpoint->entry().id)
+            .number("expected", static_cast<std::int64_t>(lastEventId() + 1))
+            .number("came", static_cast<std::int64_t>(event.id))
+            .write();
+        return false;
+    }
+    return true;
+}
+
+void StreamAnswer::handOn(const HttpResponse& head, Milliseconds now)
+{
+    m_lastEventAt = now;
+    if (!std::exchange(m_hasBegun, true)) {
+        m_firstEventAt = now;
+        m_request.exchange->stream(head, std::make_shared<Source>(shared_from_this()));
+    }
+    m_request.exchange->wake();
+}
+
+Milliseconds StreamAnswer::expectedRest(std::int64_t mostEvents, Milliseconds now) const
+{
+    if (mostEvents == 0 || length() < 2)
+        return Milliseconds::max();
+    const auto pace = (now - m_firstEventAt) / static_cast<std::int64_t>(length());
+    return std::max<std::int64_t>(mostEvents - static_cast<std::int64_t>(lastEventId()), 0) * pace;
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/StreamLog.cpp
@@ -0,0 +1,109 @@
+#include "relay/StreamLog.h"
+
+#include "common/EventLog.h"
+#include "relay/EndpointCall.h"
+#include "relay/RelayEndpoint.h"
+#include "relay/RelayRequest.h"
+#include "relay/RunMover.h"
+#include "relay/RunRelocation.h"
+#include "relay/StreamAnswer.h"
+#include "relay/StreamRun.h"
+
+namespace lupinknot::internal {
+
+void logRunSent(
+    const RelayRequest& request, const StreamRun& run, const StreamAnswer& answer, bool isFirst, Milliseconds now)
+{
+    const auto& endpoint = *run.endpoint;
+    LogEvent("stream.sent", isFirst ? LogImportance::Routine : LogImportance::Notable)
+        .text("request", request.fields.requestId)
+        .text("endpoint", endpoint.entry().id)
+        .text("zone", endpoint.entry().availabilityZone)
+        .text("copy_to", run.copyHolder ? run.copyHolder->entry().id : "")
+        .flag("from_copy", run.isFromCopy)
+        .number("run", run.number)
+        .number("after_event", static_cast<std::int64_t>(answer.lastEventId()))
+        .number("in_flight", endpoint.inFlight())
+        .flag("avoided", endpoint.isAvoided(now))
+        .number("config_version", static_cast<std::int64_t>(request.configurationVersion))
+        .write();
+}
+
+void logFirstEvent(const RelayRequest& request, const StreamRun& run, Milliseconds now)
+{
+    LogEvent("stream.first-event", LogImportance::Routine)
+        .text("request", request.fields.requestId)
+        .text("endpoint", run.endpoint->entry().id)
+        .number("since_admitted_ms", (now - request.admittedAt).count())
+        .number("since_sent_ms", (now - run.startedAt).count())
+        .flag("returned", request.fields.lastEventId.has_value())
+        .write();
+}
+
+void logRunTurnedAway(const RelayRequest& request, const StreamRun& run)
+{
+    LogEvent("stream.turned-away")
+        .text("request", request.fields.requestId)
+        .text("endpoint", run.endpoint->entry().id)
+        .flag("from_copy", run.isFromCopy)
+        .number("status", run.head.status)
+        .number("retry_after_ms", run.fields.rest.time.value_or(Milliseconds { -1 }).count())
+        .flag("leaving", run.fields.isLeaving)
+        .write();
+}
+
+void logRunLost(
+    const RelayRequest& request, const StreamRun& run, const StreamAnswer& answer, FailureKind kind, Milliseconds now)
+{
+    LogEvent("stream.run-lost")
+        .text("request", request.fields.requestId)
+        .text("endpoint", run.endpoint->entry().id)
+        .text("zone", run.endpoint->entry().availabilityZone)
+        .text("failure", traitsOf(kind).name)
+        .flag("sent", run.call->hasSent())
+        .number("run", run.number)
+        .number("last_event", static_cast<std::int64_t>(answer.lastEventId()))
+        .number("silent_ms", (now - run.lastActivity).count())
+        .number("run_ms", (now - run.startedAt).count())
+        .number("begun_ms", run.begunAt ? (now - *run.begunAt).count() : -1)
+        .write();
+}
+
+void logRunResumed(const RelayRequest& request, const StreamRun& run, std::optional<Milliseconds> lastEventAt,
+    Milliseconds lossAt, Milliseconds now)
+{
+    LogEvent("stream.resumed")
+        .text("request", request.fields.requestId)
+        .text("endpoint", run.endpoint->entry().id)
+        .flag("from_copy", run.isFromCopy)
+        .number("pause_ms", (now - lastEventAt.value_or(now)).count())
+        .number("detection_ms", (lossAt - lastEventAt.value_or(lossAt)).count())
+        .number("since_loss_ms", (now - lossAt).count())
+        .write();
+}
+
+void logRunMoved(const RelayRequest& request, const RunMove& move, const StreamAnswer& answer)
+{
+    LogEvent("stream.relocated")
+        .text("request", request.fields.requestId)
+        .text("result", nameIn(relocationResultNames, move.result))
+        .text("endpoint", move.source->entry().id)
+        .text("target", move.target->entry().id)
+        .number("last_event", static_cast<std::int64_t>(answer.lastEventId()))
+        .write();
+}
+
+void logStreamDone(const RelayRequest& request, const StreamAnswer& answer, std::string_view outcome, unsigned status,
+    unsigned sendings, Milliseconds took)
+{
+    LogEvent("stream.done", answer.isComplete() ? LogImportance::Routine : LogImportance::Notable)
+        .text("request", request.fields.requestId)
+        .text("outcome", outcome)
+        .number("status", status)
+        .number("events", static_cast<std::int64_t>(answer.length()))
+        .number("sendings", sendings)
+        .number("took_ms", took.count())
+        .write();
+}
+
+} // namespace lupinknot::internal
--- a/src/relay/StreamPace.cpp
+++ b/src/relay/StreamPace.cpp
@@ -54,6 +54,25 @@
     return true;
 }
 
+void StreamPace::noteFirstEvent(const StreamRun& run, Milliseconds now)
+{
+    const auto lead = std::max(now - run.begunAt.value_or(now), Milliseconds { 1 });
+    m_context.pace(m_request.service).headLead.add(static_cast<double>(lead.count()), now);
+}
+
+UnfinishedRun StreamPace::unfinishedRun(const StreamRun& run, FailureKind kind, Milliseconds now)
+{
+    auto& pace = m_context.pace(m_request.service);
+    pace.showsBeginnings = pace.showsBeginnings || (run.begunAt && !run.hasEvent);
+    const auto withoutHead = pace.showsBeginnings ? RunBeginning::NotYet : RunBeginning::Hidden;
+    const auto withHead = pace.sendsHeadsEarly() ? RunBeginning::Hidden : RunBeginning::Begun;
+    const auto withoutEvent = run.begunAt ? withHead : withoutHead;
+    const auto since = run.firstEventAt.value_or(run.begunAt.value_or(run.startedAt));
+    // A break is a sign of the engine, silence is none.
+    const auto lastSign = kind == FailureKind::Silent ? std::max(since, run.lastActivity) : now;
+    return { kind, run.hasEvent ? RunBeginning::Producing : withoutEvent, lastSign - since };
+}
+
 // Only whole prompts of a first sending show how fast engines read: others may find parts of theirs kept.
 void StreamPace::notePromptRead(const StreamRun& run, Milliseconds now)
 {
--- a/src/relay/WholeAnswerCall.cpp
+++ b/src/relay/WholeAnswerCall.cpp
@@ -70,11 +70,6 @@
     });
 }
 
-AttemptState WholeAnswerCall::attemptState() const
-{
-    return { m_crashWatch.standing(), m_possibleRuns, m_request.route->maxAttempts, m_request.route->mayRunAgain() };
-}
-
 PlacementRequest WholeAnswerCall::anyEndpoint()
 {
     return { .service = m_request.service, .excluded = m_tried, .version = m_rollout.next() };
@@ -297,7 +292,7 @@
 {
     if (m_permit)
         return;
-    auto verdict = judgeAttempt(attemptState());
+    auto verdict = judgeAttempt(m_crashWatch.attemptState(m_possibleRuns));
     if (verdict == AttemptVerdict::Held) {
         refuse(refusalAfter(verdict, m_possibleRuns));
         return;
--- a/src/relay/WholeAnswerCall.h
+++ b/src/relay/WholeAnswerCall.h
@@ -20,7 +20,6 @@
 
 namespace lupinknot::internal {
 
-struct AttemptState;
 struct UnplacedRequest;
 struct WaitingCall;
 class PermitWait;
@@ -68,7 +67,6 @@
     double spread() const;
     // True when an earlier attempt may have reached its endpoint: only then is the next one a retry.
     bool mayHaveArrived() const;
-    AttemptState attemptState() const;
     void armHedge();
     void hedge();
     void timedOut();
