--- a/src/standin/EngineStandIn.cpp
+++ b/src/standin/EngineStandIn.cpp
@@ -56,7 +56,13 @@
 {
 }
 
-EngineStandIn::~EngineStandIn() { m_server.stop(); }
+EngineStandIn::~EngineStandIn()
+{
+    m_server.stop();
+    // Streams hold connections of the server's io_context, which goes before the members above it.
+    m_streams.clear();
+    m_kept.clear();
+}
 
 std::optional<std::string> EngineStandIn::start()
 {
