--- a/src/admission/AttemptAdmission.cpp
+++ b/src/admission/AttemptAdmission.cpp
@@ -13,8 +13,7 @@
 
 bool isFull(RefusalReason reason)
 {
-    return reason == RefusalReason::EndpointsBusy || reason == RefusalReason::EndpointsLimited
-        || reason == RefusalReason::EndpointsResting || reason == RefusalReason::RetryBudgetSpent;
+    return isForOpening(reason) || reason == RefusalReason::EndpointsBusy || reason == RefusalReason::RetryBudgetSpent;
 }
 
 } // namespace
@@ -68,13 +67,22 @@
     return { now < waitsUntil, lookInterval, reason };
 }
 
+bool isForOpening(RefusalReason reason)
+{
+    return reason == RefusalReason::EndpointsLimited || reason == RefusalReason::EndpointsResting;
+}
+
+Milliseconds comeBackAtOpening(const EndpointOpening& opening, double spread, Milliseconds now)
+{
+    const auto opensIn = opening.at - now;
+    return opening.isAfterRest ? comeBackAfterRest(opensIn, spread) : opensIn;
+}
+
 Milliseconds comeBackAfter(const UnplacedRequest& request, Milliseconds now)
 {
     const auto reason = request.lastReason;
-    if (request.opening && reason == RefusalReason::EndpointsLimited)
-        return request.opening->at - now;
-    if (request.opening && reason == RefusalReason::EndpointsResting)
-        return comeBackAfterRest(request.opening->at - now, request.spread);
+    if (request.opening && isForOpening(reason))
+        return comeBackAtOpening(*request.opening, request.spread, now);
     const auto obstacle = reason == RefusalReason::NoEndpoint ? PlaceObstacle::Unreachable : PlaceObstacle::Full;
     return comeBackIn(obstacle, request.call.deadline - now, request.spread);
 }
--- a/src/admission/AttemptAdmission.h
+++ b/src/admission/AttemptAdmission.h
@@ -80,6 +80,13 @@
 UnplacedDecision waitOrRefuseStream(const std::optional<EndpointOpening>&, unsigned possibleRuns,
     Milliseconds waitsUntil, Milliseconds lookInterval, Milliseconds now);
 
+// True where a request is refused because all endpoints rest or are limited.
+bool isForOpening(RefusalReason);
+
+// When a caller should come back that is refused because no endpoint takes requests before the opening. Callers are
+// spread behind the end of a rest.
+Milliseconds comeBackAtOpening(const EndpointOpening&, double spread, Milliseconds now);
+
 // When a caller should come back that is refused for the reason.
 Milliseconds comeBackAfter(const UnplacedRequest&, Milliseconds now);
 
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -2,6 +2,7 @@
 
 #include "admission/AttemptAdmission.h"
 #include "common/EventLog.h"
+#include "common/NameHash.h"
 #include "http/HttpExchange.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/EngineChoice.h"
@@ -466,9 +467,8 @@
         comeBackIn = std::max(m_request.deadline - m_context.now(), m_context.settings.retryAfter);
     if (reason == RefusalReason::HeldBack)
         comeBackIn = m_context.crashGuard.heldFor(m_request.digest);
-    const bool waitsForOpening = reason == RefusalReason::EndpointsLimited || reason == RefusalReason::EndpointsResting;
-    if (const auto opening = waitsForOpening ? m_choice->nextOpening() : std::nullopt)
-        comeBackIn = opening->at - m_context.now();
+    if (const auto opening = isForOpening(reason) ? m_choice->nextOpening() : std::nullopt)
+        comeBackIn = comeBackAtOpening(*opening, fractionOfName(m_request.fields.requestId), m_context.now());
     m_request.exchange->respond(refusal(m_context, reason, comeBackIn));
     finish();
 }
--- a/test/EndpointRestTest.cpp
+++ b/test/EndpointRestTest.cpp
@@ -1,6 +1,8 @@
 // Requests reached endpoints that had asked this VM for rest (503 with Retry-After), or had said that they leave.
 #include "RelayHarness.h"
 
+#include <set>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace lupinknot;
@@ -219,3 +221,54 @@
     CHECK_FALSE(known->isResting(relay->daemon().clock().now()));
     CHECK_FALSE(known->isLeaving());
 }
+
+TEST(EndpointRest, GetsNoHedgedCall)
+{
+    relay->settings.shortestHedgeDelay = relay->settings.longestHedgeDelay = Milliseconds { 20 };
+    auto& resting = relay->addEndpoint("e1");
+    resting.onRequest(rejectsWith("Retry-After: 5\r\n"));
+    auto& slow = relay->addEndpoint("e2");
+    slow.onRequest(answerWhole);
+    ready();
+    callUntilReached("/again/1", resting);
+    resting.forgetRequests();
+    slow.onRequest([](ScriptedConnection&, const std::string&) {});
+    const auto caller = relay->call("/again/1", { { "X-Deadline-Ms", "200" } }, "slow");
+    CHECK(relay->runUntil([&] { return caller->isWhole || caller->isBroken; }));
+    LONGS_EQUAL(0, resting.requests().size());
+}
+
+TEST(EndpointRest, GetsNoQuestionWhetherItLives)
+{
+    relay->settings.probeAfterSilence = relay->settings.probeAfterSilenceInDoubt = Milliseconds { 10 };
+    auto& engine = relay->addEndpoint("e1");
+    // Its stream falls silent behind the first event.
+    engine.onRequest([](ScriptedConnection& asker, const std::string& request) {
+        asker.beginStream(signedHeadOf(request));
+        asker.sendEvent(1);
+    });
+    ready();
+    const auto stream = relay->call("/stream/1", {}, "stream");
+    CHECK(relay->runUntil([&] { return !stream->body.empty(); }));
+    const auto known = relay->daemon().directory().find("e1");
+    const auto& clock = relay->daemon().clock();
+    known->noteSignals({ .rest = { Milliseconds { 5000 }, "" } }, clock.now());
+    engine.forgetRequests();
+    const auto end = clock.now() + Milliseconds { 300 };
+    relay->runUntil([&] { return clock.now() >= end; });
+    LONGS_EQUAL(0, engine.requests().size());
+}
+
+// A stream that no engine takes for longer than it can wait is refused at once, spread behind the end of the rest.
+TEST(EndpointRest, SpreadsTheReturnOfRefusedStreams)
+{
+    relay->addEndpoint("e1").onRequest(rejectsWith("Retry-After: 3\r\n"));
+    ready();
+    std::set<std::string> times;
+    for (const auto* id : { "a", "b", "c", "d" }) {
+        const auto caller = relay->call("/stream/1", {}, id);
+        CHECK(relay->runUntil([&] { return caller->isWhole || caller->isBroken; }));
+        times.insert(caller->header("Retry-After"));
+    }
+    CHECK_TEXT(std::stod(*times.rbegin()) - std::stod(*times.begin()) > 0.03, "they all come back at one instant");
+}
