--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -127,7 +127,7 @@
     return wanted;
 }
 
-void EngineChoice::choose(Callback callback)
+void EngineChoice::choose(const Callback& callback)
 {
     if (survey(callback))
         return;
--- a/src/relay/EngineChoice.h
+++ b/src/relay/EngineChoice.h
@@ -59,7 +59,7 @@
     // The engine that ran the request for another VM and has kept its prompt, once; null if it does not look sound.
     std::shared_ptr<RelayEndpoint> takeEarlierEngine();
     // Calls back once, perhaps before it returns.
-    void choose(Callback);
+    void choose(const Callback&);
     void cancel();
 
     // Engines that failed this request; they are chosen only when no other is left.
--- a/test/EndpointRestTest.cpp
+++ b/test/EndpointRestTest.cpp
@@ -73,7 +73,7 @@
 
     std::shared_ptr<TestCaller> callAndWait(const std::string& path)
     {
-        const auto caller = relay->call(path, {}, "r" + std::to_string(++calls));
+        auto caller = relay->call(path, {}, "r" + std::to_string(++calls));
         CHECK_TEXT(relay->runUntil([&] { return caller->isWhole || caller->isBroken; }), "no answer came");
         return caller;
     }
