--- a/test/EndpointRestTest.cpp
+++ b/test/EndpointRestTest.cpp
@@ -208,7 +208,7 @@
     LONGS_EQUAL(0, resting.requests().size());
 }
 
-// Such an endpoint may answer a request that it gave a 421 or bytes that are not its own.
+// Without a signature or the mark of a rejection the bytes may come from anyone at the address.
 TEST(EndpointRest, IsNotTakenFromAnAnswerThatIsNotTheEndpoints)
 {
     auto& endpoint = relay->addEndpoint("e1");
