Test: give the only VM of a test its whole share of the retry budget

Cause: the retry budget. Ten streams lose their engines three times, up to 30 retries. The harness's settings give a VM a tenth of the fixed number, as in a fleet of ten VMs, so 13 of it and some six that the other requests earn: which streams get them depends on the order in which the losses are seen. The test's VM is the only one of its fleet. Ruled out: the quarantine, whose refusal is another one (crashed-endpoints); the route's limit of five runs, which three losses do not reach. Change: the test sets the share that RelayDaemon::setVmCount(1) sets. The checks are unchanged.

--- a/test/CrashingRequestTest.cpp
+++ b/test/CrashingRequestTest.cpp
@@ -151,6 +151,9 @@
 {
     constexpr std::size_t enginesInAZone = 3;
     const std::string zones = "abc";
+    // This VM is the only one, so the whole fixed number of retries is its own: ten streams lose their engines three
+    // times.
+    relay->settings.retrySlackShare = 1;
     const auto begin = [](ScriptedConnection& connection, const std::string&) {
         connection.beginStream("X-Response-Signature: s\r\n");
     };
