Hash the list of VMs once for the location keepers

What callers saw: nothing yet; each stream waited for 984 hashes and a sort of 984 entries on a VM with an eighth of a core, three times. Cause: chooseLocationKeepers() hashed and sorted the names of all VMs for each prompt, only to keep the same twelve. Change: LocationKeepers is built when the list of VMs changes and ranks its twelve VMs for a prompt. The choice is the same. Conclusion: a choice of keepers costs the same in a fleet of any size.

--- a/src/relay/LocationKeeperChoice.cpp
+++ b/src/relay/LocationKeeperChoice.cpp
@@ -1,38 +1,31 @@
 #include "relay/LocationKeeperChoice.h"
 
 #include <algorithm>
-#include <cstdint>
 #include <xxhash.h>
 
 namespace lupinknot::internal {
 
-namespace {
-
-struct Ranked {
-    std::uint64_t hash;
-    std::size_t number;
-};
-
-bool isBefore(const Ranked& a, const Ranked& b) { return a.hash < b.hash; }
-
-} // namespace
-
-std::vector<std::size_t> chooseLocationKeepers(const std::string& promptId, const std::vector<std::string>& vmNames)
+LocationKeepers::LocationKeepers(const std::vector<std::string>& vmNames)
 {
-    std::vector<Ranked> ranked;
-    ranked.reserve(vmNames.size());
+    m_keepers.reserve(vmNames.size());
     for (std::size_t i = 0; i < vmNames.size(); ++i)
-        ranked.push_back({ XXH64(vmNames[i].data(), vmNames[i].size(), 0), i });
-    std::sort(ranked.begin(), ranked.end(), isBefore);
-    ranked.resize(std::min(ranked.size(), maxLocationKeepers));
+        m_keepers.push_back({ XXH64(vmNames[i].data(), vmNames[i].size(), 0), i });
+    const auto end = m_keepers.begin() + static_cast<std::ptrdiff_t>(std::min(m_keepers.size(), maxLocationKeepers));
+    std::partial_sort(
+        m_keepers.begin(), end, m_keepers.end(), [](const Keeper& a, const Keeper& b) { return a.hash < b.hash; });
+    m_keepers.erase(end, m_keepers.end());
+    m_keepers.shrink_to_fit();
+}
+
+std::vector<std::size_t> LocationKeepers::choose(const std::string& promptId) const
+{
+    auto ranked = m_keepers;
     for (auto& keeper : ranked)
         keeper.hash = XXH64(promptId.data(), promptId.size(), keeper.hash);
-    std::sort(ranked.begin(), ranked.end(), isBefore);
-    ranked.resize(std::min(ranked.size(), keepersPerLocation));
+    std::sort(ranked.begin(), ranked.end(), [](const Keeper& a, const Keeper& b) { return a.hash < b.hash; });
     std::vector<std::size_t> numbers;
-    numbers.reserve(ranked.size());
-    for (const auto& keeper : ranked)
-        numbers.push_back(keeper.number);
+    for (std::size_t i = 0; i < std::min(ranked.size(), keepersPerLocation); ++i)
+        numbers.push_back(ranked[i].number);
     return numbers;
 }
 
--- a/src/relay/LocationKeeperChoice.h
+++ b/src/relay/LocationKeeperChoice.h
@@ -1,15 +1,17 @@
 // Chooses the VMs that store the run location of a prompt. A VM that looks it up computes the same VMs from the prompt
 // alone.
 //
-//     const auto keepers = chooseLocationKeepers("91bd3f06", names);     // Indices into the names, best first.
+//     const LocationKeepers keepers(names);
+//     const auto chosen = keepers.choose("91bd3f06");     // Indices into the names, best first.
 //
 // Uses rendezvous hashing among a few VMs of the fleet, so that a VM talks to few others however large the fleet is.
 // VMs with different lists agree on most prompts; the location is only a hint, and nothing depends on it.
 //
-// A pure function of its arguments; thread-safe.
+// A plain value; thread-safe while it is not assigned.
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -20,6 +22,22 @@
 // VMs of a fleet that store locations at all.
 inline constexpr std::size_t maxLocationKeepers = 12;
 
-std::vector<std::size_t> chooseLocationKeepers(const std::string& promptId, const std::vector<std::string>& vmNames);
+// The keepers of one list of VMs. The list is hashed once, so that a choice costs the same in a fleet of any size.
+class LocationKeepers {
+public:
+    LocationKeepers() = default;
+    explicit LocationKeepers(const std::vector<std::string>& vmNames);
+
+    // Indices into the list, best first.
+    std::vector<std::size_t> choose(const std::string& promptId) const;
+
+private:
+    struct Keeper {
+        std::uint64_t hash;
+        std::size_t number;
+    };
+
+    std::vector<Keeper> m_keepers;
+};
 
 } // namespace lupinknot::internal
--- a/test/LocationKeeperChoiceTest.cpp
+++ b/test/LocationKeeperChoiceTest.cpp
@@ -17,7 +17,7 @@
 static std::set<std::string> keepers(const std::string& promptId, const std::vector<std::string>& names)
 {
     std::set<std::string> chosen;
-    for (const auto number : chooseLocationKeepers(promptId, names))
+    for (const auto number : LocationKeepers(names).choose(promptId))
         chosen.insert(names[number]);
     return chosen;
 }
@@ -64,6 +64,6 @@
 
 TEST(LocationKeeperChoice, TakesAllVmsWhenThereAreFewerThanKeepers)
 {
-    LONGS_EQUAL(1, chooseLocationKeepers("p", fleet(1)).size());
-    LONGS_EQUAL(0, chooseLocationKeepers("p", {}).size());
+    LONGS_EQUAL(1, LocationKeepers(fleet(1)).choose("p").size());
+    LONGS_EQUAL(0, LocationKeepers(std::vector<std::string> {}).choose("p").size());
 }
