Examine a sample of the endpoints of a large service

What callers saw: nothing by itself; a choice among 10,000 endpoints took 0.67 ms of a whole core, so more than 5 ms on a VM with an eighth of one, several times a request. Cause: Placement computed the cost of every endpoint of the service for each choice. Ruled out: keeping a subset of endpoints in each VM, which would have to be widened when a zone fails; the sample needs no state. Change: of a service with more than 512 endpoints, a choice examines 256 of this VM's zone and up to 128 others, each from a random position, and all endpoints when the sample has too few good ones. The directory keeps the endpoints of a service by zone. Smaller services are examined as before. Test: LargePlacement.AChoiceExaminesNoMoreEndpointsInALargerService at 1,000, 10,000 and 20,000 endpoints.

--- a/bench/PlacementBenchmark.cpp
+++ b/bench/PlacementBenchmark.cpp
@@ -34,7 +34,7 @@
         benchmark::DoNotOptimize(placement.choose(request, Milliseconds { 2 }));
 }
 
-BENCHMARK(chooseAmong)->Arg(4)->Arg(24)->Arg(200);
+BENCHMARK(chooseAmong)->Arg(4)->Arg(24)->Arg(300)->Arg(10000)->Arg(20000);
 
 } // namespace
 
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -55,7 +55,9 @@
         endpoint->restoreSignals(removal->second.signals, now);
     endpoint->updateEntry(std::move(entry), now);
     m_endpointsById.emplace(id, endpoint);
-    m_endpointsByService[service].push_back(endpoint);
+    auto& listed = m_endpointsByService[service];
+    listed.all.push_back(endpoint);
+    listed.byZone[endpoint->entry().availabilityZone].push_back(endpoint);
 }
 
 void EndpointDirectory::applyAnnouncedShutdown(EndpointEntry& entry) const
@@ -230,7 +232,17 @@
 const std::vector<std::shared_ptr<RelayEndpoint>>& EndpointDirectory::endpointsOf(const std::string& service) const
 {
     const auto found = m_endpointsByService.find(service);
-    return found == m_endpointsByService.end() ? noEndpoints : found->second;
+    return found == m_endpointsByService.end() ? noEndpoints : found->second.all;
+}
+
+const std::vector<std::shared_ptr<RelayEndpoint>>& EndpointDirectory::endpointsOf(
+    const std::string& service, const std::string& zone) const
+{
+    const auto found = m_endpointsByService.find(service);
+    if (found == m_endpointsByService.end())
+        return noEndpoints;
+    const auto inZone = found->second.byZone.find(zone);
+    return inZone == found->second.byZone.end() ? noEndpoints : inZone->second;
 }
 
 void EndpointDirectory::listRestored(Milliseconds now)
@@ -285,8 +297,10 @@
     const auto atAddress = m_idsByAddress.find(endpoint->entry().address.text());
     if (atAddress != m_idsByAddress.end() && atAddress->second == endpoint->entry().id)
         m_idsByAddress.erase(atAddress);
-    auto& list = m_endpointsByService[endpoint->entry().service];
-    list.erase(std::remove(list.begin(), list.end(), endpoint), list.end());
+    auto& listed = m_endpointsByService[endpoint->entry().service];
+    std::erase(listed.all, endpoint);
+    for (auto& zone : listed.byZone)
+        std::erase(zone.second, endpoint);
     m_endpointsById.erase(endpoint->entry().id);
 }
 
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -74,6 +74,9 @@
     // The endpoint of the service that is listed at the address, or null.
     std::shared_ptr<RelayEndpoint> findAt(const std::string& service, const SocketAddress&) const;
     const std::vector<std::shared_ptr<RelayEndpoint>>& endpointsOf(const std::string& service) const;
+    // The endpoints of the service that were listed in the zone when they were added.
+    const std::vector<std::shared_ptr<RelayEndpoint>>& endpointsOf(
+        const std::string& service, const std::string& zone) const;
     // Drops endpoints whose removal is older than the grace time, and applies what a restored list left unconfirmed
     // once its time has passed.
     void dropExpired(Milliseconds now);
@@ -130,7 +133,11 @@
     boost::asio::io_context& m_ioContext;
     const RelaySettings& m_settings;
     std::unordered_map<std::string, std::shared_ptr<RelayEndpoint>> m_endpointsById;
-    std::unordered_map<std::string, std::vector<std::shared_ptr<RelayEndpoint>>> m_endpointsByService;
+    struct ServiceEndpoints {
+        std::vector<std::shared_ptr<RelayEndpoint>> all;
+        std::unordered_map<std::string, std::vector<std::shared_ptr<RelayEndpoint>>> byZone;
+    };
+    std::unordered_map<std::string, ServiceEndpoints> m_endpointsByService;
     // The id of the newest incarnation at each address.
     std::unordered_map<std::string, std::string> m_idsByAddress;
     std::unordered_map<std::string, ZoneHealth> m_zones;
--- a/src/relay/Placement.cpp
+++ b/src/relay/Placement.cpp
@@ -28,6 +28,12 @@
 constexpr double zoneToAvoidCost = 10000;
 constexpr double shutdownCost = 100000;
 
+// Services with more endpoints are sampled, with the first number from this VM's zone and up to the second from other
+// zones. Several times what the busiest service of a small deployment has, so that those are examined completely.
+constexpr std::size_t maxExaminedEndpoints = 512;
+constexpr std::size_t sampleOfOwnZone = 256;
+constexpr std::size_t sampleOfOtherZones = 128;
+
 // True unless the endpoint's rate limit excludes it.
 bool isAllowedByLimit(const RelayEndpoint& endpoint, LimitedEndpoints treatment, Milliseconds now)
 {
@@ -58,16 +64,7 @@
 std::vector<std::shared_ptr<RelayEndpoint>> Placement::candidates(
     const PlacementRequest& request, std::size_t count, Milliseconds now)
 {
-    const auto* const preferredEndpoint = preferred(request, now);
-    std::vector<Candidate> found;
-    for (const auto& endpoint : m_directory.endpointsOf(request.service)) {
-        if (!isEligible(*endpoint, request, now))
-            continue;
-        const auto sum
-            = cost(*endpoint, request, now) - (endpoint.get() == preferredEndpoint ? request.preference : 0.0);
-        if (!request.mustBeHealthy || sum < failingZoneCost)
-            found.push_back({ sum, endpoint });
-    }
+    auto found = collect(request, count, now);
     auto best = cheapest(found, count);
     // Limits only raise costs or exclude endpoints: without a limited endpoint among the best, they do not matter.
     if (std::any_of(best.begin(), best.end(), [](const auto& endpoint) { return endpoint->isLimited(); })) {
@@ -77,6 +74,66 @@
     return best;
 }
 
+std::vector<Placement::Candidate> Placement::collect(
+    const PlacementRequest& request, std::size_t count, Milliseconds now)
+{
+    const auto& all = m_directory.endpointsOf(request.service);
+    const auto preferredEndpoint = preferred(request, now);
+    std::vector<Candidate> found;
+    m_examined = 0;
+    if (all.size() > maxExaminedEndpoints) {
+        const auto& ownZone = m_settings.availabilityZone;
+        addSample(m_directory.endpointsOf(request.service, ownZone), sampleOfOwnZone, "", request, now, found);
+        addSample(all, sampleOfOtherZones, ownZone, request, now, found);
+        const auto isGood = [](const Candidate& candidate) {
+            return candidate.cost < failingZoneCost && !candidate.endpoint->isLimited();
+        };
+        if (static_cast<std::size_t>(std::count_if(found.begin(), found.end(), isGood)) < count)
+            found.clear();
+        else if (preferredEndpoint && !contains(found, preferredEndpoint)
+            && isEligible(*preferredEndpoint, request, now))
+            add(preferredEndpoint, request, now, found);
+    }
+    if (found.empty()) {
+        for (const auto& endpoint : all) {
+            if (isEligible(*endpoint, request, now))
+                add(endpoint, request, now, found);
+        }
+    }
+    for (auto& candidate : found) {
+        if (candidate.endpoint == preferredEndpoint)
+            candidate.cost -= request.preference;
+    }
+    if (request.mustBeHealthy)
+        std::erase_if(found, [](const Candidate& candidate) { return candidate.cost >= failingZoneCost; });
+    return found;
+}
+
+bool Placement::contains(const std::vector<Candidate>& found, const std::shared_ptr<RelayEndpoint>& endpoint)
+{
+    return std::any_of(
+        found.begin(), found.end(), [&endpoint](const Candidate& candidate) { return candidate.endpoint == endpoint; });
+}
+
+void Placement::add(const std::shared_ptr<RelayEndpoint>& endpoint, const PlacementRequest& request, Milliseconds now,
+    std::vector<Candidate>& found)
+{
+    ++m_examined;
+    found.push_back({ cost(*endpoint, request, now), endpoint });
+}
+
+void Placement::addSample(const std::vector<std::shared_ptr<RelayEndpoint>>& endpoints, std::size_t count,
+    std::string_view zoneToSkip, const PlacementRequest& request, Milliseconds now, std::vector<Candidate>& found)
+{
+    const auto first
+        = endpoints.empty() ? 0 : std::uniform_int_distribution<std::size_t>(0, endpoints.size() - 1)(m_random);
+    for (std::size_t i = 0; i < std::min(count, endpoints.size()); ++i) {
+        const auto& endpoint = endpoints[(first + i) % endpoints.size()];
+        if (endpoint->entry().availabilityZone != zoneToSkip && isEligible(*endpoint, request, now))
+            add(endpoint, request, now, found);
+    }
+}
+
 // Removes the candidates that their limit excludes, and adds a surcharge to those that should get less work.
 void Placement::applyLimits(std::vector<Candidate>& found, LimitedEndpoints treatment, Milliseconds now)
 {
@@ -154,23 +211,23 @@
     return best;
 }
 
-const RelayEndpoint* Placement::preferred(const PlacementRequest& request, Milliseconds now) const
+std::shared_ptr<RelayEndpoint> Placement::preferred(const PlacementRequest& request, Milliseconds now) const
 {
     if (request.promptId.empty())
         return nullptr;
-    const RelayEndpoint* best = nullptr;
+    std::shared_ptr<RelayEndpoint> best;
     std::uint64_t highest = 0;
     const auto seed = XXH64(request.promptId.data(), request.promptId.size(), 0);
-    for (const auto& endpoint : m_directory.endpointsOf(request.service)) {
+    for (const auto& endpoint : m_directory.endpointsOf(request.service, m_settings.availabilityZone)) {
         const auto& entry = endpoint->entry();
-        if (entry.availabilityZone != m_settings.availabilityZone || endpoint->isShuttingDown()
-            || endpoint->isAvoided(now) || endpoint->isInBackOff(now) || !request.version.admits(entry.version))
-            continue;
         const auto score = XXH64(entry.id.data(), entry.id.size(), seed);
-        if (!best || score > highest) {
-            best = endpoint.get();
-            highest = score;
-        }
+        if (best && score <= highest)
+            continue;
+        if (endpoint->isShuttingDown() || endpoint->isAvoided(now) || endpoint->isInBackOff(now)
+            || !request.version.admits(entry.version))
+            continue;
+        best = endpoint;
+        highest = score;
     }
     return best;
 }
--- a/src/relay/Placement.h
+++ b/src/relay/Placement.h
@@ -4,6 +4,10 @@
 // availability zone, and a much larger one if the endpoint is avoided or shutting down. The cheapest endpoint is
 // chosen; ties are broken at random, so that VMs, which do not know each other's choices, spread over equal endpoints.
 //
+// Of a service with very many endpoints only a random sample is examined, most of it in this VM's zone, so that a
+// choice costs the same at hundreds and at ten thousands of endpoints. All endpoints are examined when the sample lacks
+// good ones, because a whole zone may have failed.
+//
 // Requests with the same prompt prefer the same endpoint, found by rendezvous hashing: a caller who reconnects through
 // another VM reaches the engine that has the prompt cached.
 #pragma once
@@ -16,6 +20,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lupinknot::internal {
@@ -64,6 +69,9 @@
     std::shared_ptr<RelayEndpoint> chooseReported(
         const std::vector<std::shared_ptr<RelayEndpoint>>&, const EngineWork&, const EnginePace&, Milliseconds now);
 
+    // The number of eligible endpoints whose cost the last choice has computed.
+    std::size_t lastExamined() const { return m_examined; }
+
 private:
     struct Candidate {
         // In calls in flight.
@@ -71,11 +79,18 @@
         std::shared_ptr<RelayEndpoint> endpoint;
     };
 
+    // Adds the eligible endpoints among `count` of the list, beginning at a random one. Leaves out those of a zone.
+    void addSample(const std::vector<std::shared_ptr<RelayEndpoint>>&, std::size_t count, std::string_view zoneToSkip,
+        const PlacementRequest&, Milliseconds now, std::vector<Candidate>&);
+    static bool contains(const std::vector<Candidate>&, const std::shared_ptr<RelayEndpoint>&);
+    void add(const std::shared_ptr<RelayEndpoint>&, const PlacementRequest&, Milliseconds now, std::vector<Candidate>&);
+    // The eligible endpoints of the service, or of a sample of it.
+    std::vector<Candidate> collect(const PlacementRequest&, std::size_t count, Milliseconds now);
     static void applyLimits(std::vector<Candidate>&, LimitedEndpoints, Milliseconds now);
     // The cheapest endpoints up to the given count; sorts the candidates that far.
     static std::vector<std::shared_ptr<RelayEndpoint>> cheapest(std::vector<Candidate>&, std::size_t count);
     // The preferred endpoint among the healthy ones of this VM's zone, or null.
-    const RelayEndpoint* preferred(const PlacementRequest&, Milliseconds now) const;
+    std::shared_ptr<RelayEndpoint> preferred(const PlacementRequest&, Milliseconds now) const;
     // True unless the request excludes the endpoint, regardless of the endpoint's state.
     static bool isCandidate(const RelayEndpoint&, const PlacementRequest&);
     // True when the request may be sent to the endpoint, provided that a permit is available.
@@ -85,6 +100,7 @@
 
     const EndpointDirectory& m_directory;
     const RelaySettings& m_settings;
+    std::size_t m_examined { 0 };
     std::mt19937_64 m_random;
     std::uniform_real_distribution<double> m_uniform { 0.0, 1.0 };
 };
--- a/test/PlacementTest.cpp
+++ b/test/PlacementTest.cpp
@@ -115,3 +115,95 @@
         request.excluded.push_back(choose(request));
     CHECK(!choose(request));
 }
+
+TEST_GROUP(LargePlacement)
+{
+    boost::asio::io_context ioContext;
+    RelaySettings settings;
+    const Milliseconds now { 100000 };
+
+    // A service of five zones.
+    std::unique_ptr<EndpointDirectory> directoryOf(int count)
+    {
+        settings.availabilityZone = "z0";
+        auto directory = std::make_unique<EndpointDirectory>(ioContext, settings);
+        std::vector<EndpointEntry> entries;
+        entries.reserve(static_cast<std::size_t>(count));
+        for (int i = 0; i < count; ++i)
+            entries.push_back({ "e" + std::to_string(i), "s", { "10.0." + std::to_string(i / 250) + ".1", 1 + i % 250 },
+                "z" + std::to_string(i % 5), 4, false });
+        directory->replaceAll(std::move(entries), now);
+        return directory;
+    }
+
+    static PlacementRequest request(const std::string& promptId = "")
+    {
+        PlacementRequest request;
+        request.service = "s";
+        request.promptId = promptId;
+        request.preference = 100;
+        return request;
+    }
+};
+
+// With 10,000 endpoints a choice examined all of them, which took 8 ms on a VM with an eighth of a core.
+TEST(LargePlacement, AChoiceExaminesNoMoreEndpointsInALargerService)
+{
+    for (const int count : { 1000, 10000, 20000 }) {
+        const auto directory = directoryOf(count);
+        Placement placement(*directory, settings, 1);
+        for (int i = 0; i < 20; ++i) {
+            const auto best = placement.candidates(request("p" + std::to_string(i)), 4, now);
+            LONGS_EQUAL(4, best.size());
+            CHECK_TEXT(placement.lastExamined() <= 400, "a choice should examine a sample");
+            STRCMP_EQUAL("z0", best.front()->entry().availabilityZone.c_str());
+            LONGS_EQUAL(4, (std::set<std::shared_ptr<RelayEndpoint>>(best.begin(), best.end()).size()));
+        }
+    }
+}
+
+TEST(LargePlacement, SpreadsRequestsOverAllEndpointsOfTheZone)
+{
+    const auto directory = directoryOf(10000);
+    Placement placement(*directory, settings, 1);
+    std::set<std::string> seen;
+    for (int i = 0; i < 4000; ++i)
+        seen.insert(placement.choose(request(), now)->entry().id);
+    CHECK_TEXT(seen.size() > 1200, "most of the 2,000 endpoints of the zone should get requests");
+}
+
+TEST(LargePlacement, SendsAPromptToTheSameEndpoint)
+{
+    const auto directory = directoryOf(10000);
+    Placement one(*directory, settings, 1);
+    Placement other(*directory, settings, 2);
+    for (int i = 0; i < 20; ++i)
+        STRCMP_EQUAL(one.choose(request("p" + std::to_string(i)), now)->entry().id.c_str(),
+            other.choose(request("p" + std::to_string(i)), now)->entry().id.c_str());
+}
+
+TEST(LargePlacement, FindsTheOnlyEndpointThatIsNotAvoided)
+{
+    const auto directory = directoryOf(10000);
+    for (const auto& endpoint : directory->endpointsOf("s")) {
+        if (endpoint->entry().id != "e7777")
+            endpoint->avoidUntil(now + Milliseconds { 1000 });
+    }
+    Placement placement(*directory, settings, 1);
+    STRCMP_EQUAL("e7777", placement.choose(request(), now)->entry().id.c_str());
+}
+
+TEST(LargePlacement, ForgetsEndpointsThatWereRemoved)
+{
+    const auto directory = directoryOf(1000);
+    std::vector<EndpointChange> changes;
+    for (int i = 0; i < 1000; ++i) {
+        if (i != 5)
+            changes.push_back({ { .id = "e" + std::to_string(i) }, true });
+    }
+    directory->change(std::move(changes), now);
+    directory->dropExpired(now + Milliseconds { 60000 });
+    LONGS_EQUAL(1, directory->endpointsOf("s").size());
+    LONGS_EQUAL(1, directory->endpointsOf("s", "z0").size());
+    LONGS_EQUAL(0, directory->endpointsOf("s", "z1").size());
+}
