Start a fleet through its zone readers instead of the store

Cause: the table of VMs was read with a limit of 500 rows, so that half of the VMs, all of two zones, did not exist for the others and for themselves: no zone reader there, each VM new at each read. And each VM wrote its row and read the table, the configuration and the list of endpoints from the store itself: 30 calls and 1.36 MB a VM. After a gap in the store's history a reader sent the whole list to each of its followers. Ruled out: a larger limit, which a page of the store does not allow and which would cost 170 MB for 1,000 VMs; seeds as directories, which may be down and have slow links; a tree over all VMs, which a VM that starts cannot compute without the list. Change: a second table lists the VMs of each zone by rank. A VM that starts reads its first nine rows, registers through the zone reader (45 VMs a transaction) and reads whole tables in pages from one of eight VMs of its zone; the list of VMs comes from the reader and only when it has changed. A reader that has followed a table since its first read sends only changes after a gap, encodes an answer once for all followers at a position, and keeps 1,000 removals. Only zone readers look for stale run locations. The rows of the table of VMs and the paths for VMs of the earlier release are as before. One test answers the list's new path.

--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -390,7 +390,8 @@
 TEST(PlatformStore, AVmOfALargeZoneGetsTheVmListFromTheReader)
 {
     ReaderAndFollower shared(*ioContext);
-    shared.feeds.handleQueries(VmRegistry::peerPath, [&shared](const std::string&) { return shared.vms.text(); });
+    shared.feeds.handleQueries(
+        VmRegistry::listPath, [&shared](const std::string& version) { return shared.vms.list(version); });
     const SocketAddress address { "127.0.0.1", store->port() };
     CHECK(runUntil([&] { return shared.vms.text().has_value(); }));
     std::size_t count = 0;
@@ -478,6 +479,21 @@
     CHECK(runUntil([&] { return shared.followerStore->value("runs", "p1").has_value(); }));
 }
 
+// Every VM read the table once a minute: 1,000 calls a minute in a fleet of 1,000 VMs.
+TEST(PlatformStore, OnlyTheReaderOfALargeZoneLooksForStaleLocations)
+{
+    ReaderAndFollower shared(*ioContext);
+    StoreRunLocations locations(*ioContext, { "127.0.0.1", store->port() });
+    locations.useZoneReaders(shared.readers);
+    locations.sweep();
+    StoreRunLocations readersLocations(*ioContext, { "127.0.0.1", store->port() });
+    readersLocations.useZoneReaders(shared.noReaders);
+    readersLocations.sweep();
+    CHECK(runUntil([&] { return store->callCount() > 0; }));
+    CHECK(runUntil([&] { return shared.haveBothRead(); }));
+    LONGS_EQUAL(1, store->callCount());
+}
+
 TEST(PlatformStore, InvalidNotesOfAnotherVmAreRejected)
 {
     StoreRunLocations locations(*ioContext, { "127.0.0.1", store->port() });
--- a/test/ZoneReadersTest.cpp
+++ b/test/ZoneReadersTest.cpp
@@ -2,6 +2,7 @@
 #include "lupinknot/ManualClock.h"
 
 #include <algorithm>
+#include <map>
 
 #include <CppUTest/TestHarness.h>
 
@@ -117,3 +118,55 @@
     CHECK_FALSE_TEXT(
         readers.current().has_value(), "the first by rank must be the reader again once the skip time is over");
 }
+
+// One VM of each zone sent the whole list to all others: 400 VMs with 20,000 endpoints would need 880 MB over one link.
+TEST(ZoneReaders, WholeTablesAreReadFromSeveralVms)
+{
+    constexpr int vmCount = 400;
+    std::vector<VmEntry> vms;
+    vms.reserve(vmCount);
+    for (int i = 0; i < vmCount; ++i)
+        vms.push_back({ "a" + std::to_string(1000 + i), "a", {}, i < 10 ? 1000.0 : 20.0 });
+    std::map<std::string, int> followers;
+    int storeReaders = 0;
+    for (const auto& self : vms) {
+        ZoneReaders readers(clock, self);
+        auto first = std::vector<VmEntry>(vms.begin(), vms.begin() + VmRegistry::zoneRows);
+        std::erase_if(first, [&self](const VmEntry& vm) { return vm.name == self.name; });
+        readers.setOthers(first);
+        const auto source = readers.listSource();
+        storeReaders += source ? 0 : 1;
+        if (source)
+            ++followers[source->name];
+    }
+    LONGS_EQUAL(1, storeReaders);
+    LONGS_EQUAL(8, followers.size());
+    for (const auto& [name, count] : followers)
+        CHECK_TEXT(count <= 90, (name + " serves " + std::to_string(count) + " VMs").c_str());
+}
+
+TEST(ZoneReaders, WholeTablesAreNotReadFromVmsWithSlowLinks)
+{
+    std::vector<VmEntry> vms { { "a0", "a", {}, 1000 }, { "a1", "a", {}, 1000 } };
+    vms.reserve(40);
+    for (int i = 2; i < 40; ++i)
+        vms.push_back({ "a" + std::to_string(i), "a", {}, 20 });
+    for (std::size_t i = 20; i < vms.size(); ++i) {
+        ZoneReaders readers(clock, vms[i]);
+        readers.setOthers(vms);
+        CHECK(readers.listSource()->linkSpeed > 999);
+    }
+}
+
+TEST(ZoneReaders, AnotherSourceOfWholeTablesReplacesAFailedOne)
+{
+    ZoneReaders readers(clock, { "a9", "a", {}, 10 });
+    std::vector<VmEntry> vms;
+    vms.reserve(9);
+    for (int i = 0; i < 9; ++i)
+        vms.push_back({ "a" + std::to_string(i), "a", {}, 200 });
+    readers.setOthers(vms);
+    const auto source = readers.listSource()->name;
+    readers.skipReader(source);
+    CHECK(readers.listSource()->name != source);
+}
