Report the usage of organisations as a singleton duty with a lease and fencing tokens

Cause: no part of the relay counted usage or did work that only one VM may do. Change: each VM counts the requests that endpoints start (src/duty/UsageCounts) and sends its totals to three aggregators (PeerUsage). These elect a leader through a record in the platform's store (LeaderLease, StoreLeaderLease); it fixes the counts of a window in the store together with the renewal of its lease and then sends them until they are accepted (UsageReporter). A jump of the time of day counts after half a minute. Ruled out and compared: docs/design/duties.md. Tests: LeaseModel, 20,000 plays with freezes, restarts, late and lost answers and restores of the store, no violation; it finds three planted defects (in 117, 88 and 290 of 300 plays). LeaderLease, UsageCounts, and UsageReporter against stand-ins: the same bytes after a lost answer and a change of the leader, a suspended leader sends nothing, a rejected token is not used again, a restored store. The stand-in receiver is new.

--- a/src/relay/BufferedCall.cpp
+++ b/src/relay/BufferedCall.cpp
@@ -236,6 +236,7 @@
         return;
     }
     m_crashTracker.noteHarmless();
+    noteStarted(attempt.call->startedAt());
     if (status >= firstServerError)
         m_rollout.noteAnswer(*endpoint, AnswerQuality::Bad);
     else
@@ -426,6 +427,12 @@
         m_context.pace(m_request.service).callTime.add(static_cast<double>((now - m_request.admittedAt).count()), now);
 }
 
+void BufferedCall::noteStarted(Milliseconds startedAt)
+{
+    if (!std::exchange(m_isStartNoted, true))
+        m_context.noteStarted(m_request.organisation, startedAt);
+}
+
 void BufferedCall::answer(HttpResponse response, std::string_view outcome, std::string_view endpointId)
 {
     const auto now = m_context.now();
@@ -473,6 +480,9 @@
     m_waitTimer.cancel();
     m_permit.reset();
     leaveWaitingRequestLimit();
+    // An attempt that was sent and not answered has probably run.
+    if (m_possibleRuns > 0 && !m_attempts.empty())
+        noteStarted(m_attempts.front()->call->startedAt());
     for (const auto& attempt : m_attempts)
         attempt->call->cancel();
 }
--- a/src/relay/BufferedCall.h
+++ b/src/relay/BufferedCall.h
@@ -78,6 +78,8 @@
     Attempt& attemptOf(const EndpointCall&);
     void answer(HttpResponse, std::string_view outcome, std::string_view endpointId);
     void recordCallTime(Milliseconds now);
+    // Records once that an endpoint has started the request.
+    void noteStarted(Milliseconds startedAt);
     void refuse(RefusalReason);
     void finish();
 
@@ -101,6 +103,7 @@
     unsigned m_waits { 0 };
     bool m_isWaiting { false };
     bool m_isFinished { false };
+    bool m_isStartNoted { false };
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -288,6 +288,9 @@
         if (!run.isFromCopy && !m_request.fields.lastEventId)
             m_rollout.noteAnswerAfter(*run.endpoint, now - run.startedAt, usual);
         m_timing.recordPromptTime(run, now);
+        // A caller that resumes a stream was counted when it began.
+        if (!m_request.fields.lastEventId)
+            m_context.noteStarted(m_request.organisation, now);
         logFirstEvent(m_request, run, now);
     }
     m_answer->forwardToCaller(run.head, now);
--- a/src/relay/RelayContext.cpp
+++ b/src/relay/RelayContext.cpp
@@ -1,9 +1,16 @@
 #include "relay/RelayContext.h"
 
 #include "relay/RelaySettings.h"
+#include "relay/UsageRecorder.h"
 
 namespace lupinknot::internal {
 
 bool RelayContext::has(Policy policy) const { return settings.policies.has(policy); }
 
+void RelayContext::noteStarted(const std::string& organisation, Milliseconds startedAt) const
+{
+    if (usage)
+        usage->noteStarted(organisation, startedAt);
+}
+
 } // namespace lupinknot::internal
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -21,6 +21,7 @@
 class RelayConfiguration;
 class RelayMetrics;
 class RunLocations;
+class UsageRecorder;
 enum class Policy;
 struct RelaySettings;
 
@@ -46,9 +47,13 @@
     Rollouts rollouts {};
     // Requests that wait for the configuration, for endpoints or for capacity.
     WaitingRequestLimit waitingRequestLimit {};
+    // Null when usage is not reported.
+    UsageRecorder* usage { nullptr };
 
     Milliseconds now() const { return clock.now(); }
     bool has(Policy) const;
+    // Records that an endpoint has started a request of the organisation.
+    void noteStarted(const std::string& organisation, Milliseconds startedAt) const;
     ServicePace& pace(const std::string& service) { return paces[service]; }
     RetryBudget& retryBudget(const std::string& service)
     {
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -53,6 +53,9 @@
     // Sets the source of permits for rate-limited endpoints; it must outlive run(). Without one, this VM counts its own
     // requests only.
     void setPermits(PermitSource* permits) { m_context.permits = permits; }
+    // Sets the recorder of the requests that endpoints start; it must outlive run().
+    void setUsageRecorder(UsageRecorder* usage) { m_context.usage = usage; }
+    RelayMetrics& metrics() { return m_metrics; }
     // Decides which requests are quarantined because endpoints crashed while running them.
     CrashGuard& crashGuard() { return m_crashGuard; }
     // Replaces limits, times and weights, also for requests in progress. The settings that depend on the number of VMs
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -57,6 +57,12 @@
           "Requests let through to an endpoint that takes only so many a second."))
     , permitsDenied(addCounter(*m_registry, "lupinknot_relay_permits_denied_total",
           "Requests that an endpoint takes no more now and that went elsewhere, waited or were refused."))
+    , usageReportsSent(addCounter(
+          *m_registry, "lupinknot_relay_usage_reports_sent_total", "Usage reports sent, repetitions included."))
+    , usageReportsFailed(addCounter(*m_registry, "lupinknot_relay_usage_reports_failed_total",
+          "Usage reports that were refused or not answered."))
+    , leadsUsageReports(
+          addGauge(*m_registry, "lupinknot_relay_leads_usage_reports", "1 while this VM sends the usage reports."))
 {
 }
 
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -43,6 +43,10 @@
     // Permits for rate-limited endpoints.
     prometheus::Counter& permitsGranted;
     prometheus::Counter& permitsDenied;
+    // Usage reports sent, those that were not accepted, and whether this VM is the one that sends them.
+    prometheus::Counter& usageReportsSent;
+    prometheus::Counter& usageReportsFailed;
+    prometheus::Gauge& leadsUsageReports;
 };
 
 } // namespace lupinknot::internal
