--- a/test/PlatformSettingsTest.cpp
+++ b/test/PlatformSettingsTest.cpp
@@ -81,3 +81,23 @@
 {
     STRCMP_CONTAINS("line 2", read("zone = \"a\"\nfront = \n").problem.c_str());
 }
+
+TEST(PlatformSettings, ReadsTheUsageDuty)
+{
+    const std::string common = "zone = \"hall-a\"\n[listen]\nfront = \"10.1.0.19:8740\"\nready = \"10.1.0.19:8749\"\n"
+                               "[bounds]\nreport-window-s = 5\nusage-late-s = 10\nlease-ms = 2500\n"
+                               "[platform]\naddress = \"10.200.1.7:8742\"\n";
+    CHECK_FALSE_TEXT(read(common).settings.usageDuty.has_value(), "without the duty nothing is reported");
+    const auto result
+        = read(common + "[cloud]\naddress = \"10.200.0.70:8181\"\nduties = [\"autoscale\",\"usage_report\"]\n");
+    STRCMP_EQUAL("", result.problem.c_str());
+    const auto& duty = result.settings.usageDuty;
+    CHECK(duty.has_value());
+    STRCMP_EQUAL("10.200.0.70:8181", duty->address.text().c_str());
+    LONGS_EQUAL(5000, duty->schedule.windowLength.count());
+    LONGS_EQUAL(10000, duty->schedule.dueAfter.count());
+    LONGS_EQUAL(2500, duty->lease.count());
+    const auto invalid = read(common + "[cloud]\naddress = \"nowhere\"\nduties = [\"usage_report\"]\n");
+    CHECK_TEXT(invalid.problem.find("cloud.address: expected IP:PORT, got \"nowhere\"") != std::string::npos,
+        invalid.problem.c_str());
+}
