Lend retries between VMs

Cause: a VM has a part of about 5 retries in 10 s, and a zone failure costs it 0 to 5 runs at once, so that some VMs end streams while others have retries left. Change: src/retries decides, without I/O, what a VM lends and whom it asks; RetryBudget counts a lent retry for the window and the validity of a loan; PeerRetryLoans asks other VMs over HTTP; EventStreamCall waits for a loan when its purpose permits it. Streams that are late in any case leave a share of the part.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -1,6 +1,7 @@
 #include "relay/EventStreamCall.h"
 
 #include "admission/AttemptAdmission.h"
+#include "admission/RetryPurpose.h"
 #include "common/EventLog.h"
 #include "common/NameHash.h"
 #include "http/HttpExchange.h"
@@ -25,6 +26,8 @@
 
 constexpr unsigned okStatus = 200;
 constexpr unsigned firstServerError = 500;
+// After so many rejected continuations, what the VM knows about copies is wrong, and further retries are not borrowed.
+constexpr unsigned maxRejectedContinuations = 1;
 
 } // namespace
 
@@ -81,17 +84,60 @@
         startRun();
 }
 
-bool EventStreamCall::mayStartRun()
+void EventStreamCall::startRunIfAllowed(
+    const std::shared_ptr<RelayEndpoint>& engine, std::optional<RunMemorySource> copy)
 {
-    auto attemptDecision = mayRunOnceMore(m_crashTracker.attemptState(m_possibleRuns)) ? AttemptDecision::Allowed
-                                                                                       : AttemptDecision::RunsSpent;
-    m_tookRetryForNextRun = attemptDecision == AttemptDecision::Allowed && m_possibleDeliveries > 0;
-    auto& budget = m_context.retryBudget(m_request.service);
-    if (m_tookRetryForNextRun && !budget.take(RetryPurpose::Failover, m_request.admittedAt, m_context.now()))
-        attemptDecision = AttemptDecision::RetriesSpent;
-    if (attemptDecision != AttemptDecision::Allowed)
-        giveUp(refusalAfter(attemptDecision, m_possibleRuns));
-    return attemptDecision == AttemptDecision::Allowed;
+    m_tookRetryForNextRun = false;
+    if (!mayRunOnceMore(m_crashTracker.attemptState(m_possibleRuns))) {
+        giveUp(refusalAfter(AttemptDecision::RunsSpent, m_possibleRuns));
+        return;
+    }
+    const auto now = m_context.now();
+    if (m_possibleDeliveries > 0 && !(m_loan && m_loan->isValid(now))) {
+        m_loan.reset();
+        const auto purpose = retryPurpose(copy.has_value());
+        m_tookRetryForNextRun = m_context.retryBudget(m_request.service).take(purpose, m_request.admittedAt, now);
+        if (!m_tookRetryForNextRun) {
+            if (!borrowRetry(purpose))
+                giveUp(refusalAfter(AttemptDecision::RetriesSpent, m_possibleRuns));
+            return;
+        }
+    }
+    startRunAt(engine, std::move(copy));
+}
+
+RetryPurpose EventStreamCall::retryPurpose(bool isFromCopy) const
+{
+    const auto now = m_context.now();
+    if (isFromCopy)
+        return m_timing.canBeInTime(Milliseconds { 0 }, now) ? RetryPurpose::Continuation : RetryPurpose::LateStream;
+    // A caller that resumes a stream is in mid-stream.
+    const bool isBeforeFirstEvent = m_answer->length() == 0 && !m_request.fields.lastEventId;
+    return isBeforeFirstEvent && m_timing.canBeInTime(m_timing.shortestPrefillTime(), now) ? RetryPurpose::Restart
+                                                                                           : RetryPurpose::LateStream;
+}
+
+bool EventStreamCall::borrowRetry(RetryPurpose purpose)
+{
+    if (!m_context.retryLoans || !mayBorrow(purpose) || m_rejectedContinuations > maxRejectedContinuations)
+        return false;
+    m_loanRequest = m_context.retryLoans->ask({ m_request.fields.requestId, m_request.service, purpose },
+        [weak = weak_from_this()](const std::optional<RetryLoan>& loan) {
+            if (const auto self = weak.lock(); self && !self->m_isFinished)
+                self->retryBorrowed(loan);
+        });
+    return true;
+}
+
+// The engine is chosen again, because the one chosen before may have failed or been taken since.
+void EventStreamCall::retryBorrowed(const std::optional<RetryLoan>& loan)
+{
+    m_loanRequest.reset();
+    m_loan = loan;
+    if (m_loan)
+        startRun();
+    else
+        giveUp(refusalAfter(AttemptDecision::RetriesSpent, m_possibleRuns));
 }
 
 bool EventStreamCall::mayBeSent()
@@ -118,8 +164,7 @@
     if (!mayBeSent())
         return;
     if (const auto copyLocation = m_choice->copyTarget()) {
-        if (mayStartRun())
-            startRunAt(copyLocation->engine, copyLocation->copy);
+        startRunIfAllowed(copyLocation->engine, copyLocation->copy);
         return;
     }
     const auto earlier = m_choice->takeEarlierEngine();
@@ -143,8 +188,8 @@
 {
     if (!engine)
         waitForEndpoint();
-    else if (mayStartRun())
-        startRunAt(engine, std::nullopt);
+    else
+        startRunIfAllowed(engine, std::nullopt);
 }
 
 void EventStreamCall::startRunAt(const std::shared_ptr<RelayEndpoint>& endpoint, std::optional<RunMemorySource> copy)
@@ -173,6 +218,12 @@
 void EventStreamCall::sendTo(const std::shared_ptr<RelayEndpoint>& endpoint, std::optional<RunMemorySource> copy)
 {
     const auto now = m_context.now();
+    const auto loan = std::exchange(m_loan, std::nullopt);
+    if (loan && !m_tookRetryForNextRun && !loan->isValid(now)) {
+        // The loan has expired while the stream waited for its send slot.
+        startRun();
+        return;
+    }
     const auto& exchange = m_request.exchange;
     auto run = std::make_shared<StreamRun>();
     run->number = m_answer->beginRun();
@@ -182,6 +233,7 @@
     run->lastActivity = now;
     run->isFromCopy = copy.has_value();
     run->tookRetry = std::exchange(m_tookRetryForNextRun, false);
+    run->loan = loan;
 
     ForwardFields fields;
     fields.timeLeft = m_request.deadline - now;
@@ -273,6 +325,7 @@
     }
     run.lastActivity = now;
     run.endpoint->noteAlive(now);
+    m_timing.noteEvents(now);
     if (!run.hasEvent && m_failedAt)
         recordResumption(run, now);
     run.hasEvent = true;
@@ -351,6 +404,7 @@
     m_livenessMonitor->stop();
     run->reading.reset();
     logRunRejected(m_request, *run);
+    m_rejectedContinuations += run->isFromCopy ? 1 : 0;
     if (run->fields.isOtherIncarnation) {
         m_context.directory.remove(run->endpoint->entry().id, now);
         m_choice->noteFailed(run->endpoint);
@@ -390,6 +444,8 @@
         --m_possibleDeliveries;
         if (run->tookRetry)
             m_context.retryBudget(m_request.service).giveBack();
+        // It reached no engine, so it may still be used.
+        m_loan = run->loan;
     }
     const bool isSilent = kind == FailureKind::Silent;
     run->endpoint->avoidUntil(now
@@ -496,6 +552,7 @@
     m_livenessMonitor->stop();
     m_choice->cancel();
     m_permit.reset();
+    m_loanRequest.reset();
     m_mover->cancel();
     if (const auto run = std::exchange(m_run, nullptr))
         run->call->cancel();
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -17,6 +17,7 @@
 #include "relay/RequestRollout.h"
 #include "relay/StreamRun.h"
 #include "relay/StreamTiming.h"
+#include "retries/RetryLoanSource.h"
 #include <boost/asio/steady_timer.hpp>
 #include <vector>
 
@@ -51,7 +52,13 @@
     void engineChosen(const std::shared_ptr<RelayEndpoint>&);
     void waitForEndpoint();
     void startRunLater();
-    bool mayStartRun();
+    // Starts the run if its attempts and the retry budget permit it; waits for a retry from another VM if this VM's own
+    // part of the budget is spent.
+    void startRunIfAllowed(const std::shared_ptr<RelayEndpoint>&, std::optional<RunMemorySource>);
+    RetryPurpose retryPurpose(bool isFromCopy) const;
+    // Asks other VMs for a retry. Returns false if none may be borrowed.
+    bool borrowRetry(RetryPurpose);
+    void retryBorrowed(const std::optional<RetryLoan>&);
     // Returns false when the request is quarantined, which ends the call, or may be soon, in which case the call waits
     // for the decision.
     bool mayBeSent();
@@ -97,6 +104,12 @@
     unsigned m_possibleDeliveries { 0 };
     // True when the retry budget has already been charged for the next run.
     bool m_tookRetryForNextRun { false };
+    // Set while other VMs are asked for a retry; cancels the request when it is destroyed.
+    std::shared_ptr<void> m_loanRequest;
+    // A retry that another VM has lent for the next run.
+    std::optional<RetryLoan> m_loan;
+    // How often an engine that should have held a copy has rejected the run.
+    unsigned m_rejectedContinuations { 0 };
     std::optional<Milliseconds> m_failedAt;
     bool m_isFinished { false };
     boost::asio::steady_timer m_deadlineTimer;
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -20,6 +20,7 @@
 class Placement;
 class RelayConfiguration;
 class RelayMetrics;
+class RetryLoanSource;
 class RunLocations;
 class UsageRecorder;
 enum class Policy;
@@ -49,6 +50,8 @@
     WaitingRequestLimit waitingRequestLimit {};
     // Null when usage is not reported.
     UsageRecorder* usage { nullptr };
+    // Null when VMs do not lend retries to each other.
+    RetryLoanSource* retryLoans { nullptr };
 
     Milliseconds now() const { return clock.now(); }
     bool has(Policy) const;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -99,6 +99,14 @@
     return true;
 }
 
+LoanDecision RelayDaemon::lendRetry(const RetryLoanRequest& request)
+{
+    // The budgets are kept by service, and another VM may name any.
+    if (!m_context.configuration || !m_context.configuration->findService(request.service))
+        return LoanDecision::Spent;
+    return m_context.retryBudget(request.service).lend(request.purpose, request.rank, m_clock.now());
+}
+
 void RelayDaemon::listRestored()
 {
     m_directory.listRestored(m_clock.now());
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -55,6 +55,10 @@
     void setPermits(PermitSource* permits) { m_context.permits = permits; }
     // Sets the recorder of the requests that endpoints start; it must outlive run().
     void setUsageRecorder(UsageRecorder* usage) { m_context.usage = usage; }
+    // Sets the source of retries that other VMs lend; it must outlive run(). Without one, this VM uses its own part.
+    void setRetryLoans(RetryLoanSource* loans) { m_context.retryLoans = loans; }
+    // Lends a retry of this VM's part of the budget to another VM if enough are left.
+    LoanDecision lendRetry(const RetryLoanRequest&);
     RelayMetrics& metrics() { return m_metrics; }
     // Decides which requests are quarantined because endpoints crashed while running them.
     CrashGuard& crashGuard() { return m_crashGuard; }
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -63,6 +63,12 @@
           "Usage reports that were refused or not answered."))
     , leadsUsageReports(
           addGauge(*m_registry, "lupinknot_relay_leads_usage_reports", "1 while this VM sends the usage reports."))
+    , retriesBorrowed(addCounter(
+          *m_registry, "lupinknot_relay_retries_borrowed_total", "Retries that other VMs have lent to this one."))
+    , retriesLent(
+          addCounter(*m_registry, "lupinknot_relay_retries_lent_total", "Retries that this VM has lent to others."))
+    , retryLoansRefused(addCounter(*m_registry, "lupinknot_relay_retry_loans_refused_total",
+          "Retries that this VM needed and no other VM lent in time."))
 {
 }
 
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -47,6 +47,10 @@
     prometheus::Counter& usageReportsSent;
     prometheus::Counter& usageReportsFailed;
     prometheus::Gauge& leadsUsageReports;
+    // Retries that other VMs lent to this one, retries that it lent to others, and searches that found no lender.
+    prometheus::Counter& retriesBorrowed;
+    prometheus::Counter& retriesLent;
+    prometheus::Counter& retryLoansRefused;
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -36,6 +36,14 @@
     double retryShare { 0.87 };
     // Share of this VM's part that may be used for proactive retries, and for calls that a full service rejects.
     double proactiveShare { 0.6 };
+    // The same for streams that are late in any case: their callers gain little from them.
+    double lateStreamShare { 0.8 };
+    // Share of this VM's part, one retry at least, that it does not lend to other VMs.
+    double loanReserveShare { 0.25 };
+    // How long a retry that another VM lends may be used, from the moment at which it was asked for.
+    Milliseconds loanValidity { 400 };
+    // How long a stream waits for such a retry.
+    Milliseconds loanSearchTime { 120 };
 
     // Requests that all VMs together may send to a version whose rollout is undecided. Set by the deployment.
     ExposureLimit exposureLimit {};
--- a/src/relay/RetryBudget.cpp
+++ b/src/relay/RetryBudget.cpp
@@ -3,17 +3,27 @@
 #include "common/NameHash.h"
 #include "relay/RelaySettings.h"
 
+#include <algorithm>
+
 namespace lupinknot::internal {
 
+namespace {
+
+// How long a rank counts as present: requests of a kind that is present arrive several times in this time.
+constexpr Milliseconds rankMemory { 5000 };
+
+} // namespace
+
 RetryBudget::RetryBudget(const RelaySettings& settings)
     : m_settings(settings)
     , m_rounding(fractionOfName(settings.vmName))
 {
 }
 
-void RetryBudget::noteRequest(Milliseconds now)
+void RetryBudget::noteRequest(Milliseconds now, unsigned rank)
 {
     forgetOld(now);
+    noteRank(rank, now);
     m_requests.push_back(now);
 }
 
@@ -30,8 +40,8 @@
 bool RetryBudget::take(RetryPurpose purpose, Milliseconds requestedAt, Milliseconds now)
 {
     forgetOld(now);
-    const auto limit = part(requestedAt, now) * (purpose == RetryPurpose::Failover ? 1 : m_settings.proactiveShare);
-    if (static_cast<double>(m_retries.size()) + 1 > limit + m_rounding)
+    const auto limit = part(requestedAt, now) * shareFor(purpose);
+    if (static_cast<double>(spent(now)) + 1 > limit + m_rounding)
         return false;
     m_retries.push_back(now);
     return true;
@@ -44,14 +54,71 @@
         m_retries.pop_front();
 }
 
+LoanDecision RetryBudget::lend(RetryPurpose purpose, unsigned rank, Milliseconds now)
+{
+    noteRank(rank, now);
+    const auto decision = decideLoan(purpose, rank, now);
+    if (decision == LoanDecision::Lent)
+        m_lentRetries.push_back(now);
+    return decision;
+}
+
+LoanDecision RetryBudget::decideLoan(RetryPurpose purpose, unsigned rank, Milliseconds now)
+{
+    forgetOld(now);
+    // The request that is to be retried was noted by the borrower, so all requests noted here count.
+    const auto notNotedHere = now - m_settings.retryWindow - Milliseconds { 1 };
+    const LenderAccount account {
+        .part = part(notNotedHere, now),
+        .spent = static_cast<double>(spent(now)),
+        .rounding = m_rounding,
+        .reserveShare = m_settings.loanReserveShare,
+        .hasJustStarted = now < m_settings.retrySlackStartsAt,
+        .mostUrgentRank = std::min(rank, mostUrgentRank(now)),
+    };
+    return internal::decideLoan(account, purpose, rank);
+}
+
+std::size_t RetryBudget::spent(Milliseconds now)
+{
+    forgetOld(now);
+    return m_retries.size() + m_lentRetries.size();
+}
+
+double RetryBudget::shareFor(RetryPurpose purpose) const
+{
+    switch (purpose) {
+    case RetryPurpose::Failover:
+    case RetryPurpose::Continuation:
+    case RetryPurpose::Restart:
+        return 1;
+    case RetryPurpose::LateStream:
+        return m_settings.lateStreamShare;
+    case RetryPurpose::AfterRejection:
+    case RetryPurpose::Proactive:
+        break;
+    }
+    return m_settings.proactiveShare;
+}
+
+void RetryBudget::noteRank(unsigned rank, Milliseconds now) { m_ranksSeenAt[std::min(rank, leastUrgentRank)] = now; }
+
+unsigned RetryBudget::mostUrgentRank(Milliseconds now) const
+{
+    const auto found = std::find_if(m_ranksSeenAt.begin(), m_ranksSeenAt.end(),
+        [now](const std::optional<Milliseconds>& seenAt) { return seenAt && now - *seenAt <= rankMemory; });
+    return static_cast<unsigned>(found - m_ranksSeenAt.begin());
+}
+
 void RetryBudget::forgetOld(Milliseconds now)
 {
-    const auto forget = [this, now](std::deque<Milliseconds>& instants) {
-        while (!instants.empty() && now - instants.front() > m_settings.retryWindow)
+    const auto forget = [now](std::deque<Milliseconds>& instants, Milliseconds age) {
+        while (!instants.empty() && now - instants.front() > age)
             instants.pop_front();
     };
-    forget(m_requests);
-    forget(m_retries);
+    forget(m_requests, m_settings.retryWindow);
+    forget(m_retries, m_settings.retryWindow);
+    forget(m_lentRetries, m_settings.retryWindow + m_settings.loanValidity);
 }
 
 } // namespace lupinknot::internal
--- a/src/relay/StreamRun.h
+++ b/src/relay/StreamRun.h
@@ -9,6 +9,7 @@
 #include "relay/CallProtocol.h"
 #include "relay/EventSplitter.h"
 #include "relay/PrefillScope.h"
+#include "retries/RetryLoanSource.h"
 #include <memory>
 #include <optional>
 
@@ -41,6 +42,8 @@
     bool isFromCopy { false };
     // The retry budget was charged for this run.
     bool tookRetry { false };
+    // The retry of another VM that paid for this run.
+    std::optional<RetryLoan> loan;
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/StreamTiming.cpp
+++ b/src/relay/StreamTiming.cpp
@@ -54,6 +54,29 @@
     return true;
 }
 
+Milliseconds StreamTiming::nextEventDue() const
+{
+    const auto& route = *m_request.route;
+    return m_lastEventAt ? *m_lastEventAt + route.longestPause : m_request.admittedAt + route.objective;
+}
+
+void StreamTiming::noteEvents(Milliseconds now)
+{
+    m_isLate = m_isLate || now > nextEventDue();
+    m_lastEventAt = now;
+}
+
+bool StreamTiming::canBeInTime(Milliseconds timeToNextEvent, Milliseconds now) const
+{
+    return !m_isLate && now + timeToNextEvent <= nextEventDue();
+}
+
+Milliseconds StreamTiming::shortestPrefillTime() const
+{
+    const auto perToken = m_context.pace(m_request.service).prefillTimePerToken.quantile(fastestQuantile);
+    return Milliseconds { static_cast<std::int64_t>(perToken * m_request.fields.promptTokens) };
+}
+
 void StreamTiming::recordFirstEvent(const StreamRun& run, Milliseconds now)
 {
     const auto lead = std::max(now - run.headerReceivedAt.value_or(now), Milliseconds { 1 });
--- a/src/relay/StreamTiming.h
+++ b/src/relay/StreamTiming.h
@@ -11,6 +11,7 @@
 #include "lupinknot/Clock.h"
 #include "quarantine/CrashWeight.h"
 #include <cstdint>
+#include <optional>
 
 namespace lupinknot::internal {
 
@@ -28,6 +29,14 @@
     // time where an engine still has the prompt cached.
     bool lacksTimeToFinish(std::uint64_t lastEventId, bool isPromptKept) const;
 
+    // Records that events have arrived.
+    void noteEvents(Milliseconds now);
+    // False when the stream has missed its objective or its longest pause, or will do so before the next event, which
+    // arrives after the given time at the earliest.
+    bool canBeInTime(Milliseconds timeToNextEvent, Milliseconds now) const;
+    // The prefill time of the prompt, by the fastest of the measured times.
+    Milliseconds shortestPrefillTime() const;
+
     // Records the time between a run's response header and its first event, which shows whether engines send headers
     // early.
     void recordFirstEvent(const StreamRun&, Milliseconds now);
@@ -38,8 +47,14 @@
     void recordCompleteAnswer(std::uint64_t lastEventId, std::size_t events, Milliseconds time);
 
 private:
+    // The time up to which the next event is in time.
+    Milliseconds nextEventDue() const;
+
     RelayContext& m_context;
     const RelayRequest& m_request;
+    std::optional<Milliseconds> m_lastEventAt;
+    // An event has come after the objective or the longest pause.
+    bool m_isLate { false };
 };
 
 } // namespace lupinknot::internal
