--- a/src/health/ZoneExchange.h
+++ b/src/health/ZoneExchange.h
@@ -16,6 +16,7 @@
 
 class ZoneExchange {
 public:
+    // Throws an exception if the body is invalid; the exchange logs it once for each sender.
     using Handler = std::function<void(const std::string& body)>;
 
     virtual ~ZoneExchange() = default;
