Detect failures of whole zones together with the other VMs

Cause: each VM sees one or two of the losses of a zone failure, so that most VMs do not notice it and send runs and copies to its engines. Failures of endpoints that shut down, unexpected responses, and pauses of engines that answer probes are not reported. Where a service has more than 128 endpoints in a zone, a sample of them counts, the same on all VMs. isZoneAvoided and hasZoneFailedSince take the service. What a VM detects by itself is unchanged; zone.failed and lupinknot_relay_zone_failures_total state both sources. ZoneFailureHistory is filled from the declared failures.

--- /dev/null
+++ b/src/health/ZoneFailureDetector.h
@@ -0,0 +1,81 @@
+// Decides, on a collector, whether the endpoints of a service in an availability zone have failed together.
+//
+// Load pattern: 86 to 99% of the engines of one zone fail at once, every 3 to 7 s, zone after zone. Each VM sees only
+// one or two of the losses, within some hundred milliseconds, and several VMs see the same one. Meanwhile single
+// engines fail at random times, engines restart one after the other, and engines are scaled in; none of these is a
+// failure of the zone.
+//
+//     if (const auto failure = detector.noteFailure({ "chat", "a", "i-17" }, at, listed, now)) ...
+//
+// In a zone of very many endpoints only a sample of them counts, the same on all VMs, so that the number of reports
+// does not grow with the number of endpoints.
+//
+// Without input or output; not thread-safe.
+#pragma once
+
+#include "lupinknot/Clock.h"
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace lupinknot::internal {
+
+// A failure of one endpoint, as a VM saw it.
+struct EndpointFailure {
+    std::string service;
+    std::string zone;
+    std::string endpointId;
+};
+
+struct ZoneFailure {
+    std::string service;
+    std::string zone;
+    // When the first of the endpoints was seen to fail.
+    Milliseconds firstFailureAt { 0 };
+    Milliseconds declaredAt { 0 };
+    // The endpoints that were seen to fail until then.
+    std::size_t endpoints { 0 };
+};
+
+class ZoneFailureDetector {
+public:
+    // Endpoints that fail within this time have failed together.
+    static constexpr Milliseconds window { 400 };
+    // A failure of the same zone is not declared again before this time.
+    static constexpr Milliseconds minInterval { 1000 };
+    // The least number of endpoints that fail together, and their least share of those that count.
+    static constexpr std::size_t minEndpoints = 3;
+    static constexpr double minShare = 0.15;
+    // The endpoints of a service in a zone that count, about.
+    static constexpr std::size_t sampleSize = 128;
+
+    // Whether the endpoint counts, where its service has `listed` endpoints in its zone.
+    static bool isCounted(std::string_view endpointId, std::size_t listed);
+    // The number of endpoints that have to fail together.
+    static std::size_t threshold(std::size_t listed);
+
+    // Records that an endpoint was seen to fail at an instant, which may be earlier than those recorded before. Returns
+    // the failure of its zone if this endpoint completes it.
+    std::optional<ZoneFailure> noteFailure(
+        const EndpointFailure&, Milliseconds at, std::size_t listed, Milliseconds now);
+    // Records that a failure of the zone is known; it is not declared again for a while.
+    void noteDeclared(const std::string& service, const std::string& zone, Milliseconds at);
+    // True if the failure of the zone was declared so recently that further failures of its endpoints add nothing.
+    bool isDeclared(const std::string& service, const std::string& zone, Milliseconds now) const;
+
+private:
+    struct Zone {
+        // When the endpoints were seen to fail, by id.
+        std::map<std::string, Milliseconds> failures;
+        std::optional<Milliseconds> declaredAt;
+    };
+
+    // By service and zone.
+    std::map<std::pair<std::string, std::string>, Zone> m_zones;
+};
+
+} // namespace lupinknot::internal
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -3,6 +3,7 @@
 #include "common/EventLog.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <set>
 
 namespace lupinknot::internal {
@@ -12,6 +13,9 @@
 const std::vector<std::shared_ptr<RelayEndpoint>> noEndpoints;
 // How long a removed entry is remembered: an older copy of the list may name it for as long.
 constexpr Milliseconds removalRetention { 60'000 };
+// Shares of zones closer than this are equal; an estimate that changes by less than this many percent is not logged.
+constexpr double equalShares = 0.001;
+constexpr std::int64_t loggedChangePercent = 15;
 
 } // namespace
 
@@ -326,27 +330,133 @@
             .number("failed_endpoints", static_cast<std::int64_t>(failures.size()))
             .number("for_ms", m_settings.avoidZone.count())
             .write();
+        noteZoneFailed(
+            endpoint.entry().service, endpoint.entry().availabilityZone, ZoneFailureSource::Own, failures.size());
     }
     zone.avoidUntil = now + m_settings.avoidZone;
 }
 
+void EndpointDirectory::noteZoneFailed(
+    const std::string& service, const std::string& zone, ZoneFailureSource source, std::size_t endpoints)
+{
+    LogEvent("zone.failed")
+        .text("service", service)
+        .text("zone", zone)
+        .text("source", nameIn(zoneFailureSourceNames, source))
+        .number("endpoints", static_cast<std::int64_t>(endpoints))
+        .write();
+    if (m_onZoneFailure)
+        m_onZoneFailure(source);
+}
+
+void EndpointDirectory::reportFailure(const RelayEndpoint& endpoint) const
+{
+    // The runs of an endpoint that is being removed end with it.
+    if (m_onFailure && m_settings.policies.has(Policy::ZoneAvoidance) && !endpoint.isShuttingDown())
+        m_onFailure(endpoint);
+}
+
+bool EndpointDirectory::applyZoneFailure(const ZoneFailure& failure, Milliseconds now)
+{
+    // Services and zones that this VM does not know come from a VM with another list, or from an invalid message.
+    if (!m_settings.policies.has(Policy::ZoneAvoidance) || endpointsOf(failure.service, failure.zone).empty())
+        return false;
+    const auto* known = declaredFailure(failure.service, failure.zone);
+    if (known && failure.declaredAt < known->avoidUntil)
+        return false;
+    m_declaredFailures[failure.service][failure.zone]
+        = { failure.declaredAt + m_settings.avoidZone, failure.firstFailureAt, now };
+    m_zoneFailures[failure.service].add(failure.zone, failure.firstFailureAt);
+    noteZoneFailed(failure.service, failure.zone, ZoneFailureSource::Collector, failure.endpoints);
+    logEstimate(failure.service, now);
+    return true;
+}
+
+void EndpointDirectory::addToHistory(
+    const std::string& service, const std::vector<ZoneFailureHistory::Failure>& failures)
+{
+    if (endpointsOf(service).empty())
+        return;
+    for (const auto& failure : failures)
+        m_zoneFailures[service].add(failure.zone, failure.at);
+}
+
+const ZoneFailureHistory& EndpointDirectory::zoneFailures(const std::string& service) const
+{
+    static const ZoneFailureHistory none;
+    const auto found = m_zoneFailures.find(service);
+    return found == m_zoneFailures.end() ? none : found->second;
+}
+
+std::vector<std::string> EndpointDirectory::zonesOf(const std::string& service) const
+{
+    std::vector<std::string> zones;
+    if (const auto found = m_endpointsByService.find(service); found != m_endpointsByService.end()) {
+        for (const auto& zone : found->second.byZone) {
+            if (!zone.second.empty())
+                zones.push_back(zone.first);
+        }
+    }
+    std::sort(zones.begin(), zones.end());
+    return zones;
+}
+
+void EndpointDirectory::logEstimate(const std::string& service, Milliseconds now)
+{
+    const auto zones = zonesOf(service);
+    const auto& history = m_zoneFailures[service];
+    const auto shares = history.shares(zones);
+    const auto highest = std::max_element(shares.begin(), shares.end());
+    const auto& next = zones[static_cast<std::size_t>(highest - shares.begin())];
+    const auto percent = static_cast<std::int64_t>(100 * *highest);
+    auto& logged = m_loggedEstimates[service];
+    const bool isEqual = *highest - *std::min_element(shares.begin(), shares.end()) < equalShares;
+    if (logged.isEqual == isEqual && std::abs(logged.percent - percent) < loggedChangePercent)
+        return;
+    logged = { isEqual, percent };
+    LogEvent("zone.risk-estimated")
+        .text("service", service)
+        .text("next_zone", isEqual ? "" : next)
+        .number("probability_percent", percent)
+        .number("interval_ms", static_cast<std::int64_t>(1000 / std::max(history.rate(now), 0.001)))
+        .write();
+}
+
+const EndpointDirectory::DeclaredFailure* EndpointDirectory::declaredFailure(
+    const std::string& service, const std::string& zone) const
+{
+    const auto ofService = m_declaredFailures.find(service);
+    if (ofService == m_declaredFailures.end())
+        return nullptr;
+    const auto found = ofService->second.find(zone);
+    return found == ofService->second.end() ? nullptr : &found->second;
+}
+
 bool EndpointDirectory::isSuspected(const RelayEndpoint& endpoint, Milliseconds now) const
 {
-    const auto zone = m_zones.find(endpoint.entry().availabilityZone);
-    return zone != m_zones.end() && zone->second.failedAt > endpoint.lastAliveAt()
-        && now - zone->second.failedAt < m_settings.suspectAfterZoneFailure;
+    const auto isSince = [&](Milliseconds failedAt) {
+        return failedAt > endpoint.lastAliveAt() && now - failedAt < m_settings.suspectAfterZoneFailure;
+    };
+    const auto& entry = endpoint.entry();
+    const auto zone = m_zones.find(entry.availabilityZone);
+    const auto* declared = declaredFailure(entry.service, entry.availabilityZone);
+    return (zone != m_zones.end() && isSince(zone->second.failedAt)) || (declared && isSince(declared->firstFailureAt));
 }
 
-bool EndpointDirectory::hasZoneFailedSince(const std::string& zone, Milliseconds since) const
+bool EndpointDirectory::hasZoneFailedSince(
+    const std::string& service, const std::string& zone, Milliseconds since) const
 {
     const auto found = m_zones.find(zone);
-    return found != m_zones.end() && found->second.failedAt > since;
+    const auto* declared = declaredFailure(service, zone);
+    // A copy that was ordered after the failure but before this VM was notified is lost as well.
+    return (found != m_zones.end() && found->second.failedAt > since) || (declared && declared->appliedAt > since);
 }
 
-bool EndpointDirectory::isZoneAvoided(const std::string& zone, Milliseconds now) const
+bool EndpointDirectory::isZoneAvoided(const std::string& service, const std::string& zone, Milliseconds now) const
 {
     const auto found = m_zones.find(zone);
-    return found != m_zones.end() && now < found->second.avoidUntil;
+    const auto* declared = declaredFailure(service, zone);
+    return (found != m_zones.end() && now < found->second.avoidUntil) || (declared && now < declared->avoidUntil);
 }
 
 } // namespace lupinknot::internal
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -16,6 +16,9 @@
 // Used on the relay's thread only. Lives for the process.
 #pragma once
 
+#include "health/ZoneFailureDetector.h"
+#include "health/ZoneFailureHistory.h"
+#include "health/ZoneFailureSource.h"
 #include "relay/RelayEndpoint.h"
 #include "relay/RelaySettings.h"
 #include <algorithm>
@@ -83,11 +86,26 @@
 
     // Records a failure of the endpoint; several failing endpoints of a zone make the zone a failing one.
     void noteFailure(const RelayEndpoint&, Milliseconds now);
-    bool isZoneAvoided(const std::string& zone, Milliseconds now) const;
+    // Passes a failure that concerns the endpoint, not only the request, to the function that reports it to other VMs.
+    void reportFailure(const RelayEndpoint&) const;
+    void onEndpointFailure(std::function<void(const RelayEndpoint&)> callback) { m_onFailure = std::move(callback); }
+    // Applies a failure of a service's endpoints in a zone that other VMs have detected together with this one. Returns
+    // false if it is known already.
+    bool applyZoneFailure(const ZoneFailure&, Milliseconds now);
+    // Sets the function to call when this VM or the collectors have detected the failure of a zone.
+    void onZoneFailure(std::function<void(ZoneFailureSource)> callback) { m_onZoneFailure = std::move(callback); }
+    bool isZoneAvoided(const std::string& service, const std::string& zone, Milliseconds now) const;
     // True for an endpoint of a zone that failed recently if no sign of life has arrived from the endpoint since.
     bool isSuspected(const RelayEndpoint&, Milliseconds now) const;
-    // True when several endpoints of the zone have failed together since that time.
-    bool hasZoneFailedSince(const std::string& zone, Milliseconds since) const;
+    // True when several endpoints of the zone have failed together since that time, those of the service if the
+    // failure was detected with other VMs.
+    bool hasZoneFailedSince(const std::string& service, const std::string& zone, Milliseconds since) const;
+    // The failures of zones of the service that the collectors have declared.
+    const ZoneFailureHistory& zoneFailures(const std::string& service) const;
+    // The zones in which the service has endpoints.
+    std::vector<std::string> zonesOf(const std::string& service) const;
+    // Adds earlier failures, of which another VM notified this one.
+    void addToHistory(const std::string& service, const std::vector<ZoneFailureHistory::Failure>&);
 
 private:
     struct Failure {
@@ -111,6 +129,25 @@
         Milliseconds failedAt { 0 };
     };
 
+    // A failure of a service's endpoints in a zone that the collectors declared.
+    struct DeclaredFailure {
+        Milliseconds avoidUntil { 0 };
+        Milliseconds firstFailureAt { 0 };
+        // When this VM was notified.
+        Milliseconds appliedAt { 0 };
+    };
+
+    // What the log last stated about a service's next failure.
+    struct LoggedEstimate {
+        bool isEqual { true };
+        std::int64_t percent { 0 };
+    };
+
+    void noteZoneFailed(const std::string& service, const std::string& zone, ZoneFailureSource, std::size_t endpoints);
+    // Logs which zone is expected to fail next if that has changed much.
+    void logEstimate(const std::string& service, Milliseconds now);
+    // Null if there is none.
+    const DeclaredFailure* declaredFailure(const std::string& service, const std::string& zone) const;
     // Logs an event for one endpoint if RelaySettings::logsEndpoints is set.
     void logEndpoint(std::string_view event, const EndpointEntry&) const;
     // Writes the log line of an applied list or change and resets the counts.
@@ -141,6 +178,12 @@
     // The id of the newest incarnation at each address.
     std::unordered_map<std::string, std::string> m_idsByAddress;
     std::unordered_map<std::string, ZoneHealth> m_zones;
+    // By service, then by zone.
+    std::unordered_map<std::string, std::unordered_map<std::string, DeclaredFailure>> m_declaredFailures;
+    std::unordered_map<std::string, ZoneFailureHistory> m_zoneFailures;
+    std::unordered_map<std::string, LoggedEstimate> m_loggedEstimates;
+    std::function<void(const RelayEndpoint&)> m_onFailure;
+    std::function<void(ZoneFailureSource)> m_onZoneFailure;
     // Counts of the list or change that is being applied.
     EndpointCounts m_counts;
     // By EndpointEntry::incarnationName().
--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -92,7 +92,8 @@
 {
     const auto now = m_context.now();
     return !engine.isShuttingDown() && !engine.isAvoided(now) && !engine.isInBackOff(now)
-        && now >= engine.noPermitUntil() && !m_context.directory.isZoneAvoided(engine.entry().availabilityZone, now)
+        && now >= engine.noPermitUntil()
+        && !m_context.directory.isZoneAvoided(m_request.service, engine.entry().availabilityZone, now)
         && !m_context.directory.isSuspected(engine, now);
 }
 
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -26,6 +26,14 @@
 constexpr unsigned okStatus = 200;
 constexpr unsigned firstServerError = 500;
 
+// False for failures that may concern the request only: an unexpected response, or an engine that answers probes but
+// is too slow for this stream.
+bool showsThatEndpointFailed(FailureKind kind, bool hasAnsweredProbe)
+{
+    return kind == FailureKind::ConnectionRefused || kind == FailureKind::ConnectionLost
+        || kind == FailureKind::EarlyEnd || (kind == FailureKind::Silent && !hasAnsweredProbe);
+}
+
 } // namespace
 
 void EventStreamCall::serve(RelayContext& context, RelayRequest request)
@@ -397,6 +405,8 @@
                 : wasSent ? settings.avoidAfterBrokenAnswer
                           : settings.avoidAfterRefusal));
     m_context.directory.noteFailure(*run->endpoint, now);
+    if (showsThatEndpointFailed(kind, m_livenessMonitor->hasEngineAnswered()))
+        m_context.directory.reportFailure(*run->endpoint);
     m_choice->noteFailed(run->endpoint);
     // A run's KV cache is copied from its first event on, so before that no copy exists.
     m_choice->setCopy(run->hasEvent ? copyHolderOf(*run, m_context.directory) : nullptr, m_request.fields.requestId);
--- a/src/relay/Placement.cpp
+++ b/src/relay/Placement.cpp
@@ -238,7 +238,7 @@
     double sum = endpoint.inFlight() + randomCost * random();
     if (zone != m_settings.availabilityZone)
         sum += otherZoneCost;
-    if (m_directory.isZoneAvoided(zone, now) || m_directory.isSuspected(endpoint, now))
+    if (m_directory.isZoneAvoided(request.service, zone, now) || m_directory.isSuspected(endpoint, now))
         sum += failingZoneCost;
     if (endpoint.isAvoided(now))
         sum += avoidedCost;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -41,6 +41,7 @@
     , m_housekeepingTimer(m_ioContext)
 {
     m_directory.onFirstList([this] { m_handler.processWaitingRequests(); });
+    m_directory.onZoneFailure([this](ZoneFailureSource source) { m_metrics.countZoneFailure(source); });
     m_directory.setServices([this](const std::string& service) {
         return !m_context.configuration || m_context.configuration->findService(service);
     });
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -38,6 +38,10 @@
                       .Name("lupinknot_relay_request_ms")
                       .Help("Time from a request's arrival to its answer, by kind.")
                       .Register(*m_registry))
+    , m_zoneFailures(prometheus::BuildCounter()
+                         .Name("lupinknot_relay_zone_failures_total")
+                         .Help("Failures of whole zones, by who detected them.")
+                         .Register(*m_registry))
     , resumedFromCopy(addCounter(
           *m_registry, "lupinknot_relay_resumed_from_copy_total", "Streams that went on from a copy of their memory."))
     , resumedCold(addCounter(
@@ -78,6 +82,11 @@
     m_failures.Add({ { "failure", std::string(traitsOf(kind).name) } }).Increment();
 }
 
+void RelayMetrics::countZoneFailure(ZoneFailureSource source)
+{
+    m_zoneFailures.Add({ { "source", std::string(nameIn(zoneFailureSourceNames, source)) } }).Increment();
+}
+
 std::string RelayMetrics::exposition() const
 {
     std::ostringstream text;
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -1,6 +1,7 @@
 // The relay's metrics, by prometheus-cpp. Label values come from fixed tables, never from callers.
 #pragma once
 
+#include "health/ZoneFailureSource.h"
 #include "lupinknot/Clock.h"
 #include "lupinknot/FailureKind.h"
 #include "relay/RequestKind.h"
@@ -21,6 +22,7 @@
 
     void countRequest(RequestKind, unsigned status, Milliseconds took);
     void countFailure(FailureKind);
+    void countZoneFailure(ZoneFailureSource);
     std::string exposition() const;
 
 private:
@@ -28,6 +30,7 @@
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Counter>& m_failures;
     prometheus::Family<prometheus::Histogram>& m_durations;
+    prometheus::Family<prometheus::Counter>& m_zoneFailures;
 
 public:
     // Streams that resumed at another engine from a copy of their KV cache, or by a new prefill of the prompt.
--- a/src/relay/RunLivenessMonitor.cpp
+++ b/src/relay/RunLivenessMonitor.cpp
@@ -41,6 +41,7 @@
     m_probe.reset();
     m_run = std::move(run);
     m_nextProbeAt = m_context.now();
+    m_hasEngineAnswered = false;
     scheduleCheck();
 }
 
@@ -84,7 +85,7 @@
 {
     const auto& settings = m_context.settings;
     const auto& pace = m_context.pace(m_request.service);
-    if (m_context.directory.isZoneAvoided(m_run->endpoint->entry().availabilityZone, now))
+    if (m_context.directory.isZoneAvoided(m_request.service, m_run->endpoint->entry().availabilityZone, now))
         return settings.probeAfterSilenceWhenSuspected;
     if (m_run->hasEvent || m_run->isFromCopy)
         return pace.silenceBeforeProbe(settings.probeAfterSilence);
@@ -109,6 +110,7 @@
     if (!m_run)
         return;
     const auto now = m_context.now();
+    m_hasEngineAnswered = outcome.answer != nullptr;
     if (outcome.answer) {
         m_run->endpoint->noteAlive(now);
         m_run->endpoint->noteSignals(m_context.protocol.decodeAnswer(*outcome.answer), now);
--- a/src/relay/RunMover.cpp
+++ b/src/relay/RunMover.cpp
@@ -50,7 +50,7 @@
         return now - run.startedAt >= m_context.settings.relocateAfter;
     // The engines of a zone fail together, and the endpoint list shows it only seconds later.
     return holder->isShuttingDown()
-        || m_context.directory.hasZoneFailedSince(holder->entry().availabilityZone, run.startedAt);
+        || m_context.directory.hasZoneFailedSince(m_request.service, holder->entry().availabilityZone, run.startedAt);
 }
 
 bool RunMover::mayMove(const StreamRun& run, const StreamOutlook& outlook, Milliseconds now)
@@ -62,7 +62,7 @@
     const bool isVersionAllowed = m_rollout.next().admits(run.endpoint->entry().version);
     return isPossible && isVersionAllowed && outlook.hasAttemptLeft && run.hasEvent
         && outlook.expectedTimeLeft >= m_context.settings.minTimeLeftForRelocation
-        && !m_context.directory.isZoneAvoided(run.endpoint->entry().availabilityZone, now);
+        && !m_context.directory.isZoneAvoided(m_request.service, run.endpoint->entry().availabilityZone, now);
 }
 
 void RunMover::move(const StreamRun& run, Engines excluded, Milliseconds now)
--- a/test/EndpointDirectoryTest.cpp
+++ b/test/EndpointDirectoryTest.cpp
@@ -132,12 +132,12 @@
     directory->noteFailure(*endpoints[0], now);
     directory->noteFailure(*endpoints[0], now);
     CHECK_FALSE_TEXT(
-        directory->isZoneAvoided("a", now), "two failures of one endpoint must not make its zone a failing one");
+        directory->isZoneAvoided("s", "a", now), "two failures of one endpoint must not make its zone a failing one");
     directory->noteFailure(*endpoints[1], now);
-    CHECK(directory->isZoneAvoided("a", now));
+    CHECK(directory->isZoneAvoided("s", "a", now));
     STRCMP_EQUAL("far", chosen().c_str());
     now += settings.avoidZone;
-    CHECK_FALSE(directory->isZoneAvoided("a", now));
+    CHECK_FALSE(directory->isZoneAvoided("s", "a", now));
 }
 
 TEST(EndpointDirectory, FailuresFarApartDoNotMakeAZoneFail)
@@ -147,7 +147,7 @@
     directory->noteFailure(*endpoints[0], now);
     now += settings.zoneFailureWindow + Milliseconds { 1 };
     directory->noteFailure(*endpoints[1], now);
-    CHECK_FALSE(directory->isZoneAvoided("a", now));
+    CHECK_FALSE(directory->isZoneAvoided("s", "a", now));
 }
 
 // Runs were moved to engines of a zone that had just failed, whose entries were still listed, and had to start over.
