Place runs and copies by the risk of zones, and test the detection of failures

Cause: prompts and copies went to the zone that was the next to fail. Change: ZoneRisk turns the history of a service's zone failures into a surcharge: in calls in flight among the candidates, and in prefills among engines that reported their load. Copies go to the zone with the lowest risk among the others. Services without a preferred zone keep the same order of endpoints.

--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -125,6 +125,9 @@
         conditions.zonesToAvoid.push_back(m_failed.back()->entry().availabilityZone);
     if (m_context.has(Policy::PromptPreference))
         conditions.promptId = m_request.fields.promptId;
+    const auto untilFirstEvent
+        = m_context.pace(m_request.service).medianTimeToFirstEvent(m_request.fields.promptTokens);
+    conditions.times.untilFirstEvent = std::chrono::duration<double>(untilFirstEvent).count();
     conditions.preference = m_request.fields.lastEventId ? settings.returningPreference : settings.promptPreference;
     return conditions;
 }
@@ -205,7 +208,8 @@
         .zonesToAvoid = { engine.entry().availabilityZone },
         .version = m_rollout.choiceForCopies(engine),
         .mustBeHealthy = true,
-        .limited = LimitedEndpoints::Unrestricted };
+        .limited = LimitedEndpoints::Unrestricted,
+        .prefersSafestZone = true };
     return m_context.placement.choose(conditions, m_context.now());
 }
 
--- a/src/relay/Placement.cpp
+++ b/src/relay/Placement.cpp
@@ -16,6 +16,11 @@
 // the random spread between VMs that read the same reports, so that they do not all choose the same engine.
 constexpr double otherZonePrefills = 0.3;
 constexpr double randomPrefills = 0.3;
+// Converts prefills, the unit of a zone's risk, into calls in flight: the surcharges for another zone have this ratio.
+constexpr double callsPerPrefill = otherZoneCost / otherZonePrefills;
+// For a copy, the difference between the zones with the highest and the lowest risk: more than any load.
+constexpr double zoneRiskCostOfCopy = 500;
+constexpr double millisecondsInSecond = 1000;
 // A rate-limited endpoint is overloaded, so that it gets work only when the other endpoints have this many more calls,
 // scaled by their share of all. When its limit has not been confirmed for a while, it is treated like the others,
 // within its limit, because only its answers show that the limit has ended.
@@ -81,6 +86,7 @@
     const auto preferredEndpoint = preferred(request, now);
     std::vector<Candidate> found;
     m_examined = 0;
+    m_zoneRisk = zoneRisk(request.service, now);
     if (all.size() > maxExaminedEndpoints) {
         const auto& ownZone = m_settings.availabilityZone;
         addSample(m_directory.endpointsOf(request.service, ownZone), sampleOfOwnZone, "", request, now, found);
@@ -196,6 +202,8 @@
     std::shared_ptr<RelayEndpoint> best;
     double lowest = 0;
     const auto unit = static_cast<double>(prefillTime(work, pace).count());
+    const auto risk = engines.empty() ? ZoneRisk() : zoneRisk(engines.front()->entry().service, now);
+    const RunTimes times { .untilFirstEvent = unit / millisecondsInSecond };
     for (const auto& engine : engines) {
         // The engine may have started to shut down while it was probed.
         if (!engine->mayTakeWork(now, m_settings.removedEndpointGrace))
@@ -203,6 +211,7 @@
         auto delay = static_cast<double>(forecastDelay(work, *engine, pace).count()) + randomPrefills * unit * random();
         if (engine->entry().availabilityZone != m_settings.availabilityZone)
             delay += otherZonePrefills * unit;
+        delay += risk.surcharge(engine->entry().availabilityZone, times) * unit;
         if (!best || delay < lowest) {
             best = engine;
             lowest = delay;
@@ -232,12 +241,20 @@
     return best;
 }
 
+ZoneRisk Placement::zoneRisk(const std::string& service, Milliseconds now) const
+{
+    const auto& history = m_directory.zoneFailures(service);
+    return history.isEmpty() ? ZoneRisk() : ZoneRisk(history, m_directory.zonesOf(service), now);
+}
+
 double Placement::cost(const RelayEndpoint& endpoint, const PlacementRequest& request, Milliseconds now)
 {
     const auto& zone = endpoint.entry().availabilityZone;
     double sum = endpoint.inFlight() + randomCost * random();
     if (zone != m_settings.availabilityZone)
         sum += otherZoneCost;
+    sum += request.prefersSafestZone ? zoneRiskCostOfCopy * m_zoneRisk.relativeExcess(zone)
+                                     : callsPerPrefill * m_zoneRisk.surcharge(zone, request.times);
     if (m_directory.isZoneAvoided(request.service, zone, now) || m_directory.isSuspected(endpoint, now))
         sum += failingZoneCost;
     if (endpoint.isAvoided(now))
--- a/src/relay/Placement.h
+++ b/src/relay/Placement.h
@@ -1,8 +1,9 @@
 // Chooses the endpoint of a new attempt.
 //
 // The cost of an endpoint is the number of calls that this VM has in flight there, plus a surcharge for another
-// availability zone, and a much larger one if the endpoint is avoided or shutting down. The cheapest endpoint is
-// chosen; ties are broken at random, so that VMs, which do not know each other's choices, spread over equal endpoints.
+// availability zone, one for a zone that is expected to fail next (ZoneRisk), and a much larger one if the endpoint is
+// avoided or shutting down. The cheapest endpoint is chosen; ties are broken at random, so that VMs, which do not know
+// each other's choices, spread over equal endpoints.
 //
 // Of a service with very many endpoints only a random sample is examined, most of it in this VM's zone, so that a
 // choice costs the same at hundreds and at ten thousands of endpoints. All endpoints are examined when the sample lacks
@@ -14,6 +15,7 @@
 
 #include "endpoint/EndpointAvailability.h"
 #include "lupinknot/Clock.h"
+#include "placement/ZoneRisk.h"
 #include "relay/EngineForecast.h"
 #include "rollout/VersionChoice.h"
 #include <memory>
@@ -51,6 +53,10 @@
     // True for the target of a copy: an endpoint that is avoided or shutting down is not suitable.
     bool mustBeHealthy { false };
     LimitedEndpoints limited { LimitedEndpoints::Admitted };
+    // How long the request would be exposed to a failure of the endpoint's zone.
+    RunTimes times {};
+    // True for the target of a copy, which is to survive the failure of other zones: the zone's risk comes before load.
+    bool prefersSafestZone { false };
 };
 
 // Used on the relay's thread only.
@@ -96,11 +102,15 @@
     // True when the request may be sent to the endpoint, provided that a permit is available.
     bool isEligible(const RelayEndpoint&, const PlacementRequest&, Milliseconds now) const;
     double cost(const RelayEndpoint&, const PlacementRequest&, Milliseconds now);
+    // No zone is at risk for a service without zone failures in its history.
+    ZoneRisk zoneRisk(const std::string& service, Milliseconds now) const;
     double random() { return m_uniform(m_random); }
 
     const EndpointDirectory& m_directory;
     const RelaySettings& m_settings;
     std::size_t m_examined { 0 };
+    // The risk of the zones of the service for which endpoints are examined.
+    ZoneRisk m_zoneRisk;
     std::mt19937_64 m_random;
     std::uniform_real_distribution<double> m_uniform { 0.0, 1.0 };
 };
--- /dev/null
+++ b/test/ZoneFailureDetectorTest.cpp
@@ -0,0 +1,128 @@
+#include "health/ZoneFailureDetector.h"
+
+#include <algorithm>
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+
+TEST_GROUP(ZoneFailureDetector)
+{
+    ZoneFailureDetector detector;
+    std::mt19937 random { 11 };
+    int declared = 0;
+
+    int uniform(int from, int to) { return std::uniform_int_distribution<int>(from, to)(random); }
+
+    std::optional<ZoneFailure> fail(
+        const std::string& zone, int endpoint, Milliseconds at, std::size_t listed = 40, Milliseconds delay = {})
+    {
+        auto failure = detector.noteFailure({ "s", zone, zone + std::to_string(endpoint) }, at, listed, at + delay);
+        declared += failure.has_value();
+        return failure;
+    }
+};
+
+// Zones a, c and b fail in turn every 3 to 7 s; VMs see the losses of 40 engines over 250 ms, and report each up to
+// three times, 5 to 60 ms later.
+TEST(ZoneFailureDetector, DeclaresEachFailureOfAZoneOnceAndEarly)
+{
+    Milliseconds failedAt { 10000 };
+    for (int number = 0; number < 200; ++number) {
+        const std::string zone(1, "acb"[number % 3]);
+        std::vector<std::pair<Milliseconds, std::pair<Milliseconds, int>>> reports;
+        for (int i = 0; i < 75; ++i) {
+            const auto at = failedAt + Milliseconds { uniform(160, 410) };
+            reports.push_back({ at + Milliseconds { uniform(5, 60) }, { at, uniform(0, 37) } });
+        }
+        std::sort(reports.begin(), reports.end());
+        int found = 0;
+        for (const auto& [now, report] : reports) {
+            const auto failure
+                = detector.noteFailure({ "s", zone, zone + std::to_string(report.second) }, report.first, 40, now);
+            if (!failure)
+                continue;
+            ++found;
+            STRCMP_EQUAL(zone.c_str(), failure->zone.c_str());
+            CHECK_TEXT(now - failedAt <= Milliseconds { 300 }, "most VMs must not lose further runs meanwhile");
+        }
+        LONGS_EQUAL_TEXT(1, found, "one failure must be declared once");
+        failedAt += Milliseconds { uniform(3000, 7000) };
+    }
+}
+
+// Each of 120 engines fails every two minutes on average, and each failure is seen by several VMs.
+TEST(ZoneFailureDetector, DeclaresNoFailureForSingleEnginesThatFailAtRandomTimes)
+{
+    Milliseconds now { 10000 };
+    for (int i = 0; i < 3600; ++i) {
+        now += Milliseconds { uniform(1, 2000) };
+        const std::string zone(1, "abc"[uniform(0, 2)]);
+        const int endpoint = uniform(0, 39);
+        for (int vm = 0; vm < 5; ++vm)
+            fail(zone, endpoint, now, 40, Milliseconds { uniform(1, 100) });
+    }
+    LONGS_EQUAL(0, declared);
+}
+
+// Each engine in turn breaks its runs without an announcement, two a second.
+TEST(ZoneFailureDetector, DeclaresNoFailureForARollingRestart)
+{
+    Milliseconds now { 10000 };
+    for (int endpoint = 0; endpoint < 40; ++endpoint) {
+        for (int vm = 0; vm < 8; ++vm)
+            fail("a", endpoint, now + Milliseconds { vm * 10 });
+        now += Milliseconds { 500 };
+    }
+    LONGS_EQUAL(0, declared);
+}
+
+// One engine with runs of many VMs must not count as many engines.
+TEST(ZoneFailureDetector, CountsAnEndpointOnce)
+{
+    for (int vm = 0; vm < 50; ++vm)
+        fail("a", 1, Milliseconds { 10000 + vm }, 4);
+    LONGS_EQUAL(0, declared);
+}
+
+// The failure of one service's engines said nothing about the endpoints of another service in that zone.
+TEST(ZoneFailureDetector, CountsServicesAndZonesSeparately)
+{
+    const Milliseconds now { 10000 };
+    for (const auto* service : { "s", "t" }) {
+        for (const auto* zone : { "a", "b" }) {
+            for (int i = 0; i < 2; ++i)
+                declared += detector.noteFailure({ service, zone, std::to_string(i) }, now, 4, now).has_value();
+        }
+    }
+    LONGS_EQUAL(0, declared);
+    CHECK(detector.noteFailure({ "t", "b", "2" }, now, 4, now).has_value());
+    CHECK_FALSE(detector.isDeclared("s", "b", now));
+}
+
+// Messages of a VM that was frozen arrived seconds later and counted as failures of the zone's new engines.
+TEST(ZoneFailureDetector, IgnoresOldFailures)
+{
+    for (int endpoint = 0; endpoint < 10; ++endpoint)
+        fail("a", endpoint, Milliseconds { 10000 }, 10, Milliseconds { 3000 });
+    LONGS_EQUAL(0, declared);
+}
+
+// With reports of all endpoints, the messages of a zone failure would grow with the number of endpoints.
+TEST(ZoneFailureDetector, CountsASampleOfAVeryLargeZone)
+{
+    constexpr std::size_t listed = 6667;
+    std::size_t counted = 0;
+    for (std::size_t i = 0; i < listed; ++i) {
+        const auto isCounted = ZoneFailureDetector::isCounted("i-" + std::to_string(i), listed);
+        counted += isCounted;
+        declared
+            += detector
+                   .noteFailure({ "s", "a", "i-" + std::to_string(i) }, Milliseconds { 1 }, listed, Milliseconds { 2 })
+                   .has_value();
+    }
+    CHECK_TEXT(counted > 90 && counted < 170, std::to_string(counted).c_str());
+    LONGS_EQUAL_TEXT(1, declared, "the failure of all endpoints must be declared from the sample");
+}
