Test the loans of retries and their failures

Cause: each rule about loans guards against a failure of a VM, a link or a message. A stream whose runs were rejected twice, in whatever way, borrows no more: a full service is full for all VMs.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -26,8 +26,8 @@
 
 constexpr unsigned okStatus = 200;
 constexpr unsigned firstServerError = 500;
-// After so many rejected continuations, what the VM knows about copies is wrong, and further retries are not borrowed.
-constexpr unsigned maxRejectedContinuations = 1;
+// After more rejected runs, retries are not borrowed: the service is full, or the VM is wrong about its copies.
+constexpr unsigned maxRejectedRunsOnLoan = 1;
 
 } // namespace
 
@@ -119,7 +119,7 @@
 
 bool EventStreamCall::borrowRetry(RetryPurpose purpose)
 {
-    if (!m_context.retryLoans || !mayBorrow(purpose) || m_rejectedContinuations > maxRejectedContinuations)
+    if (!m_context.retryLoans || !mayBorrow(purpose) || m_rejectedRuns > maxRejectedRunsOnLoan)
         return false;
     m_loanRequest = m_context.retryLoans->ask({ m_request.fields.requestId, m_request.service, purpose },
         [weak = weak_from_this()](const std::optional<RetryLoan>& loan) {
@@ -404,7 +404,7 @@
     m_livenessMonitor->stop();
     run->reading.reset();
     logRunRejected(m_request, *run);
-    m_rejectedContinuations += run->isFromCopy ? 1 : 0;
+    ++m_rejectedRuns;
     if (run->fields.isOtherIncarnation) {
         m_context.directory.remove(run->endpoint->entry().id, now);
         m_choice->noteFailed(run->endpoint);
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -108,8 +108,7 @@
     std::shared_ptr<void> m_loanRequest;
     // A retry that another VM has lent for the next run.
     std::optional<RetryLoan> m_loan;
-    // How often an engine that should have held a copy has rejected the run.
-    unsigned m_rejectedContinuations { 0 };
+    unsigned m_rejectedRuns { 0 };
     std::optional<Milliseconds> m_failedAt;
     bool m_isFinished { false };
     boost::asio::steady_timer m_deadlineTimer;
--- a/test/EventStreamCallTest.cpp
+++ b/test/EventStreamCallTest.cpp
@@ -1,5 +1,8 @@
 #include "relay/EventStreamCall.h"
 #include "RelayHarness.h"
+#include "retries/RetryLoanSource.h"
+
+#include <boost/asio/post.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -344,3 +347,179 @@
     await(caller);
     CHECK_TEXT(caller->isBroken, "without a retry the stream must break off");
 }
+
+namespace {
+
+// Lends a retry to the first few requests, and leaves the others without an answer.
+class ScriptedLoans final : public RetryLoanSource {
+public:
+    explicit ScriptedLoans(RelayDaemon& daemon)
+        : m_daemon(daemon)
+    {
+        daemon.setRetryLoans(this);
+    }
+
+    std::shared_ptr<void> ask(const RetryLoanRequest& request, Callback callback) override
+    {
+        requests.push_back(request);
+        auto pending = std::make_shared<int>();
+        last = pending;
+        if (requests.size() > answers.size())
+            return pending;
+        const auto validity = answers[requests.size() - 1];
+        const auto loan = validity ? std::optional(RetryLoan { m_daemon.clock().now() + *validity }) : std::nullopt;
+        boost::asio::post(m_daemon.ioContext(), [weak = std::weak_ptr<void>(pending), callback, loan] {
+            if (weak.lock())
+                callback(loan);
+        });
+        return pending;
+    }
+
+    std::vector<RetryLoanRequest> requests;
+    // The validity of each loan; nullopt for a refusal.
+    std::vector<std::optional<Milliseconds>> answers;
+    std::weak_ptr<void> last;
+
+private:
+    RelayDaemon& m_daemon;
+};
+
+constexpr Milliseconds validity { 400 };
+
+} // namespace
+
+TEST_GROUP_BASE(EventStreamLoans, TEST_GROUP_CppUTestGroupEventStreamCall)
+{
+    std::unique_ptr<ScriptedLoans> loans;
+
+    void setup() override
+    {
+        TEST_GROUP_CppUTestGroupEventStreamCall::setup();
+        relay->settings.retryRatio = 0;
+        relay->settings.retrySlack = 0;
+        loans = std::make_unique<ScriptedLoans>(relay->daemon());
+    }
+};
+
+TEST(EventStreamLoans, AContinuationFromACopyIsPaidByALoan)
+{
+    loans->answers = { validity };
+    relay->addEndpoint("e1", "a").onRequest(sendsAndResets(2));
+    relay->addEndpoint("e2", "b").onRequest(sends(3, 4));
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    STRCMP_EQUAL(events(1, 4).c_str(), caller->body.c_str());
+    LONGS_EQUAL(1, loans->requests.size());
+    CHECK(loans->requests[0].purpose == RetryPurpose::Continuation);
+    LONGS_EQUAL(5, loans->requests[0].rank);
+}
+
+TEST(EventStreamLoans, AStreamWithoutALoanEndsAsBefore)
+{
+    loans->answers = { std::nullopt };
+    relay->addEndpoint("e1", "a").onRequest(sendsAndResets(2));
+    auto& other = relay->addEndpoint("e2", "b");
+    other.onRequest(sends(3, 4));
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    CHECK(caller->isBroken);
+    LONGS_EQUAL(0, other.requests().size());
+}
+
+// Guards against a retry that its lender no longer counts.
+TEST(EventStreamLoans, AnExpiredLoanIsNotUsed)
+{
+    loans->answers = { Milliseconds { -1 }, std::nullopt };
+    relay->addEndpoint("e1", "a").onRequest(sendsAndResets(2));
+    auto& other = relay->addEndpoint("e2", "b");
+    other.onRequest(sends(3, 4));
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    CHECK(caller->isBroken);
+    LONGS_EQUAL(2, loans->requests.size());
+    LONGS_EQUAL(0, other.requests().size());
+}
+
+TEST(EventStreamLoans, ARestartBeforeTheFirstEventIsPaidByALoanIfItCanBeInTime)
+{
+    loans->answers = { validity };
+    for (const auto* id : { "e1", "e2" })
+        relay->addEndpoint(id).onRequest([this](ScriptedConnection& asker, const std::string& request) {
+            loans->requests.empty() ? asker.reset() : sends(1, 2)(asker, request);
+        });
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    STRCMP_EQUAL(events(1, 2).c_str(), caller->body.c_str());
+    CHECK(loans->requests[0].purpose == RetryPurpose::Restart);
+}
+
+// Prefilling 9000 tokens takes 1.8 s, and the objective is 1 s.
+TEST(EventStreamLoans, AStreamThatIsLateInAnyCaseDoesNotBorrow)
+{
+    relay->addEndpoint("e1").onRequest([](ScriptedConnection& asker, const std::string&) { asker.reset(); });
+    relay->addEndpoint("e2").onRequest([](ScriptedConnection& asker, const std::string&) { asker.reset(); });
+    ready();
+    await(relay->call("/stream/1", { { "X-Token-Usage", "9000,10" } }));
+    LONGS_EQUAL(0, loans->requests.size());
+}
+
+// Guards against a stream that keeps a request for a loan after its caller has gone.
+TEST(EventStreamLoans, TheRequestIsCancelledWhenTheStreamEnds)
+{
+    relay->addEndpoint("e1", "a").onRequest(sendsAndResets(2));
+    relay->addEndpoint("e2", "b").onRequest(sends(3, 4));
+    ready();
+    const auto caller = relay->call("/stream/1");
+    CHECK(relay->runUntil([&] { return !loans->requests.empty(); }));
+    CHECK_FALSE(loans->last.expired());
+    caller->connection->close();
+    CHECK(relay->runUntil([&] { return loans->last.expired(); }));
+}
+
+// Guards against loans that are spent on copies that do not exist.
+TEST(EventStreamLoans, ARejectedContinuationThatStartsOverDoesNotBorrowAgain)
+{
+    loans->answers = { validity, validity };
+    relay->addEndpoint("e1", "a").onRequest(sendsAndResets(2));
+    relay->addEndpoint("e2", "b").onRequest([](ScriptedConnection& asker, const std::string&) {
+        asker.answer(503, "X-Request-Id: r1\r\nX-Not-Executed: 1\r\n", "");
+    });
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    CHECK(caller->isBroken);
+    LONGS_EQUAL_TEXT(1, loans->requests.size(), "a new prefill in mid-stream is late in any case");
+}
+
+// Guards against a full service whose rejections are paid by the parts of all VMs.
+TEST(EventStreamLoans, ASecondRejectionIsNotPaidByALoan)
+{
+    loans->answers = { validity, validity, validity };
+    for (const auto* id : { "e1", "e2", "e3", "e4" })
+        relay->addEndpoint(id).onRequest([](ScriptedConnection& asker, const std::string&) {
+            asker.answer(503, "X-Request-Id: r1\r\nX-Not-Executed: 1\r\n", "");
+        });
+    ready();
+    await(relay->call("/stream/1"));
+    LONGS_EQUAL(1, loans->requests.size());
+}
+
+// Guards against a loan that is spent although its retry has reached no engine.
+TEST(EventStreamLoans, ALoanThatReachedNoEngineIsUsedAtAnother)
+{
+    loans->answers = { validity };
+    relay->addEndpoint("e1", "a").onRequest(sendsAndResets(2));
+    auto& crashed = relay->addEndpoint("e2", "b");
+    ready();
+    const auto caller = relay->call("/stream/1");
+    CHECK(relay->runUntil([&] { return !caller->body.empty(); }));
+    crashed.crash();
+    relay->addEndpoint("e3", "c").onRequest(sends(3, 4));
+    relay->list();
+    await(caller);
+    LONGS_EQUAL(1, loans->requests.size());
+}
