Decode what the renewal of copies needs from the configuration and the engines' answers

Cause: the relay cannot tell the rejections of kv-move apart, cannot delete a handle, and does not know `moves` and `handle-s` of a service. Change: MoveRunAnswer has a status (404, 409 and 503 are distinguished), CallProtocol encodes the deletion of a handle, ServiceConfiguration has movesRuns and handleTime. A `moves` or `handle-s` of another type counts as absent. Conclusion: no behaviour changes yet; RunRelocation reads the same fields as before.

--- a/src/relay/CallProtocol.h
+++ b/src/relay/CallProtocol.h
@@ -45,8 +45,18 @@
     std::string name;
 };
 
+// How an engine answers a request to copy or move a run.
+enum class MoveRunStatus {
+    Copied, // The target engine has received the run's KV cache.
+    UnknownRun, // The engine does not run the request.
+    Busy, // Another request for the run is under way.
+    Rejected, // There is no room at the target, or no way to it.
+    Other, // No answer, or one that is not understood.
+};
+
 // An engine's response to a request to move a run.
 struct MoveRunAnswer {
+    MoveRunStatus status { MoveRunStatus::Other };
     // True when the target engine has received the run's KV cache.
     bool isCopied { false };
     // Identifies the KV cache for the run that resumes from it; empty when there is none.
@@ -116,6 +126,8 @@
     virtual HttpRequest encodeMoveRun(
         const std::string& requestId, const SocketAddress& target, bool stopsRun) const = 0;
     virtual MoveRunAnswer decodeMoveRun(const HttpResponse&) const = 0;
+    // Builds a request to the engine that made a copy to free it at both ends.
+    virtual HttpRequest encodeReleaseHandle(const std::string& handle) const = 0;
     // Header that tells a caller when to retry, with millisecond precision where the protocol supports it.
     virtual HttpHeader encodeRetryAfter(Milliseconds) const = 0;
 };
--- a/test/PlatformCallProtocolTest.cpp
+++ b/test/PlatformCallProtocolTest.cpp
@@ -97,6 +97,24 @@
     STRCMP_EQUAL("9c41", fields.requestId.c_str());
 }
 
+// Guards against treating a run that is gone, or an order that is under way, like a target without room.
+TEST(PlatformCallProtocol, DistinguishesTheRejectionsOfACopy)
+{
+    CHECK(protocol.decodeMoveRun({ 200, {}, "" }).status == MoveRunStatus::Copied);
+    CHECK(protocol.decodeMoveRun({ 404, {}, "" }).status == MoveRunStatus::UnknownRun);
+    CHECK(protocol.decodeMoveRun({ 409, {}, "" }).status == MoveRunStatus::Busy);
+    CHECK(protocol.decodeMoveRun({ 503, {}, "" }).status == MoveRunStatus::Rejected);
+    CHECK(protocol.decodeMoveRun({ 500, {}, "" }).status == MoveRunStatus::Other);
+}
+
+// Guards against a handle that changes the path of the request or splits its first line.
+TEST(PlatformCallProtocol, EncodesTheHandleToDelete)
+{
+    const auto request = protocol.encodeReleaseHandle("h-1/2 x\r\n");
+    STRCMP_EQUAL("DELETE", request.method.c_str());
+    STRCMP_EQUAL("/api/kv-handle/h-1%2F2%20x%0D%0A", request.target.c_str());
+}
+
 TEST(PlatformCallProtocol, DecodesTheHandleOfAMovedRunWhateverItsType)
 {
     STRCMP_EQUAL("h1", protocol.decodeMoveRun({ 200, {}, R"({"handle":"h1"})" }).handle.c_str());
--- a/test/PlatformRowsTest.cpp
+++ b/test/PlatformRowsTest.cpp
@@ -13,7 +13,7 @@
   "service":"llm","max-attempts":5,"public":false,"resumable":true,"gap-aim-ms":700},
  {"name":"r2","host":"a.example","path-prefix":"/y/","kind":"idempotent","timeout-ms":800.0,"public":true,
   "split":[{"service":"web","weight":90},{"service":"web2","weight":10}],"max-attempts":2}],
- "services":[{"name":"llm","max-conns":360,"engine":{"backups":true}},{"name":"web","max-conns":100}],
+ "services":[{"name":"llm","max-conns":360,"engine":{"backups":true,"moves":true,"handle-s":4}},{"name":"web","max-conns":100}],
  "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
  "tenants":[{"name":"acme","api-keys":["k1","k2"]}]})";
 
@@ -37,10 +37,25 @@
     LONGS_EQUAL(800, call->timeout.count());
     CHECK(configuration->findService("llm")->copiesRunningMemory);
     CHECK_FALSE(configuration->findService("web")->copiesRunningMemory);
+    LONGS_EQUAL(4000, configuration->findService("llm")->handleTime.count());
+    CHECK(configuration->findService("llm")->renewsCopies());
+    CHECK_FALSE(configuration->findService("web")->renewsCopies());
     STRCMP_EQUAL("acme", configuration->findOrganisation("k2")->c_str());
     LONGS_EQUAL(15000, configuration->callerLimits().idleTimeout.count());
 }
 
+// Guards against copies that are ordered from engines that cannot make them.
+TEST(PlatformRows, CopiesAreRenewedOnlyWhereEnginesHaveAllThreeFeatures)
+{
+    for (const std::string engine :
+        { R"({"backups":true,"moves":true})", R"({"backups":true,"handle-s":4})", R"({"moves":true,"handle-s":4})",
+            R"({"backups":true,"moves":true,"handle-s":-1})", R"({"backups":true,"moves":true,"handle-s":"4"})" }) {
+        const auto configuration = decodeConfiguration(
+            R"({"version":1,"routes":[],"services":[{"name":"s","engine":)" + engine + "}]}", problem);
+        CHECK_FALSE(configuration->findService("s")->renewsCopies());
+    }
+}
+
 TEST(PlatformRows, RequestsOfAnUnknownKindMustNotRunTwice)
 {
     const auto configuration = decodeConfiguration(
