Renew the copies of running runs

Cause: a run whose copy is lost is stopped and moved, which takes a retry, or starts over. Change: where a service has moves, backups and handle-s, RunCopier orders a copy with kv-move without `last` while the run continues, refreshes it, and deletes the handle when it is not needed any more. EngineChoice gets the copies of a lost run in the order in which to try them and leaves out those whose zone has failed since. Elsewhere RunMover remains. Conclusion: an order takes no retry; a rejected continuation is followed by the next copy.

--- /dev/null
+++ b/src/copies/RunCopyOrder.cpp
@@ -0,0 +1,84 @@
+#include "copies/RunCopyOrder.h"
+
+#include "copies/HandleRelease.h"
+#include "http/HttpRoundTrip.h"
+#include "relay/CallProtocol.h"
+#include "relay/RelayContext.h"
+#include "relay/RelayEndpoint.h"
+#include "relay/RelaySettings.h"
+
+namespace lupinknot::internal {
+
+namespace {
+
+CopyOrderAnswer answerOf(const MoveRunAnswer& answer)
+{
+    switch (answer.status) {
+    case MoveRunStatus::Copied:
+        // A copy without a name cannot be used.
+        return { answer.handle.empty() ? CopyOrderResult::Unanswered : CopyOrderResult::Copied, answer.handle };
+    case MoveRunStatus::UnknownRun:
+        return { CopyOrderResult::RunUnknown, "" };
+    case MoveRunStatus::Busy:
+        return { CopyOrderResult::Busy, "" };
+    case MoveRunStatus::Rejected:
+        return { CopyOrderResult::Rejected, "" };
+    case MoveRunStatus::Other:
+        break;
+    }
+    return {};
+}
+
+} // namespace
+
+std::shared_ptr<RunCopyOrder> RunCopyOrder::start(RelayContext& context, std::shared_ptr<RelayEndpoint> source,
+    std::shared_ptr<RelayEndpoint> target, const std::string& requestId, Callback callback)
+{
+    std::shared_ptr<RunCopyOrder> order(
+        new RunCopyOrder(context, std::move(source), std::move(target), std::move(callback)));
+    const auto request = context.protocol.encodeMoveRun(requestId, order->m_target->entry().address, false);
+    order->m_request = HttpRoundTrip::ask(context.ioContext, order->m_source->openConnection(), request,
+        context.settings.copies.copyOrderTimeout, [weak = order->weak_from_this()](const HttpRoundTripResult& outcome) {
+            if (const auto self = weak.lock())
+                self->handleAnswer(outcome);
+        });
+    return order;
+}
+
+RunCopyOrder::RunCopyOrder(RelayContext& context, std::shared_ptr<RelayEndpoint> source,
+    std::shared_ptr<RelayEndpoint> target, Callback callback)
+    : m_context(context)
+    , m_source(std::move(source))
+    , m_target(std::move(target))
+    , m_startedAt(context.now())
+    , m_callback(std::move(callback))
+    , m_lifetime(context.ioContext)
+{
+}
+
+void RunCopyOrder::abandon(std::shared_ptr<RunCopyOrder> order)
+{
+    if (!order)
+        return;
+    order->m_callback = nullptr;
+    order->m_lifetime.expires_after(order->m_context.settings.copies.copyOrderTimeout);
+    order->m_lifetime.async_wait([order](boost::system::error_code) {});
+}
+
+void RunCopyOrder::handleAnswer(const HttpRoundTripResult& outcome)
+{
+    CopyOrderAnswer answer;
+    if (outcome.answer) {
+        m_source->noteSignals(m_context.protocol.decodeAnswer(*outcome.answer), m_context.now());
+        answer = answerOf(m_context.protocol.decodeMoveRun(*outcome.answer));
+    }
+    if (m_callback) {
+        std::exchange(m_callback, nullptr)(answer);
+        return;
+    }
+    m_lifetime.cancel();
+    if (!answer.handle.empty())
+        HandleRelease::send(m_context, m_source, answer.handle);
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/copies/RunCopyOrder.h
@@ -0,0 +1,57 @@
+// One order to an engine to copy the memory of a run to another engine while the run continues (kv-move without
+// `last`).
+//
+//     m_order = RunCopyOrder::start(context, source, target, requestId, [this](const CopyOrderAnswer& answer) { ... });
+//     RunCopyOrder::abandon(std::move(m_order));       // The handle of a copy that is still made is released.
+//
+// Used on the relay's thread only. Owned by its user; after abandon() by its pending timer.
+#pragma once
+
+#include "copies/CopyRenewal.h"
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lupinknot::internal {
+
+class HttpRoundTrip;
+class RelayEndpoint;
+struct HttpRoundTripResult;
+struct RelayContext;
+
+struct CopyOrderAnswer {
+    CopyOrderResult result { CopyOrderResult::Unanswered };
+    // Identifies the copy; empty unless the result is Copied.
+    std::string handle;
+};
+
+class RunCopyOrder : public std::enable_shared_from_this<RunCopyOrder> {
+public:
+    using Callback = std::function<void(const CopyOrderAnswer&)>;
+
+    static std::shared_ptr<RunCopyOrder> start(RelayContext&, std::shared_ptr<RelayEndpoint> source,
+        std::shared_ptr<RelayEndpoint> target, const std::string& requestId, Callback);
+    // Keeps the order until it is answered or times out, so that the copy does not hold memory at the target until it
+    // expires. No callback follows.
+    static void abandon(std::shared_ptr<RunCopyOrder>);
+
+    const std::shared_ptr<RelayEndpoint>& source() const { return m_source; }
+    const std::shared_ptr<RelayEndpoint>& target() const { return m_target; }
+    Milliseconds startedAt() const { return m_startedAt; }
+
+private:
+    RunCopyOrder(RelayContext&, std::shared_ptr<RelayEndpoint> source, std::shared_ptr<RelayEndpoint> target, Callback);
+    void handleAnswer(const HttpRoundTripResult&);
+
+    RelayContext& m_context;
+    const std::shared_ptr<RelayEndpoint> m_source;
+    const std::shared_ptr<RelayEndpoint> m_target;
+    const Milliseconds m_startedAt;
+    Callback m_callback;
+    std::shared_ptr<HttpRoundTrip> m_request;
+    // Runs after the order was abandoned.
+    boost::asio::steady_timer m_lifetime;
+};
+
+} // namespace lupinknot::internal
--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -56,19 +56,21 @@
 
 void EngineChoice::onEarlierRunFound(const std::optional<RunLocation>& location)
 {
+    std::shared_ptr<RelayEndpoint> holder;
     if (location) {
         m_earlierEngine = m_context.directory.find(location->endpointId);
-        m_copyHolder = m_context.directory.find(location->copyHolderId);
-        if (!m_copyHolder || m_copyHolder->isRemoved())
-            m_copyHolder = m_context.directory.findAt(m_request.service, location->copyHolderAddress);
-        m_copyName = location->requestId;
+        holder = m_context.directory.find(location->copyHolderId);
+        if (!holder || holder->isRemoved())
+            holder = m_context.directory.findAt(m_request.service, location->copyHolderAddress);
     }
+    if (holder)
+        m_copies = { { holder, { holder->entry().address, location->requestId }, m_context.now() } };
     LogEvent("stream.returned")
         .text("request", m_request.fields.requestId)
-        .text("earlier_request", m_copyName)
+        .text("earlier_request", location ? location->requestId : "")
         .text("earlier_endpoint", location ? location->endpointId : "")
         .flag("is_engine_known", m_earlierEngine != nullptr)
-        .flag("is_copy_known", m_copyHolder != nullptr)
+        .flag("is_copy_known", holder != nullptr)
         .write();
 }
 
@@ -98,15 +100,22 @@
 
 std::optional<RunTarget> EngineChoice::copyTarget() const
 {
-    if (!m_copyHolder || !isHealthy(*m_copyHolder) || !m_rollout.next().admits(m_copyHolder->entry().version))
-        return std::nullopt;
-    return RunTarget { m_copyHolder, { m_copyHolder->entry().address, m_copyName } };
+    const auto isUsable = [this](const RunTarget& target) {
+        const auto& entry = target.engine->entry();
+        return isHealthy(*target.engine) && m_rollout.next().admits(entry.version)
+            && !m_context.directory.hasZoneFailedSince(entry.availabilityZone, target.since);
+    };
+    const auto usable = std::find_if(m_copies.begin(), m_copies.end(), isUsable);
+    return usable == m_copies.end() ? std::nullopt : std::optional(*usable);
 }
 
-void EngineChoice::setCopy(std::shared_ptr<RelayEndpoint> holder, std::string name)
+void EngineChoice::noteSent(const std::optional<RunMemorySource>& copy)
 {
-    m_copyHolder = std::move(holder);
-    m_copyName = std::move(name);
+    if (!copy) {
+        m_copies.clear();
+        return;
+    }
+    std::erase_if(m_copies, [&copy](const RunTarget& target) { return target.copy.name == copy->name; });
 }
 
 std::shared_ptr<RelayEndpoint> EngineChoice::takeEarlierEngine()
--- a/src/relay/EngineChoice.h
+++ b/src/relay/EngineChoice.h
@@ -30,9 +30,12 @@
 struct RunLocation;
 struct StreamRun;
 
+// A copy of a run's KV cache and the engine that holds it.
 struct RunTarget {
     std::shared_ptr<RelayEndpoint> engine;
     RunMemorySource copy;
+    // When the copy was requested or last confirmed; a later failure of the engine's zone destroys it.
+    Milliseconds since { 0 };
 };
 
 class EngineChoice : public std::enable_shared_from_this<EngineChoice> {
@@ -51,11 +54,13 @@
     void noteLocation(const StreamRun&) const;
     void forgetLocation() const;
 
-    // The engine that holds the copy, if it is healthy.
+    // The first copy whose engine is healthy and has not lost it.
     std::optional<RunTarget> copyTarget() const;
-    // The copy is named after the attempt whose KV cache it holds.
-    void setCopy(std::shared_ptr<RelayEndpoint> holder, std::string name);
-    void forgetCopy() { m_copyHolder.reset(); }
+    // The copies of the lost run, in the order in which to try them.
+    void setCopies(std::vector<RunTarget> copies) { m_copies = std::move(copies); }
+    // A run was sent: the copy that it continues from is not tried again. The other copies stay until the run produces
+    // events, unless it starts over.
+    void noteSent(const std::optional<RunMemorySource>& copy);
     // The engine that ran the request for another VM and has its prompt cached; null if it is not healthy. Returned
     // only once.
     std::shared_ptr<RelayEndpoint> takeEarlierEngine();
@@ -93,8 +98,7 @@
     RequestRollout& m_rollout;
     Engines m_failed;
     std::shared_ptr<RelayEndpoint> m_earlierEngine;
-    std::shared_ptr<RelayEndpoint> m_copyHolder;
-    std::string m_copyName;
+    std::vector<RunTarget> m_copies;
     // Set while engines are probed for the next run.
     std::shared_ptr<EngineLoadProbe> m_loadProbe;
 };
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -3,6 +3,7 @@
 #include "admission/AttemptAdmission.h"
 #include "common/EventLog.h"
 #include "common/NameHash.h"
+#include "copies/RunCopier.h"
 #include "http/HttpExchange.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/EngineChoice.h"
@@ -10,7 +11,6 @@
 #include "relay/RelayContext.h"
 #include "relay/RelayMetrics.h"
 #include "relay/RelaySettings.h"
-#include "relay/RunCopy.h"
 #include "relay/RunLivenessMonitor.h"
 #include "relay/RunMover.h"
 #include "relay/RunRelocation.h"
@@ -65,6 +65,7 @@
               if (const auto self = weak.lock(); self && !self->m_isFinished)
                   self->moveFinished(move);
           });
+    m_copier = std::make_unique<RunCopier>(m_context, m_request, m_rollout);
     m_crashTracker.begin(ifNotFinished(&EventStreamCall::requestBecameHeld));
     m_deadlineTimer.expires_after(m_request.deadline - m_context.now());
     m_deadlineTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
@@ -191,8 +192,10 @@
         fields.lastEventId = m_answer->lastEventId();
     if (run->copyHolder)
         fields.copyTo = run->copyHolder->entry().address;
+    if (copy)
+        m_copier->noteContinued(copy->name);
+    m_choice->noteSent(copy);
     fields.continueFrom = std::move(copy);
-    m_choice->forgetCopy();
 
     logRunSent(m_request, *run, *m_answer, m_attempts == 0, now);
     m_rollout.noteSent();
@@ -278,6 +281,7 @@
     run.hasEvent = true;
     if (!run.firstEventAt) {
         run.firstEventAt = now;
+        m_copier->releaseUnused();
         m_timing.recordFirstEvent(run, now);
     }
     m_crashTracker.noteProducing(now - *run.firstEventAt);
@@ -398,8 +402,11 @@
                           : settings.avoidAfterRefusal));
     m_context.directory.noteFailure(*run->endpoint, now);
     m_choice->noteFailed(run->endpoint);
-    // A run's KV cache is copied from its first event on, so before that no copy exists.
-    m_choice->setCopy(run->hasEvent ? copyHolderOf(*run, m_context.directory) : nullptr, m_request.fields.requestId);
+    // A run's KV cache is copied from its first event on. When a run that continued from a copy is lost before that,
+    // the other copies of the run before it remain.
+    auto copies = m_copier->runLost(*run);
+    if (run->hasEvent)
+        m_choice->setCopies(std::move(copies));
     m_failedAt = m_failedAt.value_or(now);
     startRun();
 }
@@ -408,8 +415,12 @@
 
 void EventStreamCall::considerMove()
 {
-    const bool hasAttemptLeft = m_possibleRuns + 1 < m_request.route->maxAttempts;
     const auto expectedTimeLeft = m_answer->expectedTimeLeft(m_timing.maxEvents(), m_context.now());
+    if (m_copier->isEnabledFor(*m_run)) {
+        m_copier->consider(*m_run, expectedTimeLeft, m_choice->failed());
+        return;
+    }
+    const bool hasAttemptLeft = m_possibleRuns + 1 < m_request.route->maxAttempts;
     m_mover->consider(*m_run, { hasAttemptLeft, expectedTimeLeft }, m_choice->failed());
 }
 
@@ -499,6 +510,7 @@
     m_mover->cancel();
     if (const auto run = std::exchange(m_run, nullptr))
         run->call->cancel();
+    m_copier->end();
 }
 
 } // namespace lupinknot::internal
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -24,6 +24,7 @@
 
 class EngineChoice;
 class PermitWait;
+class RunCopier;
 class RunMover;
 class RunLivenessMonitor;
 class StreamResponse;
@@ -65,7 +66,8 @@
     void giveUpAsHeld();
     void requestBecameHeld();
 
-    // Moves the run preventively if no engine holds a copy of it and a move is worth its cost.
+    // Renews the copy of the run where the service's engines can; elsewhere, moves the run preventively if no engine
+    // holds a copy of it and a move is worth its cost.
     void considerMove();
     void moveFinished(const RunMove&);
 
@@ -90,6 +92,8 @@
     std::shared_ptr<PermitWait> m_permit;
     // Set by begin().
     std::unique_ptr<RunMover> m_mover;
+    // Set by begin().
+    std::unique_ptr<RunCopier> m_copier;
     // Number of runs that an engine may have started.
     unsigned m_possibleRuns { 0 };
     unsigned m_attempts { 0 };
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -42,6 +42,10 @@
           *m_registry, "lupinknot_relay_resumed_from_copy_total", "Streams that went on from a copy of their memory."))
     , resumedCold(addCounter(
           *m_registry, "lupinknot_relay_resumed_cold_total", "Streams that went on by reading the prompt again."))
+    , copiesRenewed(addCounter(*m_registry, "lupinknot_relay_copies_renewed_total",
+          "New copies made of the KV caches of running streams whose copy was lost."))
+    , copiesLost(addCounter(
+          *m_registry, "lupinknot_relay_copies_lost_total", "KV-cache copies lost while their stream was running."))
     , resumeGap(prometheus::BuildHistogram()
                     .Name("lupinknot_relay_resume_gap_ms")
                     .Help("Time between the last event before a loss and the first one after it.")
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -33,6 +33,9 @@
     // Streams that resumed at another engine from a copy of their KV cache, or by a new prefill of the prompt.
     prometheus::Counter& resumedFromCopy;
     prometheus::Counter& resumedCold;
+    // New copies of the KV caches of running streams, and copies that were lost while their stream ran.
+    prometheus::Counter& copiesRenewed;
+    prometheus::Counter& copiesLost;
     // Time from a stream's last event before a failure to the first one after it, in milliseconds.
     prometheus::Histogram& resumeGap;
     prometheus::Counter& engineProbes;
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -1,6 +1,7 @@
 // Limits, times and weights of the relay. The adapter fills in those that a deployment configures.
 #pragma once
 
+#include "copies/CopyRenewalSettings.h"
 #include "lupinknot/Clock.h"
 #include "relay/Policy.h"
 #include "rollout/ExposureBudget.h"
@@ -82,6 +83,8 @@
     // A run that is expected to end sooner than this is not moved: a move costs a copy of its KV cache, a retry and a
     // short pause, and a second failure within this time is rare.
     Milliseconds minTimeLeftForRelocation { 2500 };
+    // Copies that are ordered for running runs, in place of such moves.
+    CopyRenewalSettings copies {};
     // How long a stream without an event waits for an endpoint when none is available.
     Milliseconds waitForEndpoint { 900 };
     // Interval between attempts to find an available endpoint.
--- a/test/RelayHarness.cpp
+++ b/test/RelayHarness.cpp
@@ -22,6 +22,11 @@
 
 void RelayHarness::useEngineService() { m_builder.addService({ "s", 0, true, true, 5 }); }
 
+void RelayHarness::useCopyingService(Milliseconds handleTime)
+{
+    m_builder.addService({ "s", 0, true, false, 5, true, handleTime });
+}
+
 void RelayHarness::addRoute(const std::string& prefix, RequestKind kind, unsigned maxAttempts, bool isPublic)
 {
     Route route;
--- a/test/RelayHarness.h
+++ b/test/RelayHarness.h
@@ -38,6 +38,8 @@
 
     // Makes the service's endpoints engines, whose load can be queried.
     void useEngineService();
+    // Makes the service's endpoints engines whose runs can be copied on request.
+    void useCopyingService(Milliseconds handleTime = Milliseconds { 4000 });
     // Adds a route for the path prefix /PREFIX/ of the host h.
     void addRoute(const std::string& prefix, RequestKind, unsigned maxAttempts, bool isPublic = true);
     // Adds a non-idempotent route for an organisation, and the API key that it requires.
--- /dev/null
+++ b/test/RunCopierTest.cpp
@@ -0,0 +1,251 @@
+#include "copies/RunCopier.h"
+#include "RelayHarness.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+
+TEST_GROUP(RunCopier)
+{
+    std::unique_ptr<RelayHarness> relay;
+    // The engine of the run, in zone a. It sends event 1 and continues when the test says so.
+    ScriptedEndpoint* engine { nullptr };
+    std::shared_ptr<ScriptedConnection> running;
+    std::vector<std::string> orders;
+    std::vector<std::string> releases;
+    std::function<void(ScriptedConnection&)> answerOrder;
+    std::shared_ptr<TestCaller> caller;
+
+    void setup() override
+    {
+        relay = std::make_unique<RelayHarness>();
+        relay->useCopyingService();
+        relay->addRoute("stream", RequestKind::EventStream, 5);
+        relay->settings.probeAfterSilenceWhenSuspected = Milliseconds { 5 };
+        // The engine answers probes; its pauses, which depend on the test's machine, are no failure.
+        relay->settings.moveAfterPauseShare = 1000;
+        relay->settings.retrySlackShare = 1;
+        relay->settings.copies.copyOrderSpread = Milliseconds { 0 };
+        relay->settings.copies.copyRetryInterval = Milliseconds { 10 };
+        answerOrder = [this](ScriptedConnection& asker) {
+            asker.answer(200, "", R"({"handle":"h)" + std::to_string(orders.size()) + R"(","create-rev":1})");
+        };
+        engine = &relay->addEndpoint("e1", "a");
+        engine->onRequest([this](ScriptedConnection& asker, const std::string& request) {
+            if (request.find("POST /stream/") == 0) {
+                asker.beginStream(signedHead);
+                asker.sendEvent(1);
+                running = asker.shared_from_this();
+            } else if (request.find("POST /api/kv-move") == 0) {
+                orders.push_back(request);
+                answerOrder(asker);
+            } else if (request.find("DELETE ") == 0) {
+                releases.push_back(request.substr(0, request.find("\r\n")));
+                asker.answer(200, "", "");
+            } else {
+                asker.answer(200, "", "{}");
+            }
+        });
+    }
+
+    void teardown() override
+    {
+        running.reset();
+        caller.reset();
+        relay.reset();
+    }
+
+    static void continues(ScriptedConnection & asker, const std::string&)
+    {
+        asker.beginStream(signedHead);
+        asker.sendEvent(2);
+        asker.endStream();
+    }
+
+    // Begins a stream at the engine and returns the id of the engine that gets its growing copy.
+    std::string begin()
+    {
+        relay->configure();
+        relay->list();
+        caller = relay->call("/stream/1");
+        CHECK(relay->runUntil([&] { return !caller->body.empty(); }));
+        for (const std::string id : { "e2", "e3", "e4" }) {
+            const auto endpoint = relay->daemon().directory().find(id);
+            if (endpoint && engine->hasReceived(0, "X-Kv-Backup: " + endpoint->entry().address.text() + "\r\n"))
+                return id;
+        }
+        return "";
+    }
+
+    void remove(const std::string& id) { relay->daemon().directory().remove(id, relay->daemon().clock().now()); }
+    bool awaitCopies(std::size_t count)
+    {
+        return relay->runUntil([&] { return orders.size() >= count && metric("renewed") == std::to_string(count); });
+    }
+    std::string metric(const std::string& kind)
+    {
+        const auto text = relay->daemon().metrics().exposition();
+        const auto name = "\nlupinknot_relay_copies_" + kind + "_total ";
+        const auto begin = text.find(name) + name.size();
+        return text.substr(begin, text.find('\n', begin) - begin);
+    }
+    void expectWhole()
+    {
+        CHECK_TEXT(relay->runUntil([&] { return caller->isWhole || caller->isBroken; }), "the stream did not end");
+        STRCMP_EQUAL("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n", caller->body.c_str());
+    }
+};
+
+// Guards against renewals that stop the run or spend a retry, and against copies that hold memory after their stream.
+TEST(RunCopier, TheRunGoesOnWhileItIsCopiedAndTheHandleIsDeletedAtItsEnd)
+{
+    relay->settings.retryRatio = 0;
+    relay->settings.retrySlack = 0;
+    relay->addEndpoint("e2", "b");
+    relay->addEndpoint("e3", "c");
+    const auto holder = begin();
+    remove(holder);
+    CHECK(awaitCopies(1));
+    STRCMP_EQUAL("1", metric("lost").c_str());
+    CHECK_TEXT(orders[0].find("\"last\"") == std::string::npos, "the run must not be stopped");
+    const auto target = relay->daemon().directory().find(holder == "e2" ? "e3" : "e2")->entry().address.text();
+    STRCMP_CONTAINS(target.c_str(), orders[0].c_str());
+    CHECK(releases.empty());
+    running->sendEvent(2);
+    running->endStream();
+    expectWhole();
+    CHECK(relay->runUntil([&] { return !releases.empty(); }));
+    STRCMP_EQUAL("DELETE /api/kv-handle/h1 HTTP/1.1", releases[0].c_str());
+}
+
+// Guards against a stream that starts over although an ordered copy of it exists.
+TEST(RunCopier, ContinuesFromTheOrderedCopyWhenTheEngineIsLost)
+{
+    auto& second = relay->addEndpoint("e2", "b");
+    auto& third = relay->addEndpoint("e3", "c");
+    second.onRequest(continues);
+    third.onRequest(continues);
+    const auto holder = begin();
+    remove(holder);
+    CHECK(awaitCopies(1));
+    running->reset();
+    expectWhole();
+    const auto source = relay->daemon().directory().find("e1")->entry().address.text();
+    CHECK((holder == "e2" ? third : second).hasReceived(0, "Kv-From: " + source + "/h1\r\n"));
+    CHECK_TEXT(releases.empty(), "the copy in use must not be freed");
+}
+
+// Guards against continuing at an engine that ended after it had received the ordered copy.
+TEST(RunCopier, OrdersAnotherCopyWhenTheHolderEndsBeforeItIsUsed)
+{
+    auto& second = relay->addEndpoint("e2", "b");
+    auto& third = relay->addEndpoint("e3", "c");
+    auto& fourth = relay->addEndpoint("e4", "c");
+    for (auto* const endpoint : { &second, &third, &fourth })
+        endpoint->onRequest(continues);
+    remove(begin());
+    CHECK(awaitCopies(1));
+    const auto has = [this](const std::string& id, std::size_t order) {
+        return orders[order].find(relay->daemon().directory().find(id)->entry().address.text()) != std::string::npos;
+    };
+    const std::string holder = has("e2", 0) ? "e2" : has("e3", 0) ? "e3" : "e4";
+    remove(holder);
+    CHECK(awaitCopies(2));
+    CHECK_FALSE(has(holder, 1));
+    CHECK_TEXT(relay->runUntil([&] { return !releases.empty(); }), "the first copy must be freed");
+    STRCMP_EQUAL("2", metric("lost").c_str());
+    running->reset();
+    expectWhole();
+    auto& last = has("e2", 1) ? second : has("e3", 1) ? third : fourth;
+    CHECK(last.hasReceived(0, "/h2\r\n"));
+}
+
+// Guards against giving up the cover of a run, or asking for the same full target again, after a 503.
+TEST(RunCopier, OrdersACopyAtAnotherTargetAfterARejection)
+{
+    relay->addEndpoint("e2", "b");
+    relay->addEndpoint("e3", "c");
+    relay->addEndpoint("e4", "c");
+    answerOrder
+        = [this](ScriptedConnection& asker) { asker.answer(orders.size() == 1 ? 503 : 200, "", R"({"handle":"h2"})"); };
+    remove(begin());
+    CHECK(relay->runUntil([&] { return orders.size() == 2; }));
+    const auto targetOf = [](const std::string& order) { return order.substr(order.find("target-version")); };
+    CHECK(targetOf(orders[0]) != targetOf(orders[1]));
+    running->sendEvent(2);
+    running->endStream();
+    expectWhole();
+}
+
+// Guards against a stream that starts over although another copy of it is known when the first engine has none.
+TEST(RunCopier, TriesTheOtherCopyWhenTheFirstIsRejected)
+{
+    auto& second = relay->addEndpoint("e2", "b");
+    auto& third = relay->addEndpoint("e3", "c");
+    const auto holder = begin();
+    auto& growing = holder == "e2" ? second : third;
+    auto& ordered = holder == "e2" ? third : second;
+    const auto entry = relay->daemon().directory().find(holder)->entry();
+    growing.onRequest([](ScriptedConnection& asker, const std::string&) {
+        asker.answer(503, "X-Request-Id: r1\r\nX-Not-Executed: 1\r\n", "");
+    });
+    ordered.onRequest(continues);
+    remove(holder);
+    CHECK(awaitCopies(1));
+    // The list contains the holder again: its entry had only expired.
+    relay->daemon().directory().upsert(entry, relay->daemon().clock().now());
+    running->reset();
+    expectWhole();
+    CHECK_TEXT(growing.hasReceived(0, "/r1\r\n"), "the growing copy is the newest one");
+    CHECK(ordered.hasReceived(0, "/h1\r\n"));
+}
+
+// Guards against memory held at the target when the stream ends while the order is under way.
+TEST(RunCopier, DeletesTheHandleOfACopyThatIsMadeAfterTheStreamEnded)
+{
+    relay->addEndpoint("e2", "b");
+    relay->addEndpoint("e3", "c");
+    std::shared_ptr<ScriptedConnection> ordering;
+    answerOrder = [&](ScriptedConnection& asker) { ordering = asker.shared_from_this(); };
+    remove(begin());
+    CHECK(relay->runUntil([&] { return ordering != nullptr; }));
+    running->sendEvent(2);
+    running->endStream();
+    expectWhole();
+    ordering->answer(200, "", R"({"handle":"late"})");
+    CHECK(relay->runUntil([&] { return !releases.empty(); }));
+    STRCMP_EQUAL("DELETE /api/kv-handle/late HTTP/1.1", releases[0].c_str());
+    ordering.reset();
+}
+
+// Guards against a handle that expires during the stream.
+TEST(RunCopier, RefreshesTheCopyAtItsHolder)
+{
+    relay->useCopyingService(Milliseconds { 500 });
+    relay->addEndpoint("e2", "b");
+    relay->addEndpoint("e3", "c");
+    remove(begin());
+    CHECK(relay->runUntil([&] { return orders.size() == 3; }));
+    STRCMP_EQUAL(orders[0].c_str(), orders[1].c_str());
+    STRCMP_EQUAL(orders[0].c_str(), orders[2].c_str());
+    STRCMP_EQUAL_TEXT("1", metric("renewed").c_str(), "a refresh is not a new copy");
+    CHECK_TEXT(releases.empty(), "the copy must be kept");
+}
+
+// Guards against a retry that is spent on a copy whose engine has restarted with its zone.
+TEST(RunCopier, DoesNotContinueFromACopyInAZoneThatHasFailedSince)
+{
+    relay->settings.avoidZone = relay->settings.suspectAfterZoneFailure = Milliseconds { 0 };
+    answerOrder = [](ScriptedConnection& asker) { asker.answer(503, "", ""); };
+    for (auto* const endpoint : { &relay->addEndpoint("e2", "b"), &relay->addEndpoint("e3", "b") })
+        endpoint->onRequest(continues);
+    begin();
+    auto& directory = relay->daemon().directory();
+    for (const std::string id : { "e2", "e3" })
+        directory.noteFailure(*directory.find(id), relay->daemon().clock().now());
+    running->reset();
+    expectWhole();
+    const auto metrics = relay->daemon().metrics().exposition();
+    STRCMP_CONTAINS("\nlupinknot_relay_resumed_from_copy_total 0\n", metrics.c_str());
+}
