Increase the interval between orders of copies that fail

Cause: in an overload no engine has room for a copy, and each run would order one every 200 ms. Change: copyRetryInterval doubles with each failed order, up to eight times its value. Conclusion: at most one order in 1.6 s from each run that finds no room.

--- a/bench/CopyStudy.cpp
+++ b/bench/CopyStudy.cpp
@@ -66,6 +66,11 @@
 
 void printSettings(const CopyScenario& base)
 {
+    for (const double interval : { 0.2, 0.4, 2.0 }) {
+        auto scenario = base;
+        scenario.settings.copyRefreshInterval = interval;
+        printRow("copyRefreshInterval " + std::to_string(interval).substr(0, 3) + " of handle-s", scenario);
+    }
     printSetting("minTimeLeftForCopy", &CopyRenewalSettings::minTimeLeftForCopy, base, { 0, 500, 1000, 1500, 2500 });
     printSetting("copyOrderSpread", &CopyRenewalSettings::copyOrderSpread, base, { 0, 200, 600, 1200 });
     printSetting("copyRetryInterval", &CopyRenewalSettings::copyRetryInterval, base, { 50, 200, 500 });
--- a/src/copies/CopyRenewal.cpp
+++ b/src/copies/CopyRenewal.cpp
@@ -122,17 +122,33 @@
 
 void CopyRenewal::noteOrderEnded(CopyOrderResult result, Milliseconds now)
 {
-    // The copy may be lost again before the next check.
-    if (result == CopyOrderResult::Copied) {
+    switch (result) {
+    case CopyOrderResult::Copied:
+        // The copy may be lost again before the next check.
         m_hasReportedLoss = false;
         m_orderAt.reset();
-    }
-    if (result == CopyOrderResult::RunUnknown)
+        m_failedOrders = 0;
+        break;
+    case CopyOrderResult::RunUnknown:
         m_isRunGone = true;
-    if (result == CopyOrderResult::Rejected || result == CopyOrderResult::Unanswered)
-        m_nextOrderAt = now + m_settings.copyRetryInterval;
+        break;
+    case CopyOrderResult::Busy:
+        break;
+    case CopyOrderResult::Rejected:
+    case CopyOrderResult::Unanswered:
+        waitAfterFailure(now);
+        break;
+    }
 }
 
-void CopyRenewal::noteNoTarget(Milliseconds now) { m_nextOrderAt = now + m_settings.copyRetryInterval; }
+void CopyRenewal::noteNoTarget(Milliseconds now) { waitAfterFailure(now); }
+
+void CopyRenewal::waitAfterFailure(Milliseconds now)
+{
+    // In an overload no engine has room, and the orders of all runs would only add to its load.
+    constexpr unsigned maxDoublings = 3;
+    m_nextOrderAt = now + m_settings.copyRetryInterval * (1 << std::min(m_failedOrders, maxDoublings));
+    ++m_failedOrders;
+}
 
 } // namespace lupinknot::internal
--- a/src/copies/CopyRenewal.h
+++ b/src/copies/CopyRenewal.h
@@ -140,6 +140,7 @@
 
 private:
     bool isRefreshDue(const CopiedRun&, Milliseconds now) const;
+    void waitAfterFailure(Milliseconds now);
     // Time from the loss of a copy to the order of a new one. Runs with the longest time left are copied first, because
     // they are the most likely to need the copy.
     Milliseconds orderDelay(Milliseconds timeLeft) const;
@@ -149,6 +150,8 @@
     // Set while a new copy is needed.
     std::optional<Milliseconds> m_orderAt;
     Milliseconds m_nextOrderAt { 0 };
+    // Number of orders in a row that an engine rejected or did not answer.
+    unsigned m_failedOrders { 0 };
     bool m_hasReportedLoss { false };
     bool m_isRunGone { false };
 };
--- a/src/copies/CopyRenewalSettings.h
+++ b/src/copies/CopyRenewalSettings.h
@@ -13,7 +13,8 @@
     // Interval at which an ordered copy is refreshed, as a share of the time for which its holder keeps it (handle-s).
     // Below one half, so that a copy outlives one failed refresh.
     double copyRefreshInterval { 0.4 };
-    // Shortest time between two orders for one run after an engine rejected one or did not answer.
+    // Shortest time between two orders for one run after an engine rejected one or did not answer. It doubles with each
+    // further failure, up to eight times this value.
     Milliseconds copyRetryInterval { 200 };
     // The orders of runs that lose their copies together are spread over this time, because copies queue on the
     // engines' network links.
--- a/test/CopyRenewalTest.cpp
+++ b/test/CopyRenewalTest.cpp
@@ -82,9 +82,12 @@
     renewal.noteOrderEnded(CopyOrderResult::Rejected, Milliseconds { 1000 });
     CHECK(actionAt(renewal, 1199) == CopyAction::None);
     CHECK(actionAt(renewal, 1200) == CopyAction::Order);
-    renewal.noteOrderEnded(CopyOrderResult::Busy, Milliseconds { 1200 });
-    CHECK_TEXT(actionAt(renewal, 1290) == CopyAction::Order, "after a 409 the next check orders again");
-    renewal.noteOrderEnded(CopyOrderResult::RunUnknown, Milliseconds { 1300 });
+    renewal.noteOrderEnded(CopyOrderResult::Unanswered, Milliseconds { 1200 });
+    CHECK_TEXT(actionAt(renewal, 1599) == CopyAction::None, "the interval must double");
+    CHECK(actionAt(renewal, 1600) == CopyAction::Order);
+    renewal.noteOrderEnded(CopyOrderResult::Busy, Milliseconds { 1600 });
+    CHECK_TEXT(actionAt(renewal, 1690) == CopyAction::Order, "after a 409 the next check orders again");
+    renewal.noteOrderEnded(CopyOrderResult::RunUnknown, Milliseconds { 1700 });
     CHECK_TEXT(actionAt(renewal, 9000) == CopyAction::None, "after a 404 the run has ended at its engine");
 }
 
