--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -25,6 +25,7 @@
 
 class EngineChoice;
 class PermitWait;
+class RunCopier;
 class RunMover;
 class RunLivenessMonitor;
 class StreamResponse;
@@ -72,7 +73,8 @@
     void giveUpAsHeld();
     void requestBecameHeld();
 
-    // Moves the run preventively if no engine holds a copy of it and a move is worth its cost.
+    // Renews the copy of the run where the service's engines can; elsewhere, moves the run preventively if no engine
+    // holds a copy of it and a move is worth its cost.
     void considerMove();
     void moveFinished(const RunMove&);
 
@@ -97,6 +99,8 @@
     std::shared_ptr<PermitWait> m_permit;
     // Set by begin().
     std::unique_ptr<RunMover> m_mover;
+    // Set by begin().
+    std::unique_ptr<RunCopier> m_copier;
     // Number of runs that an engine may have started.
     unsigned m_possibleRuns { 0 };
     unsigned m_attempts { 0 };
