Log and count why lost runs are not continued

The log named lost runs, but not why a run was not continued, so that the share of streams ended for lack of a retry had to be derived from several lines. stream.not-sent-on gives the reason (no retry left, runs used up, no engine, held, copy gone, copy rejected), whether the stream ends with it and whether an engine held a usable copy. lupinknotctl losses counts these, and attempts that were not in time by rank, organisation and objective.

--- a/src/ctl/LossReport.cpp
+++ b/src/ctl/LossReport.cpp
@@ -45,6 +45,9 @@
     std::int64_t objective { 0 };
     std::int64_t maxPause { 0 };
     std::int64_t promptTokens { 0 };
+    // Empty for requests without an organisation, and for logs without ranks.
+    std::string organisation;
+    std::string rank;
     bool isStream { false };
     bool hasReturned { false };
     bool hasFirstEvent { false };
@@ -81,6 +84,8 @@
         attempt.objective = numberIn(event, "objective_ms");
         attempt.maxPause = numberIn(event, "longest_pause_ms");
         attempt.promptTokens = numberIn(event, "prompt_tokens");
+        attempt.organisation = stringIn(event, "organisation");
+        attempt.rank = event.contains("rank") ? std::to_string(numberIn(event, "rank")) : std::string();
         return;
     }
     const auto admitted = m_attempts.find(request);
@@ -128,12 +133,22 @@
         attempt.firstEventAfter = numberIn(event, "since_admitted_ms");
     } else if (name == "stream.run-lost") {
         ++m_lostRuns[stringIn(event, "failure") + (attempt.hasFirstEvent ? "" : ", before the first event")];
+    } else if (name == "stream.not-sent-on") {
+        addNotContinued(m_notContinued, event);
     } else if (name == "stream.resumed" && numberIn(event, "pause_ms") > attempt.longestResumptionPause) {
         attempt.longestResumptionPause = numberIn(event, "pause_ms");
         attempt.wasLongestFromPrefill = !flagIn(event, "from_copy");
     }
 }
 
+void LossReport::addNotContinued(std::map<std::string, std::size_t>& counts, const nlohmann::json& event)
+{
+    const std::string_view what = !flagIn(event, "ends") ? ", from its copy"
+        : flagIn(event, "has_copy")                      ? ", with a copy"
+                                                         : "";
+    ++counts[stringIn(event, "reason").append(what)];
+}
+
 void LossReport::addCompletion(Attempt& attempt, const nlohmann::json& event)
 {
     attempt.isDone = true;
@@ -172,6 +187,26 @@
     }));
 }
 
+std::map<std::string, LossReport::GroupCount> LossReport::countsByGroup() const
+{
+    std::map<std::string, GroupCount> counts;
+    for (const auto& entry : m_attempts) {
+        const auto& attempt = entry.second;
+        const bool isMissed = outcomeOf(attempt) != AttemptOutcome::InTime;
+        const auto add = [&](const std::string& group) {
+            auto& count = counts[group];
+            ++count.total;
+            count.missed += isMissed ? 1 : 0;
+        };
+        if (!attempt.rank.empty())
+            add("rank " + attempt.rank);
+        if (!attempt.organisation.empty())
+            add("organisation " + attempt.organisation);
+        add("objective " + std::to_string(attempt.objective) + " ms");
+    }
+    return counts;
+}
+
 void LossReport::writeCounts(std::ostream& out, const std::map<std::string, std::size_t>& counts, std::string_view what)
 {
     for (const auto& [name, number] : counts)
@@ -203,6 +238,9 @@
         out << std::setw(width) << number << "  runs lost: " << failure << "\n";
     out << std::setw(width) << m_prefillResumptions << "  runs resumed with a new prefill, " << m_tokensPrefilledAgain
         << " tokens\n";
+    writeCounts(out, m_notContinued, "lost runs not continued: ");
+    for (const auto& [group, count] : countsByGroup())
+        out << std::setw(width) << count.missed << "  of " << count.total << " not in time: " << group << "\n";
     writeCounts(out, m_refusals, "refused: ");
     writeCounts(out, m_waits, "waits for ");
     writeCounts(out, m_storeCalls, "calls to the store: ");
--- a/src/ctl/LossReport.h
+++ b/src/ctl/LossReport.h
@@ -7,7 +7,8 @@
 //
 // Each attempt of a caller counts as one request; an attempt that returns to an earlier stream is counted separately,
 // as returned. Refusals are also counted by reason and availability zone, waits by what the request waited for, and
-// calls to the platform's store by purpose. Not thread-safe.
+// calls to the platform's store by purpose. The log line stream.not-sent-on gives the reason why a lost run was not
+// continued, or not from its copy; attempts are also counted by rank, organisation and objective. Not thread-safe.
 #pragma once
 
 #include "lupinknot/EnumNames.h"
@@ -64,6 +65,15 @@
     std::size_t write(std::ostream&) const;
     // Returns the number of attempts with this outcome; either only those that returned to a stream or only the others.
     std::size_t count(AttemptOutcome outcome, bool hasReturned = false) const;
+    // Lost runs that were not continued, by reason; for those not continued from their copy only, "REASON, from its
+    // copy"; where a usable copy existed, "REASON, with a copy".
+    const std::map<std::string, std::size_t>& notContinued() const { return m_notContinued; }
+    // Attempts that were not in time and all attempts, by a property such as "rank 2" or "organisation acme".
+    struct GroupCount {
+        std::size_t missed { 0 };
+        std::size_t total { 0 };
+    };
+    std::map<std::string, GroupCount> countsByGroup() const;
     // Counts by "REASON in ZONE", by what was waited for, and by "PURPOSE TABLE".
     const std::map<std::string, std::size_t>& refusals() const { return m_refusals; }
     const std::map<std::string, std::size_t>& waits() const { return m_waits; }
@@ -79,6 +89,7 @@
 
     // Adds events of the VM itself, and refusals and waits, also of requests that were never admitted.
     void addVmEvent(const std::string& name, const nlohmann::json& event);
+    static void addNotContinued(std::map<std::string, std::size_t>&, const nlohmann::json& event);
     static void writeCounts(std::ostream&, const std::map<std::string, std::size_t>&, std::string_view what);
 
     std::map<std::string, Attempt> m_attempts;
@@ -89,6 +100,7 @@
     std::map<std::string, std::size_t> m_storeCalls;
     // Lost runs by failure, and the prompt tokens that were prefilled again to resume streams.
     std::map<std::string, std::size_t> m_lostRuns;
+    std::map<std::string, std::size_t> m_notContinued;
     std::size_t m_prefillResumptions { 0 };
     std::uint64_t m_tokensPrefilledAgain { 0 };
 };
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -89,8 +89,11 @@
     auto& budget = m_context.retryBudget(m_request.service);
     if (m_tookRetryForNextRun && !budget.take(RetryPurpose::Failover, m_request.admittedAt, m_context.now()))
         attemptDecision = AttemptDecision::RetriesSpent;
-    if (attemptDecision != AttemptDecision::Allowed)
+    if (attemptDecision != AttemptDecision::Allowed) {
+        logLostRunEnds(
+            attemptDecision == AttemptDecision::RetriesSpent ? continuation::noRetryLeft : continuation::runsUsedUp);
         giveUp(refusalAfter(attemptDecision, m_possibleRuns));
+    }
     return attemptDecision == AttemptDecision::Allowed;
 }
 
@@ -104,7 +107,11 @@
     return attemptDecision != AttemptDecision::Held && attemptDecision != AttemptDecision::Undecided;
 }
 
-void EventStreamCall::giveUpAsHeld() { giveUp(refusalAfter(AttemptDecision::Held, m_possibleRuns)); }
+void EventStreamCall::giveUpAsHeld()
+{
+    logLostRunEnds(continuation::held);
+    giveUp(refusalAfter(AttemptDecision::Held, m_possibleRuns));
+}
 
 // A run that produces events does not crash its engine, whatever happened to other runs of the request.
 void EventStreamCall::requestBecameHeld()
@@ -216,6 +223,7 @@
         const auto decision = waitOrRefuseStream(m_choice->nextAvailability(), m_possibleRuns,
             m_request.admittedAt + settings.waitForEndpoint, settings.endpointRetryInterval, m_context.now());
         if (!decision.waits) {
+            logLostRunEnds(continuation::noEngine);
             giveUp(decision.reason);
             return;
         }
@@ -351,6 +359,8 @@
     m_livenessMonitor->stop();
     run->reading.reset();
     logRunRejected(m_request, *run);
+    if (run->isFromCopy)
+        logNotContinued(m_request, continuation::copyRejected, false, false);
     if (run->fields.isOtherIncarnation) {
         m_context.directory.remove(run->endpoint->entry().id, now);
         m_choice->noteFailed(run->endpoint);
@@ -401,6 +411,8 @@
     // A run's KV cache is copied from its first event on, so before that no copy exists.
     m_choice->setCopy(run->hasEvent ? copyHolderOf(*run, m_context.directory) : nullptr, m_request.fields.requestId);
     m_failedAt = m_failedAt.value_or(now);
+    if (run->hasEvent)
+        logMissingCopy();
     startRun();
 }
 
@@ -436,8 +448,11 @@
 
 void EventStreamCall::timedOut()
 {
-    if (!m_isFinished)
-        giveUp(m_possibleRuns > 0 ? RefusalReason::TimedOut : RefusalReason::TimedOutUnsent);
+    if (m_isFinished)
+        return;
+    if (!m_run)
+        logLostRunEnds(continuation::noEngine);
+    giveUp(m_possibleRuns > 0 ? RefusalReason::TimedOut : RefusalReason::TimedOutUnsent);
 }
 
 void EventStreamCall::complete()
@@ -462,6 +477,18 @@
     finish();
 }
 
+void EventStreamCall::logLostRunEnds(std::string_view reason) const
+{
+    if (m_failedAt)
+        logNotContinued(m_request, reason, true, m_choice->copyTarget().has_value());
+}
+
+void EventStreamCall::logMissingCopy() const
+{
+    if (!m_choice->copyTarget())
+        logNotContinued(m_request, continuation::copyGone, false, false);
+}
+
 void EventStreamCall::refuse(RefusalReason reason)
 {
     logEnd(traitsOf(reason).name, traitsOf(reason).status);
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -73,6 +73,10 @@
     void complete();
     void refuse(RefusalReason);
     void giveUp(RefusalReason);
+    // Logs why a lost run is not continued when the stream ends.
+    void logLostRunEnds(std::string_view reason) const;
+    // Logs that a run lost in mid-stream has no usable copy.
+    void logMissingCopy() const;
     void logEnd(std::string_view outcome, unsigned status);
     void finish();
 
--- a/src/relay/StreamLog.cpp
+++ b/src/relay/StreamLog.cpp
@@ -69,6 +69,17 @@
         .write();
 }
 
+void logNotContinued(const RelayRequest& request, std::string_view reason, bool ends, bool hasCopy)
+{
+    LogEvent("stream.not-sent-on")
+        .text("request", request.fields.requestId)
+        .text("reason", reason)
+        .flag("ends", ends)
+        .flag("has_copy", hasCopy)
+        .text("organisation", request.organisation)
+        .write();
+}
+
 void logRunResumed(const RelayRequest& request, const StreamRun& run, std::optional<Milliseconds> lastEventAt,
     Milliseconds failedAt, Milliseconds now)
 {
--- a/src/relay/StreamLog.h
+++ b/src/relay/StreamLog.h
@@ -8,6 +8,16 @@
 
 namespace lupinknot::internal {
 
+// Reasons why a lost run is not continued; lupinknotctl losses counts them.
+namespace continuation {
+inline constexpr std::string_view noRetryLeft = "no-retry-left";
+inline constexpr std::string_view runsUsedUp = "runs-used-up";
+inline constexpr std::string_view noEngine = "no-engine";
+inline constexpr std::string_view held = "held";
+inline constexpr std::string_view copyGone = "copy-gone";
+inline constexpr std::string_view copyRejected = "copy-rejected";
+} // namespace continuation
+
 class StreamResponse;
 struct RelayRequest;
 struct RunMove;
@@ -19,6 +29,9 @@
 void logRunFailed(const RelayRequest&, const StreamRun&, const StreamResponse&, FailureKind, Milliseconds now);
 // lastEventAt is the time of the last event before the failure, if there was one; failedAt is when the failure was
 // detected.
+// Logs why a lost run is not continued, or not from its copy. `reason` is one of the names below; `ends` is true when
+// the stream ends with it, and `hasCopy` when an engine held a usable copy.
+void logNotContinued(const RelayRequest&, std::string_view reason, bool ends, bool hasCopy);
 void logRunResumed(const RelayRequest&, const StreamRun&, std::optional<Milliseconds> lastEventAt,
     Milliseconds failedAt, Milliseconds now);
 void logRunMoved(const RelayRequest&, const RunMove&, const StreamResponse&);
--- a/test/LossReportTest.cpp
+++ b/test/LossReportTest.cpp
@@ -134,3 +134,30 @@
     LONGS_EQUAL(1, report.storeCalls().at("changes servers"));
     LONGS_EQUAL(1, report.waits().at("capacity, after endpoints-busy"));
 }
+
+// Guards against a loss report that names losses but not why they ended streams.
+TEST(LossReport, CountsWhyLostRunsWereNotContinued)
+{
+    readAdmittedRequest(line("stream.not-sent-on", R"("reason":"copy-gone","ends":false,"has_copy":false)")
+        + line("stream.not-sent-on", R"("reason":"no-retry-left","ends":true,"has_copy":true)")
+        + line("stream.done", R"("outcome":"endpoint-failed","status":0)"));
+    LONGS_EQUAL(2, report.notContinued().size());
+    LONGS_EQUAL(1, report.notContinued().at("copy-gone, from its copy"));
+    LONGS_EQUAL(1, report.notContinued().at("no-retry-left, with a copy"));
+}
+
+TEST(LossReport, CountsAttemptsByRankOrganisationAndObjective)
+{
+    const std::string fields = R"("objective_ms":4000,"organisation":"acme","rank":0)";
+    read(line("request.admitted", fields) + line("stream.first-event", R"("since_admitted_ms":4001)")
+        + line("stream.done", R"("outcome":"complete","status":200)"));
+    const auto counts = report.countsByGroup();
+    LONGS_EQUAL(3, counts.size());
+    for (const auto* group : { "rank 0", "organisation acme", "objective 4000 ms" }) {
+        LONGS_EQUAL(1, counts.at(group).total);
+        LONGS_EQUAL(1, counts.at(group).missed);
+    }
+    std::ostringstream out;
+    report.write(out);
+    STRCMP_CONTAINS("1  of 1 not in time: rank 0\n", out.str().c_str());
+}
