Serve requests by rank

Demand above the capacity was served first come first served, so that an urgent kind of streams waited behind a less urgent one. The configuration's priority of routes and organisations is now the rank of a request (the organisation's before the route's), fixed at admission. A priority that is not an integer from 0 to 9 is logged and counts as absent.

The rank orders waiting and refusals: a full set of waiting requests refuses the least urgent one in place of a more urgent newcomer, at most one for one; pauses and retry delays are 0.5 to 1.4 of the usual ones for ranks 0 to 9 and spread by a quarter. Waiting requests move up one rank each 200 ms, so that rank 9 is equal to any other within 1.8 s, below the longest usual wait. Ageing orders waiting only; engines get the rank of the admission.

--- a/src/admission/AttemptAdmission.cpp
+++ b/src/admission/AttemptAdmission.cpp
@@ -73,19 +73,20 @@
     return reason == RefusalReason::EndpointsLimited || reason == RefusalReason::EndpointsInBackOff;
 }
 
-Milliseconds retryDelayUntilAvailable(const EndpointAvailability& availability, double spread, Milliseconds now)
+Milliseconds retryDelayUntilAvailable(
+    const EndpointAvailability& availability, double spread, Milliseconds now, const RequestRank& rank)
 {
     const auto timeUntilAvailable = availability.at - now;
-    return availability.isAfterBackOff ? retryDelayAfterBackOff(timeUntilAvailable, spread) : timeUntilAvailable;
+    return availability.isAfterBackOff ? retryDelayAfterBackOff(timeUntilAvailable, spread, rank) : timeUntilAvailable;
 }
 
 Milliseconds retryDelayAfterRefusal(const UnplacedRequest& request, Milliseconds now)
 {
     const auto reason = request.lastReason;
     if (request.availability && isUnavailabilityRefusal(reason))
-        return retryDelayUntilAvailable(*request.availability, request.spread, now);
+        return retryDelayUntilAvailable(*request.availability, request.spread, now, request.call.rank);
     const auto obstacle = reason == RefusalReason::NoEndpoint ? CapacityObstacle::Unreachable : CapacityObstacle::Full;
-    return callerRetryDelay(obstacle, request.call.deadline - now, request.spread);
+    return callerRetryDelay(obstacle, request.call.deadline - now, request.spread, request.call.rank);
 }
 
 } // namespace lupinknot::internal
--- a/src/admission/AttemptAdmission.h
+++ b/src/admission/AttemptAdmission.h
@@ -85,7 +85,8 @@
 
 // Retry delay for a caller that is refused because no endpoint accepts requests before `availability`. After a
 // back-off, callers are spread so that they do not return together.
-Milliseconds retryDelayUntilAvailable(const EndpointAvailability&, double spread, Milliseconds now);
+Milliseconds retryDelayUntilAvailable(
+    const EndpointAvailability&, double spread, Milliseconds now, const RequestRank& = {});
 
 // Retry delay for a caller that is refused for `lastReason`.
 Milliseconds retryDelayAfterRefusal(const UnplacedRequest&, Milliseconds now);
--- a/src/admission/WaitForCapacity.cpp
+++ b/src/admission/WaitForCapacity.cpp
@@ -20,7 +20,7 @@
 {
     const auto first = std::clamp(medianCallTime, minPause, maxPause);
     const auto doubled = std::min(first * (1 << std::min(call.rounds, maxDoublings)), maxPause);
-    const auto pause = scaled(doubled, 1 - pauseSpread + 2 * pauseSpread * spread);
+    const auto pause = scaled(doubled, delayFactor(call.rank) * (1 - pauseSpread + 2 * pauseSpread * spread));
     const bool endsInTime = now + pause + medianCallTime <= call.deadline;
     return { pause <= timeToWait(call, now) && endsInTime, pause };
 }
@@ -34,22 +34,23 @@
 WaitDecision waitForAvailability(const WaitingCall& call, Milliseconds timeUntilAvailable, Milliseconds medianCallTime,
     double spread, Milliseconds now)
 {
-    const auto pause = std::max(timeUntilAvailable, minPause) + scaled(retryDelayWhenFull, spread);
+    const auto pause
+        = std::max(timeUntilAvailable, minPause) + scaled(retryDelayWhenFull, spread * delayFactor(call.rank));
     const bool endsInTime = now + pause + medianCallTime <= call.deadline;
     return { pause <= timeToWait(call, now) && endsInTime, pause };
 }
 
-Milliseconds retryDelayAfterBackOff(Milliseconds backOffTime, double spread)
+Milliseconds retryDelayAfterBackOff(Milliseconds backOffTime, double spread, const RequestRank& rank)
 {
-    return backOffTime + scaled(retryDelayWhenFull, spread);
+    return backOffTime + scaled(retryDelayWhenFull, spread * delayFactor(rank));
 }
 
-Milliseconds callerRetryDelay(CapacityObstacle obstacle, Milliseconds timeLeft, double spread)
+Milliseconds callerRetryDelay(CapacityObstacle obstacle, Milliseconds timeLeft, double spread, const RequestRank& rank)
 {
     const auto most = std::max(scaled(timeLeft, maxRetryDelayShare), Milliseconds { 0 });
     if (obstacle == CapacityObstacle::Unreachable)
-        return most;
-    return std::min(scaled(retryDelayWhenFull, 0.5 + spread), most);
+        return std::min(rankedDelay(rank, most, spread), most);
+    return std::min(scaled(retryDelayWhenFull, delayFactor(rank) * (0.5 + spread)), most);
 }
 
 } // namespace lupinknot::internal
--- a/src/admission/WaitForCapacity.h
+++ b/src/admission/WaitForCapacity.h
@@ -19,7 +19,7 @@
 // Pure functions of their arguments; thread-safe.
 #pragma once
 
-#include "lupinknot/Clock.h"
+#include "admission/RequestRank.h"
 
 namespace lupinknot::internal {
 
@@ -35,6 +35,8 @@
     Milliseconds deadline { 0 };
     // Number of times that the call has waited so far.
     unsigned rounds { 0 };
+    // Its rank, after ageing. Pauses of urgent requests are shorter.
+    RequestRank rank {};
 };
 
 struct WaitDecision {
@@ -70,10 +72,10 @@
 
 // Retry delay for a caller that is refused because all endpoints are in back-off: the end of the first back-off plus a
 // random share of retryDelayWhenFull.
-Milliseconds retryDelayAfterBackOff(Milliseconds backOffTime, double spread);
+Milliseconds retryDelayAfterBackOff(Milliseconds backOffTime, double spread, const RequestRank& = {});
 
 // Retry delay for a refused caller. Endpoints remain unreachable for seconds, so the delay is then the longest that the
-// caller can use.
-Milliseconds callerRetryDelay(CapacityObstacle, Milliseconds timeLeft, double spread);
+// caller can use. Callers of urgent ranks return earlier, and callers with a named rank are spread in any case.
+Milliseconds callerRetryDelay(CapacityObstacle, Milliseconds timeLeft, double spread, const RequestRank& = {});
 
 } // namespace lupinknot::internal
--- a/src/ctl/LossReport.cpp
+++ b/src/ctl/LossReport.cpp
@@ -85,7 +85,8 @@
         attempt.maxPause = numberIn(event, "longest_pause_ms");
         attempt.promptTokens = numberIn(event, "prompt_tokens");
         attempt.organisation = stringIn(event, "organisation");
-        attempt.rank = event.contains("rank") ? std::to_string(numberIn(event, "rank")) : std::string();
+        if (const auto rank = numberIn(event, "rank"); event.contains("rank") && rank >= 0)
+            attempt.rank = std::to_string(rank);
         return;
     }
     const auto admitted = m_attempts.find(request);
--- a/src/relay/BufferedCall.cpp
+++ b/src/relay/BufferedCall.cpp
@@ -131,6 +131,10 @@
     fields.timeLeft = m_request.deadline - now;
     fields.endpointId = endpoint->entry().id;
     fields.organisation = m_request.organisation;
+    if (m_request.rank.isNamed && m_context.hasEngines(m_request.service)) {
+        const bool isLate = now > m_request.admittedAt + m_request.route->objective;
+        fields.priority = enginePriority(m_request.rank.value, { .isLate = isLate });
+    }
     const auto request = m_context.protocol.encodeForward(m_request.exchange->request(), fields);
     const auto& settings = m_context.settings;
     const auto maxIdleTime = m_request.route->mayRunAgain() ? settings.maxIdleTime : settings.maxIdleTimeForSingleRun;
@@ -344,7 +348,12 @@
     return static_cast<double>(hash) / std::numeric_limits<std::uint32_t>::max();
 }
 
-WaitingCall BufferedCall::waitingCall() const { return { m_request.admittedAt, m_request.deadline, m_waits }; }
+WaitingCall BufferedCall::waitingCall() const
+{
+    const auto waited = m_context.now() - m_request.admittedAt;
+    return { m_request.admittedAt, m_request.deadline, m_waits,
+        agedRank(m_request.rank, waited, m_context.settings.rankAgeingTime) };
+}
 
 UnplacedRequest BufferedCall::unplaced(RefusalReason lastReason)
 {
@@ -360,9 +369,15 @@
     const auto state = unplaced(lastReason);
     const auto decision = waitOrRefuse(state, now);
     const auto reason = decision.reason;
-    m_isWaiting
-        = mayWait() && decision.waits && m_context.waitingRequestLimit.enter(m_request.exchange->request().body.size());
-    if (!m_isWaiting) {
+    if (mayWait() && decision.waits) {
+        m_waitingPlace = m_context.waitingRequestLimit.enter(
+            { m_request.exchange->request().body.size(), { m_request.rank, m_request.admittedAt } }, now,
+            [weak = weak_from_this(), reason] {
+                if (const auto self = weak.lock())
+                    self->displaced(reason);
+            });
+    }
+    if (!m_waitingPlace) {
         refuse(reason);
         return;
     }
@@ -385,8 +400,20 @@
 
 void BufferedCall::leaveWaitingRequestLimit()
 {
-    if (std::exchange(m_isWaiting, false))
-        m_context.waitingRequestLimit.leave(m_request.exchange->request().body.size());
+    if (const auto place = std::exchange(m_waitingPlace, std::nullopt))
+        m_context.waitingRequestLimit.leave(*place);
+}
+
+void BufferedCall::displaced(RefusalReason reason)
+{
+    m_waitingPlace.reset();
+    if (m_isFinished)
+        return;
+    LogEvent("request.displaced")
+        .text("request", m_request.fields.requestId)
+        .number("rank", loggedRank(m_request.rank))
+        .write();
+    refuse(reason);
 }
 
 void BufferedCall::retryAfterWait(RefusalReason lastReason)
--- a/src/relay/BufferedCall.h
+++ b/src/relay/BufferedCall.h
@@ -63,6 +63,8 @@
     WaitingCall waitingCall() const;
     void retryAfterWait(RefusalReason lastReason);
     void leaveWaitingRequestLimit();
+    // A more urgent request has taken the place of this one, which is refused.
+    void displaced(RefusalReason);
     // Pseudo-random number from 0 to 1 that differs between calls and between waits of a call.
     double jitter() const;
     // True when an earlier attempt may have reached its endpoint, which makes the next attempt a retry.
@@ -101,7 +103,8 @@
     boost::asio::steady_timer m_waitTimer;
     // Number of waits for capacity so far.
     unsigned m_waits { 0 };
-    bool m_isWaiting { false };
+    // Set while the call waits for capacity.
+    std::optional<std::uint64_t> m_waitingPlace;
     bool m_isFinished { false };
     bool m_isStartNoted { false };
 };
--- a/src/relay/CallProtocol.h
+++ b/src/relay/CallProtocol.h
@@ -64,6 +64,8 @@
     // Engine that receives a live copy of the run's KV cache, updated while the run continues.
     std::optional<SocketAddress> copyTo;
     std::optional<RunMemorySource> continueFrom;
+    // The priority for an engine, 0 to 9 with 0 first; absent when the configuration names no rank.
+    std::optional<unsigned> priority;
 };
 
 // Limit of requests per second from all VMs together, as an endpoint's response states it.
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -194,6 +194,9 @@
     fields.timeLeft = m_request.deadline - now;
     fields.endpointId = endpoint->entry().id;
     fields.organisation = m_request.organisation;
+    if (m_request.rank.isNamed && m_context.hasEngines(m_request.service))
+        fields.priority = enginePriority(m_request.rank.value, {});
+    run->priority = fields.priority;
     if (m_request.fields.lastEventId || m_answer->length() > 0)
         fields.lastEventId = m_answer->lastEventId();
     if (run->copyHolder)
@@ -233,7 +236,8 @@
 
 void EventStreamCall::startRunLater()
 {
-    m_retryTimer.expires_after(m_context.settings.endpointRetryInterval);
+    const auto interval = m_context.settings.endpointRetryInterval;
+    m_retryTimer.expires_after(rankedDelay(m_request.rank, interval, fractionOfName(m_request.fields.requestId)));
     m_retryTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
         const auto self = weak.lock();
         if (!error && self && !self->m_isFinished)
@@ -493,14 +497,16 @@
 {
     logEnd(traitsOf(reason).name, traitsOf(reason).status);
     std::optional<Milliseconds> retryDelay;
+    const auto spread = fractionOfName(m_request.fields.requestId);
     // A retry with the same time left would fail as well.
     if (reason == RefusalReason::TooLittleTime)
         retryDelay = std::max(m_request.deadline - m_context.now(), m_context.settings.retryAfter);
     if (reason == RefusalReason::HeldInQuarantine)
         retryDelay = m_context.crashGuard.quarantineTimeLeft(m_request.digest);
     if (const auto availability = isUnavailabilityRefusal(reason) ? m_choice->nextAvailability() : std::nullopt)
-        retryDelay
-            = retryDelayUntilAvailable(*availability, fractionOfName(m_request.fields.requestId), m_context.now());
+        retryDelay = retryDelayUntilAvailable(*availability, spread, m_context.now(), m_request.rank);
+    if (!retryDelay && m_request.rank.isNamed)
+        retryDelay = rankedDelay(m_request.rank, m_context.settings.retryAfter, spread);
     m_request.exchange->respond(refusal(m_context, reason, retryDelay));
     finish();
 }
--- a/src/relay/RelayConfiguration.cpp
+++ b/src/relay/RelayConfiguration.cpp
@@ -41,6 +41,12 @@
     return found == m_organisationByKey.end() ? nullptr : &found->second;
 }
 
+std::optional<unsigned> RelayConfiguration::rankOfOrganisation(const std::string& name) const
+{
+    const auto found = m_rankByOrganisation.find(name);
+    return found == m_rankByOrganisation.end() ? std::nullopt : std::optional(found->second);
+}
+
 const ServiceConfiguration* RelayConfiguration::findService(const std::string& name) const
 {
     const auto found = m_services.find(name);
@@ -86,6 +92,12 @@
     return requireApiKeys();
 }
 
+RelayConfigurationBuilder& RelayConfigurationBuilder::organisationRank(const std::string& organisation, unsigned rank)
+{
+    m_configuration->m_rankByOrganisation.insert_or_assign(organisation, rank);
+    return *this;
+}
+
 RelayConfigurationBuilder& RelayConfigurationBuilder::callerLimits(const HttpServerSettings& limits)
 {
     m_configuration->m_callerLimits = limits;
--- a/src/relay/RelayConfiguration.h
+++ b/src/relay/RelayConfiguration.h
@@ -23,6 +23,8 @@
     std::shared_ptr<const Route> findRoute(std::string_view host, std::string_view path) const;
     // The organisation to which the API key belongs, or null.
     const std::string* findOrganisation(const std::string& key) const;
+    // The rank that the configuration names for the organisation, if any.
+    std::optional<unsigned> rankOfOrganisation(const std::string& name) const;
     // The service's configuration, or null.
     const ServiceConfiguration* findService(const std::string& name) const;
     // True when all routes but the public ones require an API key.
@@ -38,6 +40,7 @@
     std::unordered_map<std::string, std::unordered_map<std::string, std::shared_ptr<const Route>>> m_routesByHost;
     std::unordered_map<std::string, ServiceConfiguration> m_services;
     std::unordered_map<std::string, std::string> m_organisationByKey;
+    std::unordered_map<std::string, unsigned> m_rankByOrganisation;
     HttpServerSettings m_callerLimits;
     std::size_t m_routeCount { 0 };
     bool m_hasOrganisations { false };
@@ -53,6 +56,7 @@
     // Makes requests require an API key, even if no organisation has one.
     RelayConfigurationBuilder& requireApiKeys();
     RelayConfigurationBuilder& addKey(std::string key, std::string organisation);
+    RelayConfigurationBuilder& organisationRank(const std::string& organisation, unsigned rank);
     RelayConfigurationBuilder& callerLimits(const HttpServerSettings&);
     // Returns the configuration and leaves the builder empty.
     std::shared_ptr<const RelayConfiguration> build();
--- a/src/relay/RelayContext.cpp
+++ b/src/relay/RelayContext.cpp
@@ -1,5 +1,6 @@
 #include "relay/RelayContext.h"
 
+#include "relay/RelayConfiguration.h"
 #include "relay/RelaySettings.h"
 #include "relay/UsageRecorder.h"
 
@@ -7,6 +8,12 @@
 
 bool RelayContext::has(Policy policy) const { return settings.policies.has(policy); }
 
+bool RelayContext::hasEngines(const std::string& service) const
+{
+    const auto* found = configuration ? configuration->findService(service) : nullptr;
+    return found && found->isEngine;
+}
+
 void RelayContext::noteStarted(const std::string& organisation, Milliseconds startedAt) const
 {
     if (usage)
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -52,6 +52,8 @@
 
     Milliseconds now() const { return clock.now(); }
     bool has(Policy) const;
+    // True if the endpoints of the service are engines.
+    bool hasEngines(const std::string& service) const;
     // Records that an endpoint has started a request of the organisation.
     void noteStarted(const std::string& organisation, Milliseconds startedAt) const;
     ServicePace& pace(const std::string& service) { return paces[service]; }
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -40,6 +40,7 @@
     , m_stopTimer(m_ioContext)
     , m_housekeepingTimer(m_ioContext)
 {
+    m_context.waitingRequestLimit.setAgeingTime(m_settings.rankAgeingTime);
     m_directory.onFirstList([this] { m_handler.processWaitingRequests(); });
     m_directory.setServices([this](const std::string& service) {
         return !m_context.configuration || m_context.configuration->findService(service);
@@ -74,6 +75,7 @@
     m_settings = settings;
     m_settings.retrySlackShare = share;
     m_settings.retrySlackStartsAt = from;
+    m_context.waitingRequestLimit.setAgeingTime(m_settings.rankAgeingTime);
     LogEvent("settings.applied")
         .number("retry_ratio_percent", static_cast<std::int64_t>(100 * m_settings.retryRatio))
         .number("retry_slack", static_cast<std::int64_t>(m_settings.retrySlack))
--- a/src/relay/RelayHandler.cpp
+++ b/src/relay/RelayHandler.cpp
@@ -58,7 +58,8 @@
     const auto now = m_context.now();
     const auto fields = m_context.protocol.decodeCaller(arrived.exchange->request().headers);
     const auto decision = decideStartup(state, { arrived.arrivedAt, fields.callerTimeout }, now);
-    if (decision.action != StartupAction::Wait || !m_startupQueue.hold(arrived, decision.until)) {
+    if (decision.action != StartupAction::Wait
+        || !m_startupQueue.hold({ arrived.exchange, arrived.arrivedAt, rankOf(arrived, fields) }, decision.until)) {
         serve(arrived);
         return;
     }
@@ -70,6 +71,18 @@
         .write();
 }
 
+RequestRank RelayHandler::rankOf(const StartupQueue::Request& arrived, const CallerFields& fields) const
+{
+    const auto configuration = m_context.configuration;
+    if (!configuration)
+        return {};
+    const auto& http = arrived.exchange->request();
+    const auto route = configuration->findRoute(http.headers.find("Host").value_or(""), http.path());
+    const auto* organisation = configuration->findOrganisation(fields.apiKey);
+    return effectiveRank(organisation ? configuration->rankOfOrganisation(*organisation) : std::nullopt,
+        route ? route->rank : std::nullopt);
+}
+
 void RelayHandler::serve(const StartupQueue::Request& arrived)
 {
     RelayRequest request;
@@ -89,6 +102,7 @@
         .text("route", request.route->name)
         .text("service", request.service)
         .text("organisation", request.organisation)
+        .number("rank", loggedRank(request.rank))
         .text("digest", request.digest)
         .number("time_left_ms", (request.deadline - request.admittedAt).count())
         .number("objective_ms", request.route->objective.count())
@@ -123,6 +137,7 @@
             return RefusalReason::UnknownKey;
         request.organisation = *organisation;
     }
+    request.rank = effectiveRank(configuration->rankOfOrganisation(request.organisation), request.route->rank);
     if (request.fields.requestId.empty() || !request.fields.malformedField.empty())
         return RefusalReason::Malformed;
     request.digest = digestOf(http, request.organisation);
--- a/src/relay/RelayHandler.h
+++ b/src/relay/RelayHandler.h
@@ -11,6 +11,7 @@
 namespace lupinknot::internal {
 
 class HttpExchange;
+struct CallerFields;
 struct RelayRequest;
 
 class RelayHandler {
@@ -23,6 +24,8 @@
 private:
     void serveOrWait(const StartupQueue::Request&);
     void serve(const StartupQueue::Request&);
+    // The rank of a request that has not been admitted yet.
+    RequestRank rankOf(const StartupQueue::Request&, const CallerFields&) const;
     // Completes the request with its route, service and deadline. Returns the reason to refuse it, if there is one.
     std::optional<RefusalReason> admit(RelayRequest&) const;
     void refuse(const RelayRequest&, RefusalReason);
--- a/src/relay/RelayRequest.h
+++ b/src/relay/RelayRequest.h
@@ -1,6 +1,7 @@
 // An admitted request: the caller's fields, its route and its deadline. Lives for the request.
 #pragma once
 
+#include "admission/RequestRank.h"
 #include "http/HttpExchange.h"
 #include "relay/CallProtocol.h"
 #include "relay/Route.h"
@@ -16,6 +17,8 @@
     std::string service;
     // Empty on public routes.
     std::string organisation;
+    // Fixed when the request is admitted; a later configuration does not change it.
+    RequestRank rank;
     // Identifies the content of the request, the same at each attempt of its caller (digestOf).
     std::string digest;
     std::uint64_t configurationVersion { 0 };
@@ -24,4 +27,7 @@
     Milliseconds deadline { 0 };
 };
 
+// The rank in logs: -1 when the configuration names none.
+inline std::int64_t loggedRank(const RequestRank& rank) { return rank.isNamed ? rank.value : -1; }
+
 } // namespace lupinknot::internal
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -1,6 +1,7 @@
 // Limits, times and weights of the relay. The adapter fills in those that a deployment configures.
 #pragma once
 
+#include "admission/WaitingRequestLimit.h"
 #include "lupinknot/Clock.h"
 #include "relay/Policy.h"
 #include "rollout/ExposureBudget.h"
@@ -127,6 +128,9 @@
     // endpoint that is no longer alive expires within this time.
     Milliseconds ignoreGoneEndpointsFor { 4100 };
 
+    // Time after which a waiting request moves up by one rank; see admission/WaitingRequestLimit.
+    Milliseconds rankAgeingTime { WaitingRequestLimit::defaultAgeingTime };
+
     // Default retry delay of a refused caller.
     Milliseconds retryAfter { 250 };
 
--- a/src/relay/Route.h
+++ b/src/relay/Route.h
@@ -4,6 +4,7 @@
 
 #include "lupinknot/Clock.h"
 #include "relay/RequestKind.h"
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,8 @@
     Milliseconds longestPause { 1000 };
     // Maximum number of endpoints that one request may be sent to.
     unsigned maxAttempts { 1 };
+    // The route's rank; see admission/RequestRank.
+    std::optional<unsigned> rank;
     // True when callers need no API key.
     bool isPublic { false };
     // True when a stream may resume at another endpoint.
--- a/src/relay/StartupQueue.h
+++ b/src/relay/StartupQueue.h
@@ -10,6 +10,7 @@
 // Used on the relay's thread only. Lives for the process.
 #pragma once
 
+#include "admission/RequestRank.h"
 #include "lupinknot/Clock.h"
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -26,6 +27,8 @@
     struct Request {
         std::shared_ptr<HttpExchange> exchange;
         Milliseconds arrivedAt { 0 };
+        // Not named while the configuration is unknown.
+        RequestRank rank {};
     };
     // Called with each request that stops waiting.
     using ReleaseCallback = std::function<void(const Request&)>;
@@ -41,6 +44,7 @@
     struct Held {
         Request request;
         std::unique_ptr<boost::asio::steady_timer> timer;
+        std::uint64_t place { 0 };
     };
 
     // Removes a request; false when it has been removed already.
--- a/src/relay/StreamLog.cpp
+++ b/src/relay/StreamLog.cpp
@@ -25,6 +25,7 @@
         .number("after_event", static_cast<std::int64_t>(answer.lastEventId()))
         .number("in_flight", endpoint.inFlight())
         .flag("avoided", endpoint.isAvoided(now))
+        .number("priority", run.priority ? static_cast<std::int64_t>(*run.priority) : -1)
         .number("config_version", static_cast<std::int64_t>(request.configurationVersion))
         .write();
 }
@@ -76,6 +77,7 @@
         .text("reason", reason)
         .flag("ends", ends)
         .flag("has_copy", hasCopy)
+        .number("rank", loggedRank(request.rank))
         .text("organisation", request.organisation)
         .write();
 }
--- a/src/relay/StreamRun.h
+++ b/src/relay/StreamRun.h
@@ -39,6 +39,8 @@
     bool isFramed { false };
     bool hasEvent { false };
     bool isFromCopy { false };
+    // The priority that was sent to the engine, if any.
+    std::optional<unsigned> priority;
     // The retry budget was charged for this run.
     bool tookRetry { false };
 };
--- a/test/PlatformRowsTest.cpp
+++ b/test/PlatformRowsTest.cpp
@@ -49,6 +49,34 @@
     CHECK_FALSE(configuration->findRoute("h", "/x/1")->mayRunAgain());
 }
 
+TEST(PlatformRows, DecodesTheRanksOfRoutesAndOrganisations)
+{
+    const auto configuration = decodeConfiguration(
+        R"({"version":1,"routes":[{"host":"h","path-prefix":"/x/","service":"s","priority":2},
+         {"host":"h","path-prefix":"/y/","service":"s"}],"services":[],
+         "tenants":[{"name":"acme","api-keys":["k1"],"priority":0},{"name":"other","api-keys":["k2"]}]})",
+        problem);
+    LONGS_EQUAL(2, configuration->findRoute("h", "/x/1")->rank.value());
+    CHECK(!configuration->findRoute("h", "/y/1")->rank);
+    LONGS_EQUAL(0, configuration->rankOfOrganisation("acme").value());
+    CHECK(!configuration->rankOfOrganisation("other"));
+}
+
+// Guards against losing the whole configuration, or serving with a wrong rank, because of one invalid priority.
+TEST(PlatformRows, APriorityThatIsNotAnIntegerFromZeroToNineCountsAsAbsent)
+{
+    for (const std::string value :
+        { "-1", "10", "1.5", "2.0", "\"2\"", "true", "null", "[1]", "18446744073709551617" }) {
+        const auto configuration = decodeConfiguration(
+            R"({"version":1,"routes":[{"host":"h","path-prefix":"/x/","service":"s","priority":)" + value
+                + R"(}],"services":[],"tenants":[{"name":"acme","api-keys":["k1"],"priority":)" + value + "}]}",
+            problem);
+        CHECK_TEXT(configuration && configuration->findOrganisation("k1"), value.c_str());
+        CHECK_TEXT(!configuration->findRoute("h", "/x/1")->rank, value.c_str());
+        CHECK_TEXT(!configuration->rankOfOrganisation("acme"), value.c_str());
+    }
+}
+
 TEST(PlatformRows, RequiresApiKeysAfterTheLastOneWasRemoved)
 {
     const auto configuration = decodeConfiguration(R"({"version":1,"routes":[],"services":[],"tenants":[]})", problem);
--- a/test/RelayHarness.cpp
+++ b/test/RelayHarness.cpp
@@ -6,7 +6,6 @@
 RelayHarness::RelayHarness()
 {
     settings.availabilityZone = "a";
-    m_builder.version(1);
     m_builder.addService({ "s", 0, true, false, 5 });
 }
 
@@ -33,6 +32,7 @@
     route.isPublic = isPublic;
     route.maxAttempts = maxAttempts;
     route.longestPause = Milliseconds { 700 };
+    route.rank = m_rank;
     route.services = { { "s", 1 } };
     m_builder.addRoute(std::move(route));
 }
@@ -43,7 +43,7 @@
     m_builder.addKey(key, organisation);
 }
 
-void RelayHarness::configure() { daemon().applyConfiguration(m_builder.build()); }
+void RelayHarness::configure() { daemon().applyConfiguration(m_builder.version(++m_version).build()); }
 
 ScriptedEndpoint& RelayHarness::addEndpoint(const std::string& id, const std::string& zone, const std::string& version)
 {
--- a/test/RelayHarness.h
+++ b/test/RelayHarness.h
@@ -42,7 +42,9 @@
     void addRoute(const std::string& prefix, RequestKind, unsigned maxAttempts, bool isPublic = true);
     // Adds a non-idempotent route for an organisation, and the API key that it requires.
     void addKeyedRoute(const std::string& prefix, const std::string& key, const std::string& organisation);
-    // Applies a configuration with the routes added so far.
+    // Sets the rank of the routes that are added from now on.
+    void useRank(std::optional<unsigned> rank) { m_rank = rank; }
+    // Applies a configuration with the routes added since the last one.
     void configure();
     ScriptedEndpoint& addEndpoint(
         const std::string& id, const std::string& zone = "a", const std::string& version = "v1");
@@ -62,6 +64,8 @@
     RelayConfigurationBuilder m_builder;
     std::deque<ScriptedEndpoint> m_endpoints;
     std::vector<EndpointEntry> m_entries;
+    std::optional<unsigned> m_rank;
+    std::uint64_t m_version { 0 };
 };
 
 // Header lines that make the response to request r1 acceptable.
--- a/test/WaitForCapacityTest.cpp
+++ b/test/WaitForCapacityTest.cpp
@@ -164,14 +164,19 @@
 TEST(WaitingRequestLimit, EnforcesCountAndSizeBounds)
 {
     WaitingRequestLimit limit;
-    CHECK(limit.enter(WaitingRequestLimit::maxBytes));
-    CHECK_FALSE_TEXT(limit.enter(1), "request bodies must not use the memory that the VM needs");
-    limit.leave(WaitingRequestLimit::maxBytes);
-    for (std::size_t i = 0; i < WaitingRequestLimit::maxRequests; ++i)
-        CHECK(limit.enter(1));
-    CHECK_FALSE(limit.enter(1));
-    limit.leave(1);
-    CHECK(limit.enter(1));
+    const auto enter = [&limit](std::size_t bytes) { return limit.enter({ bytes }, Milliseconds { 0 }, {}); };
+    const auto largest = enter(WaitingRequestLimit::maxBytes);
+    CHECK(largest.has_value());
+    CHECK_FALSE_TEXT(enter(1).has_value(), "request bodies must not use the memory that the VM needs");
+    limit.leave(*largest);
+    std::optional<WaitingRequestLimit::Place> last;
+    for (std::size_t i = 0; i < WaitingRequestLimit::maxRequests; ++i) {
+        last = enter(1);
+        CHECK(last.has_value());
+    }
+    CHECK_FALSE(enter(1).has_value());
+    limit.leave(*last);
+    CHECK(enter(1).has_value());
 }
 
 TEST(WaitForCapacity, WaitsForLimitedEndpointOnlyIfAvailableInTime)
