--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -98,6 +98,7 @@
 {
     m_tookRetryForNextRun = false;
     if (!mayRunOnceMore(m_crashTracker.attemptState(m_possibleRuns))) {
+        logLostRunEnds(continuation::runsUsedUp);
         giveUp(refusalAfter(AttemptDecision::RunsSpent, m_possibleRuns));
         return;
     }
@@ -108,7 +109,7 @@
         m_tookRetryForNextRun = m_context.retryBudget(m_request.service).take(purpose, m_request.admittedAt, now);
         if (!m_tookRetryForNextRun) {
             if (!borrowRetry(purpose))
-                giveUp(refusalAfter(AttemptDecision::RetriesSpent, m_possibleRuns));
+                giveUpWithoutRetry();
             return;
         }
     }
@@ -130,11 +131,12 @@
 {
     if (!m_context.retryLoans || !mayBorrow(purpose) || m_rejectedRuns > maxRejectedRunsOnLoan)
         return false;
-    m_loanRequest = m_context.retryLoans->ask({ m_request.fields.requestId, m_request.service, purpose },
-        [weak = weak_from_this()](const std::optional<RetryLoan>& loan) {
-            if (const auto self = weak.lock(); self && !self->m_isFinished)
-                self->retryBorrowed(loan);
-        });
+    m_loanRequest
+        = m_context.retryLoans->ask({ m_request.fields.requestId, m_request.service, purpose, m_request.rank.value },
+            [weak = weak_from_this()](const std::optional<RetryLoan>& loan) {
+                if (const auto self = weak.lock(); self && !self->m_isFinished)
+                    self->retryBorrowed(loan);
+            });
     return true;
 }
 
@@ -146,7 +148,13 @@
     if (m_loan)
         startRun();
     else
-        giveUp(refusalAfter(AttemptDecision::RetriesSpent, m_possibleRuns));
+        giveUpWithoutRetry();
+}
+
+void EventStreamCall::giveUpWithoutRetry()
+{
+    logLostRunEnds(continuation::noRetryLeft);
+    giveUp(refusalAfter(AttemptDecision::RetriesSpent, m_possibleRuns));
 }
 
 bool EventStreamCall::mayBeSent()
@@ -159,7 +167,11 @@
     return attemptDecision != AttemptDecision::Held && attemptDecision != AttemptDecision::Undecided;
 }
 
-void EventStreamCall::giveUpAsHeld() { giveUp(refusalAfter(AttemptDecision::Held, m_possibleRuns)); }
+void EventStreamCall::giveUpAsHeld()
+{
+    logLostRunEnds(continuation::held);
+    giveUp(refusalAfter(AttemptDecision::Held, m_possibleRuns));
+}
 
 // A run that produces events does not crash its engine, whatever happened to other runs of the request.
 void EventStreamCall::requestBecameHeld()
@@ -248,6 +260,9 @@
     fields.timeLeft = m_request.deadline - now;
     fields.endpointId = endpoint->entry().id;
     fields.organisation = m_request.organisation;
+    if (m_request.rank.isNamed && m_context.hasEngines(m_request.service))
+        fields.priority = enginePriority(m_request.rank.value, {});
+    run->priority = fields.priority;
     if (m_request.fields.lastEventId || m_answer->length() > 0)
         fields.lastEventId = m_answer->lastEventId();
     if (run->copyHolder)
@@ -279,6 +294,7 @@
         const auto decision = waitOrRefuseStream(m_choice->nextAvailability(), m_possibleRuns,
             m_request.admittedAt + settings.waitForEndpoint, settings.endpointRetryInterval, m_context.now());
         if (!decision.waits) {
+            logLostRunEnds(continuation::noEngine);
             giveUp(decision.reason);
             return;
         }
@@ -288,7 +304,8 @@
 
 void EventStreamCall::startRunLater()
 {
-    m_retryTimer.expires_after(m_context.settings.endpointRetryInterval);
+    const auto interval = m_context.settings.endpointRetryInterval;
+    m_retryTimer.expires_after(rankedDelay(m_request.rank, interval, fractionOfName(m_request.fields.requestId)));
     m_retryTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
         const auto self = weak.lock();
         if (!error && self && !self->m_isFinished)
@@ -417,6 +434,8 @@
     run->reading.reset();
     logRunRejected(m_request, *run);
     ++m_rejectedRuns;
+    if (run->isFromCopy)
+        logNotContinued(m_request, continuation::copyRejected, false, false);
     if (run->fields.isOtherIncarnation) {
         m_context.directory.remove(run->endpoint->entry().id, now);
         m_choice->noteFailed(run->endpoint);
@@ -474,6 +493,8 @@
     if (run->hasEvent)
         m_choice->setCopies(std::move(copies));
     m_failedAt = m_failedAt.value_or(now);
+    if (run->hasEvent)
+        logMissingCopy();
     startRun();
 }
 
@@ -513,8 +534,11 @@
 
 void EventStreamCall::timedOut()
 {
-    if (!m_isFinished)
-        giveUp(m_possibleRuns > 0 ? RefusalReason::TimedOut : RefusalReason::TimedOutUnsent);
+    if (m_isFinished)
+        return;
+    if (!m_run)
+        logLostRunEnds(continuation::noEngine);
+    giveUp(m_possibleRuns > 0 ? RefusalReason::TimedOut : RefusalReason::TimedOutUnsent);
 }
 
 void EventStreamCall::complete()
@@ -539,18 +563,32 @@
     finish();
 }
 
+void EventStreamCall::logLostRunEnds(std::string_view reason) const
+{
+    if (m_failedAt)
+        logNotContinued(m_request, reason, true, m_choice->copyTarget().has_value());
+}
+
+void EventStreamCall::logMissingCopy() const
+{
+    if (!m_choice->copyTarget())
+        logNotContinued(m_request, continuation::copyGone, false, false);
+}
+
 void EventStreamCall::refuse(RefusalReason reason)
 {
     logEnd(traitsOf(reason).name, traitsOf(reason).status);
     std::optional<Milliseconds> retryDelay;
+    const auto spread = fractionOfName(m_request.fields.requestId);
     // A retry with the same time left would fail as well.
     if (reason == RefusalReason::TooLittleTime)
         retryDelay = std::max(m_request.deadline - m_context.now(), m_context.settings.retryAfter);
     if (reason == RefusalReason::HeldInQuarantine)
         retryDelay = m_context.crashGuard.quarantineTimeLeft(m_request.digest);
     if (const auto availability = isUnavailabilityRefusal(reason) ? m_choice->nextAvailability() : std::nullopt)
-        retryDelay
-            = retryDelayUntilAvailable(*availability, fractionOfName(m_request.fields.requestId), m_context.now());
+        retryDelay = retryDelayUntilAvailable(*availability, spread, m_context.now(), m_request.rank);
+    if (!retryDelay && m_request.rank.isNamed)
+        retryDelay = rankedDelay(m_request.rank, m_context.settings.retryAfter, spread);
     m_request.exchange->respond(refusal(m_context, reason, retryDelay));
     finish();
 }
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -60,6 +60,7 @@
     // Asks other VMs for a retry. Returns false if none may be borrowed.
     bool borrowRetry(RetryPurpose);
     void retryBorrowed(const std::optional<RetryLoan>&);
+    void giveUpWithoutRetry();
     // Returns false when the request is quarantined, which ends the call, or may be soon, in which case the call waits
     // for the decision.
     bool mayBeSent();
@@ -82,6 +83,10 @@
     void complete();
     void refuse(RefusalReason);
     void giveUp(RefusalReason);
+    // Logs why a lost run is not continued when the stream ends.
+    void logLostRunEnds(std::string_view reason) const;
+    // Logs that a run lost in mid-stream has no usable copy.
+    void logMissingCopy() const;
     void logEnd(std::string_view outcome, unsigned status);
     void finish();
 
