--- a/src/copies/RunCopier.cpp
+++ b/src/copies/RunCopier.cpp
@@ -49,7 +49,7 @@
 {
     const auto& entry = holder.entry();
     const auto current = m_context.directory.findAt(entry.service, entry.address);
-    return { .hasZoneFailed = m_context.directory.hasZoneFailedSince(entry.availabilityZone, since),
+    return { .hasZoneFailed = m_context.directory.hasZoneFailedSince(entry.service, entry.availabilityZone, since),
         .isRemoved = holder.isRemoved(),
         .isReplaced = holder.isRemoved() && current && current.get() != &holder,
         .isShuttingDown = holder.isShuttingDown() };
