Let answers that are certain to be late yield to those in time

Under overload an answer that had missed its objective kept its rank at the engine and delayed answers that could still be in time. When a run is sent, AnswerLateness now decides whether its answer is late: its objective or longest pause has passed, it repeats the prefill in mid-stream, or the engine's forecast of the first event (without the delay that it causes to others) exceeds the objective. Among the probed engines, those at which the stream can be in time come first. All of this needs a named rank.

Requests do not say when their caller first tried. FirstAttemptEstimate takes it from a stated timeout that is shorter than the usual one of the route, unless several callers state the same. A stream refused for lack of time to finish is told the time at which engines are expected to have room, if that is later.

--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -130,6 +130,7 @@
 
 void EngineChoice::choose(const Callback& callback)
 {
+    m_firstEventForecast.reset();
     if (probeLoad(callback))
         return;
     const auto now = m_context.now();
@@ -161,15 +162,50 @@
     return true;
 }
 
+std::optional<Milliseconds> EngineChoice::firstEventForecastAt(const RelayEndpoint& engine) const
+{
+    const EngineWork work { m_request.fields.promptTokens, m_request.fields.maxAnswerTokens };
+    const auto aheadShare = m_request.rank.isNamed ? aheadShareOf(enginePriority(m_request.rank.value, {})) : 1;
+    return forecastFirstEvent(work, engine, m_context.pace(m_request.service).engine(), aheadShare);
+}
+
+EngineChoice::Engines EngineChoice::enginesInTime(const Engines& answered) const
+{
+    if (!m_request.rank.isNamed)
+        return answered;
+    const auto timeLeft = m_request.firstAttemptAt + m_request.route->objective - m_context.now();
+    Engines inTime;
+    std::copy_if(answered.begin(), answered.end(), std::back_inserter(inTime),
+        [&](const auto& engine) { return firstEventForecastAt(*engine).value_or(timeLeft) <= timeLeft; });
+    return inTime.empty() ? answered : inTime;
+}
+
+void EngineChoice::noteRoom(const Engines& answered) const
+{
+    std::optional<Milliseconds> earliest;
+    for (const auto& engine : answered) {
+        const auto forecast = firstEventForecastAt(*engine);
+        if (forecast && (!earliest || *forecast < *earliest))
+            earliest = forecast;
+    }
+    auto& pace = m_context.pace(m_request.service);
+    const EngineWork work { m_request.fields.promptTokens, m_request.fields.maxAnswerTokens };
+    if (earliest)
+        pace.engineRoomAt = m_context.now() + *earliest - prefillTime(work, pace.engine());
+}
+
 void EngineChoice::onLoadProbed(const Engines& answered, const Callback& callback)
 {
     m_loadProbe.reset();
     const EngineWork work { m_request.fields.promptTokens, m_request.fields.maxAnswerTokens };
     const auto pace = m_context.pace(m_request.service).engine();
     const auto now = m_context.now();
-    auto engine = m_context.placement.chooseReported(answered, work, pace, now);
+    auto engine = m_context.placement.chooseReported(enginesInTime(answered), work, pace, now);
+    noteRoom(answered);
     if (!engine)
         engine = m_context.placement.choose(placementRequest(), now);
+    if (engine)
+        m_firstEventForecast = firstEventForecastAt(*engine);
     if (engine)
         logChoice(*engine, answered.size(), forecastDelay(work, *engine, pace));
     callback(engine);
--- a/src/relay/EngineChoice.h
+++ b/src/relay/EngineChoice.h
@@ -62,6 +62,8 @@
     // Calls back once, possibly before it returns.
     void choose(const Callback&);
     void cancel();
+    // Expected time until the first event at the engine chosen last; empty if its load is unknown.
+    std::optional<Milliseconds> firstEventForecast() const { return m_firstEventForecast; }
 
     // Engines that failed this request; chosen only when no other is left.
     const Engines& failed() const { return m_failed; }
@@ -85,6 +87,11 @@
     PlacementRequest placementRequest() const;
     // Probes the load of the candidate engines; returns false if there is no choice to make.
     bool probeLoad(const Callback&);
+    // The engines at which the stream can be in time; all where there is none, and without a named rank.
+    Engines enginesInTime(const Engines& answered) const;
+    std::optional<Milliseconds> firstEventForecastAt(const RelayEndpoint&) const;
+    // Records when the first of the engines is expected to have room.
+    void noteRoom(const Engines& answered) const;
     void onLoadProbed(const Engines& answered, const Callback&);
     void logChoice(const RelayEndpoint&, std::size_t answered, Milliseconds forecast) const;
 
@@ -95,6 +102,7 @@
     std::shared_ptr<RelayEndpoint> m_earlierEngine;
     std::shared_ptr<RelayEndpoint> m_copyHolder;
     std::string m_copyName;
+    std::optional<Milliseconds> m_firstEventForecast;
     // Set while engines are probed for the next run.
     std::shared_ptr<EngineLoadProbe> m_loadProbe;
 };
--- a/src/relay/EngineForecast.cpp
+++ b/src/relay/EngineForecast.cpp
@@ -61,4 +61,25 @@
     return forecastDelay(work, report ? *report : EngineReport {}, endpoint.promptsInPrefill(), pace);
 }
 
+Milliseconds forecastFirstEvent(const EngineWork& work, const EngineReport& report, std::uint32_t ownPromptsInPrefill,
+    const EnginePace& pace, double aheadShare)
+{
+    const auto reported = report.promptsInPrefill + report.promptsWaiting;
+    const double unreported = ownPromptsInPrefill > reported ? ownPromptsInPrefill - reported : 0;
+    const auto ahead
+        = remainingPrefillShare * report.promptsInPrefill + aheadShare * report.promptsWaiting + unreported;
+    const auto sum
+        = ahead * pace.typicalPromptTokens * pace.prefillTimePerToken + tokensOf(work, pace) * pace.prefillTimePerToken;
+    return Milliseconds { static_cast<std::int64_t>(std::min(sum, static_cast<double>(longestDelay.count()))) };
+}
+
+std::optional<Milliseconds> forecastFirstEvent(
+    const EngineWork& work, const RelayEndpoint& endpoint, const EnginePace& pace, double aheadShare)
+{
+    const auto* const report = endpoint.report();
+    if (!report)
+        return std::nullopt;
+    return forecastFirstEvent(work, *report, endpoint.promptsInPrefill(), pace, aheadShare);
+}
+
 } // namespace lupinknot::internal
--- a/src/relay/EngineForecast.h
+++ b/src/relay/EngineForecast.h
@@ -8,6 +8,7 @@
 
 #include "lupinknot/Clock.h"
 #include "relay/EngineReport.h"
+#include <optional>
 
 namespace lupinknot::internal {
 
@@ -39,4 +40,13 @@
 // The same for an endpoint by its newest report; one that has never reported counts as idle.
 Milliseconds forecastDelay(const EngineWork&, const RelayEndpoint&, const EnginePace&);
 
+// The time until the request's own first event, without the delay that it causes to others. `aheadShare` is the share
+// of the waiting prompts that the engine is expected to read before this one. Memory does not count: the engine
+// preempts less urgent runs when it runs out.
+Milliseconds forecastFirstEvent(
+    const EngineWork&, const EngineReport&, std::uint32_t ownPromptsInPrefill, const EnginePace&, double aheadShare);
+// The same for an endpoint by its newest report; empty if it has never reported.
+std::optional<Milliseconds> forecastFirstEvent(
+    const EngineWork&, const RelayEndpoint&, const EnginePace&, double aheadShare);
+
 } // namespace lupinknot::internal
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -135,6 +135,7 @@
         giveUp(RefusalReason::TooLittleTime);
         return;
     }
+    m_isEngineWithPrompt = earlier != nullptr;
     if (earlier) {
         engineChosen(earlier);
         return;
@@ -194,8 +195,7 @@
     fields.timeLeft = m_request.deadline - now;
     fields.endpointId = endpoint->entry().id;
     fields.organisation = m_request.organisation;
-    if (m_request.rank.isNamed && m_context.hasEngines(m_request.service))
-        fields.priority = enginePriority(m_request.rank.value, {});
+    fields.priority = choosePriority(run->isFromCopy, std::exchange(m_isEngineWithPrompt, false));
     run->priority = fields.priority;
     if (m_request.fields.lastEventId || m_answer->length() > 0)
         fields.lastEventId = m_answer->lastEventId();
@@ -219,6 +219,25 @@
     m_livenessMonitor->begin(m_run);
 }
 
+std::optional<unsigned> EventStreamCall::choosePriority(bool isFromCopy, bool isEarlierEngine)
+{
+    if (!m_request.rank.isNamed || !m_context.hasEngines(m_request.service))
+        return std::nullopt;
+    const StreamState state { .firstAttemptAt = m_request.firstAttemptAt,
+        .objective = m_request.route->objective,
+        .longestPause = m_request.route->longestPause,
+        .isMidStream = m_answer->lastEventId() > 0,
+        .lastEventAt = m_answer->lastEventAt(),
+        .isPromptCached = isFromCopy || isEarlierEngine,
+        .firstEventForecast = m_choice->firstEventForecast() };
+    if (m_lateness == Lateness::InTime) {
+        m_lateness = latenessOf(state, m_context.now());
+        if (m_lateness != Lateness::InTime)
+            logLate(m_request, nameIn(latenessNames, m_lateness), state.firstEventForecast, m_context.now());
+    }
+    return enginePriority(m_request.rank.value, { .isLate = m_lateness != Lateness::InTime });
+}
+
 void EventStreamCall::waitForEndpoint()
 {
     if (m_answer->length() == 0) {
@@ -500,7 +519,8 @@
     const auto spread = fractionOfName(m_request.fields.requestId);
     // A retry with the same time left would fail as well.
     if (reason == RefusalReason::TooLittleTime)
-        retryDelay = std::max(m_request.deadline - m_context.now(), m_context.settings.retryAfter);
+        retryDelay = std::max({ m_request.deadline - m_context.now(), m_context.settings.retryAfter,
+            m_context.pace(m_request.service).engineRoomAt - m_context.now() });
     if (reason == RefusalReason::HeldInQuarantine)
         retryDelay = m_context.crashGuard.quarantineTimeLeft(m_request.digest);
     if (const auto availability = isUnavailabilityRefusal(reason) ? m_choice->nextAvailability() : std::nullopt)
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -10,6 +10,7 @@
 // Owned by its pending timers and the exchange's callback.
 #pragma once
 
+#include "admission/AnswerLateness.h"
 #include "relay/CrashTracker.h"
 #include "relay/EndpointCall.h"
 #include "relay/RelayRefusal.h"
@@ -56,6 +57,8 @@
     // for the decision.
     bool mayBeSent();
 
+    // The priority for the engine, if the configuration names a rank. A stream that was late once stays late.
+    std::optional<unsigned> choosePriority(bool isFromCopy, bool isEarlierEngine);
     void processEvents(StreamRun&, std::vector<CompleteEvent>&&);
     void recordResumption(const StreamRun&, Milliseconds now);
     void handleNonStreamResponse(const std::shared_ptr<StreamRun>&);
@@ -102,6 +105,10 @@
     // True when the retry budget has already been charged for the next run.
     bool m_tookRetryForNextRun { false };
     std::optional<Milliseconds> m_failedAt;
+    // Why the answer is late or certain to be late, as known when the last run was sent.
+    Lateness m_lateness { Lateness::InTime };
+    // True when the engine for the next run has the prompt cached.
+    bool m_isEngineWithPrompt { false };
     bool m_isFinished { false };
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_retryTimer;
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -1,6 +1,7 @@
 // State and collaborators shared by all requests of the relay. Lives for the process; used on the relay's thread only.
 #pragma once
 
+#include "admission/FirstAttemptEstimate.h"
 #include "admission/WaitingRequestLimit.h"
 #include "lupinknot/Clock.h"
 #include "relay/RetryBudget.h"
@@ -47,6 +48,8 @@
     Rollouts rollouts {};
     // Requests that wait for the configuration, for endpoints or for capacity.
     WaitingRequestLimit waitingRequestLimit {};
+    // By route name. A route that is removed from the configuration keeps its entry.
+    std::unordered_map<std::string, FirstAttemptEstimate> firstAttempts {};
     // Null when usage is not reported.
     UsageRecorder* usage { nullptr };
 
--- a/src/relay/RelayHandler.cpp
+++ b/src/relay/RelayHandler.cpp
@@ -145,6 +145,9 @@
     const auto callerTimeout
         = std::min(request.fields.callerTimeout.value_or(request.route->timeout), request.route->timeout);
     request.deadline = request.admittedAt + callerTimeout;
+    request.firstAttemptAt = request.admittedAt;
+    if (request.rank.isNamed && request.route->kind == RequestKind::EventStream)
+        request.firstAttemptAt -= m_context.firstAttempts[request.route->name].add(callerTimeout);
     return std::nullopt;
 }
 
--- a/src/relay/RelayRequest.h
+++ b/src/relay/RelayRequest.h
@@ -23,6 +23,8 @@
     std::string digest;
     std::uint64_t configurationVersion { 0 };
     Milliseconds admittedAt { 0 };
+    // Estimated time of the caller's first attempt; admittedAt when nothing shows an earlier one.
+    Milliseconds firstAttemptAt { 0 };
     // When the caller, or the route's timeout, gives up the request.
     Milliseconds deadline { 0 };
 };
--- a/src/relay/ServicePace.h
+++ b/src/relay/ServicePace.h
@@ -32,6 +32,9 @@
     // started it.
     bool headersShowStart { false };
 
+    // When the first engine was expected to have room for another prompt, by the last load reports; 0 when unknown.
+    Milliseconds engineRoomAt { 0 };
+
     // The input of engine forecasts: the median prompt, and the pace of requests that had an engine to themselves.
     EnginePace engine() const
     {
--- a/src/relay/StreamLog.cpp
+++ b/src/relay/StreamLog.cpp
@@ -82,6 +82,19 @@
         .write();
 }
 
+void logLate(
+    const RelayRequest& request, std::string_view reason, std::optional<Milliseconds> forecast, Milliseconds now)
+{
+    LogEvent("stream.late")
+        .text("request", request.fields.requestId)
+        .text("reason", reason)
+        .number("rank", loggedRank(request.rank))
+        .number("since_first_attempt_ms", (now - request.firstAttemptAt).count())
+        .number("forecast_ms", forecast.value_or(Milliseconds { -1 }).count())
+        .number("objective_ms", request.route->objective.count())
+        .write();
+}
+
 void logRunResumed(const RelayRequest& request, const StreamRun& run, std::optional<Milliseconds> lastEventAt,
     Milliseconds failedAt, Milliseconds now)
 {
--- a/src/relay/StreamLog.h
+++ b/src/relay/StreamLog.h
@@ -32,6 +32,8 @@
 // Logs why a lost run is not continued, or not from its copy. `reason` is one of the names below; `ends` is true when
 // the stream ends with it, and `hasCopy` when an engine held a usable copy.
 void logNotContinued(const RelayRequest&, std::string_view reason, bool ends, bool hasCopy);
+// Logs that the answer is late or certain to be late. The forecast is the expected time until the first event.
+void logLate(const RelayRequest&, std::string_view reason, std::optional<Milliseconds> forecast, Milliseconds now);
 void logRunResumed(const RelayRequest&, const StreamRun&, std::optional<Milliseconds> lastEventAt,
     Milliseconds failedAt, Milliseconds now);
 void logRunMoved(const RelayRequest&, const RunMove&, const StreamResponse&);
