Learn the pace of each engine and use it to choose engines

Cause: the relay expects the same speed of all engines of a service. Where some take 0.7 and others 1.7 of the usual time, prompts go to idle slow engines although a fast one with a short queue would answer sooner.

The engines to probe come from several zones. X-Server-Load, once decoded, is kept at the endpoint for 300 ms and counts in both choices. stream.engine-chosen states the pace.

--- a/src/relay/CallProtocol.h
+++ b/src/relay/CallProtocol.h
@@ -9,6 +9,7 @@
 #include "http/HttpResponse.h"
 #include "http/SocketAddress.h"
 #include "lupinknot/Clock.h"
+#include "placement/EndpointLoad.h"
 #include "relay/EngineReport.h"
 #include <cstdint>
 #include <optional>
@@ -82,6 +83,14 @@
     std::string unreadable;
 };
 
+// Load of the endpoint, as its response states it.
+struct StatedLoad {
+    // Nothing when the response states no load, or one that cannot be parsed.
+    std::optional<EndpointLoad> load;
+    // The value that cannot be parsed; empty when there is none.
+    std::string unreadable;
+};
+
 // Decoded fields of an endpoint's response.
 struct AnswerFields {
     // Id of the request that the response belongs to; empty when the response does not contain it.
@@ -96,6 +105,7 @@
     RequestedBackOff backOff {};
     // True when the endpoint announces that it is shutting down.
     bool isShuttingDown { false };
+    StatedLoad load {};
 };
 
 // Stateless and thread-safe.
--- a/src/relay/EndpointCall.cpp
+++ b/src/relay/EndpointCall.cpp
@@ -75,8 +75,11 @@
     const auto now = m_context.now();
     // Unsigned bytes and responses of another process at the address are no evidence about this endpoint.
     const bool isFromEndpoint = (fields.isSigned || fields.isNotRun) && !fields.isOtherIncarnation;
-    if (isFromEndpoint)
+    if (isFromEndpoint) {
         m_endpoint->noteSignals(fields, now);
+        if (fields.load.load && fields.load.load->pace)
+            m_context.enginePaces.noteStatedPace(m_endpoint->entry().service, *fields.load.load->pace, now);
+    }
     m_isSkipping = !fields.requestId.empty() && fields.requestId != m_options.requestId;
     if (m_isSkipping) {
         LogEvent("answer.skipped")
--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -14,6 +14,7 @@
 #include "relay/StreamRun.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lupinknot::internal {
 
@@ -150,7 +151,8 @@
     auto healthy = placementRequest();
     healthy.mustBeHealthy = true;
     healthy.limited = LimitedEndpoints::Excluded;
-    const auto engines = m_context.placement.candidates(healthy, m_context.settings.loadProbeSize, m_context.now());
+    const auto engines
+        = m_context.placement.candidatesOfZones(healthy, m_context.settings.loadProbeSize, m_context.now());
     if (engines.size() < 2)
         return false;
     m_loadProbe
@@ -170,12 +172,15 @@
     auto engine = m_context.placement.chooseReported(answered, work, pace, now);
     if (!engine)
         engine = m_context.placement.choose(placementRequest(), now);
-    if (engine)
-        logChoice(*engine, answered.size(), forecastDelay(work, *engine, pace));
+    if (engine) {
+        const auto relativePace = m_context.placement.paceOf(*engine, now);
+        logChoice(*engine, answered.size(), relativePace, forecastDelay(work, *engine, pace.scaledBy(relativePace)));
+    }
     callback(engine);
 }
 
-void EngineChoice::logChoice(const RelayEndpoint& engine, std::size_t answered, Milliseconds forecast) const
+void EngineChoice::logChoice(
+    const RelayEndpoint& engine, std::size_t answered, double relativePace, Milliseconds forecast) const
 {
     const auto report = engine.report() ? *engine.report() : EngineReport {};
     LogEvent("stream.engine-chosen", LogImportance::Routine)
@@ -183,6 +188,7 @@
         .text("endpoint", engine.entry().id)
         .number("answered", static_cast<std::int64_t>(answered))
         .number("forecast_ms", forecast.count())
+        .number("pace_percent", std::lround(100 * relativePace))
         .number("being_read", report.promptsInPrefill)
         .number("waiting", report.promptsWaiting)
         .number("generating", report.generating)
--- a/src/relay/EngineChoice.h
+++ b/src/relay/EngineChoice.h
@@ -86,7 +86,8 @@
     // Probes the load of the candidate engines; returns false if there is no choice to make.
     bool probeLoad(const Callback&);
     void onLoadProbed(const Engines& answered, const Callback&);
-    void logChoice(const RelayEndpoint&, std::size_t answered, Milliseconds forecast) const;
+    // The pace is relative to that of the service.
+    void logChoice(const RelayEndpoint&, std::size_t answered, double relativePace, Milliseconds forecast) const;
 
     RelayContext& m_context;
     const RelayRequest& m_request;
--- a/src/relay/EngineForecast.cpp
+++ b/src/relay/EngineForecast.cpp
@@ -10,9 +10,6 @@
 
 // On average, half of a prompt in prefill is still to be processed.
 constexpr double remainingPrefillShare = 0.5;
-// Share of the prefill time that each other run at the engine loses: it continues between the chunks at a fifth of its
-// pace or less.
-constexpr double slowdownShare = 0.85;
 // Share of the engine's memory that may be planned for; the rest covers answers that exceed their stated maximum and
 // prompts that other VMs send at the same time.
 constexpr double plannedMemoryShare = 0.95;
@@ -49,7 +46,7 @@
     const double unreported = ownPromptsInPrefill > reported ? ownPromptsInPrefill - reported : 0;
     const auto wait
         = (remainingPrefillShare * report.promptsInPrefill + report.promptsWaiting + unreported) * typicalPrefill;
-    const auto slowed = slowdownShare * report.generating * ownPrefill;
+    const auto slowed = pace.slowdownShare * report.generating * ownPrefill;
     const auto sum = std::min(wait + ownPrefill + slowed, static_cast<double>(longestDelay.count()));
     const Milliseconds delay { static_cast<std::int64_t>(sum) };
     return hasFreeMemory(work, report) ? delay : std::min(delay + noMemoryDelay, longestDelay);
--- a/src/relay/EngineForecast.h
+++ b/src/relay/EngineForecast.h
@@ -26,6 +26,17 @@
     double prefillTimePerToken { 0.2 };
     // Tokens of a typical prompt.
     double typicalPromptTokens { 5000 };
+    // Weight of the delay that the request causes to each other run at the engine, as a share of its own prefill time.
+    // A run continues between the steps of a prefill at a fifth of its pace or less. Other weights:
+    // docs/design/load-model.md.
+    double slowdownShare { 0.85 };
+
+    // The pace of an engine that takes so many times as long as its service for all work. The delays of the other runs
+    // there grow with it too.
+    EnginePace scaledBy(double relativePace) const
+    {
+        return { prefillTimePerToken * relativePace, typicalPromptTokens, slowdownShare };
+    }
 };
 
 // Prefill time of the prompt at an idle engine.
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -267,6 +267,7 @@
 void EventStreamCall::processEvents(StreamRun& run, std::vector<CompleteEvent>&& events)
 {
     const auto now = m_context.now();
+    run.gaps.add(events.size(), now);
     if (!m_answer->append(run, std::move(events))) {
         runFailed(FailureKind::WrongPosition);
         return;
@@ -378,6 +379,7 @@
     const bool wasSent = run->call->hasSent();
     run->reading.reset();
     run->call->cancel();
+    m_timing.recordEnginePace(*run, now);
     m_livenessMonitor->stop();
     m_mover->cancel();
     logRunFailed(m_request, *run, *m_answer, kind, now);
@@ -426,6 +428,7 @@
         return;
     }
     m_run->call->cancel();
+    m_timing.recordEnginePace(*m_run, m_context.now());
     m_run.reset();
     m_livenessMonitor->stop();
     m_failedAt = m_context.now();
@@ -445,6 +448,7 @@
     m_answer->complete();
     m_choice->forgetLocation();
     m_crashTracker.noteHarmless();
+    m_timing.recordEnginePace(*m_run, m_context.now());
     m_timing.recordCompleteAnswer(m_answer->lastEventId(), m_answer->length(), m_answer->duration());
     logEnd("complete", m_run->head.status);
     m_request.exchange->wake();
--- a/src/relay/Placement.cpp
+++ b/src/relay/Placement.cpp
@@ -1,5 +1,6 @@
 #include "relay/Placement.h"
 
+#include "placement/EnginePaces.h"
 #include "relay/EndpointDirectory.h"
 
 #include <algorithm>
@@ -74,6 +75,37 @@
     return best;
 }
 
+std::vector<std::shared_ptr<RelayEndpoint>> Placement::candidatesOfZones(
+    const PlacementRequest& request, std::size_t count, Milliseconds now)
+{
+    auto found = collect(request, count, now);
+    if (std::any_of(found.begin(), found.end(), [](const auto& candidate) { return candidate.endpoint->isLimited(); }))
+        applyLimits(found, request.limited, now);
+    spreadOverZones(found, count);
+    std::vector<std::shared_ptr<RelayEndpoint>> chosen;
+    for (std::size_t i = 0; i < std::min(count, found.size()); ++i)
+        chosen.push_back(found[i].endpoint);
+    return chosen;
+}
+
+void Placement::spreadOverZones(std::vector<Candidate>& found, std::size_t count) const
+{
+    std::sort(found.begin(), found.end(), [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
+    const auto ofOwnZone = (count + 1) / 2;
+    std::vector<std::string_view> otherZones;
+    std::size_t own = 0;
+    std::stable_partition(found.begin(), found.end(), [&](const Candidate& candidate) {
+        const std::string_view zone = candidate.endpoint->entry().availabilityZone;
+        if (zone == m_settings.availabilityZone)
+            return own++ < ofOwnZone;
+        const bool isFirst = otherZones.size() < count - ofOwnZone
+            && std::find(otherZones.begin(), otherZones.end(), zone) == otherZones.end();
+        if (isFirst)
+            otherZones.push_back(zone);
+        return isFirst;
+    });
+}
+
 std::vector<Placement::Candidate> Placement::collect(
     const PlacementRequest& request, std::size_t count, Milliseconds now)
 {
@@ -200,7 +232,8 @@
         // The engine may have started to shut down while it was probed.
         if (!engine->mayTakeWork(now, m_settings.removedEndpointGrace))
             continue;
-        auto delay = static_cast<double>(forecastDelay(work, *engine, pace).count()) + randomPrefills * unit * random();
+        const auto forecast = forecastDelay(work, *engine, pace.scaledBy(paceOf(*engine, now)));
+        auto delay = static_cast<double>(forecast.count()) + randomPrefills * unit * random();
         if (engine->entry().availabilityZone != m_settings.availabilityZone)
             delay += otherZonePrefills * unit;
         if (!best || delay < lowest) {
@@ -232,10 +265,27 @@
     return best;
 }
 
+double Placement::paceOf(const RelayEndpoint& endpoint, Milliseconds now) const
+{
+    const auto& entry = endpoint.entry();
+    const auto* const load = endpoint.statedLoad(now);
+    const auto learned = m_paces ? m_paces->paceOf(entry.service, entry.address, now) : 1;
+    if (!load || !load->pace)
+        return learned;
+    // Whether an endpoint calls its own usual pace or that of its service usual is not specified. Where its own pace is
+    // learned from runs, only its momentary deviation is added.
+    if (m_paces && !m_paces->knows(entry.service, entry.address))
+        return m_paces->relativeToService(entry.service, *load->pace);
+    return learned * endpoint.statedSlowdown();
+}
+
 double Placement::cost(const RelayEndpoint& endpoint, const PlacementRequest& request, Milliseconds now)
 {
     const auto& zone = endpoint.entry().availabilityZone;
-    double sum = endpoint.inFlight() + randomCost * random();
+    // Among idle engines, the random part makes the chance of each proportional to its speed.
+    double sum = (endpoint.inFlight() + randomCost * random()) * paceOf(endpoint, now);
+    if (const auto* const load = endpoint.statedLoad(now))
+        sum += load->queueAhead();
     if (zone != m_settings.availabilityZone)
         sum += otherZoneCost;
     if (m_directory.isZoneAvoided(zone, now) || m_directory.isSuspected(endpoint, now))
--- a/src/relay/Placement.h
+++ b/src/relay/Placement.h
@@ -8,6 +8,9 @@
 // choice costs the same at hundreds and at ten thousands of endpoints. All endpoints are examined when the sample lacks
 // good ones, because a whole zone may have failed.
 //
+// The engines that are probed for their load come from several zones, because demand differs between zones. An engine
+// that is known to be slow is chosen less often, in proportion to its pace.
+//
 // Requests with the same prompt prefer the same endpoint, found by rendezvous hashing: a caller who reconnects through
 // another VM reaches the engine that has the prompt cached.
 #pragma once
@@ -26,6 +29,7 @@
 namespace lupinknot::internal {
 
 class EndpointDirectory;
+class EnginePaces;
 class RelayEndpoint;
 struct RelaySettings;
 
@@ -57,11 +61,20 @@
 class Placement {
 public:
     Placement(const EndpointDirectory&, const RelaySettings&, std::uint64_t seed);
+    // Sets the paces of engines; without them all have the pace of their service. They must outlive this object.
+    void setPaces(const EnginePaces* paces) { m_paces = paces; }
+    // Time for work at the endpoint as a multiple of its service's: by its own recent statement or else by its runs.
+    double paceOf(const RelayEndpoint&, Milliseconds now) const;
+
     // Null when no endpoint can take the request.
     std::shared_ptr<RelayEndpoint> choose(const PlacementRequest&, Milliseconds now);
     // The best endpoints for the request, best first: up to the given count.
     std::vector<std::shared_ptr<RelayEndpoint>> candidates(
         const PlacementRequest&, std::size_t count, Milliseconds now);
+    // The endpoints whose load is probed: half of them the best of this VM's zone, the others the best ones of other
+    // zones, one of each. Where a zone lacks endpoints, the best ones of any zone take their place.
+    std::vector<std::shared_ptr<RelayEndpoint>> candidatesOfZones(
+        const PlacementRequest&, std::size_t count, Milliseconds now);
     // When the first endpoint accepts a request again if all candidates are in back-off or rate-limited; empty when an
     // endpoint is neither, or when there is no candidate.
     std::optional<EndpointAvailability> nextAvailability(const PlacementRequest&, Milliseconds now) const;
@@ -87,6 +100,8 @@
     // The eligible endpoints of the service, or of a sample of it.
     std::vector<Candidate> collect(const PlacementRequest&, std::size_t count, Milliseconds now);
     static void applyLimits(std::vector<Candidate>&, LimitedEndpoints, Milliseconds now);
+    // Moves the candidates that candidatesOfZones() returns to the front.
+    void spreadOverZones(std::vector<Candidate>&, std::size_t count) const;
     // The cheapest endpoints up to the given count; sorts the candidates that far.
     static std::vector<std::shared_ptr<RelayEndpoint>> cheapest(std::vector<Candidate>&, std::size_t count);
     // The preferred endpoint among the healthy ones of this VM's zone, or null.
@@ -100,6 +115,7 @@
 
     const EndpointDirectory& m_directory;
     const RelaySettings& m_settings;
+    const EnginePaces* m_paces { nullptr };
     std::size_t m_examined { 0 };
     std::mt19937_64 m_random;
     std::uniform_real_distribution<double> m_uniform { 0.0, 1.0 };
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -3,6 +3,7 @@
 
 #include "admission/WaitingRequestLimit.h"
 #include "lupinknot/Clock.h"
+#include "placement/EnginePaces.h"
 #include "relay/RetryBudget.h"
 #include "relay/ServicePace.h"
 #include "rollout/Rollouts.h"
@@ -22,6 +23,7 @@
 class RelayMetrics;
 class RunLocations;
 class UsageRecorder;
+class ZoneExchange;
 enum class Policy;
 struct RelaySettings;
 
@@ -49,6 +51,10 @@
     WaitingRequestLimit waitingRequestLimit {};
     // Null when usage is not reported.
     UsageRecorder* usage { nullptr };
+    // Paces of single engines, relative to their service.
+    EnginePaces enginePaces {};
+    // Null when the VMs of a zone do not exchange what they learn.
+    ZoneExchange* zoneExchange { nullptr };
 
     Milliseconds now() const { return clock.now(); }
     bool has(Policy) const;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -40,6 +40,7 @@
     , m_stopTimer(m_ioContext)
     , m_housekeepingTimer(m_ioContext)
 {
+    m_placement.setPaces(&m_context.enginePaces);
     m_directory.onFirstList([this] { m_handler.processWaitingRequests(); });
     m_directory.setServices([this](const std::string& service) {
         return !m_context.configuration || m_context.configuration->findService(service);
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -55,6 +55,10 @@
     void setPermits(PermitSource* permits) { m_context.permits = permits; }
     // Sets the recorder of the requests that endpoints start; it must outlive run().
     void setUsageRecorder(UsageRecorder* usage) { m_context.usage = usage; }
+    // Sets the exchange of messages with the other VMs of the zone; it must outlive run().
+    void setZoneExchange(ZoneExchange* exchange) { m_context.zoneExchange = exchange; }
+    ZoneExchange* zoneExchange() const { return m_context.zoneExchange; }
+    EnginePaces& enginePaces() { return m_context.enginePaces; }
     RelayMetrics& metrics() { return m_metrics; }
     // Decides which requests are quarantined because endpoints crashed while running them.
     CrashGuard& crashGuard() { return m_crashGuard; }
--- a/src/relay/RelayEndpoint.cpp
+++ b/src/relay/RelayEndpoint.cpp
@@ -99,6 +99,7 @@
 
 void RelayEndpoint::noteSignals(const AnswerFields& fields, Milliseconds now)
 {
+    noteStatedLoad(fields.load, now);
     const auto& backOff = fields.backOff;
     if (!backOff.unreadable.empty() && !std::exchange(m_hasLoggedUnreadableBackOff, true))
         LogEvent("endpoint.rest-unreadable").text("endpoint", m_entry.id).text("value", backOff.unreadable).write();
@@ -116,6 +117,22 @@
     setDraining(now);
 }
 
+void RelayEndpoint::noteStatedLoad(const StatedLoad& stated, Milliseconds now)
+{
+    if (!stated.unreadable.empty() && !std::exchange(m_hasLoggedUnreadableLoad, true))
+        LogEvent("endpoint.load-unreadable").text("endpoint", m_entry.id).text("value", stated.unreadable).write();
+    if (!stated.load)
+        return;
+    m_statedLoad = TimedLoad { *stated.load, now };
+    if (!stated.load->pace)
+        return;
+    // Phases in which an endpoint is slower last some hundred milliseconds, so that a slow average is its usual pace.
+    constexpr double newestShare = 0.05;
+    const auto pace = *stated.load->pace;
+    m_usualStatedPace = m_usualStatedPace == 0 ? pace : m_usualStatedPace + newestShare * (pace - m_usualStatedPace);
+    m_statedSlowdown = pace / m_usualStatedPace;
+}
+
 void RelayEndpoint::restoreSignals(const EndpointSignals& earlier, Milliseconds now)
 {
     m_signals.merge(earlier);
--- a/src/relay/RelayEndpoint.h
+++ b/src/relay/RelayEndpoint.h
@@ -7,6 +7,7 @@
 #include "http/ClientConnection.h"
 #include "limits/KnownLimit.h"
 #include "limits/PermitSource.h"
+#include "placement/EndpointLoad.h"
 #include "relay/EndpointEntry.h"
 #include "relay/EngineReport.h"
 #include <boost/asio/io_context.hpp>
@@ -16,6 +17,7 @@
 namespace lupinknot::internal {
 
 struct StatedLimit;
+struct StatedLoad;
 struct AnswerFields;
 
 class RelayEndpoint {
@@ -49,7 +51,17 @@
     void noteReport(const EngineReport& report, Milliseconds now) { m_report = TimedReport { report, now }; }
     const EngineReport* report() const { return m_report ? &m_report->report : nullptr; }
 
-    // Applies what a new answer states about back-off and shutdown.
+    // The load that an answer has stated within the last loadTrustedFor; null when there is none. While the endpoint
+    // serves others, its load changes with each call.
+    const EndpointLoad* statedLoad(Milliseconds now) const
+    {
+        return m_statedLoad && now - m_statedLoad->at <= loadTrustedFor ? &m_statedLoad->load : nullptr;
+    }
+    static constexpr Milliseconds loadTrustedFor { 300 };
+    // How long work takes according to the last stated load, relative to what the endpoint usually states.
+    double statedSlowdown() const { return m_statedSlowdown; }
+
+    // Applies what a new answer states about back-off, shutdown and load.
     void noteSignals(const AnswerFields&, Milliseconds now);
     const EndpointSignals& signals() const { return m_signals; }
     // Applies the signals that were known of this incarnation before it was dropped.
@@ -100,6 +112,13 @@
         Milliseconds at;
     };
 
+    struct TimedLoad {
+        EndpointLoad load;
+        Milliseconds at;
+    };
+
+    void noteStatedLoad(const StatedLoad&, Milliseconds now);
+
     boost::asio::io_context& m_ioContext;
     EndpointEntry m_entry;
     const ClientConnectionSettings m_connectionSettings;
@@ -108,12 +127,17 @@
     unsigned m_inFlight { 0 };
     unsigned m_promptsBeingRead { 0 };
     std::optional<TimedReport> m_report;
+    std::optional<TimedLoad> m_statedLoad;
+    double m_statedSlowdown { 1 };
+    // Average of the stated paces; 0 when there are none.
+    double m_usualStatedPace { 0 };
     EndpointSignals m_signals;
     KnownLimit m_limit;
     Milliseconds m_noPermitUntil { 0 };
     // Unreadable values are logged only once each.
     bool m_hasLoggedUnreadableLimit { false };
     bool m_hasLoggedUnreadableBackOff { false };
+    bool m_hasLoggedUnreadableLoad { false };
     std::optional<Milliseconds> m_shuttingDownSince;
     bool m_isRemoved { false };
     Milliseconds m_avoidUntil { 0 };
--- a/src/relay/ServicePace.h
+++ b/src/relay/ServicePace.h
@@ -1,7 +1,7 @@
 // The speed of a service as this VM observes it, for decisions that depend on it.
 //
-// Each figure has a default value that is used until there are enough samples (Estimate). Figures are per service, not
-// per endpoint: a VM sends each endpoint a request every few seconds, too few to distinguish it from the others.
+// Each figure has a default value that is used until there are enough samples (Estimate). Figures are per service; how
+// much an engine differs from its service is in EnginePaces, which uses the samples of all VMs of a zone.
 //
 // Used on the relay's thread only. Lives for the process.
 #pragma once
@@ -18,6 +18,8 @@
     // Milliseconds per prompt token, from sending a request to its first event. Default: that of an engine that
     // prefills 5 tokens per millisecond and nothing else.
     Estimate prefillTimePerToken { 0.2 };
+    // The same, divided by the engine's pace relative to its service (EnginePaces).
+    Estimate prefillTimeAtUsualPace { 0.2 };
     // Milliseconds between two events of a run, averaged over the run. Default: that of the first customers' engines
     // with a single run.
     Estimate eventInterval { 31 };
@@ -35,7 +37,8 @@
     // The input of engine forecasts: the median prompt, and the pace of requests that had an engine to themselves.
     EnginePace engine() const
     {
-        return { prefillTimePerToken.quantile(undisturbedQuantile), promptTokens.quantile(median) };
+        const auto& prefillTime = prefillTimeAtUsualPace.isKnown() ? prefillTimeAtUsualPace : prefillTimePerToken;
+        return { prefillTime.quantile(undisturbedQuantile), promptTokens.quantile(median) };
     }
 
     // How long a run may be silent before its engine is probed for liveness. While an engine prefills a prompt, its
--- a/src/relay/StreamRun.h
+++ b/src/relay/StreamRun.h
@@ -6,6 +6,7 @@
 
 #include "http/HttpResponse.h"
 #include "lupinknot/Generation.h"
+#include "placement/EventGaps.h"
 #include "relay/CallProtocol.h"
 #include "relay/EventSplitter.h"
 #include "relay/PrefillScope.h"
@@ -26,6 +27,7 @@
     HttpResponse head;
     AnswerFields fields;
     EventSplitter splitter;
+    EventGaps gaps;
     // Set while the engine prefills the prompt.
     std::unique_ptr<PrefillScope> reading;
     Milliseconds startedAt { 0 };
--- a/src/relay/StreamTiming.cpp
+++ b/src/relay/StreamTiming.cpp
@@ -4,6 +4,7 @@
 #include "relay/Policy.h"
 #include "relay/RelayConfiguration.h"
 #include "relay/RelayContext.h"
+#include "relay/RelayEndpoint.h"
 #include "relay/RelayRequest.h"
 #include "relay/StreamRun.h"
 
@@ -81,10 +82,20 @@
     if (tokens == 0 || m_request.fields.lastEventId || run.isFromCopy || !m_context.has(Policy::LearnedPace))
         return;
     auto& pace = m_context.pace(m_request.service);
-    pace.prefillTimePerToken.add(static_cast<double>((now - run.startedAt).count()) / tokens, now);
+    const auto timePerToken = static_cast<double>((now - run.startedAt).count()) / tokens;
+    pace.prefillTimePerToken.add(timePerToken, now);
+    pace.prefillTimeAtUsualPace.add(
+        timePerToken / m_context.enginePaces.paceOf(m_request.service, run.endpoint->entry().address, now), now);
     pace.promptTokens.add(tokens, now);
 }
 
+void StreamTiming::recordEnginePace(const StreamRun& run, Milliseconds now)
+{
+    const auto interval = run.gaps.shortestTenth();
+    if (interval && m_context.has(Policy::LearnedPace))
+        m_context.enginePaces.noteRun(m_request.service, run.endpoint->entry().address, *interval, now);
+}
+
 void StreamTiming::recordCompleteAnswer(std::uint64_t lastEventId, std::size_t events, Milliseconds time)
 {
     if (!m_context.has(Policy::LearnedPace))
--- a/src/relay/StreamTiming.h
+++ b/src/relay/StreamTiming.h
@@ -34,6 +34,8 @@
     // Describes a run that its engine did not finish.
     UnfinishedRun describeUnfinishedRun(const StreamRun&, FailureKind, Milliseconds now);
     void recordPromptTime(const StreamRun&, Milliseconds now);
+    // Records the pace of the run's engine when the run has ended, however it ended.
+    void recordEnginePace(const StreamRun&, Milliseconds now);
     // The time is measured from the first of the events to the last one.
     void recordCompleteAnswer(std::uint64_t lastEventId, std::size_t events, Milliseconds time);
 
--- a/test/PlacementTest.cpp
+++ b/test/PlacementTest.cpp
@@ -1,7 +1,10 @@
 #include "relay/Placement.h"
+#include "placement/EnginePaces.h"
+#include "relay/CallProtocol.h"
 #include "relay/EndpointDirectory.h"
 
 #include <CppUTest/TestHarness.h>
+#include <map>
 #include <set>
 
 using namespace lupinknot;
@@ -108,6 +111,119 @@
     CHECK(!Placement(*directory, settings, 1).chooseReported({ shuttingDown }, { 5000, 1000 }, {}, now));
 }
 
+// Two thirds of the engines take 0.7 of the usual time, one third takes 1.7 of it.
+TEST(Placement, AFastEngineWithAShortQueueIsBetterThanAnIdleSlowOne)
+{
+    EnginePaces paces;
+    for (int i = 0; i < 12; ++i)
+        paces.noteRun("s", { "127.0.0.1", 1 + i }, i % 3 == 0 ? 47.6 : 19.6, now);
+    const auto slow = directory->find("a0");
+    const auto fast = directory->find("a1");
+    slow->noteReport({}, now);
+    fast->noteReport({ .promptsInPrefill = 1 }, now);
+    Placement placement(*directory, settings, 1);
+    POINTERS_EQUAL_TEXT(slow.get(), placement.chooseReported({ slow, fast }, { 5000, 1000 }, {}, now).get(),
+        "without paces the idle engine is the best");
+    placement.setPaces(&paces);
+    for (int i = 0; i < 30; ++i)
+        POINTERS_EQUAL(fast.get(), placement.chooseReported({ slow, fast }, { 5000, 1000 }, {}, now).get());
+}
+
+// All idle engines of the zone were probed equally often.
+TEST(Placement, SlowEnginesAreProbedLessOftenButNotNever)
+{
+    EnginePaces paces;
+    for (int i = 0; i < 12; ++i)
+        paces.noteRun("s", { "127.0.0.1", 1 + i }, i == 0 ? 56 : 28, now);
+    Placement placement(*directory, settings, 1);
+    placement.setPaces(&paces);
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 4000; ++i)
+        ++chosen[placement.choose({ .service = "s" }, now)->entry().id];
+    CHECK_TEXT(chosen["a0"] > 150 && chosen["a0"] < 380, "an engine of half the speed should get half the share");
+}
+
+// Probes stayed in a zone whose demand had risen by half while other zones had idle engines.
+TEST(Placement, ProbesEnginesOfEachZone)
+{
+    for (int i = 0; i < 4; ++i)
+        directory->upsert({ "c" + std::to_string(i), "s", { "127.0.0.1", 21 + i }, "c", 4, false }, now);
+    std::map<std::string, int> zones;
+    for (const auto& engine : Placement(*directory, settings, 1).candidatesOfZones({ .service = "s" }, 4, now))
+        ++zones[engine->entry().availabilityZone];
+    LONGS_EQUAL(2, zones["a"]);
+    LONGS_EQUAL(1, zones["b"]);
+    LONGS_EQUAL(1, zones["c"]);
+}
+
+TEST(Placement, ProbesTheBestEnginesWhereOtherZonesLackThem)
+{
+    for (const auto& endpoint : directory->endpointsOf("s")) {
+        if (endpoint->entry().availabilityZone == "b")
+            endpoint->avoidUntil(now + Milliseconds { 1000 });
+    }
+    const PlacementRequest healthy { .service = "s", .mustBeHealthy = true };
+    const auto engines = Placement(*directory, settings, 1).candidatesOfZones(healthy, 4, now);
+    LONGS_EQUAL(4, engines.size());
+    for (const auto& engine : engines)
+        STRCMP_EQUAL("a", engine->entry().availabilityZone.c_str());
+}
+
+// Calls waited at full endpoints while others of the zone had free slots.
+TEST(Placement, ACallGoesToAnEndpointWithFreeSlotsWhileTheStatedLoadIsNew)
+{
+    for (int i = 0; i < 8; ++i) {
+        const std::uint32_t waiting = i == 5 ? 0 : 6;
+        directory->find("a" + std::to_string(i))
+            ->noteSignals({ .load = { EndpointLoad { i == 5 ? 0U : 4U, waiting, 4 }, "" } }, now);
+    }
+    Placement placement(*directory, settings, 1);
+    const auto chosenAt = [&](Milliseconds at) {
+        std::set<std::string> chosen;
+        for (int i = 0; i < 100; ++i)
+            chosen.insert(placement.choose({ .service = "s" }, at)->entry().id);
+        return chosen;
+    };
+    CHECK(chosenAt(now + Milliseconds { 300 }) == std::set<std::string> { "a5" });
+    LONGS_EQUAL_TEXT(8, chosenAt(now + Milliseconds { 301 }).size(), "an old load must not count");
+}
+
+// A phase of 2.5 times the usual time lasts some hundred milliseconds.
+TEST(Placement, APromptAvoidsAnEngineThatStatesThatItIsSlowAtThisMoment)
+{
+    EnginePaces paces;
+    for (int i = 0; i < 12; ++i)
+        paces.noteRun("s", { "127.0.0.1", 1 + i }, 28, now);
+    const auto slow = directory->find("a0");
+    const auto usual = directory->find("a1");
+    for (const auto& engine : { slow, usual }) {
+        engine->noteReport({}, now);
+        engine->noteSignals({ .load = { EndpointLoad { 0, 0, 4, 1.0 }, "" } }, now - Milliseconds { 1000 });
+    }
+    slow->noteSignals({ .load = { EndpointLoad { 0, 0, 4, 2.5 }, "" } }, now);
+    Placement placement(*directory, settings, 1);
+    placement.setPaces(&paces);
+    CHECK(placement.paceOf(*slow, now) > 2);
+    for (int i = 0; i < 30; ++i)
+        POINTERS_EQUAL(usual.get(), placement.chooseReported({ slow, usual }, { 5000, 1000 }, {}, now).get());
+    DOUBLES_EQUAL_TEXT(
+        1, placement.paceOf(*slow, now + Milliseconds { 301 }), 0.02, "it must not be remembered as slow");
+}
+
+// What an endpoint calls usual is its own matter: some state 170 at all times.
+TEST(Placement, AnEndpointThatAlwaysStatesTheSamePaceIsNotSlowAtThisMoment)
+{
+    EnginePaces paces;
+    for (int i = 0; i < 12; ++i)
+        paces.noteRun("s", { "127.0.0.1", 1 + i }, i == 0 ? 47.6 : 28, now);
+    const auto engine = directory->find("a0");
+    for (int i = 0; i < 5; ++i)
+        engine->noteSignals({ .load = { EndpointLoad { 0, 0, 4, 1.7 }, "" } }, now);
+    Placement placement(*directory, settings, 1);
+    placement.setPaces(&paces);
+    DOUBLES_EQUAL(1.7, placement.paceOf(*engine, now), 0.02);
+}
+
 TEST(Placement, NeverChoosesAnExcludedEndpoint)
 {
     PlacementRequest request;
