Decode the load that endpoints state in X-Server-Load

Cause: endpoints of some services state their load in each answer, and nothing read it.

Without the header nothing changes.

--- a/test/PlatformCallProtocolTest.cpp
+++ b/test/PlatformCallProtocolTest.cpp
@@ -172,6 +172,32 @@
         CHECK(!limit.perSecond && !limit.unreadable.empty());
 }
 
+TEST(PlatformCallProtocol, DecodesTheLoadThatAnEndpointStates)
+{
+    const auto loadOf = [this](const std::string& text) {
+        return protocol.decodeAnswer({ 200, { { "X-Server-Load", text } }, "" }).load;
+    };
+    const auto load = loadOf("3,2,4,250").load;
+    CHECK(load.has_value());
+    LONGS_EQUAL(3, load->running);
+    LONGS_EQUAL(2, load->waiting);
+    LONGS_EQUAL(4, load->slots);
+    DOUBLES_EQUAL(2.5, *load->pace, 1e-9);
+    CHECK(loadOf("0, 0, 8").load.has_value());
+    CHECK_FALSE(loadOf("0,0,8").load->pace.has_value());
+    const auto none = protocol.decodeAnswer({ 200, {}, "" }).load;
+    CHECK(!none.load && none.unreadable.empty());
+}
+
+TEST(PlatformCallProtocol, IgnoresAnInvalidLoadOfAnEndpoint)
+{
+    for (const auto* text : { "", "1", "1,2", "1,2,0", "-1,2,3", "1,2,x", "1,2,3,", "1,2,3,0", "1,2,3,99999999",
+             "1,2,3,100,5", "1,2,18446744073709551616", "1.5,2,3", "1,2,3,nan", "4000000000,0,1" }) {
+        const auto stated = protocol.decodeAnswer({ 200, { { "X-Server-Load", text } }, "" }).load;
+        CHECK_TEXT(!stated.load && !stated.unreadable.empty(), text);
+    }
+}
+
 TEST(PlatformCallProtocol, DecodesTheBackOffOfAnEndpoint)
 {
     const auto restOf = [this](const std::string& text) {
