--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -14,6 +14,7 @@
 #include "relay/StreamRun.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lupinknot::internal {
 
@@ -164,7 +165,8 @@
     auto healthy = placementRequest();
     healthy.mustBeHealthy = true;
     healthy.limited = LimitedEndpoints::Excluded;
-    const auto engines = m_context.placement.candidates(healthy, m_context.settings.loadProbeSize, m_context.now());
+    const auto engines
+        = m_context.placement.candidatesOfZones(healthy, m_context.settings.loadProbeSize, m_context.now());
     if (engines.size() < 2)
         return false;
     m_loadProbe
@@ -179,7 +181,9 @@
 {
     const EngineWork work { m_request.fields.promptTokens, m_request.fields.maxAnswerTokens };
     const auto aheadShare = m_request.rank.isNamed ? aheadShareOf(enginePriority(m_request.rank.value, {})) : 1;
-    return forecastFirstEvent(work, engine, m_context.pace(m_request.service).engine(), aheadShare);
+    const auto pace = m_context.pace(m_request.service).engine();
+    return forecastFirstEvent(
+        work, engine, pace.scaledBy(m_context.placement.paceOf(engine, m_context.now())), aheadShare);
 }
 
 EngineChoice::Engines EngineChoice::enginesInTime(const Engines& answered) const
@@ -217,14 +221,16 @@
     noteRoom(answered);
     if (!engine)
         engine = m_context.placement.choose(placementRequest(), now);
-    if (engine)
+    if (engine) {
         m_firstEventForecast = firstEventForecastAt(*engine);
-    if (engine)
-        logChoice(*engine, answered.size(), forecastDelay(work, *engine, pace));
+        const auto relativePace = m_context.placement.paceOf(*engine, now);
+        logChoice(*engine, answered.size(), relativePace, forecastDelay(work, *engine, pace.scaledBy(relativePace)));
+    }
     callback(engine);
 }
 
-void EngineChoice::logChoice(const RelayEndpoint& engine, std::size_t answered, Milliseconds forecast) const
+void EngineChoice::logChoice(
+    const RelayEndpoint& engine, std::size_t answered, double relativePace, Milliseconds forecast) const
 {
     const auto report = engine.report() ? *engine.report() : EngineReport {};
     LogEvent("stream.engine-chosen", LogImportance::Routine)
@@ -232,6 +238,7 @@
         .text("endpoint", engine.entry().id)
         .number("answered", static_cast<std::int64_t>(answered))
         .number("forecast_ms", forecast.count())
+        .number("pace_percent", std::lround(100 * relativePace))
         .number("being_read", report.promptsInPrefill)
         .number("waiting", report.promptsWaiting)
         .number("generating", report.generating)
--- a/src/relay/EngineChoice.h
+++ b/src/relay/EngineChoice.h
@@ -98,7 +98,8 @@
     // Records when the first of the engines is expected to have room.
     void noteRoom(const Engines& answered) const;
     void onLoadProbed(const Engines& answered, const Callback&);
-    void logChoice(const RelayEndpoint&, std::size_t answered, Milliseconds forecast) const;
+    // The pace is relative to that of the service.
+    void logChoice(const RelayEndpoint&, std::size_t answered, double relativePace, Milliseconds forecast) const;
 
     RelayContext& m_context;
     const RelayRequest& m_request;
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -4,6 +4,7 @@
 #include "admission/FirstAttemptEstimate.h"
 #include "admission/WaitingRequestLimit.h"
 #include "lupinknot/Clock.h"
+#include "placement/EnginePaces.h"
 #include "relay/RetryBudget.h"
 #include "relay/ServicePace.h"
 #include "rollout/Rollouts.h"
@@ -24,6 +25,7 @@
 class RetryLoanSource;
 class RunLocations;
 class UsageRecorder;
+class ZoneExchange;
 enum class Policy;
 struct RelaySettings;
 
@@ -55,6 +57,10 @@
     UsageRecorder* usage { nullptr };
     // Null when VMs do not lend retries to each other.
     RetryLoanSource* retryLoans { nullptr };
+    // Paces of single engines, relative to their service.
+    EnginePaces enginePaces {};
+    // Null when the VMs of a zone do not exchange what they learn.
+    ZoneExchange* zoneExchange { nullptr };
 
     Milliseconds now() const { return clock.now(); }
     bool has(Policy) const;
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -59,6 +59,10 @@
     void setRetryLoans(RetryLoanSource* loans) { m_context.retryLoans = loans; }
     // Lends a retry of this VM's part of the budget to another VM if enough are left.
     LoanDecision lendRetry(const RetryLoanRequest&);
+    // Sets the exchange of messages with the other VMs of the zone; it must outlive run().
+    void setZoneExchange(ZoneExchange* exchange) { m_context.zoneExchange = exchange; }
+    ZoneExchange* zoneExchange() const { return m_context.zoneExchange; }
+    EnginePaces& enginePaces() { return m_context.enginePaces; }
     RelayMetrics& metrics() { return m_metrics; }
     // Decides which requests are quarantined because endpoints crashed while running them.
     CrashGuard& crashGuard() { return m_crashGuard; }
