Learn the paces of engines within seconds of a start

All samples are now reported until the service's usual interval is known, and a run is sampled after its first 20 events as well as at its end.

--- a/src/placement/EnginePaces.cpp
+++ b/src/placement/EnginePaces.cpp
@@ -157,7 +157,8 @@
     engine->add(interval, now);
     m_services.find(service)->second.ownIntervals.add(interval, now);
     const auto usual = usualInterval(service, now);
-    if (usual && differs(std::clamp(interval / *usual, lowestPace, highestPace), known)
+    // Until the service's interval is known, all samples are reported, from which the collector derives it.
+    if ((!usual || differs(std::clamp(interval / *usual, lowestPace, highestPace), known))
         && m_unreported.size() < maxUnreported)
         m_unreported.push_back(std::move(sample));
 }
@@ -183,6 +184,9 @@
     if (!engine)
         return;
     engine->add(sample.interval, std::min(sample.at, now));
+    auto& reported = m_services.find(sample.service)->second.reportedIntervals;
+    if (!reported.isKnown())
+        reported.add(sample.interval, now);
     if (m_changed.size() < maxEngines && !std::exchange(engine->isChanged, true)) {
         const auto colon = sample.address.rfind(':');
         m_changed.push_back(keyOf(sample.service, std::string_view(sample.address).substr(0, colon),
--- a/src/placement/EventGaps.h
+++ b/src/placement/EventGaps.h
@@ -20,6 +20,8 @@
     // Records that so many events arrived together. They count as evenly spaced since the events before them, because
     // the network or a busy VM may have joined them.
     void add(std::size_t events, Milliseconds now);
+    // True once there are enough events for the shortest tenth.
+    bool hasEnough() const { return m_events >= minEvents; }
     // Milliseconds between two events below which a tenth of the gaps lie; nothing with too few events.
     std::optional<double> shortestTenth() const;
 
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -366,7 +366,11 @@
 void EventStreamCall::processEvents(StreamRun& run, std::vector<CompleteEvent>&& events)
 {
     const auto now = m_context.now();
+    const bool hadEnoughGaps = run.gaps.hasEnough();
     run.gaps.add(events.size(), now);
+    // Known early, because a run lasts seconds and other prompts are placed meanwhile.
+    if (!hadEnoughGaps && run.gaps.hasEnough())
+        m_timing.recordEnginePace(run, now);
     if (!m_answer->append(run, std::move(events))) {
         runFailed(FailureKind::WrongPosition);
         return;
