Estimate from own waiting prompts how many an answer overtakes

Load reports count the waiting prompts of an engine but not their priorities. The forecast counted half of them as ahead of an answer in time. It now uses the share that holds for this VM's own waiting prompts (PromptMix), with half as a prior worth two prompts.

--- a/src/admission/RequestRank.cpp
+++ b/src/admission/RequestRank.cpp
@@ -11,8 +11,6 @@
 constexpr unsigned lateLowRankPriority = 9;
 constexpr unsigned lastUrgentRank = 4;
 constexpr double delaySpread = 0.25;
-// Best of 0, 0.5 and 1 in the replays (RankReplayTest, docs/design/ranks.md).
-constexpr double aheadShareInTime = 0.5;
 
 } // namespace
 
@@ -29,8 +27,6 @@
     return std::min(rank + (standing.isAboveShare ? 1 : 0), leastUrgentInTime);
 }
 
-double aheadShareOf(unsigned priority) { return priority < latePriority ? aheadShareInTime : 1; }
-
 RequestRank agedRank(const RequestRank& rank, Milliseconds waited, Milliseconds ageingTime)
 {
     if (ageingTime <= Milliseconds { 0 } || waited <= Milliseconds { 0 })
--- a/src/admission/RequestRank.h
+++ b/src/admission/RequestRank.h
@@ -45,11 +45,6 @@
 // organisation's share. Late answers get 8, or 9 for ranks above 4, so that they yield to all that can be in time.
 unsigned enginePriority(unsigned rank, const AnswerStanding&);
 
-// Expected share of the prompts that wait at an engine that it reads before a prompt of this priority. Reports do not
-// give the priorities of waiting prompts. Under overload most of those waiting are late answers; counting all of them
-// would declare every urgent answer late as well.
-double aheadShareOf(unsigned priority);
-
 // The rank after a wait: one level more urgent for each ageing time, so that no rank waits forever.
 RequestRank agedRank(const RequestRank&, Milliseconds waited, Milliseconds ageingTime);
 
--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -165,8 +165,10 @@
 std::optional<Milliseconds> EngineChoice::firstEventForecastAt(const RelayEndpoint& engine) const
 {
     const EngineWork work { m_request.fields.promptTokens, m_request.fields.maxAnswerTokens };
-    const auto aheadShare = m_request.rank.isNamed ? aheadShareOf(enginePriority(m_request.rank.value, {})) : 1;
-    return forecastFirstEvent(work, engine, m_context.pace(m_request.service).engine(), aheadShare);
+    const auto& pace = m_context.pace(m_request.service);
+    const auto aheadShare
+        = m_request.rank.isNamed ? pace.waitingPrompts->aheadShare(enginePriority(m_request.rank.value, {})) : 1;
+    return forecastFirstEvent(work, engine, pace.engine(), aheadShare);
 }
 
 EngineChoice::Engines EngineChoice::enginesInTime(const Engines& answered) const
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -210,7 +210,8 @@
     ++m_possibleDeliveries;
     ++m_possibleRuns;
     if (!run->isFromCopy)
-        run->reading = std::make_unique<PrefillScope>(endpoint);
+        run->reading
+            = std::make_unique<PrefillScope>(endpoint, m_context.pace(m_request.service).waitingPrompts, run->priority);
     m_run = run;
     m_choice->noteLocation(*run);
     const auto request = m_context.protocol.encodeForward(exchange->request(), fields);
--- a/src/relay/ServicePace.h
+++ b/src/relay/ServicePace.h
@@ -6,8 +6,10 @@
 // Used on the relay's thread only. Lives for the process.
 #pragma once
 
+#include "admission/PromptMix.h"
 #include "relay/EngineForecast.h"
 #include "relay/Estimate.h"
+#include <memory>
 
 namespace lupinknot::internal {
 
@@ -35,6 +37,9 @@
     // When the first engine was expected to have room for another prompt, by the last load reports; 0 when unknown.
     Milliseconds engineRoomAt { 0 };
 
+    // This VM's prompts that wait for their first event, by priority.
+    std::shared_ptr<PromptMix> waitingPrompts { std::make_shared<PromptMix>() };
+
     // The input of engine forecasts: the median prompt, and the pace of requests that had an engine to themselves.
     EnginePace engine() const
     {
--- /dev/null
+++ b/test/RankReplayTest.cpp
@@ -0,0 +1,222 @@
+// Replays loads of streams with objectives against a small model of engines: each reads one prompt at a time, the most
+// urgent waiting one first, and reports its queue 200 ms late. No network and no wall clock.
+#include "admission/AnswerLateness.h"
+#include "admission/PromptMix.h"
+#include "admission/RequestRank.h"
+#include "relay/EngineForecast.h"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+
+namespace {
+
+constexpr std::size_t vmCount = 20;
+constexpr int engineCount = 12;
+constexpr int probedEngines = 4;
+constexpr std::int64_t prefillMs = 1000;
+constexpr std::int64_t reportAgeMs = 200;
+constexpr std::int64_t stepMs = 10;
+constexpr EnginePace pace { prefillMs / 8000.0, 8000 };
+constexpr EngineWork work { 8000, 560 };
+
+enum class Order { FirstComeFirstServed, StrictRank, LateAnswersLast };
+
+struct Kind {
+    unsigned rank;
+    Milliseconds objective;
+};
+constexpr std::array<Kind, 2> kinds { { { 0, Milliseconds { 4000 } }, { 2, Milliseconds { 10000 } } } };
+
+struct Prompt {
+    std::int64_t arrivedAt;
+    std::size_t kind;
+};
+
+struct Load {
+    // Prompts a second of each kind, as a share of what the engines read, in the surge and outside of it.
+    std::array<double, 2> surge;
+    std::array<double, 2> usual;
+    std::int64_t surgeMs { 5000 };
+};
+
+// The surge begins after 2 s; arrivals end after 20 s.
+std::vector<Prompt> promptsOf(const Load& load, unsigned seed)
+{
+    std::vector<Prompt> prompts;
+    std::mt19937 random(seed);
+    std::uniform_real_distribution<double> uniform;
+    for (std::int64_t now = 0; now < 20000; now += stepMs) {
+        const bool isSurge = now >= 2000 && now < 2000 + load.surgeMs;
+        for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
+            const auto perStep = (isSurge ? load.surge : load.usual)[kind] * engineCount * stepMs / prefillMs;
+            if (uniform(random) < perStep)
+                prompts.push_back({ now, kind });
+        }
+    }
+    return prompts;
+}
+
+struct Result {
+    std::array<double, 2> inTime {};
+    double share(std::size_t kind) const { return inTime.at(kind); }
+};
+
+class Engines {
+public:
+    explicit Engines(unsigned seed)
+        : m_random(seed)
+    {
+    }
+
+    // Chooses an engine as EngineChoice does: one of those in time if there are any, then the lowest delay.
+    std::size_t choose(std::int64_t timeLeft, double aheadShare, Milliseconds& forecast)
+    {
+        std::optional<std::size_t> best;
+        std::pair<bool, Milliseconds> lowest;
+        for (int i = 0; i < probedEngines; ++i) {
+            const auto engine = m_random() % engineCount;
+            const auto expected = forecastFirstEvent(work, m_reports.at(engine), 0, pace, aheadShare);
+            const std::pair cost { expected.count() > timeLeft, forecastDelay(work, m_reports.at(engine), 0, pace) };
+            if (!best || cost < lowest) {
+                best = engine;
+                lowest = cost;
+                forecast = expected;
+            }
+        }
+        return *best;
+    }
+
+    void send(std::size_t engine, unsigned priority, std::size_t prompt)
+    {
+        m_queues.at(engine).insert({ priority, prompt });
+    }
+
+    template <typename OnRead> void advance(std::int64_t now, const OnRead& onRead)
+    {
+        for (std::size_t i = 0; i < engineCount; ++i) {
+            if (m_reading.at(i) && now >= m_readUntil.at(i)) {
+                onRead(*m_reading.at(i));
+                m_reading.at(i).reset();
+            }
+            if (!m_reading.at(i) && !m_queues.at(i).empty()) {
+                m_reading.at(i) = m_queues.at(i).begin()->second;
+                m_queues.at(i).erase(m_queues.at(i).begin());
+                m_readUntil.at(i) = now + prefillMs;
+            }
+        }
+        if (now % reportAgeMs == 0) {
+            m_reports = m_current;
+            for (std::size_t i = 0; i < engineCount; ++i)
+                m_current.at(i) = { m_reading.at(i) ? 1U : 0U, static_cast<std::uint32_t>(m_queues.at(i).size()) };
+        }
+    }
+
+private:
+    std::mt19937 m_random;
+    std::array<std::set<std::pair<unsigned, std::size_t>>, engineCount> m_queues;
+    std::array<std::optional<std::size_t>, engineCount> m_reading;
+    std::array<std::int64_t, engineCount> m_readUntil {};
+    std::array<EngineReport, engineCount> m_current;
+    std::array<EngineReport, engineCount> m_reports;
+};
+
+unsigned priorityFor(Order order, const Kind& kind, bool isLate)
+{
+    if (order == Order::FirstComeFirstServed)
+        return defaultRank;
+    return enginePriority(kind.rank, { .isLate = isLate && order == Order::LateAnswersLast });
+}
+
+// Without a share, each VM takes it from its own waiting prompts.
+Result replay(const Load& load, Order order, std::optional<double> fixedShare = std::nullopt)
+{
+    Result result;
+    std::array<double, 2> total {};
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        const auto prompts = promptsOf(load, seed);
+        Engines engines(seed);
+        std::vector<std::shared_ptr<PromptMix>> mixes(vmCount);
+        for (auto& mix : mixes)
+            mix = std::make_shared<PromptMix>();
+        std::vector<std::unique_ptr<PromptMix::Scope>> waiting(prompts.size());
+        std::size_t next = 0;
+        for (std::int64_t now = 0; now < 60000; now += stepMs) {
+            for (; next < prompts.size() && prompts[next].arrivedAt <= now; ++next) {
+                const auto& kind = kinds.at(prompts[next].kind);
+                const auto& mix = mixes.at(next % vmCount);
+                const auto aheadShare = fixedShare.value_or(mix->aheadShare(kind.rank));
+                Milliseconds forecast { 0 };
+                const auto engine = engines.choose(kind.objective.count(), aheadShare, forecast);
+                const StreamState state {
+                    .firstAttemptAt = Milliseconds { now }, .objective = kind.objective, .firstEventForecast = forecast
+                };
+                const bool isLate = latenessOf(state, Milliseconds { now }) != Lateness::InTime;
+                const auto priority = priorityFor(order, kind, isLate);
+                engines.send(engine, priority, next);
+                waiting[next] = std::make_unique<PromptMix::Scope>(mix, priority);
+                ++total.at(prompts[next].kind);
+            }
+            engines.advance(now, [&](std::size_t prompt) {
+                waiting[prompt].reset();
+                const auto took = now - prompts[prompt].arrivedAt;
+                const auto kind = prompts[prompt].kind;
+                result.inTime.at(kind) += took <= kinds.at(kind).objective.count() ? 1 : 0;
+            });
+        }
+    }
+    for (std::size_t kind = 0; kind < kinds.size(); ++kind)
+        result.inTime.at(kind) /= total.at(kind);
+    return result;
+}
+
+// More prompts than the engines can read for 5 s: twice as many, half of them of each kind.
+constexpr Load bothSurge { { 1, 1 }, { 0.35, 0.35 } };
+// The urgent kind alone exceeds the engines.
+constexpr Load urgentSurge { { 2, 0.35 }, { 0.35, 0.35 } };
+// A lasting overload, most of it urgent.
+constexpr Load longOverload { { 1.3, 0.6 }, { 0.35, 0.35 }, 12000 };
+
+} // namespace
+
+TEST_GROUP(RankReplay) {};
+
+// Guards against urgent streams that wait behind less urgent ones: in order of arrival, half of them are late.
+TEST(RankReplay, RankServesTheUrgentKindWhenBothKindsSurge)
+{
+    CHECK(replay(bothSurge, Order::FirstComeFirstServed).share(0) < 0.55);
+    const auto ranked = replay(bothSurge, Order::LateAnswersLast);
+    CHECK(ranked.share(0) > 0.93);
+    CHECK(ranked.share(1) > 0.85);
+}
+
+// Guards against late answers of the urgent kind that delay answers of both kinds that can be in time.
+TEST(RankReplay, LateAnswersLastBeatsStrictRankForBothKinds)
+{
+    for (const auto& load : { urgentSurge, longOverload }) {
+        const auto strict = replay(load, Order::StrictRank);
+        const auto lateLast = replay(load, Order::LateAnswersLast);
+        CHECK(lateLast.share(0) > strict.share(0) + 0.03);
+        CHECK(lateLast.share(1) > strict.share(1) + 0.15);
+    }
+}
+
+// Guards against a forecast that counts all waiting prompts, most of which a prompt in time overtakes, and declares
+// nearly all urgent answers late.
+TEST(RankReplay, OwnWaitingPromptsShowHowManyAreAhead)
+{
+    for (const auto& load : { bothSurge, urgentSurge, longOverload }) {
+        const auto own = replay(load, Order::LateAnswersLast);
+        CHECK(own.share(0) > replay(load, Order::LateAnswersLast, 1.0).share(0) + 0.2);
+        CHECK_TEXT(own.share(0) > replay(load, Order::LateAnswersLast, 0.5).share(0), "half of them");
+        CHECK_TEXT(own.share(1) > replay(load, Order::LateAnswersLast, 0.0).share(1), "none of them");
+    }
+}
