--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -180,10 +180,11 @@
 std::optional<Milliseconds> EngineChoice::firstEventForecastAt(const RelayEndpoint& engine) const
 {
     const EngineWork work { m_request.fields.promptTokens, m_request.fields.maxAnswerTokens };
-    const auto aheadShare = m_request.rank.isNamed ? aheadShareOf(enginePriority(m_request.rank.value, {})) : 1;
-    const auto pace = m_context.pace(m_request.service).engine();
-    return forecastFirstEvent(
-        work, engine, pace.scaledBy(m_context.placement.paceOf(engine, m_context.now())), aheadShare);
+    const auto& pace = m_context.pace(m_request.service);
+    const auto aheadShare
+        = m_request.rank.isNamed ? pace.waitingPrompts->aheadShare(enginePriority(m_request.rank.value, {})) : 1;
+    const auto enginePace = pace.engine().scaledBy(m_context.placement.paceOf(engine, m_context.now()));
+    return forecastFirstEvent(work, engine, enginePace, aheadShare);
 }
 
 EngineChoice::Engines EngineChoice::enginesInTime(const Engines& answered) const
