--- a/src/health/ZoneFailureHistory.h
+++ b/src/health/ZoneFailureHistory.h
@@ -32,7 +32,7 @@
 
     static constexpr std::size_t maxFailures = 32;
     // With equal shares, evidence of this strength arises in at most one of this many histories.
-    static constexpr double minEvidence = 9;
+    static constexpr double minEvidence = 4;
     // Two failures of a zone within this time are one, seen by different collectors or by VMs that used its endpoints
     // before they returned.
     static constexpr Milliseconds sameFailureWithin { 2000 };
