--- a/test/EventStreamCallTest.cpp
+++ b/test/EventStreamCallTest.cpp
@@ -362,7 +362,8 @@
     std::shared_ptr<void> ask(const RetryLoanRequest& request, Callback callback) override
     {
         requests.push_back(request);
-        auto pending = std::make_shared<int>();
+        // The request owns the callback.
+        const auto pending = std::make_shared<Callback>(callback);
         last = pending;
         if (requests.size() > answers.size())
             return pending;
@@ -512,14 +513,21 @@
 TEST(EventStreamLoans, ALoanThatReachedNoEngineIsUsedAtAnother)
 {
     loans->answers = { validity };
-    relay->addEndpoint("e1", "a").onRequest(sendsAndResets(2));
-    auto& crashed = relay->addEndpoint("e2", "b");
+    auto& engine = relay->addEndpoint("e1", "a");
+    engine.onRequest([](ScriptedConnection& asker, const std::string&) {
+        asker.beginStream(signedHead);
+        asker.sendEvent(1);
+        asker.sendEvent(2);
+    });
+    auto& holder = relay->addEndpoint("e2", "b");
     ready();
     const auto caller = relay->call("/stream/1");
-    CHECK(relay->runUntil([&] { return !caller->body.empty(); }));
-    crashed.crash();
+    CHECK(relay->runUntil([&] { return caller->body.size() >= events(1, 2).size(); }));
+    holder.crash();
     relay->addEndpoint("e3", "c").onRequest(sends(3, 4));
     relay->list();
+    engine.connections().front()->reset();
     await(caller);
+    STRCMP_EQUAL(events(1, 4).c_str(), caller->body.c_str());
     LONGS_EQUAL(1, loans->requests.size());
 }
--- a/test/PeerRetryLoansTest.cpp
+++ b/test/PeerRetryLoansTest.cpp
@@ -200,10 +200,20 @@
     const auto later = clock.now() + Milliseconds { 150 };
     CHECK(runUntil(*ioContext, [&] { return clock.now() > later; }));
     CHECK_FALSE(isCalled);
-    // The list of VMs changes while a search refers to it.
-    request = vms[0]->loans->ask({ "r2", "s" }, [&isCalled](const auto&) { isCalled = true; });
+}
+
+// Guards against a search that refers to VMs by their position in a list that has been replaced.
+TEST(PeerRetryLoans, TheListOfVmsMayChangeDuringASearch)
+{
+    for (int i = 0; i < 4; ++i) {
+        auto& vm = addVm();
+        CHECK(vm.budget->take(RetryPurpose::Failover, clock.now(), clock.now()));
+    }
+    bool isCalled = false;
+    const auto request = vms[0]->loans->ask({ "r1", "s" }, [&isCalled](const auto&) { isCalled = true; });
     vms[0]->loans->setOthers({});
     CHECK(runUntil(*ioContext, [&isCalled] { return isCalled; }));
+    LONGS_EQUAL(3, requestsTo(1) + requestsTo(2) + requestsTo(3));
 }
 
 TEST(PeerRetryLoans, RefusesInvalidRequests)
