--- a/test/RunCopierTest.cpp
+++ b/test/RunCopierTest.cpp
@@ -80,6 +80,17 @@
         return "";
     }
 
+    void failTogether(const std::vector<std::string>& ids)
+    {
+        auto& directory = relay->daemon().directory();
+        for (const auto& id : ids)
+            directory.noteFailure(*directory.find(id), relay->daemon().clock().now());
+    }
+    void expectNoneResumedFromACopy()
+    {
+        const auto metrics = relay->daemon().metrics().exposition();
+        STRCMP_CONTAINS("\nlupinknot_relay_resumed_from_copy_total 0\n", metrics.c_str());
+    }
     void remove(const std::string& id) { relay->daemon().directory().remove(id, relay->daemon().clock().now()); }
     bool awaitCopies(std::size_t count)
     {
@@ -230,6 +241,7 @@
     STRCMP_EQUAL(orders[0].c_str(), orders[1].c_str());
     STRCMP_EQUAL(orders[0].c_str(), orders[2].c_str());
     STRCMP_EQUAL_TEXT("1", metric("renewed").c_str(), "a refresh is not a new copy");
+    STRCMP_EQUAL_TEXT("1", metric("lost").c_str(), "the copy must be refreshed before it expires");
     CHECK_TEXT(releases.empty(), "the copy must be kept");
 }
 
@@ -241,11 +253,36 @@
     for (auto* const endpoint : { &relay->addEndpoint("e2", "b"), &relay->addEndpoint("e3", "b") })
         endpoint->onRequest(continues);
     begin();
-    auto& directory = relay->daemon().directory();
-    for (const std::string id : { "e2", "e3" })
-        directory.noteFailure(*directory.find(id), relay->daemon().clock().now());
+    failTogether({ "e2", "e3" });
+    running->reset();
+    expectWhole();
+    expectNoneResumedFromACopy();
+}
+
+// Guards against the same when the zone fails while another copy is tried.
+TEST(RunCopier, DoesNotTryACopyWhoseZoneHasFailedInTheMeantime)
+{
+    relay->settings.avoidZone = relay->settings.suspectAfterZoneFailure = Milliseconds { 0 };
+    auto& growing = relay->addEndpoint("e2", "b");
+    relay->addEndpoint("e3", "c").onRequest(continues);
+    auto& other = relay->addEndpoint("e4", "c");
+    growing.onRequest([this](ScriptedConnection& asker, const std::string&) {
+        failTogether({ "e3", "e4" });
+        asker.answer(503, "X-Request-Id: r1\r\nX-Not-Executed: 1\r\n", "");
+    });
+    other.onRequest(continues);
+    while (begin() != "e2") {
+        running->sendEvent(2);
+        running->endStream();
+        expectWhole();
+        engine->forgetRequests();
+    }
+    const auto entry = relay->daemon().directory().find("e2")->entry();
+    remove("e2");
+    CHECK(awaitCopies(1));
+    relay->daemon().directory().upsert(entry, relay->daemon().clock().now());
     running->reset();
     expectWhole();
-    const auto metrics = relay->daemon().metrics().exposition();
-    STRCMP_CONTAINS("\nlupinknot_relay_resumed_from_copy_total 0\n", metrics.c_str());
+    CHECK(growing.hasReceived(0, "Kv-From"));
+    expectNoneResumedFromACopy();
 }
