Share a service that lacks room between organisations

An organisation that sends ten times the work of others made their answers late. OrganisationShares counts work in tokens by service, rank and organisation, with a half-life of 4 s, for 4,096 organisations at most. While the forecast time to the first event exceeds half of the objective, the prompts of an organisation above twice its fair share get an engine priority that is less urgent by one level. ShareExchange shares the counts within a zone over ZoneExchange, topic "shares": once a second, changes above a tenth, at most 16 KB, every fifth message with all counts. It stays unconnected until a ZoneExchange exists; a VM then uses its own counts. lupinknot_relay_streams_total counts streams by rank and outcome.

With two organisations of a rank none can be above twice its fair share.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -75,6 +75,7 @@
         if (self->m_isFinished)
             return;
         LogEvent("request.caller-gone").text("request", self->m_request.fields.requestId).write();
+        self->countStream(StreamOutcome::CallerGone);
         self->finish();
     });
     if (!m_choice->findEarlierRun(ifNotFinished(&EventStreamCall::startRun)))
@@ -236,7 +237,19 @@
         if (m_lateness != Lateness::InTime)
             logLate(m_request, nameIn(latenessNames, m_lateness), state.firstEventForecast, m_context.now());
     }
-    return enginePriority(m_request.rank.value, { .isLate = m_lateness != Lateness::InTime });
+    const ShareKey share { m_request.service, m_request.rank.value, m_request.organisation };
+    const bool isAboveShare = lacksRoom(state) && m_context.shares.isAboveShare(share, m_context.now());
+    if (!state.isPromptCached)
+        noteWork(m_request.fields.promptTokens);
+    return enginePriority(
+        m_request.rank.value, { .isLate = m_lateness != Lateness::InTime, .isAboveShare = isAboveShare });
+}
+
+void EventStreamCall::noteWork(double tokens)
+{
+    if (m_request.rank.isNamed && !m_request.organisation.empty())
+        m_context.shares.note(
+            { m_request.service, m_request.rank.value, m_request.organisation }, tokens, m_context.now());
 }
 
 void EventStreamCall::waitForEndpoint()
@@ -299,6 +312,7 @@
 void EventStreamCall::processEvents(StreamRun& run, std::vector<CompleteEvent>&& events)
 {
     const auto now = m_context.now();
+    noteWork(static_cast<double>(events.size() * m_timing.tokensPerEvent()));
     if (!m_answer->append(run, std::move(events))) {
         runFailed(FailureKind::WrongPosition);
         return;
@@ -320,6 +334,7 @@
         if (!run.isFromCopy && !m_request.fields.lastEventId)
             m_rollout.noteAnswerAfter(*run.endpoint, now - run.startedAt, usual);
         m_timing.recordPromptTime(run, now);
+        m_wasLate = now > m_request.firstAttemptAt + m_request.route->objective && !m_request.fields.lastEventId;
         // A caller that resumes a stream was counted when it began.
         if (!m_request.fields.lastEventId)
             m_context.noteStarted(m_request.organisation, now);
@@ -332,6 +347,7 @@
 {
     const auto lastEventAt = m_answer->lastEventAt();
     logRunResumed(m_request, run, lastEventAt, *m_failedAt, now);
+    m_wasLate = m_wasLate || (lastEventAt && now - *lastEventAt > m_request.route->longestPause);
     if (lastEventAt && now > *lastEventAt)
         m_context.metrics.resumeGap.Observe(static_cast<double>((now - *lastEventAt).count()));
     (run.isFromCopy ? m_context.metrics.resumedFromCopy : m_context.metrics.resumedCold).Increment();
@@ -370,6 +386,7 @@
         runFailed(run->fields.isSigned ? FailureKind::ErrorStatus : FailureKind::MalformedEvent);
         return;
     }
+    countStream(StreamOutcome::Failed);
     logEnd("endpoint-status", run->head.status);
     m_request.exchange->respond(run->head);
     finish();
@@ -485,6 +502,7 @@
     m_choice->forgetLocation();
     m_crashTracker.noteHarmless();
     m_timing.recordCompleteAnswer(m_answer->lastEventId(), m_answer->length(), m_answer->duration());
+    countStream(m_wasLate ? StreamOutcome::Late : StreamOutcome::InTime);
     logEnd("complete", m_run->head.status);
     m_request.exchange->wake();
     finish();
@@ -496,6 +514,7 @@
         refuse(reason);
         return;
     }
+    countStream(StreamOutcome::Failed);
     logEnd(traitsOf(reason).name, 0);
     m_request.exchange->abort();
     finish();
@@ -515,6 +534,7 @@
 
 void EventStreamCall::refuse(RefusalReason reason)
 {
+    countStream(traitsOf(reason).isNotRun ? StreamOutcome::Refused : StreamOutcome::Failed);
     logEnd(traitsOf(reason).name, traitsOf(reason).status);
     std::optional<Milliseconds> retryDelay;
     const auto spread = fractionOfName(m_request.fields.requestId);
@@ -532,6 +552,12 @@
     finish();
 }
 
+void EventStreamCall::countStream(StreamOutcome outcome) const
+{
+    const auto& rank = m_request.rank;
+    m_context.metrics.countStream(rank.isNamed ? std::optional(rank.value) : std::nullopt, outcome);
+}
+
 void EventStreamCall::logEnd(std::string_view outcome, unsigned status)
 {
     const auto took = m_context.now() - m_request.admittedAt;
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -28,6 +28,7 @@
 class RunMover;
 class RunLivenessMonitor;
 class StreamResponse;
+enum class StreamOutcome;
 struct RunMove;
 
 class EventStreamCall final : public EndpointCallListener, public std::enable_shared_from_this<EventStreamCall> {
@@ -59,6 +60,8 @@
 
     // The priority for the engine, if the configuration names a rank. A stream that was late once stays late.
     std::optional<unsigned> choosePriority(bool isFromCopy, bool isEarlierEngine);
+    // Counts work for the share of the request's organisation.
+    void noteWork(double tokens);
     void processEvents(StreamRun&, std::vector<CompleteEvent>&&);
     void recordResumption(const StreamRun&, Milliseconds now);
     void handleNonStreamResponse(const std::shared_ptr<StreamRun>&);
@@ -80,6 +83,7 @@
     void logLostRunEnds(std::string_view reason) const;
     // Logs that a run lost in mid-stream has no usable copy.
     void logMissingCopy() const;
+    void countStream(StreamOutcome) const;
     void logEnd(std::string_view outcome, unsigned status);
     void finish();
 
@@ -109,6 +113,8 @@
     Lateness m_lateness { Lateness::InTime };
     // True when the engine for the next run has the prompt cached.
     bool m_isEngineWithPrompt { false };
+    // True when the first event came after the objective, or a resumption after the longest pause.
+    bool m_wasLate { false };
     bool m_isFinished { false };
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_retryTimer;
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission/FirstAttemptEstimate.h"
+#include "admission/OrganisationShares.h"
 #include "admission/WaitingRequestLimit.h"
 #include "lupinknot/Clock.h"
 #include "relay/RetryBudget.h"
@@ -23,6 +24,7 @@
 class RelayMetrics;
 class RunLocations;
 class UsageRecorder;
+class ZoneExchange;
 enum class Policy;
 struct RelaySettings;
 
@@ -50,6 +52,10 @@
     WaitingRequestLimit waitingRequestLimit {};
     // By route name. A route that is removed from the configuration keeps its entry.
     std::unordered_map<std::string, FirstAttemptEstimate> firstAttempts {};
+    // The work of organisations.
+    OrganisationShares shares {};
+    // Null when VMs do not exchange messages through collectors.
+    ZoneExchange* zoneExchange { nullptr };
     // Null when usage is not reported.
     UsageRecorder* usage { nullptr };
 
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -29,6 +29,7 @@
     , m_localPermits(m_ioContext, m_clock)
     , m_context { m_ioContext, m_settings, m_clock, protocol, m_directory, m_placement, m_metrics, m_crashGuard,
         &m_localPermits, nullptr, {}, {}, nullptr, false }
+    , m_shareExchange(m_context.shares, m_clock, m_settings.vmName, m_settings.availabilityZone)
     , m_handler(m_context)
     , m_callerServer(m_ioContext, listenAt(addresses.front),
           [this](const std::shared_ptr<HttpExchange>& exchange) { m_handler.handle(exchange); })
@@ -101,6 +102,12 @@
     return true;
 }
 
+void RelayDaemon::setZoneExchange(ZoneExchange* exchange)
+{
+    m_context.zoneExchange = exchange;
+    m_shareExchange.connect(exchange);
+}
+
 void RelayDaemon::listRestored()
 {
     m_directory.listRestored(m_clock.now());
@@ -178,6 +185,7 @@
 void RelayDaemon::runHousekeeping()
 {
     m_directory.dropExpired(m_clock.now());
+    m_shareExchange.tick(m_clock.now());
     m_metrics.endpointsKnown.Set(static_cast<double>(m_directory.size()));
     m_housekeepingTimer.expires_after(housekeepingInterval);
     m_housekeepingTimer.async_wait([this](boost::system::error_code error) {
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -19,6 +19,7 @@
 #include "relay/RelayContext.h"
 #include "relay/RelayHandler.h"
 #include "relay/RelayMetrics.h"
+#include "relay/ShareExchange.h"
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -55,6 +56,8 @@
     void setPermits(PermitSource* permits) { m_context.permits = permits; }
     // Sets the recorder of the requests that endpoints start; it must outlive run().
     void setUsageRecorder(UsageRecorder* usage) { m_context.usage = usage; }
+    // Sets the exchange with the VMs of this zone; it must outlive run().
+    void setZoneExchange(ZoneExchange*);
     RelayMetrics& metrics() { return m_metrics; }
     // Decides which requests are quarantined because endpoints crashed while running them.
     CrashGuard& crashGuard() { return m_crashGuard; }
@@ -104,6 +107,7 @@
     CrashGuard m_crashGuard;
     LocalPermits m_localPermits;
     RelayContext m_context;
+    ShareExchange m_shareExchange;
     RelayHandler m_handler;
     HttpServer m_callerServer;
     HttpServer m_readinessServer;
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -38,6 +38,10 @@
                       .Name("lupinknot_relay_request_ms")
                       .Help("Time from a request's arrival to its answer, by kind.")
                       .Register(*m_registry))
+    , m_streams(prometheus::BuildCounter()
+                    .Name("lupinknot_relay_streams_total")
+                    .Help("Streams ended, by rank and outcome.")
+                    .Register(*m_registry))
     , resumedFromCopy(addCounter(
           *m_registry, "lupinknot_relay_resumed_from_copy_total", "Streams that went on from a copy of their memory."))
     , resumedCold(addCounter(
@@ -78,6 +82,13 @@
     m_failures.Add({ { "failure", std::string(traitsOf(kind).name) } }).Increment();
 }
 
+void RelayMetrics::countStream(std::optional<unsigned> rank, StreamOutcome outcome)
+{
+    const auto rankName = rank ? std::to_string(*rank) : std::string("none");
+    m_streams.Add({ { "rank", rankName }, { "outcome", std::string(nameIn(streamOutcomeNames, outcome)) } })
+        .Increment();
+}
+
 std::string RelayMetrics::exposition() const
 {
     std::ostringstream text;
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -2,9 +2,12 @@
 #pragma once
 
 #include "lupinknot/Clock.h"
+#include "lupinknot/EnumNames.h"
 #include "lupinknot/FailureKind.h"
 #include "relay/RequestKind.h"
+#include <array>
 #include <memory>
+#include <optional>
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
@@ -14,6 +17,23 @@
 
 namespace lupinknot::internal {
 
+// How a stream ended for its caller.
+enum class StreamOutcome {
+    InTime,
+    Late, // Complete, but its first event or a resumption came too late.
+    Refused, // Not run.
+    Failed, // Ended after it may have run.
+    CallerGone,
+};
+
+inline constexpr std::array<EnumName<StreamOutcome>, 5> streamOutcomeNames { {
+    { StreamOutcome::InTime, "in-time" },
+    { StreamOutcome::Late, "late" },
+    { StreamOutcome::Refused, "refused" },
+    { StreamOutcome::Failed, "failed" },
+    { StreamOutcome::CallerGone, "caller-gone" },
+} };
+
 // Thread-safe. The references are initialised once and point into the registry.
 class RelayMetrics {
 public:
@@ -21,6 +41,8 @@
 
     void countRequest(RequestKind, unsigned status, Milliseconds took);
     void countFailure(FailureKind);
+    // Counts a stream by its rank, empty when the configuration names none, and by how it ended.
+    void countStream(std::optional<unsigned> rank, StreamOutcome);
     std::string exposition() const;
 
 private:
@@ -28,6 +50,7 @@
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Counter>& m_failures;
     prometheus::Family<prometheus::Histogram>& m_durations;
+    prometheus::Family<prometheus::Counter>& m_streams;
 
 public:
     // Streams that resumed at another engine from a copy of their KV cache, or by a new prefill of the prompt.
--- a/src/relay/StreamTiming.cpp
+++ b/src/relay/StreamTiming.cpp
@@ -24,11 +24,16 @@
 {
 }
 
-std::int64_t StreamTiming::maxEvents() const
+std::uint32_t StreamTiming::tokensPerEvent() const
 {
     const auto* service = m_context.configuration->findService(m_request.service);
-    const auto tokensPerEvent = service ? service->tokensPerEvent : 0;
-    return tokensPerEvent == 0 ? 0 : static_cast<std::int64_t>(m_request.fields.maxAnswerTokens / tokensPerEvent);
+    return service ? service->tokensPerEvent : 0;
+}
+
+std::int64_t StreamTiming::maxEvents() const
+{
+    const auto tokens = tokensPerEvent();
+    return tokens == 0 ? 0 : static_cast<std::int64_t>(m_request.fields.maxAnswerTokens / tokens);
 }
 
 bool StreamTiming::lacksTimeToFinish(std::uint64_t lastEventId, bool isPromptKept) const
--- a/src/relay/StreamTiming.h
+++ b/src/relay/StreamTiming.h
@@ -22,6 +22,8 @@
 public:
     StreamTiming(RelayContext&, const RelayRequest&);
 
+    // Tokens of an event; 0 when unknown.
+    std::uint32_t tokensPerEvent() const;
     // Maximum number of events of the whole answer; 0 when unknown.
     std::int64_t maxEvents() const;
     // True when too little time is left for any engine to finish the stream before its deadline. The prefill takes no
--- a/test/RankReplayTest.cpp
+++ b/test/RankReplayTest.cpp
@@ -1,6 +1,7 @@
 // Replays loads of streams with objectives against a small model of engines: each reads one prompt at a time, the most
 // urgent waiting one first, and reports its queue 200 ms late. No network and no wall clock.
 #include "admission/AnswerLateness.h"
+#include "admission/OrganisationShares.h"
 #include "admission/PromptMix.h"
 #include "admission/RequestRank.h"
 #include "relay/EngineForecast.h"
@@ -220,3 +221,59 @@
         CHECK_TEXT(own.share(1) > replay(load, Order::LateAnswersLast, 0.0).share(1), "none of them");
     }
 }
+
+namespace {
+
+// Shares of answers in time of nine small organisations and of one that sends ten times as much as each of them, all of
+// one rank with an objective of 4 s. Together they send 1.5 times what the engines read for 10 s. An organisation above
+// the given multiple of its fair share is less urgent by one level; none is without a multiple.
+Result replayLargeOrganisation(std::optional<double> toleratedShare)
+{
+    constexpr int smallOrganisations = 9;
+    constexpr std::int64_t objective = 4000;
+    Result result;
+    std::array<double, 2> total {};
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        std::mt19937 random(seed);
+        std::uniform_real_distribution<double> uniform;
+        Engines engines(seed);
+        OrganisationShares shares;
+        std::vector<Prompt> prompts;
+        for (std::int64_t now = 0; now < 40000; now += stepMs) {
+            const double perStep = (now < 10000 ? 1.5 : 0.0) * engineCount * stepMs / prefillMs;
+            if (uniform(random) < perStep) {
+                const auto draw = uniform(random) * (10 + smallOrganisations);
+                const bool isLarge = draw < 10;
+                const auto name = isLarge ? "large" : "small" + std::to_string(static_cast<int>(draw));
+                Milliseconds forecast { 0 };
+                const auto engine = engines.choose(objective, 0.5, forecast);
+                const StreamState state { .objective = Milliseconds { objective }, .firstEventForecast = forecast };
+                const ShareKey key { "llm", 1, name };
+                const bool isAbove = toleratedShare && lacksRoom(state)
+                    && shares.isAboveShare(key, Milliseconds { now }, *toleratedShare);
+                shares.note(key, 8560, Milliseconds { now });
+                engines.send(engine, enginePriority(1, { .isAboveShare = isAbove }), prompts.size());
+                prompts.push_back({ now, isLarge ? 1U : 0U });
+                ++total.at(prompts.back().kind);
+            }
+            engines.advance(now, [&](std::size_t prompt) {
+                result.inTime.at(prompts[prompt].kind) += now - prompts[prompt].arrivedAt <= objective ? 1 : 0;
+            });
+        }
+    }
+    for (std::size_t kind = 0; kind < 2; ++kind)
+        result.inTime.at(kind) /= total.at(kind);
+    return result;
+}
+
+} // namespace
+
+// Guards against a large organisation that makes the answers of all others late.
+TEST(RankReplay, SmallOrganisationsAreServedBesideALargeOne)
+{
+    const auto without = replayLargeOrganisation(std::nullopt);
+    const auto with = replayLargeOrganisation(OrganisationShares::toleratedShare);
+    CHECK(without.share(0) < 0.6);
+    CHECK(with.share(0) > 0.8);
+    CHECK_TEXT(with.share(1) > 0.4, "the large organisation must not starve");
+}
