--- a/src/relay/ShareExchange.cpp
+++ b/src/relay/ShareExchange.cpp
@@ -30,6 +30,7 @@
     if (rows == body.end() || !rows->is_array() || rows->size() > OrganisationShares::maxOrganisations)
         return std::nullopt;
     std::vector<ShareCount> counts;
+    counts.reserve(rows->size());
     for (const auto& row : *rows) {
         if (!row.is_array() || row.size() < 4 || !row[0].is_string() || !row[1].is_number_unsigned()
             || !row[2].is_string() || !row[3].is_number())
@@ -154,6 +155,7 @@
         vm = vm->second.empty() ? m_collected.erase(vm) : std::next(vm);
     }
     std::vector<ShareCount> counts;
+    counts.reserve(sums.size());
     for (auto& [key, tokens] : sums)
         counts.push_back({ key, tokens });
     // More would evict each other.
--- a/test/RankReplayTest.cpp
+++ b/test/RankReplayTest.cpp
@@ -4,6 +4,8 @@
 #include "admission/OrganisationShares.h"
 #include "admission/PromptMix.h"
 #include "admission/RequestRank.h"
+#include "admission/WaitForCapacity.h"
+#include "admission/WaitingRequestLimit.h"
 #include "relay/EngineForecast.h"
 
 #include <algorithm>
@@ -277,3 +279,73 @@
     CHECK(with.share(0) > 0.8);
     CHECK_TEXT(with.share(1) > 0.4, "the large organisation must not starve");
 }
+
+namespace {
+
+// A service with 12 places and 60 ms a call returns after 2 s. 900 less urgent callers arrive in the first second and
+// 100 urgent ones in the next; each has 4 s and retries 10 ms after a refusal. Returns the shares that are served.
+Result replayImmediateRetries(bool hasRanks)
+{
+    struct Caller {
+        RequestRank rank;
+        WaitingCall call;
+        std::int64_t nextTryAt { 0 };
+        std::optional<WaitingRequestLimit::Place> place;
+        bool isServed { false };
+    };
+    std::vector<Caller> callers;
+    for (int i = 0; i < 1000; ++i) {
+        const bool isUrgent = i >= 900;
+        const auto arrival = isUrgent ? 1000 + 10 * (i - 900) : i;
+        callers.push_back({ { isUrgent ? 0U : 6U, hasRanks },
+            { Milliseconds { arrival }, Milliseconds { arrival + 4000 } }, arrival, std::nullopt });
+    }
+    WaitingRequestLimit limit;
+    std::array<std::int64_t, 12> busyUntil {};
+    std::mt19937 random(1);
+    std::uniform_real_distribution<double> uniform;
+    for (std::int64_t now = 0; now < 6000; ++now) {
+        for (auto& caller : callers) {
+            if (caller.isServed || caller.nextTryAt > now || caller.call.deadline.count() < now)
+                continue;
+            if (caller.place)
+                limit.leave(*std::exchange(caller.place, std::nullopt));
+            const auto place = std::min_element(busyUntil.begin(), busyUntil.end());
+            if (now >= 2000 && *place <= now) {
+                *place = now + 60;
+                caller.isServed = now + 60 <= caller.call.deadline.count();
+                continue;
+            }
+            caller.call.rank = caller.rank;
+            const Milliseconds instant { now };
+            const auto wait = waitForCapacity(caller.call, Milliseconds { 60 }, uniform(random), instant);
+            ++caller.call.rounds;
+            if (wait.waits) {
+                caller.place = limit.enter({ 1, { caller.rank, caller.call.arrivedAt } }, instant, [&caller, now] {
+                    caller.place.reset();
+                    caller.nextTryAt = now + 10;
+                });
+            }
+            // A caller that is refused comes back as a new request.
+            caller.nextTryAt = now + (caller.place ? wait.pause.count() : 10);
+            if (!caller.place)
+                caller.call = { instant, caller.call.deadline, 0 };
+        }
+    }
+    Result result;
+    for (const auto& caller : callers)
+        result.inTime.at(caller.rank.value > 0 ? 1 : 0) += caller.isServed ? 1 : 0;
+    return { { result.inTime[0] / 100, result.inTime[1] / 900 } };
+}
+
+} // namespace
+
+// Guards against urgent callers that are lost because the set of waiting requests is full of callers who retry at once.
+// Ranks do not improve the urgent share in this load: a refused caller tries more often than a waiting one.
+TEST(RankReplay, UrgentCallersAreServedBesideCallersWhoRetryAtOnce)
+{
+    const auto ranked = replayImmediateRetries(true);
+    CHECK(ranked.share(0) >= 0.9);
+    CHECK(ranked.share(0) > ranked.share(1) + 0.3);
+    CHECK(ranked.share(1) > replayImmediateRetries(false).share(1));
+}
