--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -19,6 +19,7 @@
 #include "relay/RelayContext.h"
 #include "relay/RelayHandler.h"
 #include "relay/RelayMetrics.h"
+#include "relay/ShareExchange.h"
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -55,12 +56,12 @@
     void setPermits(PermitSource* permits) { m_context.permits = permits; }
     // Sets the recorder of the requests that endpoints start; it must outlive run().
     void setUsageRecorder(UsageRecorder* usage) { m_context.usage = usage; }
+    // Sets the exchange with the VMs of this zone; it must outlive run().
+    void setZoneExchange(ZoneExchange*);
     // Sets the source of retries that other VMs lend; it must outlive run(). Without one, this VM uses its own part.
     void setRetryLoans(RetryLoanSource* loans) { m_context.retryLoans = loans; }
     // Lends a retry of this VM's part of the budget to another VM if enough are left.
     LoanDecision lendRetry(const RetryLoanRequest&);
-    // Sets the exchange of messages with the other VMs of the zone; it must outlive run().
-    void setZoneExchange(ZoneExchange* exchange) { m_context.zoneExchange = exchange; }
     ZoneExchange* zoneExchange() const { return m_context.zoneExchange; }
     EnginePaces& enginePaces() { return m_context.enginePaces; }
     RelayMetrics& metrics() { return m_metrics; }
@@ -112,6 +113,7 @@
     CrashGuard m_crashGuard;
     LocalPermits m_localPermits;
     RelayContext m_context;
+    ShareExchange m_shareExchange;
     RelayHandler m_handler;
     HttpServer m_callerServer;
     HttpServer m_readinessServer;
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -42,6 +42,10 @@
                          .Name("lupinknot_relay_zone_failures_total")
                          .Help("Failures of whole zones, by who detected them.")
                          .Register(*m_registry))
+    , m_streams(prometheus::BuildCounter()
+                    .Name("lupinknot_relay_streams_total")
+                    .Help("Streams ended, by rank and outcome.")
+                    .Register(*m_registry))
     , resumedFromCopy(addCounter(
           *m_registry, "lupinknot_relay_resumed_from_copy_total", "Streams that went on from a copy of their memory."))
     , resumedCold(addCounter(
@@ -97,6 +101,13 @@
     m_zoneFailures.Add({ { "source", std::string(nameIn(zoneFailureSourceNames, source)) } }).Increment();
 }
 
+void RelayMetrics::countStream(std::optional<unsigned> rank, StreamOutcome outcome)
+{
+    const auto rankName = rank ? std::to_string(*rank) : std::string("none");
+    m_streams.Add({ { "rank", rankName }, { "outcome", std::string(nameIn(streamOutcomeNames, outcome)) } })
+        .Increment();
+}
+
 std::string RelayMetrics::exposition() const
 {
     std::ostringstream text;
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -3,9 +3,12 @@
 
 #include "health/ZoneFailureSource.h"
 #include "lupinknot/Clock.h"
+#include "lupinknot/EnumNames.h"
 #include "lupinknot/FailureKind.h"
 #include "relay/RequestKind.h"
+#include <array>
 #include <memory>
+#include <optional>
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
@@ -15,6 +18,23 @@
 
 namespace lupinknot::internal {
 
+// How a stream ended for its caller.
+enum class StreamOutcome {
+    InTime,
+    Late, // Complete, but its first event or a resumption came too late.
+    Refused, // Not run.
+    Failed, // Ended after it may have run.
+    CallerGone,
+};
+
+inline constexpr std::array<EnumName<StreamOutcome>, 5> streamOutcomeNames { {
+    { StreamOutcome::InTime, "in-time" },
+    { StreamOutcome::Late, "late" },
+    { StreamOutcome::Refused, "refused" },
+    { StreamOutcome::Failed, "failed" },
+    { StreamOutcome::CallerGone, "caller-gone" },
+} };
+
 // Thread-safe. The references are initialised once and point into the registry.
 class RelayMetrics {
 public:
@@ -23,6 +43,8 @@
     void countRequest(RequestKind, unsigned status, Milliseconds took);
     void countFailure(FailureKind);
     void countZoneFailure(ZoneFailureSource);
+    // Counts a stream by its rank, empty when the configuration names none, and by how it ended.
+    void countStream(std::optional<unsigned> rank, StreamOutcome);
     std::string exposition() const;
 
 private:
@@ -31,6 +53,7 @@
     prometheus::Family<prometheus::Counter>& m_failures;
     prometheus::Family<prometheus::Histogram>& m_durations;
     prometheus::Family<prometheus::Counter>& m_zoneFailures;
+    prometheus::Family<prometheus::Counter>& m_streams;
 
 public:
     // Streams that resumed at another engine from a copy of their KV cache, or by a new prefill of the prompt.
--- a/test/RankReplayTest.cpp
+++ b/test/RankReplayTest.cpp
@@ -1,8 +1,11 @@
 // Replays loads of streams with objectives against a small model of engines: each reads one prompt at a time, the most
 // urgent waiting one first, and reports its queue 200 ms late. No network and no wall clock.
 #include "admission/AnswerLateness.h"
+#include "admission/OrganisationShares.h"
 #include "admission/PromptMix.h"
 #include "admission/RequestRank.h"
+#include "admission/WaitForCapacity.h"
+#include "admission/WaitingRequestLimit.h"
 #include "relay/EngineForecast.h"
 
 #include <algorithm>
@@ -220,3 +223,129 @@
         CHECK_TEXT(own.share(1) > replay(load, Order::LateAnswersLast, 0.0).share(1), "none of them");
     }
 }
+
+namespace {
+
+// Shares of answers in time of nine small organisations and of one that sends ten times as much as each of them, all of
+// one rank with an objective of 4 s. Together they send 1.5 times what the engines read for 10 s. An organisation above
+// the given multiple of its fair share is less urgent by one level; none is without a multiple.
+Result replayLargeOrganisation(std::optional<double> toleratedShare)
+{
+    constexpr int smallOrganisations = 9;
+    constexpr std::int64_t objective = 4000;
+    Result result;
+    std::array<double, 2> total {};
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        std::mt19937 random(seed);
+        std::uniform_real_distribution<double> uniform;
+        Engines engines(seed);
+        OrganisationShares shares;
+        std::vector<Prompt> prompts;
+        for (std::int64_t now = 0; now < 40000; now += stepMs) {
+            const double perStep = (now < 10000 ? 1.5 : 0.0) * engineCount * stepMs / prefillMs;
+            if (uniform(random) < perStep) {
+                const auto draw = uniform(random) * (10 + smallOrganisations);
+                const bool isLarge = draw < 10;
+                const auto name = isLarge ? "large" : "small" + std::to_string(static_cast<int>(draw));
+                Milliseconds forecast { 0 };
+                const auto engine = engines.choose(objective, 0.5, forecast);
+                const StreamState state { .objective = Milliseconds { objective }, .firstEventForecast = forecast };
+                const ShareKey key { "llm", 1, name };
+                const bool isAbove = toleratedShare && lacksRoom(state)
+                    && shares.isAboveShare(key, Milliseconds { now }, *toleratedShare);
+                shares.note(key, 8560, Milliseconds { now });
+                engines.send(engine, enginePriority(1, { .isAboveShare = isAbove }), prompts.size());
+                prompts.push_back({ now, isLarge ? 1U : 0U });
+                ++total.at(prompts.back().kind);
+            }
+            engines.advance(now, [&](std::size_t prompt) {
+                result.inTime.at(prompts[prompt].kind) += now - prompts[prompt].arrivedAt <= objective ? 1 : 0;
+            });
+        }
+    }
+    for (std::size_t kind = 0; kind < 2; ++kind)
+        result.inTime.at(kind) /= total.at(kind);
+    return result;
+}
+
+} // namespace
+
+// Guards against a large organisation that makes the answers of all others late.
+TEST(RankReplay, SmallOrganisationsAreServedBesideALargeOne)
+{
+    const auto without = replayLargeOrganisation(std::nullopt);
+    const auto with = replayLargeOrganisation(OrganisationShares::toleratedShare);
+    CHECK(without.share(0) < 0.6);
+    CHECK(with.share(0) > 0.8);
+    CHECK_TEXT(with.share(1) > 0.4, "the large organisation must not starve");
+}
+
+namespace {
+
+// A service with 12 places and 60 ms a call returns after 2 s. 900 less urgent callers arrive in the first second and
+// 100 urgent ones in the next; each has 4 s and retries 10 ms after a refusal. Returns the shares that are served.
+Result replayImmediateRetries(bool hasRanks)
+{
+    struct Caller {
+        RequestRank rank;
+        WaitingCall call;
+        std::int64_t nextTryAt { 0 };
+        std::optional<WaitingRequestLimit::Place> place;
+        bool isServed { false };
+    };
+    std::vector<Caller> callers;
+    for (int i = 0; i < 1000; ++i) {
+        const bool isUrgent = i >= 900;
+        const auto arrival = isUrgent ? 1000 + 10 * (i - 900) : i;
+        callers.push_back({ { isUrgent ? 0U : 6U, hasRanks },
+            { Milliseconds { arrival }, Milliseconds { arrival + 4000 } }, arrival, std::nullopt });
+    }
+    WaitingRequestLimit limit;
+    std::array<std::int64_t, 12> busyUntil {};
+    std::mt19937 random(1);
+    std::uniform_real_distribution<double> uniform;
+    for (std::int64_t now = 0; now < 6000; ++now) {
+        for (auto& caller : callers) {
+            if (caller.isServed || caller.nextTryAt > now || caller.call.deadline.count() < now)
+                continue;
+            if (caller.place)
+                limit.leave(*std::exchange(caller.place, std::nullopt));
+            const auto place = std::min_element(busyUntil.begin(), busyUntil.end());
+            if (now >= 2000 && *place <= now) {
+                *place = now + 60;
+                caller.isServed = now + 60 <= caller.call.deadline.count();
+                continue;
+            }
+            caller.call.rank = caller.rank;
+            const Milliseconds instant { now };
+            const auto wait = waitForCapacity(caller.call, Milliseconds { 60 }, uniform(random), instant);
+            ++caller.call.rounds;
+            if (wait.waits) {
+                caller.place = limit.enter({ 1, { caller.rank, caller.call.arrivedAt } }, instant, [&caller, now] {
+                    caller.place.reset();
+                    caller.nextTryAt = now + 10;
+                });
+            }
+            // A caller that is refused comes back as a new request.
+            caller.nextTryAt = now + (caller.place ? wait.pause.count() : 10);
+            if (!caller.place)
+                caller.call = { instant, caller.call.deadline, 0 };
+        }
+    }
+    Result result;
+    for (const auto& caller : callers)
+        result.inTime.at(caller.rank.value > 0 ? 1 : 0) += caller.isServed ? 1 : 0;
+    return { { result.inTime[0] / 100, result.inTime[1] / 900 } };
+}
+
+} // namespace
+
+// Guards against urgent callers that are lost because the set of waiting requests is full of callers who retry at once.
+// Ranks do not improve the urgent share in this load: a refused caller tries more often than a waiting one.
+TEST(RankReplay, UrgentCallersAreServedBesideCallersWhoRetryAtOnce)
+{
+    const auto ranked = replayImmediateRetries(true);
+    CHECK(ranked.share(0) >= 0.9);
+    CHECK(ranked.share(0) > ranked.share(1) + 0.3);
+    CHECK(ranked.share(1) > replayImmediateRetries(false).share(1));
+}
