Apply the settings of the copier's tests, and fail zones later than the copies

Cause: the relay takes over its settings with the first endpoint, so that settings of single tests had no effect; a zone that fails in the same millisecond in which a copy is requested does not count as failed since. Change: tests add the engine after their settings and wait for the next millisecond.

--- a/test/RunCopierTest.cpp
+++ b/test/RunCopierTest.cpp
@@ -33,6 +33,11 @@
         answerOrder = [this](ScriptedConnection& asker) {
             asker.answer(200, "", R"({"handle":"h)" + std::to_string(orders.size()) + R"(","create-rev":1})");
         };
+    }
+
+    // The relay takes over its settings with the first endpoint.
+    void addEngine()
+    {
         engine = &relay->addEndpoint("e1", "a");
         engine->onRequest([this](ScriptedConnection& asker, const std::string& request) {
             if (request.find("POST /stream/") == 0) {
@@ -80,6 +85,12 @@
         return "";
     }
 
+    // A zone's failure must be later than the copies, by the milliseconds of the relay's clock.
+    void awaitNextMillisecond()
+    {
+        const auto& clock = relay->daemon().clock();
+        CHECK(relay->runUntil([&clock, start = clock.now()] { return clock.now() > start; }));
+    }
     void failTogether(const std::vector<std::string>& ids)
     {
         auto& directory = relay->daemon().directory();
@@ -115,6 +126,7 @@
 {
     relay->settings.retryRatio = 0;
     relay->settings.retrySlack = 0;
+    addEngine();
     relay->addEndpoint("e2", "b");
     relay->addEndpoint("e3", "c");
     const auto holder = begin();
@@ -135,6 +147,7 @@
 // Guards against a stream that starts over although an ordered copy of it exists.
 TEST(RunCopier, ContinuesFromTheOrderedCopyWhenTheEngineIsLost)
 {
+    addEngine();
     auto& second = relay->addEndpoint("e2", "b");
     auto& third = relay->addEndpoint("e3", "c");
     second.onRequest(continues);
@@ -152,6 +165,7 @@
 // Guards against continuing at an engine that ended after it had received the ordered copy.
 TEST(RunCopier, OrdersAnotherCopyWhenTheHolderEndsBeforeItIsUsed)
 {
+    addEngine();
     auto& second = relay->addEndpoint("e2", "b");
     auto& third = relay->addEndpoint("e3", "c");
     auto& fourth = relay->addEndpoint("e4", "c");
@@ -177,6 +191,7 @@
 // Guards against giving up the cover of a run, or asking for the same full target again, after a 503.
 TEST(RunCopier, OrdersACopyAtAnotherTargetAfterEachRejection)
 {
+    addEngine();
     for (const std::string id : { "e2", "e3", "e4", "e5", "e6" })
         relay->addEndpoint(id, "b");
     answerOrder
@@ -192,6 +207,7 @@
 // Guards against a stream that starts over although another copy of it is known when the first engine has none.
 TEST(RunCopier, TriesTheOtherCopyWhenTheFirstIsRejected)
 {
+    addEngine();
     auto& second = relay->addEndpoint("e2", "b");
     auto& third = relay->addEndpoint("e3", "c");
     const auto holder = begin();
@@ -215,6 +231,7 @@
 // Guards against memory held at the target when the stream ends while the order is under way.
 TEST(RunCopier, DeletesTheHandleOfACopyThatIsMadeAfterTheStreamEnded)
 {
+    addEngine();
     relay->addEndpoint("e2", "b");
     relay->addEndpoint("e3", "c");
     std::shared_ptr<ScriptedConnection> ordering;
@@ -234,6 +251,7 @@
 TEST(RunCopier, RefreshesTheCopyAtItsHolder)
 {
     relay->useCopyingService(Milliseconds { 500 });
+    addEngine();
     relay->addEndpoint("e2", "b");
     relay->addEndpoint("e3", "c");
     remove(begin());
@@ -249,10 +267,12 @@
 TEST(RunCopier, DoesNotContinueFromACopyInAZoneThatHasFailedSince)
 {
     relay->settings.avoidZone = relay->settings.suspectAfterZoneFailure = Milliseconds { 0 };
+    addEngine();
     answerOrder = [](ScriptedConnection& asker) { asker.answer(503, "", ""); };
     for (auto* const endpoint : { &relay->addEndpoint("e2", "b"), &relay->addEndpoint("e3", "b") })
         endpoint->onRequest(continues);
     begin();
+    awaitNextMillisecond();
     failTogether({ "e2", "e3" });
     running->reset();
     expectWhole();
@@ -263,6 +283,7 @@
 TEST(RunCopier, DoesNotTryACopyWhoseZoneHasFailedInTheMeantime)
 {
     relay->settings.avoidZone = relay->settings.suspectAfterZoneFailure = Milliseconds { 0 };
+    addEngine();
     auto& growing = relay->addEndpoint("e2", "b");
     relay->addEndpoint("e3", "c").onRequest(continues);
     auto& other = relay->addEndpoint("e4", "c");
@@ -281,6 +302,7 @@
     remove("e2");
     CHECK(awaitCopies(1));
     relay->daemon().directory().upsert(entry, relay->daemon().clock().now());
+    awaitNextMillisecond();
     running->reset();
     expectWhole();
     CHECK(growing.hasReceived(0, "Kv-From"));
