--- a/src/health/ZoneFailureHistory.cpp
+++ b/src/health/ZoneFailureHistory.cpp
@@ -62,8 +62,8 @@
         if (std::find(zones.begin(), zones.end(), failure.zone) == zones.end())
             continue;
         const auto positions = positionsOf(failure.zone, zones, last);
-        for (std::size_t i = 0; i < positions.count; ++i)
-            counts[positions.first + i] += 1 / static_cast<double>(positions.count);
+        if (positions.count == 1)
+            counts[positions.first] += 1;
         last[failure.zone] = failure.at;
     }
     return counts;
--- a/src/health/ZoneFailureHistory.h
+++ b/src/health/ZoneFailureHistory.h
@@ -31,8 +31,9 @@
     };
 
     static constexpr std::size_t maxFailures = 32;
-    // With equal shares, evidence of this strength arises in at most one of this many histories.
-    static constexpr double minEvidence = 4;
+    // With equal shares, evidence of this strength ever arises in at most one of this many histories. A lower value
+    // learns one failure earlier, but prefers zones by chance more often (docs/design/zone-failures.md).
+    static constexpr double minEvidence = 9;
     // Two failures of a zone within this time are one, seen by different collectors or by VMs that used its endpoints
     // before they returned.
     static constexpr Milliseconds sameFailureWithin { 2000 };
@@ -52,7 +53,8 @@
     double evidence(const std::vector<std::string>& zones) const;
 
 private:
-    // How often the failed zone was at each position. Zones that tie for some positions count equally for each of them.
+    // How often the failed zone was at each position. A zone that tied with another one, because neither had failed
+    // yet, does not count.
     std::vector<double> positionCounts(const std::vector<std::string>& zones) const;
 
     std::vector<Failure> m_failures;
