--- a/test/EventStreamCallTest.cpp
+++ b/test/EventStreamCallTest.cpp
@@ -488,23 +488,6 @@
     relay->addEndpoint("e1", "a").onRequest(sendsAndResets(2));
     relay->addEndpoint("e2", "b").onRequest([](ScriptedConnection& asker, const std::string&) {
         asker.answer(503, "X-Request-Id: r1\r\nX-Not-Executed: 1\r\n", "");
-
-// A response that concerns the request only, or an engine that answers probes but pauses, counted as the failure of an
-// engine, and a request that several engines could not answer as the failure of their zone.
-TEST(EventStreamCall, ReportsOnlyFailuresThatConcernTheEndpoint)
-{
-    std::vector<std::string> reported;
-    relay->daemon().directory().onEndpointFailure(
-        [&reported](const RelayEndpoint& endpoint) { reported.push_back(endpoint.entry().id); });
-    relay->addEndpoint("e1", "a").onRequest(sendsAndResets(2));
-    relay->addEndpoint("e2", "b").onRequest(sends(9, 9, "X-Request-Id: r1\r\nX-Response-Signature: t\r\n"));
-    relay->addEndpoint("e3", "c").onRequest([](ScriptedConnection& asker, const std::string& request) {
-        if (request.find("/stream/") == std::string::npos) {
-            asker.answer(200, "", "{}");
-            return;
-        }
-        asker.beginStream("X-Request-Id: r1\r\nX-Response-Signature: t\r\n");
-        asker.sendEvent(3);
     });
     ready();
     const auto caller = relay->call("/stream/1");
@@ -547,7 +530,28 @@
     await(caller);
     STRCMP_EQUAL(events(1, 4).c_str(), caller->body.c_str());
     LONGS_EQUAL(1, loans->requests.size());
+}
 
+// A response that concerns the request only, or an engine that answers probes but pauses, counted as the failure of an
+// engine, and a request that several engines could not answer as the failure of their zone.
+TEST(EventStreamCall, ReportsOnlyFailuresThatConcernTheEndpoint)
+{
+    std::vector<std::string> reported;
+    relay->daemon().directory().onEndpointFailure(
+        [&reported](const RelayEndpoint& endpoint) { reported.push_back(endpoint.entry().id); });
+    relay->addEndpoint("e1", "a").onRequest(sendsAndResets(2));
+    relay->addEndpoint("e2", "b").onRequest(sends(9, 9, "X-Request-Id: r1\r\nX-Response-Signature: t\r\n"));
+    relay->addEndpoint("e3", "c").onRequest([](ScriptedConnection& asker, const std::string& request) {
+        if (request.find("/stream/") == std::string::npos) {
+            asker.answer(200, "", "{}");
+            return;
+        }
+        asker.beginStream("X-Request-Id: r1\r\nX-Response-Signature: t\r\n");
+        asker.sendEvent(3);
+    });
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
     LONGS_EQUAL_TEXT(1, reported.size(), "only the connection of e1 broke");
     STRCMP_EQUAL("e1", reported.front().c_str());
 }
