--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -64,8 +64,6 @@
     RetryLoanSource* retryLoans { nullptr };
     // Paces of single engines, relative to their service.
     EnginePaces enginePaces {};
-    // Null when the VMs of a zone do not exchange what they learn.
-    ZoneExchange* zoneExchange { nullptr };
 
     Milliseconds now() const { return clock.now(); }
     bool has(Policy) const;
