--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -206,7 +206,8 @@
     noteRoom(answered);
     if (!engine)
         engine = m_context.placement.choose(placementRequest(), now);
-    if (engine)
+    // The last report of an engine that has not answered now may be old.
+    if (std::find(answered.begin(), answered.end(), engine) != answered.end())
         m_firstEventForecast = firstEventForecastAt(*engine);
     if (engine)
         logChoice(*engine, answered.size(), forecastDelay(work, *engine, pace));
