--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -223,7 +223,9 @@
     if (!engine)
         engine = m_context.placement.choose(placementRequest(), now);
     if (engine) {
-        m_firstEventForecast = firstEventForecastAt(*engine);
+        // The last report of an engine that has not answered now may be old.
+        if (std::find(answered.begin(), answered.end(), engine) != answered.end())
+            m_firstEventForecast = firstEventForecastAt(*engine);
         const auto relativePace = m_context.placement.paceOf(*engine, now);
         logChoice(*engine, answered.size(), relativePace, forecastDelay(work, *engine, pace.scaledBy(relativePace)));
     }
