Mend the findings of clang-tidy in the copy study and its tests

Cause: a division by a count that the analyzer takes for zero, and a constant that prevents a move. Change: the count is bounded, and the ids are plain strings.

--- a/bench/CopyStudy.cpp
+++ b/bench/CopyStudy.cpp
@@ -3,7 +3,7 @@
 //     CopyStudy [SEEDS]
 //
 // Prints for each way the share of the runs lost in mid-stream that continue from a copy, and what it costs; then the
-// effect of the settings of CopyRenewal. Each row is the sum of SEEDS simulations of 60 s (5 by default).
+// effect of the settings of CopyRenewal. Each row is the mean of SEEDS simulations of 60 s (5 by default).
 #include "model/CopyModel.h"
 
 #include <algorithm>
@@ -34,7 +34,8 @@
         sum.heldCopies += outcome.heldCopies / static_cast<double>(seedCount);
         worst = std::min(worst, outcome.coveredShare());
     }
-    const auto each = [](std::uint64_t count) { return static_cast<unsigned long>(count / seedCount); };
+    const auto each = [seeds = std::max<std::uint64_t>(seedCount, 1)](
+                          std::uint64_t count) { return static_cast<unsigned long>(count / seeds); };
     std::printf("%-44s %6lu %7.3f %7.3f %8lu %8lu %9lu %6lu %6.1f\n", name.c_str(), each(sum.lost), sum.coveredShare(),
         worst, each(sum.rejected), each(sum.orders), each(sum.refreshes), each(sum.moves), sum.heldCopies);
 }
--- a/test/RunCopierTest.cpp
+++ b/test/RunCopierTest.cpp
@@ -77,7 +77,7 @@
         relay->list();
         caller = relay->call("/stream/1");
         CHECK(relay->runUntil([&] { return !caller->body.empty(); }));
-        for (const std::string id : { "e2", "e3", "e4", "e5", "e6" }) {
+        for (const char* const id : { "e2", "e3", "e4", "e5", "e6" }) {
             const auto endpoint = relay->daemon().directory().find(id);
             if (endpoint && engine->hasReceived(0, "X-Kv-Backup: " + endpoint->entry().address.text() + "\r\n"))
                 return id;
