Lower the VMs' share of the retry budget to 0.84

Cause: the simulations with loans have VMs that freeze, and showed that the budget in force does not hold then: requests move from VMs that have spent their parts to others that earn new parts in the same window. Loans are not the cause. Change: retryShare 0.84 instead of 0.87; RetryBudgetFleetTest has such a fleet.

--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -33,7 +33,7 @@
     Milliseconds retrySlackStartsAt { 0 };
     double retryShareAfterStart { 0.7 };
     // Share of the budget that VMs use; the rest makes up for VMs that count at different times and for rounding up.
-    double retryShare { 0.87 };
+    double retryShare { 0.84 };
     // Share of this VM's part that may be used for proactive retries, and for calls that a full service rejects.
     double proactiveShare { 0.6 };
     // The same for streams that are late in any case: their callers gain little from them.
--- a/test/RetryBudgetFleetTest.cpp
+++ b/test/RetryBudgetFleetTest.cpp
@@ -47,6 +47,26 @@
     }
 }
 
+// VMs freeze, and the callers of a zone move to others, so that VMs that have spent their parts lose requests to VMs
+// that earn new parts for them within the same window. With a share of 0.87 of the budget, 5 of these 40
+// simulations exceeded it, by up to 35 retries.
+TEST(RetryBudgetFleet, StaysWithinTheBudgetWhileRequestsMoveAwayFromFrozenVms)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+        checkStaysWithinBudget({ .seed = seed,
+            .vmCount = 54,
+            .requestsPerSecond = 202,
+            .runSeconds = 10.7,
+            .lossEverySeconds = 8,
+            .rejectedShare = 0.03,
+            .rejectedShareWhileStoreSilent = 0.88,
+            .movedShare = 0.01,
+            .restartShare = 0.24,
+            .restartEverySeconds = 10,
+            .zoneLeftAtSecond = 25,
+            .frozenShare = 0.19 });
+}
+
 // The budget must be usable: where losses are alike on all VMs, they spend most of it.
 TEST(RetryBudgetFleet, SpendsMostOfTheBudgetWhenLossesAffectAllVms)
 {
