--- a/test/PeerPacesTest.cpp
+++ b/test/PeerPacesTest.cpp
@@ -29,8 +29,8 @@
         {
             zone.m_exchanges.push_back(this);
         }
-        void report(std::string_view, std::string body) override { m_zone.send(std::move(body), true); }
-        void publish(std::string_view, std::string body) override { m_zone.send(std::move(body), false); }
+        void report(std::string_view, std::string body) override { m_zone.send(body, true); }
+        void publish(std::string_view, std::string body) override { m_zone.send(body, false); }
         void onReport(std::string_view, Handler handler) override { m_onReport = std::move(handler); }
         void onNews(std::string_view, Handler handler) override { m_onNews = std::move(handler); }
 
@@ -40,7 +40,7 @@
         bool m_isCollector;
     };
 
-    void send(std::string body, bool isReport)
+    void send(const std::string& body, bool isReport)
     {
         largest = std::max(largest, body.size());
         (isReport ? reportedBytes : publishedBytes) += body.size() + PeerPaces::messageOverhead;
@@ -171,7 +171,7 @@
     const auto allowedNews
         = (PeerPaces::sentBytesPerSecond * seconds / 667.0 + PeerPaces::minBodyBytes + PeerPaces::messageOverhead) * 2;
     CHECK(static_cast<double>(zone.publishedBytes) <= allowedNews);
-    CHECK(zone.largest <= 16 * 1024);
+    CHECK(zone.largest <= 16'384);
 }
 
 TEST(PeerPaces, ManyEnginesAreSpreadOverSeveralBodies)
@@ -205,7 +205,7 @@
         vms[0]->exchange.m_onReport(body);
         vms[0]->exchange.m_onNews(body);
     }
-    CHECK_FALSE(decodePaces(std::string(17 * 1024, ' ') + R"({"services":[]})", clock.now()).has_value());
+    CHECK_FALSE(decodePaces(std::string(17'000, ' ') + R"({"services":[]})", clock.now()).has_value());
     LONGS_EQUAL(0, vms[0]->paces.size());
     // An address without a port belongs to no endpoint.
     vms[0]->exchange.m_onNews(R"({"services":[{"name":"s","engines":[["nowhere",20,5],["10.0.0.1:x",20,5]]}]})");
