Configure the copier's test relay once

The test DoesNotTryACopyWhoseZoneHasFailedInTheMeantime failed when its first stream was copied to another engine than e2: the second begin() applied the emptied builder, a configuration without routes. Its checks are unchanged.

--- a/test/RunCopierTest.cpp
+++ b/test/RunCopierTest.cpp
@@ -17,6 +17,8 @@
     std::vector<std::string> orders;
     std::vector<std::string> releases;
     std::function<void(ScriptedConnection&)> answerOrder;
+    // The configuration's builder is empty once it has been applied.
+    bool isConfigured { false };
     std::shared_ptr<TestCaller> caller;
 
     void setup() override
@@ -73,8 +75,10 @@
     // Begins a stream at the engine and returns the id of the engine that gets its growing copy.
     std::string begin()
     {
-        relay->configure();
-        relay->list();
+        if (!std::exchange(isConfigured, true)) {
+            relay->configure();
+            relay->list();
+        }
         caller = relay->call("/stream/1");
         CHECK(relay->runUntil([&] { return !caller->body.empty(); }));
         for (const char* const id : { "e2", "e3", "e4", "e5", "e6" }) {
