--- a/bench/ZoneFailureStudy.cpp
+++ b/bench/ZoneFailureStudy.cpp
@@ -54,6 +54,7 @@
 {
     const int inZone = fleet.engines / zoneCount;
     std::vector<bool> hasFailed;
+    hasFailed.reserve(static_cast<std::size_t>(inZone));
     const auto share = uniform(random, 0.86, 0.99);
     for (int i = 0; i < inZone; ++i)
         hasFailed.push_back(uniform(random, 0.0, 1.0) < share);
@@ -218,7 +219,7 @@
     for (std::size_t i = observed.zones.size() - count; i < observed.zones.size(); ++i) {
         const auto [first, ties] = positions(observed.zones[i]);
         for (int k = 0; k < ties; ++k)
-            counts[static_cast<std::size_t>(first + k)] += 1.0 / ties;
+            counts[static_cast<std::size_t>(first) + static_cast<std::size_t>(k)] += 1.0 / ties;
         sum += 1;
         last[static_cast<std::size_t>(observed.zones[i])] = static_cast<int>(i);
     }
@@ -226,7 +227,8 @@
     for (int zone = 0; zone < 3; ++zone) {
         const auto [first, ties] = positions(zone);
         for (int k = 0; k < ties; ++k)
-            shares[static_cast<std::size_t>(zone)] += counts[static_cast<std::size_t>(first + k)] / sum / ties;
+            shares[static_cast<std::size_t>(zone)]
+                += counts[static_cast<std::size_t>(first) + static_cast<std::size_t>(k)] / sum / ties;
     }
     return shares;
 }
