--- a/src/admission/PromptMix.h
+++ b/src/admission/PromptMix.h
@@ -51,7 +51,7 @@
     }
 
 private:
-    std::array<unsigned, lowestRank + 1> m_counts {};
+    std::array<unsigned, leastUrgentRank + 1> m_counts {};
 };
 
 } // namespace lupinknot::internal
--- a/src/admission/RequestRank.cpp
+++ b/src/admission/RequestRank.cpp
@@ -8,8 +8,9 @@
 
 constexpr unsigned leastUrgentInTime = 7;
 constexpr unsigned latePriority = 8;
-constexpr unsigned lateLowRankPriority = 9;
-constexpr unsigned lastUrgentRank = 4;
+constexpr unsigned lessUrgentLatePriority = 9;
+// Late answers of less urgent ranks come last.
+constexpr unsigned leastUrgentOfLatePriority = 4;
 constexpr double delaySpread = 0.25;
 
 } // namespace
@@ -17,13 +18,13 @@
 RequestRank effectiveRank(std::optional<unsigned> organisationRank, std::optional<unsigned> routeRank)
 {
     const auto rank = organisationRank ? organisationRank : routeRank;
-    return { rank.value_or(defaultRank), rank.has_value() };
+    return { rank.value_or(defaultRequestRank), rank.has_value() };
 }
 
 unsigned enginePriority(unsigned rank, const AnswerStanding& standing)
 {
     if (standing.isLate)
-        return rank > lastUrgentRank ? lateLowRankPriority : latePriority;
+        return rank > leastUrgentOfLatePriority ? lessUrgentLatePriority : latePriority;
     return std::min(rank + (standing.isAboveShare ? 1 : 0), leastUrgentInTime);
 }
 
@@ -31,7 +32,7 @@
 {
     if (ageingTime <= Milliseconds { 0 } || waited <= Milliseconds { 0 })
         return rank;
-    const auto levels = static_cast<unsigned>(std::min<std::int64_t>(waited / ageingTime, lowestRank));
+    const auto levels = static_cast<unsigned>(std::min<std::int64_t>(waited / ageingTime, leastUrgentRank));
     return { rank.value - std::min(levels, rank.value), rank.isNamed };
 }
 
--- a/src/admission/RequestRank.h
+++ b/src/admission/RequestRank.h
@@ -2,9 +2,8 @@
 // the pauses of waiting requests and refused callers.
 //
 // Load patterns:
-// - Demand exceeds the engines for some seconds. Answers that can still be in time come first, by rank; late answers
-// get
-//   the engine time that these leave.
+// - Demand exceeds the engines for some seconds. Answers that can still be in time come first, by rank; late ones get
+//   the engine time that is left.
 // - A surge fills the set of waiting requests with requests of a low rank before urgent ones arrive.
 // - Callers that are refused together retry after the same time, and are refused together again.
 //
@@ -21,12 +20,12 @@
 namespace lupinknot::internal {
 
 // Ranks and engine priorities: 0 is the most urgent.
-inline constexpr unsigned lowestRank = 9;
+inline constexpr unsigned leastUrgentRank = 9;
 // What engines assume for a request without a priority.
-inline constexpr unsigned defaultRank = 5;
+inline constexpr unsigned defaultRequestRank = 5;
 
 struct RequestRank {
-    unsigned value { defaultRank };
+    unsigned value { defaultRequestRank };
     // True if the configuration names the rank. Requests without a named rank are served as if there were no ranks.
     bool isNamed { false };
 };
--- a/src/copies/CopyRenewalSettings.h
+++ b/src/copies/CopyRenewalSettings.h
@@ -1,5 +1,4 @@
-// Times and shares of the copies that are ordered for running runs. docs/design/copies.md has the comparison behind the
-// values.
+// Times and shares of the copies that are ordered for running runs (docs/design/copies.md).
 #pragma once
 
 #include "lupinknot/Clock.h"
--- a/src/copies/RunCopier.cpp
+++ b/src/copies/RunCopier.cpp
@@ -111,7 +111,8 @@
                                                        .zonesToAvoid = { run.endpoint->entry().availabilityZone },
                                                        .version = m_rollout.next(),
                                                        .mustBeHealthy = true,
-                                                       .limited = LimitedEndpoints::Unrestricted },
+                                                       .limited = LimitedEndpoints::Unrestricted,
+                                                       .prefersSafestZone = true },
         now);
     if (target) {
         send(run, target, nameIn(copyLossNames, loss));
@@ -177,7 +178,7 @@
     const bool isRefresh = order && m_copy && m_copy->holder == order->target();
     // The handle of a refresh is that of the copy, from which the stream may be about to continue.
     if (!isRefresh)
-        RunCopyOrder::abandon(order);
+        RunCopyOrder::abandon(order, m_copy ? m_copy->handle : std::string());
 }
 
 std::vector<RunTarget> RunCopier::runLost(const StreamRun& run)
@@ -208,8 +209,14 @@
 
 void RunCopier::releaseUnused()
 {
-    for (const auto& copy : std::exchange(m_earlierCopies, {}))
-        HandleRelease::send(m_context, copy.source, copy.handle);
+    for (const auto& copy : std::exchange(m_earlierCopies, {})) {
+        // After a restart, the same handle may be that of another run.
+        const auto& entry = copy.source->entry();
+        const bool mayHaveRestarted = copy.source->isRemoved()
+            || m_context.directory.hasZoneFailedSince(entry.service, entry.availabilityZone, copy.confirmedAt);
+        if (!mayHaveRestarted)
+            HandleRelease::send(m_context, copy.source, copy.handle);
+    }
 }
 
 void RunCopier::end()
--- a/src/copies/RunCopyOrder.cpp
+++ b/src/copies/RunCopyOrder.cpp
@@ -56,11 +56,12 @@
 {
 }
 
-void RunCopyOrder::abandon(std::shared_ptr<RunCopyOrder> order)
+void RunCopyOrder::abandon(std::shared_ptr<RunCopyOrder> order, std::string handleInUse)
 {
     if (!order)
         return;
     order->m_callback = nullptr;
+    order->m_handleInUse = std::move(handleInUse);
     order->m_lifetime.expires_after(order->m_context.settings.copies.copyOrderTimeout);
     order->m_lifetime.async_wait([order](boost::system::error_code) {});
 }
@@ -77,7 +78,7 @@
         return;
     }
     m_lifetime.cancel();
-    if (!answer.handle.empty())
+    if (!answer.handle.empty() && answer.handle != m_handleInUse)
         HandleRelease::send(m_context, m_source, answer.handle);
 }
 
--- a/src/copies/RunCopyOrder.h
+++ b/src/copies/RunCopyOrder.h
@@ -33,8 +33,9 @@
     static std::shared_ptr<RunCopyOrder> start(RelayContext&, std::shared_ptr<RelayEndpoint> source,
         std::shared_ptr<RelayEndpoint> target, const std::string& requestId, Callback);
     // Keeps the order until it is answered or times out, so that the copy does not hold memory at the target until it
-    // expires. No callback follows.
-    static void abandon(std::shared_ptr<RunCopyOrder>);
+    // expires. An engine may return the same handle for several copies of a run: the given one is not released. No
+    // callback follows.
+    static void abandon(std::shared_ptr<RunCopyOrder>, std::string handleInUse);
 
     const std::shared_ptr<RelayEndpoint>& source() const { return m_source; }
     const std::shared_ptr<RelayEndpoint>& target() const { return m_target; }
@@ -49,6 +50,7 @@
     const std::shared_ptr<RelayEndpoint> m_target;
     const Milliseconds m_startedAt;
     Callback m_callback;
+    std::string m_handleInUse;
     std::shared_ptr<HttpRoundTrip> m_request;
     // Runs after the order was abandoned.
     boost::asio::steady_timer m_lifetime;
--- a/src/health/ZoneFailureDetector.cpp
+++ b/src/health/ZoneFailureDetector.cpp
@@ -53,7 +53,7 @@
     const std::pair key { failure.service, failure.zone };
     if (at > now || now - at > minInterval || !isCounted(failure.endpointId, listed))
         return std::nullopt;
-    if (m_zones.size() >= maxZones && !m_zones.contains(key))
+    if (!makeRoom(key, now))
         return std::nullopt;
     auto& zone = m_zones[key];
     std::erase_if(zone.failures, [now](const auto& entry) { return now - entry.second > 2 * minInterval; });
@@ -69,10 +69,23 @@
     return ZoneFailure { failure.service, failure.zone, first, now, count };
 }
 
+bool ZoneFailureDetector::makeRoom(const std::pair<std::string, std::string>& key, Milliseconds now)
+{
+    if (m_zones.size() < maxZones || m_zones.contains(key))
+        return true;
+    std::erase_if(m_zones, [now](const auto& entry) {
+        const auto& [failures, declaredAt] = entry.second;
+        const bool isQuiet = std::all_of(failures.begin(), failures.end(),
+            [now](const auto& failure) { return now - failure.second > 2 * minInterval; });
+        return isQuiet && (!declaredAt || now - *declaredAt > minInterval);
+    });
+    return m_zones.size() < maxZones;
+}
+
 void ZoneFailureDetector::noteDeclared(const std::string& service, const std::string& zone, Milliseconds at)
 {
     const std::pair key { service, zone };
-    if (m_zones.size() >= maxZones && !m_zones.contains(key))
+    if (!makeRoom(key, at))
         return;
     auto& declaredAt = m_zones[key].declaredAt;
     declaredAt = std::max(declaredAt.value_or(at), at);
--- a/src/health/ZoneFailureDetector.h
+++ b/src/health/ZoneFailureDetector.h
@@ -74,6 +74,9 @@
         std::optional<Milliseconds> declaredAt;
     };
 
+    // Forgets zones without recent failures if there is no room for another one. Returns whether there is room.
+    bool makeRoom(const std::pair<std::string, std::string>& key, Milliseconds now);
+
     // By service and zone.
     std::map<std::pair<std::string, std::string>, Zone> m_zones;
 };
--- a/src/health/ZoneFailureHistory.h
+++ b/src/health/ZoneFailureHistory.h
@@ -31,8 +31,7 @@
     };
 
     static constexpr std::size_t maxFailures = 32;
-    // With equal shares, evidence of this strength ever arises in at most one of this many histories. A lower value
-    // learns one failure earlier, but prefers zones by chance more often (docs/design/zone-failures.md).
+    // With equal shares, evidence of this strength ever arises in at most one of this many histories.
     static constexpr double minEvidence = 9;
     // Two failures of a zone within this time are one, seen by different collectors or by VMs that used its endpoints
     // before they returned.
--- a/src/relay/EngineForecast.h
+++ b/src/relay/EngineForecast.h
@@ -28,8 +28,8 @@
     // Tokens of a typical prompt.
     double typicalPromptTokens { 5000 };
     // Weight of the delay that the request causes to each other run at the engine, as a share of its own prefill time.
-    // A run loses up to 0.85 of the prefill time, but a delay in the middle of an answer rarely makes it late: with
-    // this weight most answers are in time (docs/design/load-model.md).
+    // A run loses up to 0.85 of the prefill time, but a delay in the middle of an answer rarely makes it late
+    // (docs/design/load-model.md).
     double slowdownShare { 0.4 };
 
     // The pace of an engine that takes so many times as long as its service for all work. The delays of the other runs
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -29,12 +29,12 @@
 // After more rejected runs, retries are not borrowed: the service is full, or the VM is wrong about its copies.
 constexpr unsigned maxRejectedRunsOnLoan = 1;
 
-// False for failures that may concern the request only: an unexpected response, or an engine that answers probes but
-// is too slow for this stream.
-bool showsThatEndpointFailed(FailureKind kind, bool hasAnsweredProbe)
+// False for failures that may concern the request only: an unexpected response, or a stream that pauses although its
+// engine answers probes or other streams get events from it.
+bool showsThatEndpointFailed(FailureKind kind, bool hasProbeFailed)
 {
     return kind == FailureKind::ConnectionRefused || kind == FailureKind::ConnectionLost
-        || kind == FailureKind::EarlyEnd || (kind == FailureKind::Silent && !hasAnsweredProbe);
+        || kind == FailureKind::EarlyEnd || (kind == FailureKind::Silent && hasProbeFailed);
 }
 
 } // namespace
@@ -104,9 +104,10 @@
         return;
     }
     const auto now = m_context.now();
-    if (m_possibleDeliveries > 0 && !(m_loan && m_loan->isValid(now))) {
+    const auto purpose = retryPurpose(copy.has_value());
+    // What a loan was granted for may have become impossible since.
+    if (m_possibleDeliveries > 0 && !(m_loan && m_loan->isValid(now) && m_loanPurpose == purpose)) {
         m_loan.reset();
-        const auto purpose = retryPurpose(copy.has_value());
         m_tookRetryForNextRun = m_context.retryBudget(m_request.service).take(purpose, m_request.admittedAt, now);
         if (!m_tookRetryForNextRun) {
             if (!borrowRetry(purpose))
@@ -132,6 +133,7 @@
 {
     if (!m_context.retryLoans || !mayBorrow(purpose) || m_rejectedRuns > maxRejectedRunsOnLoan)
         return false;
+    m_loanPurpose = purpose;
     m_loanRequest
         = m_context.retryLoans->ask({ m_request.fields.requestId, m_request.service, purpose, m_request.rank.value },
             [weak = weak_from_this()](const std::optional<RetryLoan>& loan) {
@@ -262,8 +264,11 @@
     fields.timeLeft = m_request.deadline - now;
     fields.endpointId = endpoint->entry().id;
     fields.organisation = m_request.organisation;
-    fields.priority = choosePriority(run->isFromCopy, std::exchange(m_isEngineWithPrompt, false));
+    const bool isPromptCached = run->isFromCopy || std::exchange(m_isEngineWithPrompt, false);
+    fields.priority = choosePriority(isPromptCached);
     run->priority = fields.priority;
+    if (!isPromptCached)
+        noteWork(m_request.fields.promptTokens);
     if (m_request.fields.lastEventId || m_answer->length() > 0)
         fields.lastEventId = m_answer->lastEventId();
     if (run->copyHolder)
@@ -289,7 +294,7 @@
     m_livenessMonitor->begin(m_run);
 }
 
-std::optional<unsigned> EventStreamCall::choosePriority(bool isFromCopy, bool isEarlierEngine)
+std::optional<unsigned> EventStreamCall::choosePriority(bool isPromptCached)
 {
     if (!m_request.rank.isNamed || !m_context.hasEngines(m_request.service))
         return std::nullopt;
@@ -298,17 +303,16 @@
         .longestPause = m_request.route->longestPause,
         .isMidStream = m_answer->lastEventId() > 0,
         .lastEventAt = m_answer->lastEventAt(),
-        .isPromptCached = isFromCopy || isEarlierEngine,
+        .isPromptCached = isPromptCached,
         .firstEventForecast = m_choice->firstEventForecast() };
-    if (m_lateness == Lateness::InTime) {
+    // A forecast concerns one run; the other reasons hold for the rest of the stream.
+    if (m_lateness == Lateness::InTime || m_lateness == Lateness::ByForecast) {
         m_lateness = latenessOf(state, m_context.now());
         if (m_lateness != Lateness::InTime)
             logLate(m_request, nameIn(latenessNames, m_lateness), state.firstEventForecast, m_context.now());
     }
     const ShareKey share { m_request.service, m_request.rank.value, m_request.organisation };
     const bool isAboveShare = lacksRoom(state) && m_context.shares.isAboveShare(share, m_context.now());
-    if (!state.isPromptCached)
-        noteWork(m_request.fields.promptTokens);
     return enginePriority(
         m_request.rank.value, { .isLate = m_lateness != Lateness::InTime, .isAboveShare = isAboveShare });
 }
@@ -337,8 +341,10 @@
 
 void EventStreamCall::startRunLater()
 {
-    const auto interval = m_context.settings.endpointRetryInterval;
-    m_retryTimer.expires_after(rankedDelay(m_request.rank, interval, fractionOfName(m_request.fields.requestId)));
+    const auto& settings = m_context.settings;
+    const auto rank = agedRank(m_request.rank, m_context.now() - m_request.admittedAt, settings.rankAgeingTime);
+    m_retryTimer.expires_after(
+        rankedDelay(rank, settings.endpointRetryInterval, fractionOfName(m_request.fields.requestId)));
     m_retryTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
         const auto self = weak.lock();
         if (!error && self && !self->m_isFinished)
@@ -503,6 +509,7 @@
     const auto now = m_context.now();
     const auto& settings = m_context.settings;
     const bool wasSent = run->call->hasSent();
+    const bool wasSuspect = m_crashTracker.isSuspect();
     run->reading.reset();
     run->call->cancel();
     m_timing.recordEnginePace(*run, now);
@@ -527,7 +534,8 @@
                 : wasSent ? settings.avoidAfterBrokenAnswer
                           : settings.avoidAfterRefusal));
     m_context.directory.noteFailure(*run->endpoint, now);
-    if (showsThatEndpointFailed(kind, m_livenessMonitor->hasEngineAnswered()))
+    // A request that may crash endpoints says nothing about their zone.
+    if (!wasSuspect && showsThatEndpointFailed(kind, m_livenessMonitor->hasProbeFailed()))
         m_context.directory.reportFailure(*run->endpoint);
     m_choice->noteFailed(run->endpoint);
     // A run's KV cache is copied from its first event on. When a run that continued from a copy is lost before that,
@@ -568,6 +576,7 @@
     }
     m_run->call->cancel();
     m_timing.recordEnginePace(*m_run, m_context.now());
+    m_copier->end();
     m_run.reset();
     m_livenessMonitor->stop();
     m_failedAt = m_context.now();
@@ -630,8 +639,9 @@
     const auto spread = fractionOfName(m_request.fields.requestId);
     // A retry with the same time left would fail as well.
     if (reason == RefusalReason::TooLittleTime)
-        retryDelay = std::max({ m_request.deadline - m_context.now(), m_context.settings.retryAfter,
-            m_context.pace(m_request.service).engineRoomAt - m_context.now() });
+        retryDelay = std::max(m_request.deadline - m_context.now(), m_context.settings.retryAfter);
+    if (reason == RefusalReason::TooLittleTime && m_request.rank.isNamed)
+        retryDelay = std::max(*retryDelay, m_context.pace(m_request.service).engineRoomAt - m_context.now());
     if (reason == RefusalReason::HeldInQuarantine)
         retryDelay = m_context.crashGuard.quarantineTimeLeft(m_request.digest);
     if (const auto availability = isUnavailabilityRefusal(reason) ? m_choice->nextAvailability() : std::nullopt)
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -68,7 +68,7 @@
     bool mayBeSent();
 
     // The priority for the engine, if the configuration names a rank. A stream that was late once stays late.
-    std::optional<unsigned> choosePriority(bool isFromCopy, bool isEarlierEngine);
+    std::optional<unsigned> choosePriority(bool isPromptCached);
     // Counts work for the share of the request's organisation.
     void noteWork(double tokens);
     void processEvents(StreamRun&, std::vector<CompleteEvent>&&);
@@ -124,6 +124,8 @@
     std::shared_ptr<void> m_loanRequest;
     // A retry that another VM has lent for the next run.
     std::optional<RetryLoan> m_loan;
+    // What the last loan was asked for.
+    std::optional<RetryPurpose> m_loanPurpose;
     unsigned m_rejectedRuns { 0 };
     std::optional<Milliseconds> m_failedAt;
     // Why the answer is late or certain to be late, as known when the last run was sent.
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -58,6 +58,8 @@
     void setUsageRecorder(UsageRecorder* usage) { m_context.usage = usage; }
     // Sets the exchange with the VMs of this zone; it must outlive run().
     void setZoneExchange(ZoneExchange*);
+    // Sets the number of VMs of this VM's zone, this one included.
+    void setZoneVmCount(std::size_t count) { m_shareExchange.setZoneVmCount(count); }
     // Sets the source of retries that other VMs lend; it must outlive run(). Without one, this VM uses its own part.
     void setRetryLoans(RetryLoanSource* loans) { m_context.retryLoans = loans; }
     // Lends a retry of this VM's part of the budget to another VM if enough are left.
--- a/src/relay/RunLivenessMonitor.cpp
+++ b/src/relay/RunLivenessMonitor.cpp
@@ -41,7 +41,7 @@
     m_probe.reset();
     m_run = std::move(run);
     m_nextProbeAt = m_context.now();
-    m_hasEngineAnswered = false;
+    m_hasProbeFailed = false;
     scheduleCheck();
 }
 
@@ -110,7 +110,7 @@
     if (!m_run)
         return;
     const auto now = m_context.now();
-    m_hasEngineAnswered = outcome.answer != nullptr;
+    m_hasProbeFailed = outcome.answer == nullptr;
     if (outcome.answer) {
         m_run->endpoint->noteAlive(now);
         m_run->endpoint->noteSignals(m_context.protocol.decodeAnswer(*outcome.answer), now);
--- a/src/relay/RunLivenessMonitor.h
+++ b/src/relay/RunLivenessMonitor.h
@@ -38,8 +38,8 @@
     void begin(std::shared_ptr<const StreamRun>);
     // An event of the run has arrived, which answers a pending probe.
     void noteEvent() { m_probe.reset(); }
-    // True if the engine answered the last probe of the run.
-    bool hasEngineAnswered() const { return m_hasEngineAnswered; }
+    // True if the engine did not answer the last probe of the run.
+    bool hasProbeFailed() const { return m_hasProbeFailed; }
     void stop();
 
 private:
@@ -57,7 +57,7 @@
     std::shared_ptr<const StreamRun> m_run;
     std::shared_ptr<HttpRoundTrip> m_probe;
     Milliseconds m_nextProbeAt { 0 };
-    bool m_hasEngineAnswered { false };
+    bool m_hasProbeFailed { false };
     boost::asio::steady_timer m_timer;
 };
 
--- a/src/relay/ServicePace.h
+++ b/src/relay/ServicePace.h
@@ -36,7 +36,7 @@
     // started it.
     bool headersShowStart { false };
 
-    // When the first engine was expected to have room for another prompt, by the last load reports; 0 when unknown.
+    // When the first of the engines that were probed last was expected to have room for another prompt; 0 when unknown.
     Milliseconds engineRoomAt { 0 };
 
     // This VM's prompts that wait for their first event, by priority.
--- a/src/relay/ShareExchange.cpp
+++ b/src/relay/ShareExchange.cpp
@@ -17,8 +17,9 @@
 constexpr std::string_view topic = "shares";
 constexpr double minChange = 0.1;
 constexpr unsigned roundsBetweenFullMessages = 5;
-// A VM to which others report is a collector; it stays one for three reports.
-constexpr Milliseconds collectorTime { 3000 };
+// A VM to which others report is a collector; it stays one for as many reports.
+constexpr int collectorReports = 3;
+constexpr std::int64_t millisecondsInSecond = 1000;
 constexpr std::size_t maxNameLength = 200;
 constexpr double maxTokens = 1e12;
 constexpr std::size_t maxInvalidSenders = 64;
@@ -36,8 +37,9 @@
             || !row[2].is_string() || !row[3].is_number())
             return std::nullopt;
         ShareCount count { { row[0], row[1], row[2] }, row[3] };
-        const bool isValid = row[1].get<std::uint64_t>() <= lowestRank && count.tokens >= 0 && count.tokens <= maxTokens
-            && count.key.service.size() <= maxNameLength && count.key.organisation.size() <= maxNameLength;
+        const bool isValid = row[1].get<std::uint64_t>() <= leastUrgentRank && count.tokens >= 0
+            && count.tokens <= maxTokens && count.key.service.size() <= maxNameLength
+            && count.key.organisation.size() <= maxNameLength;
         if (!isValid)
             return std::nullopt;
         counts.push_back(std::move(count));
@@ -70,9 +72,23 @@
     exchange->onNews(topic, [this](const std::string& body) { applyNews(body); });
 }
 
+void ShareExchange::setZoneVmCount(std::size_t count) { m_zoneVmCount = std::max<std::size_t>(count, 1); }
+
+Milliseconds ShareExchange::messageInterval() const
+{
+    const auto bytes = static_cast<std::int64_t>(m_zoneVmCount * minCountBytes);
+    const Milliseconds needed { bytes * millisecondsInSecond / static_cast<std::int64_t>(bytesPerSecond) };
+    return std::max(needed, interval);
+}
+
+std::size_t ShareExchange::messageBytes() const
+{
+    return std::clamp(bytesPerSecond / m_zoneVmCount, minCountBytes, maxCountBytes);
+}
+
 void ShareExchange::tick(Milliseconds now)
 {
-    if (!m_exchange || (m_sentAt && now - *m_sentAt < interval))
+    if (!m_exchange || (m_sentAt && now - *m_sentAt < messageInterval()))
         return;
     m_sentAt = now;
     if (++m_rounds % roundsBetweenFullMessages == 0) {
@@ -81,7 +97,7 @@
     }
     if (auto body = encodeChanges(m_shares.ownCounts(now), m_reported, now); !body.empty())
         m_exchange->report(topic, std::move(body));
-    if (m_lastReportAt && now - *m_lastReportAt < collectorTime)
+    if (m_lastReportAt && now - *m_lastReportAt < collectorReports * messageInterval())
         publishSums(now);
     else
         m_collected.clear(), m_collectedCount = 0;
@@ -106,7 +122,7 @@
     for (const auto& count : counts) {
         json row { count.key.service, count.key.rank, count.key.organisation, std::llround(count.tokens) };
         bytes += row.dump(-1, ' ', false, json::error_handler_t::replace).size() + 1;
-        if (bytes > maxCountBytes)
+        if (bytes > messageBytes())
             break;
         rows.push_back(std::move(row));
         sent[count.key].set(count.tokens, now);
--- a/src/relay/StreamTiming.cpp
+++ b/src/relay/StreamTiming.cpp
@@ -63,7 +63,7 @@
 Milliseconds StreamTiming::nextEventDue() const
 {
     const auto& route = *m_request.route;
-    return m_lastEventAt ? *m_lastEventAt + route.longestPause : m_request.admittedAt + route.objective;
+    return m_lastEventAt ? *m_lastEventAt + route.longestPause : m_request.firstAttemptAt + route.objective;
 }
 
 void StreamTiming::noteEvents(Milliseconds now)
--- a/src/retries/RetryLoanSource.h
+++ b/src/retries/RetryLoanSource.h
@@ -5,6 +5,7 @@
 // Used on the relay's thread only.
 #pragma once
 
+#include "admission/RequestRank.h"
 #include "admission/RetryPurpose.h"
 #include "lupinknot/Clock.h"
 #include <functional>
@@ -14,10 +15,6 @@
 
 namespace lupinknot::internal {
 
-// The rank of a request for which the configuration specifies none; 0 is the most urgent one, 9 the least.
-inline constexpr unsigned defaultRequestRank = 5;
-inline constexpr unsigned leastUrgentRank = 9;
-
 struct RetryLoanRequest {
     // For logs only.
     std::string requestId;
--- a/test/PeerZoneHealthTest.cpp
+++ b/test/PeerZoneHealthTest.cpp
@@ -161,7 +161,7 @@
     }
 };
 
-// Each VM sees only one of the losses. Without the collectors no VM detected the failure of the zone.
+// Guards against a zone failure that no VM detects because each sees only one of the losses.
 TEST(PeerZoneHealth, AllVmsLearnOfAFailureOfWhichEachSawOneEngine)
 {
     addVms(8, 6);
@@ -265,7 +265,7 @@
     LONGS_EQUAL(2, vms[0]->directory.zoneFailures("s").failures().size());
 }
 
-// A VM or a connection that was frozen delivered a message seconds later.
+// Guards against messages that a frozen VM or connection delivers seconds later.
 TEST(PeerZoneHealth, IgnoresOldMessages)
 {
     addVms(1, 0);
--- a/test/RankReplayTest.cpp
+++ b/test/RankReplayTest.cpp
@@ -135,7 +135,7 @@
 unsigned priorityFor(Order order, const Kind& kind, bool isLate)
 {
     if (order == Order::FirstComeFirstServed)
-        return defaultRank;
+        return defaultRequestRank;
     return enginePriority(kind.rank, { .isLate = isLate && order == Order::LateAnswersLast });
 }
 
--- a/test/RetryBudgetFleetTest.cpp
+++ b/test/RetryBudgetFleetTest.cpp
@@ -48,8 +48,8 @@
 }
 
 // VMs freeze, and the callers of a zone move to others, so that VMs that have spent their parts lose requests to VMs
-// that earn new parts for them within the same window. With a share of 0.87 of the budget, 5 of these 40
-// simulations exceeded it, by up to 35 retries.
+// that earn new parts for them within the same window. Guards against a share of the budget that leaves too little for
+// this.
 TEST(RetryBudgetFleet, StaysWithinTheBudgetWhileRequestsMoveAwayFromFrozenVms)
 {
     for (std::uint64_t seed = 1; seed <= 40; ++seed)
--- a/test/ZoneFailureDetectorTest.cpp
+++ b/test/ZoneFailureDetectorTest.cpp
@@ -89,7 +89,7 @@
     LONGS_EQUAL(0, declared);
 }
 
-// The failure of one service's engines said nothing about the endpoints of another service in that zone.
+// Guards against a failure of one service's engines that counts for the endpoints of another service.
 TEST(ZoneFailureDetector, CountsServicesAndZonesSeparately)
 {
     const Milliseconds now { 10000 };
@@ -104,7 +104,7 @@
     CHECK_FALSE(detector.isDeclared("s", "b", now));
 }
 
-// Messages of a VM that was frozen arrived seconds later and counted as failures of the zone's new engines.
+// Guards against late messages of a frozen VM that count as failures of the zone's new engines.
 TEST(ZoneFailureDetector, IgnoresOldFailures)
 {
     for (int endpoint = 0; endpoint < 10; ++endpoint)
--- a/test/ZoneRiskTest.cpp
+++ b/test/ZoneRiskTest.cpp
@@ -52,7 +52,7 @@
     }
 };
 
-// The next prompt went to the zone that was about to fail, and had to be read twice.
+// Guards against prompts that are sent to the zone that is likely to fail next.
 TEST(ZoneRisk, AnIdleEngineOfASafeZoneIsPreferredToOneOfAZoneAtRisk)
 {
     failInTurn("acb", 12);
@@ -70,7 +70,7 @@
     CHECK_TEXT(inSafeZone > 90, std::to_string(inSafeZone).c_str());
 }
 
-// All prompts went to the safe zone, whose engines became slower than any failure.
+// Guards against sending all prompts to the safe zone, which would overload it.
 TEST(ZoneRisk, AnIdleEngineOfAZoneAtRiskIsPreferredToALoadedOneOfASafeZone)
 {
     failInTurn("acb", 12);
@@ -89,7 +89,7 @@
     STRCMP_EQUAL("a", choose({}, 1).c_str());
 }
 
-// A copy was put where the next failure hit it together with its run's second engine.
+// Guards against a copy in the zone that is likely to fail next.
 TEST(ZoneRisk, ACopyIsPutIntoTheSafestOfTheOtherZones)
 {
     failInTurn("acb", 12);
@@ -101,7 +101,7 @@
     }
 }
 
-// The order of endpoints changed for services whose zones never fail, or fail without an order.
+// Guards against a changed order of endpoints where zones never fail, or fail at random.
 TEST(ZoneRisk, WithoutAPreferenceTheOrderOfEndpointsIsAsWithoutTheHistory)
 {
     const auto chosen = [this](bool isCopy) {
