Test the failures that the reviews found

A retry that another VM has lent stays usable when the purpose changes: the lender counts it in any case, so dropping it would only waste it.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -104,10 +104,9 @@
         return;
     }
     const auto now = m_context.now();
-    const auto purpose = retryPurpose(copy.has_value());
-    // What a loan was granted for may have become impossible since.
-    if (m_possibleDeliveries > 0 && !(m_loan && m_loan->isValid(now) && m_loanPurpose == purpose)) {
+    if (m_possibleDeliveries > 0 && !(m_loan && m_loan->isValid(now))) {
         m_loan.reset();
+        const auto purpose = retryPurpose(copy.has_value());
         m_tookRetryForNextRun = m_context.retryBudget(m_request.service).take(purpose, m_request.admittedAt, now);
         if (!m_tookRetryForNextRun) {
             if (!borrowRetry(purpose))
@@ -133,7 +132,6 @@
 {
     if (!m_context.retryLoans || !mayBorrow(purpose) || m_rejectedRuns > maxRejectedRunsOnLoan)
         return false;
-    m_loanPurpose = purpose;
     m_loanRequest
         = m_context.retryLoans->ask({ m_request.fields.requestId, m_request.service, purpose, m_request.rank.value },
             [weak = weak_from_this()](const std::optional<RetryLoan>& loan) {
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -124,8 +124,6 @@
     std::shared_ptr<void> m_loanRequest;
     // A retry that another VM has lent for the next run.
     std::optional<RetryLoan> m_loan;
-    // What the last loan was asked for.
-    std::optional<RetryPurpose> m_loanPurpose;
     unsigned m_rejectedRuns { 0 };
     std::optional<Milliseconds> m_failedAt;
     // Why the answer is late or certain to be late, as known when the last run was sent.
--- a/test/EventStreamCallTest.cpp
+++ b/test/EventStreamCallTest.cpp
@@ -1,5 +1,6 @@
 #include "relay/EventStreamCall.h"
 #include "RelayHarness.h"
+#include "relay/Policy.h"
 #include "retries/RetryLoanSource.h"
 
 #include <boost/asio/post.hpp>
@@ -597,3 +598,22 @@
     await(relay->call("/once/1"));
     LONGS_EQUAL(1, relay->daemon().enginePaces().size());
 }
+
+// Guards against an engine that counts as failed because one of its streams pauses while it sends events of others.
+TEST(EventStreamCall, APausedStreamOfAnEngineThatWasNotProbedIsNoFailureOfIt)
+{
+    relay->settings.policies.switchOff(Policy::LivenessQuestions);
+    std::vector<std::string> reported;
+    relay->daemon().directory().onEndpointFailure(
+        [&reported](const RelayEndpoint& endpoint) { reported.push_back(endpoint.entry().id); });
+    relay->addEndpoint("e1", "a").onRequest([](ScriptedConnection& asker, const std::string&) {
+        asker.beginStream(signedHead);
+        asker.sendEvent(1);
+    });
+    relay->addEndpoint("e2", "b").onRequest(sends(2, 2));
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    STRCMP_EQUAL(events(1, 2).c_str(), caller->body.c_str());
+    LONGS_EQUAL(0, reported.size());
+}
--- a/test/OrganisationSharesTest.cpp
+++ b/test/OrganisationSharesTest.cpp
@@ -177,3 +177,30 @@
     exchange();
     CHECK(second.isAboveShare(keyOf("large"), clock.now()));
 }
+
+// Guards against messages that grow with the number of VMs of a zone.
+TEST(ShareExchange, BytesOfAZoneAreBoundedWhateverItsSize)
+{
+    for (const std::size_t vms : { 1U, 12U, 25U, 154U, 667U }) {
+        reporter.setZoneVmCount(vms);
+        const auto seconds = static_cast<double>(reporter.messageInterval().count()) / 1000;
+        const auto bytes = static_cast<double>(vms * reporter.messageBytes()) / seconds;
+        CHECK_TEXT(bytes <= ShareExchange::bytesPerSecond + vms, "a collector must not receive more");
+        CHECK_TEXT(reporter.messageBytes() >= ShareExchange::minCountBytes, "a message must hold some counts");
+    }
+}
+
+TEST(ShareExchange, SendsLessOftenInALargeZone)
+{
+    reporter.setZoneVmCount(120);
+    second.note(keyOf("o1"), 10000, clock.now());
+    exchange();
+    secondLink.reported.clear();
+    for (int i = 0; i < 9; ++i) {
+        second.note(keyOf("o1"), 10000, clock.now());
+        exchange();
+    }
+    STRCMP_EQUAL("", secondLink.reported.c_str());
+    exchange();
+    STRCMP_CONTAINS("o1", secondLink.reported.c_str());
+}
--- a/test/PeerZoneHealthTest.cpp
+++ b/test/PeerZoneHealthTest.cpp
@@ -350,3 +350,42 @@
     CHECK_TEXT(accepted >= 20 && accepted <= 40, std::to_string(accepted).c_str());
     CHECK(send(*vms[0], PeerZoneExchange::newsPath, "vm8", news(10)));
 }
+
+// Guards against a zone failure of which only the services that come first in the message are reported.
+TEST(PeerZoneHealth, FailuresThatDoNotFitIntoAMessageFollowInTheNext)
+{
+    const std::string service(150, 's');
+    std::vector<EndpointEntry> engines;
+    for (const auto* number : { "1", "2", "3", "4" }) {
+        for (int i = 0; i < 100; ++i)
+            engines.push_back({ service + number + std::string(40, 'e') + std::to_string(i), service + number,
+                { "127.0.0.1", 1000 + i }, "c" });
+    }
+    addVms(6, 0);
+    for (const auto& vm : vms)
+        vm->directory.replaceAll(engines, clock.now() - Milliseconds { 10 });
+    for (const auto& engine : engines)
+        vms[0]->seeFailure(engine.id);
+    CHECK(runUntil(*ioContext, [&] {
+        return std::all_of(vms.begin(), vms.end(), [&](const auto& vm) {
+            return vm->directory.isZoneAvoided(service + "1", "c", clock.now())
+                && vm->directory.isZoneAvoided(service + "4", "c", clock.now());
+        });
+    }));
+}
+
+// Guards against a collector that knows none of a service's endpoints and declares its failure after three losses.
+TEST(PeerZoneHealth, ACollectorThatListsNoneOfTheEndpointsNotifiesNoVm)
+{
+    addVms(2, 0);
+    std::vector<EndpointEntry> engines;
+    for (int i = 0; i < 40; ++i)
+        engines.push_back({ "late" + std::to_string(i), "late", { "127.0.0.1", 1000 + i }, "c" });
+    vms[1]->directory.replaceAll(engines, clock.now() - Milliseconds { 10 });
+    const auto body = nlohmann::json::parse(
+        R"({"failures":[{"service":"late","zone":"c","endpoints":[["late1",1],["late2",1],["late3",1]]}]})");
+    const nlohmann::json message { { "from", "vm7" }, { "topic", PeerZoneHealth::reportTopic }, { "body", body } };
+    CHECK(vms[0]->exchange->applyReport(message.dump()));
+    runFor(Milliseconds { 100 });
+    CHECK_FALSE(vms[1]->directory.isZoneAvoided("late", "c", clock.now()));
+}
--- a/test/RunCopierTest.cpp
+++ b/test/RunCopierTest.cpp
@@ -312,3 +312,23 @@
     CHECK(growing.hasReceived(0, "Kv-From"));
     expectNoneResumedFromACopy();
 }
+
+// Guards against a handle of the earlier process that is that of another run after the engine's restart.
+TEST(RunCopier, ReleasesNoHandleAtAnEngineWhoseZoneHasFailed)
+{
+    relay->settings.avoidZone = relay->settings.suspectAfterZoneFailure = Milliseconds { 0 };
+    addEngine();
+    relay->addEndpoint("e2", "b").onRequest(continues);
+    relay->addEndpoint("e3", "c").onRequest(continues);
+    remove(begin());
+    CHECK(awaitCopies(1));
+    awaitNextMillisecond();
+    auto& directory = relay->daemon().directory();
+    const auto now = relay->daemon().clock().now();
+    CHECK(directory.applyZoneFailure({ directory.find("e1")->entry().service, "a", now, now, 5 }, now));
+    running->reset();
+    expectWhole();
+    const auto end = relay->daemon().clock().now() + Milliseconds { 50 };
+    relay->runUntil([&] { return !releases.empty() || relay->daemon().clock().now() > end; });
+    CHECK(releases.empty());
+}
--- a/test/ZoneFailureDetectorTest.cpp
+++ b/test/ZoneFailureDetectorTest.cpp
@@ -128,3 +128,25 @@
     CHECK_TEXT(counted > 90 && counted < 170, std::to_string(counted).c_str());
     LONGS_EQUAL_TEXT(1, declared, "the failure of all endpoints must be declared from the sample");
 }
+
+// Guards against a detector that ignores new services for good once it has seen many others.
+TEST(ZoneFailureDetector, ForgetsZonesWithoutRecentFailures)
+{
+    for (int service = 0; service < 300; ++service)
+        detector.noteFailure(
+            { "old" + std::to_string(service), "a", "e" }, Milliseconds { 1000 }, 40, Milliseconds { 1000 });
+    const Milliseconds now { 60'000 };
+    for (int endpoint = 0; endpoint < 6; ++endpoint)
+        fail("a", endpoint, now);
+    LONGS_EQUAL(1, declared);
+}
+
+// Guards against a share that is lower than stated, and against one that is never reached.
+TEST(ZoneFailureDetector, DeclaresAtSixOfFortyEndpoints)
+{
+    for (int endpoint = 0; endpoint < 5; ++endpoint)
+        fail("a", endpoint, Milliseconds { 10'000 });
+    LONGS_EQUAL(0, declared);
+    fail("a", 5, Milliseconds { 10'000 });
+    LONGS_EQUAL(1, declared);
+}
