Give the engines of a test addresses of their own

The engines of four services shared addresses, so that the directory kept those of the last service only and the test read a null pointer. It crashed the whole test run.

--- a/test/PeerZoneHealthTest.cpp
+++ b/test/PeerZoneHealthTest.cpp
@@ -356,11 +356,9 @@
 {
     const std::string service(150, 's');
     std::vector<EndpointEntry> engines;
-    for (const auto* number : { "1", "2", "3", "4" }) {
-        for (int i = 0; i < 100; ++i)
-            engines.push_back({ service + number + std::string(40, 'e') + std::to_string(i), service + number,
-                { "127.0.0.1", 1000 + i }, "c" });
-    }
+    for (int i = 0; i < 400; ++i)
+        engines.push_back({ std::string(40, 'e') + std::to_string(i), service + std::to_string(i / 100),
+            { "127.0.0.1", 1000 + i }, "c" });
     addVms(6, 0);
     for (const auto& vm : vms)
         vm->directory.replaceAll(engines, clock.now() - Milliseconds { 10 });
@@ -368,8 +366,8 @@
         vms[0]->seeFailure(engine.id);
     CHECK(runUntil(*ioContext, [&] {
         return std::all_of(vms.begin(), vms.end(), [&](const auto& vm) {
-            return vm->directory.isZoneAvoided(service + "1", "c", clock.now())
-                && vm->directory.isZoneAvoided(service + "4", "c", clock.now());
+            return vm->directory.isZoneAvoided(service + "0", "c", clock.now())
+                && vm->directory.isZoneAvoided(service + "3", "c", clock.now());
         });
     }));
 }
