--- a/src/relay/CallProtocol.h
+++ b/src/relay/CallProtocol.h
@@ -9,6 +9,7 @@
 #include "http/HttpResponse.h"
 #include "http/SocketAddress.h"
 #include "lupinknot/Clock.h"
+#include "placement/EndpointLoad.h"
 #include "relay/EngineReport.h"
 #include <cstdint>
 #include <optional>
@@ -45,8 +46,18 @@
     std::string name;
 };
 
+// How an engine answers a request to copy or move a run.
+enum class MoveRunStatus {
+    Copied, // The target engine has received the run's KV cache.
+    UnknownRun, // The engine does not run the request.
+    Busy, // Another request for the run is under way.
+    Rejected, // There is no room at the target, or no way to it.
+    Other, // No answer, or one that is not understood.
+};
+
 // An engine's response to a request to move a run.
 struct MoveRunAnswer {
+    MoveRunStatus status { MoveRunStatus::Other };
     // True when the target engine has received the run's KV cache.
     bool isCopied { false };
     // Identifies the KV cache for the run that resumes from it; empty when there is none.
@@ -64,6 +75,8 @@
     // Engine that receives a live copy of the run's KV cache, updated while the run continues.
     std::optional<SocketAddress> copyTo;
     std::optional<RunMemorySource> continueFrom;
+    // The priority for an engine, 0 to 9 with 0 first; absent when the configuration names no rank.
+    std::optional<unsigned> priority;
 };
 
 // Limit of requests per second from all VMs together, as an endpoint's response states it.
@@ -82,6 +95,14 @@
     std::string unreadable;
 };
 
+// Load of the endpoint, as its response states it.
+struct StatedLoad {
+    // Nothing when the response states no load, or one that cannot be parsed.
+    std::optional<EndpointLoad> load;
+    // The value that cannot be parsed; empty when there is none.
+    std::string unreadable;
+};
+
 // Decoded fields of an endpoint's response.
 struct AnswerFields {
     // Id of the request that the response belongs to; empty when the response does not contain it.
@@ -96,6 +117,7 @@
     RequestedBackOff backOff {};
     // True when the endpoint announces that it is shutting down.
     bool isShuttingDown { false };
+    StatedLoad load {};
 };
 
 // Stateless and thread-safe.
@@ -116,6 +138,8 @@
     virtual HttpRequest encodeMoveRun(
         const std::string& requestId, const SocketAddress& target, bool stopsRun) const = 0;
     virtual MoveRunAnswer decodeMoveRun(const HttpResponse&) const = 0;
+    // Builds a request to the engine that made a copy to free it at both ends.
+    virtual HttpRequest encodeReleaseHandle(const std::string& handle) const = 0;
     // Header that tells a caller when to retry, with millisecond precision where the protocol supports it.
     virtual HttpHeader encodeRetryAfter(Milliseconds) const = 0;
 };
--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -14,6 +14,7 @@
 #include "relay/StreamRun.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lupinknot::internal {
 
@@ -56,19 +57,21 @@
 
 void EngineChoice::onEarlierRunFound(const std::optional<RunLocation>& location)
 {
+    std::shared_ptr<RelayEndpoint> holder;
     if (location) {
         m_earlierEngine = m_context.directory.find(location->endpointId);
-        m_copyHolder = m_context.directory.find(location->copyHolderId);
-        if (!m_copyHolder || m_copyHolder->isRemoved())
-            m_copyHolder = m_context.directory.findAt(m_request.service, location->copyHolderAddress);
-        m_copyName = location->requestId;
+        holder = m_context.directory.find(location->copyHolderId);
+        if (!holder || holder->isRemoved())
+            holder = m_context.directory.findAt(m_request.service, location->copyHolderAddress);
     }
+    if (holder)
+        m_copies = { { holder, { holder->entry().address, location->requestId }, m_context.now() } };
     LogEvent("stream.returned")
         .text("request", m_request.fields.requestId)
-        .text("earlier_request", m_copyName)
+        .text("earlier_request", location ? location->requestId : "")
         .text("earlier_endpoint", location ? location->endpointId : "")
         .flag("is_engine_known", m_earlierEngine != nullptr)
-        .flag("is_copy_known", m_copyHolder != nullptr)
+        .flag("is_copy_known", holder != nullptr)
         .write();
 }
 
@@ -92,21 +95,29 @@
 {
     const auto now = m_context.now();
     return !engine.isShuttingDown() && !engine.isAvoided(now) && !engine.isInBackOff(now)
-        && now >= engine.noPermitUntil() && !m_context.directory.isZoneAvoided(engine.entry().availabilityZone, now)
+        && now >= engine.noPermitUntil()
+        && !m_context.directory.isZoneAvoided(m_request.service, engine.entry().availabilityZone, now)
         && !m_context.directory.isSuspected(engine, now);
 }
 
 std::optional<RunTarget> EngineChoice::copyTarget() const
 {
-    if (!m_copyHolder || !isHealthy(*m_copyHolder) || !m_rollout.next().admits(m_copyHolder->entry().version))
-        return std::nullopt;
-    return RunTarget { m_copyHolder, { m_copyHolder->entry().address, m_copyName } };
+    const auto isUsable = [this](const RunTarget& target) {
+        const auto& entry = target.engine->entry();
+        return isHealthy(*target.engine) && m_rollout.next().admits(entry.version)
+            && !m_context.directory.hasZoneFailedSince(entry.service, entry.availabilityZone, target.since);
+    };
+    const auto usable = std::find_if(m_copies.begin(), m_copies.end(), isUsable);
+    return usable == m_copies.end() ? std::nullopt : std::optional(*usable);
 }
 
-void EngineChoice::setCopy(std::shared_ptr<RelayEndpoint> holder, std::string name)
+void EngineChoice::noteSent(const std::optional<RunMemorySource>& copy)
 {
-    m_copyHolder = std::move(holder);
-    m_copyName = std::move(name);
+    if (!copy) {
+        m_copies.clear();
+        return;
+    }
+    std::erase_if(m_copies, [&copy](const RunTarget& target) { return target.copy.name == copy->name; });
 }
 
 std::shared_ptr<RelayEndpoint> EngineChoice::takeEarlierEngine()
@@ -124,12 +135,16 @@
         conditions.zonesToAvoid.push_back(m_failed.back()->entry().availabilityZone);
     if (m_context.has(Policy::PromptPreference))
         conditions.promptId = m_request.fields.promptId;
+    const auto untilFirstEvent
+        = m_context.pace(m_request.service).medianTimeToFirstEvent(m_request.fields.promptTokens);
+    conditions.times.untilFirstEvent = std::chrono::duration<double>(untilFirstEvent).count();
     conditions.preference = m_request.fields.lastEventId ? settings.returningPreference : settings.promptPreference;
     return conditions;
 }
 
 void EngineChoice::choose(const Callback& callback)
 {
+    m_firstEventForecast.reset();
     if (probeLoad(callback))
         return;
     const auto now = m_context.now();
@@ -150,7 +165,8 @@
     auto healthy = placementRequest();
     healthy.mustBeHealthy = true;
     healthy.limited = LimitedEndpoints::Excluded;
-    const auto engines = m_context.placement.candidates(healthy, m_context.settings.loadProbeSize, m_context.now());
+    const auto engines
+        = m_context.placement.candidatesOfZones(healthy, m_context.settings.loadProbeSize, m_context.now());
     if (engines.size() < 2)
         return false;
     m_loadProbe
@@ -161,21 +177,63 @@
     return true;
 }
 
+std::optional<Milliseconds> EngineChoice::firstEventForecastAt(const RelayEndpoint& engine) const
+{
+    const EngineWork work { m_request.fields.promptTokens, m_request.fields.maxAnswerTokens };
+    const auto& pace = m_context.pace(m_request.service);
+    const auto aheadShare
+        = m_request.rank.isNamed ? pace.waitingPrompts->aheadShare(enginePriority(m_request.rank.value, {})) : 1;
+    const auto enginePace = pace.engine().scaledBy(m_context.placement.paceOf(engine, m_context.now()));
+    return forecastFirstEvent(work, engine, enginePace, aheadShare);
+}
+
+EngineChoice::Engines EngineChoice::enginesInTime(const Engines& answered) const
+{
+    if (!m_request.rank.isNamed)
+        return answered;
+    const auto timeLeft = m_request.firstAttemptAt + m_request.route->objective - m_context.now();
+    Engines inTime;
+    std::copy_if(answered.begin(), answered.end(), std::back_inserter(inTime),
+        [&](const auto& engine) { return firstEventForecastAt(*engine).value_or(timeLeft) <= timeLeft; });
+    return inTime.empty() ? answered : inTime;
+}
+
+void EngineChoice::noteRoom(const Engines& answered) const
+{
+    std::optional<Milliseconds> earliest;
+    for (const auto& engine : answered) {
+        const auto forecast = firstEventForecastAt(*engine);
+        if (forecast && (!earliest || *forecast < *earliest))
+            earliest = forecast;
+    }
+    auto& pace = m_context.pace(m_request.service);
+    const EngineWork work { m_request.fields.promptTokens, m_request.fields.maxAnswerTokens };
+    if (earliest)
+        pace.engineRoomAt = m_context.now() + *earliest - prefillTime(work, pace.engine());
+}
+
 void EngineChoice::onLoadProbed(const Engines& answered, const Callback& callback)
 {
     m_loadProbe.reset();
     const EngineWork work { m_request.fields.promptTokens, m_request.fields.maxAnswerTokens };
     const auto pace = m_context.pace(m_request.service).engine();
     const auto now = m_context.now();
-    auto engine = m_context.placement.chooseReported(answered, work, pace, now);
+    auto engine = m_context.placement.chooseReported(enginesInTime(answered), work, pace, now);
+    noteRoom(answered);
     if (!engine)
         engine = m_context.placement.choose(placementRequest(), now);
-    if (engine)
-        logChoice(*engine, answered.size(), forecastDelay(work, *engine, pace));
+    if (engine) {
+        // The last report of an engine that has not answered now may be old.
+        if (std::find(answered.begin(), answered.end(), engine) != answered.end())
+            m_firstEventForecast = firstEventForecastAt(*engine);
+        const auto relativePace = m_context.placement.paceOf(*engine, now);
+        logChoice(*engine, answered.size(), relativePace, forecastDelay(work, *engine, pace.scaledBy(relativePace)));
+    }
     callback(engine);
 }
 
-void EngineChoice::logChoice(const RelayEndpoint& engine, std::size_t answered, Milliseconds forecast) const
+void EngineChoice::logChoice(
+    const RelayEndpoint& engine, std::size_t answered, double relativePace, Milliseconds forecast) const
 {
     const auto report = engine.report() ? *engine.report() : EngineReport {};
     LogEvent("stream.engine-chosen", LogImportance::Routine)
@@ -183,6 +241,7 @@
         .text("endpoint", engine.entry().id)
         .number("answered", static_cast<std::int64_t>(answered))
         .number("forecast_ms", forecast.count())
+        .number("pace_percent", std::lround(100 * relativePace))
         .number("being_read", report.promptsInPrefill)
         .number("waiting", report.promptsWaiting)
         .number("generating", report.generating)
@@ -204,7 +263,8 @@
         .zonesToAvoid = { engine.entry().availabilityZone },
         .version = m_rollout.choiceForCopies(engine),
         .mustBeHealthy = true,
-        .limited = LimitedEndpoints::Unrestricted };
+        .limited = LimitedEndpoints::Unrestricted,
+        .prefersSafestZone = true };
     return m_context.placement.choose(conditions, m_context.now());
 }
 
--- a/src/relay/EngineForecast.h
+++ b/src/relay/EngineForecast.h
@@ -8,6 +8,7 @@
 
 #include "lupinknot/Clock.h"
 #include "relay/EngineReport.h"
+#include <optional>
 
 namespace lupinknot::internal {
 
@@ -26,17 +27,37 @@
     double prefillTimePerToken { 0.2 };
     // Tokens of a typical prompt.
     double typicalPromptTokens { 5000 };
+    // Weight of the delay that the request causes to each other run at the engine, as a share of its own prefill time.
+    // A run loses up to 0.85 of the prefill time, but a delay in the middle of an answer rarely makes it late
+    // (docs/design/load-model.md).
+    double slowdownShare { 0.4 };
+
+    // The pace of an engine that takes so many times as long as its service for all work. The delays of the other runs
+    // there grow with it too.
+    EnginePace scaledBy(double relativePace) const
+    {
+        return { prefillTimePerToken * relativePace, typicalPromptTokens, slowdownShare };
+    }
 };
 
 // Prefill time of the prompt at an idle engine.
 Milliseconds prefillTime(const EngineWork&, const EnginePace&);
 
-// The delay of the request's own first event plus the sum of the delays of the other runs at the engine. An engine
-// without memory for the request gets a large extra delay. Prompts that this VM has sent to the engine count even when
-// the report is older and lacks them.
+// The delay of the request's own first event plus the weighted sum of the delays of the other runs at the engine. An
+// engine without memory for the request gets a large extra delay. Prompts that this VM has sent to the engine count
+// even when the report is older and lacks them.
 Milliseconds forecastDelay(
     const EngineWork&, const EngineReport&, std::uint32_t ownPromptsInPrefill, const EnginePace&);
 // The same for an endpoint by its newest report; one that has never reported counts as idle.
 Milliseconds forecastDelay(const EngineWork&, const RelayEndpoint&, const EnginePace&);
 
+// The time until the request's own first event, without the delay that it causes to others. `aheadShare` is the share
+// of the waiting prompts that the engine is expected to read before this one. Memory does not count: the engine
+// preempts less urgent runs when it runs out.
+Milliseconds forecastFirstEvent(
+    const EngineWork&, const EngineReport&, std::uint32_t ownPromptsInPrefill, const EnginePace&, double aheadShare);
+// The same for an endpoint by its newest report; empty if it has never reported.
+std::optional<Milliseconds> forecastFirstEvent(
+    const EngineWork&, const RelayEndpoint&, const EnginePace&, double aheadShare);
+
 } // namespace lupinknot::internal
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -1,8 +1,10 @@
 #include "relay/EventStreamCall.h"
 
 #include "admission/AttemptAdmission.h"
+#include "admission/RetryPurpose.h"
 #include "common/EventLog.h"
 #include "common/NameHash.h"
+#include "copies/RunCopier.h"
 #include "http/HttpExchange.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/EngineChoice.h"
@@ -10,7 +12,6 @@
 #include "relay/RelayContext.h"
 #include "relay/RelayMetrics.h"
 #include "relay/RelaySettings.h"
-#include "relay/RunCopy.h"
 #include "relay/RunLivenessMonitor.h"
 #include "relay/RunMover.h"
 #include "relay/RunRelocation.h"
@@ -25,6 +26,16 @@
 
 constexpr unsigned okStatus = 200;
 constexpr unsigned firstServerError = 500;
+// After more rejected runs, retries are not borrowed: the service is full, or the VM is wrong about its copies.
+constexpr unsigned maxRejectedRunsOnLoan = 1;
+
+// False for failures that may concern the request only: an unexpected response, or a stream that pauses although its
+// engine answers probes or other streams get events from it.
+bool showsThatEndpointFailed(FailureKind kind, bool hasProbeFailed)
+{
+    return kind == FailureKind::ConnectionRefused || kind == FailureKind::ConnectionLost
+        || kind == FailureKind::EarlyEnd || (kind == FailureKind::Silent && hasProbeFailed);
+}
 
 } // namespace
 
@@ -65,6 +76,7 @@
               if (const auto self = weak.lock(); self && !self->m_isFinished)
                   self->moveFinished(move);
           });
+    m_copier = std::make_unique<RunCopier>(m_context, m_request, m_rollout);
     m_crashTracker.begin(ifNotFinished(&EventStreamCall::requestBecameHeld));
     m_deadlineTimer.expires_after(m_request.deadline - m_context.now());
     m_deadlineTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
@@ -75,23 +87,75 @@
         if (self->m_isFinished)
             return;
         LogEvent("request.caller-gone").text("request", self->m_request.fields.requestId).write();
+        self->countStream(StreamOutcome::CallerGone);
         self->finish();
     });
     if (!m_choice->findEarlierRun(ifNotFinished(&EventStreamCall::startRun)))
         startRun();
 }
 
-bool EventStreamCall::mayStartRun()
+void EventStreamCall::startRunIfAllowed(
+    const std::shared_ptr<RelayEndpoint>& engine, std::optional<RunMemorySource> copy)
+{
+    m_tookRetryForNextRun = false;
+    if (!mayRunOnceMore(m_crashTracker.attemptState(m_possibleRuns))) {
+        logLostRunEnds(continuation::runsUsedUp);
+        giveUp(refusalAfter(AttemptDecision::RunsSpent, m_possibleRuns));
+        return;
+    }
+    const auto now = m_context.now();
+    if (m_possibleDeliveries > 0 && !(m_loan && m_loan->isValid(now))) {
+        m_loan.reset();
+        const auto purpose = retryPurpose(copy.has_value());
+        m_tookRetryForNextRun = m_context.retryBudget(m_request.service).take(purpose, m_request.admittedAt, now);
+        if (!m_tookRetryForNextRun) {
+            if (!borrowRetry(purpose))
+                giveUpWithoutRetry();
+            return;
+        }
+    }
+    startRunAt(engine, std::move(copy));
+}
+
+RetryPurpose EventStreamCall::retryPurpose(bool isFromCopy) const
+{
+    const auto now = m_context.now();
+    if (isFromCopy)
+        return m_timing.canBeInTime(Milliseconds { 0 }, now) ? RetryPurpose::Continuation : RetryPurpose::LateStream;
+    // A caller that resumes a stream is in mid-stream.
+    const bool isBeforeFirstEvent = m_answer->length() == 0 && !m_request.fields.lastEventId;
+    return isBeforeFirstEvent && m_timing.canBeInTime(m_timing.shortestPrefillTime(), now) ? RetryPurpose::Restart
+                                                                                           : RetryPurpose::LateStream;
+}
+
+bool EventStreamCall::borrowRetry(RetryPurpose purpose)
+{
+    if (!m_context.retryLoans || !mayBorrow(purpose) || m_rejectedRuns > maxRejectedRunsOnLoan)
+        return false;
+    m_loanRequest
+        = m_context.retryLoans->ask({ m_request.fields.requestId, m_request.service, purpose, m_request.rank.value },
+            [weak = weak_from_this()](const std::optional<RetryLoan>& loan) {
+                if (const auto self = weak.lock(); self && !self->m_isFinished)
+                    self->retryBorrowed(loan);
+            });
+    return true;
+}
+
+// The engine is chosen again, because the one chosen before may have failed or been taken since.
+void EventStreamCall::retryBorrowed(const std::optional<RetryLoan>& loan)
+{
+    m_loanRequest.reset();
+    m_loan = loan;
+    if (m_loan)
+        startRun();
+    else
+        giveUpWithoutRetry();
+}
+
+void EventStreamCall::giveUpWithoutRetry()
 {
-    auto attemptDecision = mayRunOnceMore(m_crashTracker.attemptState(m_possibleRuns)) ? AttemptDecision::Allowed
-                                                                                       : AttemptDecision::RunsSpent;
-    m_tookRetryForNextRun = attemptDecision == AttemptDecision::Allowed && m_possibleDeliveries > 0;
-    auto& budget = m_context.retryBudget(m_request.service);
-    if (m_tookRetryForNextRun && !budget.take(RetryPurpose::Failover, m_request.admittedAt, m_context.now()))
-        attemptDecision = AttemptDecision::RetriesSpent;
-    if (attemptDecision != AttemptDecision::Allowed)
-        giveUp(refusalAfter(attemptDecision, m_possibleRuns));
-    return attemptDecision == AttemptDecision::Allowed;
+    logLostRunEnds(continuation::noRetryLeft);
+    giveUp(refusalAfter(AttemptDecision::RetriesSpent, m_possibleRuns));
 }
 
 bool EventStreamCall::mayBeSent()
@@ -104,7 +168,11 @@
     return attemptDecision != AttemptDecision::Held && attemptDecision != AttemptDecision::Undecided;
 }
 
-void EventStreamCall::giveUpAsHeld() { giveUp(refusalAfter(AttemptDecision::Held, m_possibleRuns)); }
+void EventStreamCall::giveUpAsHeld()
+{
+    logLostRunEnds(continuation::held);
+    giveUp(refusalAfter(AttemptDecision::Held, m_possibleRuns));
+}
 
 // A run that produces events does not crash its engine, whatever happened to other runs of the request.
 void EventStreamCall::requestBecameHeld()
@@ -118,8 +186,7 @@
     if (!mayBeSent())
         return;
     if (const auto copyLocation = m_choice->copyTarget()) {
-        if (mayStartRun())
-            startRunAt(copyLocation->engine, copyLocation->copy);
+        startRunIfAllowed(copyLocation->engine, copyLocation->copy);
         return;
     }
     const auto earlier = m_choice->takeEarlierEngine();
@@ -128,6 +195,7 @@
         giveUp(RefusalReason::TooLittleTime);
         return;
     }
+    m_isEngineWithPrompt = earlier != nullptr;
     if (earlier) {
         engineChosen(earlier);
         return;
@@ -143,8 +211,8 @@
 {
     if (!engine)
         waitForEndpoint();
-    else if (mayStartRun())
-        startRunAt(engine, std::nullopt);
+    else
+        startRunIfAllowed(engine, std::nullopt);
 }
 
 void EventStreamCall::startRunAt(const std::shared_ptr<RelayEndpoint>& endpoint, std::optional<RunMemorySource> copy)
@@ -173,6 +241,12 @@
 void EventStreamCall::sendTo(const std::shared_ptr<RelayEndpoint>& endpoint, std::optional<RunMemorySource> copy)
 {
     const auto now = m_context.now();
+    const auto loan = std::exchange(m_loan, std::nullopt);
+    if (loan && !m_tookRetryForNextRun && !loan->isValid(now)) {
+        // The loan has expired while the stream waited for its send slot.
+        startRun();
+        return;
+    }
     const auto& exchange = m_request.exchange;
     auto run = std::make_shared<StreamRun>();
     run->number = m_answer->beginRun();
@@ -182,17 +256,25 @@
     run->lastActivity = now;
     run->isFromCopy = copy.has_value();
     run->tookRetry = std::exchange(m_tookRetryForNextRun, false);
+    run->loan = loan;
 
     ForwardFields fields;
     fields.timeLeft = m_request.deadline - now;
     fields.endpointId = endpoint->entry().id;
     fields.organisation = m_request.organisation;
+    const bool isPromptCached = run->isFromCopy || std::exchange(m_isEngineWithPrompt, false);
+    fields.priority = choosePriority(isPromptCached);
+    run->priority = fields.priority;
+    if (!isPromptCached)
+        noteWork(m_request.fields.promptTokens);
     if (m_request.fields.lastEventId || m_answer->length() > 0)
         fields.lastEventId = m_answer->lastEventId();
     if (run->copyHolder)
         fields.copyTo = run->copyHolder->entry().address;
+    if (copy)
+        m_copier->noteContinued(copy->name);
+    m_choice->noteSent(copy);
     fields.continueFrom = std::move(copy);
-    m_choice->forgetCopy();
 
     logRunSent(m_request, *run, *m_answer, m_attempts == 0, now);
     m_rollout.noteSent();
@@ -200,7 +282,8 @@
     ++m_possibleDeliveries;
     ++m_possibleRuns;
     if (!run->isFromCopy)
-        run->reading = std::make_unique<PrefillScope>(endpoint);
+        run->reading
+            = std::make_unique<PrefillScope>(endpoint, m_context.pace(m_request.service).waitingPrompts, run->priority);
     m_run = run;
     m_choice->noteLocation(*run);
     const auto request = m_context.protocol.encodeForward(exchange->request(), fields);
@@ -209,6 +292,36 @@
     m_livenessMonitor->begin(m_run);
 }
 
+std::optional<unsigned> EventStreamCall::choosePriority(bool isPromptCached)
+{
+    if (!m_request.rank.isNamed || !m_context.hasEngines(m_request.service))
+        return std::nullopt;
+    const StreamState state { .firstAttemptAt = m_request.firstAttemptAt,
+        .objective = m_request.route->objective,
+        .longestPause = m_request.route->longestPause,
+        .isMidStream = m_answer->lastEventId() > 0,
+        .lastEventAt = m_answer->lastEventAt(),
+        .isPromptCached = isPromptCached,
+        .firstEventForecast = m_choice->firstEventForecast() };
+    // A forecast concerns one run; the other reasons hold for the rest of the stream.
+    if (m_lateness == Lateness::InTime || m_lateness == Lateness::ByForecast) {
+        m_lateness = latenessOf(state, m_context.now());
+        if (m_lateness != Lateness::InTime)
+            logLate(m_request, nameIn(latenessNames, m_lateness), state.firstEventForecast, m_context.now());
+    }
+    const ShareKey share { m_request.service, m_request.rank.value, m_request.organisation };
+    const bool isAboveShare = lacksRoom(state) && m_context.shares.isAboveShare(share, m_context.now());
+    return enginePriority(
+        m_request.rank.value, { .isLate = m_lateness != Lateness::InTime, .isAboveShare = isAboveShare });
+}
+
+void EventStreamCall::noteWork(double tokens)
+{
+    if (m_request.rank.isNamed && !m_request.organisation.empty())
+        m_context.shares.note(
+            { m_request.service, m_request.rank.value, m_request.organisation }, tokens, m_context.now());
+}
+
 void EventStreamCall::waitForEndpoint()
 {
     if (m_answer->length() == 0) {
@@ -216,6 +329,7 @@
         const auto decision = waitOrRefuseStream(m_choice->nextAvailability(), m_possibleRuns,
             m_request.admittedAt + settings.waitForEndpoint, settings.endpointRetryInterval, m_context.now());
         if (!decision.waits) {
+            logLostRunEnds(continuation::noEngine);
             giveUp(decision.reason);
             return;
         }
@@ -225,7 +339,10 @@
 
 void EventStreamCall::startRunLater()
 {
-    m_retryTimer.expires_after(m_context.settings.endpointRetryInterval);
+    const auto& settings = m_context.settings;
+    const auto rank = agedRank(m_request.rank, m_context.now() - m_request.admittedAt, settings.rankAgeingTime);
+    m_retryTimer.expires_after(
+        rankedDelay(rank, settings.endpointRetryInterval, fractionOfName(m_request.fields.requestId)));
     m_retryTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
         const auto self = weak.lock();
         if (!error && self && !self->m_isFinished)
@@ -267,17 +384,25 @@
 void EventStreamCall::processEvents(StreamRun& run, std::vector<CompleteEvent>&& events)
 {
     const auto now = m_context.now();
+    const bool hadEnoughGaps = run.gaps.hasEnough();
+    run.gaps.add(events.size(), now);
+    // Known early, because a run lasts seconds and other prompts are placed meanwhile.
+    if (!hadEnoughGaps && run.gaps.hasEnough())
+        m_timing.recordEnginePace(run, now);
+    noteWork(static_cast<double>(events.size() * m_timing.tokensPerEvent()));
     if (!m_answer->append(run, std::move(events))) {
         runFailed(FailureKind::WrongPosition);
         return;
     }
     run.lastActivity = now;
     run.endpoint->noteAlive(now);
+    m_timing.noteEvents(now);
     if (!run.hasEvent && m_failedAt)
         recordResumption(run, now);
     run.hasEvent = true;
     if (!run.firstEventAt) {
         run.firstEventAt = now;
+        m_copier->releaseUnused();
         m_timing.recordFirstEvent(run, now);
     }
     m_crashTracker.noteProducing(now - *run.firstEventAt);
@@ -288,6 +413,7 @@
         if (!run.isFromCopy && !m_request.fields.lastEventId)
             m_rollout.noteAnswerAfter(*run.endpoint, now - run.startedAt, usual);
         m_timing.recordPromptTime(run, now);
+        m_wasLate = now > m_request.firstAttemptAt + m_request.route->objective && !m_request.fields.lastEventId;
         // A caller that resumes a stream was counted when it began.
         if (!m_request.fields.lastEventId)
             m_context.noteStarted(m_request.organisation, now);
@@ -300,6 +426,7 @@
 {
     const auto lastEventAt = m_answer->lastEventAt();
     logRunResumed(m_request, run, lastEventAt, *m_failedAt, now);
+    m_wasLate = m_wasLate || (lastEventAt && now - *lastEventAt > m_request.route->longestPause);
     if (lastEventAt && now > *lastEventAt)
         m_context.metrics.resumeGap.Observe(static_cast<double>((now - *lastEventAt).count()));
     (run.isFromCopy ? m_context.metrics.resumedFromCopy : m_context.metrics.resumedCold).Increment();
@@ -338,6 +465,7 @@
         runFailed(run->fields.isSigned ? FailureKind::ErrorStatus : FailureKind::MalformedEvent);
         return;
     }
+    countStream(StreamOutcome::Failed);
     logEnd("endpoint-status", run->head.status);
     m_request.exchange->respond(run->head);
     finish();
@@ -351,6 +479,9 @@
     m_livenessMonitor->stop();
     run->reading.reset();
     logRunRejected(m_request, *run);
+    ++m_rejectedRuns;
+    if (run->isFromCopy)
+        logNotContinued(m_request, continuation::copyRejected, false, false);
     if (run->fields.isOtherIncarnation) {
         m_context.directory.remove(run->endpoint->entry().id, now);
         m_choice->noteFailed(run->endpoint);
@@ -376,8 +507,10 @@
     const auto now = m_context.now();
     const auto& settings = m_context.settings;
     const bool wasSent = run->call->hasSent();
+    const bool wasSuspect = m_crashTracker.isSuspect();
     run->reading.reset();
     run->call->cancel();
+    m_timing.recordEnginePace(*run, now);
     m_livenessMonitor->stop();
     m_mover->cancel();
     logRunFailed(m_request, *run, *m_answer, kind, now);
@@ -390,6 +523,8 @@
         --m_possibleDeliveries;
         if (run->tookRetry)
             m_context.retryBudget(m_request.service).giveBack();
+        // It reached no engine, so it may still be used.
+        m_loan = run->loan;
     }
     const bool isSilent = kind == FailureKind::Silent;
     run->endpoint->avoidUntil(now
@@ -397,10 +532,18 @@
                 : wasSent ? settings.avoidAfterBrokenAnswer
                           : settings.avoidAfterRefusal));
     m_context.directory.noteFailure(*run->endpoint, now);
+    // A request that may crash endpoints says nothing about their zone.
+    if (!wasSuspect && showsThatEndpointFailed(kind, m_livenessMonitor->hasProbeFailed()))
+        m_context.directory.reportFailure(*run->endpoint);
     m_choice->noteFailed(run->endpoint);
-    // A run's KV cache is copied from its first event on, so before that no copy exists.
-    m_choice->setCopy(run->hasEvent ? copyHolderOf(*run, m_context.directory) : nullptr, m_request.fields.requestId);
+    // A run's KV cache is copied from its first event on. When a run that continued from a copy is lost before that,
+    // the other copies of the run before it remain.
+    auto copies = m_copier->runLost(*run);
+    if (run->hasEvent)
+        m_choice->setCopies(std::move(copies));
     m_failedAt = m_failedAt.value_or(now);
+    if (run->hasEvent)
+        logMissingCopy();
     startRun();
 }
 
@@ -408,8 +551,12 @@
 
 void EventStreamCall::considerMove()
 {
-    const bool hasAttemptLeft = m_possibleRuns + 1 < m_request.route->maxAttempts;
     const auto expectedTimeLeft = m_answer->expectedTimeLeft(m_timing.maxEvents(), m_context.now());
+    if (m_copier->isEnabledFor(*m_run)) {
+        m_copier->consider(*m_run, expectedTimeLeft, m_choice->failed());
+        return;
+    }
+    const bool hasAttemptLeft = m_possibleRuns + 1 < m_request.route->maxAttempts;
     m_mover->consider(*m_run, { hasAttemptLeft, expectedTimeLeft }, m_choice->failed());
 }
 
@@ -426,6 +573,8 @@
         return;
     }
     m_run->call->cancel();
+    m_timing.recordEnginePace(*m_run, m_context.now());
+    m_copier->end();
     m_run.reset();
     m_livenessMonitor->stop();
     m_failedAt = m_context.now();
@@ -436,8 +585,11 @@
 
 void EventStreamCall::timedOut()
 {
-    if (!m_isFinished)
-        giveUp(m_possibleRuns > 0 ? RefusalReason::TimedOut : RefusalReason::TimedOutUnsent);
+    if (m_isFinished)
+        return;
+    if (!m_run)
+        logLostRunEnds(continuation::noEngine);
+    giveUp(m_possibleRuns > 0 ? RefusalReason::TimedOut : RefusalReason::TimedOutUnsent);
 }
 
 void EventStreamCall::complete()
@@ -445,7 +597,9 @@
     m_answer->complete();
     m_choice->forgetLocation();
     m_crashTracker.noteHarmless();
+    m_timing.recordEnginePace(*m_run, m_context.now());
     m_timing.recordCompleteAnswer(m_answer->lastEventId(), m_answer->length(), m_answer->duration());
+    countStream(m_wasLate ? StreamOutcome::Late : StreamOutcome::InTime);
     logEnd("complete", m_run->head.status);
     m_request.exchange->wake();
     finish();
@@ -457,27 +611,51 @@
         refuse(reason);
         return;
     }
+    countStream(StreamOutcome::Failed);
     logEnd(traitsOf(reason).name, 0);
     m_request.exchange->abort();
     finish();
 }
 
+void EventStreamCall::logLostRunEnds(std::string_view reason) const
+{
+    if (m_failedAt)
+        logNotContinued(m_request, reason, true, m_choice->copyTarget().has_value());
+}
+
+void EventStreamCall::logMissingCopy() const
+{
+    if (!m_choice->copyTarget())
+        logNotContinued(m_request, continuation::copyGone, false, false);
+}
+
 void EventStreamCall::refuse(RefusalReason reason)
 {
+    countStream(traitsOf(reason).isNotRun ? StreamOutcome::Refused : StreamOutcome::Failed);
     logEnd(traitsOf(reason).name, traitsOf(reason).status);
     std::optional<Milliseconds> retryDelay;
+    const auto spread = fractionOfName(m_request.fields.requestId);
     // A retry with the same time left would fail as well.
     if (reason == RefusalReason::TooLittleTime)
         retryDelay = std::max(m_request.deadline - m_context.now(), m_context.settings.retryAfter);
+    if (reason == RefusalReason::TooLittleTime && m_request.rank.isNamed)
+        retryDelay = std::max(*retryDelay, m_context.pace(m_request.service).engineRoomAt - m_context.now());
     if (reason == RefusalReason::HeldInQuarantine)
         retryDelay = m_context.crashGuard.quarantineTimeLeft(m_request.digest);
     if (const auto availability = isUnavailabilityRefusal(reason) ? m_choice->nextAvailability() : std::nullopt)
-        retryDelay
-            = retryDelayUntilAvailable(*availability, fractionOfName(m_request.fields.requestId), m_context.now());
+        retryDelay = retryDelayUntilAvailable(*availability, spread, m_context.now(), m_request.rank);
+    if (!retryDelay && m_request.rank.isNamed)
+        retryDelay = rankedDelay(m_request.rank, m_context.settings.retryAfter, spread);
     m_request.exchange->respond(refusal(m_context, reason, retryDelay));
     finish();
 }
 
+void EventStreamCall::countStream(StreamOutcome outcome) const
+{
+    const auto& rank = m_request.rank;
+    m_context.metrics.countStream(rank.isNamed ? std::optional(rank.value) : std::nullopt, outcome);
+}
+
 void EventStreamCall::logEnd(std::string_view outcome, unsigned status)
 {
     const auto took = m_context.now() - m_request.admittedAt;
@@ -496,9 +674,11 @@
     m_livenessMonitor->stop();
     m_choice->cancel();
     m_permit.reset();
+    m_loanRequest.reset();
     m_mover->cancel();
     if (const auto run = std::exchange(m_run, nullptr))
         run->call->cancel();
+    m_copier->end();
 }
 
 } // namespace lupinknot::internal
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -10,6 +10,7 @@
 // Owned by its pending timers and the exchange's callback.
 #pragma once
 
+#include "admission/AnswerLateness.h"
 #include "relay/CrashTracker.h"
 #include "relay/EndpointCall.h"
 #include "relay/RelayRefusal.h"
@@ -17,6 +18,7 @@
 #include "relay/RequestRollout.h"
 #include "relay/StreamRun.h"
 #include "relay/StreamTiming.h"
+#include "retries/RetryLoanSource.h"
 #include <boost/asio/steady_timer.hpp>
 #include <vector>
 
@@ -24,9 +26,11 @@
 
 class EngineChoice;
 class PermitWait;
+class RunCopier;
 class RunMover;
 class RunLivenessMonitor;
 class StreamResponse;
+enum class StreamOutcome;
 struct RunMove;
 
 class EventStreamCall final : public EndpointCallListener, public std::enable_shared_from_this<EventStreamCall> {
@@ -51,11 +55,22 @@
     void engineChosen(const std::shared_ptr<RelayEndpoint>&);
     void waitForEndpoint();
     void startRunLater();
-    bool mayStartRun();
+    // Starts the run if its attempts and the retry budget permit it; waits for a retry from another VM if this VM's own
+    // part of the budget is spent.
+    void startRunIfAllowed(const std::shared_ptr<RelayEndpoint>&, std::optional<RunMemorySource>);
+    RetryPurpose retryPurpose(bool isFromCopy) const;
+    // Asks other VMs for a retry. Returns false if none may be borrowed.
+    bool borrowRetry(RetryPurpose);
+    void retryBorrowed(const std::optional<RetryLoan>&);
+    void giveUpWithoutRetry();
     // Returns false when the request is quarantined, which ends the call, or may be soon, in which case the call waits
     // for the decision.
     bool mayBeSent();
 
+    // The priority for the engine, if the configuration names a rank. A stream that was late once stays late.
+    std::optional<unsigned> choosePriority(bool isPromptCached);
+    // Counts work for the share of the request's organisation.
+    void noteWork(double tokens);
     void processEvents(StreamRun&, std::vector<CompleteEvent>&&);
     void recordResumption(const StreamRun&, Milliseconds now);
     void handleNonStreamResponse(const std::shared_ptr<StreamRun>&);
@@ -65,7 +80,8 @@
     void giveUpAsHeld();
     void requestBecameHeld();
 
-    // Moves the run preventively if no engine holds a copy of it and a move is worth its cost.
+    // Renews the copy of the run where the service's engines can; elsewhere, moves the run preventively if no engine
+    // holds a copy of it and a move is worth its cost.
     void considerMove();
     void moveFinished(const RunMove&);
 
@@ -73,6 +89,11 @@
     void complete();
     void refuse(RefusalReason);
     void giveUp(RefusalReason);
+    // Logs why a lost run is not continued when the stream ends.
+    void logLostRunEnds(std::string_view reason) const;
+    // Logs that a run lost in mid-stream has no usable copy.
+    void logMissingCopy() const;
+    void countStream(StreamOutcome) const;
     void logEnd(std::string_view outcome, unsigned status);
     void finish();
 
@@ -90,6 +111,8 @@
     std::shared_ptr<PermitWait> m_permit;
     // Set by begin().
     std::unique_ptr<RunMover> m_mover;
+    // Set by begin().
+    std::unique_ptr<RunCopier> m_copier;
     // Number of runs that an engine may have started.
     unsigned m_possibleRuns { 0 };
     unsigned m_attempts { 0 };
@@ -97,7 +120,18 @@
     unsigned m_possibleDeliveries { 0 };
     // True when the retry budget has already been charged for the next run.
     bool m_tookRetryForNextRun { false };
+    // Set while other VMs are asked for a retry; cancels the request when it is destroyed.
+    std::shared_ptr<void> m_loanRequest;
+    // A retry that another VM has lent for the next run.
+    std::optional<RetryLoan> m_loan;
+    unsigned m_rejectedRuns { 0 };
     std::optional<Milliseconds> m_failedAt;
+    // Why the answer is late or certain to be late, as known when the last run was sent.
+    Lateness m_lateness { Lateness::InTime };
+    // True when the engine for the next run has the prompt cached.
+    bool m_isEngineWithPrompt { false };
+    // True when the first event came after the objective, or a resumption after the longest pause.
+    bool m_wasLate { false };
     bool m_isFinished { false };
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_retryTimer;
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -1,8 +1,11 @@
 // State and collaborators shared by all requests of the relay. Lives for the process; used on the relay's thread only.
 #pragma once
 
+#include "admission/FirstAttemptEstimate.h"
+#include "admission/OrganisationShares.h"
 #include "admission/WaitingRequestLimit.h"
 #include "lupinknot/Clock.h"
+#include "placement/EnginePaces.h"
 #include "relay/RetryBudget.h"
 #include "relay/ServicePace.h"
 #include "rollout/Rollouts.h"
@@ -20,8 +23,10 @@
 class Placement;
 class RelayConfiguration;
 class RelayMetrics;
+class RetryLoanSource;
 class RunLocations;
 class UsageRecorder;
+class ZoneExchange;
 enum class Policy;
 struct RelaySettings;
 
@@ -47,11 +52,23 @@
     Rollouts rollouts {};
     // Requests that wait for the configuration, for endpoints or for capacity.
     WaitingRequestLimit waitingRequestLimit {};
+    // By route name. A route that is removed from the configuration keeps its entry.
+    std::unordered_map<std::string, FirstAttemptEstimate> firstAttempts {};
+    // The work of organisations.
+    OrganisationShares shares {};
+    // Null when VMs do not exchange messages through collectors.
+    ZoneExchange* zoneExchange { nullptr };
     // Null when usage is not reported.
     UsageRecorder* usage { nullptr };
+    // Null when VMs do not lend retries to each other.
+    RetryLoanSource* retryLoans { nullptr };
+    // Paces of single engines, relative to their service.
+    EnginePaces enginePaces {};
 
     Milliseconds now() const { return clock.now(); }
     bool has(Policy) const;
+    // True if the endpoints of the service are engines.
+    bool hasEngines(const std::string& service) const;
     // Records that an endpoint has started a request of the organisation.
     void noteStarted(const std::string& organisation, Milliseconds startedAt) const;
     ServicePace& pace(const std::string& service) { return paces[service]; }
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -29,6 +29,7 @@
     , m_localPermits(m_ioContext, m_clock)
     , m_context { m_ioContext, m_settings, m_clock, protocol, m_directory, m_placement, m_metrics, m_crashGuard,
         &m_localPermits, nullptr, {}, {}, nullptr, false }
+    , m_shareExchange(m_context.shares, m_clock, m_settings.vmName, m_settings.availabilityZone)
     , m_handler(m_context)
     , m_callerServer(m_ioContext, listenAt(addresses.front),
           [this](const std::shared_ptr<HttpExchange>& exchange) { m_handler.handle(exchange); })
@@ -40,7 +41,10 @@
     , m_stopTimer(m_ioContext)
     , m_housekeepingTimer(m_ioContext)
 {
+    m_context.waitingRequestLimit.setAgeingTime(m_settings.rankAgeingTime);
+    m_placement.setPaces(&m_context.enginePaces);
     m_directory.onFirstList([this] { m_handler.processWaitingRequests(); });
+    m_directory.onZoneFailure([this](ZoneFailureSource source) { m_metrics.countZoneFailure(source); });
     m_directory.setServices([this](const std::string& service) {
         return !m_context.configuration || m_context.configuration->findService(service);
     });
@@ -74,6 +78,7 @@
     m_settings = settings;
     m_settings.retrySlackShare = share;
     m_settings.retrySlackStartsAt = from;
+    m_context.waitingRequestLimit.setAgeingTime(m_settings.rankAgeingTime);
     LogEvent("settings.applied")
         .number("retry_ratio_percent", static_cast<std::int64_t>(100 * m_settings.retryRatio))
         .number("retry_slack", static_cast<std::int64_t>(m_settings.retrySlack))
@@ -99,6 +104,20 @@
     return true;
 }
 
+LoanDecision RelayDaemon::lendRetry(const RetryLoanRequest& request)
+{
+    // The budgets are kept by service, and another VM may name any.
+    if (!m_context.configuration || !m_context.configuration->findService(request.service))
+        return LoanDecision::Spent;
+    return m_context.retryBudget(request.service).lend(request.purpose, request.rank, m_clock.now());
+}
+
+void RelayDaemon::setZoneExchange(ZoneExchange* exchange)
+{
+    m_context.zoneExchange = exchange;
+    m_shareExchange.connect(exchange);
+}
+
 void RelayDaemon::listRestored()
 {
     m_directory.listRestored(m_clock.now());
@@ -176,6 +195,7 @@
 void RelayDaemon::runHousekeeping()
 {
     m_directory.dropExpired(m_clock.now());
+    m_shareExchange.tick(m_clock.now());
     m_metrics.endpointsKnown.Set(static_cast<double>(m_directory.size()));
     m_housekeepingTimer.expires_after(housekeepingInterval);
     m_housekeepingTimer.async_wait([this](boost::system::error_code error) {
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -19,6 +19,7 @@
 #include "relay/RelayContext.h"
 #include "relay/RelayHandler.h"
 #include "relay/RelayMetrics.h"
+#include "relay/ShareExchange.h"
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -55,6 +56,16 @@
     void setPermits(PermitSource* permits) { m_context.permits = permits; }
     // Sets the recorder of the requests that endpoints start; it must outlive run().
     void setUsageRecorder(UsageRecorder* usage) { m_context.usage = usage; }
+    // Sets the exchange with the VMs of this zone; it must outlive run().
+    void setZoneExchange(ZoneExchange*);
+    // Sets the number of VMs of this VM's zone, this one included.
+    void setZoneVmCount(std::size_t count) { m_shareExchange.setZoneVmCount(count); }
+    // Sets the source of retries that other VMs lend; it must outlive run(). Without one, this VM uses its own part.
+    void setRetryLoans(RetryLoanSource* loans) { m_context.retryLoans = loans; }
+    // Lends a retry of this VM's part of the budget to another VM if enough are left.
+    LoanDecision lendRetry(const RetryLoanRequest&);
+    ZoneExchange* zoneExchange() const { return m_context.zoneExchange; }
+    EnginePaces& enginePaces() { return m_context.enginePaces; }
     RelayMetrics& metrics() { return m_metrics; }
     // Decides which requests are quarantined because endpoints crashed while running them.
     CrashGuard& crashGuard() { return m_crashGuard; }
@@ -104,6 +115,7 @@
     CrashGuard m_crashGuard;
     LocalPermits m_localPermits;
     RelayContext m_context;
+    ShareExchange m_shareExchange;
     RelayHandler m_handler;
     HttpServer m_callerServer;
     HttpServer m_readinessServer;
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -38,10 +38,22 @@
                       .Name("lupinknot_relay_request_ms")
                       .Help("Time from a request's arrival to its answer, by kind.")
                       .Register(*m_registry))
+    , m_zoneFailures(prometheus::BuildCounter()
+                         .Name("lupinknot_relay_zone_failures_total")
+                         .Help("Failures of whole zones, by who detected them.")
+                         .Register(*m_registry))
+    , m_streams(prometheus::BuildCounter()
+                    .Name("lupinknot_relay_streams_total")
+                    .Help("Streams ended, by rank and outcome.")
+                    .Register(*m_registry))
     , resumedFromCopy(addCounter(
           *m_registry, "lupinknot_relay_resumed_from_copy_total", "Streams that went on from a copy of their memory."))
     , resumedCold(addCounter(
           *m_registry, "lupinknot_relay_resumed_cold_total", "Streams that went on by reading the prompt again."))
+    , copiesRenewed(addCounter(*m_registry, "lupinknot_relay_copies_renewed_total",
+          "New copies made of the KV caches of running streams whose copy was lost."))
+    , copiesLost(addCounter(
+          *m_registry, "lupinknot_relay_copies_lost_total", "KV-cache copies lost while their stream was running."))
     , resumeGap(prometheus::BuildHistogram()
                     .Name("lupinknot_relay_resume_gap_ms")
                     .Help("Time between the last event before a loss and the first one after it.")
@@ -63,6 +75,12 @@
           "Usage reports that were refused or not answered."))
     , leadsUsageReports(
           addGauge(*m_registry, "lupinknot_relay_leads_usage_reports", "1 while this VM sends the usage reports."))
+    , retriesBorrowed(addCounter(
+          *m_registry, "lupinknot_relay_retries_borrowed_total", "Retries that other VMs have lent to this one."))
+    , retriesLent(
+          addCounter(*m_registry, "lupinknot_relay_retries_lent_total", "Retries that this VM has lent to others."))
+    , retryLoansRefused(addCounter(*m_registry, "lupinknot_relay_retry_loans_refused_total",
+          "Retries that this VM needed and no other VM lent in time."))
 {
 }
 
@@ -78,6 +96,18 @@
     m_failures.Add({ { "failure", std::string(traitsOf(kind).name) } }).Increment();
 }
 
+void RelayMetrics::countZoneFailure(ZoneFailureSource source)
+{
+    m_zoneFailures.Add({ { "source", std::string(nameIn(zoneFailureSourceNames, source)) } }).Increment();
+}
+
+void RelayMetrics::countStream(std::optional<unsigned> rank, StreamOutcome outcome)
+{
+    const auto rankName = rank ? std::to_string(*rank) : std::string("none");
+    m_streams.Add({ { "rank", rankName }, { "outcome", std::string(nameIn(streamOutcomeNames, outcome)) } })
+        .Increment();
+}
+
 std::string RelayMetrics::exposition() const
 {
     std::ostringstream text;
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -1,10 +1,14 @@
 // The relay's metrics, by prometheus-cpp. Label values come from fixed tables, never from callers.
 #pragma once
 
+#include "health/ZoneFailureSource.h"
 #include "lupinknot/Clock.h"
+#include "lupinknot/EnumNames.h"
 #include "lupinknot/FailureKind.h"
 #include "relay/RequestKind.h"
+#include <array>
 #include <memory>
+#include <optional>
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
@@ -14,6 +18,23 @@
 
 namespace lupinknot::internal {
 
+// How a stream ended for its caller.
+enum class StreamOutcome {
+    InTime,
+    Late, // Complete, but its first event or a resumption came too late.
+    Refused, // Not run.
+    Failed, // Ended after it may have run.
+    CallerGone,
+};
+
+inline constexpr std::array<EnumName<StreamOutcome>, 5> streamOutcomeNames { {
+    { StreamOutcome::InTime, "in-time" },
+    { StreamOutcome::Late, "late" },
+    { StreamOutcome::Refused, "refused" },
+    { StreamOutcome::Failed, "failed" },
+    { StreamOutcome::CallerGone, "caller-gone" },
+} };
+
 // Thread-safe. The references are initialised once and point into the registry.
 class RelayMetrics {
 public:
@@ -21,6 +42,9 @@
 
     void countRequest(RequestKind, unsigned status, Milliseconds took);
     void countFailure(FailureKind);
+    void countZoneFailure(ZoneFailureSource);
+    // Counts a stream by its rank, empty when the configuration names none, and by how it ended.
+    void countStream(std::optional<unsigned> rank, StreamOutcome);
     std::string exposition() const;
 
 private:
@@ -28,11 +52,16 @@
     prometheus::Family<prometheus::Counter>& m_requests;
     prometheus::Family<prometheus::Counter>& m_failures;
     prometheus::Family<prometheus::Histogram>& m_durations;
+    prometheus::Family<prometheus::Counter>& m_zoneFailures;
+    prometheus::Family<prometheus::Counter>& m_streams;
 
 public:
     // Streams that resumed at another engine from a copy of their KV cache, or by a new prefill of the prompt.
     prometheus::Counter& resumedFromCopy;
     prometheus::Counter& resumedCold;
+    // New copies of the KV caches of running streams, and copies that were lost while their stream ran.
+    prometheus::Counter& copiesRenewed;
+    prometheus::Counter& copiesLost;
     // Time from a stream's last event before a failure to the first one after it, in milliseconds.
     prometheus::Histogram& resumeGap;
     prometheus::Counter& engineProbes;
@@ -47,6 +76,10 @@
     prometheus::Counter& usageReportsSent;
     prometheus::Counter& usageReportsFailed;
     prometheus::Gauge& leadsUsageReports;
+    // Retries that other VMs lent to this one, retries that it lent to others, and searches that found no lender.
+    prometheus::Counter& retriesBorrowed;
+    prometheus::Counter& retriesLent;
+    prometheus::Counter& retryLoansRefused;
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -1,6 +1,8 @@
 // Limits, times and weights of the relay. The adapter fills in those that a deployment configures.
 #pragma once
 
+#include "admission/WaitingRequestLimit.h"
+#include "copies/CopyRenewalSettings.h"
 #include "lupinknot/Clock.h"
 #include "relay/Policy.h"
 #include "rollout/ExposureBudget.h"
@@ -33,9 +35,17 @@
     Milliseconds retrySlackStartsAt { 0 };
     double retryShareAfterStart { 0.7 };
     // Share of the budget that VMs use; the rest makes up for VMs that count at different times and for rounding up.
-    double retryShare { 0.87 };
+    double retryShare { 0.84 };
     // Share of this VM's part that may be used for proactive retries, and for calls that a full service rejects.
     double proactiveShare { 0.6 };
+    // The same for streams that are late in any case: their callers gain little from them.
+    double lateStreamShare { 0.8 };
+    // Share of this VM's part, one retry at least, that it does not lend to other VMs.
+    double loanReserveShare { 0.25 };
+    // How long a retry that another VM lends may be used, from the moment at which it was asked for.
+    Milliseconds loanValidity { 400 };
+    // How long a stream waits for such a retry.
+    Milliseconds loanSearchTime { 120 };
 
     // Requests that all VMs together may send to a version whose rollout is undecided. Set by the deployment.
     ExposureLimit exposureLimit {};
@@ -82,6 +92,8 @@
     // A run that is expected to end sooner than this is not moved: a move costs a copy of its KV cache, a retry and a
     // short pause, and a second failure within this time is rare.
     Milliseconds minTimeLeftForRelocation { 2500 };
+    // Copies that are ordered for running runs, in place of such moves.
+    CopyRenewalSettings copies {};
     // How long a stream without an event waits for an endpoint when none is available.
     Milliseconds waitForEndpoint { 900 };
     // Interval between attempts to find an available endpoint.
@@ -127,6 +139,9 @@
     // endpoint that is no longer alive expires within this time.
     Milliseconds ignoreGoneEndpointsFor { 4100 };
 
+    // Time after which a waiting request moves up by one rank; see admission/WaitingRequestLimit.
+    Milliseconds rankAgeingTime { WaitingRequestLimit::defaultAgeingTime };
+
     // Default retry delay of a refused caller.
     Milliseconds retryAfter { 250 };
 
--- a/src/relay/StreamLog.cpp
+++ b/src/relay/StreamLog.cpp
@@ -25,6 +25,7 @@
         .number("after_event", static_cast<std::int64_t>(answer.lastEventId()))
         .number("in_flight", endpoint.inFlight())
         .flag("avoided", endpoint.isAvoided(now))
+        .number("priority", run.priority ? static_cast<std::int64_t>(*run.priority) : -1)
         .number("config_version", static_cast<std::int64_t>(request.configurationVersion))
         .write();
 }
@@ -69,6 +70,31 @@
         .write();
 }
 
+void logNotContinued(const RelayRequest& request, std::string_view reason, bool ends, bool hasCopy)
+{
+    LogEvent("stream.not-sent-on")
+        .text("request", request.fields.requestId)
+        .text("reason", reason)
+        .flag("ends", ends)
+        .flag("has_copy", hasCopy)
+        .number("rank", loggedRank(request.rank))
+        .text("organisation", request.organisation)
+        .write();
+}
+
+void logLate(
+    const RelayRequest& request, std::string_view reason, std::optional<Milliseconds> forecast, Milliseconds now)
+{
+    LogEvent("stream.late")
+        .text("request", request.fields.requestId)
+        .text("reason", reason)
+        .number("rank", loggedRank(request.rank))
+        .number("since_first_attempt_ms", (now - request.firstAttemptAt).count())
+        .number("forecast_ms", forecast.value_or(Milliseconds { -1 }).count())
+        .number("objective_ms", request.route->objective.count())
+        .write();
+}
+
 void logRunResumed(const RelayRequest& request, const StreamRun& run, std::optional<Milliseconds> lastEventAt,
     Milliseconds failedAt, Milliseconds now)
 {
--- a/src/relay/StreamRun.h
+++ b/src/relay/StreamRun.h
@@ -6,9 +6,11 @@
 
 #include "http/HttpResponse.h"
 #include "lupinknot/Generation.h"
+#include "placement/EventGaps.h"
 #include "relay/CallProtocol.h"
 #include "relay/EventSplitter.h"
 #include "relay/PrefillScope.h"
+#include "retries/RetryLoanSource.h"
 #include <memory>
 #include <optional>
 
@@ -26,6 +28,7 @@
     HttpResponse head;
     AnswerFields fields;
     EventSplitter splitter;
+    EventGaps gaps;
     // Set while the engine prefills the prompt.
     std::unique_ptr<PrefillScope> reading;
     Milliseconds startedAt { 0 };
@@ -39,8 +42,12 @@
     bool isFramed { false };
     bool hasEvent { false };
     bool isFromCopy { false };
+    // The priority that was sent to the engine, if any.
+    std::optional<unsigned> priority;
     // The retry budget was charged for this run.
     bool tookRetry { false };
+    // The retry of another VM that paid for this run.
+    std::optional<RetryLoan> loan;
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/StreamTiming.cpp
+++ b/src/relay/StreamTiming.cpp
@@ -4,6 +4,7 @@
 #include "relay/Policy.h"
 #include "relay/RelayConfiguration.h"
 #include "relay/RelayContext.h"
+#include "relay/RelayEndpoint.h"
 #include "relay/RelayRequest.h"
 #include "relay/StreamRun.h"
 
@@ -24,11 +25,16 @@
 {
 }
 
-std::int64_t StreamTiming::maxEvents() const
+std::uint32_t StreamTiming::tokensPerEvent() const
 {
     const auto* service = m_context.configuration->findService(m_request.service);
-    const auto tokensPerEvent = service ? service->tokensPerEvent : 0;
-    return tokensPerEvent == 0 ? 0 : static_cast<std::int64_t>(m_request.fields.maxAnswerTokens / tokensPerEvent);
+    return service ? service->tokensPerEvent : 0;
+}
+
+std::int64_t StreamTiming::maxEvents() const
+{
+    const auto tokens = tokensPerEvent();
+    return tokens == 0 ? 0 : static_cast<std::int64_t>(m_request.fields.maxAnswerTokens / tokens);
 }
 
 bool StreamTiming::lacksTimeToFinish(std::uint64_t lastEventId, bool isPromptKept) const
@@ -54,6 +60,29 @@
     return true;
 }
 
+Milliseconds StreamTiming::nextEventDue() const
+{
+    const auto& route = *m_request.route;
+    return m_lastEventAt ? *m_lastEventAt + route.longestPause : m_request.firstAttemptAt + route.objective;
+}
+
+void StreamTiming::noteEvents(Milliseconds now)
+{
+    m_isLate = m_isLate || now > nextEventDue();
+    m_lastEventAt = now;
+}
+
+bool StreamTiming::canBeInTime(Milliseconds timeToNextEvent, Milliseconds now) const
+{
+    return !m_isLate && now + timeToNextEvent <= nextEventDue();
+}
+
+Milliseconds StreamTiming::shortestPrefillTime() const
+{
+    const auto perToken = m_context.pace(m_request.service).prefillTimePerToken.quantile(fastestQuantile);
+    return Milliseconds { static_cast<std::int64_t>(perToken * m_request.fields.promptTokens) };
+}
+
 void StreamTiming::recordFirstEvent(const StreamRun& run, Milliseconds now)
 {
     const auto lead = std::max(now - run.headerReceivedAt.value_or(now), Milliseconds { 1 });
@@ -81,10 +110,20 @@
     if (tokens == 0 || m_request.fields.lastEventId || run.isFromCopy || !m_context.has(Policy::LearnedPace))
         return;
     auto& pace = m_context.pace(m_request.service);
-    pace.prefillTimePerToken.add(static_cast<double>((now - run.startedAt).count()) / tokens, now);
+    const auto timePerToken = static_cast<double>((now - run.startedAt).count()) / tokens;
+    pace.prefillTimePerToken.add(timePerToken, now);
+    pace.prefillTimeAtUsualPace.add(
+        timePerToken / m_context.enginePaces.paceOf(m_request.service, run.endpoint->entry().address, now), now);
     pace.promptTokens.add(tokens, now);
 }
 
+void StreamTiming::recordEnginePace(const StreamRun& run, Milliseconds now)
+{
+    const auto interval = run.gaps.shortestTenth();
+    if (interval && m_context.has(Policy::LearnedPace))
+        m_context.enginePaces.noteRun(m_request.service, run.endpoint->entry().address, *interval, now);
+}
+
 void StreamTiming::recordCompleteAnswer(std::uint64_t lastEventId, std::size_t events, Milliseconds time)
 {
     if (!m_context.has(Policy::LearnedPace))
--- a/test/PlatformCallProtocolTest.cpp
+++ b/test/PlatformCallProtocolTest.cpp
@@ -97,6 +97,24 @@
     STRCMP_EQUAL("9c41", fields.requestId.c_str());
 }
 
+// Guards against treating a run that is gone, or an order that is under way, like a target without room.
+TEST(PlatformCallProtocol, DistinguishesTheRejectionsOfACopy)
+{
+    CHECK(protocol.decodeMoveRun({ 200, {}, "" }).status == MoveRunStatus::Copied);
+    CHECK(protocol.decodeMoveRun({ 404, {}, "" }).status == MoveRunStatus::UnknownRun);
+    CHECK(protocol.decodeMoveRun({ 409, {}, "" }).status == MoveRunStatus::Busy);
+    CHECK(protocol.decodeMoveRun({ 503, {}, "" }).status == MoveRunStatus::Rejected);
+    CHECK(protocol.decodeMoveRun({ 500, {}, "" }).status == MoveRunStatus::Other);
+}
+
+// Guards against a handle that changes the path of the request or splits its first line.
+TEST(PlatformCallProtocol, EncodesTheHandleToDelete)
+{
+    const auto request = protocol.encodeReleaseHandle("h-1/2 x\r\n");
+    STRCMP_EQUAL("DELETE", request.method.c_str());
+    STRCMP_EQUAL("/api/kv-handle/h-1%2F2%20x%0D%0A", request.target.c_str());
+}
+
 TEST(PlatformCallProtocol, DecodesTheHandleOfAMovedRunWhateverItsType)
 {
     STRCMP_EQUAL("h1", protocol.decodeMoveRun({ 200, {}, R"({"handle":"h1"})" }).handle.c_str());
@@ -172,6 +190,32 @@
         CHECK(!limit.perSecond && !limit.unreadable.empty());
 }
 
+TEST(PlatformCallProtocol, DecodesTheLoadThatAnEndpointStates)
+{
+    const auto loadOf = [this](const std::string& text) {
+        return protocol.decodeAnswer({ 200, { { "X-Server-Load", text } }, "" }).load;
+    };
+    const auto load = loadOf("3,2,4,250").load;
+    CHECK(load.has_value());
+    LONGS_EQUAL(3, load->running);
+    LONGS_EQUAL(2, load->waiting);
+    LONGS_EQUAL(4, load->slots);
+    DOUBLES_EQUAL(2.5, *load->pace, 1e-9);
+    CHECK(loadOf("0, 0, 8").load.has_value());
+    CHECK_FALSE(loadOf("0,0,8").load->pace.has_value());
+    const auto none = protocol.decodeAnswer({ 200, {}, "" }).load;
+    CHECK(!none.load && none.unreadable.empty());
+}
+
+TEST(PlatformCallProtocol, IgnoresAnInvalidLoadOfAnEndpoint)
+{
+    for (const auto* text : { "", "1", "1,2", "1,2,0", "-1,2,3", "1,2,x", "1,2,3,", "1,2,3,0", "1,2,3,99999999",
+             "1,2,3,100,5", "1,2,18446744073709551616", "1.5,2,3", "1,2,3,nan", "4000000000,0,1" }) {
+        const auto stated = protocol.decodeAnswer({ 200, { { "X-Server-Load", text } }, "" }).load;
+        CHECK_TEXT(!stated.load && !stated.unreadable.empty(), text);
+    }
+}
+
 TEST(PlatformCallProtocol, DecodesTheBackOffOfAnEndpoint)
 {
     const auto restOf = [this](const std::string& text) {
