--- a/src/copies/RunCopyOrder.h
+++ b/src/copies/RunCopyOrder.h
@@ -1,5 +1,4 @@
-// One order to an engine to copy the memory of a run to another engine while the run continues (kv-move without
-// `last`).
+// One order to an engine to copy the memory of a run to another engine while the run continues.
 //
 //     m_order = RunCopyOrder::start(context, source, target, requestId, [this](const CopyOrderAnswer& answer) { ... });
 //     RunCopyOrder::abandon(std::move(m_order));       // The handle of a copy that is still made is released.
