Confirm by a probe that an engine has failed when its connection broke

Cause: at 8 s about half of the VMs lose half of their connections, while all engines live. Each lost connection was reported as the failure of an engine, so that the collectors declared the failure of all three zones, and 1,365 copies counted as lost.

Change: a broken connection counts only if the engine does not answer a probe; one that ended refuses it at once. The test's scripts answer such probes apart from the requests that they count.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -5,6 +5,7 @@
 #include "common/EventLog.h"
 #include "common/NameHash.h"
 #include "copies/RunCopier.h"
+#include "health/EndpointFailureCheck.h"
 #include "http/HttpExchange.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/EngineChoice.h"
@@ -29,12 +30,19 @@
 // After more rejected runs, retries are not borrowed: the service is full, or the VM is wrong about its copies.
 constexpr unsigned maxRejectedRunsOnLoan = 1;
 
-// False for failures that may concern the request only: an unexpected response, or a stream that pauses although its
-// engine answers probes or other streams get events from it.
-bool showsThatEndpointFailed(FailureKind kind, bool hasProbeFailed)
+// What a failed run shows about its engine.
+enum class EngineEvidence {
+    None, // It may concern the request only: an unexpected response, or a pause while the engine answers probes.
+    Failed, // The engine refuses connections or does not answer a probe.
+    ConnectionBroke, // The engine has ended, or only the connection was reset.
+};
+
+EngineEvidence evidenceOf(FailureKind kind, bool hasProbeFailed)
 {
-    return kind == FailureKind::ConnectionRefused || kind == FailureKind::ConnectionLost
-        || kind == FailureKind::EarlyEnd || (kind == FailureKind::Silent && hasProbeFailed);
+    if (kind == FailureKind::ConnectionRefused || (kind == FailureKind::Silent && hasProbeFailed))
+        return EngineEvidence::Failed;
+    const bool isBroken = kind == FailureKind::ConnectionLost || kind == FailureKind::EarlyEnd;
+    return isBroken ? EngineEvidence::ConnectionBroke : EngineEvidence::None;
 }
 
 } // namespace
@@ -533,8 +541,11 @@
                           : settings.avoidAfterRefusal));
     m_context.directory.noteFailure(*run->endpoint, now);
     // A request that may crash endpoints says nothing about their zone.
-    if (!wasSuspect && showsThatEndpointFailed(kind, m_livenessMonitor->hasProbeFailed()))
+    const auto evidence = wasSuspect ? EngineEvidence::None : evidenceOf(kind, m_livenessMonitor->hasProbeFailed());
+    if (evidence == EngineEvidence::Failed)
         m_context.directory.reportFailure(*run->endpoint);
+    else if (evidence == EngineEvidence::ConnectionBroke)
+        EndpointFailureCheck::start(m_context, run->endpoint);
     m_choice->noteFailed(run->endpoint);
     // A run's KV cache is copied from its first event on. When a run that continued from a copy is lost before that,
     // the other copies of the run before it remain.
--- a/test/EventStreamCallTest.cpp
+++ b/test/EventStreamCallTest.cpp
@@ -578,6 +578,7 @@
     ready();
     const auto caller = relay->call("/stream/1");
     await(caller);
+    CHECK(relay->runUntil([&] { return !reported.empty(); }));
     LONGS_EQUAL_TEXT(1, reported.size(), "only the connection of e1 broke");
     STRCMP_EQUAL("e1", reported.front().c_str());
 }
@@ -617,3 +618,30 @@
     STRCMP_EQUAL(events(1, 2).c_str(), caller->body.c_str());
     LONGS_EQUAL(0, reported.size());
 }
+
+// Guards against resets of a VM's connections that count as failures of all the engines at their other end.
+TEST(EventStreamCall, AResetConnectionToAnEngineThatAnswersAProbeIsNoFailureOfIt)
+{
+    std::vector<std::string> reported;
+    bool wasProbed = false;
+    auto& engine = relay->addEndpoint("e1", "a");
+    engine.onRequest([&wasProbed](ScriptedConnection& asker, const std::string& request) {
+        if (request.find("/stream/") != std::string::npos) {
+            sendsAndResets(1)(asker, request);
+            return;
+        }
+        wasProbed = true;
+        asker.answer(200, "", "{}");
+    });
+    relay->addEndpoint("e2", "b").onRequest(sends(2, 2));
+    ready();
+    relay->daemon().directory().onEndpointFailure(
+        [&reported](const RelayEndpoint& endpoint) { reported.push_back(endpoint.entry().id); });
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    STRCMP_EQUAL(events(1, 2).c_str(), caller->body.c_str());
+    CHECK(relay->runUntil([&] { return wasProbed; }));
+    const auto end = relay->daemon().clock().now() + Milliseconds { 20 };
+    relay->runUntil([&] { return relay->daemon().clock().now() > end; });
+    LONGS_EQUAL(0, reported.size());
+}
