--- a/test/PeerZoneHealthTest.cpp
+++ b/test/PeerZoneHealthTest.cpp
@@ -356,6 +356,7 @@
 {
     const std::string service(150, 's');
     std::vector<EndpointEntry> engines;
+    engines.reserve(400);
     for (int i = 0; i < 400; ++i)
         engines.push_back({ std::string(40, 'e') + std::to_string(i), service + std::to_string(i / 100),
             { "127.0.0.1", 1000 + i }, "c" });
@@ -377,6 +378,7 @@
 {
     addVms(2, 0);
     std::vector<EndpointEntry> engines;
+    engines.reserve(40);
     for (int i = 0; i < 40; ++i)
         engines.push_back({ "late" + std::to_string(i), "late", { "127.0.0.1", 1000 + i }, "c" });
     vms[1]->directory.replaceAll(engines, clock.now() - Milliseconds { 10 });
--- a/test/PlatformRowsTest.cpp
+++ b/test/PlatformRowsTest.cpp
@@ -82,10 +82,9 @@
 {
     for (const std::string value :
         { "-1", "10", "1.5", "2.0", "\"2\"", "true", "null", "[1]", "18446744073709551617" }) {
-        const auto configuration = decodeConfiguration(
-            R"({"version":1,"routes":[{"host":"h","path-prefix":"/x/","service":"s","priority":)" + value
-                + R"(}],"services":[],"tenants":[{"name":"acme","api-keys":["k1"],"priority":)" + value + "}]}",
-            problem);
+        auto text = R"({"version":1,"routes":[{"host":"h","path-prefix":"/x/","service":"s","priority":)" + value;
+        text.append(R"(}],"services":[],"tenants":[{"name":"acme","api-keys":["k1"],"priority":)").append(value);
+        const auto configuration = decodeConfiguration(text.append("}]}"), problem);
         CHECK_TEXT(configuration && configuration->findOrganisation("k1"), value.c_str());
         CHECK_TEXT(!configuration->findRoute("h", "/x/1")->rank, value.c_str());
         CHECK_TEXT(!configuration->rankOfOrganisation("acme"), value.c_str());
--- a/test/ZoneRiskTest.cpp
+++ b/test/ZoneRiskTest.cpp
@@ -34,6 +34,7 @@
     void failInTurn(const std::string& order, int count)
     {
         std::vector<ZoneFailureHistory::Failure> failures;
+        failures.reserve(static_cast<std::size_t>(count));
         for (int i = 0; i < count; ++i)
             failures.push_back({ std::string(1, order[static_cast<std::size_t>(i) % order.size()]),
                 now - Milliseconds { 4900 + 5000 * (count - 1 - i) } });
