Share load probes between zones by their healthy engines

After the failure of a zone, the first events of many streams came after 7 to 14 s.

Cause: each prompt is placed by probes of two engines of the VM's own zone and one of each other zone, whatever number of healthy engines a zone has. The two to four engines that a failed zone has left were probed by all VMs, which found them idle by reports that are 200 ms old. Ruled out: the surcharge for zones at risk, which is at most a seventh of the time that a prompt takes, less than that for another zone.

Probes are now shared in proportion to the share of a zone's engines that are healthy; while all are, as before. The new test fails on the code before (1,000 of 1,000 choices probe the last engine).

--- a/src/relay/Placement.cpp
+++ b/src/relay/Placement.cpp
@@ -4,6 +4,7 @@
 #include "relay/EndpointDirectory.h"
 
 #include <algorithm>
+#include <numeric>
 #include <xxhash.h>
 
 namespace lupinknot::internal {
@@ -17,6 +18,8 @@
 // the random spread between VMs that read the same reports, so that they do not all choose the same engine.
 constexpr double otherZonePrefills = 0.3;
 constexpr double randomPrefills = 0.3;
+// How many times as often as the others the endpoints of a zone with few of them may be probed.
+constexpr double maxProbeConcentration = 2;
 // Converts prefills, the unit of a zone's risk, into calls in flight: the surcharges for another zone have this ratio.
 constexpr double callsPerPrefill = otherZoneCost / otherZonePrefills;
 // For a copy, the difference between the zones with the highest and the lowest risk: more than any load.
@@ -71,6 +74,8 @@
     const PlacementRequest& request, std::size_t count, Milliseconds now)
 {
     auto found = collect(request, count, now);
+    if (request.mustBeHealthy)
+        eraseUnhealthy(found);
     auto best = cheapest(found, count);
     // Limits only raise costs or exclude endpoints: without a limited endpoint among the best, they do not matter.
     if (std::any_of(best.begin(), best.end(), [](const auto& endpoint) { return endpoint->isLimited(); })) {
@@ -84,30 +89,66 @@
     const PlacementRequest& request, std::size_t count, Milliseconds now)
 {
     auto found = collect(request, count, now);
+    auto zones = countByZone(found);
+    assignProbes(zones, request.service, count);
+    if (request.mustBeHealthy)
+        eraseUnhealthy(found);
     if (std::any_of(found.begin(), found.end(), [](const auto& candidate) { return candidate.endpoint->isLimited(); }))
         applyLimits(found, request.limited, now);
-    spreadOverZones(found, count);
+    spreadOverZones(found, std::move(zones));
     std::vector<std::shared_ptr<RelayEndpoint>> chosen;
     for (std::size_t i = 0; i < std::min(count, found.size()); ++i)
         chosen.push_back(found[i].endpoint);
     return chosen;
 }
 
-void Placement::spreadOverZones(std::vector<Candidate>& found, std::size_t count) const
+std::vector<Placement::ZoneCandidates> Placement::countByZone(const std::vector<Candidate>& found) const
+{
+    // This VM's zone comes first, also without candidates.
+    std::vector<ZoneCandidates> zones { { m_settings.availabilityZone } };
+    for (const auto& candidate : found) {
+        const std::string_view name = candidate.endpoint->entry().availabilityZone;
+        auto zone = std::find_if(zones.begin(), zones.end(), [name](const auto& known) { return known.zone == name; });
+        if (zone == zones.end())
+            zone = zones.insert(zones.end(), { name });
+        ++zone->examined;
+        zone->healthy += candidate.cost < failingZoneCost;
+    }
+    return zones;
+}
+
+void Placement::assignProbes(std::vector<ZoneCandidates>& zones, const std::string& service, std::size_t count)
+{
+    const auto listed = static_cast<double>(m_directory.endpointsOf(service).size());
+    const auto meanListed = std::max(listed / static_cast<double>(zones.size()), 1.0);
+    std::vector<double> weights;
+    for (const auto& zone : zones) {
+        const auto listedInZone = static_cast<double>(m_directory.endpointsOf(service, std::string(zone.zone)).size());
+        const auto examined = static_cast<double>(std::max<std::size_t>(zone.examined, 1));
+        const auto healthyShare = static_cast<double>(zone.healthy) / examined;
+        weights.push_back(std::min(healthyShare, maxProbeConcentration * healthyShare * listedInZone / meanListed));
+    }
+    weights.front() *= static_cast<double>(std::max<std::size_t>(zones.size() - 1, 1));
+    const auto step = std::accumulate(weights.begin(), weights.end(), 0.0) / static_cast<double>(count);
+    if (step <= 0)
+        return;
+    double next = random() * step;
+    double end = 0;
+    for (std::size_t i = 0; i < zones.size(); ++i) {
+        end += weights[i];
+        for (; next < end; next += step)
+            ++zones[i].probes;
+    }
+}
+
+void Placement::spreadOverZones(std::vector<Candidate>& found, std::vector<ZoneCandidates> zones)
 {
     std::sort(found.begin(), found.end(), [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
-    const auto ofOwnZone = (count + 1) / 2;
-    std::vector<std::string_view> otherZones;
-    std::size_t own = 0;
-    std::stable_partition(found.begin(), found.end(), [&](const Candidate& candidate) {
-        const std::string_view zone = candidate.endpoint->entry().availabilityZone;
-        if (zone == m_settings.availabilityZone)
-            return own++ < ofOwnZone;
-        const bool isFirst = otherZones.size() < count - ofOwnZone
-            && std::find(otherZones.begin(), otherZones.end(), zone) == otherZones.end();
-        if (isFirst)
-            otherZones.push_back(zone);
-        return isFirst;
+    std::stable_partition(found.begin(), found.end(), [&zones](const Candidate& candidate) {
+        const std::string_view name = candidate.endpoint->entry().availabilityZone;
+        const auto zone
+            = std::find_if(zones.begin(), zones.end(), [name](const auto& known) { return known.zone == name; });
+        return zone->probes > 0 && zone->probes-- > 0;
     });
 }
 
@@ -142,11 +183,14 @@
         if (candidate.endpoint == preferredEndpoint)
             candidate.cost -= request.preference;
     }
-    if (request.mustBeHealthy)
-        std::erase_if(found, [](const Candidate& candidate) { return candidate.cost >= failingZoneCost; });
     return found;
 }
 
+void Placement::eraseUnhealthy(std::vector<Candidate>& found)
+{
+    std::erase_if(found, [](const Candidate& candidate) { return candidate.cost >= failingZoneCost; });
+}
+
 bool Placement::contains(const std::vector<Candidate>& found, const std::shared_ptr<RelayEndpoint>& endpoint)
 {
     return std::any_of(
--- a/src/relay/Placement.h
+++ b/src/relay/Placement.h
@@ -78,7 +78,8 @@
     std::vector<std::shared_ptr<RelayEndpoint>> candidates(
         const PlacementRequest&, std::size_t count, Milliseconds now);
     // The endpoints whose load is probed: half of them the best of this VM's zone, the others the best ones of other
-    // zones, one of each. Where a zone lacks endpoints, the best ones of any zone take their place.
+    // zones. A zone with few healthy endpoints is probed less often, so that the VMs do not all choose the same ones.
+    // Where a zone lacks endpoints, the best ones of any zone take their place.
     std::vector<std::shared_ptr<RelayEndpoint>> candidatesOfZones(
         const PlacementRequest&, std::size_t count, Milliseconds now);
     // When the first endpoint accepts a request again if all candidates are in back-off or rate-limited; empty when an
@@ -105,9 +106,22 @@
     void add(const std::shared_ptr<RelayEndpoint>&, const PlacementRequest&, Milliseconds now, std::vector<Candidate>&);
     // The eligible endpoints of the service, or of a sample of it.
     std::vector<Candidate> collect(const PlacementRequest&, std::size_t count, Milliseconds now);
+    static void eraseUnhealthy(std::vector<Candidate>&);
+    // The examined candidates of one zone.
+    struct ZoneCandidates {
+        std::string_view zone;
+        std::size_t examined { 0 };
+        std::size_t healthy { 0 };
+        // How many of the probes the zone gets.
+        std::size_t probes { 0 };
+    };
+    std::vector<ZoneCandidates> countByZone(const std::vector<Candidate>&) const;
+    // Shares the probes between the zones: half of them to this VM's, while all endpoints are healthy. The share of a
+    // zone falls with that of its endpoints that are healthy. Fractions are drawn at random.
+    void assignProbes(std::vector<ZoneCandidates>&, const std::string& service, std::size_t count);
     static void applyLimits(std::vector<Candidate>&, LimitedEndpoints, Milliseconds now);
-    // Moves the candidates that candidatesOfZones() returns to the front.
-    void spreadOverZones(std::vector<Candidate>&, std::size_t count) const;
+    // Sorts the candidates and moves the best ones of each zone, as many as it has probes, to the front.
+    static void spreadOverZones(std::vector<Candidate>&, std::vector<ZoneCandidates>);
     // The cheapest endpoints up to the given count; sorts the candidates that far.
     static std::vector<std::shared_ptr<RelayEndpoint>> cheapest(std::vector<Candidate>&, std::size_t count);
     // The preferred endpoint among the healthy ones of this VM's zone, or null.
--- a/test/PlacementTest.cpp
+++ b/test/PlacementTest.cpp
@@ -169,6 +169,30 @@
         STRCMP_EQUAL("a", engine->entry().availabilityZone.c_str());
 }
 
+// After a zone had lost most of its engines, all VMs probed the few that were left, found them idle by reports of
+// before and sent their prompts there: 18 of 43 prompts of one second went to one engine of 120.
+TEST(Placement, TheLastHealthyEnginesOfAZoneAreNotProbedByAllVms)
+{
+    for (int i = 0; i < 32; ++i)
+        directory->upsert({ "c" + std::to_string(i), "s", { "127.0.0.1", 21 + i }, "c", 4, false }, now);
+    for (int i = 0; i < 31; ++i)
+        directory->find("c" + std::to_string(i))->avoidUntil(now + Milliseconds { 1000 });
+    const PlacementRequest healthy { .service = "s", .mustBeHealthy = true };
+    for (const auto* ownZone : { "a", "c" }) {
+        settings.availabilityZone = ownZone;
+        Placement placement(*directory, settings, 1);
+        int probesOfLastEngine = 0;
+        for (int i = 0; i < 1000; ++i) {
+            const auto engines = placement.candidatesOfZones(healthy, 4, now);
+            LONGS_EQUAL(4, engines.size());
+            const auto isLast = [](const auto& engine) { return engine->entry().availabilityZone == "c"; };
+            probesOfLastEngine += std::any_of(engines.begin(), engines.end(), isLast) ? 1 : 0;
+        }
+        // 13 engines are healthy; equal shares of four probes are 308 of 1,000.
+        CHECK_TEXT(probesOfLastEngine > 30 && probesOfLastEngine < 620, std::to_string(probesOfLastEngine).c_str());
+    }
+}
+
 // Calls waited at full endpoints while others of the zone had free slots.
 TEST(Placement, ACallGoesToAnEndpointWithFreeSlotsWhileTheStatedLoadIsNew)
 {
