Do not trust engines of a failed zone while the endpoint list cannot show their restart

While the store was away, engines of a failed zone got prompts again four seconds after the failure, although they had restarted under other ids: each rejected a prompt with 421 for every VM that knew the old id, and the next attempt took a retry.

Cause: the suspicion after the failure of a zone ended by time alone, on the assumption that the list then names the restarted engines. Ruled out: old reports (an engine's report does not name its incarnation) and removed entries that are used as a last resort.

The suspicion now lasts until the list has been confirmed as of a time after the failure, or until the endpoint gives a sign of life. Without confirmations of the list nothing changes. The new test fails on the code before by its first check.

--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -435,7 +435,9 @@
 bool EndpointDirectory::isSuspected(const RelayEndpoint& endpoint, Milliseconds now) const
 {
     const auto isSince = [&](Milliseconds failedAt) {
-        return failedAt > endpoint.lastAliveAt() && now - failedAt < m_settings.suspectAfterZoneFailure;
+        const auto listedAgainBy = failedAt + m_settings.suspectAfterZoneFailure;
+        const bool isListOlder = m_listConfirmedAt > Milliseconds { 0 } && m_listConfirmedAt < listedAgainBy;
+        return failedAt > endpoint.lastAliveAt() && (now < listedAgainBy || isListOlder);
     };
     const auto& entry = endpoint.entry();
     const auto zone = m_zones.find(entry.availabilityZone);
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -95,7 +95,8 @@
     // Sets the function to call when this VM or the collectors have detected the failure of a zone.
     void onZoneFailure(std::function<void(ZoneFailureSource)> callback) { m_onZoneFailure = std::move(callback); }
     bool isZoneAvoided(const std::string& service, const std::string& zone, Milliseconds now) const;
-    // True for an endpoint of a zone that failed recently if no sign of life has arrived from the endpoint since.
+    // True for an endpoint of a zone that failed if no sign of life has arrived from the endpoint since and the list is
+    // too old to show whether it has restarted under another id. Without confirmations of the list, only a time counts.
     bool isSuspected(const RelayEndpoint&, Milliseconds now) const;
     // True when several endpoints of the zone have failed together since that time, those of the service if the
     // failure was detected with other VMs.
--- a/test/EndpointDirectoryTest.cpp
+++ b/test/EndpointDirectoryTest.cpp
@@ -170,6 +170,25 @@
     CHECK_FALSE(directory->isSuspected(*endpoints[2], now));
 }
 
+// While the store was away, engines that had restarted under other ids got prompts again 4 s after the failure of their
+// zone. Each rejected them with 421, which took a retry: 275 of 1,054 in a day.
+TEST(EndpointDirectory, SuspectsEndpointsOfAFailedZoneUntilTheListIsNewerThanTheirRestart)
+{
+    directory->replaceAll({ entry("e1", 1), entry("e2", 2), entry("e3", 3) }, now);
+    directory->listConfirmed(now);
+    now += Milliseconds { 10 };
+    const auto endpoints = directory->endpointsOf("s");
+    directory->noteFailure(*endpoints[0], now);
+    directory->noteFailure(*endpoints[1], now);
+    const auto listedAgainBy = now + settings.suspectAfterZoneFailure;
+    now = listedAgainBy + Milliseconds { 1000 };
+    CHECK(directory->isSuspected(*endpoints[2], now));
+    endpoints[1]->noteAlive(now);
+    CHECK_FALSE(directory->isSuspected(*endpoints[1], now));
+    directory->listConfirmed(listedAgainBy);
+    CHECK_FALSE(directory->isSuspected(*endpoints[2], now));
+}
+
 // With one log line per endpoint, a zone of 64 engines that fails and returns would write at least 128 lines on each
 // VM.
 TEST(EndpointDirectory, CountsAChangeOfTheListAsAWhole)
