Log requests without a rank with the rank -1

Cause: the conditional expression in loggedRank has an unsigned type, so that -1 became the largest value before the conversion.

Change: the rank is converted before. The new test fails without it.

Conclusion: -1 is logged, as docs and lupinknotctl expect.

--- a/src/relay/RelayRequest.h
+++ b/src/relay/RelayRequest.h
@@ -30,6 +30,9 @@
 };
 
 // The rank in logs: -1 when the configuration names none.
-inline std::int64_t loggedRank(const RequestRank& rank) { return rank.isNamed ? rank.value : -1; }
+inline std::int64_t loggedRank(const RequestRank& rank)
+{
+    return rank.isNamed ? static_cast<std::int64_t>(rank.value) : -1;
+}
 
 } // namespace lupinknot::internal
--- a/test/RequestRankTest.cpp
+++ b/test/RequestRankTest.cpp
@@ -2,6 +2,7 @@
 #include "RelayHarness.h"
 #include "admission/WaitForCapacity.h"
 #include "admission/WaitingRequestLimit.h"
+#include "relay/RelayRequest.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -187,3 +188,10 @@
     await(relay->call("/stream/1"));
     CHECK(engine.hasReceived(1, "X-Request-Priority: 6\r\n"));
 }
+
+// Guards against requests without a rank that are logged, and counted by lupinknotctl losses, with the rank 4294967295.
+TEST(RequestRank, ARequestWithoutARankIsLoggedWithMinusOne)
+{
+    CHECK_EQUAL(std::int64_t { -1 }, loggedRank({ 5, false }));
+    CHECK_EQUAL(std::int64_t { 5 }, loggedRank({ 5, true }));
+}
