Let no failed trial of a quarantined request go unnoticed

Cause: Quarantine::add dropped every record beyond the 16 of a request, also the loss of a trial. The long hold did not begin, other VMs did not receive the loss, and the trial's call went on to its next endpoint: 5 endpoints in one call (TrialIsNotSentOnWhenRecordsAreFull).

Ruled out: a hold that ends too early. The simulated VMs hold the request as they should until their first trial, and each trial was recognised as one.

Change: 16 further records are stored, and so shared, if they end a trial. Beyond them, and at an endpoint that is known already, the loss of a trial is not stored, but still sets the long hold, and add() returns true, so that the calls in progress are notified. A request that is held is kept although its stored records have expired.

After: 1 endpoint on 6 VMs and 9 on 88, which is the number of VMs whose hold ends before they can know of the first failed trial; 1 endpoint in one call. The seven new tests fail on the code before.

Conclusion: failed trials now cause the long hold whatever the number of records. Other losses beyond 16 records are still dropped.

--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -39,12 +39,23 @@
     if (!m_suspects.count(record.digest))
         removeOldestIfFull();
     auto& suspect = m_suspects[record.digest];
-    if (suspect.entries.size() >= maxRecordsPerSuspect
-        || !suspect.entries.emplace(record.endpointId, Entry { record, at, isShared }).second)
-        return false;
+    const auto known = suspect.entries.find(record.endpointId);
+    if (known != suspect.entries.end()) {
+        // Another VM may report a trial's loss that is already stored; each loss that this VM sees is a new one.
+        if (!record.endsTrial || (isShared && known->second.record.endsTrial))
+            return false;
+        known->second.record.endsTrial = true;
+    } else {
+        const auto maxRecords = maxRecordsPerSuspect + (record.endsTrial ? maxTrialRecordsPerSuspect : 0);
+        if (suspect.entries.size() < maxRecords)
+            suspect.entries.emplace(record.endpointId, Entry { record, at, isShared });
+        else if (!record.endsTrial)
+            return false;
+    }
     suspect.lastAt = std::max(suspect.lastAt, at);
     suspect.hasFailedTrial = suspect.hasFailedTrial || record.endsTrial;
-    if (scoreOf(suspect) >= holdThreshold)
+    const bool renewsHold = record.endsTrial && suspect.heldUntil > Milliseconds { 0 };
+    if (renewsHold || scoreOf(suspect) >= holdThreshold)
         hold(suspect);
     return true;
 }
@@ -122,7 +133,9 @@
         auto& entries = suspect->second.entries;
         for (auto entry = entries.begin(); entry != entries.end();)
             entry = now - entry->second.at < recordLifetime ? std::next(entry) : entries.erase(entry);
-        suspect = entries.empty() ? m_suspects.erase(suspect) : std::next(suspect);
+        // The loss of a trial that was not stored may have renewed the hold.
+        const bool isOver = entries.empty() && now >= suspect->second.heldUntil;
+        suspect = isOver ? m_suspects.erase(suspect) : std::next(suspect);
     }
 }
 
--- a/src/quarantine/Quarantine.h
+++ b/src/quarantine/Quarantine.h
@@ -31,8 +31,9 @@
 public:
     // The VM's name determines when its holds end relative to those of other VMs.
     explicit Quarantine(std::string_view vmName);
-    // Adds a record; `at` is when the endpoint was lost. Returns true if the record is new. Records with `isShared`
-    // need not be sent to other VMs.
+    // Adds a record; `at` is when the endpoint was lost. Returns false if the record has no effect: the endpoint is
+    // known, or the request has too many records. The loss of a trial always takes effect and renews a hold, also if
+    // there is no room to store its record. Records with `isShared` need not be sent to other VMs.
     bool add(const CrashRecord&, Milliseconds at, bool isShared);
     // Returns the records of the request that other VMs should receive now, each record once: all of them, as soon as
     // they add up to one full suspicion. Sharing every half suspicion would take more calls to the store, which are
@@ -44,7 +45,7 @@
     // shared ones if one more suspicion would hold the request. Fewer records do no harm, and each withdrawal costs a
     // call.
     std::vector<std::string> clear(const std::string& digest);
-    // Removes records older than recordLifetime.
+    // Removes records older than recordLifetime, and requests that have none left and are not held.
     void forgetOld(Milliseconds now);
 
     // True if there are records against the request.
@@ -79,6 +80,9 @@
     // Maximum number of suspect requests; the one whose last crash is oldest is removed first.
     static constexpr std::size_t maxSuspects = 2000;
     static constexpr std::size_t maxRecordsPerSuspect = 16;
+    // Further records that are stored, and so shared, if they end a trial. Without them no VM learned of failed trials
+    // once other losses had used up maxRecordsPerSuspect, and each VM repeated the trial every 10 to 30 s.
+    static constexpr std::size_t maxTrialRecordsPerSuspect = 16;
 
 private:
     struct Entry {
--- /dev/null
+++ b/test/CrashGuardTest.cpp
@@ -0,0 +1,85 @@
+#include "relay/CrashGuard.h"
+#include "RunUntil.h"
+#include "lupinknot/ManualClock.h"
+#include "relay/EndpointDirectory.h"
+#include "relay/RelaySettings.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+
+namespace {
+
+class NotificationCounter final : public QuarantineListener {
+public:
+    void requestQuarantined() override { ++count; }
+
+    int count { 0 };
+};
+
+} // namespace
+
+TEST_GROUP(CrashGuard)
+{
+    const std::string digest = "d";
+    boost::asio::io_context ioContext;
+    RelaySettings settings;
+    ManualClock clock;
+    std::unique_ptr<EndpointDirectory> directory;
+    std::unique_ptr<CrashGuard> guard;
+
+    void setup() override
+    {
+        directory = std::make_unique<EndpointDirectory>(ioContext, settings);
+        guard = std::make_unique<CrashGuard>(ioContext, clock, settings, *directory);
+    }
+
+    void teardown() override
+    {
+        guard.reset();
+        directory.reset();
+    }
+
+    void addRemoteRecords(const std::string& prefix, std::size_t count, bool endsTrial)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            const auto id = prefix + std::to_string(i);
+            guard->addRemoteRecord({ digest, id, "at " + id, fullSuspicion, Milliseconds { 60 }, endsTrial });
+        }
+    }
+
+    // Loses an endpoint that had just begun the request, and waits until the loss has been evaluated.
+    void loseEndpoint(const std::string& id)
+    {
+        directory->upsert({ id, "service", { "127.0.0.1", 1 }, "a" }, clock.now());
+        guard->noteLoss({ "r1", digest, directory->find(id), clock.now(),
+            { FailureKind::ConnectionLost, RunStart::Begun, Milliseconds { 60 } } });
+        CHECK(guard->quarantineStatus(digest) == QuarantineStatus::Pending);
+        clock.advance(EndpointLosses::correlationWindow);
+        CHECK(runUntil(ioContext, [this] { return guard->quarantineStatus(digest) != QuarantineStatus::Pending; }));
+    }
+};
+
+// Guards against a call that goes on to its next endpoint after its trial has failed: the loss was dropped for lack of
+// room, so that the request was not held again and the call not notified.
+TEST(CrashGuard, CallOfFailedTrialIsNotifiedWhenRecordsAreFull)
+{
+    for (const bool areTrialRecordsFull : { false, true }) {
+        addRemoteRecords("full", Quarantine::maxRecordsPerSuspect, false);
+        if (areTrialRecordsFull)
+            addRemoteRecords("trial", Quarantine::maxTrialRecordsPerSuspect, true);
+        clock.advance(guard->quarantineTimeLeft(digest));
+        CHECK(guard->admit(digest));
+        const auto listener = std::make_shared<NotificationCounter>();
+        guard->addListener(digest, listener);
+        loseEndpoint(areTrialRecordsFull ? "e2" : "e1");
+        CHECK_TEXT(guard->quarantineStatus(digest) == QuarantineStatus::Held, "the call may go on");
+        CHECK(guard->quarantineTimeLeft(digest) > Quarantine::firstHold + Quarantine::holdSpread);
+        CHECK_TEXT(runUntil(ioContext, [&] { return listener->count > 0; }), "the call was not notified");
+        LONGS_EQUAL(1, listener->count);
+        guard->removeListener(digest, *listener);
+        guard->noteHarmless(digest);
+        clock.advance(ServedRequests::entryLifetime);
+    }
+}
--- a/test/CrashingRequestTest.cpp
+++ b/test/CrashingRequestTest.cpp
@@ -4,6 +4,7 @@
 // distinguished from engine faults: on 64 of 77 lost engines exactly one run had begun, without any event, and the
 // engine was otherwise idle, while none of 57 other attempts with three or more sends lost an engine that way.
 #include "RelayHarness.h"
+#include "quarantine/RequestDigest.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -298,3 +299,25 @@
     repeatCall("/once/1", 8);
     LONGS_EQUAL(200, repeatCall("/once/1", 1)->head.status);
 }
+
+// Guards against a trial that is sent on to further endpoints after it has crashed its own: the request's records were
+// used up, so that the loss was dropped.
+TEST(CrashingRequest, TrialIsNotSentOnWhenRecordsAreFull)
+{
+    addInFourZones(8, beginAndCrash);
+    configureAndList();
+    const auto digest = digestOf({ "POST", "/stream/1", { { "Host", "h" } }, "body" }, "");
+    const auto wallClockTime
+        = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    const auto lostAt = (wallClockTime - Quarantine::firstHold - Quarantine::holdSpread).count();
+    for (std::size_t i = 0; i < Quarantine::maxRecordsPerSuspect; ++i) {
+        const auto id = "full" + std::to_string(i);
+        const auto at = lostAt - static_cast<std::int64_t>(i) * 100;
+        relay->daemon().crashGuard().addRemoteRecord(
+            { digest, id, "at " + id, fullSuspicion, Milliseconds { 60 }, false, at - 60, at });
+    }
+    repeatCall("/stream/1", 1);
+    LONGS_EQUAL_TEXT(1, arrivals("/stream/1"), "the trial did not end with the crash of its endpoint");
+    LONGS_EQUAL(503, repeatCall("/stream/1", 1)->head.status);
+    LONGS_EQUAL_TEXT(1, arrivals("/stream/1"), "the request was sent again after a failed trial");
+}
--- a/test/QuarantineTest.cpp
+++ b/test/QuarantineTest.cpp
@@ -2,6 +2,8 @@
 #include "quarantine/CrashWeight.h"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <iterator>
 
 using namespace lupinknot;
 using namespace lupinknot::internal;
@@ -23,6 +25,84 @@
         for (int i = 0; i < count; ++i)
             add("e" + std::to_string(i));
     }
+
+    // Fills `vm` with records that do not end a trial, all of them lost at `start`, so that the request is held.
+    static void fillRecords(Quarantine & vm)
+    {
+        for (std::size_t i = 0; i < Quarantine::maxRecordsPerSuspect; ++i) {
+            const auto id = "full" + std::to_string(i);
+            vm.add({ "d", id, "at " + id, fullSuspicion, Milliseconds { 60 } }, start, true);
+        }
+    }
+
+    static bool addTrialLoss(Quarantine & vm, const std::string& id, Milliseconds at, bool isShared = false)
+    {
+        return vm.add({ "d", id, "at " + id, fullSuspicion, Milliseconds { 60 }, true }, at, isShared);
+    }
+
+    // Fills `vm` also with records that end a trial, all of them lost at `start`. The request is held for long.
+    static void fillTrialRecords(Quarantine & vm)
+    {
+        fillRecords(vm);
+        for (std::size_t i = 0; i < Quarantine::maxTrialRecordsPerSuspect; ++i)
+            addTrialLoss(vm, "trial" + std::to_string(i), start, true);
+    }
+
+    // Returns how many endpoints a request that crashes each of them reaches within 120 s of its first hold. It is sent
+    // to all VMs all the time, and each VM has as many records as it stores.
+    static int sendsOfCrashingRequest(std::size_t vmCount)
+    {
+        struct Arrival {
+            Milliseconds at;
+            CrashRecord record;
+            bool isOwn;
+        };
+        struct Vm {
+            Quarantine quarantine;
+            // Losses until they are evaluated, and records of other VMs until they are received.
+            std::vector<Arrival> arrivals;
+        };
+        constexpr Milliseconds duration { 120'000 };
+        constexpr Milliseconds step { 10 };
+        constexpr Milliseconds crashTime { 100 };
+        constexpr Milliseconds evaluationTime { 500 };
+        constexpr Milliseconds feedTime { 800 };
+        std::vector<Vm> vms;
+        for (std::size_t i = 0; i < vmCount; ++i) {
+            vms.push_back({ Quarantine("vm" + std::to_string(i)), {} });
+            fillRecords(vms.back().quarantine);
+        }
+        int sends = 0;
+        for (auto now = start; now < start + duration; now += step) {
+            for (auto& vm : vms) {
+                const auto isDue = [now](const Arrival& arrival) { return arrival.at <= now; };
+                std::vector<Arrival> due;
+                std::copy_if(vm.arrivals.begin(), vm.arrivals.end(), std::back_inserter(due), isDue);
+                std::erase_if(vm.arrivals, isDue);
+                for (auto& [at, record, isOwn] : due) {
+                    if (isOwn)
+                        record.endsTrial = vm.quarantine.isOnTrial("d", now);
+                    vm.quarantine.add(record, Milliseconds { record.lostAt }, !isOwn);
+                }
+                const auto unsharedRecords
+                    = due.empty() ? std::vector<CrashRecord> {} : vm.quarantine.takeUnshared("d");
+                for (const auto& unshared : unsharedRecords) {
+                    for (auto& other : vms) {
+                        if (&other != &vm)
+                            other.arrivals.push_back({ now + feedTime, unshared, false });
+                    }
+                }
+                if (!vm.quarantine.admit("d", now))
+                    continue;
+                const auto id = "sent" + std::to_string(sends++);
+                const auto lostAt = now + crashTime;
+                const CrashRecord lost { "d", id, "at " + id, fullSuspicion, crashTime, false, now.count(),
+                    lostAt.count() };
+                vm.arrivals.push_back({ lostAt + evaluationTime, lost, true });
+            }
+        }
+        return sends;
+    }
 };
 
 TEST(Quarantine, HoldsRequestAfterThirdLostEndpoint)
@@ -201,3 +281,73 @@
         add("e" + std::to_string(i));
     LONGS_EQUAL(Quarantine::maxRecordsPerSuspect, quarantine.takeUnshared("d").size());
 }
+
+// Guards against dropping the loss of a trial because other losses have used up the request's records: the long hold
+// never began.
+TEST(Quarantine, FailedTrialIsNotDroppedWhenRecordsAreFull)
+{
+    fillRecords(quarantine);
+    const auto later = quarantine.heldUntil("d");
+    CHECK_TEXT(addTrialLoss(quarantine, "e9", later), "the loss of the trial was dropped");
+    CHECK(quarantine.heldUntil("d") == later + Quarantine::longHold);
+    LONGS_EQUAL_TEXT(1, quarantine.takeUnshared("d").size(), "other VMs do not receive the loss of the trial");
+}
+
+// Guards against a failed trial that goes unnoticed, and lets its call go on to the next endpoint, because earlier
+// trials have used up the records as well.
+TEST(Quarantine, FailedTrialRenewsHoldWhenTrialRecordsAreFullToo)
+{
+    fillTrialRecords(quarantine);
+    const auto later = quarantine.heldUntil("d");
+    CHECK(quarantine.isOnTrial("d", later));
+    CHECK_TEXT(addTrialLoss(quarantine, "e9", later), "the loss of the trial was dropped");
+    CHECK(quarantine.isHeld("d", later));
+    CHECK(quarantine.heldUntil("d") == later + Quarantine::longHold);
+    LONGS_EQUAL_TEXT(0, quarantine.takeUnshared("d").size(), "more records were stored than are allowed");
+}
+
+// Guards against a trial that goes unnoticed because it lost an endpoint that has not restarted since an earlier loss.
+TEST(Quarantine, FailedTrialRenewsHoldAtKnownEndpoint)
+{
+    addFull(3);
+    const auto later = quarantine.heldUntil("d");
+    CHECK_TEXT(addTrialLoss(quarantine, "e1", later), "the loss of the trial was dropped");
+    CHECK(quarantine.heldUntil("d") == later + Quarantine::longHold);
+    const auto evenLater = quarantine.heldUntil("d");
+    CHECK_FALSE_TEXT(addTrialLoss(quarantine, "e1", evenLater, true), "a known loss was counted again");
+    CHECK_TEXT(addTrialLoss(quarantine, "e1", evenLater), "the loss of the next trial was dropped");
+    CHECK(quarantine.heldUntil("d") == evenLater + Quarantine::longHold);
+}
+
+// Guards against a hold that ends early: the failed trial that renewed it had no room for its record, and all stored
+// records expired.
+TEST(Quarantine, RenewedHoldOutlastsStoredRecords)
+{
+    fillTrialRecords(quarantine);
+    const auto later = start + Quarantine::recordLifetime - Milliseconds { 1 };
+    addTrialLoss(quarantine, "e9", later);
+    quarantine.forgetOld(start + Quarantine::recordLifetime);
+    CHECK(quarantine.isHeld("d", start + Quarantine::recordLifetime));
+    quarantine.forgetOld(later + Quarantine::longHold);
+    CHECK_FALSE(quarantine.isSuspect("d"));
+}
+
+// Guards against repeated trials: each VM sent the request every 10 to 30 s when the losses of trials were dropped.
+TEST(Quarantine, CrashingRequestIsNotTriedAgainAndAgainWhenRecordsAreFull)
+{
+    // The first trial crashes its endpoint after 100 ms; the loss is evaluated after 500 ms and reported after 800 ms.
+    constexpr Milliseconds timeUntilKnown { 1400 };
+    for (const std::size_t vmCount : { 6, 88 }) {
+        std::vector<Milliseconds> holdEnds;
+        for (std::size_t i = 0; i < vmCount; ++i) {
+            Quarantine vm { "vm" + std::to_string(i) };
+            fillRecords(vm);
+            holdEnds.push_back(vm.heldUntil("d"));
+        }
+        const auto knownAt = *std::min_element(holdEnds.begin(), holdEnds.end()) + timeUntilKnown;
+        const auto trials = std::count_if(
+            holdEnds.begin(), holdEnds.end(), [knownAt](Milliseconds holdEnd) { return holdEnd < knownAt; });
+        LONGS_EQUAL(vmCount == 6 ? 1 : 9, trials);
+        LONGS_EQUAL(trials, sendsOfCrashingRequest(vmCount));
+    }
+}
