--- a/test/EndpointDirectoryTest.cpp
+++ b/test/EndpointDirectoryTest.cpp
@@ -170,8 +170,8 @@
     CHECK_FALSE(directory->isSuspected(*endpoints[2], now));
 }
 
-// While the store was away, engines that had restarted under other ids got prompts again 4 s after the failure of their
-// zone. Each rejected them with 421, which took a retry: 275 of 1,054 in a day.
+// Guards against prompts that are sent to engines by ids of before their restart while the store is unreachable: each
+// is rejected, which costs a retry.
 TEST(EndpointDirectory, SuspectsEndpointsOfAFailedZoneUntilTheListIsNewerThanTheirRestart)
 {
     directory->replaceAll({ entry("e1", 1), entry("e2", 2), entry("e3", 3) }, now);
--- a/test/PlacementTest.cpp
+++ b/test/PlacementTest.cpp
@@ -169,8 +169,8 @@
         STRCMP_EQUAL("a", engine->entry().availabilityZone.c_str());
 }
 
-// After a zone had lost most of its engines, all VMs probed the few that were left, found them idle by reports of
-// before and sent their prompts there: 18 of 43 prompts of one second went to one engine of 120.
+// Guards against VMs that all probe the few engines left in a zone, find them idle by old reports, and send their prompts
+// there.
 TEST(Placement, TheLastHealthyEnginesOfAZoneAreNotProbedByAllVms)
 {
     for (int i = 0; i < 32; ++i)
--- a/test/RetryLoansTest.cpp
+++ b/test/RetryLoansTest.cpp
@@ -112,8 +112,8 @@
     CHECK(budget.take(RetryPurpose::Continuation, start, start));
 }
 
-// After a zone failure, restarts and streams that were late anyway took the retries of a VM, and streams with a copy of
-// their run were ended: 123 of 718 lost in mid-stream on one day.
+// Guards against streams with a copy of their run that are ended after a zone failure because restarts and late streams
+// have used up the VM's retries.
 TEST(RetryLoans, StreamsLostBeforeTheirFirstEventLeaveRetriesToContinuations)
 {
     RetryBudget budget(settings);
