--- a/test/PlacementTest.cpp
+++ b/test/PlacementTest.cpp
@@ -169,8 +169,8 @@
         STRCMP_EQUAL("a", engine->entry().availabilityZone.c_str());
 }
 
-// Guards against VMs that all probe the few engines left in a zone, find them idle by old reports, and send their prompts
-// there.
+// Guards against VMs that all probe the few engines left in a zone, find them idle by old reports, and send their
+// prompts there.
 TEST(Placement, TheLastHealthyEnginesOfAZoneAreNotProbedByAllVms)
 {
     for (int i = 0; i < 32; ++i)
