Name a zone's weight with its candidates, and take defaults and loops from one place

Read through of the change: the weights of zones stood in a list beside the zones; the model repeated the default of a lender's reserve, so that a change of the setting had to be made twice; three VMs that are not frozen were found by the same loop in two tests; a comment outside the adapter used a name of the platform.

--- a/bench/RetryBudgetStudy.cpp
+++ b/bench/RetryBudgetStudy.cpp
@@ -6,7 +6,7 @@
 // "parts" (the default) for VMs that do not communicate, "loans" for VMs that lend retries, "fixed" or "account" for
 // the scenarios of "loans" with fixed parts or with one account in each zone, "not-counted" or "from-arrival" for loans
 // with a fault in the code (LoanFault). With the prefix "deployment-" the load is that of the target deployments.
-// RESERVE is the share of its part that a VM does not lend (0.1 by default).
+// RESERVE is the share of its part that a VM does not lend (that of RelaySettings by default).
 //
 // The exit code is 1 when a scenario exceeds the budget, or retries were sent that no VM counted.
 #include "model/RetryModel.h"
--- a/src/copies/CopyRenewalSettings.h
+++ b/src/copies/CopyRenewalSettings.h
@@ -9,7 +9,7 @@
     // A run that is expected to end sooner than this gets no new copy: its engine rarely fails in the time left, and a
     // copy takes up to 0.25 s of two network links.
     Milliseconds minTimeLeftForCopy { 1500 };
-    // Interval at which an ordered copy is refreshed, as a share of the time for which its holder keeps it (handle-s).
+    // Interval at which an ordered copy is refreshed, as a share of the time for which its holder keeps it.
     // Below one half, so that a copy outlives one failed refresh.
     double copyRefreshInterval { 0.4 };
     // Shortest time between two orders for one run after an engine rejected one or did not answer. It doubles with each
--- a/src/model/RetryModel.cpp
+++ b/src/model/RetryModel.cpp
@@ -110,7 +110,8 @@
         for (int i = 0; i < scenario.vmCount; ++i) {
             m_vms.emplace_back(i, now());
             m_vms.back().settings.retrySlackShare = 1.0 / scenario.vmCount;
-            m_vms.back().settings.loanReserveShare = scenario.loanReserveShare;
+            auto& settings = m_vms.back().settings;
+            settings.loanReserveShare = scenario.loanReserveShare.value_or(settings.loanReserveShare);
             m_vmsOfZone[static_cast<std::size_t>(i % zoneCount)].push_back(static_cast<std::size_t>(i));
         }
         for (auto& vm : m_vms) {
--- a/src/model/RetryModel.h
+++ b/src/model/RetryModel.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <random>
 
 namespace lupinknot::internal {
@@ -64,8 +65,8 @@
     // served first and may be paid by loans. Otherwise all retries have one purpose.
     bool hasPurposes { false };
     double inTimeShare { 0.8 };
-    // Share of its part that a VM does not lend.
-    double loanReserveShare { 0.1 };
+    // Share of its part that a VM does not lend; that of RelaySettings if it is empty.
+    std::optional<double> loanReserveShare;
     // Share of the VMs that are killed or frozen every two seconds, and for how many seconds at most.
     double killedShare { 0 };
     double frozenShare { 0 };
--- a/src/relay/Placement.cpp
+++ b/src/relay/Placement.cpp
@@ -4,7 +4,6 @@
 #include "relay/EndpointDirectory.h"
 
 #include <algorithm>
-#include <numeric>
 #include <xxhash.h>
 
 namespace lupinknot::internal {
@@ -104,7 +103,7 @@
 
 std::vector<Placement::ZoneCandidates> Placement::countByZone(const std::vector<Candidate>& found) const
 {
-    // This VM's zone comes first, also without candidates.
+    // This VM's zone is one of them also without candidates.
     std::vector<ZoneCandidates> zones { { m_settings.availabilityZone } };
     for (const auto& candidate : found) {
         const std::string_view name = candidate.endpoint->entry().availabilityZone;
@@ -121,23 +120,25 @@
 {
     const auto listed = static_cast<double>(m_directory.endpointsOf(service).size());
     const auto meanListed = std::max(listed / static_cast<double>(zones.size()), 1.0);
-    std::vector<double> weights;
-    for (const auto& zone : zones) {
+    double total = 0;
+    for (auto& zone : zones) {
         const auto listedInZone = static_cast<double>(m_directory.endpointsOf(service, std::string(zone.zone)).size());
         const auto examined = static_cast<double>(std::max<std::size_t>(zone.examined, 1));
         const auto healthyShare = static_cast<double>(zone.healthy) / examined;
-        weights.push_back(std::min(healthyShare, maxProbeConcentration * healthyShare * listedInZone / meanListed));
+        zone.weight = healthyShare * std::min(1.0, maxProbeConcentration * listedInZone / meanListed);
+        if (zone.zone == m_settings.availabilityZone)
+            zone.weight *= static_cast<double>(std::max<std::size_t>(zones.size() - 1, 1));
+        total += zone.weight;
     }
-    weights.front() *= static_cast<double>(std::max<std::size_t>(zones.size() - 1, 1));
-    const auto step = std::accumulate(weights.begin(), weights.end(), 0.0) / static_cast<double>(count);
+    const auto step = total / static_cast<double>(count);
     if (step <= 0)
         return;
     double next = random() * step;
     double end = 0;
-    for (std::size_t i = 0; i < zones.size(); ++i) {
-        end += weights[i];
+    for (auto& zone : zones) {
+        end += zone.weight;
         for (; next < end; next += step)
-            ++zones[i].probes;
+            ++zone.probes;
     }
 }
 
--- a/src/relay/Placement.h
+++ b/src/relay/Placement.h
@@ -112,6 +112,8 @@
         std::string_view zone;
         std::size_t examined { 0 };
         std::size_t healthy { 0 };
+        // Share of the probes, relative to the other zones.
+        double weight { 0 };
         // How many of the probes the zone gets.
         std::size_t probes { 0 };
     };
--- a/test/PeerZoneHealthTest.cpp
+++ b/test/PeerZoneHealthTest.cpp
@@ -126,6 +126,17 @@
         return vm.directory.isZoneAvoided("s", zone, clock.now());
     }
 
+    // The indexes of the first VMs that are not frozen.
+    std::vector<std::size_t> firstRunningVms(std::size_t count) const
+    {
+        std::vector<std::size_t> running;
+        for (std::size_t i = 0; i < vms.size() && running.size() < count; ++i) {
+            if (vms[i]->feeds)
+                running.push_back(i);
+        }
+        return running;
+    }
+
     // Each of some VMs sees one engine of zone c fail. Returns the time until all VMs that are not frozen know of it.
     Milliseconds timeUntilKnown(const std::vector<std::size_t>& seeing)
     {
@@ -182,12 +193,7 @@
     const auto first = collector("a", 0);
     freeze(vm(first));
     freeze(vm(collector("b", 1)));
-    std::vector<std::size_t> seeing;
-    for (std::size_t i = 0; i < vms.size() && seeing.size() < 3; ++i) {
-        if (vms[i]->feeds)
-            seeing.push_back(i);
-    }
-    const auto took = timeUntilKnown(seeing);
+    const auto took = timeUntilKnown(firstRunningVms(3));
     CHECK_TEXT(took < Milliseconds { 300 }, std::to_string(took.count()).c_str());
 }
 
@@ -199,12 +205,7 @@
     const auto second = collector("a", 1);
     freeze(vm(first));
     freeze(vm(second));
-    std::vector<std::size_t> seeing;
-    for (std::size_t i = 0; i < vms.size() && seeing.size() < 3; ++i) {
-        if (vms[i]->feeds)
-            seeing.push_back(i);
-    }
-    const auto took = timeUntilKnown(seeing);
+    const auto took = timeUntilKnown(firstRunningVms(3));
     CHECK_TEXT(took < Milliseconds { 300 }, std::to_string(took.count()).c_str());
 }
 
