Log why connections to endpoints fail, and whether a VM reaches any endpoint

Callers of VMs that were partitioned from all endpoints got 503, and the log could not say why: a refused connection and one that timed out had the same name, and no line said whether the VM reached any endpoint. Metrics: lupinknot_relay_endpoint_connections_total, lupinknot_relay_partitioned_from_endpoints. Where requests go does not change.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -103,17 +103,18 @@
     HttpResponse m_head;
 };
 
-std::shared_ptr<ClientConnection> ClientConnection::open(
-    net::io_context& ioContext, const SocketAddress& address, const ClientConnectionSettings& settings)
+std::shared_ptr<ClientConnection> ClientConnection::open(net::io_context& ioContext, const SocketAddress& address,
+    const ClientConnectionSettings& settings, std::unique_ptr<ConnectionPath> path)
 {
-    return std::shared_ptr<ClientConnection>(new ClientConnection(ioContext, address, settings));
+    return std::shared_ptr<ClientConnection>(new ClientConnection(ioContext, address, settings, std::move(path)));
 }
 
-ClientConnection::ClientConnection(
-    net::io_context& ioContext, const SocketAddress& address, const ClientConnectionSettings& settings)
+ClientConnection::ClientConnection(net::io_context& ioContext, const SocketAddress& address,
+    const ClientConnectionSettings& settings, std::unique_ptr<ConnectionPath> path)
     : m_ioContext(ioContext)
     , m_address(address)
     , m_settings(settings)
+    , m_path(std::move(path))
     , m_socket(ioContext)
     , m_connectTimer(ioContext)
 {
@@ -140,31 +141,73 @@
 void ClientConnection::connect()
 {
     m_state = State::Connecting;
+    const auto hop = m_path ? m_path->next() : ConnectionHop { m_settings.connectTimeout };
+    if (hop)
+        startHop(*hop);
+    else
+        net::post(m_ioContext, [self = shared_from_this()] { self->fail(ClientFailure::NotConnected); });
+}
+
+void ClientConnection::startHop(const ConnectionHop& hop)
+{
+    const auto number = ++m_hopNumber;
+    m_hopStartedAt = std::chrono::steady_clock::now();
+    m_isHopOpen = true;
+    const auto ifCurrent = [weak = weak_from_this(), number](const auto& action) {
+        const auto self = weak.lock();
+        if (self && self->m_state == State::Connecting && self->m_hopNumber == number)
+            action(*self);
+    };
     boost::system::error_code error;
     const auto ip = net::ip::make_address(m_address.host, error);
     if (error) {
-        net::post(m_ioContext, [self = shared_from_this()] { self->fail(ClientFailure::NotConnected); });
+        net::post(m_ioContext, [self = shared_from_this(), ifCurrent] {
+            ifCurrent([](ClientConnection& connection) { connection.hopEnded(HopResult::Refused); });
+        });
         return;
     }
-    m_connectTimer.expires_after(m_settings.connectTimeout);
-    m_connectTimer.async_wait([weak = weak_from_this()](boost::system::error_code waitError) {
-        const auto self = weak.lock();
-        if (!waitError && self && self->m_state == State::Connecting)
-            self->fail(ClientFailure::NotConnected);
+    m_connectTimer.expires_after(hop.timeout);
+    m_connectTimer.async_wait([ifCurrent](boost::system::error_code waitError) {
+        if (!waitError)
+            ifCurrent([](ClientConnection& connection) { connection.hopEnded(HopResult::TimedOut); });
     });
     m_socket.async_connect({ ip, static_cast<unsigned short>(m_address.port) },
-        [self = shared_from_this()](boost::system::error_code connectError) { self->connected(connectError); });
+        [self = shared_from_this(), ifCurrent](boost::system::error_code connectError) {
+            ifCurrent([connectError](ClientConnection& connection) {
+                connection.hopEnded(connectError ? HopResult::Refused : HopResult::Connected);
+            });
+        });
 }
 
-void ClientConnection::connected(boost::system::error_code error)
+void ClientConnection::hopEnded(HopResult result)
 {
+    const auto self = shared_from_this();
+    m_connectTimer.cancel();
+    reportHop(result);
     if (m_state != State::Connecting)
         return;
-    m_connectTimer.cancel();
-    if (error) {
-        fail(ClientFailure::NotConnected);
+    if (result == HopResult::Connected) {
+        established();
         return;
     }
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    const auto hop = m_path ? m_path->next() : std::nullopt;
+    if (hop)
+        startHop(*hop);
+    else
+        fail(ClientFailure::NotConnected);
+}
+
+void ClientConnection::reportHop(HopResult result)
+{
+    if (std::exchange(m_isHopOpen, false) && m_path)
+        m_path->noteResult(
+            result, std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - m_hopStartedAt));
+}
+
+void ClientConnection::established()
+{
     applySocketOptions();
     m_state = State::Busy;
     write();
@@ -340,6 +383,7 @@
     if (isResponsePending)
         m_socket.set_option(net::socket_base::linger(true, 0), ignored);
     m_socket.close(ignored);
+    reportHop(HopResult::Abandoned);
 }
 
 } // namespace lupinknot::internal
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -13,6 +13,7 @@
 // and by its pending operations.
 #pragma once
 
+#include "http/ConnectionPath.h"
 #include "http/HttpRequest.h"
 #include "http/HttpResponse.h"
 #include "http/SocketAddress.h"
@@ -22,6 +23,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <memory>
 
 namespace lupinknot::internal {
@@ -61,8 +63,9 @@
 
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
 public:
-    static std::shared_ptr<ClientConnection> open(
-        boost::asio::io_context&, const SocketAddress&, const ClientConnectionSettings&);
+    // Without a path there is one direct attempt, with the timeout in the settings.
+    static std::shared_ptr<ClientConnection> open(boost::asio::io_context&, const SocketAddress&,
+        const ClientConnectionSettings&, std::unique_ptr<ConnectionPath> = nullptr);
     ~ClientConnection();
     ClientConnection(const ClientConnection&) = delete;
     ClientConnection& operator=(const ClientConnection&) = delete;
@@ -90,10 +93,15 @@
     };
     class ResponseParser;
 
-    ClientConnection(boost::asio::io_context&, const SocketAddress&, const ClientConnectionSettings&);
+    ClientConnection(boost::asio::io_context&, const SocketAddress&, const ClientConnectionSettings&,
+        std::unique_ptr<ConnectionPath>);
 
     void connect();
-    void connected(boost::system::error_code);
+    void startHop(const ConnectionHop&);
+    // Goes on to the next hop unless this one is connected.
+    void hopEnded(HopResult);
+    void reportHop(HopResult);
+    void established();
     void applySocketOptions();
     void write();
     void read();
@@ -107,8 +115,15 @@
     boost::asio::io_context& m_ioContext;
     const SocketAddress m_address;
     const ClientConnectionSettings m_settings;
+    // Null for a direct connection that nobody observes.
+    const std::unique_ptr<ConnectionPath> m_path;
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_connectTimer;
+    // Distinguishes the callbacks of the present hop from those of earlier ones.
+    unsigned m_hopNumber { 0 };
+    std::chrono::steady_clock::time_point m_hopStartedAt;
+    // True while a hop has no result.
+    bool m_isHopOpen { false };
     State m_state { State::New };
     std::weak_ptr<ClientConnectionListener> m_listener;
     std::string m_requestBytes;
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -1,9 +1,11 @@
 #include "relay/EndpointDirectory.h"
 
 #include "common/EventLog.h"
+#include "reach/EndpointConnector.h"
 
 #include <algorithm>
 #include <cstdlib>
+#include <random>
 #include <set>
 
 namespace lupinknot::internal {
@@ -25,6 +27,33 @@
 {
 }
 
+void EndpointDirectory::setConnector(EndpointConnector& connector)
+{
+    m_connector = &connector;
+    connector.setEndpoints({ [this] { return size(); }, [this] { return sample(); } });
+}
+
+std::vector<CheckedEndpoint> EndpointDirectory::sample() const
+{
+    std::mt19937 random(std::random_device {}());
+    std::vector<CheckedEndpoint> chosen;
+    for (const auto& service : m_endpointsByService) {
+        for (const auto& zone : service.second.byZone) {
+            const auto& endpoints = zone.second;
+            const auto first = endpoints.empty() ? 0 : random() % endpoints.size();
+            for (std::size_t i = 0; i < endpoints.size(); ++i) {
+                const auto& endpoint = *endpoints[(first + i) % endpoints.size()];
+                if (endpoint.isShuttingDown())
+                    continue;
+                const auto& entry = endpoint.entry();
+                chosen.push_back({ entry.id, entry.address, entry.availabilityZone });
+                break;
+            }
+        }
+    }
+    return chosen;
+}
+
 void EndpointDirectory::upsert(EndpointEntry entry, Milliseconds now)
 {
     if (!removeEarlierIncarnation(entry, now))
@@ -54,7 +83,7 @@
     const auto service = entry.service;
     const auto id = entry.id;
     const ClientConnectionSettings connection { .connectTimeout = m_settings.endpointConnectTimeout };
-    const auto endpoint = std::make_shared<RelayEndpoint>(m_ioContext, entry, connection, now);
+    const auto endpoint = std::make_shared<RelayEndpoint>(m_ioContext, entry, connection, now, m_connector);
     if (const auto removal = m_removals.find(entry.incarnationName()); removal != m_removals.end())
         endpoint->restoreSignals(removal->second.signals, now);
     endpoint->updateEntry(std::move(entry), now);
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -31,6 +31,9 @@
 
 namespace lupinknot::internal {
 
+class EndpointConnector;
+struct CheckedEndpoint;
+
 // One change of the list: an endpoint's current entry, or the removal of an entry.
 struct EndpointChange {
     // For a removal only the id is used.
@@ -52,6 +55,9 @@
 public:
     EndpointDirectory(boost::asio::io_context&, const RelaySettings&);
 
+    // Sets what provides the paths of connections to the endpoints; it must outlive them. Call it before the first
+    // list.
+    void setConnector(EndpointConnector&);
     void upsert(EndpointEntry, Milliseconds now);
     void remove(const std::string& id, Milliseconds now);
     // Applies the changes in their order: an endpoint may be listed and removed within one answer of the store.
@@ -168,8 +174,12 @@
     // be gone, each after its own time.
     void applyUnconfirmed(Milliseconds now);
 
+    // A random endpoint of each service and zone, without those that are shutting down.
+    std::vector<CheckedEndpoint> sample() const;
+
     boost::asio::io_context& m_ioContext;
     const RelaySettings& m_settings;
+    EndpointConnector* m_connector { nullptr };
     std::unordered_map<std::string, std::shared_ptr<RelayEndpoint>> m_endpointsById;
     struct ServiceEndpoints {
         std::vector<std::shared_ptr<RelayEndpoint>> all;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -23,6 +23,7 @@
 RelayDaemon::RelayDaemon(const RelaySettings& settings, const RelayAddresses& addresses, const CallProtocol& protocol)
     : m_settings(settings)
     , m_ioContext(1)
+    , m_connector(m_ioContext, m_clock, m_settings.endpointConnectTimeout, m_metrics)
     , m_directory(m_ioContext, m_settings)
     , m_placement(m_directory, m_settings, std::random_device()())
     , m_crashGuard(m_ioContext, m_clock, m_settings, m_directory)
@@ -42,6 +43,7 @@
     , m_housekeepingTimer(m_ioContext)
 {
     m_context.waitingRequestLimit.setAgeingTime(m_settings.rankAgeingTime);
+    m_directory.setConnector(m_connector);
     m_placement.setPaces(&m_context.enginePaces);
     m_directory.onFirstList([this] { m_handler.processWaitingRequests(); });
     m_directory.onZoneFailure([this](ZoneFailureSource source) { m_metrics.countZoneFailure(source); });
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -13,6 +13,7 @@
 #include "http/SocketAddress.h"
 #include "limits/LocalPermits.h"
 #include "lupinknot/MonotonicClock.h"
+#include "reach/EndpointConnector.h"
 #include "relay/CrashGuard.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/Placement.h"
@@ -109,9 +110,10 @@
     RelaySettings m_settings;
     const MonotonicClock m_clock;
     boost::asio::io_context m_ioContext;
+    RelayMetrics m_metrics;
+    EndpointConnector m_connector;
     EndpointDirectory m_directory;
     Placement m_placement;
-    RelayMetrics m_metrics;
     CrashGuard m_crashGuard;
     LocalPermits m_localPermits;
     RelayContext m_context;
--- a/src/relay/RelayEndpoint.cpp
+++ b/src/relay/RelayEndpoint.cpp
@@ -1,6 +1,7 @@
 #include "relay/RelayEndpoint.h"
 
 #include "common/EventLog.h"
+#include "reach/EndpointConnector.h"
 #include "relay/CallProtocol.h"
 
 #include <cstdio>
@@ -19,11 +20,12 @@
 
 } // namespace
 
-RelayEndpoint::RelayEndpoint(
-    boost::asio::io_context& ioContext, EndpointEntry entry, const ClientConnectionSettings& settings, Milliseconds now)
+RelayEndpoint::RelayEndpoint(boost::asio::io_context& ioContext, EndpointEntry entry,
+    const ClientConnectionSettings& settings, Milliseconds now, EndpointConnector* connector)
     : m_ioContext(ioContext)
     , m_entry(std::move(entry))
     , m_connectionSettings(settings)
+    , m_connector(connector)
     , m_lastAliveAt(now)
 {
 }
@@ -47,7 +49,8 @@
 
 std::shared_ptr<ClientConnection> RelayEndpoint::openConnection()
 {
-    return ClientConnection::open(m_ioContext, m_entry.address, m_connectionSettings);
+    return ClientConnection::open(
+        m_ioContext, m_entry.address, m_connectionSettings, m_connector ? m_connector->pathTo(m_entry.id) : nullptr);
 }
 
 void RelayEndpoint::giveBack(const std::shared_ptr<ClientConnection>& connection, Milliseconds now)
--- a/src/relay/RelayEndpoint.h
+++ b/src/relay/RelayEndpoint.h
@@ -16,13 +16,16 @@
 
 namespace lupinknot::internal {
 
+class EndpointConnector;
 struct StatedLimit;
 struct StatedLoad;
 struct AnswerFields;
 
 class RelayEndpoint {
 public:
-    RelayEndpoint(boost::asio::io_context&, EndpointEntry, const ClientConnectionSettings&, Milliseconds now);
+    // Without a connector, connections are direct.
+    RelayEndpoint(boost::asio::io_context&, EndpointEntry, const ClientConnectionSettings&, Milliseconds now,
+        EndpointConnector* = nullptr);
     ~RelayEndpoint();
     RelayEndpoint(const RelayEndpoint&) = delete;
     RelayEndpoint& operator=(const RelayEndpoint&) = delete;
@@ -122,6 +125,7 @@
     boost::asio::io_context& m_ioContext;
     EndpointEntry m_entry;
     const ClientConnectionSettings m_connectionSettings;
+    EndpointConnector* const m_connector;
     // Usually empty: an empty vector owns no memory.
     std::vector<KeptConnection> m_kept;
     unsigned m_inFlight { 0 };
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -46,6 +46,10 @@
                     .Name("lupinknot_relay_streams_total")
                     .Help("Streams ended, by rank and outcome.")
                     .Register(*m_registry))
+    , m_endpointConnections(prometheus::BuildCounter()
+                                .Name("lupinknot_relay_endpoint_connections_total")
+                                .Help("Attempts to connect to an endpoint, by result.")
+                                .Register(*m_registry))
     , resumedFromCopy(addCounter(
           *m_registry, "lupinknot_relay_resumed_from_copy_total", "Streams that went on from a copy of their memory."))
     , resumedCold(addCounter(
@@ -81,6 +85,8 @@
           addCounter(*m_registry, "lupinknot_relay_retries_lent_total", "Retries that this VM has lent to others."))
     , retryLoansRefused(addCounter(*m_registry, "lupinknot_relay_retry_loans_refused_total",
           "Retries that this VM needed and no other VM lent in time."))
+    , isPartitioned(addGauge(*m_registry, "lupinknot_relay_partitioned_from_endpoints",
+          "1 while this VM reaches none of the endpoints that it checks."))
 {
 }
 
@@ -101,6 +107,11 @@
     m_zoneFailures.Add({ { "source", std::string(nameIn(zoneFailureSourceNames, source)) } }).Increment();
 }
 
+void RelayMetrics::countEndpointConnection(HopResult result)
+{
+    m_endpointConnections.Add({ { "result", std::string(nameIn(hopResultNames, result)) } }).Increment();
+}
+
 void RelayMetrics::countStream(std::optional<unsigned> rank, StreamOutcome outcome)
 {
     const auto rankName = rank ? std::to_string(*rank) : std::string("none");
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "health/ZoneFailureSource.h"
+#include "http/ConnectionPath.h"
 #include "lupinknot/Clock.h"
 #include "lupinknot/EnumNames.h"
 #include "lupinknot/FailureKind.h"
@@ -43,6 +44,8 @@
     void countRequest(RequestKind, unsigned status, Milliseconds took);
     void countFailure(FailureKind);
     void countZoneFailure(ZoneFailureSource);
+    // Counts an attempt to connect to an endpoint.
+    void countEndpointConnection(HopResult);
     // Counts a stream by its rank, empty when the configuration names none, and by how it ended.
     void countStream(std::optional<unsigned> rank, StreamOutcome);
     std::string exposition() const;
@@ -54,6 +57,7 @@
     prometheus::Family<prometheus::Histogram>& m_durations;
     prometheus::Family<prometheus::Counter>& m_zoneFailures;
     prometheus::Family<prometheus::Counter>& m_streams;
+    prometheus::Family<prometheus::Counter>& m_endpointConnections;
 
 public:
     // Streams that resumed at another engine from a copy of their KV cache, or by a new prefill of the prompt.
@@ -80,6 +84,8 @@
     prometheus::Counter& retriesBorrowed;
     prometheus::Counter& retriesLent;
     prometheus::Counter& retryLoansRefused;
+    // Whether this VM is partitioned from all endpoints.
+    prometheus::Gauge& isPartitioned;
 };
 
 } // namespace lupinknot::internal
