--- /dev/null
+++ b/test/PartitionedFleet.cpp
@@ -0,0 +1,227 @@
+#include "PartitionedFleet.h"
+
+#include "RunUntil.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <future>
+#include <nlohmann/json.hpp>
+
+namespace lupinknot::platform {
+
+using internal::HttpRoundTripResult;
+
+namespace {
+
+constexpr int endpointsPerService = 4;
+constexpr std::uint64_t eventCount = 40;
+constexpr Milliseconds callDeadline { 1500 };
+constexpr Milliseconds streamDeadline { 8000 };
+constexpr Milliseconds callPause { 40 };
+constexpr const char* host = "127.0.0.1";
+
+unsigned short freePort()
+{
+    boost::asio::io_context ioContext;
+    const boost::asio::ip::tcp::acceptor acceptor(ioContext, { boost::asio::ip::make_address(host), 0 });
+    return acceptor.local_endpoint().port();
+}
+
+nlohmann::json routeOf(const std::string& path, const std::string& kind, const std::string& service, bool isResumable)
+{
+    return { { "name", path }, { "host", "h" }, { "path-prefix", path }, { "kind", kind }, { "service", service },
+        { "timeout-ms", 20000 }, { "slo-ms", 4500 }, { "gap-aim-ms", 700 }, { "max-attempts", 5 },
+        { "resumable", isResumable } };
+}
+
+std::string configurationText()
+{
+    const nlohmann::json configuration { { "version", 1 },
+        { "routes",
+            { routeOf("/stories/", "streaming", "llm", true), routeOf("/calls/", "non_idempotent", "plain", false),
+                routeOf("/looks/", "idempotent", "plain", false) } },
+        { "services",
+            { { { "name", "llm" }, { "max-conns", 100 },
+                  { "engine", { { "backups", true }, { "moves", true }, { "handle-s", 4 }, { "stride", 5 } } } },
+                { { "name", "plain" }, { "max-conns", 100 } } } } };
+    return configuration.dump();
+}
+
+} // namespace
+
+PartitionedFleet::PartitionedFleet(std::size_t vms, bool isOneZone)
+    : m_store(m_ioContext)
+    , m_isOneZone(isOneZone)
+{
+    m_vms.resize(vms);
+}
+
+PartitionedFleet::~PartitionedFleet()
+{
+    for (std::size_t i = 0; i < m_vms.size(); ++i)
+        stopVm(i);
+}
+
+void PartitionedFleet::stopVm(std::size_t index)
+{
+    auto& vm = m_vms[index];
+    if (!vm)
+        return;
+    vm->vm.daemon().ioContext().stop();
+    if (vm->thread.joinable())
+        vm->thread.join();
+    vm.reset();
+}
+
+PlatformSettings PartitionedFleet::settingsOf(std::size_t index) const
+{
+    PlatformSettings settings;
+    settings.relay.vmName = "vm" + std::to_string(index);
+    settings.relay.availabilityZone = m_isOneZone ? "zone-0" : "zone-" + std::to_string(index);
+    settings.addresses = { { host, 0 }, { host, 0 }, { host, 0 } };
+    settings.store = { host, m_store.port() };
+    settings.peerAddress = { host, freePort() };
+    settings.isFirstStart = true;
+    settings.relay.retrySlackShare = 0;
+    return settings;
+}
+
+void PartitionedFleet::addEndpoint(const std::string& service, int number)
+{
+    EngineStandInSettings settings;
+    settings.id = service + "-" + std::to_string(number);
+    settings.service = service;
+    settings.zone = "zone-" + std::to_string(number % 2);
+    const auto port = freePort();
+    settings.address = { host, port };
+    settings.store = { host, m_store.port() };
+    settings.prefillTime = Milliseconds { 150 };
+    settings.callTime = Milliseconds { 20 };
+    settings.eventCount = eventCount;
+    m_endpoints.emplace_back(m_ioContext, settings).start();
+    m_endpointPorts.push_back(port);
+}
+
+bool PartitionedFleet::start()
+{
+    m_store.start();
+    m_store.put("op", "config", configurationText());
+    for (int i = 0; i < endpointsPerService; ++i) {
+        addEndpoint("llm", i);
+        addEndpoint("plain", i);
+    }
+    for (std::size_t i = 0; i < m_vms.size(); ++i) {
+        auto& vm = m_vms[i];
+        vm = std::make_unique<Vm>(settingsOf(i));
+        for (const auto port : m_endpointPorts)
+            vm->network.addRemotePort(port);
+        std::promise<unsigned short> port;
+        vm->thread = std::thread([&vm = *vm, &port] {
+            vm.network.attachThisThread();
+            const auto problem = vm.vm.start();
+            port.set_value(problem ? 0 : vm.vm.daemon().frontPort());
+            if (!problem)
+                vm.vm.daemon().run();
+        });
+        vm->frontPort = port.get_future().get();
+        if (vm->frontPort == 0)
+            return false;
+    }
+    // The VMs know each other once each has read a list of all of them.
+    const auto isListed = [this] { return m_store.keys("vms").size() == m_vms.size(); };
+    if (!runUntil(isListed))
+        return false;
+    runFor(Milliseconds { 1500 });
+    std::vector<std::shared_ptr<FleetCaller>> callers;
+    for (std::size_t i = 0; i < m_vms.size(); ++i) {
+        callers.push_back(call(i, "/looks/"));
+        callers.push_back(call(i, "/stories/", "aa" + std::to_string(i)));
+    }
+    return waitFor(callers) && servedCount(callers) == callers.size();
+}
+
+bool PartitionedFleet::waitFor(const std::vector<std::shared_ptr<FleetCaller>>& callers)
+{
+    return runUntil([&callers] {
+        return std::all_of(callers.begin(), callers.end(), [](const auto& caller) { return caller->isOver(); });
+    });
+}
+
+std::shared_ptr<FleetCaller> PartitionedFleet::call(
+    std::size_t vm, const std::string& path, const std::string& promptId)
+{
+    const auto caller = std::make_shared<FleetCaller>();
+    const auto timeout = promptId.empty() ? callDeadline : streamDeadline;
+    internal::HttpRequest request { "POST", path,
+        { { "Host", "h" }, { "X-Request-Id", "r" + std::to_string(++m_requests) },
+            { "X-Deadline-Ms", std::to_string(timeout.count()) }, { "Connection", "close" } },
+        "body" };
+    if (!promptId.empty()) {
+        request.headers.add("X-Prompt-Prefix", promptId + ":100");
+        request.headers.add("X-Token-Usage", "100,500");
+    }
+    const auto connection = internal::ClientConnection::open(m_ioContext, { host, m_vms[vm]->frontPort }, {});
+    const auto begin = std::chrono::steady_clock::now();
+    caller->roundTrip = internal::HttpRoundTrip::ask(
+        m_ioContext, connection, request, timeout, [caller, begin](const HttpRoundTripResult& outcome) {
+            caller->took = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - begin);
+            if (outcome.answer) {
+                caller->status = outcome.answer->status;
+                caller->body = outcome.answer->body;
+            } else {
+                caller->problem = std::string(outcome.problem);
+            }
+        });
+    return caller;
+}
+
+std::vector<std::shared_ptr<FleetCaller>> PartitionedFleet::callRepeatedly(
+    std::size_t vm, const std::string& path, int count)
+{
+    std::vector<std::shared_ptr<FleetCaller>> callers;
+    for (int i = 0; i < count; ++i) {
+        callers.push_back(call(vm, path));
+        runFor(callPause);
+    }
+    waitFor(callers);
+    return callers;
+}
+
+void PartitionedFleet::partition(std::size_t firstVm, std::size_t count, internal::PartitionMode mode)
+{
+    for (std::size_t i = firstVm; i < firstVm + count; ++i)
+        network(i).begin(mode);
+}
+
+void PartitionedFleet::post(std::size_t vm, std::function<void(internal::RelayDaemon&)> action)
+{
+    auto& daemon = m_vms[vm]->vm.daemon();
+    boost::asio::post(daemon.ioContext(), [&daemon, action = std::move(action)] { action(daemon); });
+}
+
+std::string PartitionedFleet::metrics(std::size_t vm)
+{
+    std::promise<std::string> text;
+    post(vm, [&text](internal::RelayDaemon& daemon) { text.set_value(daemon.metrics().exposition()); });
+    return text.get_future().get();
+}
+
+bool PartitionedFleet::runUntil(const std::function<bool()>& condition)
+{
+    return internal::runUntil(m_ioContext, condition);
+}
+
+void PartitionedFleet::runFor(Milliseconds time)
+{
+    const auto end = std::chrono::steady_clock::now() + time;
+    internal::runUntil(m_ioContext, [end] { return std::chrono::steady_clock::now() >= end; });
+}
+
+std::size_t servedCount(const std::vector<std::shared_ptr<FleetCaller>>& callers)
+{
+    return static_cast<std::size_t>(
+        std::count_if(callers.begin(), callers.end(), [](const auto& caller) { return caller->isServed(); }));
+}
+
+} // namespace lupinknot::platform
--- /dev/null
+++ b/test/PartitionedFleet.h
@@ -0,0 +1,84 @@
+// Entry VMs, each on a thread of its own, with a store, engines and endpoints of a plain service on the test's thread.
+//
+//     PartitionedFleet fleet(3);
+//     fleet.start();
+//     fleet.network(0).begin(PartitionMode::Hang);
+//     const auto caller = fleet.call(0, "/calls/");
+//     fleet.runUntil([&] { return caller->isOver(); });
+#pragma once
+
+#include "../platform/standin/EngineStandIn.h"
+#include "EntryVm.h"
+#include "NetworkPartition.h"
+#include "http/HttpRoundTrip.h"
+#include "standin/StoreStandIn.h"
+#include <deque>
+#include <thread>
+
+namespace lupinknot::platform {
+
+// A caller's request and its response.
+struct FleetCaller {
+    std::shared_ptr<internal::HttpRoundTrip> roundTrip;
+    unsigned status { 0 };
+    std::string body;
+    std::optional<std::string> problem;
+    Milliseconds took { 0 };
+
+    bool isOver() const { return status != 0 || problem.has_value(); }
+    bool isServed() const { return status == 200; }
+};
+
+class PartitionedFleet {
+public:
+    // Each VM is in a zone of its own, unless the VMs are in one zone. Every second engine and endpoint is in zone-0.
+    explicit PartitionedFleet(std::size_t vms, bool isOneZone = false);
+    ~PartitionedFleet();
+
+    // Starts everything and waits until each VM serves. Returns false if that does not happen.
+    bool start();
+    // A request to the VM. With a prompt id it is a stream.
+    std::shared_ptr<FleetCaller> call(std::size_t vm, const std::string& path, const std::string& promptId = "");
+    // Sends calls to the VM one after the other, with pauses, and waits for all of them.
+    std::vector<std::shared_ptr<FleetCaller>> callRepeatedly(std::size_t vm, const std::string& path, int count);
+    // Waits until all callers have a result. Returns false on a timeout.
+    bool waitFor(const std::vector<std::shared_ptr<FleetCaller>>&);
+    bool runUntil(const std::function<bool()>&);
+    void runFor(Milliseconds);
+    internal::NetworkPartition& network(std::size_t vm) { return m_vms[vm]->network; }
+    void partition(std::size_t firstVm, std::size_t count, internal::PartitionMode);
+    // Runs the action on the VM's thread.
+    void post(std::size_t vm, std::function<void(internal::RelayDaemon&)>);
+    void stopVm(std::size_t);
+    // The text of a VM's metrics.
+    std::string metrics(std::size_t vm);
+
+private:
+    struct Vm {
+        explicit Vm(PlatformSettings settings)
+            : vm(std::move(settings))
+        {
+        }
+
+        EntryVm vm;
+        internal::NetworkPartition network;
+        std::thread thread;
+        unsigned short frontPort { 0 };
+    };
+
+    PlatformSettings settingsOf(std::size_t index) const;
+    void addEndpoint(const std::string& service, int number);
+
+    boost::asio::io_context m_ioContext;
+    StoreStandIn m_store;
+    std::deque<EngineStandIn> m_endpoints;
+    std::vector<unsigned short> m_endpointPorts;
+    std::vector<std::unique_ptr<Vm>> m_vms;
+    bool m_isOneZone;
+    unsigned m_requests { 0 };
+};
+
+// Number of callers with a complete answer.
+std::size_t servedCount(const std::vector<std::shared_ptr<FleetCaller>>&);
+
+} // namespace lupinknot::platform
