Give idle connections as long as their keep-alive probes take

What callers saw: nothing yet; the platform now states that a TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count. Cause: connections had two probes a second apart after one idle second, three seconds in all, and a TCP_USER_TIMEOUT of two seconds, so that a single lost probe closed a connection that waited for an answer, and an endpoint that was silent for two seconds lost its requests. Compared with one probe and two seconds: a lost packet would still close the connection.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -6,7 +6,6 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <charconv>
 #include <limits>
-#include <netinet/tcp.h>
 
 namespace lupinknot::internal {
 
@@ -19,12 +18,6 @@
 constexpr std::uint32_t maxResponseHeaderBytes = 64 * kibibyte;
 constexpr Milliseconds oneSecond { 1000 };
 
-// TCP keep-alive detects a peer that disappears without closing the connection. The kernel sends a probe per second
-// after one idle second and drops the connection after two unanswered probes.
-constexpr int probeIdleSeconds = 1;
-constexpr int probeIntervalSeconds = 1;
-constexpr int probeCount = 2;
-
 bool mayCarryBody(const std::string& method) { return method == "POST" || method == "PUT" || method == "PATCH"; }
 
 std::string serialize(const HttpRequest& request)
@@ -216,17 +209,9 @@
 
 void ClientConnection::applySocketOptions()
 {
-    // Options that the system does not support are skipped; the callers' own timeouts still apply.
     boost::system::error_code ignored;
     m_socket.set_option(net::ip::tcp::no_delay(true), ignored);
-    m_socket.set_option(net::socket_base::keep_alive(true), ignored);
-    using IntegerOption = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
-    m_socket.set_option(IntegerOption(probeIdleSeconds), ignored);
-    m_socket.set_option(net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>(probeIntervalSeconds), ignored);
-    m_socket.set_option(net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>(probeCount), ignored);
-    m_socket.set_option(net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(
-                            static_cast<int>(m_settings.unacknowledgedTimeout.count())),
-        ignored);
+    applyLiveness(m_socket, m_settings.liveness);
 }
 
 void ClientConnection::write()
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -17,6 +17,7 @@
 #include "http/HttpRequest.h"
 #include "http/HttpResponse.h"
 #include "http/SocketAddress.h"
+#include "http/SocketLiveness.h"
 #include "lupinknot/Clock.h"
 #include "lupinknot/EnumNames.h"
 #include <array>
@@ -57,8 +58,8 @@
 struct ClientConnectionSettings {
     // Time in which the connection must be established.
     Milliseconds connectTimeout { 1000 };
-    // Time that sent bytes may stay unacknowledged before the kernel closes the connection (TCP_USER_TIMEOUT).
-    Milliseconds unacknowledgedTimeout { 2000 };
+    // Detects a peer that disappears without closing the connection.
+    SocketLiveness liveness {};
 };
 
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
