Connect to endpoints through other VMs while this VM is partitioned from all of them

Cause: a VM had no other way to an endpoint than its own link. Change: EndpointConnector provides the path of every connection to an endpoint, for requests, probes, copies and moves. EndpointReachability decides from the results of new direct connections whether the VM is partitioned. If it is, connections are made by other VMs, by HTTP CONNECT to the address at which VMs call each other (EndpointTunnels); VmChoice selects them. A request has been sent only once the other VM is connected to the endpoint, so that nothing runs twice, and a VM that is partitioned too rejects the connection instead of passing it on. A call that is unanswered on a kept connection makes the VM check the endpoint, and a stream on a direct connection is not kept alive by answers that came through another VM.

--- a/src/daemon/KeyedServiceCall.h
+++ b/src/daemon/KeyedServiceCall.h
@@ -46,6 +46,7 @@
     const HttpRequest& request() const override { return m_request; }
     void respond(HttpResponse) override;
     void stream(HttpResponse, std::shared_ptr<HttpBodySource>) override { }
+    void upgrade(UpgradeCallback) override { }
     void wake() override { }
     void abort() override { }
     void onPeerDisconnected(std::function<void()>) override { }
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "common/ByteSizes.h"
 
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <charconv>
@@ -18,6 +19,10 @@
 constexpr std::uint32_t maxResponseHeaderBytes = 64 * kibibyte;
 constexpr Milliseconds oneSecond { 1000 };
 
+constexpr std::size_t maxTunnelResponseBytes = 1024;
+constexpr unsigned okStatus = 200;
+constexpr unsigned badGatewayStatus = 502;
+
 bool mayCarryBody(const std::string& method) { return method == "POST" || method == "PUT" || method == "PATCH"; }
 
 std::string serialize(const HttpRequest& request)
@@ -134,7 +139,7 @@
 void ClientConnection::connect()
 {
     m_state = State::Connecting;
-    const auto hop = m_path ? m_path->next() : ConnectionHop { m_settings.connectTimeout };
+    const auto hop = m_path ? m_path->next() : ConnectionHop { std::nullopt, m_settings.connectTimeout };
     if (hop)
         startHop(*hop);
     else
@@ -146,13 +151,15 @@
     const auto number = ++m_hopNumber;
     m_hopStartedAt = std::chrono::steady_clock::now();
     m_isHopOpen = true;
+    m_isThroughVm = hop.vm.has_value();
+    const auto& address = hop.vm ? *hop.vm : m_address;
     const auto ifCurrent = [weak = weak_from_this(), number](const auto& action) {
         const auto self = weak.lock();
         if (self && self->m_state == State::Connecting && self->m_hopNumber == number)
             action(*self);
     };
     boost::system::error_code error;
-    const auto ip = net::ip::make_address(m_address.host, error);
+    const auto ip = net::ip::make_address(address.host, error);
     if (error) {
         net::post(m_ioContext, [self = shared_from_this(), ifCurrent] {
             ifCurrent([](ClientConnection& connection) { connection.hopEnded(HopResult::Refused); });
@@ -164,14 +171,55 @@
         if (!waitError)
             ifCurrent([](ClientConnection& connection) { connection.hopEnded(HopResult::TimedOut); });
     });
-    m_socket.async_connect({ ip, static_cast<unsigned short>(m_address.port) },
+    m_socket.async_connect({ ip, static_cast<unsigned short>(address.port) },
         [self = shared_from_this(), ifCurrent](boost::system::error_code connectError) {
             ifCurrent([connectError](ClientConnection& connection) {
-                connection.hopEnded(connectError ? HopResult::Refused : HopResult::Connected);
+                if (!connectError && connection.m_isThroughVm)
+                    connection.requestTunnel();
+                else
+                    connection.hopEnded(connectError ? HopResult::Refused : HopResult::Connected);
             });
         });
 }
 
+void ClientConnection::requestTunnel()
+{
+    const auto target = m_address.text();
+    // Owned by the operations of this hop, which may end after the next hop has started.
+    const auto buffer
+        = std::make_shared<std::string>("CONNECT " + target + " HTTP/1.1\r\nHost: " + target + "\r\n\r\n");
+    const auto isCurrent = [self = shared_from_this(), number = m_hopNumber] {
+        return self->m_state == State::Connecting && self->m_hopNumber == number;
+    };
+    net::async_write(m_socket, net::buffer(*buffer),
+        [self = shared_from_this(), buffer, isCurrent](boost::system::error_code error, std::size_t) {
+            if (!isCurrent())
+                return;
+            if (error) {
+                self->hopEnded(HopResult::VmUnavailable);
+                return;
+            }
+            buffer->clear();
+            net::async_read_until(self->m_socket, net::dynamic_buffer(*buffer, maxTunnelResponseBytes), "\r\n\r\n",
+                [self, buffer, isCurrent](boost::system::error_code readError, std::size_t size) {
+                    if (isCurrent())
+                        self->tunnelAnswered(*buffer, readError ? 0 : size);
+                });
+        });
+}
+
+void ClientConnection::tunnelAnswered(const std::string& response, std::size_t headerSize)
+{
+    constexpr std::string_view version = "HTTP/1.1 ";
+    unsigned status = 0;
+    if (headerSize > version.size() && response.compare(0, version.size(), version) == 0)
+        std::from_chars(response.data() + version.size(), response.data() + headerSize, status);
+    if (status == okStatus)
+        hopEnded(HopResult::Connected);
+    else
+        hopEnded(status == badGatewayStatus ? HopResult::EndpointUnreachable : HopResult::VmUnavailable);
+}
+
 void ClientConnection::hopEnded(HopResult result)
 {
     const auto self = shared_from_this();
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -76,6 +76,8 @@
     // True when the last response was complete, no bytes followed it and both sides keep the connection open.
     bool isIdle() const { return m_state == State::Idle; }
     bool isClosed() const { return m_state == State::Closed; }
+    // True if the connection was made by another VM.
+    bool isThroughVm() const { return m_isThroughVm; }
     // True once bytes of the current request may have left this process.
     bool hasSent() const { return m_hasSent; }
     // How long the peer keeps the connection open while idle, if its last response stated it (Keep-Alive header).
@@ -101,6 +103,9 @@
     void startHop(const ConnectionHop&);
     // Goes on to the next hop unless this one is connected.
     void hopEnded(HopResult);
+    // Asks the VM at the other end of the connection to connect to the address (HTTP CONNECT).
+    void requestTunnel();
+    void tunnelAnswered(const std::string& response, std::size_t headerSize);
     void reportHop(HopResult);
     void established();
     void applySocketOptions();
@@ -122,6 +127,7 @@
     boost::asio::steady_timer m_connectTimer;
     // Distinguishes the callbacks of the present hop from those of earlier ones.
     unsigned m_hopNumber { 0 };
+    bool m_isThroughVm { false };
     std::chrono::steady_clock::time_point m_hopStartedAt;
     // True while a hop has no result.
     bool m_isHopOpen { false };
--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -88,6 +89,12 @@
                  HttpSession& session) mutable { session.beginStream(self, head, std::move(source)); });
     }
 
+    void upgrade(UpgradeCallback callback) override
+    {
+        post([self = shared_from_this(), callback = std::move(callback)](
+                 HttpSession& session) { session.upgrade(self, callback); });
+    }
+
     void wake() override
     {
         // One pending wake-up is enough, however many tokens arrive before it runs.
@@ -376,6 +383,30 @@
         });
 }
 
+void HttpSession::upgrade(const std::shared_ptr<Exchange>& exchange, const HttpExchange::UpgradeCallback& callback)
+{
+    if (exchange != m_exchange || exchange->isAnswered() || m_isClosed)
+        return;
+    exchange->setAnswered();
+    m_isWriting = true;
+    m_piece = "HTTP/1.1 200 Connection established\r\n\r\n";
+    m_stream.expires_after(m_owner->settings()->writeTimeout);
+    net::async_write(
+        m_stream, net::buffer(m_piece), [self = shared_from_this(), callback](beast::error_code error, std::size_t) {
+            self->m_isWriting = false;
+            if (error || self->m_isClosed) {
+                self->close();
+                return;
+            }
+            self->m_isClosed = true;
+            self->exchangeComplete();
+            self->m_stream.expires_never();
+            // Ends the wait for a disconnect of the peer.
+            self->m_stream.cancel();
+            callback(self->m_stream.release_socket(), beast::buffers_to_string(self->m_buffer.data()));
+        });
+}
+
 void HttpSession::pump(const std::shared_ptr<Exchange>& exchange)
 {
     if (exchange != m_exchange || !m_source || m_isWriting || m_isClosed)
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -63,6 +63,7 @@
     void refuse(boost::beast::error_code);
     void respond(const std::shared_ptr<Exchange>&, HttpResponse);
     void beginStream(const std::shared_ptr<Exchange>&, const HttpResponse& head, std::shared_ptr<HttpBodySource>);
+    void upgrade(const std::shared_ptr<Exchange>&, const HttpExchange::UpgradeCallback&);
     void pump(const std::shared_ptr<Exchange>&);
     void writeBufferedResponse(HttpResponse, bool keepAlive);
     void beginDrain();
--- /dev/null
+++ b/src/http/TunnelLink.cpp
@@ -0,0 +1,84 @@
+#include "http/TunnelLink.h"
+
+#include "http/SocketLiveness.h"
+
+#include <boost/asio/write.hpp>
+
+namespace lupinknot::internal {
+
+namespace net = boost::asio;
+
+std::shared_ptr<TunnelLink> TunnelLink::start(
+    net::ip::tcp::socket caller, net::ip::tcp::socket target, std::string earlyBytes, std::function<void()> onEnd)
+{
+    std::shared_ptr<TunnelLink> link(
+        new TunnelLink(std::move(caller), std::move(target), std::move(earlyBytes), std::move(onEnd)));
+    if (link->m_fromCaller.early.empty())
+        link->read(link->m_fromCaller, link->m_fromTarget);
+    else
+        link->write(link->m_fromCaller, link->m_fromTarget, net::buffer(link->m_fromCaller.early));
+    link->read(link->m_fromTarget, link->m_fromCaller);
+    return link;
+}
+
+TunnelLink::TunnelLink(
+    net::ip::tcp::socket caller, net::ip::tcp::socket target, std::string earlyBytes, std::function<void()> onEnd)
+    : m_fromCaller(std::move(caller))
+    , m_fromTarget(std::move(target))
+    , m_onEnd(std::move(onEnd))
+    , m_lastUsedAt(std::chrono::steady_clock::now())
+{
+    m_fromCaller.early = std::move(earlyBytes);
+    for (auto* const direction : { &m_fromCaller, &m_fromTarget }) {
+        boost::system::error_code ignored;
+        direction->source.set_option(net::ip::tcp::no_delay(true), ignored);
+        applyLiveness(direction->source, {});
+    }
+}
+
+void TunnelLink::read(Direction& from, Direction& to)
+{
+    from.source.async_read_some(net::buffer(from.piece),
+        [this, self = shared_from_this(), &from, &to](boost::system::error_code error, std::size_t size) {
+            if (error)
+                ended(to, error);
+            else
+                write(from, to, net::buffer(from.piece, size));
+        });
+}
+
+void TunnelLink::write(Direction& from, Direction& to, net::const_buffer bytes)
+{
+    m_lastUsedAt = std::chrono::steady_clock::now();
+    net::async_write(
+        to.source, bytes, [this, self = shared_from_this(), &from, &to](boost::system::error_code error, std::size_t) {
+            if (error)
+                ended(from, error);
+            else
+                read(from, to);
+        });
+}
+
+void TunnelLink::ended(Direction& other, boost::system::error_code error)
+{
+    if (error == net::error::operation_aborted)
+        return;
+    boost::system::error_code ignored;
+    if (error != net::error::eof)
+        other.source.set_option(net::socket_base::linger(true, 0), ignored);
+    const auto onEnd = std::exchange(m_onEnd, nullptr);
+    close();
+    if (onEnd)
+        onEnd();
+}
+
+void TunnelLink::close()
+{
+    m_onEnd = nullptr;
+    for (auto* const direction : { &m_fromCaller, &m_fromTarget }) {
+        boost::system::error_code ignored;
+        direction->source.close(ignored);
+    }
+}
+
+} // namespace lupinknot::internal
--- a/src/reach/EndpointConnector.cpp
+++ b/src/reach/EndpointConnector.cpp
@@ -1,6 +1,7 @@
 #include "reach/EndpointConnector.h"
 
 #include "common/EventLog.h"
+#include "http/ClientConnection.h"
 #include "relay/RelayMetrics.h"
 
 #include <algorithm>
@@ -15,6 +16,8 @@
 constexpr std::size_t checkedEndpoints = 3;
 // An attempt that is abandoned after this share of its timeout has failed: its owner had a shorter timeout.
 constexpr double abandonedFailureShare = 0.5;
+// With this many VMs that do not reach an endpoint either, the endpoint is at fault.
+constexpr int enoughConfirmations = 2;
 
 std::vector<SocketAddress> chooseForCheck(std::vector<CheckedEndpoint> sample)
 {
@@ -33,12 +36,13 @@
 
 // Shared with the paths, which may outlive the connector.
 struct EndpointConnector::State : std::enable_shared_from_this<State> {
-    State(
-        boost::asio::io_context& context, const Clock& monotonicClock, Milliseconds timeout, RelayMetrics& relayMetrics)
+    State(boost::asio::io_context& context, const Clock& monotonicClock, Settings connectorSettings,
+        RelayMetrics& relayMetrics)
         : ioContext(context)
         , clock(monotonicClock)
-        , connectTimeout(timeout)
+        , settings(std::move(connectorSettings))
         , metrics(relayMetrics)
+        , vms(settings.ownZone, std::random_device()())
         , timer(context)
     {
     }
@@ -51,39 +55,60 @@
 
     boost::asio::io_context& ioContext;
     const Clock& clock;
-    const Milliseconds connectTimeout;
+    const Settings settings;
     RelayMetrics& metrics;
     EndpointReachability reachability;
+    VmChoice vms;
+    std::function<void()> partitioned;
     std::optional<KnownEndpoints> endpoints;
     std::shared_ptr<ConnectCheck> check;
+    // Checks of single endpoints, by id.
+    std::map<std::string, std::shared_ptr<ConnectCheck>> endpointChecks;
     boost::asio::steady_timer timer;
 };
 
 // The attempts of one connection.
 class EndpointConnector::Path final : public ConnectionPath {
 public:
-    Path(std::shared_ptr<State> state, std::string endpointId)
+    Path(std::shared_ptr<State> state, std::string endpointId, bool mayUseVms)
         : m_state(std::move(state))
         , m_endpointId(std::move(endpointId))
+        , m_mayUseVms(mayUseVms)
     {
     }
 
     std::optional<ConnectionHop> next() override
     {
-        if (std::exchange(m_hasTriedDirect, true))
+        const auto reachability = m_state->reachability.state();
+        const bool usesVm = m_mayUseVms && m_confirmations < enoughConfirmations
+            && (reachability == Reachability::Partitioned
+                || (reachability == Reachability::Suspected && m_hasTriedDirect));
+        m_vm = usesVm ? m_state->vms.next(m_search, m_state->clock.now()) : std::nullopt;
+        if (m_vm)
+            return ConnectionHop { m_vm->address, m_state->settings.vmTimeout };
+        // Also the last resort when no VM helps.
+        if (m_confirmations > 0 || std::exchange(m_hasTriedDirect, true))
             return std::nullopt;
-        return ConnectionHop { m_state->connectTimeout };
+        return ConnectionHop { std::nullopt, m_state->settings.directTimeout };
     }
 
     void noteResult(HopResult result, Milliseconds took) override
     {
-        const auto leastFailure = abandonedFailureShare * static_cast<double>(m_state->connectTimeout.count());
+        const auto timeout = m_vm ? m_state->settings.vmTimeout : m_state->settings.directTimeout;
+        const auto leastFailure = abandonedFailureShare * static_cast<double>(timeout.count());
         if (result == HopResult::Abandoned && static_cast<double>(took.count()) < leastFailure)
             return;
-        m_state->metrics.countEndpointConnection(result);
+        m_state->metrics.countEndpointConnection(m_vm.has_value(), result);
         if (result != HopResult::Connected)
             log(result, took);
-        m_state->noteDirect(m_endpointId, result == HopResult::Connected);
+        if (!m_vm) {
+            m_state->noteDirect(m_endpointId, result == HopResult::Connected);
+            return;
+        }
+        const bool isUnreachableThere = result == HopResult::EndpointUnreachable;
+        m_confirmations += isUnreachableThere ? 1 : 0;
+        // A VM that does not reach this endpoint may reach others.
+        m_state->vms.noteResult(*m_vm, result == HopResult::Connected || isUnreachableThere, m_state->clock.now());
     }
 
 private:
@@ -91,6 +116,7 @@
     {
         LogEvent("endpoint.not-connected")
             .text("endpoint", m_endpointId)
+            .text("through_vm", m_vm ? m_vm->address.text() : "")
             .text("result", nameIn(hopResultNames, result))
             .number("after_ms", took.count())
             .text("reachability", nameIn(reachabilityNames, m_state->reachability.state()))
@@ -99,7 +125,13 @@
 
     const std::shared_ptr<State> m_state;
     const std::string m_endpointId;
+    const bool m_mayUseVms;
+    VmChoice::Search m_search;
+    // The VM of the present attempt; empty for a direct one.
+    std::optional<PeerVm> m_vm;
     bool m_hasTriedDirect { false };
+    // The number of VMs that do not reach the endpoint either.
+    int m_confirmations { 0 };
 };
 
 void EndpointConnector::State::noteDirect(const std::string& endpointId, bool hasConnected)
@@ -126,6 +158,8 @@
         .number("failed_endpoints", static_cast<std::int64_t>(reachability.failedCount()))
         .write();
     metrics.isPartitioned.Set(state == Reachability::Partitioned ? 1 : 0);
+    if (state == Reachability::Partitioned && partitioned)
+        partitioned();
 }
 
 void EndpointConnector::State::checkIfDue()
@@ -134,8 +168,8 @@
     if (!endpoints || !reachability.isCheckDue(now))
         return;
     reachability.noteCheckStarted(now);
-    check = ConnectCheck::start(
-        ioContext, chooseForCheck(endpoints->sample()), connectTimeout, [weak = weak_from_this()](bool hasConnected) {
+    check = ConnectCheck::start(ioContext, chooseForCheck(endpoints->sample()), settings.directTimeout,
+        [weak = weak_from_this()](bool hasConnected) {
             if (const auto self = weak.lock())
                 self->noteCheck(hasConnected);
         });
@@ -154,14 +188,15 @@
 }
 
 EndpointConnector::EndpointConnector(
-    boost::asio::io_context& ioContext, const Clock& clock, Milliseconds connectTimeout, RelayMetrics& metrics)
-    : m_state(std::make_shared<State>(ioContext, clock, connectTimeout, metrics))
+    boost::asio::io_context& ioContext, const Clock& clock, Settings settings, RelayMetrics& metrics)
+    : m_state(std::make_shared<State>(ioContext, clock, std::move(settings), metrics))
 {
 }
 
 EndpointConnector::~EndpointConnector()
 {
     m_state->endpoints.reset();
+    m_state->partitioned = nullptr;
     m_state->timer.cancel();
 }
 
@@ -169,7 +204,44 @@
 
 std::unique_ptr<ConnectionPath> EndpointConnector::pathTo(const std::string& endpointId)
 {
-    return std::make_unique<Path>(m_state, endpointId);
+    return std::make_unique<Path>(m_state, endpointId, true);
+}
+
+std::unique_ptr<ConnectionPath> EndpointConnector::directPathTo(const std::string& endpointId)
+{
+    return std::make_unique<Path>(m_state, endpointId, false);
+}
+
+void EndpointConnector::setVms(const std::vector<PeerVm>& vms) { m_state->vms.setVms(vms); }
+
+void EndpointConnector::onPartitioned(std::function<void()> callback) { m_state->partitioned = std::move(callback); }
+
+bool EndpointConnector::mayReuse(const ClientConnection& connection) const
+{
+    switch (reachability()) {
+    case Reachability::Reachable:
+        return !connection.isThroughVm();
+    case Reachability::Suspected:
+        return true;
+    case Reachability::Partitioned:
+        return connection.isThroughVm();
+    }
+    return true;
+}
+
+void EndpointConnector::checkEndpoint(const CheckedEndpoint& endpoint)
+{
+    auto& check = m_state->endpointChecks[endpoint.id];
+    if (check || isPartitioned())
+        return;
+    check = ConnectCheck::start(m_state->ioContext, { endpoint.address }, m_state->settings.directTimeout,
+        [weak = m_state->weak_from_this(), id = endpoint.id](bool hasConnected) {
+            const auto state = weak.lock();
+            if (!state)
+                return;
+            state->endpointChecks.erase(id);
+            state->noteDirect(id, hasConnected);
+        });
 }
 
 Reachability EndpointConnector::reachability() const { return m_state->reachability.state(); }
--- a/src/relay/BufferedCall.cpp
+++ b/src/relay/BufferedCall.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr unsigned firstServerError = 500;
+// A call that takes this many times as long as usual makes its kept connection doubtful.
+constexpr int usualCallTimes = 2;
 
 bool isSuccess(unsigned status) { return status >= 200 && status < 300; }
 
@@ -148,11 +150,13 @@
         .write();
     m_rollout.noteSent();
     ++m_possibleRuns;
+    const auto checkAfter
+        = std::max(usualCallTimes * m_context.pace(m_request.service).medianCallTime(), settings.minSilenceBeforeCheck);
     auto attempt = std::make_unique<Attempt>();
     attempt->tookRetry = tookRetry;
     auto& stored = *m_attempts.emplace_back(std::move(attempt));
     stored.call = EndpointCall::start(
-        m_context, endpoint, request, { m_request.fields.requestId, maxIdleTime }, weak_from_this());
+        m_context, endpoint, request, { m_request.fields.requestId, maxIdleTime, checkAfter }, weak_from_this());
     const bool isFirst = m_attempts.size() == 1 && m_waits == 0;
     if (isFirst && m_request.route->mayRunAgain() && m_context.has(Policy::SecondSendings))
         armHedge();
--- a/src/relay/EndpointCall.cpp
+++ b/src/relay/EndpointCall.cpp
@@ -2,7 +2,6 @@
 
 #include "common/EventLog.h"
 #include "relay/RelayContext.h"
-#include "relay/RelayEndpoint.h"
 #include "relay/RelaySettings.h"
 
 #include <boost/asio/post.hpp>
@@ -35,10 +34,23 @@
         new EndpointCall(context, std::move(endpoint), std::move(options), std::move(listener)));
     const auto margin = context.settings.idleTimeoutMargin;
     call->m_connection = call->m_endpoint->takeConnection(call->m_startedAt, call->m_options.maxIdleTime, margin);
+    const bool isKept = call->m_connection->isIdle();
     call->m_connection->send(request, call->weak_from_this());
+    if (isKept && call->m_options.checkAfter > Milliseconds { 0 })
+        call->armCheck();
     return call;
 }
 
+void EndpointCall::armCheck()
+{
+    m_checkTimer.expires_after(m_options.checkAfter);
+    m_checkTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->m_isOver)
+            self->m_endpoint->checkReachable();
+    });
+}
+
 EndpointCall::EndpointCall(RelayContext& context, std::shared_ptr<RelayEndpoint> endpoint, EndpointCallOptions options,
     std::weak_ptr<EndpointCallListener> listener)
     : m_context(context)
@@ -46,6 +58,7 @@
     , m_options(std::move(options))
     , m_listener(std::move(listener))
     , m_startedAt(context.now())
+    , m_checkTimer(context.ioContext)
 {
     m_endpoint->callStarted();
 }
@@ -66,11 +79,13 @@
     if (m_isOver)
         return;
     m_isOver = true;
+    m_checkTimer.cancel();
     m_endpoint->callEnded();
 }
 
 void EndpointCall::responseHeaderReceived(const HttpResponse& head)
 {
+    m_checkTimer.cancel();
     const auto fields = m_context.protocol.decodeAnswer(head);
     const auto now = m_context.now();
     // Unsigned bytes and responses of another process at the address are no evidence about this endpoint.
--- a/src/relay/EndpointCall.h
+++ b/src/relay/EndpointCall.h
@@ -13,12 +13,12 @@
 #include "http/ClientConnection.h"
 #include "lupinknot/FailureKind.h"
 #include "relay/CallProtocol.h"
+#include "relay/RelayEndpoint.h"
 #include <memory>
 
 namespace lupinknot::internal {
 
 class EndpointCall;
-class RelayEndpoint;
 struct RelayContext;
 
 class EndpointCallListener {
@@ -35,6 +35,9 @@
     std::string requestId;
     // Longest idle time of a kept-alive connection that may carry the call; zero opens a new connection.
     Milliseconds maxIdleTime { 0 };
+    // If no response begins within this time on a kept connection, the endpoint is checked for reachability; zero:
+    // never.
+    Milliseconds checkAfter { 0 };
 };
 
 class EndpointCall final : public ClientConnectionListener, public std::enable_shared_from_this<EndpointCall> {
@@ -50,6 +53,8 @@
     // True once a byte of the request may have been sent.
     bool hasSent() const { return m_isOver ? m_hadSent : m_connection->hasSent(); }
     bool isOver() const { return m_isOver; }
+    // True if the connection may hang because this VM is partitioned from all endpoints.
+    bool mayHang() const { return m_endpoint->mayHang(*m_connection); }
     // Closes the connection. No callback follows.
     void cancel();
 
@@ -62,6 +67,7 @@
     EndpointCall(
         RelayContext&, std::shared_ptr<RelayEndpoint>, EndpointCallOptions, std::weak_ptr<EndpointCallListener>);
     void end();
+    void armCheck();
 
     RelayContext& m_context;
     const std::shared_ptr<RelayEndpoint> m_endpoint;
@@ -69,6 +75,7 @@
     const std::weak_ptr<EndpointCallListener> m_listener;
     const Milliseconds m_startedAt;
     std::shared_ptr<ClientConnection> m_connection;
+    boost::asio::steady_timer m_checkTimer;
     bool m_isSkipping { false };
     bool m_isOver { false };
     bool m_hadSent { false };
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -257,9 +257,15 @@
 
 std::shared_ptr<RelayEndpoint> EndpointDirectory::findAt(const std::string& service, const SocketAddress& address) const
 {
-    const auto id = m_idsByAddress.find(address.text());
+    const auto endpoint = findAt(address.text());
+    return endpoint && endpoint->entry().service == service ? endpoint : nullptr;
+}
+
+std::shared_ptr<RelayEndpoint> EndpointDirectory::findAt(const std::string& address) const
+{
+    const auto id = m_idsByAddress.find(address);
     const auto endpoint = id == m_idsByAddress.end() ? nullptr : find(id->second);
-    return endpoint && !endpoint->isRemoved() && endpoint->entry().service == service ? endpoint : nullptr;
+    return endpoint && !endpoint->isRemoved() ? endpoint : nullptr;
 }
 
 const std::vector<std::shared_ptr<RelayEndpoint>>& EndpointDirectory::endpointsOf(const std::string& service) const
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -82,6 +82,8 @@
     std::shared_ptr<RelayEndpoint> find(const std::string& id) const;
     // The endpoint of the service that is listed at the address, or null.
     std::shared_ptr<RelayEndpoint> findAt(const std::string& service, const SocketAddress&) const;
+    // The endpoint that is listed at the address, given as text, or null.
+    std::shared_ptr<RelayEndpoint> findAt(const std::string& address) const;
     const std::vector<std::shared_ptr<RelayEndpoint>>& endpointsOf(const std::string& service) const;
     // The endpoints of the service that were listed in the zone when they were added.
     const std::vector<std::shared_ptr<RelayEndpoint>>& endpointsOf(
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -23,8 +23,10 @@
 RelayDaemon::RelayDaemon(const RelaySettings& settings, const RelayAddresses& addresses, const CallProtocol& protocol)
     : m_settings(settings)
     , m_ioContext(1)
-    , m_connector(m_ioContext, m_clock, m_settings.endpointConnectTimeout, m_metrics)
+    , m_connector(m_ioContext, m_clock,
+          { .ownZone = m_settings.availabilityZone, .directTimeout = m_settings.endpointConnectTimeout }, m_metrics)
     , m_directory(m_ioContext, m_settings)
+    , m_tunnels(m_ioContext, m_connector, m_directory, m_metrics)
     , m_placement(m_directory, m_settings, std::random_device()())
     , m_crashGuard(m_ioContext, m_clock, m_settings, m_directory)
     , m_localPermits(m_ioContext, m_clock)
@@ -180,8 +182,9 @@
     if (elapsed >= m_settings.stopAcceptsFor && !m_context.isStopping) {
         m_context.isStopping = true;
         m_callerServer.closeIdleConnections();
+        m_tunnels.stop();
     }
-    const auto busy = m_callerServer.busyCount();
+    const auto busy = m_callerServer.busyCount() + m_tunnels.busyCount();
     if ((m_context.isStopping && busy == 0) || elapsed >= m_settings.stopWithin) {
         LogEvent("process.stopped").number("broken_off", static_cast<std::int64_t>(busy)).write();
         m_ioContext.stop();
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -14,6 +14,7 @@
 #include "limits/LocalPermits.h"
 #include "lupinknot/MonotonicClock.h"
 #include "reach/EndpointConnector.h"
+#include "reach/EndpointTunnels.h"
 #include "relay/CrashGuard.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/Placement.h"
@@ -66,6 +67,10 @@
     // Lends a retry of this VM's part of the budget to another VM if enough are left.
     LoanDecision lendRetry(const RetryLoanRequest&);
     ZoneExchange* zoneExchange() const { return m_context.zoneExchange; }
+    // Sets the VMs through which this VM connects to endpoints while it is partitioned from all of them.
+    void setOtherVms(const std::vector<PeerVm>& vms) { m_connector.setVms(vms); }
+    // Connects other VMs to endpoints.
+    EndpointTunnels& tunnels() { return m_tunnels; }
     EnginePaces& enginePaces() { return m_context.enginePaces; }
     RelayMetrics& metrics() { return m_metrics; }
     // Decides which requests are quarantined because endpoints crashed while running them.
@@ -113,6 +118,7 @@
     RelayMetrics m_metrics;
     EndpointConnector m_connector;
     EndpointDirectory m_directory;
+    EndpointTunnels m_tunnels;
     Placement m_placement;
     CrashGuard m_crashGuard;
     LocalPermits m_localPermits;
--- a/src/relay/RelayEndpoint.cpp
+++ b/src/relay/RelayEndpoint.cpp
@@ -40,7 +40,8 @@
         m_kept.pop_back();
         const auto announced = kept.connection->peerIdleTimeout();
         const auto longest = announced ? std::min(maxIdleTime, *announced - margin) : maxIdleTime;
-        if (kept.connection->isIdle() && now - kept.since <= longest)
+        const bool mayReuse = !m_connector || m_connector->mayReuse(*kept.connection);
+        if (mayReuse && kept.connection->isIdle() && now - kept.since <= longest)
             return kept.connection;
         kept.connection->close();
     }
@@ -61,6 +62,17 @@
         connection->close();
 }
 
+void RelayEndpoint::checkReachable()
+{
+    if (m_connector)
+        m_connector->checkEndpoint({ m_entry.id, m_entry.address, m_entry.availabilityZone });
+}
+
+bool RelayEndpoint::mayHang(const ClientConnection& connection) const
+{
+    return m_connector && m_connector->isPartitioned() && !connection.isThroughVm();
+}
+
 void RelayEndpoint::updateEntry(EndpointEntry entry, Milliseconds now)
 {
     m_entry = std::move(entry);
--- a/src/relay/RelayEndpoint.h
+++ b/src/relay/RelayEndpoint.h
@@ -41,6 +41,10 @@
     // Keeps the connection if it can carry another request, and closes it otherwise.
     void giveBack(const std::shared_ptr<ClientConnection>&, Milliseconds now);
     void closeKeptConnections();
+    // A request on a kept connection is unanswered for longer than usual: checks whether the endpoint can be reached.
+    void checkReachable();
+    // True for a connection that may hang because this VM is partitioned from all endpoints.
+    bool mayHang(const ClientConnection&) const;
 
     unsigned inFlight() const { return m_inFlight; }
     void callStarted() { ++m_inFlight; }
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -48,7 +48,7 @@
                     .Register(*m_registry))
     , m_endpointConnections(prometheus::BuildCounter()
                                 .Name("lupinknot_relay_endpoint_connections_total")
-                                .Help("Attempts to connect to an endpoint, by result.")
+                                .Help("Attempts to connect to an endpoint, by path and result.")
                                 .Register(*m_registry))
     , resumedFromCopy(addCounter(
           *m_registry, "lupinknot_relay_resumed_from_copy_total", "Streams that went on from a copy of their memory."))
@@ -87,6 +87,10 @@
           "Retries that this VM needed and no other VM lent in time."))
     , isPartitioned(addGauge(*m_registry, "lupinknot_relay_partitioned_from_endpoints",
           "1 while this VM reaches none of the endpoints that it checks."))
+    , tunnelsOpened(addCounter(*m_registry, "lupinknot_relay_tunnels_opened_total",
+          "Connections to endpoints made for VMs that do not reach them."))
+    , tunnelsRejected(addCounter(*m_registry, "lupinknot_relay_tunnels_rejected_total",
+          "Connections to endpoints that another VM asked for and that were not made."))
 {
 }
 
@@ -107,9 +111,10 @@
     m_zoneFailures.Add({ { "source", std::string(nameIn(zoneFailureSourceNames, source)) } }).Increment();
 }
 
-void RelayMetrics::countEndpointConnection(HopResult result)
+void RelayMetrics::countEndpointConnection(bool isThroughVm, HopResult result)
 {
-    m_endpointConnections.Add({ { "result", std::string(nameIn(hopResultNames, result)) } }).Increment();
+    const std::string resultName(nameIn(hopResultNames, result));
+    m_endpointConnections.Add({ { "path", isThroughVm ? "vm" : "direct" }, { "result", resultName } }).Increment();
 }
 
 void RelayMetrics::countStream(std::optional<unsigned> rank, StreamOutcome outcome)
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -44,8 +44,8 @@
     void countRequest(RequestKind, unsigned status, Milliseconds took);
     void countFailure(FailureKind);
     void countZoneFailure(ZoneFailureSource);
-    // Counts an attempt to connect to an endpoint.
-    void countEndpointConnection(HopResult);
+    // Counts an attempt to connect to an endpoint, directly or through another VM.
+    void countEndpointConnection(bool isThroughVm, HopResult);
     // Counts a stream by its rank, empty when the configuration names none, and by how it ended.
     void countStream(std::optional<unsigned> rank, StreamOutcome);
     std::string exposition() const;
@@ -86,6 +86,9 @@
     prometheus::Counter& retryLoansRefused;
     // Whether this VM is partitioned from all endpoints.
     prometheus::Gauge& isPartitioned;
+    // Connections to endpoints that this VM made for other VMs, and those that it rejected.
+    prometheus::Counter& tunnelsOpened;
+    prometheus::Counter& tunnelsRejected;
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -56,6 +56,9 @@
     // Timeout for connecting to an endpoint. A round trip between zones takes about 2 ms and accepting a connection
     // costs an endpoint 1 ms; a lost SYN packet is retransmitted only after a second.
     Milliseconds endpointConnectTimeout { 80 };
+    // A call on a kept connection that is unanswered for longer than usual, and at least this long, makes the VM check
+    // whether it still reaches the endpoint.
+    Milliseconds minSilenceBeforeCheck { 200 };
     // Bounds of the delay after which an unanswered idempotent call is also sent to a second endpoint; between them the
     // delay follows from the calls that this VM has seen (ServicePace).
     Milliseconds minHedgeDelay { 10 };
--- a/src/relay/RunLivenessMonitor.cpp
+++ b/src/relay/RunLivenessMonitor.cpp
@@ -1,6 +1,7 @@
 #include "relay/RunLivenessMonitor.h"
 
 #include "http/HttpRoundTrip.h"
+#include "relay/EndpointCall.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayMetrics.h"
@@ -71,8 +72,10 @@
         reportSilent();
         return;
     }
-    // Events of other streams also show that the engine is alive.
-    const auto silence = now - std::max(m_run->lastActivity, m_run->endpoint->lastAliveAt());
+    // Events of other streams also show that the engine is alive, but not that this run's connection works.
+    const auto lastSign
+        = isCutOff() ? m_run->lastActivity : std::max(m_run->lastActivity, m_run->endpoint->lastAliveAt());
+    const auto silence = now - lastSign;
     const bool mayProbe = m_context.has(Policy::LivenessQuestions) && !m_run->endpoint->isInBackOff(now);
     if (mayProbe && silence >= silenceBeforeProbe(now) && now >= m_nextProbeAt && !m_probe)
         sendProbe();
@@ -111,13 +114,16 @@
         return;
     const auto now = m_context.now();
     m_hasProbeFailed = outcome.answer == nullptr;
-    if (outcome.answer) {
+    // An answer that came through another VM says nothing about the run's own connection.
+    if (outcome.answer && !isCutOff()) {
         m_run->endpoint->noteAlive(now);
         m_run->endpoint->noteSignals(m_context.protocol.decodeAnswer(*outcome.answer), now);
     } else if (m_request.route->mayRunAgain())
         reportSilent();
 }
 
+bool RunLivenessMonitor::isCutOff() const { return m_run->call && m_run->call->mayHang(); }
+
 void RunLivenessMonitor::reportSilent()
 {
     stop();
--- a/src/relay/RunLivenessMonitor.h
+++ b/src/relay/RunLivenessMonitor.h
@@ -49,6 +49,8 @@
     Milliseconds silenceBeforeProbe(Milliseconds now) const;
     void sendProbe();
     void handleProbeAnswer(const HttpRoundTripResult&);
+    // True if the run's connection may hang because this VM is partitioned from all endpoints.
+    bool isCutOff() const;
     void reportSilent();
 
     RelayContext& m_context;
