Report endpoints as failed only while this VM reaches others

What callers saw: while two VMs were partitioned from all endpoints, the collectors declared healthy zones failed 17 times within eight seconds, on all six VMs; the other four gave up copies of running streams there (copy.lost, zone-failed) and ordered new ones. Cause: a failed connection was blamed on the endpoint, also when the VM's own link was at fault. Ruled out: failures of the engines themselves; the same engines served the other VMs. Change: a failure is reported to other VMs once a new direct connection to some endpoint shows that this VM reaches endpoints, at once if one was established within 100 ms; it counts for this VM's own view of zones unless the VM is partitioned. What was concluded from failed connections is dropped when a partition begins or ends. Compared with waiting for a second reporter: with most VMs partitioned there are many.

--- a/src/reach/EndpointConnector.cpp
+++ b/src/reach/EndpointConnector.cpp
@@ -14,6 +14,8 @@
 
 // A check connects to this many endpoints, in different zones if possible.
 constexpr std::size_t checkedEndpoints = 3;
+// A direct connection shows for this long that this VM reaches endpoints.
+constexpr Milliseconds confirmedFor { 100 };
 // An attempt that is abandoned after this share of its timeout has failed: its owner had a shorter timeout.
 constexpr double abandonedFailureShare = 0.5;
 // With this many VMs that do not reach an endpoint either, the endpoint is at fault.
@@ -49,6 +51,8 @@
 
     void noteDirect(const std::string& endpointId, bool hasConnected);
     void noteCheck(bool hasConnected);
+    void noteConfirmation(bool hasConnected);
+    void releaseWaiting(bool isReachable);
     void stateChanged();
     void checkIfDue();
     void scheduleCheck();
@@ -59,9 +63,14 @@
     RelayMetrics& metrics;
     EndpointReachability reachability;
     VmChoice vms;
-    std::function<void()> partitioned;
+    std::function<void()> partitionChanged;
+    bool wasPartitioned { false };
     std::optional<KnownEndpoints> endpoints;
     std::shared_ptr<ConnectCheck> check;
+    // When a direct connection was last established.
+    std::optional<Milliseconds> connectedAt;
+    std::vector<std::function<void()>> waitingForConfirmation;
+    std::shared_ptr<ConnectCheck> confirmation;
     // Checks of single endpoints, by id.
     std::map<std::string, std::shared_ptr<ConnectCheck>> endpointChecks;
     boost::asio::steady_timer timer;
@@ -136,6 +145,8 @@
 
 void EndpointConnector::State::noteDirect(const std::string& endpointId, bool hasConnected)
 {
+    if (hasConnected)
+        connectedAt = clock.now();
     const auto count = endpoints ? endpoints->count() : 1;
     if (reachability.noteConnection({ endpointId, hasConnected }, count, clock.now()))
         stateChanged();
@@ -145,11 +156,30 @@
 void EndpointConnector::State::noteCheck(bool hasConnected)
 {
     check.reset();
+    if (hasConnected)
+        connectedAt = clock.now();
     if (reachability.noteCheck(hasConnected, clock.now()))
         stateChanged();
+    releaseWaiting(hasConnected);
     scheduleCheck();
 }
 
+void EndpointConnector::State::noteConfirmation(bool hasConnected)
+{
+    confirmation.reset();
+    if (hasConnected)
+        connectedAt = clock.now();
+    releaseWaiting(hasConnected);
+}
+
+void EndpointConnector::State::releaseWaiting(bool isReachable)
+{
+    for (const auto& callback : std::exchange(waitingForConfirmation, {})) {
+        if (isReachable)
+            callback();
+    }
+}
+
 void EndpointConnector::State::stateChanged()
 {
     const auto state = reachability.state();
@@ -158,8 +188,10 @@
         .number("failed_endpoints", static_cast<std::int64_t>(reachability.failedCount()))
         .write();
     metrics.isPartitioned.Set(state == Reachability::Partitioned ? 1 : 0);
-    if (state == Reachability::Partitioned && partitioned)
-        partitioned();
+    const bool isPartitioned = state == Reachability::Partitioned;
+    const bool isChange = std::exchange(wasPartitioned, isPartitioned) != isPartitioned;
+    if (isChange && partitionChanged)
+        partitionChanged();
 }
 
 void EndpointConnector::State::checkIfDue()
@@ -196,7 +228,7 @@
 EndpointConnector::~EndpointConnector()
 {
     m_state->endpoints.reset();
-    m_state->partitioned = nullptr;
+    m_state->partitionChanged = nullptr;
     m_state->timer.cancel();
 }
 
@@ -214,7 +246,32 @@
 
 void EndpointConnector::setVms(const std::vector<PeerVm>& vms) { m_state->vms.setVms(vms); }
 
-void EndpointConnector::onPartitioned(std::function<void()> callback) { m_state->partitioned = std::move(callback); }
+void EndpointConnector::onPartitionChange(std::function<void()> callback)
+{
+    m_state->partitionChanged = std::move(callback);
+}
+
+void EndpointConnector::ifReachable(std::function<void()> callback)
+{
+    auto& state = *m_state;
+    const auto reachability = state.reachability.state();
+    if (reachability == Reachability::Partitioned || !state.endpoints)
+        return;
+    const bool isReachable = reachability == Reachability::Reachable;
+    if (isReachable && state.connectedAt && state.clock.now() - *state.connectedAt <= confirmedFor) {
+        callback();
+        return;
+    }
+    state.waitingForConfirmation.push_back(std::move(callback));
+    // A suspicion is being checked already.
+    if (state.confirmation || !isReachable)
+        return;
+    state.confirmation = ConnectCheck::start(state.ioContext, chooseForCheck(state.endpoints->sample()),
+        state.settings.directTimeout, [weak = m_state->weak_from_this()](bool hasConnected) {
+            if (const auto self = weak.lock())
+                self->noteConfirmation(hasConnected);
+        });
+}
 
 bool EndpointConnector::mayReuse(const ClientConnection& connection) const
 {
@@ -231,11 +288,10 @@
 
 void EndpointConnector::checkEndpoint(const CheckedEndpoint& endpoint)
 {
-    auto& check = m_state->endpointChecks[endpoint.id];
-    if (check || isPartitioned())
+    if (isPartitioned() || m_state->endpointChecks.count(endpoint.id))
         return;
-    check = ConnectCheck::start(m_state->ioContext, { endpoint.address }, m_state->settings.directTimeout,
-        [weak = m_state->weak_from_this(), id = endpoint.id](bool hasConnected) {
+    m_state->endpointChecks[endpoint.id] = ConnectCheck::start(m_state->ioContext, { endpoint.address },
+        m_state->settings.directTimeout, [weak = m_state->weak_from_this(), id = endpoint.id](bool hasConnected) {
             const auto state = weak.lock();
             if (!state)
                 return;
--- a/src/reach/EndpointConnector.h
+++ b/src/reach/EndpointConnector.h
@@ -57,8 +57,10 @@
     void setEndpoints(KnownEndpoints);
     // Sets the other VMs.
     void setVms(const std::vector<PeerVm>&);
-    // Sets the function to call when this VM becomes partitioned.
-    void onPartitioned(std::function<void()>);
+    // Sets the function to call when a partition of this VM begins or ends.
+    void onPartitionChange(std::function<void()>);
+    // Calls back if this VM reaches endpoints, at once or after it has connected to some of them; never if it does not.
+    void ifReachable(std::function<void()>);
 
     std::unique_ptr<ConnectionPath> pathTo(const std::string& endpointId);
     // A path without other VMs, for connections that this VM makes for others.
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -31,6 +31,15 @@
 {
     m_connector = &connector;
     connector.setEndpoints({ [this] { return size(); }, [this] { return sample(); } });
+    connector.onPartitionChange([this] { forgetFailures(); });
+}
+
+void EndpointDirectory::forgetFailures()
+{
+    for (const auto& known : m_endpointsById)
+        known.second->endAvoidance();
+    m_zones.clear();
+    m_declaredFailures.clear();
 }
 
 std::vector<CheckedEndpoint> EndpointDirectory::sample() const
@@ -347,6 +356,18 @@
 {
     if (!m_settings.policies.has(Policy::ZoneAvoidance))
         return;
+    if (!m_connector || m_connector->reachability() == Reachability::Reachable) {
+        recordFailure(endpoint, now);
+        return;
+    }
+    m_connector->ifReachable([this, id = endpoint.entry().id, now] {
+        if (const auto known = find(id))
+            recordFailure(*known, now);
+    });
+}
+
+void EndpointDirectory::recordFailure(const RelayEndpoint& endpoint, Milliseconds now)
+{
     auto& zone = m_zones[endpoint.entry().availabilityZone];
     auto& failures = zone.failures;
     while (!failures.empty() && now - failures.front().at > m_settings.zoneFailureWindow)
@@ -387,8 +408,16 @@
 void EndpointDirectory::reportFailure(const RelayEndpoint& endpoint) const
 {
     // The runs of an endpoint that is being removed end with it.
-    if (m_onFailure && m_settings.policies.has(Policy::ZoneAvoidance) && !endpoint.isShuttingDown())
+    if (!m_onFailure || !m_settings.policies.has(Policy::ZoneAvoidance) || endpoint.isShuttingDown())
+        return;
+    if (!m_connector) {
         m_onFailure(endpoint);
+        return;
+    }
+    m_connector->ifReachable([this, id = endpoint.entry().id] {
+        if (const auto known = find(id); known && !known->isShuttingDown())
+            m_onFailure(*known);
+    });
 }
 
 bool EndpointDirectory::applyZoneFailure(const ZoneFailure& failure, Milliseconds now)
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -92,9 +92,11 @@
     // once its time has passed.
     void dropExpired(Milliseconds now);
 
-    // Records a failure of the endpoint; several failing endpoints of a zone make the zone a failing one.
+    // Records a failure of the endpoint; several failing endpoints of a zone make the zone a failing one. Failures that
+    // this VM sees because it is partitioned are not recorded.
     void noteFailure(const RelayEndpoint&, Milliseconds now);
-    // Passes a failure that concerns the endpoint, not only the request, to the function that reports it to other VMs.
+    // Passes a failure that concerns the endpoint, not only the request, to the function that reports it to other VMs,
+    // once it is known that this VM reaches other endpoints.
     void reportFailure(const RelayEndpoint&) const;
     void onEndpointFailure(std::function<void(const RelayEndpoint&)> callback) { m_onFailure = std::move(callback); }
     // Applies a failure of a service's endpoints in a zone that other VMs have detected together with this one. Returns
@@ -152,6 +154,7 @@
         std::int64_t percent { 0 };
     };
 
+    void recordFailure(const RelayEndpoint&, Milliseconds now);
     void noteZoneFailed(const std::string& service, const std::string& zone, ZoneFailureSource, std::size_t endpoints);
     // Logs which zone is expected to fail next if that has changed much.
     void logEstimate(const std::string& service, Milliseconds now);
@@ -176,6 +179,8 @@
     // be gone, each after its own time.
     void applyUnconfirmed(Milliseconds now);
 
+    // Drops what this VM has concluded from failed connections: they were due to its own partition.
+    void forgetFailures();
     // A random endpoint of each service and zone, without those that are shutting down.
     std::vector<CheckedEndpoint> sample() const;
 
--- a/src/relay/RelayEndpoint.h
+++ b/src/relay/RelayEndpoint.h
@@ -100,6 +100,7 @@
     void setDraining(Milliseconds now);
 
     void avoidUntil(Milliseconds instant) { m_avoidUntil = std::max(m_avoidUntil, instant); }
+    void endAvoidance() { m_avoidUntil = Milliseconds { 0 }; }
     bool isAvoided(Milliseconds now) const { return now < m_avoidUntil; }
     // An answer or event has arrived: the endpoint is alive.
     void noteAlive(Milliseconds now);
