Keep the requests that brittle endpoints turn away within what they tolerate

What callers would see: endpoints that state how many requests they may turn away in a second fail when they have to turn away more, and take their requests with them. Cause: the statement was read nowhere, and a VM avoids a full endpoint for 150 ms only. Compared with even shares of the rejections, which exceed the number from six VMs on and accept less (docs/design/brittle-endpoints.md).

--- a/src/relay/CallProtocol.h
+++ b/src/relay/CallProtocol.h
@@ -114,6 +114,9 @@
     // True when the address belongs to another incarnation than the one that the request was meant for.
     bool isOtherIncarnation { false };
     StatedLimit limit {};
+    // Requests that the endpoint may turn away in a second, from all VMs together, without failing; empty when it
+    // states none.
+    std::optional<double> toleratedRejections;
     RequestedBackOff backOff {};
     // True when the endpoint announces that it is shutting down.
     bool isShuttingDown { false };
--- a/src/relay/EndpointCall.cpp
+++ b/src/relay/EndpointCall.cpp
@@ -104,6 +104,9 @@
             .write();
         return;
     }
+    if (isFromEndpoint)
+        m_endpoint->noteRejections({ fields.toleratedRejections, fields.isNotRun, m_startedAt },
+            m_context.settings.vmCount(), m_context.settings.vmName, now);
     if (isFromEndpoint && m_endpoint->noteLimit(fields.limit, m_startedAt, now))
         m_context.permits->reportLimit(m_endpoint->entry().incarnationName(), m_endpoint->limitReport(now));
     if (const auto listener = m_listener.lock())
--- a/src/relay/PermitWait.cpp
+++ b/src/relay/PermitWait.cpp
@@ -12,12 +12,11 @@
     RelayContext& context, std::shared_ptr<RelayEndpoint> endpoint, Milliseconds maxWait, Callback callback)
 {
     std::shared_ptr<PermitWait> wait(new PermitWait(context, std::move(endpoint), std::move(callback)));
-    const auto& target = *wait->m_endpoint;
-    context.permits->ask({ target.entry().incarnationName(), target.limitReport(context.now()), maxWait },
-        [weak = wait->weak_from_this()](const PermitAnswer& answer) {
-            if (const auto self = weak.lock())
-                self->handleAnswer(answer);
-        });
+    wait->m_request = wait->m_endpoint->permitRequest(maxWait, context.now());
+    context.permits->ask(wait->m_request, [weak = wait->weak_from_this()](const PermitAnswer& answer) {
+        if (const auto self = weak.lock())
+            self->handleAnswer(answer);
+    });
     return wait;
 }
 
@@ -32,7 +31,7 @@
 void PermitWait::handleAnswer(const PermitAnswer& answer)
 {
     const auto now = m_context.now();
-    m_endpoint->notePeerLimit(answer.report, now);
+    m_endpoint->notePermitAnswer(m_request, answer.report, now);
     LogEvent("endpoint.permit", answer.isGranted ? LogImportance::Routine : LogImportance::Notable)
         .text("endpoint", m_endpoint->entry().id)
         .flag("granted", answer.isGranted)
--- a/src/relay/PermitWait.h
+++ b/src/relay/PermitWait.h
@@ -33,6 +33,8 @@
 
     RelayContext& m_context;
     const std::shared_ptr<RelayEndpoint> m_endpoint;
+    // What was asked for.
+    PermitRequest m_request;
     Callback m_callback;
     // The limit, in requests per second, under which the permit was granted.
     std::optional<double> m_grantedPerSecond;
--- a/src/relay/Placement.cpp
+++ b/src/relay/Placement.cpp
@@ -51,7 +51,8 @@
 // True while the endpoint is probably overloaded and should get less work.
 bool isOverloaded(const RelayEndpoint& endpoint, Milliseconds now)
 {
-    return endpoint.isLimited() && now - endpoint.limit().statedAt() < limitTrustedFor;
+    return endpoint.mayReject()
+        || (endpoint.limit().perSecond() && now - endpoint.limit().statedAt() < limitTrustedFor);
 }
 
 } // namespace
--- a/src/relay/RelayEndpoint.cpp
+++ b/src/relay/RelayEndpoint.cpp
@@ -1,6 +1,7 @@
 #include "relay/RelayEndpoint.h"
 
 #include "common/EventLog.h"
+#include "common/NameHash.h"
 #include "reach/EndpointConnector.h"
 #include "relay/CallProtocol.h"
 
@@ -18,6 +19,9 @@
     return text;
 }
 
+// Distinguishes permits for requests that the endpoint may turn away from those for its rate limit.
+constexpr std::string_view rejectionPermitSuffix = "#rejections";
+
 } // namespace
 
 RelayEndpoint::RelayEndpoint(boost::asio::io_context& ioContext, EndpointEntry entry,
@@ -177,6 +181,34 @@
     return change != LimitChange::None;
 }
 
+void RelayEndpoint::noteRejections(
+    const RejectionStatement& statement, std::size_t vmCount, const std::string& vmName, Milliseconds now)
+{
+    const bool hasChanged = m_rejections.noteAnswer(statement, vmCount, now);
+    m_rejectionQuota = RejectionLimit::quota(m_entry.slots, vmCount, fractionOfName(vmName + m_entry.id));
+    if (hasChanged)
+        LogEvent("endpoint.brittle")
+            .text("endpoint", m_entry.id)
+            .text("service", m_entry.service)
+            .text("tolerated_per_second", m_rejections.isBrittle() ? decimalText(*m_rejections.tolerated()) : "")
+            .number("quota", m_rejectionQuota)
+            .write();
+}
+
+PermitRequest RelayEndpoint::permitRequest(Milliseconds maxWait, Milliseconds now) const
+{
+    if (m_limit.perSecond() || !mayReject())
+        return { m_entry.incarnationName(), limitReport(now), maxWait };
+    return { m_entry.incarnationName() + std::string(rejectionPermitSuffix),
+        { m_rejections.permitsPerSecond(), Milliseconds { 0 } }, maxWait };
+}
+
+void RelayEndpoint::notePermitAnswer(const PermitRequest& request, const LimitReport& report, Milliseconds now)
+{
+    if (request.endpoint == m_entry.incarnationName())
+        notePeerLimit(report, now);
+}
+
 void RelayEndpoint::notePeerLimit(const LimitReport& report, Milliseconds now)
 {
     logLimitChange(m_limit.notePeerReport(report.perSecond, now - report.age), "vm");
--- a/src/relay/RelayEndpoint.h
+++ b/src/relay/RelayEndpoint.h
@@ -7,6 +7,7 @@
 #include "http/ClientConnection.h"
 #include "limits/KnownLimit.h"
 #include "limits/PermitSource.h"
+#include "limits/RejectionLimit.h"
 #include "placement/EndpointLoad.h"
 #include "relay/EndpointEntry.h"
 #include "relay/EngineReport.h"
@@ -82,7 +83,16 @@
     // Applies what another VM reports of the rate limit.
     void notePeerLimit(const LimitReport&, Milliseconds now);
     LimitReport limitReport(Milliseconds now) const { return { m_limit.perSecond(), now - m_limit.statedAt() }; }
-    bool isLimited() const { return m_limit.perSecond().has_value(); }
+    // Applies what a new answer shows about rejections; this VM is one of vmCount and known by its name.
+    void noteRejections(const RejectionStatement&, std::size_t vmCount, const std::string& vmName, Milliseconds now);
+    // True if a request may be sent only with a permit: the endpoint states a rate limit, or it is brittle and would
+    // perhaps turn the request away.
+    bool isLimited() const { return m_limit.perSecond().has_value() || mayReject(); }
+    bool mayReject() const { return m_rejections.needsPermit(m_inFlight, m_rejectionQuota); }
+    // The request for a permit.
+    PermitRequest permitRequest(Milliseconds maxWait, Milliseconds now) const;
+    // Applies the answer to such a request.
+    void notePermitAnswer(const PermitRequest&, const LimitReport&, Milliseconds now);
     // While the endpoint is rate-limited, no permit is available for it before this time.
     void denyPermitsUntil(Milliseconds instant) { m_noPermitUntil = instant; }
     Milliseconds noPermitUntil() const { return isLimited() ? m_noPermitUntil : Milliseconds { 0 }; }
@@ -142,6 +152,8 @@
     double m_usualStatedPace { 0 };
     EndpointSignals m_signals;
     KnownLimit m_limit;
+    RejectionLimit m_rejections;
+    unsigned m_rejectionQuota { 0 };
     Milliseconds m_noPermitUntil { 0 };
     // Unreadable values are logged only once each.
     bool m_hasLoggedUnreadableLimit { false };
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -6,6 +6,8 @@
 #include "lupinknot/Clock.h"
 #include "relay/Policy.h"
 #include "rollout/ExposureBudget.h"
+#include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <string>
 
@@ -30,6 +32,12 @@
     Milliseconds retryWindow { 10000 };
     // Share of the fixed number that this VM uses: one divided by the number of VMs.
     double retrySlackShare { 1.0 / 10 };
+    // Number of VMs; a large number while it is unknown.
+    std::size_t vmCount() const
+    {
+        constexpr double unknownShare = 0.01;
+        return static_cast<std::size_t>(std::round(1 / std::max(retrySlackShare, unknownShare)));
+    }
     // Before this time the VM uses no share of the fixed number, and only a share of what its requests add to the
     // budget: retries that its previous process has sent may still count.
     Milliseconds retrySlackStartsAt { 0 };
