--- /dev/null
+++ b/test/EndpointTunnelsTest.cpp
@@ -0,0 +1,165 @@
+// Connections to endpoints that a VM makes for others.
+#include "reach/EndpointTunnels.h"
+#include "RelayHarness.h"
+#include "http/HttpServer.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+
+namespace {
+
+// A path through one VM that records the results.
+class PathThrough final : public ConnectionPath {
+public:
+    PathThrough(SocketAddress vm, std::vector<HopResult>& results)
+        : m_vm(std::move(vm))
+        , m_results(results)
+    {
+    }
+
+    std::optional<ConnectionHop> next() override
+    {
+        return std::exchange(m_isUsed, true) ? std::nullopt
+                                             : std::optional(ConnectionHop { m_vm, Milliseconds { 1000 } });
+    }
+
+    void noteResult(HopResult result, Milliseconds) override { m_results.push_back(result); }
+
+private:
+    const SocketAddress m_vm;
+    std::vector<HopResult>& m_results;
+    bool m_isUsed { false };
+};
+
+} // namespace
+
+TEST_GROUP(EndpointTunnels)
+{
+    std::unique_ptr<RelayHarness> relay;
+    std::unique_ptr<HttpServer> server;
+    std::vector<HopResult> results;
+
+    void setup() override
+    {
+        relay = std::make_unique<RelayHarness>();
+        relay->addRoute("once", RequestKind::NonIdempotent, 1);
+    }
+
+    void teardown() override
+    {
+        server.reset();
+        relay.reset();
+    }
+
+    void ready()
+    {
+        relay->configure();
+        relay->list();
+        auto& daemon = relay->daemon();
+        server = std::make_unique<HttpServer>(daemon.ioContext(), HttpServerSettings {},
+            [&daemon](const std::shared_ptr<HttpExchange>& exchange) { daemon.tunnels().handle(exchange); });
+        CHECK_FALSE(server->start().has_value());
+    }
+
+    std::shared_ptr<TestCaller> callThrough(std::int64_t endpointPort)
+    {
+        const SocketAddress vm { "127.0.0.1", server->port() };
+        auto caller = std::make_shared<TestCaller>();
+        caller->connection = ClientConnection::open(
+            relay->daemon().ioContext(), { "127.0.0.1", endpointPort }, {}, std::make_unique<PathThrough>(vm, results));
+        caller->connection->send({ "POST", "/x", { { "Host", "h" } }, "body" }, caller);
+        return caller;
+    }
+
+    void await(const std::shared_ptr<TestCaller>& caller)
+    {
+        CHECK(relay->runUntil([&] { return caller->isWhole || caller->isBroken; }));
+    }
+
+    void checkResult(HopResult expected)
+    {
+        LONGS_EQUAL(1, results.size());
+        STRCMP_EQUAL(nameIn(hopResultNames, expected).data(), nameIn(hopResultNames, results.front()).data());
+    }
+};
+
+TEST(EndpointTunnels, CarryRequestsAndAnswers)
+{
+    auto& endpoint = relay->addEndpoint("e1");
+    endpoint.onRequest(
+        [](ScriptedConnection& connection, const std::string&) { connection.answer(200, signedHead, "hello"); });
+    ready();
+    const auto caller = callThrough(endpoint.port());
+    await(caller);
+    STRCMP_EQUAL("hello", caller->body.c_str());
+    CHECK(caller->connection->isThroughVm());
+    checkResult(HopResult::Connected);
+    LONGS_EQUAL(1, relay->daemon().tunnels().count());
+    caller->connection->close();
+    CHECK(relay->runUntil([&] { return relay->daemon().tunnels().count() == 0; }));
+}
+
+TEST(EndpointTunnels, AreRejectedForAddressesThatAreNoEndpoints)
+{
+    relay->addEndpoint("e1");
+    ready();
+    const auto caller = callThrough(1);
+    await(caller);
+    CHECK(caller->isBroken);
+    checkResult(HopResult::VmUnavailable);
+}
+
+TEST(EndpointTunnels, TellWhenTheEndpointCannotBeReachedEither)
+{
+    auto& endpoint = relay->addEndpoint("e1");
+    const auto port = endpoint.port();
+    ready();
+    endpoint.crash();
+    await(callThrough(port));
+    checkResult(HopResult::EndpointUnreachable);
+}
+
+TEST(EndpointTunnels, AreRejectedOnceTheVmStopsAndTheOpenOnesGoOn)
+{
+    auto& endpoint = relay->addEndpoint("e1");
+    ready();
+    const auto first = callThrough(endpoint.port());
+    CHECK(relay->runUntil([&] { return !endpoint.requests().empty(); }));
+    relay->daemon().tunnels().stop();
+    LONGS_EQUAL(1, relay->daemon().tunnels().busyCount());
+    await(callThrough(endpoint.port()));
+    CHECK(results.back() == HopResult::VmUnavailable);
+    endpoint.connections().front()->answer(200, signedHead, "late");
+    await(first);
+    STRCMP_EQUAL("late", first->body.c_str());
+}
+
+// An endpoint stops its work when its caller's connection closes.
+TEST(EndpointTunnels, CloseTheEndpointsConnectionWhenTheCallerLeaves)
+{
+    auto& endpoint = relay->addEndpoint("e1");
+    ready();
+    const auto caller = callThrough(endpoint.port());
+    CHECK(relay->runUntil([&] { return !endpoint.requests().empty(); }));
+    caller->connection->close();
+    CHECK(relay->runUntil([&] { return endpoint.connections().front()->isClosedByPeer(); }));
+}
+
+TEST(EndpointTunnels, AreRejectedWhenThereAreTooMany)
+{
+    auto& endpoint = relay->addEndpoint("e1");
+    ready();
+    auto& daemon = relay->daemon();
+    EndpointConnector connector(daemon.ioContext(), daemon.clock(), {}, daemon.metrics());
+    EndpointTunnels tunnels(daemon.ioContext(), connector, daemon.directory(), daemon.metrics(), 1);
+    server = std::make_unique<HttpServer>(daemon.ioContext(), HttpServerSettings {},
+        [&tunnels](const std::shared_ptr<HttpExchange>& exchange) { tunnels.handle(exchange); });
+    CHECK_FALSE(server->start().has_value());
+    const auto first = callThrough(endpoint.port());
+    CHECK(relay->runUntil([&] { return tunnels.count() == 1 && !endpoint.requests().empty(); }));
+    await(callThrough(endpoint.port()));
+    CHECK(results.back() == HopResult::VmUnavailable);
+    CHECK_FALSE(first->isBroken);
+}
