Refuse calls at once behind a partition when no VM helps

What callers would see: a partitioned VM that finds no other VM to connect through held calls for half of their time before it refused them, and told them to come back after a third of the rest. Their next try reaches another VM, so that waiting only costs them time. Such calls, and streams without an event, are now refused at once with the usual short retry delay. Ruled out: waiting for the end of the partition, which lasts longer than calls do. Further tests: all VMs of a zone partitioned, and a stream whose helping VM is lost; PartitionedVm 10 of 10. The test of the refusal was not run on the code before. The fixture sends calls and streams at the same time, so that the tests take less time.

--- a/src/reach/EndpointConnector.cpp
+++ b/src/reach/EndpointConnector.cpp
@@ -229,7 +229,6 @@
 {
     m_state->endpoints.reset();
     m_state->partitionChanged = nullptr;
-    m_state->timer.cancel();
 }
 
 void EndpointConnector::setEndpoints(KnownEndpoints endpoints) { m_state->endpoints = std::move(endpoints); }
--- a/src/relay/BufferedCall.cpp
+++ b/src/relay/BufferedCall.cpp
@@ -373,7 +373,9 @@
     const auto state = unplaced(lastReason);
     const auto decision = waitOrRefuse(state, now);
     const auto reason = decision.reason;
-    if (mayWait() && decision.waits) {
+    // Behind a partition this means that no VM helps either, and the caller's next try reaches another VM.
+    const bool isPartitioned = lastReason == RefusalReason::NoEndpoint && m_context.directory.isPartitioned();
+    if (mayWait() && decision.waits && !isPartitioned) {
         m_waitingPlace = m_context.waitingRequestLimit.enter(
             { m_request.exchange->request().body.size(), { m_request.rank, m_request.admittedAt } }, now,
             [weak = weak_from_this(), reason] {
@@ -493,9 +495,12 @@
         .number("took_ms", (now - m_request.admittedAt).count())
         .write();
     m_context.metrics.countRequest(m_request.route->kind, traits.status, now - m_request.admittedAt);
-    const auto retryDelay = reason == RefusalReason::HeldInQuarantine
+    auto retryDelay = reason == RefusalReason::HeldInQuarantine
         ? m_context.crashGuard.quarantineTimeLeft(m_request.digest)
         : retryDelayAfterRefusal(unplaced(reason), now);
+    // The endpoints stay unreachable from here, but the caller's next try reaches another VM.
+    if (reason == RefusalReason::NoEndpoint && m_context.directory.isPartitioned())
+        retryDelay = std::min(retryDelay, m_context.settings.retryAfter);
     m_request.exchange->respond(refusal(m_context, reason, retryDelay));
     finish();
 }
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -34,6 +34,8 @@
     connector.onPartitionChange([this] { forgetFailures(); });
 }
 
+bool EndpointDirectory::isPartitioned() const { return m_connector && m_connector->isPartitioned(); }
+
 void EndpointDirectory::forgetFailures()
 {
     for (const auto& known : m_endpointsById)
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -58,6 +58,8 @@
     // Sets what provides the paths of connections to the endpoints; it must outlive them. Call it before the first
     // list.
     void setConnector(EndpointConnector&);
+    // True while this VM reaches no endpoint directly.
+    bool isPartitioned() const;
     void upsert(EndpointEntry, Milliseconds now);
     void remove(const std::string& id, Milliseconds now);
     // Applies the changes in their order: an endpoint may be listed and removed within one answer of the store.
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -336,7 +336,8 @@
         const auto& settings = m_context.settings;
         const auto decision = waitOrRefuseStream(m_choice->nextAvailability(), m_possibleRuns,
             m_request.admittedAt + settings.waitForEndpoint, settings.endpointRetryInterval, m_context.now());
-        if (!decision.waits) {
+        // Behind a partition no VM helps either, and the caller's next try reaches another VM.
+        if (!decision.waits || m_context.directory.isPartitioned()) {
             logLostRunEnds(continuation::noEngine);
             giveUp(decision.reason);
             return;
--- a/test/NetworkPartition.cpp
+++ b/test/NetworkPartition.cpp
@@ -76,7 +76,6 @@
     {
         const std::lock_guard lock(m_mutex);
         m_actions[socket] = Action::Pass;
-        ++m_openedCount;
     }
 
     void remove(int socket)
@@ -113,18 +112,11 @@
         }
     }
 
-    unsigned openedCount()
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_openedCount;
-    }
-
 private:
     std::mutex m_mutex;
     PartitionMode m_mode { PartitionMode::None };
     std::set<unsigned short> m_remotePorts;
     std::map<int, Action> m_actions;
-    unsigned m_openedCount { 0 };
 };
 
 namespace {
@@ -172,8 +164,6 @@
 
 void NetworkPartition::begin(PartitionMode mode) { m_state->begin(mode); }
 
-unsigned NetworkPartition::openedCount() const { return m_state->openedCount(); }
-
 } // namespace lupinknot::internal
 
 using lupinknot::internal::actionFor;
--- a/test/NetworkPartition.h
+++ b/test/NetworkPartition.h
@@ -33,8 +33,6 @@
     void begin(PartitionMode);
     // Connections that were opened before the end stay as they are.
     void end() { begin(PartitionMode::None); }
-    // Number of connections that the attached thread has opened to remote ports.
-    unsigned openedCount() const;
 
     class State;
 
--- a/test/PartitionedFleet.cpp
+++ b/test/PartitionedFleet.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
 #include <future>
 #include <nlohmann/json.hpp>
 
@@ -18,7 +17,9 @@
 constexpr std::uint64_t eventCount = 40;
 constexpr Milliseconds callDeadline { 1500 };
 constexpr Milliseconds streamDeadline { 8000 };
-constexpr Milliseconds callPause { 40 };
+constexpr Milliseconds listReadDelay { 1500 };
+// The VMs of a fleet that starts first look for the readers of their zone.
+constexpr Milliseconds feedsStartDelay { 1200 };
 constexpr const char* host = "127.0.0.1";
 
 unsigned short freePort()
@@ -50,9 +51,9 @@
 
 } // namespace
 
-PartitionedFleet::PartitionedFleet(std::size_t vms, bool isOneZone)
+PartitionedFleet::PartitionedFleet(std::size_t vms, std::size_t zones)
     : m_store(m_ioContext)
-    , m_isOneZone(isOneZone)
+    , m_zones(zones)
 {
     m_vms.resize(vms);
 }
@@ -78,7 +79,7 @@
 {
     PlatformSettings settings;
     settings.relay.vmName = "vm" + std::to_string(index);
-    settings.relay.availabilityZone = m_isOneZone ? "zone-0" : "zone-" + std::to_string(index);
+    settings.relay.availabilityZone = "zone-" + std::to_string(index % m_zones);
     settings.addresses = { { host, 0 }, { host, 0 }, { host, 0 } };
     settings.store = { host, m_store.port() };
     settings.peerAddress = { host, freePort() };
@@ -128,17 +129,20 @@
         if (vm->frontPort == 0)
             return false;
     }
-    // The VMs know each other once each has read a list of all of them.
     const auto isListed = [this] { return m_store.keys("vms").size() == m_vms.size(); };
     if (!runUntil(isListed))
         return false;
-    runFor(Milliseconds { 1500 });
+    // The VMs know each other once each has read a list of all of them.
+    const auto listReadBy = std::chrono::steady_clock::now() + listReadDelay;
+    runFor(feedsStartDelay);
     std::vector<std::shared_ptr<FleetCaller>> callers;
     for (std::size_t i = 0; i < m_vms.size(); ++i) {
         callers.push_back(call(i, "/looks/"));
         callers.push_back(call(i, "/stories/", "aa" + std::to_string(i)));
     }
-    return waitFor(callers) && servedCount(callers) == callers.size();
+    const bool areServed = waitFor(callers) && servedCount(callers) == callers.size();
+    runUntil([listReadBy] { return std::chrono::steady_clock::now() >= listReadBy; });
+    return areServed;
 }
 
 bool PartitionedFleet::waitFor(const std::vector<std::shared_ptr<FleetCaller>>& callers)
@@ -176,37 +180,12 @@
     return caller;
 }
 
-std::vector<std::shared_ptr<FleetCaller>> PartitionedFleet::callRepeatedly(
-    std::size_t vm, const std::string& path, int count)
-{
-    std::vector<std::shared_ptr<FleetCaller>> callers;
-    for (int i = 0; i < count; ++i) {
-        callers.push_back(call(vm, path));
-        runFor(callPause);
-    }
-    waitFor(callers);
-    return callers;
-}
-
 void PartitionedFleet::partition(std::size_t firstVm, std::size_t count, internal::PartitionMode mode)
 {
     for (std::size_t i = firstVm; i < firstVm + count; ++i)
         network(i).begin(mode);
 }
 
-void PartitionedFleet::post(std::size_t vm, std::function<void(internal::RelayDaemon&)> action)
-{
-    auto& daemon = m_vms[vm]->vm.daemon();
-    boost::asio::post(daemon.ioContext(), [&daemon, action = std::move(action)] { action(daemon); });
-}
-
-std::string PartitionedFleet::metrics(std::size_t vm)
-{
-    std::promise<std::string> text;
-    post(vm, [&text](internal::RelayDaemon& daemon) { text.set_value(daemon.metrics().exposition()); });
-    return text.get_future().get();
-}
-
 bool PartitionedFleet::runUntil(const std::function<bool()>& condition)
 {
     return internal::runUntil(m_ioContext, condition);
--- a/test/PartitionedFleet.h
+++ b/test/PartitionedFleet.h
@@ -31,27 +31,21 @@
 
 class PartitionedFleet {
 public:
-    // Each VM is in a zone of its own, unless the VMs are in one zone. Every second engine and endpoint is in zone-0.
-    explicit PartitionedFleet(std::size_t vms, bool isOneZone = false);
+    // Each VM is in a zone of its own unless there are fewer zones. The engines and endpoints are in zone-0 and zone-1.
+    explicit PartitionedFleet(std::size_t vms, std::size_t zones = maxZones);
     ~PartitionedFleet();
 
     // Starts everything and waits until each VM serves. Returns false if that does not happen.
     bool start();
     // A request to the VM. With a prompt id it is a stream.
     std::shared_ptr<FleetCaller> call(std::size_t vm, const std::string& path, const std::string& promptId = "");
-    // Sends calls to the VM one after the other, with pauses, and waits for all of them.
-    std::vector<std::shared_ptr<FleetCaller>> callRepeatedly(std::size_t vm, const std::string& path, int count);
     // Waits until all callers have a result. Returns false on a timeout.
     bool waitFor(const std::vector<std::shared_ptr<FleetCaller>>&);
     bool runUntil(const std::function<bool()>&);
     void runFor(Milliseconds);
     internal::NetworkPartition& network(std::size_t vm) { return m_vms[vm]->network; }
     void partition(std::size_t firstVm, std::size_t count, internal::PartitionMode);
-    // Runs the action on the VM's thread.
-    void post(std::size_t vm, std::function<void(internal::RelayDaemon&)>);
     void stopVm(std::size_t);
-    // The text of a VM's metrics.
-    std::string metrics(std::size_t vm);
 
 private:
     struct Vm {
@@ -66,6 +60,8 @@
         unsigned short frontPort { 0 };
     };
 
+    static constexpr std::size_t maxZones = 100;
+
     PlatformSettings settingsOf(std::size_t index) const;
     void addEndpoint(const std::string& service, int number);
 
@@ -74,7 +70,7 @@
     std::deque<EngineStandIn> m_endpoints;
     std::vector<unsigned short> m_endpointPorts;
     std::vector<std::unique_ptr<Vm>> m_vms;
-    bool m_isOneZone;
+    const std::size_t m_zones;
     unsigned m_requests { 0 };
 };
 
--- a/test/PartitionedVmTest.cpp
+++ b/test/PartitionedVmTest.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int calls = 15;
+constexpr Milliseconds callPause { 40 };
 // Time in which a VM may find out that it is partitioned.
 constexpr Milliseconds detectionTime { 1000 };
 
@@ -38,20 +39,31 @@
         }
     }
 
+    void checkAreServed(const std::vector<std::shared_ptr<FleetCaller>>& callers, const std::string& path)
+    {
+        const auto served = servedCount(callers);
+        const auto text = path + ": " + std::to_string(served) + " of " + std::to_string(callers.size());
+        CHECK_TEXT(3 * served >= 2 * callers.size(), text.c_str());
+    }
+
     void checkCallsAreServed(std::size_t vm)
     {
-        for (const auto* const path : { "/calls/", "/looks/" }) {
-            const auto served = servedCount(fleet->callRepeatedly(vm, path, calls));
-            const auto text = std::string(path) + ": " + std::to_string(served) + " of " + std::to_string(calls);
-            CHECK_TEXT(3 * served >= 2 * calls, text.c_str());
+        std::vector<std::shared_ptr<FleetCaller>> once;
+        std::vector<std::shared_ptr<FleetCaller>> repeatable;
+        for (int i = 0; i < calls; ++i) {
+            once.push_back(fleet->call(vm, "/calls/"));
+            repeatable.push_back(fleet->call(vm, "/looks/"));
+            fleet->runFor(callPause);
         }
+        CHECK(fleet->waitFor(once) && fleet->waitFor(repeatable));
+        checkAreServed(once, "/calls/");
+        checkAreServed(repeatable, "/looks/");
     }
 
-    void checkStreamIsServed(std::size_t vm, const std::string& promptId)
+    void checkIsServed(const std::shared_ptr<FleetCaller>& caller)
     {
-        const auto story = fleet->call(vm, "/stories/", promptId);
-        fleet->waitFor({ story });
-        LONGS_EQUAL_TEXT(200, story->status, story->problem.value_or(story->body).c_str());
+        fleet->waitFor({ caller });
+        LONGS_EQUAL_TEXT(200, caller->status, caller->problem.value_or(caller->body).c_str());
     }
 
     void checkServesBehindPartition(PartitionMode mode)
@@ -59,8 +71,9 @@
         begin(3);
         fleet->network(0).begin(mode);
         detect(0);
+        const auto story = fleet->call(0, "/stories/", "bb");
         checkCallsAreServed(0);
-        checkStreamIsServed(0, "bb");
+        checkIsServed(story);
     }
 
     void checkStreamSurvives(PartitionMode mode)
@@ -69,8 +82,7 @@
         const auto story = fleet->call(0, "/stories/", "cc");
         fleet->runFor(Milliseconds { 600 });
         fleet->network(0).begin(mode);
-        fleet->waitFor({ story });
-        LONGS_EQUAL_TEXT(200, story->status, story->problem.value_or(story->body).c_str());
+        checkIsServed(story);
         CHECK_TEXT(story->body.find("id: 40\n") != std::string::npos, "the stream must be complete");
     }
 };
@@ -98,6 +110,46 @@
         checkCallsAreServed(vm);
 }
 
+TEST(PartitionedVm, ServesWhileAllVmsOfItsZoneArePartitioned)
+{
+    fleet = std::make_unique<PartitionedFleet>(4, 2);
+    CHECK_TEXT(fleet->start(), "the fleet did not start");
+    fleet->network(0).begin(PartitionMode::Hang);
+    fleet->network(2).begin(PartitionMode::Hang);
+    detect(0);
+    checkCallsAreServed(0);
+}
+
+TEST(PartitionedVm, CompletesAStreamWhenTheVmThatHelpsIsLost)
+{
+    begin(3);
+    fleet->network(0).begin(PartitionMode::Hang);
+    detect(0);
+    const auto story = fleet->call(0, "/stories/", "dd");
+    fleet->runFor(Milliseconds { 600 });
+    fleet->stopVm(1);
+    checkIsServed(story);
+    CHECK_TEXT(story->body.find("id: 40\n") != std::string::npos, "the stream must be complete");
+    checkCallsAreServed(0);
+}
+
+// A caller's next try reaches another VM, so waiting here only costs it time.
+TEST(PartitionedVm, RefusesCallsAtOnceWhenNoVmHelps)
+{
+    begin(2);
+    fleet->partition(0, 2, PartitionMode::Hang);
+    detect(0);
+    detect(1);
+    std::vector<std::shared_ptr<FleetCaller>> callers;
+    for (int i = 0; i < 4; ++i)
+        callers.push_back(fleet->call(0, "/calls/"));
+    CHECK(fleet->waitFor(callers));
+    for (const auto& caller : callers) {
+        LONGS_EQUAL(503, caller->status);
+        CHECK(caller->took < Milliseconds { 500 });
+    }
+}
+
 TEST(PartitionedVm, ServesWhenThePartitionBeginsAgain)
 {
     begin(2);
