--- a/src/relay/EndpointCall.cpp
+++ b/src/relay/EndpointCall.cpp
@@ -79,7 +79,8 @@
     if (m_isOver)
         return;
     m_isOver = true;
-    m_checkTimer.cancel();
+    boost::system::error_code ignored;
+    m_checkTimer.cancel(ignored);
     m_endpoint->callEnded();
 }
 
