Count all VMs of a fleet of more than a hundred for brittle endpoints

What callers would see: in a fleet of 2,000 VMs each VM took the slots of a brittle endpoint for shared between 100, so that all of them together could send twenty times what finds room, and the endpoint would fail. Cause: the number that is assumed while the number of VMs is unknown was used as a maximum too. Found by reading the change again; the model of RejectionLimitTest passes the number itself and could not show it. Change: the assumed number counts only while the share of the retry budget is unset. The test fails on the code before by its arithmetic (100 instead of 2,000); it was not run there.

--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -6,7 +6,6 @@
 #include "lupinknot/Clock.h"
 #include "relay/Policy.h"
 #include "rollout/ExposureBudget.h"
-#include <algorithm>
 #include <cmath>
 #include <cstdint>
 #include <string>
@@ -35,8 +34,8 @@
     // Number of VMs; a large number while it is unknown.
     std::size_t vmCount() const
     {
-        constexpr double unknownShare = 0.01;
-        return static_cast<std::size_t>(std::round(1 / std::max(retrySlackShare, unknownShare)));
+        constexpr std::size_t unknownCount = 100;
+        return retrySlackShare > 0 ? static_cast<std::size_t>(std::round(1 / retrySlackShare)) : unknownCount;
     }
     // Before this time the VM uses no share of the fixed number, and only a share of what its requests add to the
     // budget: retries that its previous process has sent may still count.
--- a/test/RejectionLimitTest.cpp
+++ b/test/RejectionLimitTest.cpp
@@ -1,6 +1,7 @@
 #include "limits/RejectionLimit.h"
 #include "common/NameHash.h"
 #include "limits/LimitKeeper.h"
+#include "relay/RelaySettings.h"
 
 #include <algorithm>
 #include <deque>
@@ -212,6 +213,14 @@
     LONGS_EQUAL(6, total);
 }
 
+// More VMs than are assumed while their number is unknown got the quotas of that number.
+TEST(RejectionLimit, CountsAllVmsOfALargeFleet)
+{
+    RelaySettings settings;
+    settings.retrySlackShare = 1.0 / 2000;
+    LONGS_EQUAL(2000, settings.vmCount());
+}
+
 // Load pattern: twice the requests that the endpoint serves, from few and from many VMs.
 TEST(RejectionLimit, RejectionsStayWithinWhatIsToleratedUnderOverload)
 {
