Log the software versions of a stream's runs, copies and continuations

The logs could not distinguish the hypotheses on streams that continue at another version: no line names a version, and nothing reads the attempt that a resuming caller names.

--- a/src/copies/RunCopier.cpp
+++ b/src/copies/RunCopier.cpp
@@ -128,6 +128,8 @@
         .text("request", m_request.fields.requestId)
         .text("endpoint", run.endpoint->entry().id)
         .text("target", target->entry().id)
+        .text("version", run.endpoint->entry().version)
+        .text("target_version", target->entry().version)
         .text("reason", reason)
         .write();
     m_order = RunCopyOrder::start(m_context, run.endpoint, target, m_request.fields.requestId,
--- a/src/relay/CallProtocol.h
+++ b/src/relay/CallProtocol.h
@@ -26,6 +26,8 @@
     std::string apiKey;
     // Id of the last event that a reconnecting caller has received; absent for a stream from its start.
     std::optional<std::uint64_t> lastEventId;
+    // For a caller that resumes a stream, the id of its attempt that delivered the first event; empty when absent.
+    std::string resumedRequestId;
     // Identifies the part of the prompt that is specific to this caller's request, the same at each of its attempts;
     // empty when unknown.
     std::string promptId;
--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -68,6 +68,8 @@
         m_copies = { { holder, { holder->entry().address, location->requestId }, m_context.now() } };
     LogEvent("stream.returned")
         .text("request", m_request.fields.requestId)
+        .text("resumes", m_request.fields.resumedRequestId)
+        .flag("is_run_known", location.has_value())
         .text("earlier_request", location ? location->requestId : "")
         .text("earlier_endpoint", location ? location->endpointId : "")
         .flag("is_engine_known", m_earlierEngine != nullptr)
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -45,6 +45,13 @@
     return isBroken ? EngineEvidence::ConnectionBroke : EngineEvidence::None;
 }
 
+ContinuedAt continuationOf(const std::optional<std::string>& beganVersion, const std::string& version)
+{
+    if (!beganVersion)
+        return ContinuedAt::UnknownVersion;
+    return *beganVersion == version ? ContinuedAt::SameVersion : ContinuedAt::OtherVersion;
+}
+
 } // namespace
 
 void EventStreamCall::serve(RelayContext& context, RelayRequest request)
@@ -406,6 +413,8 @@
     run.lastActivity = now;
     run.endpoint->noteAlive(now);
     m_timing.noteEvents(now);
+    if (!run.hasEvent)
+        recordVersion(*run.endpoint);
     if (!run.hasEvent && m_failedAt)
         recordResumption(run, now);
     run.hasEvent = true;
@@ -431,10 +440,20 @@
     m_answer->forwardToCaller(run.head, now);
 }
 
+void EventStreamCall::recordVersion(const RelayEndpoint& endpoint)
+{
+    const auto& version = endpoint.entry().version;
+    const bool isFirst = !m_answer->hasBegun() && !m_request.fields.lastEventId;
+    if (isFirst)
+        m_beganVersion = version;
+    else
+        m_context.metrics.countContinuation(continuationOf(m_beganVersion, version));
+}
+
 void EventStreamCall::recordResumption(const StreamRun& run, Milliseconds now)
 {
     const auto lastEventAt = m_answer->lastEventAt();
-    logRunResumed(m_request, run, lastEventAt, *m_failedAt, now);
+    logRunResumed(m_request, run, m_beganVersion, lastEventAt, *m_failedAt, now);
     m_wasLate = m_wasLate || (lastEventAt && now - *lastEventAt > m_request.route->longestPause);
     if (lastEventAt && now > *lastEventAt)
         m_context.metrics.resumeGap.Observe(static_cast<double>((now - *lastEventAt).count()));
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -72,6 +72,8 @@
     // Counts work for the share of the request's organisation.
     void noteWork(double tokens);
     void processEvents(StreamRun&, std::vector<CompleteEvent>&&);
+    // Notes the version that generates the stream, or counts its continuation at the same or another version.
+    void recordVersion(const RelayEndpoint&);
     void recordResumption(const StreamRun&, Milliseconds now);
     void handleNonStreamResponse(const std::shared_ptr<StreamRun>&);
     void runFailed(FailureKind);
@@ -125,6 +127,8 @@
     // A retry that another VM has lent for the next run.
     std::optional<RetryLoan> m_loan;
     unsigned m_rejectedRuns { 0 };
+    // Version of the endpoint that generated the stream's first event, if it is known.
+    std::optional<std::string> m_beganVersion;
     std::optional<Milliseconds> m_failedAt;
     // Why the answer is late or certain to be late, as known when the last run was sent.
     Lateness m_lateness { Lateness::InTime };
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -50,6 +50,10 @@
                                 .Name("lupinknot_relay_endpoint_connections_total")
                                 .Help("Attempts to connect to an endpoint, by path and result.")
                                 .Register(*m_registry))
+    , m_continuations(prometheus::BuildCounter()
+                          .Name("lupinknot_relay_continuations_total")
+                          .Help("Runs that continued a stream, by version compared with the first event's.")
+                          .Register(*m_registry))
     , resumedFromCopy(addCounter(
           *m_registry, "lupinknot_relay_resumed_from_copy_total", "Streams that went on from a copy of their memory."))
     , resumedCold(addCounter(
@@ -124,6 +128,11 @@
         .Increment();
 }
 
+void RelayMetrics::countContinuation(ContinuedAt version)
+{
+    m_continuations.Add({ { "version", std::string(nameIn(continuedAtNames, version)) } }).Increment();
+}
+
 std::string RelayMetrics::exposition() const
 {
     std::ostringstream text;
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -36,6 +36,19 @@
     { StreamOutcome::CallerGone, "caller-gone" },
 } };
 
+// At which software version a stream continues, compared with the one that generated its first event.
+enum class ContinuedAt {
+    SameVersion,
+    OtherVersion,
+    UnknownVersion, // This VM does not know which version generated the first event.
+};
+
+inline constexpr std::array<EnumName<ContinuedAt>, 3> continuedAtNames { {
+    { ContinuedAt::SameVersion, "same" },
+    { ContinuedAt::OtherVersion, "other" },
+    { ContinuedAt::UnknownVersion, "unknown" },
+} };
+
 // Thread-safe. The references are initialised once and point into the registry.
 class RelayMetrics {
 public:
@@ -48,6 +61,7 @@
     void countEndpointConnection(bool isThroughVm, HopResult);
     // Counts a stream by its rank, empty when the configuration names none, and by how it ended.
     void countStream(std::optional<unsigned> rank, StreamOutcome);
+    void countContinuation(ContinuedAt);
     std::string exposition() const;
 
 private:
@@ -58,6 +72,7 @@
     prometheus::Family<prometheus::Counter>& m_zoneFailures;
     prometheus::Family<prometheus::Counter>& m_streams;
     prometheus::Family<prometheus::Counter>& m_endpointConnections;
+    prometheus::Family<prometheus::Counter>& m_continuations;
 
 public:
     // Streams that resumed at another engine from a copy of their KV cache, or by a new prefill of the prompt.
--- a/src/relay/RunMover.cpp
+++ b/src/relay/RunMover.cpp
@@ -89,6 +89,8 @@
         .text("request", m_request.fields.requestId)
         .text("endpoint", run.endpoint->entry().id)
         .text("target", target->entry().id)
+        .text("version", run.endpoint->entry().version)
+        .text("target_version", target->entry().version)
         .text("lost_copy", run.copyHolder ? run.copyHolder->entry().id : "")
         .write();
     m_relocation = RunRelocation::start(m_context, run.endpoint, target, m_request.fields.requestId,
--- a/src/relay/StreamLog.cpp
+++ b/src/relay/StreamLog.cpp
@@ -18,8 +18,10 @@
     LogEvent("stream.sent", isFirst ? LogImportance::Routine : LogImportance::Notable)
         .text("request", request.fields.requestId)
         .text("endpoint", endpoint.entry().id)
+        .text("version", endpoint.entry().version)
         .text("zone", endpoint.entry().availabilityZone)
         .text("copy_to", run.copyHolder ? run.copyHolder->entry().id : "")
+        .text("copy_version", run.copyHolder ? run.copyHolder->entry().version : "")
         .flag("from_copy", run.isFromCopy)
         .number("run", run.number)
         .number("after_event", static_cast<std::int64_t>(answer.lastEventId()))
@@ -35,6 +37,7 @@
     LogEvent("stream.first-event", LogImportance::Routine)
         .text("request", request.fields.requestId)
         .text("endpoint", run.endpoint->entry().id)
+        .text("version", run.endpoint->entry().version)
         .number("since_admitted_ms", (now - request.admittedAt).count())
         .number("since_sent_ms", (now - run.startedAt).count())
         .flag("returned", request.fields.lastEventId.has_value())
@@ -95,12 +98,15 @@
         .write();
 }
 
-void logRunResumed(const RelayRequest& request, const StreamRun& run, std::optional<Milliseconds> lastEventAt,
-    Milliseconds failedAt, Milliseconds now)
+void logRunResumed(const RelayRequest& request, const StreamRun& run, const std::optional<std::string>& beganVersion,
+    std::optional<Milliseconds> lastEventAt, Milliseconds failedAt, Milliseconds now)
 {
     LogEvent("stream.resumed")
         .text("request", request.fields.requestId)
+        .text("resumes", request.fields.resumedRequestId)
         .text("endpoint", run.endpoint->entry().id)
+        .text("version", run.endpoint->entry().version)
+        .text("began_version", beganVersion.value_or(""))
         .flag("from_copy", run.isFromCopy)
         .number("pause_ms", (now - lastEventAt.value_or(now)).count())
         .number("detection_ms", (failedAt - lastEventAt.value_or(failedAt)).count())
--- a/src/relay/StreamLog.h
+++ b/src/relay/StreamLog.h
@@ -4,6 +4,7 @@
 #include "lupinknot/Clock.h"
 #include "lupinknot/FailureKind.h"
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace lupinknot::internal {
@@ -34,8 +35,9 @@
 void logNotContinued(const RelayRequest&, std::string_view reason, bool ends, bool hasCopy);
 // Logs that the answer is late or certain to be late. The forecast is the expected time until the first event.
 void logLate(const RelayRequest&, std::string_view reason, std::optional<Milliseconds> forecast, Milliseconds now);
-void logRunResumed(const RelayRequest&, const StreamRun&, std::optional<Milliseconds> lastEventAt,
-    Milliseconds failedAt, Milliseconds now);
+// beganVersion is the version that generated the stream's first event, if it is known.
+void logRunResumed(const RelayRequest&, const StreamRun&, const std::optional<std::string>& beganVersion,
+    std::optional<Milliseconds> lastEventAt, Milliseconds failedAt, Milliseconds now);
 void logRunMoved(const RelayRequest&, const RunMove&, const StreamResponse&);
 // A status of 0 stands for a stream that was aborted after it had started.
 void logStreamDone(const RelayRequest&, const StreamResponse&, std::string_view outcome, unsigned status,
--- a/test/PlatformCallProtocolTest.cpp
+++ b/test/PlatformCallProtocolTest.cpp
@@ -29,6 +29,16 @@
     STRCMP_EQUAL("", fields.malformedField.c_str());
 }
 
+TEST(PlatformCallProtocol, DecodesTheAttemptThatACallerResumes)
+{
+    const auto resuming = protocol.decodeCaller({ { "X-Request-Id", "r2" }, { "Resumes", "r1" } });
+    STRCMP_EQUAL("r1", resuming.resumedRequestId.c_str());
+    STRCMP_EQUAL("", resuming.malformedField.c_str());
+    STRCMP_EQUAL("", protocol.decodeCaller({ { "X-Request-Id", "r2" } }).resumedRequestId.c_str());
+    STRCMP_EQUAL(
+        "Resumes", protocol.decodeCaller({ { "X-Request-Id", "r2" }, { "Resumes", "r 1" } }).malformedField.c_str());
+}
+
 TEST(PlatformCallProtocol, NamesAMalformedNumericHeader)
 {
     STRCMP_EQUAL("Last-Event-Id", protocol.decodeCaller({ { "Last-Event-Id", "-3" } }).malformedField.c_str());
