--- a/test/PartitionedFleet.cpp
+++ b/test/PartitionedFleet.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr int endpointsPerService = 4;
-constexpr std::uint64_t eventCount = 40;
 constexpr Milliseconds callDeadline { 1500 };
 constexpr Milliseconds streamDeadline { 8000 };
 constexpr Milliseconds listReadDelay { 1500 };
@@ -56,6 +55,8 @@
     , m_zones(zones)
 {
     m_vms.resize(vms);
+    for (std::size_t i = 0; i < vms; ++i)
+        m_peerPorts.push_back(freePort());
 }
 
 PartitionedFleet::~PartitionedFleet()
@@ -75,15 +76,15 @@
     vm.reset();
 }
 
-PlatformSettings PartitionedFleet::settingsOf(std::size_t index) const
+PlatformSettings PartitionedFleet::settingsOf(std::size_t index)
 {
     PlatformSettings settings;
     settings.relay.vmName = "vm" + std::to_string(index);
     settings.relay.availabilityZone = "zone-" + std::to_string(index % m_zones);
     settings.addresses = { { host, 0 }, { host, 0 }, { host, 0 } };
     settings.store = { host, m_store.port() };
-    settings.peerAddress = { host, freePort() };
-    settings.isFirstStart = true;
+    settings.peerAddress = { host, m_peerPorts[index] };
+    settings.isFirstStart = !m_hasStarted;
     settings.relay.retrySlackShare = 0;
     return settings;
 }
@@ -99,7 +100,9 @@
     settings.store = { host, m_store.port() };
     settings.prefillTime = Milliseconds { 150 };
     settings.callTime = Milliseconds { 20 };
-    settings.eventCount = eventCount;
+    settings.eventCount = m_eventCount;
+    if (service == "llm")
+        settings.version = m_engineVersions[static_cast<std::size_t>(number) % m_engineVersions.size()];
     m_endpoints.emplace_back(m_ioContext, settings).start();
     m_endpointPorts.push_back(port);
 }
@@ -113,22 +116,10 @@
         addEndpoint("plain", i);
     }
     for (std::size_t i = 0; i < m_vms.size(); ++i) {
-        auto& vm = m_vms[i];
-        vm = std::make_unique<Vm>(settingsOf(i));
-        for (const auto port : m_endpointPorts)
-            vm->network.addRemotePort(port);
-        std::promise<unsigned short> port;
-        vm->thread = std::thread([&vm = *vm, &port] {
-            vm.network.attachThisThread();
-            const auto problem = vm.vm.start();
-            port.set_value(problem ? 0 : vm.vm.daemon().frontPort());
-            if (!problem)
-                vm.vm.daemon().run();
-        });
-        vm->frontPort = port.get_future().get();
-        if (vm->frontPort == 0)
+        if (!startVm(i))
             return false;
     }
+    m_hasStarted = true;
     const auto isListed = [this] { return m_store.keys("vms").size() == m_vms.size(); };
     if (!runUntil(isListed))
         return false;
@@ -145,6 +136,51 @@
     return areServed;
 }
 
+bool PartitionedFleet::startVm(std::size_t index)
+{
+    auto& vm = m_vms[index];
+    vm = std::make_unique<Vm>(settingsOf(index));
+    for (const auto port : m_endpointPorts)
+        vm->network.addRemotePort(port);
+    std::promise<unsigned short> port;
+    vm->thread = std::thread([&vm = *vm, &port] {
+        vm.network.attachThisThread();
+        const auto problem = vm.vm.start();
+        port.set_value(problem ? 0 : vm.vm.daemon().frontPort());
+        if (!problem)
+            vm.vm.daemon().run();
+    });
+    vm->frontPort = port.get_future().get();
+    return vm->frontPort != 0;
+}
+
+void PartitionedFleet::useEngines(std::vector<std::string> versions, std::uint64_t events)
+{
+    m_engineVersions = std::move(versions);
+    m_eventCount = events;
+}
+
+std::string PartitionedFleet::versionOf(const std::string& engineId) const
+{
+    const auto number = std::stoul(engineId.substr(engineId.rfind('-') + 1));
+    return m_engineVersions[number % m_engineVersions.size()];
+}
+
+std::shared_ptr<internal::TestCaller> PartitionedFleet::openStream(
+    std::size_t vm, const std::string& requestId, const internal::HttpHeaders& extra)
+{
+    auto caller = std::make_shared<internal::TestCaller>();
+    internal::HttpRequest request { "POST", "/stories/",
+        { { "Host", "h" }, { "X-Request-Id", requestId }, { "X-Deadline-Ms", std::to_string(streamDeadline.count()) },
+            { "X-Prompt-Prefix", "5e55:100" }, { "X-Token-Usage", "100,500" }, { "Connection", "close" } },
+        "body of " + requestId };
+    for (const auto& field : extra.fields())
+        request.headers.add(field.name, field.value);
+    caller->connection = internal::ClientConnection::open(m_ioContext, { host, m_vms[vm]->frontPort }, {});
+    caller->connection->send(request, caller);
+    return caller;
+}
+
 bool PartitionedFleet::waitFor(const std::vector<std::shared_ptr<FleetCaller>>& callers)
 {
     return runUntil([&callers] {
--- a/test/PartitionedFleet.h
+++ b/test/PartitionedFleet.h
@@ -10,6 +10,7 @@
 #include "../platform/standin/EngineStandIn.h"
 #include "EntryVm.h"
 #include "NetworkPartition.h"
+#include "RelayHarness.h"
 #include "http/HttpRoundTrip.h"
 #include "standin/StoreStandIn.h"
 #include <deque>
@@ -35,10 +36,15 @@
     explicit PartitionedFleet(std::size_t vms, std::size_t zones = maxZones);
     ~PartitionedFleet();
 
+    // Sets the software versions of the engines, in turn, and how many events a stream has. Call it before start().
+    void useEngines(std::vector<std::string> versions, std::uint64_t events);
     // Starts everything and waits until each VM serves. Returns false if that does not happen.
     bool start();
     // A request to the VM. With a prompt id it is a stream.
     std::shared_ptr<FleetCaller> call(std::size_t vm, const std::string& path, const std::string& promptId = "");
+    // A stream whose events can be read as they arrive.
+    std::shared_ptr<internal::TestCaller> openStream(
+        std::size_t vm, const std::string& requestId, const internal::HttpHeaders& extra = {});
     // Waits until all callers have a result. Returns false on a timeout.
     bool waitFor(const std::vector<std::shared_ptr<FleetCaller>>&);
     bool runUntil(const std::function<bool()>&);
@@ -46,6 +52,11 @@
     internal::NetworkPartition& network(std::size_t vm) { return m_vms[vm]->network; }
     void partition(std::size_t firstVm, std::size_t count, internal::PartitionMode);
     void stopVm(std::size_t);
+    // Starts a VM that was stopped, at its former address. Returns false if it does not start.
+    bool startVm(std::size_t);
+    StoreStandIn& store() { return m_store; }
+    // The software version of the engine with this id.
+    std::string versionOf(const std::string& engineId) const;
 
 private:
     struct Vm {
@@ -62,7 +73,7 @@
 
     static constexpr std::size_t maxZones = 100;
 
-    PlatformSettings settingsOf(std::size_t index) const;
+    PlatformSettings settingsOf(std::size_t index);
     void addEndpoint(const std::string& service, int number);
 
     boost::asio::io_context m_ioContext;
@@ -70,6 +81,11 @@
     std::deque<EngineStandIn> m_endpoints;
     std::vector<unsigned short> m_endpointPorts;
     std::vector<std::unique_ptr<Vm>> m_vms;
+    // Each VM's address for the others, which it keeps when it starts again.
+    std::vector<unsigned short> m_peerPorts;
+    std::vector<std::string> m_engineVersions { "" };
+    std::uint64_t m_eventCount { 40 };
+    bool m_hasStarted { false };
     const std::size_t m_zones;
     unsigned m_requests { 0 };
 };
