--- a/src/copies/RunCopier.cpp
+++ b/src/copies/RunCopier.cpp
@@ -12,7 +12,7 @@
 #include "relay/RelayMetrics.h"
 #include "relay/RelayRequest.h"
 #include "relay/RelaySettings.h"
-#include "relay/RequestRollout.h"
+#include "relay/RequestVersions.h"
 #include "relay/RunCopy.h"
 #include "relay/StreamRun.h"
 
@@ -20,10 +20,10 @@
 
 namespace lupinknot::internal {
 
-RunCopier::RunCopier(RelayContext& context, const RelayRequest& request, RequestRollout& rollout)
+RunCopier::RunCopier(RelayContext& context, const RelayRequest& request, RequestVersions& versions)
     : m_context(context)
     , m_request(request)
-    , m_rollout(rollout)
+    , m_versions(versions)
     , m_renewal(makeRenewal())
 {
 }
@@ -76,7 +76,7 @@
 void RunCopier::consider(const StreamRun& run, Milliseconds expectedTimeLeft, const Engines& failed)
 {
     // A run at a candidate version is not sent to that version again, and its KV cache cannot move to another version.
-    if (!isEnabledFor(run) || !m_rollout.next().admits(run.endpoint->entry().version))
+    if (!isEnabledFor(run) || !m_versions.next().admits(run.endpoint->entry().version))
         return;
     const auto now = m_context.now();
     const auto decision = m_renewal.decide(describe(run, expectedTimeLeft, now), now);
@@ -109,7 +109,7 @@
     const auto target = m_context.placement.choose({ .service = m_request.service,
                                                        .excluded = std::move(excluded),
                                                        .zonesToAvoid = { run.endpoint->entry().availabilityZone },
-                                                       .version = m_rollout.next(),
+                                                       .version = m_versions.next(),
                                                        .mustBeHealthy = true,
                                                        .limited = LimitedEndpoints::Unrestricted,
                                                        .prefersSafestZone = true },
--- a/src/copies/RunCopier.h
+++ b/src/copies/RunCopier.h
@@ -1,7 +1,7 @@
 // Keeps an engine in another availability zone supplied with a copy of a stream's current run, and states from which
 // copies the stream can continue when the run is lost.
 //
-//     RunCopier copier(context, request, rollout);
+//     RunCopier copier(context, request, versions);
 //     copier.consider(run, expectedTimeLeft, failedEngines);       // Called periodically.
 //     ...
 //     choice->setCopies(copier.runLost(run));                      // The run is lost.
@@ -23,7 +23,7 @@
 namespace lupinknot::internal {
 
 class RelayEndpoint;
-class RequestRollout;
+class RequestVersions;
 class RunCopyOrder;
 struct CopyOrderAnswer;
 struct RelayContext;
@@ -35,8 +35,8 @@
 public:
     using Engines = std::vector<std::shared_ptr<RelayEndpoint>>;
 
-    // The context, the request and the request's rollout must outlive the copier.
-    RunCopier(RelayContext&, const RelayRequest&, RequestRollout&);
+    // The context, the request and the request's versions must outlive the copier.
+    RunCopier(RelayContext&, const RelayRequest&, RequestVersions&);
     ~RunCopier();
     RunCopier(const RunCopier&) = delete;
     RunCopier& operator=(const RunCopier&) = delete;
@@ -76,7 +76,7 @@
 
     RelayContext& m_context;
     const RelayRequest& m_request;
-    RequestRollout& m_rollout;
+    RequestVersions& m_versions;
     CopyRenewal m_renewal;
     std::optional<Copy> m_copy;
     std::shared_ptr<RunCopyOrder> m_order;
--- a/src/relay/BufferedCall.cpp
+++ b/src/relay/BufferedCall.cpp
@@ -34,7 +34,7 @@
 BufferedCall::BufferedCall(RelayContext& context, RelayRequest request)
     : m_context(context)
     , m_request(std::move(request))
-    , m_rollout(m_context, m_request)
+    , m_versions(m_context, m_request)
     , m_crashTracker(m_context, m_request)
     , m_deadlineTimer(context.ioContext)
     , m_hedgeTimer(context.ioContext)
@@ -74,7 +74,7 @@
 
 PlacementRequest BufferedCall::anyEndpoint()
 {
-    return { .service = m_request.service, .excluded = m_triedEndpoints, .version = m_rollout.next() };
+    return { .service = m_request.service, .excluded = m_triedEndpoints, .version = m_versions.next() };
 }
 
 PlacementRequest BufferedCall::healthyEndpoint()
@@ -148,7 +148,7 @@
         .flag("avoided", endpoint->isAvoided(now))
         .number("config_version", static_cast<std::int64_t>(m_request.configurationVersion))
         .write();
-    m_rollout.noteSent();
+    m_versions.noteSent();
     ++m_possibleRuns;
     const auto checkAfter
         = std::max(usualCallTimes * m_context.pace(m_request.service).medianCallTime(), settings.minSilenceBeforeCheck);
@@ -246,9 +246,9 @@
     m_crashTracker.noteHarmless();
     noteStarted(attempt.call->startedAt());
     if (status >= firstServerError)
-        m_rollout.noteAnswer(*endpoint, AnswerQuality::Bad);
+        m_versions.noteAnswer(*endpoint, AnswerQuality::Bad);
     else
-        m_rollout.noteAnswerAfter(
+        m_versions.noteAnswerAfter(
             *endpoint, m_context.now() - attempt.call->startedAt(), m_context.pace(m_request.service).medianCallTime());
     if (status >= firstServerError && m_request.route->mayRunAgain()) {
         LogEvent("request.endpoint-error")
@@ -285,7 +285,7 @@
         if (attemptOf(call).tookRetry)
             m_context.retryBudget(m_request.service).giveBack();
     } else {
-        m_rollout.noteAnswer(*endpoint, AnswerQuality::Bad);
+        m_versions.noteAnswer(*endpoint, AnswerQuality::Bad);
         m_crashTracker.noteUnfinished(endpoint, call.startedAt(), { kind, RunStart::Assumed, now - call.startedAt() });
         endpoint->avoidUntil(now + settings.avoidAfterBrokenAnswer);
     }
--- a/src/relay/BufferedCall.h
+++ b/src/relay/BufferedCall.h
@@ -14,7 +14,7 @@
 #include "relay/EndpointCall.h"
 #include "relay/RelayRefusal.h"
 #include "relay/RelayRequest.h"
-#include "relay/RequestRollout.h"
+#include "relay/RequestVersions.h"
 #include <boost/asio/steady_timer.hpp>
 #include <vector>
 
@@ -87,7 +87,7 @@
 
     RelayContext& m_context;
     const RelayRequest m_request;
-    RequestRollout m_rollout;
+    RequestVersions m_versions;
     CrashTracker m_crashTracker;
     std::vector<std::unique_ptr<Attempt>> m_attempts;
     // Set while a permit request is pending.
--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -9,7 +9,7 @@
 #include "relay/RelayContext.h"
 #include "relay/RelayRequest.h"
 #include "relay/RelaySettings.h"
-#include "relay/RequestRollout.h"
+#include "relay/RequestVersions.h"
 #include "relay/RunLocations.h"
 #include "relay/StreamRun.h"
 
@@ -19,15 +19,15 @@
 namespace lupinknot::internal {
 
 std::shared_ptr<EngineChoice> EngineChoice::make(
-    RelayContext& context, const RelayRequest& request, RequestRollout& rollout)
+    RelayContext& context, const RelayRequest& request, RequestVersions& versions)
 {
-    return std::shared_ptr<EngineChoice>(new EngineChoice(context, request, rollout));
+    return std::shared_ptr<EngineChoice>(new EngineChoice(context, request, versions));
 }
 
-EngineChoice::EngineChoice(RelayContext& context, const RelayRequest& request, RequestRollout& rollout)
+EngineChoice::EngineChoice(RelayContext& context, const RelayRequest& request, RequestVersions& versions)
     : m_context(context)
     , m_request(request)
-    , m_rollout(rollout)
+    , m_versions(versions)
 {
 }
 
@@ -106,7 +106,7 @@
 {
     const auto isUsable = [this](const RunTarget& target) {
         const auto& entry = target.engine->entry();
-        return isHealthy(*target.engine) && m_rollout.next().admits(entry.version)
+        return isHealthy(*target.engine) && m_versions.next().admits(entry.version)
             && !m_context.directory.hasZoneFailedSince(entry.service, entry.availabilityZone, target.since);
     };
     const auto usable = std::find_if(m_copies.begin(), m_copies.end(), isUsable);
@@ -125,14 +125,14 @@
 std::shared_ptr<RelayEndpoint> EngineChoice::takeEarlierEngine()
 {
     const auto earlier = std::exchange(m_earlierEngine, nullptr);
-    const bool isUsable = earlier && isHealthy(*earlier) && m_rollout.next().admits(earlier->entry().version);
+    const bool isUsable = earlier && isHealthy(*earlier) && m_versions.next().admits(earlier->entry().version);
     return isUsable ? earlier : nullptr;
 }
 
 PlacementRequest EngineChoice::placementRequest() const
 {
     const auto& settings = m_context.settings;
-    PlacementRequest conditions { .service = m_request.service, .excluded = m_failed, .version = m_rollout.next() };
+    PlacementRequest conditions { .service = m_request.service, .excluded = m_failed, .version = m_versions.next() };
     if (!m_failed.empty())
         conditions.zonesToAvoid.push_back(m_failed.back()->entry().availabilityZone);
     if (m_context.has(Policy::PromptPreference))
@@ -153,7 +153,7 @@
     auto engine = m_context.placement.choose(placementRequest(), now);
     if (!engine && !m_failed.empty())
         engine = m_context.placement.choose(
-            { .service = m_request.service, .version = m_rollout.next(), .mustBeHealthy = true }, now);
+            { .service = m_request.service, .version = m_versions.next(), .mustBeHealthy = true }, now);
     callback(engine);
 }
 
@@ -263,7 +263,7 @@
     const PlacementRequest conditions { .service = m_request.service,
         .excluded = m_failed,
         .zonesToAvoid = { engine.entry().availabilityZone },
-        .version = m_rollout.choiceForCopies(engine),
+        .version = m_versions.choiceForCopies(engine),
         .mustBeHealthy = true,
         .limited = LimitedEndpoints::Unrestricted,
         .prefersSafestZone = true };
@@ -287,7 +287,7 @@
 std::optional<EndpointAvailability> EngineChoice::nextAvailability() const
 {
     return m_context.placement.nextAvailability(
-        { .service = m_request.service, .version = m_rollout.next() }, m_context.now());
+        { .service = m_request.service, .version = m_versions.next() }, m_context.now());
 }
 
 } // namespace lupinknot::internal
--- a/src/relay/EngineChoice.h
+++ b/src/relay/EngineChoice.h
@@ -3,7 +3,7 @@
 // An engine that holds a copy of the lost run's KV cache comes first, then, for a caller who reconnects, the engine
 // that has the prompt cached, then the least loaded of a few engines that are probed.
 //
-//     const auto choice = EngineChoice::make(context, request, rollout);
+//     const auto choice = EngineChoice::make(context, request, versions);
 //     if (const auto target = choice->copyTarget()) ...
 //     choice->choose([this](const std::shared_ptr<RelayEndpoint>& engine) { ... });       // Null when there is none.
 //
@@ -22,7 +22,7 @@
 
 class EngineLoadProbe;
 class RelayEndpoint;
-class RequestRollout;
+class RequestVersions;
 class RunLocations;
 struct PlacementRequest;
 struct RelayContext;
@@ -43,8 +43,8 @@
     using Engines = std::vector<std::shared_ptr<RelayEndpoint>>;
     using Callback = std::function<void(const std::shared_ptr<RelayEndpoint>&)>;
 
-    // The context, the request and the rollout must outlive this object.
-    static std::shared_ptr<EngineChoice> make(RelayContext&, const RelayRequest&, RequestRollout&);
+    // The context, the request and its versions must outlive this object.
+    static std::shared_ptr<EngineChoice> make(RelayContext&, const RelayRequest&, RequestVersions&);
     ~EngineChoice();
 
     // For a caller who reconnects, requests the location of the run from other VMs, and calls back once. Returns false,
@@ -82,7 +82,7 @@
     std::optional<EndpointAvailability> nextAvailability() const;
 
 private:
-    EngineChoice(RelayContext&, const RelayRequest&, RequestRollout&);
+    EngineChoice(RelayContext&, const RelayRequest&, RequestVersions&);
     // Null where VMs do not share run locations.
     RunLocations* runLocations() const;
     void onEarlierRunFound(const std::optional<RunLocation>&);
@@ -103,7 +103,7 @@
 
     RelayContext& m_context;
     const RelayRequest& m_request;
-    RequestRollout& m_rollout;
+    RequestVersions& m_versions;
     Engines m_failed;
     std::shared_ptr<RelayEndpoint> m_earlierEngine;
     std::vector<RunTarget> m_copies;
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -64,9 +64,9 @@
     : m_context(context)
     , m_request(std::move(request))
     , m_timing(m_context, m_request)
-    , m_rollout(m_context, m_request)
+    , m_versions(m_context, m_request)
     , m_crashTracker(m_context, m_request)
-    , m_choice(EngineChoice::make(m_context, m_request, m_rollout))
+    , m_choice(EngineChoice::make(m_context, m_request, m_versions))
     , m_answer(StreamResponse::make(m_request))
     , m_deadlineTimer(context.ioContext)
     , m_retryTimer(context.ioContext)
@@ -87,11 +87,11 @@
     m_livenessMonitor = RunLivenessMonitor::make(m_context, m_request,
         { ifNotFinished(&EventStreamCall::runStalled), ifNotFinished(&EventStreamCall::considerMove) });
     m_mover
-        = std::make_unique<RunMover>(m_context, m_request, m_rollout, [weak = weak_from_this()](const RunMove& move) {
+        = std::make_unique<RunMover>(m_context, m_request, m_versions, [weak = weak_from_this()](const RunMove& move) {
               if (const auto self = weak.lock(); self && !self->m_isFinished)
                   self->moveFinished(move);
           });
-    m_copier = std::make_unique<RunCopier>(m_context, m_request, m_rollout);
+    m_copier = std::make_unique<RunCopier>(m_context, m_request, m_versions);
     m_crashTracker.begin(ifNotFinished(&EventStreamCall::requestBecameHeld));
     m_deadlineTimer.expires_after(m_request.deadline - m_context.now());
     m_deadlineTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
@@ -292,7 +292,7 @@
     fields.continueFrom = std::move(copy);
 
     logRunSent(m_request, *run, *m_answer, m_attempts == 0, now);
-    m_rollout.noteSent();
+    m_versions.noteSent();
     ++m_attempts;
     ++m_possibleDeliveries;
     ++m_possibleRuns;
@@ -429,7 +429,7 @@
     if (!m_answer->hasBegun()) {
         const auto usual = m_context.pace(m_request.service).medianTimeToFirstEvent(m_request.fields.promptTokens);
         if (!run.isFromCopy && !m_request.fields.lastEventId)
-            m_rollout.noteAnswerAfter(*run.endpoint, now - run.startedAt, usual);
+            m_versions.noteAnswerAfter(*run.endpoint, now - run.startedAt, usual);
         m_timing.recordPromptTime(run, now);
         m_wasLate = now > m_request.firstAttemptAt + m_request.route->objective && !m_request.fields.lastEventId;
         // A caller that resumes a stream was counted when it began.
@@ -544,7 +544,7 @@
     logRunFailed(m_request, *run, *m_answer, kind, now);
     m_context.metrics.countFailure(kind);
     if (wasSent) {
-        m_rollout.noteAnswer(*run->endpoint, AnswerQuality::Bad);
+        m_versions.noteAnswer(*run->endpoint, AnswerQuality::Bad);
         m_crashTracker.noteUnfinished(run->endpoint, run->startedAt, m_timing.describeUnfinishedRun(*run, kind, now));
     } else {
         --m_possibleRuns;
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -15,7 +15,7 @@
 #include "relay/EndpointCall.h"
 #include "relay/RelayRefusal.h"
 #include "relay/RelayRequest.h"
-#include "relay/RequestRollout.h"
+#include "relay/RequestVersions.h"
 #include "relay/StreamRun.h"
 #include "relay/StreamTiming.h"
 #include "retries/RetryLoanSource.h"
@@ -102,7 +102,7 @@
     RelayContext& m_context;
     const RelayRequest m_request;
     StreamTiming m_timing;
-    RequestRollout m_rollout;
+    RequestVersions m_versions;
     CrashTracker m_crashTracker;
     const std::shared_ptr<EngineChoice> m_choice;
     const std::shared_ptr<StreamResponse> m_answer;
--- a/src/relay/RequestRollout.cpp
+++ b/src/relay/RequestVersions.cpp
@@ -1,4 +1,4 @@
-#include "relay/RequestRollout.h"
+#include "relay/RequestVersions.h"
 
 #include "relay/EndpointDirectory.h"
 #include "relay/RelayContext.h"
@@ -18,20 +18,20 @@
 
 } // namespace
 
-RequestRollout::RequestRollout(RelayContext& context, const RelayRequest& request)
+RequestVersions::RequestVersions(RelayContext& context, const RelayRequest& request)
     : m_context(context)
     , m_request(request)
 {
 }
 
-bool RequestRollout::hasRunner(const VersionChoice& choice) const
+bool RequestVersions::hasRunner(const VersionChoice& choice) const
 {
     const auto& runners = m_context.directory.endpointsOf(m_request.service);
     return std::any_of(runners.begin(), runners.end(),
         [&choice](const auto& runner) { return !runner->isShuttingDown() && choice.admits(runner->entry().version); });
 }
 
-VersionChoice RequestRollout::next()
+VersionChoice RequestVersions::next()
 {
     auto* const rollout = m_context.rollouts.find(m_request.service);
     if (!rollout)
@@ -48,7 +48,7 @@
     return *m_firstChoice;
 }
 
-VersionChoice RequestRollout::choiceForCopies(const RelayEndpoint& engine) const
+VersionChoice RequestVersions::choiceForCopies(const RelayEndpoint& engine) const
 {
     const auto* const rollout = m_context.rollouts.find(m_request.service);
     if (!rollout)
@@ -60,7 +60,7 @@
     return hasRunner(choice) ? choice : VersionChoice {};
 }
 
-void RequestRollout::noteAnswer(const RelayEndpoint& endpoint, AnswerQuality quality) const
+void RequestVersions::noteAnswer(const RelayEndpoint& endpoint, AnswerQuality quality) const
 {
     auto* const rollout = m_context.rollouts.find(m_request.service);
     if (!rollout || rollout->decision() != RolloutDecision::Undecided)
@@ -70,7 +70,7 @@
         m_request.route->name, isCandidate ? RunnerVersion::Candidate : RunnerVersion::Present, quality);
 }
 
-void RequestRollout::noteAnswerAfter(
+void RequestVersions::noteAnswerAfter(
     const RelayEndpoint& endpoint, Milliseconds latency, Milliseconds usualLatency) const
 {
     const bool isSlow = latency > std::max(slowFactor * usualLatency, minSlowLatency);
--- a/src/relay/RequestRollout.h
+++ b/src/relay/RequestVersions.h
@@ -1,10 +1,10 @@
 // One request's part in its service's rollout, if there is one: selects the versions of the runners to which the
 // request may be sent, and reports the quality of their answers.
 //
-//     RequestRollout rollout(context, request);
-//     conditions.version = rollout.next();         // The same choice until the request has been sent.
-//     rollout.noteSent();
-//     rollout.noteAnswer(*endpoint, AnswerQuality::Bad);
+//     RequestVersions versions(context, request);
+//     conditions.version = versions.next();        // The same choice until the request has been sent.
+//     versions.noteSent();
+//     versions.noteAnswer(*endpoint, AnswerQuality::Bad);
 //
 // Used on the relay's thread only. The context and the request must outlive it.
 #pragma once
@@ -20,9 +20,9 @@
 struct RelayContext;
 struct RelayRequest;
 
-class RequestRollout {
+class RequestVersions {
 public:
-    RequestRollout(RelayContext&, const RelayRequest&);
+    RequestVersions(RelayContext&, const RelayRequest&);
 
     // Runners for the next send. Only the first send may go to the candidate version; retries and hedges may not.
     VersionChoice next();
--- a/src/relay/RunMover.cpp
+++ b/src/relay/RunMover.cpp
@@ -8,7 +8,7 @@
 #include "relay/RelayContext.h"
 #include "relay/RelayRequest.h"
 #include "relay/RelaySettings.h"
-#include "relay/RequestRollout.h"
+#include "relay/RequestVersions.h"
 #include "relay/RunCopy.h"
 #include "relay/RunRelocation.h"
 #include "relay/StreamRun.h"
@@ -17,10 +17,10 @@
 
 namespace lupinknot::internal {
 
-RunMover::RunMover(RelayContext& context, const RelayRequest& request, RequestRollout& rollout, Callback callback)
+RunMover::RunMover(RelayContext& context, const RelayRequest& request, RequestVersions& versions, Callback callback)
     : m_context(context)
     , m_request(request)
-    , m_rollout(rollout)
+    , m_versions(versions)
     , m_callback(std::move(callback))
 {
 }
@@ -59,7 +59,7 @@
     const bool isPossible
         = service && service->copiesRunningMemory && m_request.route->mayRunAgain() && !run.endpoint->isInBackOff(now);
     // A run at a candidate version is not sent to that version again, and its KV cache cannot move to another version.
-    const bool isVersionAllowed = m_rollout.next().admits(run.endpoint->entry().version);
+    const bool isVersionAllowed = m_versions.next().admits(run.endpoint->entry().version);
     return isPossible && isVersionAllowed && outlook.hasAttemptLeft && run.hasEvent
         && outlook.expectedTimeLeft >= m_context.settings.minTimeLeftForRelocation
         && !m_context.directory.isZoneAvoided(m_request.service, run.endpoint->entry().availabilityZone, now);
@@ -78,7 +78,7 @@
     excluded.push_back(run.endpoint);
     const auto target = m_context.placement.choose({ .service = m_request.service,
                                                        .excluded = std::move(excluded),
-                                                       .version = m_rollout.next(),
+                                                       .version = m_versions.next(),
                                                        .mustBeHealthy = true,
                                                        .limited = LimitedEndpoints::Excluded },
         now);
--- a/src/relay/RunMover.h
+++ b/src/relay/RunMover.h
@@ -1,7 +1,7 @@
 // Relocates a stream's run preemptively, to an engine where it gets a live copy (a KV-cache copy on another engine that
 // is updated while the run continues).
 //
-//     RunMover mover(context, request, rollout, [this](const RunMove& move) { ... });
+//     RunMover mover(context, request, versions, [this](const RunMove& move) { ... });
 //     mover.consider(run, { hasAttemptLeft, expectedTimeLeft }, failedEngines);   // Called periodically.
 //
 // A retry is taken from the budget when a move begins, because a run that has been stopped must be continued. The user
@@ -18,7 +18,7 @@
 namespace lupinknot::internal {
 
 class RelayEndpoint;
-class RequestRollout;
+class RequestVersions;
 class RunRelocation;
 struct RelayContext;
 struct RelayRequest;
@@ -47,8 +47,8 @@
     using Callback = std::function<void(const RunMove&)>;
     using Engines = std::vector<std::shared_ptr<RelayEndpoint>>;
 
-    // The context, the request and the request's rollout must outlive the mover.
-    RunMover(RelayContext&, const RelayRequest&, RequestRollout&, Callback);
+    // The context, the request and the request's versions must outlive the mover.
+    RunMover(RelayContext&, const RelayRequest&, RequestVersions&, Callback);
     ~RunMover();
     RunMover(const RunMover&) = delete;
     RunMover& operator=(const RunMover&) = delete;
@@ -68,7 +68,7 @@
 
     RelayContext& m_context;
     const RelayRequest& m_request;
-    RequestRollout& m_rollout;
+    RequestVersions& m_versions;
     const Callback m_callback;
     std::shared_ptr<RunRelocation> m_relocation;
     // Earliest time of the next move. 0 until a first delay is set, which spreads the moves of many streams.
