Continue a stream only at the software version that began it

Cause: the version was no part of the decision where a stream continues (hypothesis 1): copies, continuations and relocations asked only the service's rollout, and without an order any version will do. And a VM to which a caller returns did not know the version (hypothesis 2): notes of runs had none, and were found by the prompt. The class of fault: state that belongs to a stream was kept nowhere beyond the process that served it, and endpoints were taken for interchangeable. Hypothesis 3 (an engine restarts at another version under its id) is ruled out as the cause: the tests fail without any restart.

Change: RequestVersions binds a stream to the version of its first event; engines, copies and relocations follow it, within a rollout too. Notes of runs carry the version, are written once the stream has events, and are found by the request's content and the attempt that the caller names in Resumes. Where there is no note, a service's only version of the last 60 s is the stream's; a VM that has just started reads the recent versions from a table of the store. Unknown and gone versions are refused at once with 503 version-unknown or version-gone.

FindsItsCopyAtAnEngineThatIsListedUnderANewId listed the restarted engine without a version; it now lists the one that it had, and still demands the copy.

--- a/src/admission/RefusalReason.h
+++ b/src/admission/RefusalReason.h
@@ -20,6 +20,8 @@
     TooLittleTime,
     HeldInQuarantine,
     CrashedEndpoints,
+    VersionUnknown,
+    VersionGone,
 };
 
 } // namespace lupinknot::internal
--- a/src/copies/RunCopier.cpp
+++ b/src/copies/RunCopier.cpp
@@ -75,8 +75,7 @@
 
 void RunCopier::consider(const StreamRun& run, Milliseconds expectedTimeLeft, const Engines& failed)
 {
-    // A run at a candidate version is not sent to that version again, and its KV cache cannot move to another version.
-    if (!isEnabledFor(run) || !m_versions.next().admits(run.endpoint->entry().version))
+    if (!isEnabledFor(run) || !m_versions.choiceForCopies(*run.endpoint).admits(run.endpoint->entry().version))
         return;
     const auto now = m_context.now();
     const auto decision = m_renewal.decide(describe(run, expectedTimeLeft, now), now);
@@ -109,7 +108,7 @@
     const auto target = m_context.placement.choose({ .service = m_request.service,
                                                        .excluded = std::move(excluded),
                                                        .zonesToAvoid = { run.endpoint->entry().availabilityZone },
-                                                       .version = m_versions.next(),
+                                                       .version = m_versions.choiceForCopies(*run.endpoint),
                                                        .mustBeHealthy = true,
                                                        .limited = LimitedEndpoints::Unrestricted,
                                                        .prefersSafestZone = true },
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -24,6 +24,7 @@
 EndpointDirectory::EndpointDirectory(boost::asio::io_context& ioContext, const RelaySettings& settings)
     : m_ioContext(ioContext)
     , m_settings(settings)
+    , m_versions(settings.streamLifetime)
 {
 }
 
@@ -70,6 +71,7 @@
     if (!removeEarlierIncarnation(entry, now))
         return;
     applyAnnouncedShutdown(entry);
+    m_versions.noteListed(entry.service, entry.version, now);
     m_unconfirmed.missing.erase(entry.id);
     m_unconfirmed.relisted.erase(entry.id);
     const auto known = m_endpointsById.find(entry.id);
@@ -180,6 +182,7 @@
     if (known == m_endpointsById.end() || known->second->isRemoved())
         return;
     const auto& entry = known->second->entry();
+    m_versions.noteListed(entry.service, entry.version, now);
     m_removals.insert_or_assign(entry.incarnationName(), Removal { now, known->second->signals() });
     ++m_counts.removed;
     logEndpoint("endpoint.removed", known->second->entry());
@@ -233,6 +236,8 @@
     std::vector<EndpointEntry> entries, Milliseconds now, std::uint64_t version)
 {
     const bool isFirst = !std::exchange(m_isKnown, true);
+    if (isFirst)
+        m_firstListAt = now;
     const bool mayNameGone = m_listConfirmedAt < m_ignoreGoneUntil;
     const bool mayLackPresent = m_listConfirmedAt < m_keepMissingUntil;
     std::set<std::string> listed;
@@ -323,6 +328,44 @@
         .write();
 }
 
+std::set<std::string> EndpointDirectory::listedVersions(const std::string& service) const
+{
+    std::set<std::string> versions;
+    for (const auto& endpoint : endpointsOf(service)) {
+        if (!endpoint->isRemoved())
+            versions.insert(endpoint->entry().version);
+    }
+    return versions;
+}
+
+std::set<ServiceVersion> EndpointDirectory::versionsInUse(Milliseconds now) const
+{
+    const auto recent = m_versions.recent(now);
+    std::set<ServiceVersion> versions(recent.begin(), recent.end());
+    for (const auto& [id, endpoint] : m_endpointsById) {
+        if (!endpoint->isRemoved())
+            versions.insert({ endpoint->entry().service, endpoint->entry().version });
+    }
+    return versions;
+}
+
+std::optional<std::string> EndpointDirectory::onlyVersion(const std::string& service, Milliseconds now) const
+{
+    return m_versions.onlyVersion(service, listedVersions(service), now);
+}
+
+std::optional<Milliseconds> EndpointDirectory::versionMissingSince(
+    const std::string& service, const std::string& version, Milliseconds now) const
+{
+    const auto& endpoints = endpointsOf(service);
+    const bool isServing = std::any_of(endpoints.begin(), endpoints.end(), [&version](const auto& endpoint) {
+        return !endpoint->isRemoved() && !endpoint->isShuttingDown() && endpoint->entry().version == version;
+    });
+    if (isServing)
+        return std::nullopt;
+    return std::min(now, m_versions.lastListedAt(service, version).value_or(m_firstListAt));
+}
+
 void EndpointDirectory::dropExpired(Milliseconds now)
 {
     applyUnconfirmed(now);
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -21,6 +21,7 @@
 #include "health/ZoneFailureSource.h"
 #include "relay/RelayEndpoint.h"
 #include "relay/RelaySettings.h"
+#include "versions/ServiceVersions.h"
 #include <algorithm>
 #include <deque>
 #include <functional>
@@ -90,6 +91,17 @@
     // The endpoints of the service that were listed in the zone when they were added.
     const std::vector<std::shared_ptr<RelayEndpoint>>& endpointsOf(
         const std::string& service, const std::string& zone) const;
+    // The software versions that were listed recently.
+    ServiceVersions& versions() { return m_versions; }
+    // The versions of the service's endpoints that are listed now, also of those that are shutting down.
+    std::set<std::string> listedVersions(const std::string& service) const;
+    // The versions of all services that are listed now or were recently.
+    std::set<ServiceVersion> versionsInUse(Milliseconds now) const;
+    // The version that began every stream of the service that can still run; empty when there may be several.
+    std::optional<std::string> onlyVersion(const std::string& service, Milliseconds now) const;
+    // Since when no endpoint of the version is listed that takes new work; empty while there is one.
+    std::optional<Milliseconds> versionMissingSince(
+        const std::string& service, const std::string& version, Milliseconds now) const;
     // Drops endpoints whose removal is older than the grace time, and applies what a restored list left unconfirmed
     // once its time has passed.
     void dropExpired(Milliseconds now);
@@ -213,7 +225,9 @@
     Milliseconds m_keepMissingUntil { 0 };
     Milliseconds m_ignoreGoneUntil { 0 };
     Milliseconds m_listConfirmedAt { 0 };
+    ServiceVersions m_versions;
     bool m_isKnown { false };
+    Milliseconds m_firstListAt { 0 };
     std::function<bool(const std::string&)> m_isKnownService;
     std::function<void()> m_onFirstList;
 };
--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -38,59 +38,30 @@
     return m_context.has(Policy::LocationHints) ? m_context.runLocations : nullptr;
 }
 
-// A caller who reconnects with a last event id may have been served by another VM, and an engine may have its prompt
-// cached.
-bool EngineChoice::findEarlierRun(std::function<void()> callback)
+void EngineChoice::setEarlierRun(const RunLocation& location)
 {
-    if (!m_request.fields.lastEventId || m_request.fields.promptId.empty() || !runLocations())
-        return false;
-    runLocations()->find(m_request.fields.promptId,
-        [weak = weak_from_this(), callback = std::move(callback)](const std::optional<RunLocation>& location) {
-            const auto self = weak.lock();
-            if (!self)
-                return;
-            self->onEarlierRunFound(location);
-            callback();
-        });
-    return true;
-}
-
-void EngineChoice::onEarlierRunFound(const std::optional<RunLocation>& location)
-{
-    std::shared_ptr<RelayEndpoint> holder;
-    if (location) {
-        m_earlierEngine = m_context.directory.find(location->endpointId);
-        holder = m_context.directory.find(location->copyHolderId);
-        if (!holder || holder->isRemoved())
-            holder = m_context.directory.findAt(m_request.service, location->copyHolderAddress);
-    }
+    m_earlierEngine = m_context.directory.find(location.endpointId);
+    auto holder = m_context.directory.find(location.copyHolderId);
+    if (!holder || holder->isRemoved())
+        holder = m_context.directory.findAt(m_request.service, location.copyHolderAddress);
     if (holder)
-        m_copies = { { holder, { holder->entry().address, location->requestId }, m_context.now() } };
-    LogEvent("stream.returned")
-        .text("request", m_request.fields.requestId)
-        .text("resumes", m_request.fields.resumedRequestId)
-        .flag("is_run_known", location.has_value())
-        .text("earlier_request", location ? location->requestId : "")
-        .text("earlier_endpoint", location ? location->endpointId : "")
-        .flag("is_engine_known", m_earlierEngine != nullptr)
-        .flag("is_copy_known", holder != nullptr)
-        .write();
+        m_copies = { { holder, { holder->entry().address, location.requestId }, m_context.now() } };
 }
 
 void EngineChoice::noteLocation(const StreamRun& run) const
 {
-    if (!runLocations() || m_request.fields.promptId.empty() || !m_request.route->mayRunAgain())
+    if (!runLocations() || !m_request.route->mayRunAgain())
         return;
     const auto& holder = run.copyHolder;
-    runLocations()->note(m_request.fields.promptId,
+    runLocations()->note(streamIdOf(m_request),
         { run.endpoint->entry().id, holder ? holder->entry().id : "", m_request.fields.requestId,
-            holder ? holder->entry().address : SocketAddress {} });
+            holder ? holder->entry().address : SocketAddress {}, m_versions.boundVersion() });
 }
 
 void EngineChoice::forgetLocation() const
 {
     if (runLocations())
-        runLocations()->forget(m_request.fields.promptId);
+        runLocations()->forget(streamIdOf(m_request));
 }
 
 bool EngineChoice::isHealthy(const RelayEndpoint& engine) const
--- a/src/relay/EngineChoice.h
+++ b/src/relay/EngineChoice.h
@@ -47,10 +47,9 @@
     static std::shared_ptr<EngineChoice> make(RelayContext&, const RelayRequest&, RequestVersions&);
     ~EngineChoice();
 
-    // For a caller who reconnects, requests the location of the run from other VMs, and calls back once. Returns false,
-    // without a callback, when no location can be requested.
-    bool findEarlierRun(std::function<void()> callback);
-    // Publishes the location of the run to other VMs.
+    // Sets where the run was that the caller resumes.
+    void setEarlierRun(const RunLocation&);
+    // Publishes the location of the run, and the version that began the stream, to other VMs.
     void noteLocation(const StreamRun&) const;
     void forgetLocation() const;
 
@@ -85,7 +84,6 @@
     EngineChoice(RelayContext&, const RelayRequest&, RequestVersions&);
     // Null where VMs do not share run locations.
     RunLocations* runLocations() const;
-    void onEarlierRunFound(const std::optional<RunLocation>&);
     // True unless the engine is shutting down, avoided, in back-off, without permits, suspected or in a failing zone.
     bool isHealthy(const RelayEndpoint&) const;
     // The placement for a run that has to prefill the prompt.
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -7,6 +7,7 @@
 #include "copies/RunCopier.h"
 #include "health/EndpointFailureCheck.h"
 #include "http/HttpExchange.h"
+#include "relay/EarlierRunSearch.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/EngineChoice.h"
 #include "relay/PermitWait.h"
@@ -105,8 +106,32 @@
         self->countStream(StreamOutcome::CallerGone);
         self->finish();
     });
-    if (!m_choice->findEarlierRun(ifNotFinished(&EventStreamCall::startRun)))
+    if (!isResumption()) {
         startRun();
+        return;
+    }
+    m_search = EarlierRunSearch::start(m_context, m_request, [weak = weak_from_this()](const EarlierRun& run) {
+        if (const auto self = weak.lock(); self && !self->m_isFinished)
+            self->earlierRunFound(run);
+    });
+}
+
+bool EventStreamCall::isResumption() const
+{
+    return m_request.fields.lastEventId.value_or(0) > 0 || !m_request.fields.resumedRequestId.empty();
+}
+
+void EventStreamCall::earlierRunFound(const EarlierRun& run)
+{
+    logReturned(m_request, run);
+    if (!run.version.version) {
+        refuse(RefusalReason::VersionUnknown);
+        return;
+    }
+    m_versions.bindTo(*run.version.version);
+    if (run.location)
+        m_choice->setEarlierRun(*run.location);
+    startRun();
 }
 
 void EventStreamCall::startRunIfAllowed(
@@ -200,6 +225,11 @@
 {
     if (!mayBeSent())
         return;
+    if (m_versions.isBoundVersionGone()) {
+        logLostRunEnds(continuation::versionGone);
+        giveUp(RefusalReason::VersionGone);
+        return;
+    }
     if (const auto copyLocation = m_choice->copyTarget()) {
         startRunIfAllowed(copyLocation->engine, copyLocation->copy);
         return;
@@ -300,7 +330,8 @@
         run->reading
             = std::make_unique<PrefillScope>(endpoint, m_context.pace(m_request.service).waitingPrompts, run->priority);
     m_run = run;
-    m_choice->noteLocation(*run);
+    if (m_versions.boundVersion())
+        m_choice->noteLocation(*run);
     const auto request = m_context.protocol.encodeForward(exchange->request(), fields);
     run->call = EndpointCall::start(
         m_context, endpoint, request, { m_request.fields.requestId, m_context.settings.maxIdleTime }, weak_from_this());
@@ -414,7 +445,7 @@
     run.endpoint->noteAlive(now);
     m_timing.noteEvents(now);
     if (!run.hasEvent)
-        recordVersion(*run.endpoint);
+        recordVersion(run);
     if (!run.hasEvent && m_failedAt)
         recordResumption(run, now);
     run.hasEvent = true;
@@ -440,20 +471,21 @@
     m_answer->forwardToCaller(run.head, now);
 }
 
-void EventStreamCall::recordVersion(const RelayEndpoint& endpoint)
+void EventStreamCall::recordVersion(const StreamRun& run)
 {
-    const auto& version = endpoint.entry().version;
-    const bool isFirst = !m_answer->hasBegun() && !m_request.fields.lastEventId;
-    if (isFirst)
-        m_beganVersion = version;
-    else
-        m_context.metrics.countContinuation(continuationOf(m_beganVersion, version));
+    const auto& version = run.endpoint->entry().version;
+    if (m_versions.boundVersion()) {
+        m_context.metrics.countContinuation(continuationOf(m_versions.boundVersion(), version));
+        return;
+    }
+    m_versions.bindTo(version);
+    m_choice->noteLocation(run);
 }
 
 void EventStreamCall::recordResumption(const StreamRun& run, Milliseconds now)
 {
     const auto lastEventAt = m_answer->lastEventAt();
-    logRunResumed(m_request, run, m_beganVersion, lastEventAt, *m_failedAt, now);
+    logRunResumed(m_request, run, m_versions.boundVersion(), lastEventAt, *m_failedAt, now);
     m_wasLate = m_wasLate || (lastEventAt && now - *lastEventAt > m_request.route->longestPause);
     if (lastEventAt && now > *lastEventAt)
         m_context.metrics.resumeGap.Observe(static_cast<double>((now - *lastEventAt).count()));
@@ -667,7 +699,7 @@
     std::optional<Milliseconds> retryDelay;
     const auto spread = fractionOfName(m_request.fields.requestId);
     // A retry with the same time left would fail as well.
-    if (reason == RefusalReason::TooLittleTime)
+    if (reason == RefusalReason::TooLittleTime || reason == RefusalReason::VersionGone)
         retryDelay = std::max(m_request.deadline - m_context.now(), m_context.settings.retryAfter);
     if (reason == RefusalReason::TooLittleTime && m_request.rank.isNamed)
         retryDelay = std::max(*retryDelay, m_context.pace(m_request.service).engineRoomAt - m_context.now());
@@ -704,6 +736,7 @@
     m_retryTimer.cancel();
     m_livenessMonitor->stop();
     m_choice->cancel();
+    m_search.reset();
     m_permit.reset();
     m_loanRequest.reset();
     m_mover->cancel();
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -24,6 +24,7 @@
 
 namespace lupinknot::internal {
 
+class EarlierRunSearch;
 class EngineChoice;
 class PermitWait;
 class RunCopier;
@@ -31,6 +32,7 @@
 class RunLivenessMonitor;
 class StreamResponse;
 enum class StreamOutcome;
+struct EarlierRun;
 struct RunMove;
 
 class EventStreamCall final : public EndpointCallListener, public std::enable_shared_from_this<EventStreamCall> {
@@ -46,6 +48,9 @@
 private:
     EventStreamCall(RelayContext&, RelayRequest);
     void begin();
+    // True when the caller resumes a stream of which it has received events.
+    bool isResumption() const;
+    void earlierRunFound(const EarlierRun&);
     // Starts a run at an available engine, waits for one, or gives up.
     void startRun();
     // Starts a run at the endpoint, or at another one if it is rate-limited and grants no permit.
@@ -72,8 +77,8 @@
     // Counts work for the share of the request's organisation.
     void noteWork(double tokens);
     void processEvents(StreamRun&, std::vector<CompleteEvent>&&);
-    // Notes the version that generates the stream, or counts its continuation at the same or another version.
-    void recordVersion(const RelayEndpoint&);
+    // Binds a new stream to the version that generates it and publishes that, or counts its continuation.
+    void recordVersion(const StreamRun&);
     void recordResumption(const StreamRun&, Milliseconds now);
     void handleNonStreamResponse(const std::shared_ptr<StreamRun>&);
     void runFailed(FailureKind);
@@ -105,6 +110,8 @@
     RequestVersions m_versions;
     CrashTracker m_crashTracker;
     const std::shared_ptr<EngineChoice> m_choice;
+    // Set while the run is searched that the caller resumes.
+    std::shared_ptr<EarlierRunSearch> m_search;
     const std::shared_ptr<StreamResponse> m_answer;
     std::shared_ptr<StreamRun> m_run;
     // Set by begin().
@@ -127,8 +134,6 @@
     // A retry that another VM has lent for the next run.
     std::optional<RetryLoan> m_loan;
     unsigned m_rejectedRuns { 0 };
-    // Version of the endpoint that generated the stream's first event, if it is known.
-    std::optional<std::string> m_beganVersion;
     std::optional<Milliseconds> m_failedAt;
     // Why the answer is late or certain to be late, as known when the last run was sent.
     Lateness m_lateness { Lateness::InTime };
--- a/src/relay/LocationKeeperChoice.h
+++ b/src/relay/LocationKeeperChoice.h
@@ -1,11 +1,11 @@
-// Chooses the VMs that store the run location of a prompt. A VM that looks it up computes the same VMs from the prompt
-// alone.
+// Chooses the VMs that store the run location of a stream. A VM that looks it up computes the same VMs from the
+// id alone.
 //
 //     const LocationKeepers keepers(names);
 //     const auto chosen = keepers.choose("91bd3f06");     // Indices into the names, best first.
 //
 // Uses rendezvous hashing among a few VMs of the fleet, so that a VM talks to few others however large the fleet is.
-// VMs with different lists agree on most prompts; the location is only a hint, and nothing depends on it.
+// VMs with different lists agree on most streams.
 //
 // A plain value; thread-safe while it is not assigned.
 #pragma once
@@ -29,7 +29,7 @@
     explicit LocationKeepers(const std::vector<std::string>& vmNames);
 
     // Indices into the list, best first.
-    std::vector<std::size_t> choose(const std::string& promptId) const;
+    std::vector<std::size_t> choose(const std::string& streamId) const;
 
 private:
     struct Keeper {
--- a/src/relay/RelayRefusal.cpp
+++ b/src/relay/RelayRefusal.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::array<RefusalTraits, 16> refusalTable { {
+constexpr std::array<RefusalTraits, 18> refusalTable { {
     { RefusalReason::Malformed, "malformed", 400, true, "the request lacks a field or has one that cannot be read" },
     { RefusalReason::UnknownKey, "unknown-key", 401, true, "the key belongs to no organisation; check the key" },
     { RefusalReason::UnknownRoute, "unknown-route", 404, true, "no route has this host and path" },
@@ -32,6 +32,10 @@
         "endpoints have ended each time they began this request; it is not sent to any for a while" },
     { RefusalReason::CrashedEndpoints, "ended-endpoints", 502, false,
         "endpoints have ended each time they began this request, and it is sent to no more of them" },
+    { RefusalReason::VersionUnknown, "version-unknown", 503, true,
+        "this VM does not know which software version began the stream; try again at another one" },
+    { RefusalReason::VersionGone, "version-gone", 503, true,
+        "the software version that began the stream has no endpoint any more; begin the stream again from its start" },
 } };
 
 } // namespace
--- /dev/null
+++ b/src/relay/RelayRequest.cpp
@@ -0,0 +1,20 @@
+#include "relay/RelayRequest.h"
+
+#include <cinttypes>
+#include <cstdio>
+#include <xxhash.h>
+
+namespace lupinknot::internal {
+
+std::string streamIdOf(const RelayRequest& request)
+{
+    const auto& fields = request.fields;
+    const auto& firstAttempt = fields.resumedRequestId.empty() ? fields.requestId : fields.resumedRequestId;
+    const auto name = request.digest + firstAttempt;
+    char digits[2 * sizeof(std::uint64_t) + 1];
+    std::snprintf(
+        digits, sizeof(digits), "%016" PRIx64, static_cast<std::uint64_t>(XXH3_64bits(name.data(), name.size())));
+    return digits;
+}
+
+} // namespace lupinknot::internal
--- a/src/relay/RelayRequest.h
+++ b/src/relay/RelayRequest.h
@@ -29,6 +29,10 @@
     Milliseconds deadline { 0 };
 };
 
+// Identifies the stream that the request begins or resumes, the same at all attempts of its caller that concern it.
+// Hexadecimal. Another request that names the same attempt has another id.
+std::string streamIdOf(const RelayRequest&);
+
 // The rank in logs: -1 when the configuration names none.
 inline std::int64_t loggedRank(const RequestRank& rank)
 {
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -109,6 +109,16 @@
     CopyRenewalSettings copies {};
     // How long a stream without an event waits for an endpoint when none is available.
     Milliseconds waitForEndpoint { 900 };
+    // How long a VM remembers which software versions were listed, and an upper limit of a stream's life over all
+    // attempts of its caller.
+    Milliseconds streamLifetime { 60000 };
+    // A version without endpoints for this long is gone, and with it the streams that began at it. Endpoints that
+    // restart after a crash are listed again within about two seconds.
+    Milliseconds versionGoneAfter { 3000 };
+    // How long a VM searches for the version that began a stream while other VMs or the store do not answer, and the
+    // interval between two searches.
+    Milliseconds versionSearchTime { 1500 };
+    Milliseconds versionSearchInterval { 250 };
     // Interval between attempts to find an available endpoint.
     Milliseconds endpointRetryInterval { 40 };
 
--- a/src/relay/RequestVersions.cpp
+++ b/src/relay/RequestVersions.cpp
@@ -3,6 +3,7 @@
 #include "relay/EndpointDirectory.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayRequest.h"
+#include "relay/RelaySettings.h"
 
 #include <algorithm>
 
@@ -31,8 +32,53 @@
         [&choice](const auto& runner) { return !runner->isShuttingDown() && choice.admits(runner->entry().version); });
 }
 
+void RequestVersions::noteSent()
+{
+    m_hasSent = true;
+    m_isContinuationCounted = false;
+}
+
+bool RequestVersions::isIndistinct(const std::string& version) const
+{
+    return version.empty() && m_context.directory.listedVersions(m_request.service).size() > 1;
+}
+
+bool RequestVersions::mayContinueAt(const std::string& version) const
+{
+    const auto* const rollout = m_context.rollouts.find(m_request.service);
+    return !isIndistinct(version) && (!rollout || rollout->admitsContinuation(version, m_context.now()));
+}
+
+VersionChoice RequestVersions::continuation()
+{
+    const VersionChoice none { VersionChoice::Rule::None, "" };
+    if (!mayContinueAt(*m_boundVersion))
+        return none;
+    auto* const rollout = m_context.rollouts.find(m_request.service);
+    if (rollout && rollout->order().candidate == *m_boundVersion && !m_isContinuationCounted) {
+        if (!rollout->tryContinueAtCandidate(m_context.now()))
+            return none;
+        m_isContinuationCounted = true;
+    }
+    return { VersionChoice::Rule::Only, *m_boundVersion };
+}
+
+bool RequestVersions::isBoundVersionGone() const
+{
+    if (!m_boundVersion)
+        return false;
+    const auto now = m_context.now();
+    const auto* const rollout = m_context.rollouts.find(m_request.service);
+    if (isIndistinct(*m_boundVersion) || (rollout && rollout->isExcluded(*m_boundVersion, now)))
+        return true;
+    const auto missingSince = m_context.directory.versionMissingSince(m_request.service, *m_boundVersion, now);
+    return missingSince && now - *missingSince >= m_context.settings.versionGoneAfter;
+}
+
 VersionChoice RequestVersions::next()
 {
+    if (m_boundVersion)
+        return continuation();
     auto* const rollout = m_context.rollouts.find(m_request.service);
     if (!rollout)
         return {};
@@ -50,14 +96,8 @@
 
 VersionChoice RequestVersions::choiceForCopies(const RelayEndpoint& engine) const
 {
-    const auto* const rollout = m_context.rollouts.find(m_request.service);
-    if (!rollout)
-        return {};
-    const auto& candidate = rollout->order().candidate;
-    if (engine.entry().version == candidate)
-        return { VersionChoice::Rule::Only, candidate };
-    const auto choice = rollout->choiceForCopies(m_context.now());
-    return hasRunner(choice) ? choice : VersionChoice {};
+    const auto& version = engine.entry().version;
+    return { mayContinueAt(version) ? VersionChoice::Rule::Only : VersionChoice::Rule::None, version };
 }
 
 void RequestVersions::noteAnswer(const RelayEndpoint& endpoint, AnswerQuality quality) const
--- a/src/relay/RunLocationCache.cpp
+++ b/src/relay/RunLocationCache.cpp
@@ -8,28 +8,28 @@
 {
 }
 
-void RunLocationCache::put(const std::string& promptId, RunLocation location, Milliseconds now)
+void RunLocationCache::put(const std::string& streamId, RunLocation location, Milliseconds now)
 {
-    m_entries.insert_or_assign(promptId, Entry { std::move(location), now });
-    m_insertions.push_back({ promptId, now });
+    m_entries.insert_or_assign(streamId, Entry { std::move(location), now });
+    m_insertions.push_back({ streamId, now });
     evictOld(now);
 }
 
-void RunLocationCache::remove(const std::string& promptId) { m_entries.erase(promptId); }
+void RunLocationCache::remove(const std::string& streamId) { m_entries.erase(streamId); }
 
-const RunLocation* RunLocationCache::find(const std::string& promptId, Milliseconds now) const
+const RunLocation* RunLocationCache::find(const std::string& streamId, Milliseconds now) const
 {
-    const auto found = m_entries.find(promptId);
+    const auto found = m_entries.find(streamId);
     return found == m_entries.end() || isExpired(found->second.storedAt, now) ? nullptr : &found->second.location;
 }
 
 void RunLocationCache::evictOld(Milliseconds now)
 {
-    // m_insertions may hold more elements than m_entries, because a prompt may be put more than once.
+    // m_insertions may hold more elements than m_entries, because a stream may be put more than once.
     while (
         !m_insertions.empty() && (m_insertions.size() > m_capacity || isExpired(m_insertions.front().storedAt, now))) {
         const auto& oldest = m_insertions.front();
-        const auto found = m_entries.find(oldest.promptId);
+        const auto found = m_entries.find(oldest.streamId);
         if (found != m_entries.end() && found->second.storedAt == oldest.storedAt)
             m_entries.erase(found);
         m_insertions.pop_front();
--- a/src/relay/RunLocationCache.h
+++ b/src/relay/RunLocationCache.h
@@ -18,11 +18,11 @@
 public:
     RunLocationCache(Milliseconds lifetime, std::size_t capacity);
 
-    // Replaces the prompt's previous location.
-    void put(const std::string& promptId, RunLocation, Milliseconds now);
-    void remove(const std::string& promptId);
+    // Replaces the stream's previous location.
+    void put(const std::string& streamId, RunLocation, Milliseconds now);
+    void remove(const std::string& streamId);
     // Returns null when there is no unexpired entry. The pointer is valid until the next change of the cache.
-    const RunLocation* find(const std::string& promptId, Milliseconds now) const;
+    const RunLocation* find(const std::string& streamId, Milliseconds now) const;
     std::size_t size() const { return m_entries.size(); }
 
 private:
@@ -31,7 +31,7 @@
         Milliseconds storedAt;
     };
     struct Insertion {
-        std::string promptId;
+        std::string streamId;
         Milliseconds storedAt;
     };
 
--- a/src/relay/RunLocations.h
+++ b/src/relay/RunLocations.h
@@ -1,9 +1,9 @@
-// Shares among the VMs at which engines the runs of prompts are.
+// Shares among the VMs at which engines the runs of streams are, and which software version began each stream.
 //
 // A caller whose VM has failed reconnects to another VM. That VM sends the request to the engine that was running it,
-// which has the prompt in its cache, or to the engine that holds a copy of the run, if it can look them up. Locations
-// are hints: they may be lost or outdated, and only the choice of an engine depends on them. Used on the relay's thread
-// only.
+// which has the prompt in its cache, or to the engine that holds a copy of the run, if it can look them up. Engines are
+// hints: they may be outdated. The version is exact, because a stream is noted only once it has events and keeps its
+// version from then on. Either may be lost. Used on the relay's thread only.
 #pragma once
 
 #include "http/SocketAddress.h"
@@ -21,17 +21,27 @@
     std::string requestId;
     // Address of the copy holder: it may have restarted under another id before the copy was sent there.
     SocketAddress copyHolderAddress {};
+    // The software version that began the stream; nothing in the notes of a release that did not record it.
+    std::optional<std::string> version {};
+};
+
+// Result of a search for a stream's run.
+struct RunLocationResult {
+    std::optional<RunLocation> location;
+    // False when a VM or a store that may know the run did not answer.
+    bool isComplete { true };
 };
 
 class RunLocations {
 public:
-    using FindCallback = std::function<void(const std::optional<RunLocation>&)>;
+    using FindCallback = std::function<void(const RunLocationResult&)>;
 
     virtual ~RunLocations() = default;
-    virtual void note(const std::string& promptId, const RunLocation&) = 0;
-    virtual void forget(const std::string& promptId) = 0;
-    // Calls back exactly once after a short time, with nothing when no location is known.
-    virtual void find(const std::string& promptId, FindCallback) = 0;
+    // Stream ids are hexadecimal (streamIdOf).
+    virtual void note(const std::string& streamId, const RunLocation&) = 0;
+    virtual void forget(const std::string& streamId) = 0;
+    // Calls back exactly once after a short time.
+    virtual void find(const std::string& streamId, FindCallback) = 0;
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/RunMover.cpp
+++ b/src/relay/RunMover.cpp
@@ -58,8 +58,8 @@
     const auto* service = m_context.configuration->findService(m_request.service);
     const bool isPossible
         = service && service->copiesRunningMemory && m_request.route->mayRunAgain() && !run.endpoint->isInBackOff(now);
-    // A run at a candidate version is not sent to that version again, and its KV cache cannot move to another version.
-    const bool isVersionAllowed = m_versions.next().admits(run.endpoint->entry().version);
+    const auto& version = run.endpoint->entry().version;
+    const bool isVersionAllowed = m_versions.choiceForCopies(*run.endpoint).admits(version);
     return isPossible && isVersionAllowed && outlook.hasAttemptLeft && run.hasEvent
         && outlook.expectedTimeLeft >= m_context.settings.minTimeLeftForRelocation
         && !m_context.directory.isZoneAvoided(m_request.service, run.endpoint->entry().availabilityZone, now);
@@ -78,7 +78,7 @@
     excluded.push_back(run.endpoint);
     const auto target = m_context.placement.choose({ .service = m_request.service,
                                                        .excluded = std::move(excluded),
-                                                       .version = m_versions.next(),
+                                                       .version = m_versions.choiceForCopies(*run.endpoint),
                                                        .mustBeHealthy = true,
                                                        .limited = LimitedEndpoints::Excluded },
         now);
--- a/src/relay/StreamLog.cpp
+++ b/src/relay/StreamLog.cpp
@@ -1,6 +1,7 @@
 #include "relay/StreamLog.h"
 
 #include "common/EventLog.h"
+#include "relay/EarlierRunSearch.h"
 #include "relay/EndpointCall.h"
 #include "relay/RelayEndpoint.h"
 #include "relay/RelayRequest.h"
@@ -44,6 +45,19 @@
         .write();
 }
 
+void logReturned(const RelayRequest& request, const EarlierRun& run)
+{
+    LogEvent("stream.returned")
+        .text("request", request.fields.requestId)
+        .text("resumes", request.fields.resumedRequestId)
+        .text("earlier_request", run.location ? run.location->requestId : "")
+        .text("earlier_endpoint", run.location ? run.location->endpointId : "")
+        .flag("is_run_known", run.location.has_value())
+        .text("version", run.version.version.value_or(""))
+        .text("version_source", nameIn(versionSourceNames, run.version.source))
+        .write();
+}
+
 void logRunRejected(const RelayRequest& request, const StreamRun& run)
 {
     LogEvent("stream.turned-away")
--- a/src/relay/StreamLog.h
+++ b/src/relay/StreamLog.h
@@ -15,17 +15,20 @@
 inline constexpr std::string_view runsUsedUp = "runs-used-up";
 inline constexpr std::string_view noEngine = "no-engine";
 inline constexpr std::string_view held = "held";
+inline constexpr std::string_view versionGone = "version-gone";
 inline constexpr std::string_view copyGone = "copy-gone";
 inline constexpr std::string_view copyRejected = "copy-rejected";
 } // namespace continuation
 
 class StreamResponse;
+struct EarlierRun;
 struct RelayRequest;
 struct RunMove;
 struct StreamRun;
 
 void logRunSent(const RelayRequest&, const StreamRun&, const StreamResponse&, bool isFirst, Milliseconds now);
 void logFirstEvent(const RelayRequest&, const StreamRun&, Milliseconds now);
+void logReturned(const RelayRequest&, const EarlierRun&);
 void logRunRejected(const RelayRequest&, const StreamRun&);
 void logRunFailed(const RelayRequest&, const StreamRun&, const StreamResponse&, FailureKind, Milliseconds now);
 // lastEventAt is the time of the last event before the failure, if there was one; failedAt is when the failure was
--- a/src/rollout/Rollout.cpp
+++ b/src/rollout/Rollout.cpp
@@ -32,6 +32,25 @@
     return provenChoice(now);
 }
 
+bool Rollout::admitsContinuation(const std::string& version, Milliseconds now) const
+{
+    const bool isOpenCandidate = version == m_order.candidate && m_decision == RolloutDecision::Undecided;
+    return isOpenCandidate ? isCandidatePermitted(now) : provenChoice(now).admits(version);
+}
+
+bool Rollout::tryContinueAtCandidate(Milliseconds now)
+{
+    return admitsContinuation(m_order.candidate, now)
+        && (m_decision != RolloutDecision::Undecided || m_budget.tryConsume());
+}
+
+bool Rollout::isExcluded(const std::string& version, Milliseconds now) const
+{
+    if (m_decision == RolloutDecision::Undecided)
+        return version == m_order.candidate && m_isStopped;
+    return !provenChoice(now).admits(version);
+}
+
 VersionChoice Rollout::choiceForCopies(Milliseconds now) const
 {
     if (m_decision == RolloutDecision::Undecided && m_isReady && isCandidatePermitted(now))
--- a/src/rollout/Rollout.h
+++ b/src/rollout/Rollout.h
@@ -60,6 +60,13 @@
     // The same for a request that continues after a failure, or for any other that must not go to an undecided
     // candidate.
     VersionChoice provenChoice(Milliseconds now) const;
+    // Whether a stream that began at the version may continue there. While the order is undecided, a continuation at
+    // the candidate counts as exposed: see tryContinueAtCandidate().
+    bool admitsContinuation(const std::string& version, Milliseconds now) const;
+    // Counts a stream that continues at the candidate as exposed; false when that is not permitted now.
+    bool tryContinueAtCandidate(Milliseconds now);
+    // True once no request may go to the version again.
+    bool isExcluded(const std::string& version, Milliseconds now) const;
     // The runners that copies of runs should be placed on.
     VersionChoice choiceForCopies(Milliseconds now) const;
     void noteAnswer(const std::string& route, RunnerVersion, AnswerQuality);
--- a/src/rollout/VersionChoice.h
+++ b/src/rollout/VersionChoice.h
@@ -10,6 +10,7 @@
         Any, // No rollout is known.
         Only, // Only runners of the version.
         Not, // All runners except those of the version.
+        None, // No runner.
     };
 
     Rule rule { Rule::Any };
@@ -17,7 +18,17 @@
 
     bool admits(const std::string& runnersVersion) const
     {
-        return rule == Rule::Any || (rule == Rule::Only) == (runnersVersion == version);
+        switch (rule) {
+        case Rule::Any:
+            return true;
+        case Rule::Only:
+            return runnersVersion == version;
+        case Rule::Not:
+            return runnersVersion != version;
+        case Rule::None:
+            break;
+        }
+        return false;
     }
 };
 
--- /dev/null
+++ b/src/versions/ServiceVersions.cpp
@@ -0,0 +1,65 @@
+#include "versions/ServiceVersions.h"
+
+namespace lupinknot::internal {
+
+ServiceVersions::ServiceVersions(Milliseconds streamLifetime)
+    : m_streamLifetime(streamLifetime)
+{
+}
+
+void ServiceVersions::applyHistory(const std::vector<ServiceVersion>& history, Milliseconds now)
+{
+    m_historyUnknownSince.reset();
+    for (const auto& [service, version] : history)
+        m_listedAt.insert_or_assign({ service, version }, now);
+}
+
+bool ServiceVersions::isHistoryKnown(Milliseconds now) const
+{
+    return !m_historyUnknownSince || !isRecent(*m_historyUnknownSince, now);
+}
+
+void ServiceVersions::noteListed(const std::string& service, const std::string& version, Milliseconds now)
+{
+    const ServiceVersion listed { service, version };
+    const auto known = m_listedAt.find(listed);
+    if (known != m_listedAt.end() && isRecent(known->second, now)) {
+        known->second = now;
+        return;
+    }
+    std::erase_if(m_listedAt, [&](const auto& entry) { return !isRecent(entry.second, now); });
+    m_listedAt.emplace(listed, now);
+    if (m_onNewVersion)
+        m_onNewVersion(listed);
+}
+
+std::optional<Milliseconds> ServiceVersions::lastListedAt(const std::string& service, const std::string& version) const
+{
+    const auto found = m_listedAt.find({ service, version });
+    return found == m_listedAt.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::optional<std::string> ServiceVersions::onlyVersion(
+    const std::string& service, const std::set<std::string>& listed, Milliseconds now) const
+{
+    if (!isHistoryKnown(now))
+        return std::nullopt;
+    auto versions = listed;
+    for (const auto& [known, listedAt] : m_listedAt) {
+        if (known.service == service && isRecent(listedAt, now))
+            versions.insert(known.version);
+    }
+    return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
+}
+
+std::vector<ServiceVersion> ServiceVersions::recent(Milliseconds now) const
+{
+    std::vector<ServiceVersion> versions;
+    for (const auto& [known, listedAt] : m_listedAt) {
+        if (isRecent(listedAt, now))
+            versions.push_back(known);
+    }
+    return versions;
+}
+
+} // namespace lupinknot::internal
--- a/test/EventStreamCallTest.cpp
+++ b/test/EventStreamCallTest.cpp
@@ -130,7 +130,7 @@
     const auto caller = relay->call("/stream/1");
     CHECK(relay->runUntil([&] { return caller->body.size() >= events(1, 2).size(); }));
     relay->daemon().directory().upsert(
-        { "e9", "s", { "127.0.0.1", holder.port() }, "b", 4, false }, relay->daemon().clock().now());
+        { "e9", "s", { "127.0.0.1", holder.port() }, "b", 4, false, "v1" }, relay->daemon().clock().now());
     engine.connections().front()->reset();
     await(caller);
     STRCMP_EQUAL(events(1, 4).c_str(), caller->body.c_str());
--- a/test/PartitionedFleet.cpp
+++ b/test/PartitionedFleet.cpp
@@ -173,7 +173,7 @@
     internal::HttpRequest request { "POST", "/stories/",
         { { "Host", "h" }, { "X-Request-Id", requestId }, { "X-Deadline-Ms", std::to_string(streamDeadline.count()) },
             { "X-Prompt-Prefix", "5e55:100" }, { "X-Token-Usage", "100,500" }, { "Connection", "close" } },
-        "body of " + requestId };
+        "body" };
     for (const auto& field : extra.fields())
         request.headers.add(field.name, field.value);
     caller->connection = internal::ClientConnection::open(m_ioContext, { host, m_vms[vm]->frontPort }, {});
--- a/test/PeerRunLocationsTest.cpp
+++ b/test/PeerRunLocationsTest.cpp
@@ -47,7 +47,7 @@
     void find(const std::string&, FindCallback found) override
     {
         ++searches;
-        found(std::nullopt);
+        found({});
     }
 
     int searches { 0 };
@@ -122,8 +122,8 @@
         std::string find(const std::string& promptId)
         {
             std::string found;
-            locations.find(promptId, [&found](const std::optional<RunLocation>& location) {
-                found = location ? location->endpointId : "none";
+            locations.find(promptId, [&found](const RunLocationResult& result) {
+                found = result.location ? result.location->endpointId : "none";
             });
             CHECK(internal::runUntil(ioContext, [&] { return !found.empty(); }));
             return found;
@@ -139,7 +139,8 @@
     std::string find(TestVm & vm, const std::string& promptId)
     {
         std::string found;
-        vm.locations->find(promptId, [&found](const std::optional<RunLocation>& location) {
+        vm.locations->find(promptId, [&found](const RunLocationResult& result) {
+            const auto& location = result.location;
             found = location ? location->endpointId + " " + location->copyHolderId + " " + location->requestId : "none";
         });
         CHECK_TEXT(runUntil([&] { return !found.empty(); }), "a search must end");
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -414,8 +414,8 @@
 
     std::optional<RunLocation> found;
     bool isAnswered = false;
-    reader.find("p1", [&](const std::optional<RunLocation>& location) {
-        found = location;
+    reader.find("p1", [&](const RunLocationResult& result) {
+        found = result.location;
         isAnswered = true;
     });
     CHECK(runUntil([&] { return isAnswered; }));
@@ -509,8 +509,8 @@
         store->setFault(fault);
         bool isAnswered = false;
         bool isKnown = true;
-        reader.find("p1", [&](const std::optional<RunLocation>& location) {
-            isKnown = location.has_value();
+        reader.find("p1", [&](const RunLocationResult& result) {
+            isKnown = result.location.has_value();
             isAnswered = true;
         });
         CHECK(runUntil([&] { return isAnswered; }));
--- a/test/StreamVersionTest.cpp
+++ b/test/StreamVersionTest.cpp
@@ -18,6 +18,8 @@
     std::unique_ptr<RelayHarness> relay;
     ScriptedEndpoint* runningEngine { nullptr };
     std::shared_ptr<ScriptedConnection> running;
+    // The versions of the engines that got the runs of a stream, in order.
+    std::vector<std::string> versionsUsed;
 
     void setup() override
     {
@@ -83,6 +85,28 @@
         return engine;
     }
 
+    // An engine that sends two events of a new stream and then waits, and the third of a stream that continues.
+    void addAnyEngine(const std::string& id, const std::string& zone, const std::string& version)
+    {
+        auto& engine = relay->addEndpoint(id, zone, version);
+        engine.onRequest([this, version](ScriptedConnection& client, const std::string& request) {
+            if (request.find("/stream/") == std::string::npos) {
+                client.answer(200, "", "{}");
+                return;
+            }
+            versionsUsed.push_back(version);
+            client.beginStream(signedHead);
+            if (request.find("Last-Event-Id: 2\r\n") != std::string::npos) {
+                client.sendEvent(3);
+                client.endStream();
+                return;
+            }
+            client.sendEvent(1);
+            client.sendEvent(2);
+            running = client.shared_from_this();
+        });
+    }
+
     std::shared_ptr<TestCaller> beginStream()
     {
         const auto caller = relay->call("/stream/1");
@@ -129,20 +153,19 @@
 // Guards against a lost run that continues, from its copy or from the prompt, at another version.
 TEST(StreamVersion, ALostRunContinuesAtItsVersion)
 {
-    std::vector<std::string> orders;
-    addRunningEngine(orders);
-    auto& other = addContinuingEngine("e2", "b", "v2");
-    auto& same = addContinuingEngine("e3", "a", "v1");
+    for (const auto& [id, version] : std::vector<std::pair<std::string, std::string>> {
+             { "e1", "v1" }, { "e2", "v2" }, { "e3", "v1" }, { "e4", "v2" }, { "e5", "v1" }, { "e6", "v2" } })
+        addAnyEngine(id, "zone-" + id, version);
     ready();
-    for (int i = 0; i < 8; ++i) {
+    for (int i = 0; i < 10; ++i) {
+        versionsUsed.clear();
         const auto caller = beginStream();
         running->reset();
         await(caller);
         CHECK(caller->isWhole);
-        relay->daemon().directory().find("e1")->avoidUntil(Milliseconds { 0 });
+        LONGS_EQUAL(2, versionsUsed.size());
+        STRCMP_EQUAL(versionsUsed[0].c_str(), versionsUsed[1].c_str());
     }
-    CHECK(hasRun(same));
-    CHECK_FALSE(hasRun(other));
 }
 
 // Guards against copies at engines of another version, where no run can use them.
@@ -206,26 +229,22 @@
 // Guards against a stream of a candidate version that continues at the present one when it fails there.
 TEST(StreamVersion, AStreamThatBeganAtACandidateDoesNotContinueAtThePresentVersion)
 {
-    std::vector<std::string> orders;
-    addRunningEngine(orders);
-    auto& other = addContinuingEngine("e2", "b", "v0");
+    addAnyEngine("e1", "a", "v2");
+    addAnyEngine("e2", "b", "v1");
+    addAnyEngine("e3", "c", "v2");
     ready();
-    relay->daemon().beginRollout({ "s", "v1", Milliseconds { 10000 } });
+    relay->daemon().beginRollout({ "s", "v2", Milliseconds { 10000 } });
     auto* const rollout = relay->daemon().rollouts().find("s");
-    rollout->applyDirective(RolloutDirective::Try, relay->daemon().clock().now());
-    for (int i = 0; i < 100; ++i)
+    constexpr int requestsBefore = 100;
+    for (int i = 0; i < requestsBefore; ++i)
         rollout->noteRequest();
-    std::shared_ptr<TestCaller> caller;
-    for (int i = 0; i < 100 && !running; ++i) {
-        other.forgetRequests();
-        caller = relay->call("/stream/1");
-        CHECK(relay->runUntil([&] { return running || caller->isWhole; }));
-    }
-    CHECK_TEXT(running != nullptr, "no stream was sent to the candidate");
-    CHECK(relay->runUntil([&] { return caller->body.find("id: 2\n") != std::string::npos; }));
+    rollout->applyDirective(RolloutDirective::Try, relay->daemon().clock().now());
+    const auto caller = beginStream();
+    STRCMP_EQUAL("v2", versionsUsed[0].c_str());
     running->reset();
     await(caller);
-    CHECK_FALSE(hasRun(other));
+    CHECK(caller->isWhole);
+    STRCMP_EQUAL("v2", versionsUsed[1].c_str());
 }
 
 // Guards against a caller's stream that continues at any version because no VM knows which one began it.
