Find the run of a stream by its prompt, and check that it is the stream's

Ruled out: keeping notes under both keys, which would double the messages. StreamVersionFleet has two new tests, for callers that name no attempt and for streams of one session.

--- a/src/relay/EarlierRunSearch.cpp
+++ b/src/relay/EarlierRunSearch.cpp
@@ -33,12 +33,22 @@
         decide({});
         return;
     }
-    m_context.runLocations->find(streamIdOf(m_request), [weak = weak_from_this()](const RunLocationResult& result) {
-        if (const auto self = weak.lock())
-            self->decide(result);
+    m_context.runLocations->find(runKeyOf(m_request), [weak = weak_from_this()](RunLocationResult result) {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        if (result.location && !self->isOfThisStream(*result.location))
+            result.location.reset();
+        self->decide(result);
     });
 }
 
+// Streams of one session may have the same prompt.
+bool EarlierRunSearch::isOfThisStream(const RunLocation& location) const
+{
+    return m_request.fields.resumedRequestId.empty() || location.streamId == streamIdOf(m_request);
+}
+
 void EarlierRunSearch::decide(const RunLocationResult& result)
 {
     const auto now = m_context.now();
--- a/src/relay/EarlierRunSearch.h
+++ b/src/relay/EarlierRunSearch.h
@@ -35,6 +35,7 @@
 private:
     EarlierRunSearch(RelayContext&, const RelayRequest&, Callback);
     void search();
+    bool isOfThisStream(const RunLocation&) const;
     void decide(const RunLocationResult&);
     void searchLater();
 
--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -53,15 +53,15 @@
     if (!runLocations() || !m_request.route->mayRunAgain())
         return;
     const auto& holder = run.copyHolder;
-    runLocations()->note(streamIdOf(m_request),
+    runLocations()->note(runKeyOf(m_request),
         { run.endpoint->entry().id, holder ? holder->entry().id : "", m_request.fields.requestId,
-            holder ? holder->entry().address : SocketAddress {}, m_versions.boundVersion() });
+            holder ? holder->entry().address : SocketAddress {}, m_versions.boundVersion(), streamIdOf(m_request) });
 }
 
 void EngineChoice::forgetLocation() const
 {
     if (runLocations())
-        runLocations()->forget(streamIdOf(m_request));
+        runLocations()->forget(runKeyOf(m_request));
 }
 
 bool EngineChoice::isHealthy(const RelayEndpoint& engine) const
--- a/src/relay/LocationKeeperChoice.cpp
+++ b/src/relay/LocationKeeperChoice.cpp
@@ -17,11 +17,11 @@
     m_keepers.shrink_to_fit();
 }
 
-std::vector<std::size_t> LocationKeepers::choose(const std::string& streamId) const
+std::vector<std::size_t> LocationKeepers::choose(const std::string& runKey) const
 {
     auto ranked = m_keepers;
     for (auto& keeper : ranked)
-        keeper.hash = XXH64(streamId.data(), streamId.size(), keeper.hash);
+        keeper.hash = XXH64(runKey.data(), runKey.size(), keeper.hash);
     std::sort(ranked.begin(), ranked.end(), [](const Keeper& a, const Keeper& b) { return a.hash < b.hash; });
     std::vector<std::size_t> numbers;
     for (std::size_t i = 0; i < std::min(ranked.size(), keepersPerLocation); ++i)
--- a/src/relay/LocationKeeperChoice.h
+++ b/src/relay/LocationKeeperChoice.h
@@ -29,7 +29,7 @@
     explicit LocationKeepers(const std::vector<std::string>& vmNames);
 
     // Indices into the list, best first.
-    std::vector<std::size_t> choose(const std::string& streamId) const;
+    std::vector<std::size_t> choose(const std::string& runKey) const;
 
 private:
     struct Keeper {
--- a/src/relay/RelayRequest.cpp
+++ b/src/relay/RelayRequest.cpp
@@ -17,4 +17,9 @@
     return digits;
 }
 
+std::string runKeyOf(const RelayRequest& request)
+{
+    return request.fields.promptId.empty() ? streamIdOf(request) : request.fields.promptId;
+}
+
 } // namespace lupinknot::internal
--- a/src/relay/RelayRequest.h
+++ b/src/relay/RelayRequest.h
@@ -32,6 +32,9 @@
 // Identifies the stream that the request begins or resumes, the same at all attempts of its caller that concern it.
 // Hexadecimal. Another request that names the same attempt has another id.
 std::string streamIdOf(const RelayRequest&);
+// The key under which VMs find the run of the request: its prompt, which a caller names also when it does not name the
+// attempt that it resumes, or else its stream. Hexadecimal.
+std::string runKeyOf(const RelayRequest&);
 
 // The rank in logs: -1 when the configuration names none.
 inline std::int64_t loggedRank(const RequestRank& rank)
--- a/src/relay/RunLocationCache.cpp
+++ b/src/relay/RunLocationCache.cpp
@@ -8,18 +8,18 @@
 {
 }
 
-void RunLocationCache::put(const std::string& streamId, RunLocation location, Milliseconds now)
+void RunLocationCache::put(const std::string& runKey, RunLocation location, Milliseconds now)
 {
-    m_entries.insert_or_assign(streamId, Entry { std::move(location), now });
-    m_insertions.push_back({ streamId, now });
+    m_entries.insert_or_assign(runKey, Entry { std::move(location), now });
+    m_insertions.push_back({ runKey, now });
     evictOld(now);
 }
 
-void RunLocationCache::remove(const std::string& streamId) { m_entries.erase(streamId); }
+void RunLocationCache::remove(const std::string& runKey) { m_entries.erase(runKey); }
 
-const RunLocation* RunLocationCache::find(const std::string& streamId, Milliseconds now) const
+const RunLocation* RunLocationCache::find(const std::string& runKey, Milliseconds now) const
 {
-    const auto found = m_entries.find(streamId);
+    const auto found = m_entries.find(runKey);
     return found == m_entries.end() || isExpired(found->second.storedAt, now) ? nullptr : &found->second.location;
 }
 
@@ -29,7 +29,7 @@
     while (
         !m_insertions.empty() && (m_insertions.size() > m_capacity || isExpired(m_insertions.front().storedAt, now))) {
         const auto& oldest = m_insertions.front();
-        const auto found = m_entries.find(oldest.streamId);
+        const auto found = m_entries.find(oldest.runKey);
         if (found != m_entries.end() && found->second.storedAt == oldest.storedAt)
             m_entries.erase(found);
         m_insertions.pop_front();
--- a/src/relay/RunLocationCache.h
+++ b/src/relay/RunLocationCache.h
@@ -19,10 +19,10 @@
     RunLocationCache(Milliseconds lifetime, std::size_t capacity);
 
     // Replaces the stream's previous location.
-    void put(const std::string& streamId, RunLocation, Milliseconds now);
-    void remove(const std::string& streamId);
+    void put(const std::string& runKey, RunLocation, Milliseconds now);
+    void remove(const std::string& runKey);
     // Returns null when there is no unexpired entry. The pointer is valid until the next change of the cache.
-    const RunLocation* find(const std::string& streamId, Milliseconds now) const;
+    const RunLocation* find(const std::string& runKey, Milliseconds now) const;
     std::size_t size() const { return m_entries.size(); }
 
 private:
@@ -31,7 +31,7 @@
         Milliseconds storedAt;
     };
     struct Insertion {
-        std::string streamId;
+        std::string runKey;
         Milliseconds storedAt;
     };
 
--- a/src/relay/RunLocations.h
+++ b/src/relay/RunLocations.h
@@ -23,6 +23,8 @@
     SocketAddress copyHolderAddress {};
     // The software version that began the stream; nothing in the notes of a release that did not record it.
     std::optional<std::string> version {};
+    // The stream to which the run belongs (streamIdOf); empty in the notes of such a release.
+    std::string streamId {};
 };
 
 // Result of a search for a stream's run.
@@ -37,11 +39,11 @@
     using FindCallback = std::function<void(const RunLocationResult&)>;
 
     virtual ~RunLocations() = default;
-    // Stream ids are hexadecimal (streamIdOf).
-    virtual void note(const std::string& streamId, const RunLocation&) = 0;
-    virtual void forget(const std::string& streamId) = 0;
+    // Keys are hexadecimal (runKeyOf). Streams of one key replace each other's notes.
+    virtual void note(const std::string& runKey, const RunLocation&) = 0;
+    virtual void forget(const std::string& runKey) = 0;
     // Calls back exactly once after a short time.
-    virtual void find(const std::string& streamId, FindCallback) = 0;
+    virtual void find(const std::string& runKey, FindCallback) = 0;
 };
 
 } // namespace lupinknot::internal
--- a/test/PartitionedFleet.cpp
+++ b/test/PartitionedFleet.cpp
@@ -167,12 +167,12 @@
 }
 
 std::shared_ptr<internal::TestCaller> PartitionedFleet::openStream(
-    std::size_t vm, const std::string& requestId, const internal::HttpHeaders& extra)
+    std::size_t vm, const std::string& requestId, const std::string& promptId, const internal::HttpHeaders& extra)
 {
     auto caller = std::make_shared<internal::TestCaller>();
     internal::HttpRequest request { "POST", "/stories/",
         { { "Host", "h" }, { "X-Request-Id", requestId }, { "X-Deadline-Ms", std::to_string(streamDeadline.count()) },
-            { "X-Prompt-Prefix", "5e55:100" }, { "X-Token-Usage", "100,500" }, { "Connection", "close" } },
+            { "X-Prompt-Prefix", promptId + ":100" }, { "X-Token-Usage", "100,500" }, { "Connection", "close" } },
         "body" };
     for (const auto& field : extra.fields())
         request.headers.add(field.name, field.value);
--- a/test/PartitionedFleet.h
+++ b/test/PartitionedFleet.h
@@ -43,8 +43,8 @@
     // A request to the VM. With a prompt id it is a stream.
     std::shared_ptr<FleetCaller> call(std::size_t vm, const std::string& path, const std::string& promptId = "");
     // A stream whose events can be read as they arrive.
-    std::shared_ptr<internal::TestCaller> openStream(
-        std::size_t vm, const std::string& requestId, const internal::HttpHeaders& extra = {});
+    std::shared_ptr<internal::TestCaller> openStream(std::size_t vm, const std::string& requestId,
+        const std::string& promptId, const internal::HttpHeaders& extra = {});
     // Waits until all callers have a result. Returns false on a timeout.
     bool waitFor(const std::vector<std::shared_ptr<FleetCaller>>&);
     bool runUntil(const std::function<bool()>&);
--- a/test/StreamVersionTest.cpp
+++ b/test/StreamVersionTest.cpp
@@ -267,6 +267,8 @@
 
     PartitionedFleet fleet { 3 };
     std::vector<std::shared_ptr<TestCaller>> callers;
+    bool isOneSession { false };
+    bool namesFirstAttempt { true };
 
     void setup() override
     {
@@ -274,11 +276,14 @@
         CHECK(fleet.start());
     }
 
+    // The streams of a session may have the same prompt.
+    std::string promptOf(std::size_t stream) const { return isOneSession ? "5e55" : "a" + std::to_string(stream); }
+
     // Begins streams at the VM and waits until each has events.
     void beginStreams(std::size_t vm)
     {
         for (std::size_t i = 0; i < streamCount; ++i)
-            callers.push_back(fleet.openStream(vm, "first" + std::to_string(i)));
+            callers.push_back(fleet.openStream(vm, "first" + std::to_string(i), promptOf(i)));
         CHECK(fleet.runUntil([&] {
             return std::all_of(
                 callers.begin(), callers.end(), [](const auto& caller) { return lastEventOf(*caller) > 2; });
@@ -290,9 +295,10 @@
     {
         std::vector<std::shared_ptr<TestCaller>> resumed;
         for (std::size_t i = 0; i < callers.size(); ++i) {
-            resumed.push_back(fleet.openStream(vm, "second" + std::to_string(i),
-                { { "Last-Event-Id", std::to_string(lastEventOf(*callers[i])) },
-                    { "Resumes", "first" + std::to_string(i) } }));
+            HttpHeaders headers { { "Last-Event-Id", std::to_string(lastEventOf(*callers[i])) } };
+            if (namesFirstAttempt)
+                headers.add("Resumes", "first" + std::to_string(i));
+            resumed.push_back(fleet.openStream(vm, "second" + std::to_string(i), promptOf(i), headers));
         }
         CHECK(fleet.runUntil([&] {
             return std::all_of(resumed.begin(), resumed.end(), [](const auto& caller) {
@@ -365,3 +371,21 @@
     fleet.stopVm(2);
     expectOneVersionEach(resumeStreams(1));
 }
+
+// Guards against a stream that continues at the version of another one of its session.
+TEST(StreamVersionFleet, StreamsOfOneSessionDoNotTakeEachOthersVersion)
+{
+    isOneSession = true;
+    beginStreams(0);
+    fleet.stopVm(0);
+    CHECK(expectOneVersionEach(resumeStreams(1)) >= 1);
+}
+
+// Guards against the loss of a run's location where its caller names the prompt but not the attempt that it resumes.
+TEST(StreamVersionFleet, ACallerThatNamesNoAttemptIsFoundByItsPrompt)
+{
+    namesFirstAttempt = false;
+    beginStreams(0);
+    fleet.stopVm(0);
+    LONGS_EQUAL(streamCount, expectOneVersionEach(resumeStreams(1)));
+}
