Keep a resumed stream at the service that began it

Callers of a route that is divided among services could resume a stream at another service than the one that began it: the service follows from the attempt's id, and each attempt has its own. Ruled out: storing the service with the run, because the attempt that the caller names yields the same choice.

The choice now follows from the attempt that the caller resumes. StaysAtItsServiceWhenItsCallerResumesIt failed before and passes. A change of the route's weights between two attempts can still change the service.

--- a/src/relay/RelayHandler.cpp
+++ b/src/relay/RelayHandler.cpp
@@ -19,16 +19,17 @@
 
 namespace {
 
-// Chooses one of a route's services by weight. The choice depends on the request id only, so a repeated look-up of a
-// request yields the same service.
-const std::string& chooseService(const Route& route, const std::string& requestId)
+// Chooses one of a route's services by weight. The choice depends on the id of the attempt only, so that a repeated
+// look-up yields the same service. A resumed stream stays at the service of the attempt that began it.
+const std::string& chooseService(const Route& route, const CallerFields& fields)
 {
+    const auto& attempt = fields.resumedRequestId.empty() ? fields.requestId : fields.resumedRequestId;
     std::uint64_t total = 0;
     for (const auto& share : route.services)
         total += share.weight;
     if (total == 0)
         return route.services.front().service;
-    auto position = XXH64(requestId.data(), requestId.size(), 0) % total;
+    auto position = XXH64(attempt.data(), attempt.size(), 0) % total;
     for (const auto& share : route.services) {
         if (position < share.weight)
             return share.service;
@@ -141,7 +142,7 @@
     if (request.fields.requestId.empty() || !request.fields.malformedField.empty())
         return RefusalReason::Malformed;
     request.digest = digestOf(http, request.organisation);
-    request.service = chooseService(*request.route, request.fields.requestId);
+    request.service = chooseService(*request.route, request.fields);
     const auto callerTimeout
         = std::min(request.fields.callerTimeout.value_or(request.route->timeout), request.route->timeout);
     request.deadline = request.admittedAt + callerTimeout;
--- a/test/RelayHarness.cpp
+++ b/test/RelayHarness.cpp
@@ -38,7 +38,7 @@
     route.maxAttempts = maxAttempts;
     route.longestPause = Milliseconds { 700 };
     route.rank = m_rank;
-    route.services = { { "s", 1 } };
+    route.services = m_services;
     m_builder.addRoute(std::move(route));
 }
 
--- a/test/RelayHarness.h
+++ b/test/RelayHarness.h
@@ -42,6 +42,8 @@
     void useCopyingService(Milliseconds handleTime = Milliseconds { 4000 });
     // Adds a route for the path prefix /PREFIX/ of the host h.
     void addRoute(const std::string& prefix, RequestKind, unsigned maxAttempts, bool isPublic = true);
+    // Divides the requests of the routes that are added from now on evenly among these services.
+    void divideAmong(std::vector<ServiceShare> services) { m_services = std::move(services); }
     // Adds a non-idempotent route for an organisation, and the API key that it requires.
     void addKeyedRoute(const std::string& prefix, const std::string& key, const std::string& organisation);
     // Sets the rank of the routes that are added from now on.
@@ -67,6 +69,7 @@
     std::deque<ScriptedEndpoint> m_endpoints;
     std::vector<EndpointEntry> m_entries;
     std::optional<unsigned> m_rank;
+    std::vector<ServiceShare> m_services { { "s", 1 } };
     std::uint64_t m_version { 0 };
 };
 
--- a/test/StreamVersionTest.cpp
+++ b/test/StreamVersionTest.cpp
@@ -389,3 +389,40 @@
     fleet.stopVm(0);
     LONGS_EQUAL(streamCount, expectOneVersionEach(resumeStreams(1)));
 }
+
+TEST_GROUP(StreamOfASplitRoute) {};
+
+// Guards against a resumed stream that goes to another service of its route, whose engines did not begin it.
+TEST(StreamOfASplitRoute, StaysAtItsServiceWhenItsCallerResumesIt)
+{
+    RelayHarness relay;
+    relay.divideAmong({ { "s", 1 }, { "t", 1 } });
+    relay.addRoute("stream", RequestKind::EventStream, 5);
+    std::string service;
+    const auto serves = [&service](const std::string& name) {
+        return [&service, name](ScriptedConnection& client, const std::string&) {
+            service = name;
+            client.answer(404, "X-Request-Id: any\r\nX-Response-Signature: s\r\n", "");
+        };
+    };
+    auto& other = relay.addEndpoint("e2");
+    relay.addEndpoint("e1").onRequest(serves("s"));
+    other.onRequest(serves("t"));
+    relay.configure();
+    relay.list();
+    const auto now = relay.daemon().clock().now();
+    relay.daemon().directory().remove("e2", now);
+    relay.daemon().directory().upsert({ "e3", "t", { "127.0.0.1", other.port() }, "a", 4, false, "v1" }, now);
+    const auto serviceOf = [&](const HttpHeaders& headers, const std::string& id) {
+        service.clear();
+        const auto caller = relay.call("/stream/1", headers, id);
+        CHECK(relay.runUntil([&] { return !service.empty(); }));
+        return service;
+    };
+    for (int i = 0; i < 8; ++i) {
+        const auto first = "r" + std::to_string(i);
+        const auto begun = serviceOf({}, first);
+        const auto resumed = serviceOf({ { "Resumes", first }, { "Last-Event-Id", "2" } }, "again" + first);
+        STRCMP_EQUAL(begun.c_str(), resumed.c_str());
+    }
+}
