Place no copies of running streams at a rollout's candidate

Callers whose stream continued at the candidate, from a copy placed there shortly before a rollout completed, would have got events of two versions. Since streams are bound to their version, such copies could not be used either.

Aggregators no longer send the directive 'ready', which earlier releases sent; it is read as 'try'. The cost: streams that still run at the replaced version when a rollout completes end with its endpoints.

--- a/src/model/RolloutModel.cpp
+++ b/src/model/RolloutModel.cpp
@@ -238,7 +238,7 @@
                     continue;
                 const auto process = vm.name + "/" + std::to_string(vm.incarnation);
                 aggregator.aggregator->addReport(process, vm.rollout->evidence(), vm.rollout->isStopped());
-                vm.rollout->applyDirective(aggregator.aggregator->directive(now()), now());
+                vm.rollout->applyDirective(aggregator.aggregator->directive(), now());
             }
         }
     }
--- a/src/rollout/Rollout.cpp
+++ b/src/rollout/Rollout.cpp
@@ -51,13 +51,6 @@
     return !provenChoice(now).admits(version);
 }
 
-VersionChoice Rollout::choiceForCopies(Milliseconds now) const
-{
-    if (m_decision == RolloutDecision::Undecided && m_isReady && isCandidatePermitted(now))
-        return { VersionChoice::Rule::Only, m_order.candidate };
-    return provenChoice(now);
-}
-
 void Rollout::noteAnswer(const std::string& route, RunnerVersion version, AnswerQuality quality)
 {
     m_evidence.note(route, version, quality);
@@ -66,7 +59,6 @@
 void Rollout::applyDirective(RolloutDirective directive, Milliseconds now)
 {
     m_isStopped = m_isStopped || directive == RolloutDirective::Stop;
-    m_isReady = m_isReady || directive == RolloutDirective::Ready;
     if (directive != RolloutDirective::Stop)
         m_permittedUntil = std::max(m_permittedUntil, now + permissionLifetime);
 }
--- a/src/rollout/Rollout.h
+++ b/src/rollout/Rollout.h
@@ -25,7 +25,7 @@
 // What an aggregator directs the VMs to do about an order.
 enum class RolloutDirective {
     Try, // The evidence is inconclusive: a bounded part of the requests may go to the candidate.
-    Ready, // The candidate is good and about to be completed: copies of runs should be placed on it.
+    Ready, // The same as Try; only earlier releases send it.
     Stop, // The candidate is bad: no request may go to it any more.
 };
 
@@ -67,8 +67,6 @@
     bool tryContinueAtCandidate(Milliseconds now);
     // True once no request may go to the version again.
     bool isExcluded(const std::string& version, Milliseconds now) const;
-    // The runners that copies of runs should be placed on.
-    VersionChoice choiceForCopies(Milliseconds now) const;
     void noteAnswer(const std::string& route, RunnerVersion, AnswerQuality);
 
     void applyDirective(RolloutDirective, Milliseconds now);
@@ -89,7 +87,6 @@
     ExposureBudget m_budget;
     VersionEvidence m_evidence;
     Milliseconds m_permittedUntil { 0 };
-    bool m_isReady { false };
     bool m_isStopped { false };
     RolloutDecision m_decision { RolloutDecision::Undecided };
     Milliseconds m_decidedAt { 0 };
--- a/src/rollout/RolloutAggregator.cpp
+++ b/src/rollout/RolloutAggregator.cpp
@@ -53,12 +53,9 @@
     return m_startedAt + Milliseconds { static_cast<std::int64_t>(passed) };
 }
 
-RolloutDirective RolloutAggregator::directive(Milliseconds now)
+RolloutDirective RolloutAggregator::directive() const
 {
-    if (m_isBad)
-        return RolloutDirective::Stop;
-    const bool isNearEnd = now >= instantAtRemainingShare(remainingShareWhenReady);
-    return isNearEnd && (m_isGood || isAcceptable(evidence())) ? RolloutDirective::Ready : RolloutDirective::Try;
+    return m_isBad ? RolloutDirective::Stop : RolloutDirective::Try;
 }
 
 std::optional<RolloutDecision> RolloutAggregator::dueDecision(Milliseconds now)
--- a/src/rollout/RolloutAggregator.h
+++ b/src/rollout/RolloutAggregator.h
@@ -8,7 +8,7 @@
 //
 //     RolloutAggregator aggregator(order, now);
 //     aggregator.addReport("vm-1/17", evidence, isStopped);    // What a process of a VM has counted since its start.
-//     answer(aggregator.directive(now));
+//     answer(aggregator.directive());
 //     if (const auto decision = aggregator.dueDecision(now)) ...  // Write it.
 //
 // Used on the relay's thread only; lives as long as the order.
@@ -27,7 +27,7 @@
     // Adds a report of a process. Counts only grow, so an older report of the same process changes nothing. A VM whose
     // candidate is stopped passes on another aggregator's verdict.
     void addReport(const std::string& process, const VersionEvidence&, bool isStopped);
-    RolloutDirective directive(Milliseconds now);
+    RolloutDirective directive() const;
     // The decision that should be written now; empty while there is none.
     std::optional<RolloutDecision> dueDecision(Milliseconds now);
     VersionEvidence evidence() const;
@@ -41,9 +41,6 @@
     // aggregator that has reports of few VMs leaves the decision to the others as long as there is time.
     static constexpr double remainingShareAtAcceptance = 0.07;
     static constexpr double remainingShareAtRollBack = 0.03;
-    // The same when VMs begin to place copies of running streams on a candidate that looks good: the runs of the
-    // present version end with its runners, and most streams are shorter than the time that remains then.
-    static constexpr double remainingShareWhenReady = 0.45;
     // Reports of more processes are ignored: several hundred VMs that each restart now and then stay below this number.
     static constexpr std::size_t maximumProcesses = 2000;
 
