Note the location of a run when it is sent again

Cause: notes were written at the first event only, about a second later than before, so that more of them were lost with their VM.

A run is noted when it is sent, with its version if the service has no other, and again at its first event only if the last note lacks it.

--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -48,14 +48,24 @@
         m_copies = { { holder, { holder->entry().address, location.requestId }, m_context.now() } };
 }
 
-void EngineChoice::noteLocation(const StreamRun& run) const
+void EngineChoice::noteLocation(const StreamRun& run)
 {
     if (!runLocations() || !m_request.route->mayRunAgain())
         return;
+    // Without several versions, the run's is known before its first event.
+    m_notedVersion = m_versions.boundVersion();
+    if (!m_notedVersion)
+        m_notedVersion = m_context.directory.onlyVersion(m_request.service, m_context.now());
     const auto& holder = run.copyHolder;
     runLocations()->note(runKeyOf(m_request),
         { run.endpoint->entry().id, holder ? holder->entry().id : "", m_request.fields.requestId,
-            holder ? holder->entry().address : SocketAddress {}, m_versions.boundVersion(), streamIdOf(m_request) });
+            holder ? holder->entry().address : SocketAddress {}, m_notedVersion, streamIdOf(m_request) });
+}
+
+void EngineChoice::noteVersion(const StreamRun& run)
+{
+    if (m_notedVersion != m_versions.boundVersion())
+        noteLocation(run);
 }
 
 void EngineChoice::forgetLocation() const
--- a/src/relay/EngineChoice.h
+++ b/src/relay/EngineChoice.h
@@ -49,8 +49,11 @@
 
     // Sets where the run was that the caller resumes.
     void setEarlierRun(const RunLocation&);
-    // Publishes the location of the run, and the version that began the stream, to other VMs.
-    void noteLocation(const StreamRun&) const;
+    // Publishes the location of a run that is sent to other VMs, with the version that begins the stream if that is
+    // certain.
+    void noteLocation(const StreamRun&);
+    // The run has begun the stream: publishes its version unless the last note states it.
+    void noteVersion(const StreamRun&);
     void forgetLocation() const;
 
     // The first copy whose engine is healthy and has not lost it.
@@ -105,6 +108,8 @@
     Engines m_failed;
     std::shared_ptr<RelayEndpoint> m_earlierEngine;
     std::vector<RunTarget> m_copies;
+    // The version in the last note of the run.
+    std::optional<std::string> m_notedVersion;
     std::optional<Milliseconds> m_firstEventForecast;
     // Set while engines are probed for the next run.
     std::shared_ptr<EngineLoadProbe> m_loadProbe;
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -330,8 +330,7 @@
         run->reading
             = std::make_unique<PrefillScope>(endpoint, m_context.pace(m_request.service).waitingPrompts, run->priority);
     m_run = run;
-    if (m_versions.boundVersion())
-        m_choice->noteLocation(*run);
+    m_choice->noteLocation(*run);
     const auto request = m_context.protocol.encodeForward(exchange->request(), fields);
     run->call = EndpointCall::start(
         m_context, endpoint, request, { m_request.fields.requestId, m_context.settings.maxIdleTime }, weak_from_this());
@@ -479,7 +478,7 @@
         return;
     }
     m_versions.bindTo(version);
-    m_choice->noteLocation(run);
+    m_choice->noteVersion(run);
 }
 
 void EventStreamCall::recordResumption(const StreamRun& run, Milliseconds now)
--- a/src/relay/RunLocations.h
+++ b/src/relay/RunLocations.h
@@ -2,8 +2,8 @@
 //
 // A caller whose VM has failed reconnects to another VM. That VM sends the request to the engine that was running it,
 // which has the prompt in its cache, or to the engine that holds a copy of the run, if it can look them up. Engines are
-// hints: they may be outdated. The version is exact, because a stream is noted only once it has events and keeps its
-// version from then on. Either may be lost. Used on the relay's thread only.
+// hints: they may be outdated. The version is noted once the stream has events, or earlier if its service has no other,
+// and does not change from then on. Either may be lost. Used on the relay's thread only.
 #pragma once
 
 #include "http/SocketAddress.h"
@@ -21,7 +21,8 @@
     std::string requestId;
     // Address of the copy holder: it may have restarted under another id before the copy was sent there.
     SocketAddress copyHolderAddress {};
-    // The software version that began the stream; nothing in the notes of a release that did not record it.
+    // The software version that began the stream; nothing while that is not certain, and in the notes of a release that
+    // did not record it.
     std::optional<std::string> version {};
     // The stream to which the run belongs (streamIdOf); empty in the notes of such a release.
     std::string streamId {};
