--- a/test/PeerRunLocationsTest.cpp
+++ b/test/PeerRunLocationsTest.cpp
@@ -1,11 +1,13 @@
 #include "PeerRunLocations.h"
 #include "PeerFeeds.h"
+#include "RunLocationText.h"
 #include "RunUntil.h"
 #include "StoreRunLocations.h"
 #include "lupinknot/ManualClock.h"
 #include "standin/StoreStandIn.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -211,3 +213,16 @@
     CHECK(vms[0]->locations->applyFromPeer(R"({"91bd":7})"));
     CHECK_FALSE(vms[0]->locations->answerQuery("91bd").has_value());
 }
+
+// Guards against a version that is lost between the VMs, also where a VM of an earlier release wrote the note.
+TEST(PeerRunLocations, ANoteKeepsTheVersionAndTheStreamOfItsRun)
+{
+    for (const auto& version : { std::optional<std::string>("v1"), std::optional<std::string>() }) {
+        const auto decoded = decodeLocation(encodeLocation({ "e1", "", "r1", {}, version, "5a" }));
+        CHECK(decoded->version == version);
+        STRCMP_EQUAL("5a", decoded->streamId.c_str());
+    }
+    const auto earlier = decodeLocation({ { "endpoint", "e1" }, { "request", "r1" }, { "version", 7 } });
+    CHECK_FALSE(earlier->version.has_value());
+    STRCMP_EQUAL("", earlier->streamId.c_str());
+}
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -1,12 +1,9 @@
 #include "FeedHarness.h"
-#include "RunLocationText.h"
 #include "RunUntil.h"
 #include "StoreRunLocations.h"
 
 #include <set>
 
-#include <nlohmann/json.hpp>
-
 #include <CppUTest/TestHarness.h>
 
 using namespace lupinknot;
@@ -406,19 +403,6 @@
     LONGS_EQUAL_TEXT(1, store->callCount(), "the VM should add itself without reading the table from the store");
 }
 
-// Guards against a version that is lost between the VMs, also where a VM of an earlier release wrote the note.
-TEST(PlatformStore, ALocationKeepsTheVersionAndTheStreamOfItsRun)
-{
-    for (const auto& version : { std::optional<std::string>("v1"), std::optional<std::string>() }) {
-        const auto decoded = decodeLocation(encodeLocation({ "e1", "", "r1", {}, version, "5a" }));
-        CHECK(decoded->version == version);
-        STRCMP_EQUAL("5a", decoded->streamId.c_str());
-    }
-    const auto earlier = decodeLocation({ { "endpoint", "e1" }, { "request", "r1" }, { "version", 7 } });
-    CHECK_FALSE(earlier->version.has_value());
-    STRCMP_EQUAL("", earlier->streamId.c_str());
-}
-
 TEST(PlatformStore, ALocationIsFoundByAnotherVmUntilTheRunHasEnded)
 {
     const SocketAddress address { "127.0.0.1", store->port() };
