Look up the versions of a service without scanning its endpoints

Each run of a stream scanned all endpoints of its service for their versions before it was noted: callers saw nothing, but at 20,000 endpoints each send would read all of them. Not measured at that size. Ruled out: counting endpoints by version at each change of the list, which has five places to keep in step. The tests of versions, streams, rollouts and the directory pass (122).

--- a/src/relay/EarlierRunSearch.cpp
+++ b/src/relay/EarlierRunSearch.cpp
@@ -56,7 +56,7 @@
     const auto now = m_context.now();
     auto& directory = m_context.directory;
     const auto decision = decideVersion({ .noted = result.location ? result.location->version : std::nullopt,
-        .only = directory.onlyVersion(m_request.service, now),
+        .only = directory.versions().onlyVersion(m_request.service, now),
         .isSearchComplete = result.isComplete,
         .isHistoryKnown = directory.versions().isHistoryKnown(now),
         .searchedFor = now - m_startedAt,
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -328,30 +328,19 @@
         .write();
 }
 
-std::set<std::string> EndpointDirectory::listedVersions(const std::string& service) const
-{
-    std::set<std::string> versions;
-    for (const auto& endpoint : endpointsOf(service)) {
-        if (!endpoint->isRemoved())
-            versions.insert(endpoint->entry().version);
-    }
-    return versions;
-}
-
-std::set<ServiceVersion> EndpointDirectory::versionsInUse(Milliseconds now) const
-{
-    const auto recent = m_versions.recent(now);
-    std::set<ServiceVersion> versions(recent.begin(), recent.end());
-    for (const auto& [id, endpoint] : m_endpointsById) {
-        if (!endpoint->isRemoved())
-            versions.insert({ endpoint->entry().service, endpoint->entry().version });
+void EndpointDirectory::noteListedVersions(Milliseconds now)
+{
+    for (const auto& [service, endpoints] : m_endpointsByService) {
+        // Most endpoints have the version of the one before.
+        const std::string* previous = nullptr;
+        for (const auto& endpoint : endpoints.all) {
+            const auto& version = endpoint->entry().version;
+            if (endpoint->isRemoved() || (previous && *previous == version))
+                continue;
+            m_versions.noteListed(service, version, now);
+            previous = &version;
+        }
     }
-    return versions;
-}
-
-std::optional<std::string> EndpointDirectory::onlyVersion(const std::string& service, Milliseconds now) const
-{
-    return m_versions.onlyVersion(service, listedVersions(service), now);
 }
 
 std::optional<Milliseconds> EndpointDirectory::versionMissingSince(
@@ -363,12 +352,13 @@
     });
     if (isServing)
         return std::nullopt;
-    return std::min(now, m_versions.lastListedAt(service, version).value_or(m_firstListAt));
+    return m_versions.lastListedAt(service, version).value_or(m_firstListAt);
 }
 
 void EndpointDirectory::dropExpired(Milliseconds now)
 {
     applyUnconfirmed(now);
+    noteListedVersions(now);
     std::erase_if(m_removals, [now](const auto& entry) {
         const auto& removal = entry.second;
         return now - removal.at > removalRetention && !removal.signals.isInBackOff(now);
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -91,19 +91,13 @@
     // The endpoints of the service that were listed in the zone when they were added.
     const std::vector<std::shared_ptr<RelayEndpoint>>& endpointsOf(
         const std::string& service, const std::string& zone) const;
-    // The software versions that were listed recently.
+    // The software versions that are listed or were recently; dropExpired() keeps them up to date.
     ServiceVersions& versions() { return m_versions; }
-    // The versions of the service's endpoints that are listed now, also of those that are shutting down.
-    std::set<std::string> listedVersions(const std::string& service) const;
-    // The versions of all services that are listed now or were recently.
-    std::set<ServiceVersion> versionsInUse(Milliseconds now) const;
-    // The version that began every stream of the service that can still run; empty when there may be several.
-    std::optional<std::string> onlyVersion(const std::string& service, Milliseconds now) const;
     // Since when no endpoint of the version is listed that takes new work; empty while there is one.
     std::optional<Milliseconds> versionMissingSince(
         const std::string& service, const std::string& version, Milliseconds now) const;
-    // Drops endpoints whose removal is older than the grace time, and applies what a restored list left unconfirmed
-    // once its time has passed.
+    // Notes the versions of the listed endpoints. Drops endpoints whose removal is older than the grace time, and
+    // applies what a restored list left unconfirmed once its time has passed.
     void dropExpired(Milliseconds now);
 
     // Records a failure of the endpoint; several failing endpoints of a zone make the zone a failing one. Failures that
@@ -195,6 +189,7 @@
 
     // Drops what this VM has concluded from failed connections: they were due to its own partition.
     void forgetFailures();
+    void noteListedVersions(Milliseconds now);
     // A random endpoint of each service and zone, without those that are shutting down.
     std::vector<CheckedEndpoint> sample() const;
 
--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -55,7 +55,7 @@
     // Without several versions, the run's is known before its first event.
     m_notedVersion = m_versions.boundVersion();
     if (!m_notedVersion)
-        m_notedVersion = m_context.directory.onlyVersion(m_request.service, m_context.now());
+        m_notedVersion = m_context.directory.versions().onlyVersion(m_request.service, m_context.now());
     const auto& holder = run.copyHolder;
     const bool isFirstAttempt = m_request.fields.resumedRequestId.empty();
     runLocations()->note(runKeyOf(m_request),
--- a/src/relay/RequestVersions.cpp
+++ b/src/relay/RequestVersions.cpp
@@ -40,7 +40,7 @@
 
 bool RequestVersions::isIndistinct(const std::string& version) const
 {
-    return version.empty() && m_context.directory.listedVersions(m_request.service).size() > 1;
+    return version.empty() && m_context.directory.versions().versionsOf(m_request.service, m_context.now()).size() > 1;
 }
 
 bool RequestVersions::mayContinueAt(const std::string& version) const
--- a/src/versions/ServiceVersions.cpp
+++ b/src/versions/ServiceVersions.cpp
@@ -39,17 +39,24 @@
     return found == m_listedAt.end() ? std::nullopt : std::optional(found->second);
 }
 
-std::optional<std::string> ServiceVersions::onlyVersion(
-    const std::string& service, const std::set<std::string>& listed, Milliseconds now) const
+std::optional<std::string> ServiceVersions::onlyVersion(const std::string& service, Milliseconds now) const
 {
     if (!isHistoryKnown(now))
         return std::nullopt;
-    auto versions = listed;
-    for (const auto& [known, listedAt] : m_listedAt) {
-        if (known.service == service && isRecent(listedAt, now))
-            versions.insert(known.version);
+    const auto versions = versionsOf(service, now);
+    return versions.size() == 1 ? std::optional(versions.front()) : std::nullopt;
+}
+
+std::vector<std::string> ServiceVersions::versionsOf(const std::string& service, Milliseconds now) const
+{
+    std::vector<std::string> versions;
+    for (auto known = m_listedAt.lower_bound({ service, "" }); known != m_listedAt.end(); ++known) {
+        if (known->first.service != service)
+            break;
+        if (isRecent(known->second, now))
+            versions.push_back(known->first.version);
     }
-    return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
+    return versions;
 }
 
 std::vector<ServiceVersion> ServiceVersions::recent(Milliseconds now) const
--- a/src/versions/ServiceVersions.h
+++ b/src/versions/ServiceVersions.h
@@ -6,9 +6,9 @@
 //
 //     ServiceVersions versions(streamLifetime);
 //     versions.awaitHistory(now);                          // This VM has just started.
-//     versions.noteListed("s", "v1", now);                 // At each change of the list of endpoints.
+//     versions.noteListed("s", "v1", now);                 // At each change of the list, and while it is listed.
 //     versions.applyHistory({ { "s", "v0" } }, now);
-//     if (const auto version = versions.onlyVersion("s", listed, now)) ...
+//     if (const auto version = versions.onlyVersion("s", now)) ...
 //
 // A value without I/O or synchronization.
 #pragma once
@@ -17,7 +17,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -50,10 +49,11 @@
     void noteListed(const std::string& service, const std::string& version, Milliseconds now);
     // When the version was last noted; empty if it was not within the stream lifetime.
     std::optional<Milliseconds> lastListedAt(const std::string& service, const std::string& version) const;
-    // The version that began every stream of the service that can still run, given the versions that are listed now.
-    // Empty when there may be several, or none is known.
-    std::optional<std::string> onlyVersion(
-        const std::string& service, const std::set<std::string>& listed, Milliseconds now) const;
+    // The version that began every stream of the service that can still run. Empty when there may be several, or none
+    // is known.
+    std::optional<std::string> onlyVersion(const std::string& service, Milliseconds now) const;
+    // The versions of the service that were noted within the stream lifetime.
+    std::vector<std::string> versionsOf(const std::string& service, Milliseconds now) const;
     // The versions of all services that were noted within the stream lifetime.
     std::vector<ServiceVersion> recent(Milliseconds now) const;
     // Sets the function to call when a version is noted that is not among the recent ones.
--- a/test/ServiceVersionsTest.cpp
+++ b/test/ServiceVersionsTest.cpp
@@ -17,20 +17,20 @@
 {
     ServiceVersions versions { lifetime };
 
-    std::string only(const std::set<std::string>& listed, Milliseconds now) const
-    {
-        return versions.onlyVersion("s", listed, now).value_or("none");
-    }
+    std::string only(Milliseconds now) const { return versions.onlyVersion("s", now).value_or("none"); }
 };
 
 // Guards against a stream that continues at the new version because the old one has just left the list.
 TEST(ServiceVersions, AVersionThatHasLeftCountsForTheLifeOfAStream)
 {
     versions.noteListed("s", "v1", start);
-    STRCMP_EQUAL("v1", only({ "v1" }, start).c_str());
-    STRCMP_EQUAL("none", only({ "v1", "v2" }, start).c_str());
-    STRCMP_EQUAL("none", only({ "v2" }, start + lifetime).c_str());
-    STRCMP_EQUAL("v2", only({ "v2" }, start + lifetime + Milliseconds { 1 }).c_str());
+    versions.noteListed("t", "v0", start);
+    STRCMP_EQUAL("v1", only(start).c_str());
+    versions.noteListed("s", "v2", start);
+    STRCMP_EQUAL("none", only(start).c_str());
+    versions.noteListed("s", "v2", start + lifetime);
+    STRCMP_EQUAL("none", only(start + lifetime).c_str());
+    STRCMP_EQUAL("v2", only(start + lifetime + Milliseconds { 1 }).c_str());
 }
 
 // Guards against a VM that has just started and takes the listed version for the only one.
@@ -38,19 +38,19 @@
 {
     versions.awaitHistory(start);
     versions.noteListed("s", "v2", start);
-    STRCMP_EQUAL("none", only({ "v2" }, start).c_str());
+    STRCMP_EQUAL("none", only(start).c_str());
     versions.applyHistory({ { "s", "v2" }, { "other", "v1" } }, start);
-    STRCMP_EQUAL("v2", only({ "v2" }, start).c_str());
+    STRCMP_EQUAL("v2", only(start).c_str());
     versions.applyHistory({ { "s", "v1" } }, start);
-    STRCMP_EQUAL("none", only({ "v2" }, start).c_str());
+    STRCMP_EQUAL("none", only(start).c_str());
 }
 
 TEST(ServiceVersions, WithoutAHistoryTheLifeOfAStreamIsEnough)
 {
     versions.awaitHistory(start);
-    versions.noteListed("s", "v2", start);
-    STRCMP_EQUAL("none", only({ "v2" }, start + lifetime).c_str());
-    STRCMP_EQUAL("v2", only({ "v2" }, start + lifetime + Milliseconds { 1 }).c_str());
+    versions.noteListed("s", "v2", start + lifetime);
+    STRCMP_EQUAL("none", only(start + lifetime).c_str());
+    STRCMP_EQUAL("v2", only(start + lifetime + Milliseconds { 1 }).c_str());
 }
 
 TEST(ServiceVersions, ReportsAVersionOnceWhileItIsRecent)
--- a/test/StoreServiceVersionsTest.cpp
+++ b/test/StoreServiceVersionsTest.cpp
@@ -27,7 +27,7 @@
     {
         directory.upsert({ id, "s", { "10.0.0.1", std::stoi(id) }, "a", 4, false, version }, clock.now());
     }
-    std::string only() const { return directory.onlyVersion("s", clock.now()).value_or("none"); }
+    std::string only() { return directory.versions().onlyVersion("s", clock.now()).value_or("none"); }
 
     RelaySettings settings;
     ManualClock clock;
@@ -117,6 +117,7 @@
     CHECK(runUntil([&] { return hasRow("v1") && hasRow("v2"); }));
     vm.directory.remove("1", vm.clock.now());
     vm.clock.advance(vm.settings.streamLifetime + Milliseconds { 1 });
+    vm.directory.dropExpired(vm.clock.now());
     // The answer to the last write may still be on its way.
     CHECK(runUntil([&] {
         vm.versions.sweep();
