Take no version for gone before the first list of endpoints

A VM without a list of endpoints refused resumed streams as version-gone, which it could not know: the time of its first list counted as zero. Ruled out: waiting for a list there, because requests already wait for one when they arrive.

NoVersionIsMissingForLongBeforeTheFirstList failed before and passes.

--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -352,7 +352,7 @@
     });
     if (isServing)
         return std::nullopt;
-    return m_versions.lastListedAt(service, version).value_or(m_firstListAt);
+    return m_versions.lastListedAt(service, version).value_or(m_isKnown ? m_firstListAt : now);
 }
 
 void EndpointDirectory::dropExpired(Milliseconds now)
--- a/test/EndpointDirectoryTest.cpp
+++ b/test/EndpointDirectoryTest.cpp
@@ -291,3 +291,23 @@
     CHECK(directory->findAt("s", { "127.0.0.1", 1 }) == directory->find("e1"));
     STRCMP_EQUAL("e1", chosen().c_str());
 }
+
+// Guards against a stream that is refused because its version is gone, by a VM that has no list of endpoints yet.
+TEST(EndpointDirectory, NoVersionIsMissingForLongBeforeTheFirstList)
+{
+    CHECK(directory->versionMissingSince("s", "v1", now) == now);
+    directory->replaceAll({}, now);
+    const auto later = now + Milliseconds { 5000 };
+    CHECK(directory->versionMissingSince("s", "v1", later) == now);
+}
+
+TEST(EndpointDirectory, AVersionIsMissingFromTheTimeItsLastEndpointLeft)
+{
+    auto versioned = entry("e1", 1);
+    versioned.version = "v1";
+    directory->replaceAll({ versioned }, now);
+    CHECK_FALSE(directory->versionMissingSince("s", "v1", now).has_value());
+    const auto removedAt = now + Milliseconds { 7000 };
+    directory->remove("e1", removedAt);
+    CHECK(directory->versionMissingSince("s", "v1", removedAt + Milliseconds { 1000 }) == removedAt);
+}
