--- a/src/relay/RequestVersions.cpp
+++ b/src/relay/RequestVersions.cpp
@@ -51,13 +51,12 @@
 
 VersionChoice RequestVersions::continuation()
 {
-    const VersionChoice none { VersionChoice::Rule::None, "" };
     if (!mayContinueAt(*m_boundVersion))
-        return none;
+        return { VersionChoice::Rule::None, "" };
     auto* const rollout = m_context.rollouts.find(m_request.service);
     if (rollout && rollout->order().candidate == *m_boundVersion && !m_isContinuationCounted) {
         if (!rollout->tryContinueAtCandidate(m_context.now()))
-            return none;
+            return { VersionChoice::Rule::None, "" };
         m_isContinuationCounted = true;
     }
     return { VersionChoice::Rule::Only, *m_boundVersion };
--- a/test/StreamVersionTest.cpp
+++ b/test/StreamVersionTest.cpp
@@ -109,7 +109,7 @@
 
     std::shared_ptr<TestCaller> beginStream()
     {
-        const auto caller = relay->call("/stream/1");
+        auto caller = relay->call("/stream/1");
         CHECK(relay->runUntil([&] { return caller->body.find("id: 2\n") != std::string::npos; }));
         return caller;
     }
