Log and count how a VM learns of crashes and how it counts them

The logs could not tell the hypotheses of the incident apart: how many losses a VM had counted when it held a request, which of them only others had seen, how old those reports were, and which were left out as concurrent.

quarantine.held has these figures, quarantine.reported tells when a record of another VM arrives and by which way, quarantine.trial when an attempt is admitted after a hold. Metrics: lupinknot_relay_crash_records_total{source}, ..._quarantine_holds_total, ..._quarantine_trials_total.

No decision changes.

--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -48,7 +48,7 @@
     } else {
         const auto maxRecords = maxRecordsPerSuspect + (record.endsTrial ? maxTrialRecordsPerSuspect : 0);
         if (suspect.entries.size() < maxRecords)
-            suspect.entries.emplace(record.endpointId, Entry { record, at, isShared });
+            suspect.entries.emplace(record.endpointId, Entry { record, at, isShared, !isShared });
         else if (!record.endsTrial)
             return false;
     }
@@ -139,22 +139,28 @@
     }
 }
 
-double Quarantine::scoreOf(const Suspect& suspect)
+std::vector<const CrashRecord*> Quarantine::countedRecords(const Suspect& suspect)
 {
     std::vector<const CrashRecord*> records;
     for (const auto& entry : suspect.entries)
         records.push_back(&entry.second.record);
     std::sort(records.begin(), records.end(), [](const auto* a, const auto* b) { return a->lostAt < b->lostAt; });
     std::vector<const CrashRecord*> counted;
-    // The greatest weight of each address counts in full.
-    std::map<std::string, double> maxWeights;
-    double sum = 0;
     for (const auto* record : records) {
         const bool isConcurrentLoss = std::any_of(counted.begin(), counted.end(),
             [record](const CrashRecord* other) { return areConcurrentLosses(*record, *other); });
-        if (isConcurrentLoss)
-            continue;
-        counted.push_back(record);
+        if (!isConcurrentLoss)
+            counted.push_back(record);
+    }
+    return counted;
+}
+
+double Quarantine::scoreOf(const Suspect& suspect)
+{
+    // The greatest weight of each address counts in full.
+    std::map<std::string, double> maxWeights;
+    double sum = 0;
+    for (const auto* record : countedRecords(suspect)) {
         auto& maxWeight = maxWeights[record->address];
         maxWeight = std::max(maxWeight, record->weight);
         sum += repeatedCrashShare * record->weight;
@@ -177,6 +183,23 @@
     return score + more >= holdThreshold;
 }
 
+QuarantineEvidence Quarantine::evidence(const std::string& digest) const
+{
+    QuarantineEvidence evidence;
+    const auto suspect = m_suspects.find(digest);
+    if (suspect == m_suspects.end())
+        return evidence;
+    const auto& entries = suspect->second.entries;
+    evidence.score = scoreOf(suspect->second);
+    evidence.concurrent = entries.size() - countedRecords(suspect->second).size();
+    evidence.firstLossAt = suspect->second.lastAt;
+    for (const auto& [id, entry] : entries) {
+        ++(entry.isOwn ? evidence.own : evidence.reported);
+        evidence.firstLossAt = std::min(evidence.firstLossAt, entry.at);
+    }
+    return evidence;
+}
+
 Milliseconds Quarantine::longestWork(const std::string& digest) const
 {
     Milliseconds longest { 0 };
--- a/src/quarantine/Quarantine.h
+++ b/src/quarantine/Quarantine.h
@@ -20,6 +20,7 @@
 
 #include "lupinknot/Clock.h"
 #include "quarantine/CrashRecord.h"
+#include "quarantine/QuarantineEvidence.h"
 #include <map>
 #include <string_view>
 #include <unordered_map>
@@ -60,6 +61,7 @@
     bool isOnTrial(const std::string& digest, Milliseconds now) const;
     // True if evidence of weight `more` from another endpoint would hold the request.
     bool wouldBeHeld(const std::string& digest, double more) const;
+    QuarantineEvidence evidence(const std::string& digest) const;
     // The longest time that a lost endpoint had worked on the request.
     Milliseconds longestWork(const std::string& digest) const;
     std::size_t suspectCount() const { return m_suspects.size(); }
@@ -89,6 +91,7 @@
         CrashRecord record;
         Milliseconds at { 0 };
         bool isShared { false };
+        bool isOwn { false };
     };
     struct Suspect {
         // By endpoint.
@@ -100,6 +103,8 @@
         bool hasFailedTrial { false };
     };
 
+    // The records that count: one of each group of concurrent losses.
+    static std::vector<const CrashRecord*> countedRecords(const Suspect&);
     static double scoreOf(const Suspect&);
     void hold(Suspect&) const;
     void removeOldestIfFull();
--- a/src/relay/CrashGuard.cpp
+++ b/src/relay/CrashGuard.cpp
@@ -4,6 +4,7 @@
 #include "lupinknot/Clock.h"
 #include "quarantine/CrashReports.h"
 #include "relay/EndpointDirectory.h"
+#include "relay/RelayMetrics.h"
 #include "relay/RelaySettings.h"
 
 #include <algorithm>
@@ -24,11 +25,12 @@
 } // namespace
 
 CrashGuard::CrashGuard(boost::asio::io_context& ioContext, const Clock& clock, const RelaySettings& settings,
-    const EndpointDirectory& directory)
+    const EndpointDirectory& directory, RelayMetrics* metrics)
     : m_ioContext(ioContext)
     , m_clock(clock)
     , m_settings(settings)
     , m_directory(directory)
+    , m_metrics(metrics)
     , m_quarantine(settings.vmName)
     , m_evaluationTimer(ioContext)
     , m_expiryTimer(ioContext)
@@ -55,6 +57,23 @@
     return weight;
 }
 
+bool CrashGuard::admit(const std::string& digest)
+{
+    const auto now = m_clock.now();
+    const bool isTrial = m_quarantine.isOnTrial(digest, now);
+    if (!m_quarantine.admit(digest, now))
+        return false;
+    if (isTrial) {
+        if (m_metrics)
+            m_metrics->quarantineTrials.Increment();
+        LogEvent("quarantine.trial")
+            .text("digest", digest)
+            .number("since_hold_ms", (now - m_quarantine.heldUntil(digest)).count())
+            .write();
+    }
+    return true;
+}
+
 QuarantineStatus CrashGuard::quarantineStatus(const std::string& digest) const
 {
     if (m_quarantine.isHeld(digest, m_clock.now()))
@@ -164,30 +183,56 @@
     const CrashRecord record { loss.digest, pendingLoss.event.endpointId, loss.endpoint->entry().address.text(),
         pendingLoss.weight, loss.run.workedFor, m_quarantine.isOnTrial(loss.digest, m_clock.now()),
         wallClockAt(loss.sentAt), wallClockAt(pendingLoss.event.at) };
-    add(record, false);
+    add(record, CrashRecordSource::Own);
     for (const auto& unshared : m_quarantine.takeUnshared(loss.digest)) {
         if (m_reports)
             m_reports->publish(unshared);
     }
 }
 
-void CrashGuard::add(const CrashRecord& record, bool isShared)
+void CrashGuard::add(const CrashRecord& record, CrashRecordSource source)
 {
     const auto now = m_clock.now();
     const bool wasHeld = m_quarantine.isHeld(record.digest, now);
     // A record that arrives late, or again after a restart of this VM, counts from the time of the loss.
     const auto age
         = std::clamp(Milliseconds { wallClockAt(now) - record.lostAt }, Milliseconds { 0 }, Quarantine::recordLifetime);
-    if (!m_quarantine.add(record, record.lostAt > 0 ? now - age : now, isShared) || wasHeld
-        || !m_quarantine.isHeld(record.digest, now))
+    const bool isShared = source != CrashRecordSource::Own;
+    if (!m_quarantine.add(record, record.lostAt > 0 ? now - age : now, isShared))
+        return;
+    if (m_metrics)
+        m_metrics->countCrashRecord(source);
+    if (isShared) {
+        LogEvent("quarantine.reported")
+            .text("digest", record.digest)
+            .text("endpoint", record.endpointId)
+            .text("source", nameIn(crashRecordSourceNames, source))
+            .number("age_ms", age.count())
+            .flag("ends_trial", record.endsTrial)
+            .write();
+    }
+    if (wasHeld || !m_quarantine.isHeld(record.digest, now))
         return;
+    if (m_metrics)
+        m_metrics->quarantineHolds.Increment();
+    logHeld(record, now);
+    notifyListeners(record.digest);
+}
+
+void CrashGuard::logHeld(const CrashRecord& last, Milliseconds now) const
+{
+    const auto evidence = m_quarantine.evidence(last.digest);
     LogEvent("quarantine.held")
-        .text("digest", record.digest)
-        .text("last_endpoint", record.endpointId)
-        .number("for_ms", quarantineTimeLeft(record.digest).count())
+        .text("digest", last.digest)
+        .text("last_endpoint", last.endpointId)
+        .number("for_ms", quarantineTimeLeft(last.digest).count())
+        .number("own", static_cast<std::int64_t>(evidence.own))
+        .number("reported", static_cast<std::int64_t>(evidence.reported))
+        .number("concurrent", static_cast<std::int64_t>(evidence.concurrent))
+        .number("score_percent", inPercent(evidence.score))
+        .number("since_first_loss_ms", (now - evidence.firstLossAt).count())
         .number("suspects", static_cast<std::int64_t>(m_quarantine.suspectCount()))
         .write();
-    notifyListeners(record.digest);
 }
 
 // Posted, because a call that ends removes itself from the listeners.
@@ -222,10 +267,10 @@
         m_reports->withdraw(digest, endpoints);
 }
 
-void CrashGuard::addRemoteRecord(const CrashRecord& record)
+void CrashGuard::addRemoteRecord(const CrashRecord& record, CrashRecordSource source)
 {
     if (m_settings.policies.has(Policy::CrashQuarantine) && !m_served.has(record.digest, m_clock.now()))
-        add(record, true);
+        add(record, source);
 }
 
 void CrashGuard::removeRemoteRecord(const std::string& digest, const std::string& endpointId)
--- a/src/relay/CrashGuard.h
+++ b/src/relay/CrashGuard.h
@@ -14,6 +14,7 @@
 // Used on the relay's thread only. Lives for the process.
 #pragma once
 
+#include "quarantine/CrashRecordSource.h"
 #include "quarantine/CrashWeight.h"
 #include "quarantine/EndpointLosses.h"
 #include "quarantine/Quarantine.h"
@@ -31,6 +32,7 @@
 class CrashReports;
 class EndpointDirectory;
 class RelayEndpoint;
+class RelayMetrics;
 struct RelaySettings;
 
 // A run that its endpoint did not finish, with the request that it belongs to.
@@ -52,7 +54,9 @@
 
 class CrashGuard {
 public:
-    CrashGuard(boost::asio::io_context&, const Clock&, const RelaySettings&, const EndpointDirectory&);
+    // Without metrics, nothing is counted.
+    CrashGuard(boost::asio::io_context&, const Clock&, const RelaySettings&, const EndpointDirectory&,
+        RelayMetrics* = nullptr);
     ~CrashGuard();
     CrashGuard(const CrashGuard&) = delete;
     CrashGuard& operator=(const CrashGuard&) = delete;
@@ -61,7 +65,7 @@
     void setReports(CrashReports* reports) { m_reports = reports; }
 
     // True when a new attempt of the request may be served. After a quarantine, the admitted attempt is the trial.
-    bool admit(const std::string& digest) { return m_quarantine.admit(digest, m_clock.now()); }
+    bool admit(const std::string& digest);
     QuarantineStatus quarantineStatus(const std::string& digest) const;
     // Time until the quarantine ends or a trial in progress may be over; at least RelaySettings::retryAfter.
     Milliseconds quarantineTimeLeft(const std::string& digest) const;
@@ -78,7 +82,7 @@
     void noteHarmless(const std::string& digest);
 
     // A record that another VM has published, or has withdrawn.
-    void addRemoteRecord(const CrashRecord&);
+    void addRemoteRecord(const CrashRecord&, CrashRecordSource = CrashRecordSource::Store);
     void removeRemoteRecord(const std::string& digest, const std::string& endpointId);
 
 private:
@@ -94,7 +98,8 @@
     bool isCorrelatedLoss(const PendingLoss&) const;
     double pendingWeight(const std::string& digest) const;
     std::int64_t wallClockAt(Milliseconds instant) const;
-    void add(const CrashRecord&, bool isShared);
+    void add(const CrashRecord&, CrashRecordSource);
+    void logHeld(const CrashRecord& last, Milliseconds now) const;
     void notifyListeners(const std::string& digest);
     void scheduleExpiry();
 
@@ -102,6 +107,7 @@
     const Clock& m_clock;
     const RelaySettings& m_settings;
     const EndpointDirectory& m_directory;
+    RelayMetrics* const m_metrics;
     CrashReports* m_reports { nullptr };
     EndpointLosses m_losses;
     ServedRequests m_served;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -28,7 +28,7 @@
     , m_directory(m_ioContext, m_settings)
     , m_tunnels(m_ioContext, m_connector, m_directory, m_metrics)
     , m_placement(m_directory, m_settings, std::random_device()())
-    , m_crashGuard(m_ioContext, m_clock, m_settings, m_directory)
+    , m_crashGuard(m_ioContext, m_clock, m_settings, m_directory, &m_metrics)
     , m_localPermits(m_ioContext, m_clock)
     , m_context { m_ioContext, m_settings, m_clock, protocol, m_directory, m_placement, m_metrics, m_crashGuard,
         &m_localPermits, nullptr, {}, {}, nullptr, false }
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -54,6 +54,10 @@
                           .Name("lupinknot_relay_continuations_total")
                           .Help("Runs that continued a stream, by version compared with the first event's.")
                           .Register(*m_registry))
+    , m_crashRecords(prometheus::BuildCounter()
+                         .Name("lupinknot_relay_crash_records_total")
+                         .Help("Records of endpoints that crashed under a request, by source.")
+                         .Register(*m_registry))
     , resumedFromCopy(addCounter(
           *m_registry, "lupinknot_relay_resumed_from_copy_total", "Streams that went on from a copy of their memory."))
     , resumedCold(addCounter(
@@ -95,6 +99,10 @@
           "Connections to endpoints made for VMs that do not reach them."))
     , tunnelsRejected(addCounter(*m_registry, "lupinknot_relay_tunnels_rejected_total",
           "Connections to endpoints that another VM asked for and that were not made."))
+    , quarantineHolds(addCounter(*m_registry, "lupinknot_relay_quarantine_holds_total",
+          "Requests that this VM began to hold back, because endpoints crashed under them."))
+    , quarantineTrials(addCounter(*m_registry, "lupinknot_relay_quarantine_trials_total",
+          "Attempts that were admitted to try a request again after a hold."))
 {
 }
 
@@ -133,6 +141,11 @@
     m_continuations.Add({ { "version", std::string(nameIn(continuedAtNames, version)) } }).Increment();
 }
 
+void RelayMetrics::countCrashRecord(CrashRecordSource source)
+{
+    m_crashRecords.Add({ { "source", std::string(nameIn(crashRecordSourceNames, source)) } }).Increment();
+}
+
 std::string RelayMetrics::exposition() const
 {
     std::ostringstream text;
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -6,6 +6,7 @@
 #include "lupinknot/Clock.h"
 #include "lupinknot/EnumNames.h"
 #include "lupinknot/FailureKind.h"
+#include "quarantine/CrashRecordSource.h"
 #include "relay/RequestKind.h"
 #include <array>
 #include <memory>
@@ -62,6 +63,8 @@
     // Counts a stream by its rank, empty when the configuration names none, and by how it ended.
     void countStream(std::optional<unsigned> rank, StreamOutcome);
     void countContinuation(ContinuedAt);
+    // Counts a record of a crashed endpoint that is new to this VM.
+    void countCrashRecord(CrashRecordSource);
     std::string exposition() const;
 
 private:
@@ -73,6 +76,7 @@
     prometheus::Family<prometheus::Counter>& m_streams;
     prometheus::Family<prometheus::Counter>& m_endpointConnections;
     prometheus::Family<prometheus::Counter>& m_continuations;
+    prometheus::Family<prometheus::Counter>& m_crashRecords;
 
 public:
     // Streams that resumed at another engine from a copy of their KV cache, or by a new prefill of the prompt.
@@ -104,6 +108,9 @@
     // Connections to endpoints that this VM made for other VMs, and those that it rejected.
     prometheus::Counter& tunnelsOpened;
     prometheus::Counter& tunnelsRejected;
+    // Requests that this VM began to hold back, and attempts that it admitted to try one again.
+    prometheus::Counter& quarantineHolds;
+    prometheus::Counter& quarantineTrials;
 };
 
 } // namespace lupinknot::internal
