Test that a crashing request is held by all VMs while the store is away, known red

Four entry VMs in two zones, 16 engines, a store that some or all of the VMs do not reach. Seen on the code as it stands: more than six crashed engines where none reaches the store; 502 after further crashes where a VM in touch gets a request that three others have seen crash engines.

The third test, that other requests are served meanwhile, passes.

--- /dev/null
+++ b/test/CrashingRequestFleetTest.cpp
@@ -0,0 +1,70 @@
+// Guards against a request that crashes engines and is sent on by VMs that do not reach the store: each of seven VMs
+// judged three losses of its own before it held the request, and 27 engines crashed under it.
+#include "PartitionedFleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+using lupinknot::platform::FleetCaller;
+using lupinknot::platform::PartitionedFleet;
+
+TEST_GROUP(CrashingRequestFleet)
+{
+    static constexpr std::size_t vmCount = 4;
+    static constexpr std::size_t engineCount = 16;
+    // Three crashes identify the request; three retries are allowed.
+    static constexpr std::size_t maxCrashes = 6;
+
+    PartitionedFleet fleet { vmCount, 2 };
+
+    void setup() override
+    {
+        fleet.useCrashingEngines(engineCount);
+        fleet.partitionFromStore();
+        CHECK(fleet.start());
+    }
+
+    std::shared_ptr<FleetCaller> callOnce(std::size_t vm, const std::string& body)
+    {
+        auto caller = fleet.call(vm, "/stories/", "c0de", body);
+        CHECK_TEXT(fleet.waitFor({ caller }), "the call has no result");
+        return caller;
+    }
+
+    // Sends the request to each VM in turn.
+    void repeatAtAllVms(int times)
+    {
+        for (int i = 0; i < times; ++i) {
+            for (std::size_t vm = 0; vm < vmCount; ++vm)
+                callOnce(vm, PartitionedFleet::crashText);
+        }
+    }
+};
+
+TEST(CrashingRequestFleet, IsHeldByAllVmsWhileNoneReachesTheStore)
+{
+    fleet.partition(0, vmCount, PartitionMode::Hang);
+    repeatAtAllVms(2);
+    CHECK_TEXT(fleet.crashedEngines().size() >= 3, "the request was held before three engines had crashed");
+    CHECK_TEXT(fleet.crashedEngines().size() <= maxCrashes, "the request was sent to more engines");
+}
+
+TEST(CrashingRequestFleet, IsHeldByTheOnlyVmThatReachesTheStore)
+{
+    fleet.partition(1, vmCount - 1, PartitionMode::Reset);
+    for (std::size_t vm = 1; vm < vmCount; ++vm)
+        callOnce(vm, PartitionedFleet::crashText);
+    const auto before = fleet.crashedEngines().size();
+    CHECK_TEXT(before >= 3, "the request was held before three engines had crashed");
+    LONGS_EQUAL(503, callOnce(0, PartitionedFleet::crashText)->status);
+    LONGS_EQUAL_TEXT(before, fleet.crashedEngines().size(), "the request was sent on");
+}
+
+TEST(CrashingRequestFleet, OtherRequestsAreServedMeanwhile)
+{
+    fleet.partition(0, vmCount, PartitionMode::Hang);
+    repeatAtAllVms(1);
+    for (std::size_t vm = 0; vm < vmCount; ++vm)
+        CHECK(callOnce(vm, "body")->isServed());
+}
--- a/test/PartitionedFleet.cpp
+++ b/test/PartitionedFleet.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr int endpointsPerService = 4;
 constexpr Milliseconds callDeadline { 1500 };
 constexpr Milliseconds streamDeadline { 8000 };
 constexpr Milliseconds listReadDelay { 1500 };
@@ -89,7 +88,7 @@
     return settings;
 }
 
-void PartitionedFleet::addEndpoint(const std::string& service, int number)
+void PartitionedFleet::addEndpoint(const std::string& service, std::size_t number)
 {
     EngineStandInSettings settings;
     settings.id = service + "-" + std::to_string(number);
@@ -102,8 +101,14 @@
     settings.callTime = Milliseconds { 20 };
     settings.eventCount = m_eventCount;
     if (service == "llm")
-        settings.version = m_engineVersions[static_cast<std::size_t>(number) % m_engineVersions.size()];
-    m_endpoints.emplace_back(m_ioContext, settings).start();
+        settings.version = m_engineVersions[number % m_engineVersions.size()];
+    settings.crashText = crashText;
+    auto& endpoint = m_endpoints.emplace_back(m_ioContext, settings);
+    endpoint.onCrash([this, &endpoint] {
+        m_crashedEngines.push_back(endpoint.settings().id);
+        endpoint.resetConnections();
+    });
+    endpoint.start();
     m_endpointPorts.push_back(port);
 }
 
@@ -111,10 +116,10 @@
 {
     m_store.start();
     m_store.put("op", "config", configurationText());
-    for (int i = 0; i < endpointsPerService; ++i) {
+    for (std::size_t i = 0; i < m_engineCount; ++i)
         addEndpoint("llm", i);
+    for (std::size_t i = 0; i < endpointsPerService; ++i)
         addEndpoint("plain", i);
-    }
     for (std::size_t i = 0; i < m_vms.size(); ++i) {
         if (!startVm(i))
             return false;
@@ -140,8 +145,12 @@
 {
     auto& vm = m_vms[index];
     vm = std::make_unique<Vm>(settingsOf(index));
-    for (const auto port : m_endpointPorts)
-        vm->network.addRemotePort(port);
+    if (m_partitionsStore)
+        vm->network.addRemotePort(static_cast<unsigned short>(m_store.port()));
+    else {
+        for (const auto port : m_endpointPorts)
+            vm->network.addRemotePort(port);
+    }
     std::promise<unsigned short> port;
     vm->thread = std::thread([&vm = *vm, &port] {
         vm.network.attachThisThread();
@@ -160,6 +169,8 @@
     m_eventCount = events;
 }
 
+void PartitionedFleet::useCrashingEngines(std::size_t count) { m_engineCount = count; }
+
 std::string PartitionedFleet::versionOf(const std::string& engineId) const
 {
     const auto number = std::stoul(engineId.substr(engineId.rfind('-') + 1));
@@ -189,14 +200,14 @@
 }
 
 std::shared_ptr<FleetCaller> PartitionedFleet::call(
-    std::size_t vm, const std::string& path, const std::string& promptId)
+    std::size_t vm, const std::string& path, const std::string& promptId, const std::string& body)
 {
     auto caller = std::make_shared<FleetCaller>();
     const auto timeout = promptId.empty() ? callDeadline : streamDeadline;
     internal::HttpRequest request { "POST", path,
         { { "Host", "h" }, { "X-Request-Id", "r" + std::to_string(++m_requests) },
             { "X-Deadline-Ms", std::to_string(timeout.count()) }, { "Connection", "close" } },
-        "body" };
+        body };
     if (!promptId.empty()) {
         request.headers.add("X-Prompt-Prefix", promptId + ":100");
         request.headers.add("X-Token-Usage", "100,500");
--- a/test/PartitionedFleet.h
+++ b/test/PartitionedFleet.h
@@ -38,10 +38,17 @@
 
     // Sets the software versions of the engines, in turn, and how many events a stream has. Call it before start().
     void useEngines(std::vector<std::string> versions, std::uint64_t events);
+    // Sets the number of engines, which crash under each request whose body is crashText and are back at once. Call it
+    // before start().
+    void useCrashingEngines(std::size_t count);
+    static constexpr const char* crashText = "crash";
+    // Partitions of VMs are from the store instead of the endpoints. Call it before start().
+    void partitionFromStore() { m_partitionsStore = true; }
     // Starts everything and waits until each VM serves. Returns false if that does not happen.
     bool start();
     // A request to the VM. With a prompt id it is a stream.
-    std::shared_ptr<FleetCaller> call(std::size_t vm, const std::string& path, const std::string& promptId = "");
+    std::shared_ptr<FleetCaller> call(
+        std::size_t vm, const std::string& path, const std::string& promptId = "", const std::string& body = "body");
     // A stream whose events can be read as they arrive.
     std::shared_ptr<internal::TestCaller> openStream(std::size_t vm, const std::string& requestId,
         const std::string& promptId, const internal::HttpHeaders& extra = {});
@@ -55,6 +62,8 @@
     // Starts a VM that was stopped, at its former address. Returns false if it does not start.
     bool startVm(std::size_t);
     StoreStandIn& store() { return m_store; }
+    // The ids of the engines that have crashed, one for each crash.
+    const std::vector<std::string>& crashedEngines() const { return m_crashedEngines; }
     // The software version of the engine with this id.
     std::string versionOf(const std::string& engineId) const;
 
@@ -72,9 +81,10 @@
     };
 
     static constexpr std::size_t maxZones = 100;
+    static constexpr std::size_t endpointsPerService = 4;
 
     PlatformSettings settingsOf(std::size_t index);
-    void addEndpoint(const std::string& service, int number);
+    void addEndpoint(const std::string& service, std::size_t number);
 
     boost::asio::io_context m_ioContext;
     StoreStandIn m_store;
@@ -85,6 +95,9 @@
     std::vector<unsigned short> m_peerPorts;
     std::vector<std::string> m_engineVersions { "" };
     std::uint64_t m_eventCount { 40 };
+    std::size_t m_engineCount { endpointsPerService };
+    std::vector<std::string> m_crashedEngines;
+    bool m_partitionsStore { false };
     bool m_hasStarted { false };
     const std::size_t m_zones;
     unsigned m_requests { 0 };
