Count the crash of an engine that has started again under its name

Where an engine starts again under its name and the VM's list of endpoints is not updated, as while the store is away, each of its crashes under a request after the first was taken for the known one: a request could crash it any number of times.

A loss of a run that was sent after the recorded loss is another crash and is recorded under a name of its own. Crashes at one address still count half from the second one on, because the engine itself may be faulty.

Quarantine.ACrashAfterARestartUnderTheSameNameCounts fails without it.

--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -60,6 +60,22 @@
     return true;
 }
 
+std::string Quarantine::crashName(const std::string& digest, const std::string& endpointId, Milliseconds sentAt) const
+{
+    const auto suspect = m_suspects.find(digest);
+    auto name = endpointId;
+    if (suspect == m_suspects.end())
+        return name;
+    const auto& entries = suspect->second.entries;
+    for (std::size_t number = 2; number <= maxRecordsPerSuspect; ++number) {
+        const auto known = entries.find(name);
+        if (known == entries.end() || known->second.at >= sentAt)
+            break;
+        name = endpointId + "+" + std::to_string(number);
+    }
+    return name;
+}
+
 void Quarantine::hold(Suspect& suspect) const
 {
     suspect.trialUntil = Milliseconds { 0 };
--- a/src/quarantine/Quarantine.h
+++ b/src/quarantine/Quarantine.h
@@ -37,6 +37,10 @@
     // known, or the request has too many records. The loss of a trial always takes effect and renews a hold, also if
     // there is no room to store its record. Records with `isShared` need not be sent to other VMs.
     bool add(const CrashRecord&, Milliseconds at, bool isShared);
+    // The name for the record of a loss under which the request was sent to the endpoint at `sentAt`. An endpoint may
+    // start again under its name while its new entry is not known: a loss of a run that was sent after the last recorded
+    // one is another crash and gets a name of its own.
+    std::string crashName(const std::string& digest, const std::string& endpointId, Milliseconds sentAt) const;
     // Returns the records of the request that other VMs should receive now, each record once: all of them, as soon as
     // they add up to one full suspicion. Sharing every half suspicion would take more calls to the store, which are
     // billed.
--- a/src/relay/CrashGuard.cpp
+++ b/src/relay/CrashGuard.cpp
@@ -180,7 +180,8 @@
         .write();
     if (isCorrelated)
         return;
-    const CrashRecord record { loss.digest, pendingLoss.event.endpointId, loss.endpoint->entry().address.text(),
+    auto crashName = m_quarantine.crashName(loss.digest, pendingLoss.event.endpointId, loss.sentAt);
+    const CrashRecord record { loss.digest, std::move(crashName), loss.endpoint->entry().address.text(),
         pendingLoss.weight, loss.run.workedFor, m_quarantine.isOnTrial(loss.digest, m_clock.now()),
         wallClockAt(loss.sentAt), wallClockAt(pendingLoss.event.at) };
     if (add(record, pendingLoss.event.at, CrashRecordSource::Own) && m_directReports)
--- a/test/QuarantineTest.cpp
+++ b/test/QuarantineTest.cpp
@@ -134,6 +134,23 @@
     CHECK_FALSE(quarantine.isHeld("d", start));
 }
 
+// While the list of endpoints is not updated, an engine that has started again under its name crashed any number of
+// times under a request and counted once.
+TEST(Quarantine, ACrashAfterARestartUnderTheSameNameCounts)
+{
+    for (int i = 0; i < 5; ++i) {
+        const auto sentAt = start + Milliseconds { i * 1000 };
+        const auto lostAt = sentAt + Milliseconds { 60 };
+        const auto name = quarantine.crashName("d", "e1", sentAt);
+        CHECK(quarantine.add(
+            { "d", name, "at e1", fullSuspicion, Milliseconds { 60 }, false, sentAt.count(), lostAt.count() }, lostAt,
+            false));
+        // Another run of the request that was lost with the endpoint.
+        STRCMP_EQUAL(name.c_str(), quarantine.crashName("d", "e1", sentAt).c_str());
+    }
+    CHECK(quarantine.isHeld("d", start + Milliseconds { 4060 }));
+}
+
 TEST(Quarantine, RepeatedCrashesAtOneAddressCountHalf)
 {
     for (int i = 0; i < 4; ++i)
