Decide for all VMs which attempt tries a held request again

With callers that return to many VMs at once, each trial costs an engine and all that it runs.

The hold of each VM may therefore end 10 s after the last loss, without the spread of 0 to 20 s, so that a harmless request is served again sooner. A VM that nobody answers decides alone, as before.

Weighed: a VM announces its trial to the others. Callers that return to four VMs within the same 10 ms would start four trials before the first message.

PeerCrashReports.OneOfAllVmsTriesTheRequestAgain (24 VMs, 72 attempts at once): 1 admitted.

--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -102,6 +102,37 @@
     return true;
 }
 
+Milliseconds Quarantine::trialFrom(const std::string& digest) const
+{
+    const auto suspect = m_suspects.find(digest);
+    if (suspect == m_suspects.end() || suspect->second.heldUntil == Milliseconds { 0 })
+        return Milliseconds { 0 };
+    const auto spread = suspect->second.hasFailedTrial ? Milliseconds { 0 } : m_firstHold - firstHold;
+    return suspect->second.heldUntil - spread;
+}
+
+void Quarantine::beginTrial(const std::string& digest, Milliseconds now)
+{
+    const auto suspect = m_suspects.find(digest);
+    if (suspect == m_suspects.end())
+        return;
+    suspect->second.heldUntil = std::min(suspect->second.heldUntil, now);
+    suspect->second.trialUntil = now + maxTrialTime;
+}
+
+void Quarantine::denyTrialUntil(const std::string& digest, Milliseconds instant)
+{
+    const auto suspect = m_suspects.find(digest);
+    if (suspect != m_suspects.end())
+        suspect->second.trialUntil = std::max(suspect->second.trialUntil, instant);
+}
+
+Milliseconds Quarantine::noTrialUntil(const std::string& digest) const
+{
+    const auto suspect = m_suspects.find(digest);
+    return suspect == m_suspects.end() ? Milliseconds { 0 } : std::max(trialFrom(digest), suspect->second.trialUntil);
+}
+
 void Quarantine::remove(const std::string& digest, const std::string& endpointId)
 {
     const auto suspect = m_suspects.find(digest);
--- a/src/quarantine/Quarantine.h
+++ b/src/quarantine/Quarantine.h
@@ -7,8 +7,9 @@
 //
 // A request is held after the third endpoint that crashed under it; two half suspicions count as one. The first hold is
 // short, and then one attempt at a time is admitted as a trial: a request that was running when a small service went
-// down may look the same, and its trial clears it. If the trial crashes its endpoint, the request is held for long. VMs
-// end a hold at different times, so that the first trial is over before other VMs begin one. Each endpoint incarnation
+// down may look the same, and its trial clears it. If the trial crashes its endpoint, the request is held for long. One
+// VM decides about trials for all (TrialSource). VMs that it does not answer end a hold at different times, so that the
+// first trial is over before other VMs begin one. Each endpoint incarnation
 // counts once, whichever VM reports it. Crashes at the same address count half from the second one on, because the
 // endpoint itself may be faulty.
 //
@@ -38,8 +39,8 @@
     // there is no room to store its record. Records with `isShared` need not be sent to other VMs.
     bool add(const CrashRecord&, Milliseconds at, bool isShared);
     // The name for the record of a loss under which the request was sent to the endpoint at `sentAt`. An endpoint may
-    // start again under its name while its new entry is not known: a loss of a run that was sent after the last recorded
-    // one is another crash and gets a name of its own.
+    // start again under its name while its new entry is not known: a loss of a run that was sent after the last
+    // recorded one is another crash and gets a name of its own.
     std::string crashName(const std::string& digest, const std::string& endpointId, Milliseconds sentAt) const;
     // Returns the records of the request that other VMs should receive now, each record once: all of them, as soon as
     // they add up to one full suspicion. Sharing every half suspicion would take more calls to the store, which are
@@ -67,6 +68,14 @@
     // Returns whether a new attempt of the request may start. After a hold, the attempt is the trial; no other attempt
     // is admitted until it has ended or maxTrialTime has passed.
     bool admit(const std::string& digest, Milliseconds now);
+    // The end of the hold where one VM decides about trials for all; 0 for a request that has not been held.
+    Milliseconds trialFrom(const std::string& digest) const;
+    // Another VM has granted the trial to this one: the hold ends here, and the next attempt is the trial.
+    void beginTrial(const std::string& digest, Milliseconds now);
+    // Another VM has denied a trial: this VM does not ask again before this time.
+    void denyTrialUntil(const std::string& digest, Milliseconds instant);
+    // The time until which no trial is admitted: the end of the hold, or of a trial in progress.
+    Milliseconds noTrialUntil(const std::string& digest) const;
     // True if the request has been held and not been cleared since; its next crash is that of a trial.
     bool isOnTrial(const std::string& digest, Milliseconds now) const;
     // True if evidence of weight `more` from another endpoint would hold the request.
@@ -87,7 +96,8 @@
     // seconds; a new version of their software takes longer than ten minutes.
     static constexpr Milliseconds firstHold { 10'000 };
     static constexpr Milliseconds longHold { 600'000 };
-    // Maximum extension of the first hold, which depends on the VM's name. A trial is decided within a few seconds.
+    // Maximum extension of the first hold at a VM that no other VM tells of trials; depends on the VM's name. A trial
+    // is decided within a few seconds.
     static constexpr Milliseconds holdSpread { 20'000 };
     // A trial without a result after this time counts as ended.
     static constexpr Milliseconds maxTrialTime { 10'000 };
--- a/src/relay/CrashGuard.cpp
+++ b/src/relay/CrashGuard.cpp
@@ -3,6 +3,7 @@
 #include "common/EventLog.h"
 #include "lupinknot/Clock.h"
 #include "quarantine/CrashReports.h"
+#include "quarantine/TrialSource.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/RelayMetrics.h"
 #include "relay/RelaySettings.h"
@@ -57,21 +58,52 @@
     return weight;
 }
 
-bool CrashGuard::admit(const std::string& digest)
+void CrashGuard::admit(const std::string& digest, std::function<void(bool isAdmitted)> callback)
 {
     const auto now = m_clock.now();
-    const bool isTrial = m_quarantine.isOnTrial(digest, now);
-    if (!m_quarantine.admit(digest, now))
-        return false;
-    if (isTrial) {
-        if (m_metrics)
-            m_metrics->quarantineTrials.Increment();
-        LogEvent("quarantine.trial")
-            .text("digest", digest)
-            .number("since_hold_ms", (now - m_quarantine.heldUntil(digest)).count())
-            .write();
+    const auto trialFrom = m_quarantine.trialFrom(digest);
+    if (!m_trials || trialFrom == Milliseconds { 0 }) {
+        callback(admitAlone(digest));
+        return;
     }
-    return true;
+    if (now < m_quarantine.noTrialUntil(digest)) {
+        callback(false);
+        return;
+    }
+    m_trials->ask(digest, [this, digest, trialFrom, callback = std::move(callback)](const TrialDecision& decision) {
+        if (decision.answer == TrialAnswer::Unknown) {
+            callback(admitAlone(digest));
+            return;
+        }
+        const bool isGranted = decision.answer == TrialAnswer::Granted;
+        if (isGranted) {
+            m_quarantine.beginTrial(digest, m_clock.now());
+            logTrial(digest, trialFrom);
+        } else {
+            m_quarantine.denyTrialUntil(digest, m_clock.now() + decision.wait);
+        }
+        callback(isGranted);
+    });
+}
+
+bool CrashGuard::admitAlone(const std::string& digest)
+{
+    const auto now = m_clock.now();
+    const bool isTrial = m_quarantine.isOnTrial(digest, now);
+    const bool isAdmitted = m_quarantine.admit(digest, now);
+    if (isTrial && isAdmitted)
+        logTrial(digest, m_quarantine.heldUntil(digest));
+    return isAdmitted;
+}
+
+void CrashGuard::logTrial(const std::string& digest, Milliseconds heldUntil) const
+{
+    if (m_metrics)
+        m_metrics->quarantineTrials.Increment();
+    LogEvent("quarantine.trial")
+        .text("digest", digest)
+        .number("since_hold_ms", (m_clock.now() - heldUntil).count())
+        .write();
 }
 
 QuarantineStatus CrashGuard::quarantineStatus(const std::string& digest) const
@@ -85,7 +117,8 @@
 
 Milliseconds CrashGuard::quarantineTimeLeft(const std::string& digest) const
 {
-    return std::max(m_quarantine.heldUntil(digest) - m_clock.now(), m_settings.retryAfter);
+    const auto end = m_trials ? m_quarantine.noTrialUntil(digest) : m_quarantine.heldUntil(digest);
+    return std::max(end - m_clock.now(), m_settings.retryAfter);
 }
 
 bool CrashGuard::isSuspect(const std::string& digest) const
--- a/src/relay/CrashGuard.h
+++ b/src/relay/CrashGuard.h
@@ -21,6 +21,7 @@
 #include "quarantine/QuarantineStatus.h"
 #include "quarantine/ServedRequests.h"
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 
 namespace lupinknot {
@@ -30,6 +31,7 @@
 namespace lupinknot::internal {
 
 class CrashReports;
+class TrialSource;
 class EndpointDirectory;
 class RelayEndpoint;
 class RelayMetrics;
@@ -66,8 +68,14 @@
     // Publishes each loss to the other VMs directly. The same applies.
     void setDirectReports(CrashReports* reports) { m_directReports = reports; }
 
-    // True when a new attempt of the request may be served. After a quarantine, the admitted attempt is the trial.
-    bool admit(const std::string& digest);
+    // Decides about trials together with the other VMs. Must outlive the guard's use; null: each VM decides alone.
+    void setTrials(TrialSource* trials) { m_trials = trials; }
+
+    // Calls back, possibly before it returns, with whether a new attempt of the request may be served. After a
+    // quarantine, the admitted attempt is the trial.
+    void admit(const std::string& digest, std::function<void(bool isAdmitted)> callback);
+    // When the quarantine ends as far as this VM knows, for a VM that decides about trials; 0 if it knows of none.
+    Milliseconds trialFrom(const std::string& digest) const { return m_quarantine.trialFrom(digest); }
     QuarantineStatus quarantineStatus(const std::string& digest) const;
     // Time until the quarantine ends or a trial in progress may be over; at least RelaySettings::retryAfter.
     Milliseconds quarantineTimeLeft(const std::string& digest) const;
@@ -106,6 +114,8 @@
         double weight;
     };
 
+    bool admitAlone(const std::string& digest);
+    void logTrial(const std::string& digest, Milliseconds heldUntil) const;
     void scheduleEvaluation();
     void evaluate();
     void evaluate(const PendingLoss&);
@@ -125,6 +135,7 @@
     RelayMetrics* const m_metrics;
     CrashReports* m_reports { nullptr };
     CrashReports* m_directReports { nullptr };
+    TrialSource* m_trials { nullptr };
     EndpointLosses m_losses;
     ServedRequests m_served;
     Quarantine m_quarantine;
--- a/src/relay/RelayHandler.cpp
+++ b/src/relay/RelayHandler.cpp
@@ -112,12 +112,16 @@
         .number("max_answer_tokens", request.fields.maxAnswerTokens)
         .number("config_version", static_cast<std::int64_t>(request.configurationVersion))
         .write();
-    if (!m_context.crashGuard.admit(request.digest))
-        refuse(request, RefusalReason::HeldInQuarantine);
-    else if (isStream)
-        EventStreamCall::serve(m_context, std::move(request));
-    else
-        BufferedCall::serve(m_context, std::move(request));
+    const auto digest = request.digest;
+    const auto shared = std::make_shared<RelayRequest>(std::move(request));
+    m_context.crashGuard.admit(digest, [this, isStream, shared](bool isAdmitted) {
+        if (!isAdmitted)
+            refuse(*shared, RefusalReason::HeldInQuarantine);
+        else if (isStream)
+            EventStreamCall::serve(m_context, std::move(*shared));
+        else
+            BufferedCall::serve(m_context, std::move(*shared));
+    });
 }
 
 std::optional<RefusalReason> RelayHandler::admit(RelayRequest& request) const
--- a/test/CrashGuardTest.cpp
+++ b/test/CrashGuardTest.cpp
@@ -41,6 +41,13 @@
         directory.reset();
     }
 
+    bool isAdmitted()
+    {
+        bool result = false;
+        guard->admit(digest, [&result](bool isAdmitted) { result = isAdmitted; });
+        return result;
+    }
+
     void addRemoteRecords(const std::string& prefix, std::size_t count, bool endsTrial)
     {
         for (std::size_t i = 0; i < count; ++i) {
@@ -70,7 +77,7 @@
         if (areTrialRecordsFull)
             addRemoteRecords("trial", Quarantine::maxTrialRecordsPerSuspect, true);
         clock.advance(guard->quarantineTimeLeft(digest));
-        CHECK(guard->admit(digest));
+        CHECK(isAdmitted());
         const auto listener = std::make_shared<NotificationCounter>();
         guard->addListener(digest, listener);
         loseEndpoint(areTrialRecordsFull ? "e2" : "e1");
--- a/test/PeerCrashReportsTest.cpp
+++ b/test/PeerCrashReportsTest.cpp
@@ -1,5 +1,6 @@
 #include "PeerCrashReports.h"
 #include "PeerFeeds.h"
+#include "PeerTrials.h"
 #include "PeerZoneExchange.h"
 #include "RunUntil.h"
 #include "lupinknot/MonotonicClock.h"
@@ -31,6 +32,9 @@
         exchange = std::make_unique<PeerZoneExchange>(ioContext, clock, entry);
         reports = std::make_unique<PeerCrashReports>(ioContext, clock, entry, guard, *exchange);
         guard.setDirectReports(reports.get());
+        trials = std::make_unique<PeerTrials>(ioContext, clock, entry, guard);
+        guard.setTrials(trials.get());
+        feeds.handleExchanges(PeerTrials::path, [this](const std::string& body) { return trials->answer(body); });
         feeds.handleMessages(PeerZoneExchange::reportPath, [this](const std::string& text) {
             messages += 1;
             return !isCutOff && exchange->applyReport(text);
@@ -58,6 +62,7 @@
     VmEntry entry;
     std::unique_ptr<PeerZoneExchange> exchange;
     std::unique_ptr<PeerCrashReports> reports;
+    std::unique_ptr<PeerTrials> trials;
     bool isCutOff { false };
     std::size_t messages { 0 };
 };
@@ -108,6 +113,7 @@
         for (const auto& vm : vms) {
             vm->exchange->setOthers(all);
             vm->reports->setOthers(all);
+            vm->trials->setOthers(all);
         }
     }
 
@@ -240,3 +246,58 @@
         crashes += "," + valid + "}";
     CHECK_THROWS(std::exception, decodeCrashMessage(R"({"crashes":[)" + crashes + "]}", {}));
 }
+
+namespace {
+
+// Three losses of a request whose first hold has just ended.
+CrashMessage lossesBeforeHold(const std::string& digest, Milliseconds now)
+{
+    CrashMessage message;
+    for (int i = 0; i < 3; ++i) {
+        const auto id = "e" + std::to_string(i);
+        message.crashes.push_back({ { digest, id, "at " + id, fullSuspicion, Milliseconds { 60 }, false, 0, 60 },
+            now - Quarantine::firstHold - Milliseconds { 1000 * (i + 1) } });
+    }
+    return message;
+}
+
+} // namespace
+
+// The callers of a request returned to many VMs at once when its hold ended, and each VM admitted a trial: 9 of 88 did
+// before the first one was known to have crashed its engine.
+TEST(PeerCrashReports, OneOfAllVmsTriesTheRequestAgain)
+{
+    addVms(3, 8);
+    int admitted = 0;
+    int decided = 0;
+    for (const auto& vm : vms) {
+        for (const auto& crash : lossesBeforeHold(digest, clock.now()).crashes)
+            CHECK(vm->guard.addReportedCrash(crash));
+    }
+    for (int i = 0; i < 3; ++i) {
+        for (const auto& vm : vms) {
+            vm->guard.admit(digest, [&](bool isAdmitted) {
+                ++decided;
+                admitted += isAdmitted ? 1 : 0;
+            });
+        }
+    }
+    CHECK(runUntil([&] { return decided == 3 * static_cast<int>(vms.size()); }));
+    LONGS_EQUAL(1, admitted);
+    const auto isFree = [this](const auto& vm) { return vm->guard.quarantineStatus(digest) == QuarantineStatus::Free; };
+    CHECK(std::any_of(vms.begin(), vms.end(), isFree));
+}
+
+// Without any other VM each one decides alone, at different times.
+TEST(PeerCrashReports, AVmThatReachesNoOtherTriesTheRequestAgain)
+{
+    auto& vm = addVm("a");
+    vm.exchange->setOthers({});
+    for (const auto& crash : lossesBeforeHold(digest, clock.now() - Quarantine::holdSpread).crashes)
+        CHECK(vm.guard.addReportedCrash(crash));
+    bool isAdmitted = false;
+    vm.guard.admit(digest, [&isAdmitted](bool result) { isAdmitted = result; });
+    CHECK(isAdmitted);
+    vm.guard.admit(digest, [&isAdmitted](bool result) { isAdmitted = result; });
+    CHECK_FALSE(isAdmitted);
+}
