Count concurrent losses as one only where a failure of the zone may have caused them

Callers that return at once kept a request running at many engines. Losses within half a second of overlapping runs counted as one, whatever their zones, so that three counted after 1.2 s at the earliest; with losses every 20 ms the first 16 records, which are all that are kept, counted as two. One of 88 VMs held the request, and 1,749 engines crashed under it while the store was well.

Losses count as one if they are of one zone and come within 50 ms, or within half a second where engines became silent, which VMs notice at different times. Records that do not count make room for others.

Four tests of Quarantine, three of which fail without it.

--- a/src/quarantine/CrashRecord.h
+++ b/src/quarantine/CrashRecord.h
@@ -23,6 +23,11 @@
     // milliseconds.
     std::int64_t sentAt { 0 };
     std::int64_t lostAt { 0 };
+    // The endpoint's availability zone; empty in records of an earlier release.
+    std::string zone {};
+    // True if the endpoint became silent, which different VMs and calls notice at different times. False if its
+    // connection broke.
+    bool wasSilent { false };
 };
 
 } // namespace lupinknot::internal
--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -15,10 +15,17 @@
 // Weight of a further crash at the same address.
 constexpr double repeatedCrashShare = 0.5;
 
+// Connections to endpoints that end together break within milliseconds; the rest is for busy VMs.
+constexpr Milliseconds simultaneousLossWindow { 50 };
+
+// True if a failure of the zone may have caused both losses. A request that crashes endpoints loses concurrent runs at
+// different times.
 bool areConcurrentLosses(const CrashRecord& a, const CrashRecord& b)
 {
+    const bool mayBeInSameZone = a.zone == b.zone || a.zone.empty() || b.zone.empty();
+    const auto window = a.wasSilent || b.wasSilent ? EndpointLosses::correlationWindow : simultaneousLossWindow;
     const auto apart = Milliseconds { std::abs(a.lostAt - b.lostAt) };
-    return apart <= EndpointLosses::correlationWindow && a.sentAt < b.lostAt && b.sentAt < a.lostAt;
+    return mayBeInSameZone && apart <= window && a.sentAt < b.lostAt && b.sentAt < a.lostAt;
 }
 
 Milliseconds spreadOf(std::string_view vmName)
@@ -47,6 +54,8 @@
         known->second.record.endsTrial = true;
     } else {
         const auto maxRecords = maxRecordsPerSuspect + (record.endsTrial ? maxTrialRecordsPerSuspect : 0);
+        if (suspect.entries.size() >= maxRecords)
+            removeUncounted(suspect);
         if (suspect.entries.size() < maxRecords)
             suspect.entries.emplace(record.endpointId, Entry { record, at, isShared, !isShared });
         else if (!record.endsTrial)
@@ -236,6 +245,17 @@
     return counted;
 }
 
+void Quarantine::removeUncounted(Suspect& suspect)
+{
+    const auto counted = countedRecords(suspect);
+    const auto isUncounted = [&counted](const auto& entry) {
+        return std::find(counted.begin(), counted.end(), &entry.second.record) == counted.end();
+    };
+    const auto found = std::find_if(suspect.entries.begin(), suspect.entries.end(), isUncounted);
+    if (found != suspect.entries.end())
+        suspect.entries.erase(found);
+}
+
 double Quarantine::scoreOf(const Suspect& suspect)
 {
     // The greatest weight of each address counts in full.
--- a/src/quarantine/Quarantine.h
+++ b/src/quarantine/Quarantine.h
@@ -13,7 +13,7 @@
 // counts once, whichever VM reports it. Crashes at the same address count half from the second one on, because the
 // endpoint itself may be faulty.
 //
-// Concurrent runs of one request that were lost almost simultaneously count as one: many callers may send the same
+// Concurrent runs of one request that were lost simultaneously in one zone count as one: many callers may send the same
 // request, and a common cause took their endpoints down. A request that crashes its endpoints loses them one by one.
 //
 // No input or output, no clock: times are parameters. Used on the relay's thread only.
@@ -130,6 +130,8 @@
     // The records that count: one of each group of concurrent losses.
     static std::vector<const CrashRecord*> countedRecords(const Suspect&);
     static double scoreOf(const Suspect&);
+    // Makes room for a record if one does not count.
+    static void removeUncounted(Suspect&);
     void hold(Suspect&) const;
     void removeOldestIfFull();
     void noteCleared(const std::string& digest, Milliseconds at);
--- a/src/relay/CrashGuard.cpp
+++ b/src/relay/CrashGuard.cpp
@@ -216,7 +216,8 @@
     auto crashName = m_quarantine.crashName(loss.digest, pendingLoss.event.endpointId, loss.sentAt);
     const CrashRecord record { loss.digest, std::move(crashName), loss.endpoint->entry().address.text(),
         pendingLoss.weight, loss.run.workedFor, m_quarantine.isOnTrial(loss.digest, m_clock.now()),
-        wallClockAt(loss.sentAt), wallClockAt(pendingLoss.event.at) };
+        wallClockAt(loss.sentAt), wallClockAt(pendingLoss.event.at), pendingLoss.event.zone,
+        loss.run.failure == FailureKind::Silent };
     if (add(record, pendingLoss.event.at, CrashRecordSource::Own) && m_directReports)
         m_directReports->publish(record);
     for (const auto& unshared : m_quarantine.takeUnshared(loss.digest)) {
--- a/test/QuarantineTest.cpp
+++ b/test/QuarantineTest.cpp
@@ -265,6 +265,58 @@
     CHECK_FALSE(quarantine.isHeld("d", start));
 }
 
+// Callers that returned at once had a request running at many engines all the time. Each loss counted as concurrent
+// with the one before, so that three counted within 1.2 s, and the records of two filled the room for 16: the request
+// was not held and crashed 1,749 engines on 88 VMs.
+TEST(Quarantine, OverlappingRunsLostOneAfterTheOtherCountSeparately)
+{
+    for (int i = 0; i < 3; ++i) {
+        const auto id = "e" + std::to_string(i);
+        const int lostAt = 2000 + 60 * i;
+        quarantine.add({ "d", id, "at " + id, fullSuspicion, Milliseconds { 60 }, false, lostAt - 1400, lostAt, "a" },
+            start, i > 0);
+    }
+    CHECK(quarantine.isHeld("d", start));
+}
+
+TEST(Quarantine, SimultaneousLossesInDifferentZonesCountSeparately)
+{
+    for (int i = 0; i < 3; ++i) {
+        const auto id = "e" + std::to_string(i);
+        quarantine.add({ "d", id, "at " + id, fullSuspicion, Milliseconds { 60 }, false, 600, 2000,
+                           std::string(1, static_cast<char>('a' + i)) },
+            start, i > 0);
+    }
+    CHECK(quarantine.isHeld("d", start));
+}
+
+// VMs notice the silence of a zone's engines within some hundred milliseconds.
+TEST(Quarantine, EnginesOfAZoneThatBecomeSilentCountAsOne)
+{
+    for (int i = 0; i < 5; ++i) {
+        const auto id = "e" + std::to_string(i);
+        quarantine.add(
+            { "d", id, "at " + id, fullSuspicion, Milliseconds { 60 }, false, 600, 2000 + 90 * i, "a", true }, start,
+            i > 0);
+    }
+    CHECK_FALSE(quarantine.isHeld("d", start));
+}
+
+TEST(Quarantine, ConcurrentLossesDoNotUseUpTheRecords)
+{
+    const auto addLoss = [this](std::size_t number, int lostAt) {
+        const auto id = "e" + std::to_string(number);
+        quarantine.add({ "d", id, "at " + id, fullSuspicion, Milliseconds { 60 }, false, lostAt - 1400, lostAt, "a" },
+            start, true);
+    };
+    for (std::size_t i = 0; i < Quarantine::maxRecordsPerSuspect; ++i)
+        addLoss(i, 2000);
+    CHECK_FALSE(quarantine.isHeld("d", start));
+    addLoss(100, 3000);
+    addLoss(101, 4000);
+    CHECK(quarantine.isHeld("d", start));
+}
+
 TEST(Quarantine, ConsecutiveRunsCountSeparately)
 {
     for (int i = 0; i < 3; ++i) {
