Count the heaviest loss of a request at each endpoint

Where two runs of a request were lost with one engine, only the record that arrived first counted.

Quarantine.TheHeaviestLossAtAnEndpointCounts fails without it.

--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -49,9 +49,13 @@
     const auto known = suspect.entries.find(record.endpointId);
     if (known != suspect.entries.end()) {
         // Another VM may report a trial's loss that is already stored; each loss that this VM sees is a new one.
-        if (!record.endsTrial || (isShared && known->second.record.endsTrial))
+        const bool endsTrial = record.endsTrial && !(isShared && known->second.record.endsTrial);
+        // Several runs of the request may have been lost with the endpoint; the one that had just begun counts most.
+        const bool isHeavier = record.weight > known->second.record.weight;
+        if (!endsTrial && !isHeavier)
             return false;
-        known->second.record.endsTrial = true;
+        known->second.record.endsTrial = known->second.record.endsTrial || endsTrial;
+        known->second.record.weight = std::max(known->second.record.weight, record.weight);
     } else {
         const auto maxRecords = maxRecordsPerSuspect + (record.endsTrial ? maxTrialRecordsPerSuspect : 0);
         if (suspect.entries.size() >= maxRecords)
--- a/test/QuarantineTest.cpp
+++ b/test/QuarantineTest.cpp
@@ -151,6 +151,18 @@
     CHECK(quarantine.isHeld("d", start + Milliseconds { 4060 }));
 }
 
+// A run that waited at an engine was lost together with the one that crashed it, and only the first of the two records
+// counted, by half.
+TEST(Quarantine, TheHeaviestLossAtAnEndpointCounts)
+{
+    for (int i = 0; i < 3; ++i) {
+        add("e" + std::to_string(i), halfSuspicion, start, false);
+        CHECK(add("e" + std::to_string(i), fullSuspicion, start, false));
+        CHECK_FALSE(add("e" + std::to_string(i), halfSuspicion, start, false));
+    }
+    CHECK(quarantine.isHeld("d", start));
+}
+
 TEST(Quarantine, RepeatedCrashesAtOneAddressCountHalf)
 {
     for (int i = 0; i < 4; ++i)
