--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -320,7 +320,8 @@
 {
     std::vector<std::pair<Milliseconds, std::string>> found;
     for (const auto& [digest, suspect] : m_suspects) {
-        if (scoreOf(suspect) >= minScore)
+        // No record weighs more than one.
+        if (static_cast<double>(suspect.entries.size()) >= minScore && scoreOf(suspect) >= minScore)
             found.emplace_back(suspect.lastAt, digest);
     }
     std::sort(found.begin(), found.end(), std::greater<>());
