Do not learn again from other VMs what was removed from the store

A record that is removed from the store's table, by a VM that has served the request or by an operator, came back from a VM that had not read the removal yet, and from there to all others.

CrashGuard.RecordsRemovedFromTheStoreAreNotLearnedAgainFromOtherVms fails without it.

--- a/src/relay/CrashGuard.cpp
+++ b/src/relay/CrashGuard.cpp
@@ -345,7 +345,11 @@
 
 void CrashGuard::removeRemoteRecord(const std::string& digest, const std::string& endpointId)
 {
+    const bool wasSuspect = m_quarantine.isSuspect(digest);
     m_quarantine.remove(digest, endpointId);
+    // Other VMs may still have the records and would report them again.
+    if (wasSuspect && !m_quarantine.isSuspect(digest))
+        m_quarantine.clearBefore(digest, m_clock.now());
 }
 
 void CrashGuard::scheduleExpiry()
--- a/test/CrashGuardTest.cpp
+++ b/test/CrashGuardTest.cpp
@@ -68,6 +68,22 @@
     }
 };
 
+// A VM that had not yet read the removal from the store reported the records again, and they returned to all VMs.
+TEST(CrashGuard, RecordsRemovedFromTheStoreAreNotLearnedAgainFromOtherVms)
+{
+    addRemoteRecords("e", 3, false);
+    CHECK(guard->quarantineStatus(digest) == QuarantineStatus::Held);
+    const auto known = guard->knownCrashes(digest);
+    for (const auto& crash : known)
+        guard->removeRemoteRecord(digest, crash.record.endpointId);
+    clock.advance(Milliseconds { 10 });
+    for (const auto& crash : known)
+        CHECK_FALSE(guard->addReportedCrash(crash));
+    CHECK_FALSE(guard->isSuspect(digest));
+    // A later loss counts.
+    CHECK(guard->addReportedCrash({ known.front().record, clock.now() }));
+}
+
 // Guards against a call that goes on to its next endpoint after its trial has failed: the loss was dropped for lack of
 // room, so that the request was not held again and the call not notified.
 TEST(CrashGuard, CallOfFailedTrialIsNotifiedWhenRecordsAreFull)
