Count runs that end with the VM that carried them as one loss

A VM that does not reach the endpoints sends its requests through other VMs. When such a VM fails, all connections that it carries break at once, to endpoints of all zones. Requests with the same content share a digest, so that none of these losses excuses another, and since losses are counted as one only within a zone, four runs of one content in four zones counted four times: the content was held, and callers of harmless requests were refused for ten seconds.

A judgement assumed one common cause (a zone) where there is a second one (the VM in between). Ruled out: not counting such losses at all. A VM behind a partition sends everything through others, and a request that crashes engines would never be held there (RunsThroughAnotherVmThatEndOneByOneCountEach). Change: a run knows whether its connection was made by another VM, and its record then names no zone, which already means that it may share its cause with any loss within 50 ms (500 ms for silence). The log line quarantine.judged says through_vm.

Before: CrashGuard.RunsThatEndWithTheVmThatCarriedThemCountAsOneLoss failed; after: the group passes (5 tests). Not measured on a deployment.

--- a/src/quarantine/CrashRecord.h
+++ b/src/quarantine/CrashRecord.h
@@ -23,7 +23,8 @@
     // milliseconds.
     std::int64_t sentAt { 0 };
     std::int64_t lostAt { 0 };
-    // The endpoint's availability zone; empty in records of an earlier release.
+    // The endpoint's availability zone; empty in records of an earlier release and of runs through another VM, which
+    // ends connections to all zones when it fails.
     std::string zone {};
     // True if the endpoint became silent, which different VMs and calls notice at different times. False if its
     // connection broke.
--- a/src/quarantine/CrashWeight.h
+++ b/src/quarantine/CrashWeight.h
@@ -42,6 +42,8 @@
     Milliseconds workedFor { 0 };
     // The endpoint had announced its shutdown.
     bool wasShuttingDown { false };
+    // The connection was made by another VM, whose failure looks like a crash of the endpoint.
+    bool wasThroughVm { false };
 };
 
 inline constexpr double fullSuspicion = 1;
--- a/src/relay/BufferedCall.cpp
+++ b/src/relay/BufferedCall.cpp
@@ -286,7 +286,7 @@
             m_context.retryBudget(m_request.service).giveBack();
     } else {
         m_versions.noteAnswer(*endpoint, AnswerQuality::Bad);
-        m_crashTracker.noteUnfinished(endpoint, call.startedAt(), { kind, RunStart::Assumed, now - call.startedAt() });
+        m_crashTracker.noteUnfinished(call, { kind, RunStart::Assumed, now - call.startedAt() });
         endpoint->avoidUntil(now + settings.avoidAfterBrokenAnswer);
     }
     recover(wasSent ? RefusalReason::EndpointFailed : RefusalReason::NoEndpoint);
--- a/src/relay/CrashGuard.cpp
+++ b/src/relay/CrashGuard.cpp
@@ -209,6 +209,7 @@
         .text("beginning", nameIn(runStartNames, loss.run.beginning))
         .number("worked_ms", loss.run.workedFor.count())
         .number("weight_percent", inPercent(pendingLoss.weight))
+        .flag("through_vm", loss.run.wasThroughVm)
         .flag("went_with_others", isCorrelated)
         .write();
     if (isCorrelated)
@@ -216,8 +217,8 @@
     auto crashName = m_quarantine.crashName(loss.digest, pendingLoss.event.endpointId, loss.sentAt);
     const CrashRecord record { loss.digest, std::move(crashName), loss.endpoint->entry().address.text(),
         pendingLoss.weight, loss.run.workedFor, m_quarantine.isOnTrial(loss.digest, m_clock.now()),
-        wallClockAt(loss.sentAt), wallClockAt(pendingLoss.event.at), pendingLoss.event.zone,
-        loss.run.failure == FailureKind::Silent };
+        wallClockAt(loss.sentAt), wallClockAt(pendingLoss.event.at),
+        loss.run.wasThroughVm ? std::string() : pendingLoss.event.zone, loss.run.failure == FailureKind::Silent };
     if (add(record, pendingLoss.event.at, CrashRecordSource::Own) && m_directReports)
         m_directReports->publish(record);
     for (const auto& unshared : m_quarantine.takeUnshared(loss.digest)) {
--- a/src/relay/CrashTracker.cpp
+++ b/src/relay/CrashTracker.cpp
@@ -1,5 +1,6 @@
 #include "relay/CrashTracker.h"
 
+#include "relay/EndpointCall.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayEndpoint.h"
 #include "relay/RelayRequest.h"
@@ -59,11 +60,12 @@
 
 bool CrashTracker::isSuspect() const { return m_context.crashGuard.isSuspect(m_request.digest); }
 
-void CrashTracker::noteUnfinished(
-    const std::shared_ptr<RelayEndpoint>& endpoint, Milliseconds sentAt, UnfinishedRun run)
+void CrashTracker::noteUnfinished(const EndpointCall& call, UnfinishedRun run)
 {
-    run.wasShuttingDown = endpoint->isShuttingDown();
-    m_context.crashGuard.noteLoss({ m_request.fields.requestId, m_request.digest, endpoint, sentAt, run });
+    run.wasShuttingDown = call.endpoint()->isShuttingDown();
+    run.wasThroughVm = call.isThroughVm();
+    m_context.crashGuard.noteLoss(
+        { m_request.fields.requestId, m_request.digest, call.endpoint(), call.startedAt(), run });
 }
 
 void CrashTracker::noteProducing(Milliseconds producedFor)
--- a/src/relay/CrashTracker.h
+++ b/src/relay/CrashTracker.h
@@ -3,7 +3,7 @@
 //
 //     CrashTracker tracker(context, request);
 //     tracker.begin([this] { quarantined(); });      // Called when the request is quarantined.
-//     tracker.noteUnfinished(endpoint, sentAt, run); // An endpoint did not finish a run of the request.
+//     tracker.noteUnfinished(endpointCall, run);     // An endpoint did not finish a run of the request.
 //     if (decideAttempt(tracker.attemptState(runs)) == AttemptDecision::Allowed) ... // Another attempt may be sent.
 //     tracker.end();
 //
@@ -17,6 +17,7 @@
 
 namespace lupinknot::internal {
 
+class EndpointCall;
 struct RelayContext;
 struct RelayRequest;
 
@@ -34,7 +35,7 @@
     AttemptState attemptState(unsigned possibleRuns) const;
     // True when any loss counts against the request, evaluated or pending.
     bool isSuspect() const;
-    void noteUnfinished(const std::shared_ptr<RelayEndpoint>&, Milliseconds sentAt, UnfinishedRun);
+    void noteUnfinished(const EndpointCall&, UnfinishedRun);
     void noteProducing(Milliseconds producedFor);
     void noteHarmless();
 
--- a/src/relay/EndpointCall.h
+++ b/src/relay/EndpointCall.h
@@ -53,6 +53,8 @@
     // True once a byte of the request may have been sent.
     bool hasSent() const { return m_isOver ? m_hadSent : m_connection->hasSent(); }
     bool isOver() const { return m_isOver; }
+    // True if the connection was made by another VM.
+    bool isThroughVm() const { return m_connection->isThroughVm(); }
     // True if the connection may hang because this VM is partitioned from all endpoints.
     bool mayHang() const { return m_endpoint->mayHang(*m_connection); }
     // Closes the connection. No callback follows.
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -576,7 +576,7 @@
     m_context.metrics.countFailure(kind);
     if (wasSent) {
         m_versions.noteAnswer(*run->endpoint, AnswerQuality::Bad);
-        m_crashTracker.noteUnfinished(run->endpoint, run->startedAt, m_timing.describeUnfinishedRun(*run, kind, now));
+        m_crashTracker.noteUnfinished(*run->call, m_timing.describeUnfinishedRun(*run, kind, now));
     } else {
         --m_possibleRuns;
         --m_possibleDeliveries;
