Hold a call back while losses under its request are evaluated

Callers who returned within half a second after a plain call had lost its endpoint had it sent to another endpoint each, although its losses would hold it as soon as they were evaluated: only retries and streams waited for that.

Cause: BufferedCall sent its first attempt, and the one after a wait for capacity, without asking decideAttempt(). Ruled out: refusing the call at once; the evaluation may excuse the losses, and the caller would have come for nothing. Change: one check, BufferedCall::waitsForEvaluation(), before the first attempt, after a wait and before a retry.

Before: CrashingRequest.IsNotSentBeforeItsLossesAreEvaluated failed, the callers got 502 from further endpoints that they had lost; after: they wait and get 503, and the group passes (12 tests), as does BufferedCall (21 tests).

--- a/src/relay/BufferedCall.cpp
+++ b/src/relay/BufferedCall.cpp
@@ -61,7 +61,7 @@
         LogEvent("request.caller-gone").text("request", self->m_request.fields.requestId).write();
         self->finish();
     });
-    if (!sendNext(anyEndpoint(), false))
+    if (!waitsForEvaluation(RefusalReason::NoEndpoint) && !sendNext(anyEndpoint(), false))
         waitForCapacity(RefusalReason::NoEndpoint);
 }
 
@@ -302,10 +302,8 @@
         refuse(refusalAfter(attemptDecision, m_possibleRuns));
         return;
     }
-    if (attemptDecision == AttemptDecision::Undecided) {
-        recoverLater(lastReason);
+    if (waitsForEvaluation(lastReason))
         return;
-    }
     auto& budget = m_context.retryBudget(m_request.service);
     const bool isRetry = mayHaveArrived();
     if (attemptDecision == AttemptDecision::Allowed && isRetry
@@ -331,14 +329,17 @@
     }
 }
 
-void BufferedCall::recoverLater(RefusalReason lastReason)
+bool BufferedCall::waitsForEvaluation(RefusalReason lastReason)
 {
+    if (decideAttempt(m_crashTracker.attemptState(m_possibleRuns)) != AttemptDecision::Undecided)
+        return false;
     m_waitTimer.expires_after(m_context.settings.endpointRetryInterval);
     m_waitTimer.async_wait([weak = weak_from_this(), lastReason](boost::system::error_code error) {
         const auto self = weak.lock();
         if (!error && self && !self->m_isFinished)
             self->recover(lastReason);
     });
+    return true;
 }
 
 void BufferedCall::refuseAsHeld() { refuse(refusalAfter(AttemptDecision::Held, m_possibleRuns)); }
@@ -426,6 +427,8 @@
 {
     leaveWaitingRequestLimit();
     m_triedEndpoints.clear();
+    if (waitsForEvaluation(lastReason))
+        return;
     auto& budget = m_context.retryBudget(m_request.service);
     const bool isRetry = mayHaveArrived();
     if (isRetry && !budget.take(retryPurposeAfter(lastReason), m_request.admittedAt, m_context.now())) {
--- a/src/relay/BufferedCall.h
+++ b/src/relay/BufferedCall.h
@@ -74,7 +74,8 @@
     void timedOut();
     void handleResponse(Attempt&);
     void recover(RefusalReason lastReason);
-    void recoverLater(RefusalReason lastReason);
+    // True if losses under the request are being evaluated, after which the call goes on.
+    bool waitsForEvaluation(RefusalReason lastReason);
     void refuseAsHeld();
     bool hasOpenAttempt() const;
     Attempt& attemptOf(const EndpointCall&);
--- a/test/CrashingRequestTest.cpp
+++ b/test/CrashingRequestTest.cpp
@@ -139,6 +139,24 @@
     CHECK_TEXT(arrivals("/once/1") <= maxArrivals, "the call was sent to more endpoints after it had crashed three");
 }
 
+// Guards against callers who return while the last losses of a call wait for their evaluation: each lost an endpoint.
+TEST(CrashingRequest, IsNotSentBeforeItsLossesAreEvaluated)
+{
+    addInFourZones(16, reset);
+    configureAndList();
+    repeatCall("/once/1", 5);
+    std::vector<std::shared_ptr<TestCaller>> callers { relay->call("/once/1", {}, "last") };
+    const auto digest = digestOf({ "POST", "/once/1", { { "Host", "h" } }, "body" }, "");
+    CHECK(relay->runUntil(
+        [&] { return relay->daemon().crashGuard().quarantineStatus(digest) == QuarantineStatus::Pending; }));
+    for (int i = 0; i < 3; ++i)
+        callers.push_back(relay->call("/once/1", {}, "returns" + std::to_string(i)));
+    for (const auto& caller : callers)
+        waitForEnd(caller);
+    LONGS_EQUAL_TEXT(503, callers.back()->head.status, "a call was not refused after the evaluation");
+    CHECK_TEXT(arrivals("/once/1") <= maxArrivals, "calls were sent while losses waited for their evaluation");
+}
+
 TEST(CrashingRequest, DoesNotQuarantineOtherRequests)
 {
     const auto script = [](ScriptedConnection& connection, const std::string& request) {
