--- a/test/CrashGuardTest.cpp
+++ b/test/CrashGuardTest.cpp
@@ -91,7 +91,7 @@
     }
 };
 
-// A VM that had not yet read the removal from the store reported the records again, and they returned to all VMs.
+// Guards against a VM that has not yet read the removal from the store and reports the records again.
 TEST(CrashGuard, RecordsRemovedFromTheStoreAreNotLearnedAgainFromOtherVms)
 {
     addRemoteRecords("e", 3, false);
@@ -130,8 +130,7 @@
     }
 }
 
-// Guards against a VM that fails while it carries several runs of one request: connections to engines of all zones
-// break at once, and the request, which another VM had sent through it, was held.
+// Guards against holding a request whose runs in several zones end because the VM that carries them has failed.
 TEST(CrashGuard, RunsThatEndWithTheVmThatCarriedThemCountAsOneLoss)
 {
     loseConcurrentRuns(Milliseconds { 1 }, true);
--- a/test/CrashingRequestFleetTest.cpp
+++ b/test/CrashingRequestFleetTest.cpp
@@ -1,5 +1,4 @@
-// Guards against a request that crashes engines and is sent on by VMs that do not reach the store: each of seven VMs
-// judged three losses of its own before it held the request, and 27 engines crashed under it.
+// Guards against a request that crashes engines and is sent on by VMs that do not learn of each other's losses.
 #include "PartitionedFleet.h"
 
 #include <CppUTest/TestHarness.h>
--- a/test/CrashingRequestTest.cpp
+++ b/test/CrashingRequestTest.cpp
@@ -139,7 +139,7 @@
     CHECK_TEXT(arrivals("/once/1") <= maxArrivals, "the call was sent to more endpoints after it had crashed three");
 }
 
-// Guards against callers who return while the last losses of a call wait for their evaluation: each lost an endpoint.
+// Guards against losing another endpoint for each caller who returns before the last losses have been evaluated.
 TEST(CrashingRequest, IsNotSentBeforeItsLossesAreEvaluated)
 {
     addInFourZones(16, reset);
--- a/test/PeerCrashReportsTest.cpp
+++ b/test/PeerCrashReportsTest.cpp
@@ -263,8 +263,7 @@
 
 } // namespace
 
-// The callers of a request returned to many VMs at once when its hold ended, and each VM admitted a trial: 9 of 88 did
-// before the first one was known to have crashed its engine.
+// Guards against a trial at each VM when the callers of a request return to many VMs at the end of its hold.
 TEST(PeerCrashReports, OneOfAllVmsTriesTheRequestAgain)
 {
     addVms(3, 8);
