Log what is known of a silent run, and when an engine was last alive

Whether a silent run's engine had ended, stood still or only paused its stream could not be told from the logs, nor whether the engine chosen next had given a sign of life. stream.silent says which check failed and whether the engine accepted the probe's connection; stream.sent says when the engine was last known to be alive. No change of logic.

--- a/src/http/HttpRoundTrip.cpp
+++ b/src/http/HttpRoundTrip.cpp
@@ -48,7 +48,7 @@
     // The connection can become idle only after this callback returns, so the result is reported later.
     boost::asio::post(m_ioContext, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
-            self->report({ &self->m_response, "" });
+            self->report({ &self->m_response, "", true });
     });
     return false;
 }
@@ -60,8 +60,9 @@
     if (m_isResponseComplete)
         return;
     m_timer.cancel();
+    const bool isConnected = m_connection->hasSent();
     m_connection->close();
-    report({ nullptr, problem });
+    report({ nullptr, problem, isConnected });
 }
 
 void HttpRoundTrip::report(const HttpRoundTripResult& outcome)
--- a/src/http/HttpRoundTrip.h
+++ b/src/http/HttpRoundTrip.h
@@ -21,6 +21,9 @@
     const HttpResponse* answer { nullptr };
     // Why there is no response, for logs.
     std::string_view problem;
+    // True if a connection was established. A peer that accepts connections and does not answer has not ended: its host
+    // is up and its port is open.
+    bool isConnected { false };
 };
 
 class HttpRoundTrip final : public ClientConnectionListener, public std::enable_shared_from_this<HttpRoundTrip> {
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -86,7 +86,11 @@
         };
     };
     m_livenessMonitor = RunLivenessMonitor::make(m_context, m_request,
-        { ifNotFinished(&EventStreamCall::runStalled), ifNotFinished(&EventStreamCall::considerMove) });
+        { [weak = weak_from_this()](const RunSilence& silence) {
+             if (const auto self = weak.lock(); self && !self->m_isFinished)
+                 self->runStalled(silence);
+         },
+            ifNotFinished(&EventStreamCall::considerMove) });
     m_mover
         = std::make_unique<RunMover>(m_context, m_request, m_versions, [weak = weak_from_this()](const RunMove& move) {
               if (const auto self = weak.lock(); self && !self->m_isFinished)
@@ -609,7 +613,11 @@
     startRun();
 }
 
-void EventStreamCall::runStalled() { runFailed(FailureKind::Silent); }
+void EventStreamCall::runStalled(const RunSilence& silence)
+{
+    logRunSilent(m_request, *m_run, *m_answer, silence, m_context.now());
+    runFailed(FailureKind::Silent);
+}
 
 void EventStreamCall::considerMove()
 {
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -34,6 +34,7 @@
 enum class StreamOutcome;
 struct EarlierRun;
 struct RunMove;
+struct RunSilence;
 
 class EventStreamCall final : public EndpointCallListener, public std::enable_shared_from_this<EventStreamCall> {
 public:
@@ -82,7 +83,7 @@
     void recordResumption(const StreamRun&, Milliseconds now);
     void handleNonStreamResponse(const std::shared_ptr<StreamRun>&);
     void runFailed(FailureKind);
-    void runStalled();
+    void runStalled(const RunSilence&);
     void runRejected();
     void giveUpAsHeld();
     void requestBecameHeld();
--- a/src/relay/RunLivenessMonitor.cpp
+++ b/src/relay/RunLivenessMonitor.cpp
@@ -69,7 +69,7 @@
     const auto& settings = m_context.settings;
     const auto longestSilence = shareOf(m_request.route->longestPause, settings.moveAfterPauseShare);
     if (m_run->hasEvent && now - m_run->lastActivity >= longestSilence && m_request.route->mayRunAgain()) {
-        reportSilent();
+        reportSilent({ SilenceReason::Pause, true });
         return;
     }
     // Events of other streams also show that the engine is alive, but not that this run's connection works.
@@ -119,15 +119,15 @@
         m_run->endpoint->noteAlive(now);
         m_run->endpoint->noteSignals(m_context.protocol.decodeAnswer(*outcome.answer), now);
     } else if (m_request.route->mayRunAgain())
-        reportSilent();
+        reportSilent({ SilenceReason::NoAnswer, outcome.isConnected });
 }
 
 bool RunLivenessMonitor::isCutOff() const { return m_run->call && m_run->call->mayHang(); }
 
-void RunLivenessMonitor::reportSilent()
+void RunLivenessMonitor::reportSilent(const RunSilence& silence)
 {
     stop();
-    m_callbacks.onSilent();
+    m_callbacks.onSilent(silence);
 }
 
 } // namespace lupinknot::internal
--- a/src/relay/RunLivenessMonitor.h
+++ b/src/relay/RunLivenessMonitor.h
@@ -11,6 +11,7 @@
 // timer run.
 #pragma once
 
+#include "relay/RunSilence.h"
 #include "relay/StreamRun.h"
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -26,7 +27,7 @@
 public:
     struct Callbacks {
         // The engine has become silent. Called at most once per run.
-        std::function<void()> onSilent;
+        std::function<void(const RunSilence&)> onSilent;
         // Called after each periodic check of a run that is not silent.
         std::function<void()> onChecked;
     };
@@ -51,7 +52,7 @@
     void handleProbeAnswer(const HttpRoundTripResult&);
     // True if the run's connection may hang because this VM is partitioned from all endpoints.
     bool isCutOff() const;
-    void reportSilent();
+    void reportSilent(const RunSilence&);
 
     RelayContext& m_context;
     const RelayRequest& m_request;
--- a/src/relay/StreamLog.cpp
+++ b/src/relay/StreamLog.cpp
@@ -7,6 +7,7 @@
 #include "relay/RelayRequest.h"
 #include "relay/RunMover.h"
 #include "relay/RunRelocation.h"
+#include "relay/RunSilence.h"
 #include "relay/StreamResponse.h"
 #include "relay/StreamRun.h"
 
@@ -28,6 +29,7 @@
         .number("after_event", static_cast<std::int64_t>(answer.lastEventId()))
         .number("in_flight", endpoint.inFlight())
         .flag("avoided", endpoint.isAvoided(now))
+        .number("last_alive_ms", (now - endpoint.lastAliveAt()).count())
         .number("priority", run.priority ? static_cast<std::int64_t>(*run.priority) : -1)
         .number("config_version", static_cast<std::int64_t>(request.configurationVersion))
         .write();
@@ -70,6 +72,21 @@
         .write();
 }
 
+void logRunSilent(const RelayRequest& request, const StreamRun& run, const StreamResponse& answer,
+    const RunSilence& silence, Milliseconds now)
+{
+    LogEvent("stream.silent")
+        .text("request", request.fields.requestId)
+        .text("endpoint", run.endpoint->entry().id)
+        .text("zone", run.endpoint->entry().availabilityZone)
+        .text("reason", nameIn(silenceReasonNames, silence.reason))
+        .flag("connected", silence.isConnected)
+        .number("last_event", static_cast<std::int64_t>(answer.lastEventId()))
+        .number("silent_ms", (now - run.lastActivity).count())
+        .number("last_alive_ms", (now - run.endpoint->lastAliveAt()).count())
+        .write();
+}
+
 void logRunFailed(
     const RelayRequest& request, const StreamRun& run, const StreamResponse& answer, FailureKind kind, Milliseconds now)
 {
--- a/src/relay/StreamLog.h
+++ b/src/relay/StreamLog.h
@@ -24,12 +24,16 @@
 struct EarlierRun;
 struct RelayRequest;
 struct RunMove;
+struct RunSilence;
 struct StreamRun;
 
 void logRunSent(const RelayRequest&, const StreamRun&, const StreamResponse&, bool isFirst, Milliseconds now);
 void logFirstEvent(const RelayRequest&, const StreamRun&, Milliseconds now);
 void logReturned(const RelayRequest&, const EarlierRun&);
 void logRunRejected(const RelayRequest&, const StreamRun&);
+// Logs that nothing has arrived from a run's engine for too long. The reason is `no-answer` for a probe without an
+// answer, or `pause` for a stream that pauses although its engine answers probes.
+void logRunSilent(const RelayRequest&, const StreamRun&, const StreamResponse&, const RunSilence&, Milliseconds now);
 void logRunFailed(const RelayRequest&, const StreamRun&, const StreamResponse&, FailureKind, Milliseconds now);
 // lastEventAt is the time of the last event before the failure, if there was one; failedAt is when the failure was
 // detected.
