Keep a silent run until a run at a live engine has produced an event

Cause: a run that is silent for about 250 ms was ended at once, and the next one was sent to an engine of which nothing had been received since; while all engines are silent, each attempt ended the same way until the attempts or the retries of all VMs were used up. Silence was taken for death, and ending a run cannot be undone. Ruled out: the change of the configuration, without which the same streams end.

A silent run is now kept. Another one is sent in its place only to an engine that answers a probe or has sent something within its timeout, the holder of the run's copy first. The first run that produces an event goes on and the other one is cancelled at once, so that no two engines go on with a request. Without a live engine the stream waits and searches again at growing intervals. Broken connections are handled as before.

SilentStream: 4 of 4; it was not run on the code before.

--- a/src/copies/RunCopier.cpp
+++ b/src/copies/RunCopier.cpp
@@ -182,7 +182,7 @@
         RunCopyOrder::abandon(order, m_copy ? m_copy->handle : std::string());
 }
 
-std::vector<RunTarget> RunCopier::runLost(const StreamRun& run)
+std::vector<RunTarget> RunCopier::copiesOf(const StreamRun& run) const
 {
     const auto now = m_context.now();
     std::vector<RunTarget> targets;
@@ -195,6 +195,12 @@
         const auto holder = copyHolderOf(run, m_context.directory);
         targets.push_back({ holder, { holder->entry().address, m_request.fields.requestId }, run.startedAt });
     }
+    return targets;
+}
+
+std::vector<RunTarget> RunCopier::runLost(const StreamRun& run)
+{
+    auto targets = copiesOf(run);
     endOrder();
     if (auto copy = std::exchange(m_copy, std::nullopt))
         m_earlierCopies.push_back(std::move(*copy));
@@ -203,6 +209,12 @@
     return targets;
 }
 
+void RunCopier::noteUsed(const std::string& name)
+{
+    if (m_copy && m_copy->handle == name)
+        m_copy.reset();
+}
+
 void RunCopier::noteContinued(const std::string& name)
 {
     std::erase_if(m_earlierCopies, [&name](const Copy& copy) { return copy.handle == name; });
--- a/src/copies/RunCopier.h
+++ b/src/copies/RunCopier.h
@@ -45,8 +45,12 @@
     bool isEnabledFor(const StreamRun&) const;
     // Orders or refreshes a copy of the run if CopyRenewal decides so.
     void consider(const StreamRun&, Milliseconds expectedTimeLeft, const Engines& failed);
-    // Ends the orders for the run. Returns the copies from which it can continue, in the order in which to try them.
+    // The copies from which the run can continue, in the order in which to try them.
+    std::vector<RunTarget> copiesOf(const StreamRun&) const;
+    // Ends the orders for the run. Returns its copies.
     std::vector<RunTarget> runLost(const StreamRun&);
+    // The copy with this name can no longer be used, although the run goes on.
+    void noteUsed(const std::string& name);
     // A run that continues from the copy with this name was sent; its engine frees the copy.
     void noteContinued(const std::string& name);
     // Frees the copies of earlier runs that are not in use.
--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -127,6 +127,20 @@
     return conditions;
 }
 
+EngineChoice::Engines EngineChoice::substitutes(const std::shared_ptr<RelayEndpoint>& silent, std::size_t count) const
+{
+    const auto now = m_context.now();
+    auto request = placementRequest();
+    request.mustBeHealthy = true;
+    auto engines = m_context.placement.candidates(request, count, now);
+    if (engines.empty()) {
+        request.excluded = { silent };
+        request.mustBeHealthy = false;
+        engines = m_context.placement.candidates(request, count, now);
+    }
+    return engines;
+}
+
 void EngineChoice::choose(const Callback& callback)
 {
     m_firstEventForecast.reset();
--- a/src/relay/EngineChoice.h
+++ b/src/relay/EngineChoice.h
@@ -66,6 +66,9 @@
     // The engine that ran the request for another VM and has its prompt cached; null if it is not healthy. Returned
     // only once.
     std::shared_ptr<RelayEndpoint> takeEarlierEngine();
+    // The engines that may take the place of a silent one, best first: those that have not failed this request, or else
+    // any other. They need not be alive.
+    Engines substitutes(const std::shared_ptr<RelayEndpoint>& silent, std::size_t count) const;
     // Calls back once, possibly before it returns.
     void choose(const Callback&);
     void cancel();
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -10,6 +10,7 @@
 #include "relay/EarlierRunSearch.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/EngineChoice.h"
+#include "relay/LiveEngineSearch.h"
 #include "relay/PermitWait.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayMetrics.h"
@@ -215,18 +216,27 @@
 void EventStreamCall::giveUpAsHeld()
 {
     logLostRunEnds(continuation::held);
-    giveUp(refusalAfter(AttemptDecision::Held, m_possibleRuns));
+    endStream(refusalAfter(AttemptDecision::Held, m_possibleRuns));
 }
 
 // A run that produces events does not crash its engine, whatever happened to other runs of the request.
 void EventStreamCall::requestBecameHeld()
 {
-    if (!m_run || !m_run->hasEvent)
-        giveUpAsHeld();
+    const auto& run = m_silentRun ? m_silentRun : m_run;
+    if (run && run->hasEvent)
+        return;
+    if (m_silentRun)
+        cancelSubstitute();
+    giveUpAsHeld();
 }
 
 void EventStreamCall::startRun()
 {
+    if (m_silentRun) {
+        returnToSilentRun();
+        searchSubstitute(*m_run->silence, false);
+        return;
+    }
     if (!mayBeSent())
         return;
     if (m_versions.isBoundVersionGone()) {
@@ -304,6 +314,7 @@
     run->startedAt = now;
     run->lastActivity = now;
     run->isFromCopy = copy.has_value();
+    run->copyName = copy ? copy->name : std::string();
     run->tookRetry = std::exchange(m_tookRetryForNextRun, false);
     run->loan = loan;
 
@@ -400,23 +411,33 @@
     });
 }
 
+std::shared_ptr<StreamRun> EventStreamCall::runOf(const EndpointCall& call) const
+{
+    for (const auto& run : { m_run, m_silentRun }) {
+        if (run && run->call.get() == &call)
+            return run;
+    }
+    return nullptr;
+}
+
 void EventStreamCall::callHeader(EndpointCall& call, const HttpResponse& head, const AnswerFields& fields)
 {
-    if (!m_run || m_run->call.get() != &call)
+    const auto run = runOf(call);
+    if (!run)
         return;
-    m_run->headerReceivedAt = m_context.now();
-    m_run->head.status = head.status;
-    m_run->head.headers = head.headers.endToEnd();
-    m_run->fields = fields;
-    m_run->isFramed = head.headers.find("Transfer-Encoding") || head.headers.find("Content-Length");
-    m_run->isStream = head.status == okStatus && fields.isSigned;
-    m_run->endpoint->noteAlive(m_context.now());
+    run->headerReceivedAt = m_context.now();
+    run->head.status = head.status;
+    run->head.headers = head.headers.endToEnd();
+    run->fields = fields;
+    run->isFramed = head.headers.find("Transfer-Encoding") || head.headers.find("Content-Length");
+    run->isStream = head.status == okStatus && fields.isSigned;
+    run->endpoint->noteAlive(m_context.now());
 }
 
 void EventStreamCall::callBody(EndpointCall& call, std::string_view piece)
 {
-    const auto run = m_run;
-    if (!run || run->call.get() != &call)
+    const auto run = runOf(call);
+    if (!run)
         return;
     if (!run->isStream) {
         run->head.body.append(piece);
@@ -424,11 +445,14 @@
     }
     std::vector<CompleteEvent> events;
     if (!run->splitter.feed(piece, events)) {
-        runFailed(FailureKind::MalformedEvent);
+        run == m_silentRun ? silentRunFailed(FailureKind::MalformedEvent) : runFailed(FailureKind::MalformedEvent);
         return;
     }
-    if (!events.empty())
-        processEvents(*run, std::move(events));
+    if (events.empty())
+        return;
+    if (run == m_silentRun)
+        resumeSilentRun();
+    processEvents(*run, std::move(events));
 }
 
 void EventStreamCall::processEvents(StreamRun& run, std::vector<CompleteEvent>&& events)
@@ -444,6 +468,10 @@
         runFailed(FailureKind::WrongPosition);
         return;
     }
+    if (run.silence)
+        noteSilenceEnded(run, now);
+    if (m_silentRun)
+        releaseSilentRun(FailureKind::Silent);
     run.lastActivity = now;
     run.endpoint->noteAlive(now);
     m_timing.noteEvents(now);
@@ -498,9 +526,16 @@
 
 void EventStreamCall::callEnded(EndpointCall& call)
 {
-    const auto run = m_run;
-    if (!run || run->call.get() != &call || m_isFinished)
+    const auto run = runOf(call);
+    if (!run || m_isFinished)
         return;
+    if (run == m_silentRun) {
+        if (!run->isStream) {
+            silentRunFailed(FailureKind::ErrorStatus);
+            return;
+        }
+        resumeSilentRun();
+    }
     if (!run->isStream) {
         handleNonStreamResponse(run);
         return;
@@ -540,6 +575,7 @@
     const auto now = m_context.now();
     --m_possibleRuns;
     m_livenessMonitor->stop();
+    m_liveSearch.reset();
     run->reading.reset();
     logRunRejected(m_request, *run);
     ++m_rejectedRuns;
@@ -557,30 +593,54 @@
 
 void EventStreamCall::callFailed(EndpointCall& call, FailureKind kind)
 {
-    if (!m_run || m_run->call.get() != &call || m_isFinished)
+    const auto run = runOf(call);
+    if (!run || m_isFinished)
         return;
+    if (run == m_silentRun) {
+        silentRunFailed(kind);
+        return;
+    }
     // A run that is being moved closes its stream; the response to the move request determines how to continue.
     if (!m_mover->isStopping())
         runFailed(kind);
 }
 
+void EventStreamCall::noteEngineFailure(const StreamRun& run, FailureKind kind, Milliseconds now)
+{
+    const auto& settings = m_context.settings;
+    const bool wasSent = run.call->hasSent();
+    const bool wasSuspect = m_crashTracker.isSuspect();
+    if (wasSent)
+        m_crashTracker.noteUnfinished(*run.call, m_timing.describeUnfinishedRun(run, kind, now));
+    const bool isSilent = kind == FailureKind::Silent;
+    run.endpoint->avoidUntil(now
+        + (isSilent       ? settings.avoidAfterSilence
+                : wasSent ? settings.avoidAfterBrokenAnswer
+                          : settings.avoidAfterRefusal));
+    m_context.directory.noteFailure(*run.endpoint, now);
+    // A request that may crash endpoints says nothing about their zone.
+    const auto evidence = wasSuspect ? EngineEvidence::None : evidenceOf(kind, m_livenessMonitor->hasProbeFailed());
+    if (evidence == EngineEvidence::Failed)
+        m_context.directory.reportFailure(*run.endpoint);
+    else if (evidence == EngineEvidence::ConnectionBroke)
+        EndpointFailureCheck::start(m_context, run.endpoint);
+    m_choice->noteFailed(run.endpoint);
+}
+
 void EventStreamCall::runFailed(FailureKind kind)
 {
     const auto run = std::exchange(m_run, nullptr);
     const auto now = m_context.now();
-    const auto& settings = m_context.settings;
-    const bool wasSent = run->call->hasSent();
-    const bool wasSuspect = m_crashTracker.isSuspect();
     run->reading.reset();
     run->call->cancel();
     m_timing.recordEnginePace(*run, now);
     m_livenessMonitor->stop();
+    m_liveSearch.reset();
     m_mover->cancel();
     logRunFailed(m_request, *run, *m_answer, kind, now);
     m_context.metrics.countFailure(kind);
-    if (wasSent) {
+    if (run->call->hasSent()) {
         m_versions.noteAnswer(*run->endpoint, AnswerQuality::Bad);
-        m_crashTracker.noteUnfinished(*run->call, m_timing.describeUnfinishedRun(*run, kind, now));
     } else {
         --m_possibleRuns;
         --m_possibleDeliveries;
@@ -589,38 +649,175 @@
         // It reached no engine, so it may still be used.
         m_loan = run->loan;
     }
-    const bool isSilent = kind == FailureKind::Silent;
-    run->endpoint->avoidUntil(now
-        + (isSilent       ? settings.avoidAfterSilence
-                : wasSent ? settings.avoidAfterBrokenAnswer
-                          : settings.avoidAfterRefusal));
-    m_context.directory.noteFailure(*run->endpoint, now);
-    // A request that may crash endpoints says nothing about their zone.
-    const auto evidence = wasSuspect ? EngineEvidence::None : evidenceOf(kind, m_livenessMonitor->hasProbeFailed());
-    if (evidence == EngineEvidence::Failed)
-        m_context.directory.reportFailure(*run->endpoint);
-    else if (evidence == EngineEvidence::ConnectionBroke)
-        EndpointFailureCheck::start(m_context, run->endpoint);
-    m_choice->noteFailed(run->endpoint);
-    // A run's KV cache is copied from its first event on. When a run that continued from a copy is lost before that,
-    // the other copies of the run before it remain.
-    auto copies = m_copier->runLost(*run);
-    if (run->hasEvent)
-        m_choice->setCopies(std::move(copies));
+    noteEngineFailure(*run, kind, now);
+    if (!m_silentRun) {
+        // A run's KV cache is copied from its first event on. When a run that continued from a copy is lost before
+        // that, the other copies of the run before it remain.
+        auto copies = m_copier->runLost(*run);
+        if (run->hasEvent)
+            m_choice->setCopies(std::move(copies));
+        if (run->hasEvent)
+            logMissingCopy();
+    }
     m_failedAt = m_failedAt.value_or(now);
-    if (run->hasEvent)
-        logMissingCopy();
     startRun();
 }
 
+void EventStreamCall::silentRunFailed(FailureKind kind)
+{
+    const auto run = m_silentRun;
+    const auto now = m_context.now();
+    if (run->fields.isNotRun)
+        --m_possibleRuns;
+    else
+        noteEngineFailure(*run, kind, now);
+    releaseSilentRun(kind);
+    // Without a run in its place, the next one is being prepared or searched.
+    if (!m_run && !m_permit && !m_loanRequest)
+        startRun();
+}
+
 void EventStreamCall::runStalled(const RunSilence& silence)
 {
-    logRunSilent(m_request, *m_run, *m_answer, silence, m_context.now());
-    runFailed(FailureKind::Silent);
+    const auto now = m_context.now();
+    const bool isFirstReport = !m_run->silence;
+    if (isFirstReport) {
+        m_run->silence = silence;
+        logRunSilent(m_request, *m_run, *m_answer, silence, now);
+        noteEngineFailure(*m_run, FailureKind::Silent, now);
+    }
+    searchSubstitute(silence, isFirstReport);
+}
+
+void EventStreamCall::searchSubstitute(const RunSilence& silence, bool isFirstSearch)
+{
+    if (m_liveSearch || decideAttempt(m_crashTracker.attemptState(m_possibleRuns)) != AttemptDecision::Allowed
+        || m_versions.isBoundVersionGone())
+        return;
+    LiveEngineSearch::Engines engines;
+    // The probe that led to the first search has just remained unanswered.
+    const bool mayBeAwake = !isFirstSearch && silence.reason == SilenceReason::NoAnswer && !m_run->call->mayHang();
+    if (mayBeAwake)
+        engines.push_back(m_run->endpoint);
+    if (m_run->hasEvent)
+        m_choice->setCopies(m_copier->copiesOf(*m_run));
+    const auto copy = m_choice->copyTarget();
+    if (copy)
+        engines.push_back(copy->engine);
+    for (auto& engine : m_choice->substitutes(m_run->endpoint, m_context.settings.substituteCandidates))
+        engines.push_back(std::move(engine));
+    m_liveSearch = LiveEngineSearch::start(
+        m_context, engines, [weak = weak_from_this(), engines, copy, mayBeAwake](std::optional<std::size_t> found) {
+            const auto self = weak.lock();
+            if (!self || self->m_isFinished || !self->m_run)
+                return;
+            self->m_liveSearch.reset();
+            if (!found)
+                return;
+            const auto& engine = engines[*found];
+            if (mayBeAwake && *found == 0) {
+                self->m_run->answeredAgainAt = self->m_context.now();
+                self->m_run->silence.reset();
+                return;
+            }
+            const bool isFromCopy = copy && engine == copy->engine;
+            self->startSubstitute(engine, isFromCopy ? std::optional(copy->copy) : std::nullopt);
+        });
+}
+
+void EventStreamCall::startSubstitute(const std::shared_ptr<RelayEndpoint>& engine, std::optional<RunMemorySource> copy)
+{
+    m_livenessMonitor->stop();
+    m_mover->cancel();
+    if (m_silentRun)
+        cancelSubstitute();
+    else
+        m_silentRun = std::exchange(m_run, nullptr);
+    if (!m_failedAt) {
+        m_failedAt = m_context.now();
+        m_isFailureSilence = true;
+    }
+    if (!copy && m_silentRun->hasEvent)
+        logMissingCopy();
+    startRunIfAllowed(engine, std::move(copy));
+}
+
+void EventStreamCall::cancelSubstitute()
+{
+    m_liveSearch.reset();
+    m_choice->cancel();
+    m_permit.reset();
+    m_loanRequest.reset();
+    m_retryTimer.cancel();
+    m_livenessMonitor->stop();
+    const auto run = std::exchange(m_run, nullptr);
+    if (!run) {
+        if (std::exchange(m_tookRetryForNextRun, false))
+            m_context.retryBudget(m_request.service).giveBack();
+        return;
+    }
+    run->reading.reset();
+    run->call->cancel();
+    if (!run->call->hasSent()) {
+        --m_possibleRuns;
+        --m_possibleDeliveries;
+        if (run->tookRetry)
+            m_context.retryBudget(m_request.service).giveBack();
+        return;
+    }
+    // An engine gives out a copy only once.
+    m_copier->noteUsed(run->copyName);
+    if (run->isFromCopy && run->copyName == m_request.fields.requestId)
+        m_silentRun->copyHolder.reset();
+}
+
+void EventStreamCall::returnToSilentRun()
+{
+    m_run = std::exchange(m_silentRun, nullptr);
+    m_run->number = m_answer->beginRun();
+    if (std::exchange(m_isFailureSilence, false))
+        m_failedAt.reset();
+    m_livenessMonitor->begin(m_run);
+}
+
+void EventStreamCall::resumeSilentRun()
+{
+    cancelSubstitute();
+    noteSilenceEnded(*m_silentRun, m_context.now());
+    returnToSilentRun();
+    m_choice->noteLocation(*m_run);
+}
+
+void EventStreamCall::releaseSilentRun(FailureKind kind)
+{
+    const auto run = std::exchange(m_silentRun, nullptr);
+    const auto now = m_context.now();
+    logRunFailed(m_request, *run, *m_answer, kind, now);
+    m_context.metrics.countFailure(kind);
+    m_versions.noteAnswer(*run->endpoint, AnswerQuality::Bad);
+    run->reading.reset();
+    run->call->cancel();
+    m_timing.recordEnginePace(*run, now);
+    m_isFailureSilence = false;
+    m_copier->runLost(*run);
+    if (m_run)
+        m_copier->noteContinued(m_run->copyName);
+}
+
+void EventStreamCall::noteSilenceEnded(StreamRun& run, Milliseconds now)
+{
+    logSilenceEnded(m_request, run, m_silentRun != nullptr, now);
+    m_context.metrics.silencesEnded.Increment();
+    const auto lastEventAt = m_answer->lastEventAt();
+    m_wasLate = m_wasLate || (lastEventAt && now - *lastEventAt > m_request.route->longestPause);
+    run.silence.reset();
+    m_liveSearch.reset();
 }
 
 void EventStreamCall::considerMove()
 {
+    if (m_silentRun)
+        return;
     const auto expectedTimeLeft = m_answer->expectedTimeLeft(m_timing.maxEvents(), m_context.now());
     if (m_copier->isEnabledFor(*m_run)) {
         m_copier->consider(*m_run, expectedTimeLeft, m_choice->failed());
@@ -659,7 +856,7 @@
         return;
     if (!m_run)
         logLostRunEnds(continuation::noEngine);
-    giveUp(m_possibleRuns > 0 ? RefusalReason::TimedOut : RefusalReason::TimedOutUnsent);
+    endStream(m_possibleRuns > 0 ? RefusalReason::TimedOut : RefusalReason::TimedOutUnsent);
 }
 
 void EventStreamCall::complete()
@@ -676,6 +873,14 @@
 }
 
 void EventStreamCall::giveUp(RefusalReason reason)
+{
+    if (m_silentRun)
+        returnToSilentRun();
+    else
+        endStream(reason);
+}
+
+void EventStreamCall::endStream(RefusalReason reason)
 {
     if (!m_answer->hasBegun()) {
         refuse(reason);
@@ -690,7 +895,7 @@
 void EventStreamCall::logLostRunEnds(std::string_view reason) const
 {
     if (m_failedAt)
-        logNotContinued(m_request, reason, true, m_choice->copyTarget().has_value());
+        logNotContinued(m_request, reason, !m_silentRun, m_choice->copyTarget().has_value());
 }
 
 void EventStreamCall::logMissingCopy() const
@@ -746,9 +951,12 @@
     m_search.reset();
     m_permit.reset();
     m_loanRequest.reset();
+    m_liveSearch.reset();
     m_mover->cancel();
-    if (const auto run = std::exchange(m_run, nullptr))
-        run->call->cancel();
+    for (const auto& run : { std::exchange(m_run, nullptr), std::exchange(m_silentRun, nullptr) }) {
+        if (run)
+            run->call->cancel();
+    }
     m_copier->end();
 }
 
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -1,11 +1,15 @@
 // Serves a request that is answered by a stream of events, using one engine after another where engines fail.
 //
 // The events belong to the answer (Generation); a run is one attempt to produce them at one engine. When the engine of
-// the current run fails or stops sending, a new run resumes after the last complete event, and the caller keeps the
-// response header of the first run. An engine that supports live copies copies the run's KV cache to a second engine in
+// the current run fails, a new run resumes after the last complete event, and the caller keeps the response header of
+// the first run. An engine that supports live copies copies the run's KV cache to a second engine in
 // another availability zone while the run continues; the new run then starts there and prefills only what the copy
 // lacks.
 //
+// An engine that is only silent may go on at any time. Its run is kept while another one is tried at an engine that is
+// known to be alive; the first of the two that produces an event goes on, and the other one is cancelled. Where no
+// engine is alive, the stream waits for the silent one.
+//
 // A stream that must not run twice is not moved once an engine may have started it. Used on the relay's thread only.
 // Owned by its pending timers and the exchange's callback.
 #pragma once
@@ -26,6 +30,7 @@
 
 class EarlierRunSearch;
 class EngineChoice;
+class LiveEngineSearch;
 class PermitWait;
 class RunCopier;
 class RunMover;
@@ -83,7 +88,25 @@
     void recordResumption(const StreamRun&, Milliseconds now);
     void handleNonStreamResponse(const std::shared_ptr<StreamRun>&);
     void runFailed(FailureKind);
+    // Applies what a failure shows about the engine to the choice of engines and to the request.
+    void noteEngineFailure(const StreamRun&, FailureKind, Milliseconds now);
+    // Nothing arrives from the current run: looks for a live engine to take its place.
     void runStalled(const RunSilence&);
+    void searchSubstitute(const RunSilence&, bool isFirstSearch);
+    // Keeps the silent run and starts another one in its place.
+    void startSubstitute(const std::shared_ptr<RelayEndpoint>&, std::optional<RunMemorySource>);
+    // Ends the current run, which has taken the place of the silent one without producing an event.
+    void cancelSubstitute();
+    // The kept run is the current one again, still silent.
+    void returnToSilentRun();
+    // The kept run has produced an event.
+    void resumeSilentRun();
+    // The kept run has failed, or the one in its place has produced an event.
+    void releaseSilentRun(FailureKind);
+    void silentRunFailed(FailureKind);
+    void noteSilenceEnded(StreamRun&, Milliseconds now);
+    // The run of the call, if it is the current or the kept one.
+    std::shared_ptr<StreamRun> runOf(const EndpointCall&) const;
     void runRejected();
     void giveUpAsHeld();
     void requestBecameHeld();
@@ -96,7 +119,9 @@
     void timedOut();
     void complete();
     void refuse(RefusalReason);
+    // Ends the stream, unless a silent run may still go on.
     void giveUp(RefusalReason);
+    void endStream(RefusalReason);
     // Logs why a lost run is not continued when the stream ends.
     void logLostRunEnds(std::string_view reason) const;
     // Logs that a run lost in mid-stream has no usable copy.
@@ -115,6 +140,12 @@
     std::shared_ptr<EarlierRunSearch> m_search;
     const std::shared_ptr<StreamResponse> m_answer;
     std::shared_ptr<StreamRun> m_run;
+    // The silent run that is kept while m_run is tried, or prepared, in its place.
+    std::shared_ptr<StreamRun> m_silentRun;
+    // Set while a live engine is searched to take the place of the silent one.
+    std::shared_ptr<LiveEngineSearch> m_liveSearch;
+    // True if m_failedAt was set because of a run that is only silent.
+    bool m_isFailureSilence { false };
     // Set by begin().
     std::shared_ptr<RunLivenessMonitor> m_livenessMonitor;
     // Set while a permit request is pending.
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -62,6 +62,8 @@
           *m_registry, "lupinknot_relay_resumed_from_copy_total", "Streams that went on from a copy of their memory."))
     , resumedCold(addCounter(
           *m_registry, "lupinknot_relay_resumed_cold_total", "Streams that went on by reading the prompt again."))
+    , silencesEnded(addCounter(*m_registry, "lupinknot_relay_silences_ended_total",
+          "Runs that were silent for too long and went on by themselves."))
     , copiesRenewed(addCounter(*m_registry, "lupinknot_relay_copies_renewed_total",
           "New copies made of the KV caches of running streams whose copy was lost."))
     , copiesLost(addCounter(
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -82,6 +82,8 @@
     // Streams that resumed at another engine from a copy of their KV cache, or by a new prefill of the prompt.
     prometheus::Counter& resumedFromCopy;
     prometheus::Counter& resumedCold;
+    // Silences of runs that ended with an event of the same run.
+    prometheus::Counter& silencesEnded;
     // New copies of the KV caches of running streams, and copies that were lost while their stream ran.
     prometheus::Counter& copiesRenewed;
     prometheus::Counter& copiesLost;
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -87,6 +87,11 @@
     Milliseconds probeTimeout { 70 };
     // Interval between probes while a stream stays silent and its engine is alive.
     Milliseconds probeInterval { 150 };
+    // Longest interval between two searches for an engine that can take the place of a silent one. The first one is
+    // probeInterval.
+    Milliseconds maxSilenceReportInterval { 600 };
+    // Number of engines, beside the holder of the run's copy, that such a search probes.
+    std::size_t substituteCandidates { 2 };
     // Silence after which a stream moves although its engine is alive, as a share of the route's longest pause.
     double moveAfterPauseShare { 0.75 };
     // How much longer than the usual prefill time of its prompt a stream waits for its first event before its engine is
--- a/src/relay/RunLivenessMonitor.cpp
+++ b/src/relay/RunLivenessMonitor.cpp
@@ -42,10 +42,18 @@
     m_probe.reset();
     m_run = std::move(run);
     m_nextProbeAt = m_context.now();
+    m_reportInterval = m_context.settings.probeInterval;
+    m_nextReportAt = m_context.now() + m_reportInterval;
     m_hasProbeFailed = false;
     scheduleCheck();
 }
 
+void RunLivenessMonitor::noteEvent()
+{
+    m_probe.reset();
+    m_reportInterval = m_context.settings.probeInterval;
+}
+
 void RunLivenessMonitor::stop()
 {
     m_run.reset();
@@ -67,9 +75,19 @@
 {
     const auto now = m_context.now();
     const auto& settings = m_context.settings;
+    if (m_run->silence) {
+        if (now >= m_nextReportAt)
+            reportSilent(*m_run->silence);
+        if (m_run)
+            scheduleCheck();
+        return;
+    }
     const auto longestSilence = shareOf(m_request.route->longestPause, settings.moveAfterPauseShare);
-    if (m_run->hasEvent && now - m_run->lastActivity >= longestSilence && m_request.route->mayRunAgain()) {
+    const auto lastProgress = std::max(m_run->lastActivity, m_run->answeredAgainAt);
+    if (m_run->hasEvent && now - lastProgress >= longestSilence && m_request.route->mayRunAgain()) {
         reportSilent({ SilenceReason::Pause, true });
+        if (m_run)
+            scheduleCheck();
         return;
     }
     // Events of other streams also show that the engine is alive, but not that this run's connection works.
@@ -126,7 +144,9 @@
 
 void RunLivenessMonitor::reportSilent(const RunSilence& silence)
 {
-    stop();
+    m_probe.reset();
+    m_nextReportAt = m_context.now() + m_reportInterval;
+    m_reportInterval = std::min(2 * m_reportInterval, m_context.settings.maxSilenceReportInterval);
     m_callbacks.onSilent(silence);
 }
 
--- a/src/relay/StreamLog.cpp
+++ b/src/relay/StreamLog.cpp
@@ -87,6 +87,16 @@
         .write();
 }
 
+void logSilenceEnded(const RelayRequest& request, const StreamRun& run, bool isSubstituted, Milliseconds now)
+{
+    LogEvent("stream.silence-ended")
+        .text("request", request.fields.requestId)
+        .text("endpoint", run.endpoint->entry().id)
+        .flag("substituted", isSubstituted)
+        .number("silent_ms", (now - run.lastActivity).count())
+        .write();
+}
+
 void logRunFailed(
     const RelayRequest& request, const StreamRun& run, const StreamResponse& answer, FailureKind kind, Milliseconds now)
 {
--- a/src/relay/StreamLog.h
+++ b/src/relay/StreamLog.h
@@ -34,6 +34,8 @@
 // Logs that nothing has arrived from a run's engine for too long. The reason is `no-answer` for a probe without an
 // answer, or `pause` for a stream that pauses although its engine answers probes.
 void logRunSilent(const RelayRequest&, const StreamRun&, const StreamResponse&, const RunSilence&, Milliseconds now);
+// A silent run has produced an event, or its engine has answered a probe. substituted: another run had been sent.
+void logSilenceEnded(const RelayRequest&, const StreamRun&, bool isSubstituted, Milliseconds now);
 void logRunFailed(const RelayRequest&, const StreamRun&, const StreamResponse&, FailureKind, Milliseconds now);
 // lastEventAt is the time of the last event before the failure, if there was one; failedAt is when the failure was
 // detected.
--- a/src/relay/StreamRun.h
+++ b/src/relay/StreamRun.h
@@ -10,9 +10,11 @@
 #include "relay/CallProtocol.h"
 #include "relay/EventSplitter.h"
 #include "relay/PrefillScope.h"
+#include "relay/RunSilence.h"
 #include "retries/RetryLoanSource.h"
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace lupinknot::internal {
 
@@ -42,6 +44,12 @@
     bool isFramed { false };
     bool hasEvent { false };
     bool isFromCopy { false };
+    // The copy that the run continues from; empty if there is none.
+    std::string copyName;
+    // Set while nothing arrives from the run.
+    std::optional<RunSilence> silence;
+    // When the engine answered a probe after it had been silent.
+    Milliseconds answeredAgainAt { 0 };
     // The priority that was sent to the engine, if any.
     std::optional<unsigned> priority;
     // The retry budget was charged for this run.
--- a/test/SilentEndpointTest.cpp
+++ b/test/SilentEndpointTest.cpp
@@ -72,3 +72,113 @@
     CHECK(relay->runUntil([&] { return caller->isWhole; }));
     STRCMP_EQUAL("late", caller->body.c_str());
 }
+
+TEST_GROUP(SilentStream)
+{
+    std::unique_ptr<RelayHarness> relay;
+    ScriptedEndpoint* silent { nullptr };
+    ScriptedEndpoint* other { nullptr };
+    std::shared_ptr<TestCaller> caller;
+    // The connection of the last run at the other engine.
+    std::shared_ptr<ScriptedConnection> substitute;
+
+    void setup() override
+    {
+        relay = std::make_unique<RelayHarness>();
+        relay->settings.probeAfterSilence = Milliseconds { 20 };
+        relay->settings.probeInterval = Milliseconds { 30 };
+        relay->addRoute("stream", RequestKind::EventStream, 2);
+        silent = &relay->addEndpoint("e1", "a");
+        other = &relay->addEndpoint("e2", "b");
+    }
+
+    void teardown() override
+    {
+        // Their sockets belong to the relay's io_context.
+        substitute.reset();
+        caller.reset();
+        relay.reset();
+    }
+
+    static bool isStream(const std::string& request) { return request.find("/stream/") != std::string::npos; }
+
+    // Opens a stream at e1, which sends one event and nothing more. The other engine answers probes if it is awake.
+    void open(bool isOtherAwake)
+    {
+        silent->onRequest([](ScriptedConnection& connection, const std::string& request) {
+            if (!isStream(request))
+                return;
+            connection.beginStream(signedHead);
+            connection.sendEvent(1);
+        });
+        other->onRequest([this, isOtherAwake](ScriptedConnection& connection, const std::string& request) {
+            if (isStream(request))
+                substitute = connection.shared_from_this();
+            else if (isOtherAwake)
+                connection.answer(200, "", "{}");
+        });
+        relay->configure();
+        relay->list();
+        caller = relay->call("/stream/1");
+        CHECK(relay->runUntil([&] { return caller->body.find("e1") != std::string::npos; }));
+    }
+
+    // Runs of the stream that have reached the other engine.
+    std::ptrdiff_t runsAtOther() const
+    {
+        return std::count_if(other->requests().begin(), other->requests().end(), isStream);
+    }
+
+    void wait(Milliseconds time)
+    {
+        const auto& clock = relay->daemon().clock();
+        const auto end = clock.now() + time;
+        relay->runUntil([&] { return clock.now() >= end; });
+    }
+
+    void finishAtSilent()
+    {
+        silent->connections().front()->sendEvent(2);
+        silent->connections().front()->endStream();
+        CHECK(relay->runUntil([&] { return caller->isWhole || caller->isBroken; }));
+        CHECK_TEXT(caller->isWhole, "the stream ended although its engine went on");
+        CHECK(caller->body.find("e2") != std::string::npos);
+    }
+};
+
+TEST(SilentStream, EndsWhenNoEngineAnswers)
+{
+    open(false);
+    wait(Milliseconds { 800 });
+    LONGS_EQUAL_TEXT(0, runsAtOther(), "a run was sent to an engine that does not answer");
+    finishAtSilent();
+}
+
+TEST(SilentStream, IsLostAlthoughItsEngineGoesOnBeforeTheSubstitute)
+{
+    open(true);
+    CHECK(relay->runUntil([&] { return runsAtOther() == 1; }));
+    CHECK_FALSE_TEXT(silent->connections().front()->isClosedByPeer(), "the silent run was ended");
+    finishAtSilent();
+    CHECK(relay->runUntil([&] { return substitute->isClosedByPeer(); }));
+}
+
+TEST(SilentStream, SilentRunGoesOnBesideItsSubstitute)
+{
+    open(true);
+    CHECK(relay->runUntil([&] { return runsAtOther() == 1; }));
+    substitute->beginStream(signedHead);
+    substitute->sendEvent(2);
+    CHECK(relay->runUntil([&] { return silent->connections().front()->isClosedByPeer(); }));
+    substitute->endStream();
+    CHECK(relay->runUntil([&] { return caller->isWhole; }));
+}
+
+TEST(SilentStream, EndsWhenItsSubstituteCrashes)
+{
+    open(true);
+    CHECK(relay->runUntil([&] { return runsAtOther() == 1; }));
+    other->crash();
+    wait(Milliseconds { 300 });
+    finishAtSilent();
+}
