Detect that this VM's event loop stood still

Callers saw streams given up after their VM had been frozen: when it runs again, its timers have expired although the answers of its endpoints wait in the sockets, so that it takes its own pause for the silence of all endpoints.

StallDetector notices a tick that comes too late. RelayContext::stalls states from when on the silence of others counts; nothing uses it yet. The log (process.stalled) and a metric show the stalls.

--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -4,6 +4,7 @@
 #include "admission/FirstAttemptEstimate.h"
 #include "admission/OrganisationShares.h"
 #include "admission/WaitingRequestLimit.h"
+#include "health/StallDetector.h"
 #include "lupinknot/Clock.h"
 #include "placement/EnginePaces.h"
 #include "relay/RetryBudget.h"
@@ -64,6 +65,8 @@
     RetryLoanSource* retryLoans { nullptr };
     // Paces of single engines, relative to their service.
     EnginePaces enginePaces {};
+    // When this VM's event loop last stood still; silence of others counts only from then on.
+    StallDetector stalls {};
 
     Milliseconds now() const { return clock.now(); }
     bool has(Policy) const;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -43,6 +43,7 @@
     , m_signals(m_ioContext, SIGTERM, SIGINT, SIGHUP)
     , m_stopTimer(m_ioContext)
     , m_housekeepingTimer(m_ioContext)
+    , m_stallTimer(m_ioContext)
 {
     m_context.waitingRequestLimit.setAgeingTime(m_settings.rankAgeingTime);
     m_directory.setConnector(m_connector);
@@ -64,6 +65,7 @@
     }
     awaitSignal();
     runHousekeeping();
+    runStallTimer();
     LogEvent("process.started")
         .text("zone", m_settings.availabilityZone)
         .number("front_port", m_callerServer.port())
@@ -209,4 +211,17 @@
     });
 }
 
+void RelayDaemon::runStallTimer()
+{
+    if (const auto stall = m_context.stalls.noteTick(m_clock.now())) {
+        m_metrics.stalls.Increment();
+        LogEvent("process.stalled").number("took_ms", stall->count()).write();
+    }
+    m_stallTimer.expires_after(StallDetector::interval);
+    m_stallTimer.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            runStallTimer();
+    });
+}
+
 } // namespace lupinknot::internal
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -111,6 +111,8 @@
     void awaitSignal();
     void awaitStop();
     void runHousekeeping();
+    // Notices when the event loop has stood still.
+    void runStallTimer();
 
     RelaySettings m_settings;
     const MonotonicClock m_clock;
@@ -131,6 +133,7 @@
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_stopTimer;
     boost::asio::steady_timer m_housekeepingTimer;
+    boost::asio::steady_timer m_stallTimer;
     std::function<void()> m_onReload;
     std::function<void()> m_onStopping;
     std::optional<Milliseconds> m_stopRequestedAt;
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -103,6 +103,7 @@
           "Requests that this VM began to hold back, because endpoints crashed under them."))
     , quarantineTrials(addCounter(*m_registry, "lupinknot_relay_quarantine_trials_total",
           "Attempts that were admitted to try a request again after a hold."))
+    , stalls(addCounter(*m_registry, "lupinknot_relay_stalls_total", "Times at which the event loop stood still."))
 {
 }
 
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -111,6 +111,8 @@
     // Requests that this VM began to hold back, and attempts that it admitted to try one again.
     prometheus::Counter& quarantineHolds;
     prometheus::Counter& quarantineTrials;
+    // Times at which this VM's event loop stood still.
+    prometheus::Counter& stalls;
 };
 
 } // namespace lupinknot::internal
