State what shows the failure of an endpoint and of a zone

zone.avoided and zone.failed did not say whether engines refused connections or were only silent, so that a pause of all engines could not be told from the end of a zone. Logs, the metric of zone failures and the reports between VMs now carry the evidence: failed, unreachable or silent. A probe's result says whether its connection was established, refused or broken. endpoint.alive-again shows endpoints that answer after they were seen to fail.

--- a/src/copies/RunCopier.cpp
+++ b/src/copies/RunCopier.cpp
@@ -49,7 +49,7 @@
 {
     const auto& entry = holder.entry();
     const auto current = m_context.directory.findAt(entry.service, entry.address);
-    return { .hasZoneFailed = m_context.directory.hasZoneFailedSince(entry.service, entry.availabilityZone, since),
+    return { .hasZoneFailed = m_context.directory.isLostWithZone(holder, since),
         .isRemoved = holder.isRemoved(),
         .isReplaced = holder.isRemoved() && current && current.get() != &holder,
         .isShuttingDown = holder.isShuttingDown() };
@@ -212,9 +212,8 @@
 {
     for (const auto& copy : std::exchange(m_earlierCopies, {})) {
         // After a restart, the same handle may be that of another run.
-        const auto& entry = copy.source->entry();
-        const bool mayHaveRestarted = copy.source->isRemoved()
-            || m_context.directory.hasZoneFailedSince(entry.service, entry.availabilityZone, copy.confirmedAt);
+        const bool mayHaveRestarted
+            = copy.source->isRemoved() || m_context.directory.isLostWithZone(*copy.source, copy.confirmedAt);
         if (!mayHaveRestarted)
             HandleRelease::send(m_context, copy.source, copy.handle);
     }
--- a/src/health/EndpointFailureCheck.cpp
+++ b/src/health/EndpointFailureCheck.cpp
@@ -9,6 +9,17 @@
 
 namespace lupinknot::internal {
 
+namespace {
+
+FailureEvidence evidenceOf(const HttpRoundTripResult& outcome)
+{
+    if (outcome.isBroken)
+        return FailureEvidence::Failed;
+    return outcome.isConnected ? FailureEvidence::Silent : FailureEvidence::Unreachable;
+}
+
+} // namespace
+
 void EndpointFailureCheck::start(RelayContext& context, std::shared_ptr<RelayEndpoint> endpoint)
 {
     if (endpoint->isInBackOff(context.now()))
@@ -37,7 +48,7 @@
 {
     m_lifetime.cancel();
     if (!outcome.answer)
-        m_context.directory.reportFailure(*m_endpoint);
+        m_context.directory.reportFailure(*m_endpoint, evidenceOf(outcome));
 }
 
 } // namespace lupinknot::internal
--- a/src/health/ZoneFailureDetector.cpp
+++ b/src/health/ZoneFailureDetector.cpp
@@ -13,28 +13,36 @@
 constexpr std::size_t maxZones = 256;
 constexpr std::size_t maxFailures = 1024;
 
-// The failures within the window that contains the instant and the most failures, as the earliest one and their number.
-std::pair<Milliseconds, std::size_t> failuresAround(
-    const std::map<std::string, Milliseconds>& failures, Milliseconds instant)
+} // namespace
+
+FailureEvidence commonEvidence(std::vector<FailureEvidence> shown, std::size_t count)
 {
-    std::vector<Milliseconds> near;
-    for (const auto& failure : failures) {
-        if (std::chrono::abs(failure.second - instant) <= ZoneFailureDetector::window)
-            near.push_back(failure.second);
+    std::sort(shown.begin(), shown.end(), std::greater<>());
+    return count == 0 || count > shown.size() ? FailureEvidence::Silent : shown[count - 1];
+}
+
+std::vector<ZoneFailureDetector::Failure> ZoneFailureDetector::failuresAround(const Zone& zone, Milliseconds instant)
+{
+    std::vector<Failure> near;
+    for (const auto& [id, failure] : zone.failures) {
+        if (std::chrono::abs(failure.at - instant) <= window)
+            near.push_back(failure);
     }
-    std::sort(near.begin(), near.end());
-    std::pair<Milliseconds, std::size_t> best { instant, 0 };
-    for (std::size_t first = 0, end = 0; first < near.size(); ++first) {
-        while (end < near.size() && near[end] - near[first] <= ZoneFailureDetector::window)
+    std::sort(near.begin(), near.end(), [](const Failure& a, const Failure& b) { return a.at < b.at; });
+    std::size_t bestFirst = 0;
+    std::size_t bestEnd = 0;
+    for (std::size_t first = 0, end = 0; first < near.size() && near[first].at <= instant; ++first) {
+        while (end < near.size() && near[end].at - near[first].at <= window)
             ++end;
-        if (near[first] <= instant && end - first > best.second)
-            best = { near[first], end - first };
+        if (end - first > bestEnd - bestFirst) {
+            bestFirst = first;
+            bestEnd = end;
+        }
     }
-    return best;
+    return { near.begin() + static_cast<std::ptrdiff_t>(bestFirst),
+        near.begin() + static_cast<std::ptrdiff_t>(bestEnd) };
 }
 
-} // namespace
-
 bool ZoneFailureDetector::isCounted(std::string_view endpointId, std::size_t listed)
 {
     return listed <= sampleSize
@@ -56,17 +64,22 @@
     if (!makeRoom(key, now))
         return std::nullopt;
     auto& zone = m_zones[key];
-    std::erase_if(zone.failures, [now](const auto& entry) { return now - entry.second > 2 * minInterval; });
+    std::erase_if(zone.failures, [now](const auto& entry) { return now - entry.second.at > 2 * minInterval; });
     if (zone.failures.size() >= maxFailures)
         return std::nullopt;
     // Other VMs see the same failure of an endpoint somewhat later.
-    auto& known = zone.failures.try_emplace(failure.endpointId, at).first->second;
-    known = std::chrono::abs(known - at) <= window ? std::min(known, at) : std::max(known, at);
-    const auto [first, count] = failuresAround(zone.failures, known);
-    if (count < threshold(listed) || isDeclared(failure.service, failure.zone, now))
+    auto& known = zone.failures.try_emplace(failure.endpointId, Failure { at, failure.evidence }).first->second;
+    known.at = std::chrono::abs(known.at - at) <= window ? std::min(known.at, at) : std::max(known.at, at);
+    known.evidence = std::max(known.evidence, failure.evidence);
+    const auto together = failuresAround(zone, known.at);
+    if (together.size() < threshold(listed) || isDeclared(failure.service, failure.zone, now))
         return std::nullopt;
     zone.declaredAt = now;
-    return ZoneFailure { failure.service, failure.zone, first, now, count };
+    std::vector<FailureEvidence> shown;
+    for (const auto& each : together)
+        shown.push_back(each.evidence);
+    return ZoneFailure { failure.service, failure.zone, together.front().at, now, together.size(),
+        commonEvidence(std::move(shown), threshold(listed)) };
 }
 
 bool ZoneFailureDetector::makeRoom(const std::pair<std::string, std::string>& key, Milliseconds now)
@@ -76,7 +89,7 @@
     std::erase_if(m_zones, [now](const auto& entry) {
         const auto& [failures, declaredAt] = entry.second;
         const bool isQuiet = std::all_of(failures.begin(), failures.end(),
-            [now](const auto& failure) { return now - failure.second > 2 * minInterval; });
+            [now](const auto& failure) { return now - failure.second.at > 2 * minInterval; });
         return isQuiet && (!declaredAt || now - *declaredAt > minInterval);
     });
     return m_zones.size() < maxZones;
--- a/src/health/ZoneFailureDetector.h
+++ b/src/health/ZoneFailureDetector.h
@@ -13,6 +13,7 @@
 // Without input or output; not thread-safe.
 #pragma once
 
+#include "health/FailureEvidence.h"
 #include "lupinknot/Clock.h"
 #include <cstddef>
 #include <map>
@@ -29,6 +30,7 @@
     std::string service;
     std::string zone;
     std::string endpointId;
+    FailureEvidence evidence { FailureEvidence::Failed };
 };
 
 struct ZoneFailure {
@@ -39,8 +41,13 @@
     Milliseconds declaredAt { 0 };
     // The endpoints that were seen to fail until then.
     std::size_t endpoints { 0 };
+    // As many endpoints as make a failure of the zone show this evidence or stronger.
+    FailureEvidence evidence { FailureEvidence::Failed };
 };
 
+// The strongest evidence that at least `count` of the failures show, or the weakest one if there are fewer.
+FailureEvidence commonEvidence(std::vector<FailureEvidence>, std::size_t count);
+
 class ZoneFailureDetector {
 public:
     // Endpoints that fail within this time have failed together.
@@ -68,12 +75,18 @@
     bool isDeclared(const std::string& service, const std::string& zone, Milliseconds now) const;
 
 private:
+    struct Failure {
+        Milliseconds at;
+        FailureEvidence evidence;
+    };
     struct Zone {
-        // When the endpoints were seen to fail, by id.
-        std::map<std::string, Milliseconds> failures;
+        // By endpoint id.
+        std::map<std::string, Failure> failures;
         std::optional<Milliseconds> declaredAt;
     };
 
+    // The failures within the window that contains the instant and the most failures.
+    static std::vector<Failure> failuresAround(const Zone&, Milliseconds instant);
     // Forgets zones without recent failures if there is no room for another one. Returns whether there is room.
     bool makeRoom(const std::pair<std::string, std::string>& key, Milliseconds now);
 
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -224,6 +224,7 @@
 {
     const auto self = shared_from_this();
     m_connectTimer.cancel();
+    m_isRefused = result == HopResult::Refused;
     reportHop(result);
     if (m_state != State::Connecting)
         return;
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -80,6 +80,8 @@
     bool isThroughVm() const { return m_isThroughVm; }
     // True once bytes of the current request may have left this process.
     bool hasSent() const { return m_hasSent; }
+    // True if the last attempt to connect was refused; false if nothing answered it.
+    bool isRefused() const { return m_isRefused; }
     // How long the peer keeps the connection open while idle, if its last response stated it (Keep-Alive header).
     std::optional<Milliseconds> peerIdleTimeout() const { return m_peerIdleTimeout; }
     // Closes immediately; with a reset if a response is still pending, so that the peer notices it at its next read or
@@ -128,6 +130,7 @@
     // Distinguishes the callbacks of the present hop from those of earlier ones.
     unsigned m_hopNumber { 0 };
     bool m_isThroughVm { false };
+    bool m_isRefused { false };
     std::chrono::steady_clock::time_point m_hopStartedAt;
     // True while a hop has no result.
     bool m_isHopOpen { false };
--- a/src/http/HttpRoundTrip.cpp
+++ b/src/http/HttpRoundTrip.cpp
@@ -13,7 +13,7 @@
     roundTrip->m_timer.async_wait([weak = roundTrip->weak_from_this()](boost::system::error_code error) {
         const auto self = weak.lock();
         if (!error && self)
-            self->fail("no-answer");
+            self->fail("no-answer", false);
     });
     return roundTrip;
 }
@@ -53,15 +53,19 @@
     return false;
 }
 
-void HttpRoundTrip::connectionFailed(ClientFailure failure) { fail(nameIn(clientFailureNames, failure)); }
+void HttpRoundTrip::connectionFailed(ClientFailure failure)
+{
+    const bool isBroken = failure != ClientFailure::NotConnected || m_connection->isRefused();
+    fail(nameIn(clientFailureNames, failure), isBroken);
+}
 
-void HttpRoundTrip::fail(std::string_view problem)
+void HttpRoundTrip::fail(std::string_view problem, bool isBroken)
 {
     if (m_isResponseComplete)
         return;
     m_timer.cancel();
     m_connection->close();
-    report({ nullptr, problem });
+    report({ nullptr, problem, m_connection->hasSent(), isBroken });
 }
 
 void HttpRoundTrip::report(const HttpRoundTripResult& outcome)
--- a/src/http/HttpRoundTrip.h
+++ b/src/http/HttpRoundTrip.h
@@ -21,6 +21,10 @@
     const HttpResponse* answer { nullptr };
     // Why there is no response, for logs.
     std::string_view problem;
+    // True if a connection was established: the peer's host is up, even if nothing answers.
+    bool isConnected { true };
+    // True if the connection was refused or broke: the peer's process has ended, or the connection was reset.
+    bool isBroken { false };
 };
 
 class HttpRoundTrip final : public ClientConnectionListener, public std::enable_shared_from_this<HttpRoundTrip> {
@@ -40,7 +44,7 @@
 
 private:
     HttpRoundTrip(boost::asio::io_context&, std::shared_ptr<ClientConnection>, Callback);
-    void fail(std::string_view problem);
+    void fail(std::string_view problem, bool isBroken);
     void report(const HttpRoundTripResult&);
 
     boost::asio::io_context& m_ioContext;
--- a/src/relay/EndpointCall.cpp
+++ b/src/relay/EndpointCall.cpp
@@ -91,7 +91,9 @@
     const auto now = m_context.now();
     // Unsigned bytes and responses of another process at the address are no evidence about this endpoint.
     const bool isFromEndpoint = (fields.isSigned || fields.isNotRun) && !fields.isOtherIncarnation;
+    m_isFromEndpoint = isFromEndpoint;
     if (isFromEndpoint) {
+        m_endpoint->confirmAlive(now);
         m_endpoint->noteSignals(fields, now);
         if (fields.load.load && fields.load.load->pace)
             m_context.enginePaces.noteStatedPace(m_endpoint->entry().service, *fields.load.load->pace, now);
@@ -118,6 +120,8 @@
 {
     if (m_isSkipping || m_isOver)
         return;
+    if (m_isFromEndpoint)
+        m_endpoint->confirmAlive(m_context.now());
     if (const auto listener = m_listener.lock())
         listener->callBody(*this, piece);
 }
--- a/src/relay/EndpointCall.h
+++ b/src/relay/EndpointCall.h
@@ -57,6 +57,8 @@
     bool isThroughVm() const { return m_connection->isThroughVm(); }
     // True if the connection may hang because this VM is partitioned from all endpoints.
     bool mayHang() const { return m_endpoint->mayHang(*m_connection); }
+    // True if the endpoint refused the connection.
+    bool isRefused() const { return m_connection->isRefused(); }
     // Closes the connection. No callback follows.
     void cancel();
 
@@ -78,6 +80,8 @@
     const Milliseconds m_startedAt;
     std::shared_ptr<ClientConnection> m_connection;
     boost::asio::steady_timer m_checkTimer;
+    // The response comes from the endpoint's incarnation.
+    bool m_isFromEndpoint { false };
     bool m_isSkipping { false };
     bool m_isOver { false };
     bool m_hadSent { false };
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -18,6 +18,8 @@
 // Shares of zones closer than this are equal; an estimate that changes by less than this many percent is not logged.
 constexpr double equalShares = 0.001;
 constexpr std::int64_t loggedChangePercent = 15;
+// The time for which bytes of an endpoint that has failed may still wait to be read.
+constexpr Milliseconds minTimeToSignOfLife { 50 };
 
 } // namespace
 
@@ -387,21 +389,45 @@
     m_endpointsById.erase(endpoint->entry().id);
 }
 
-void EndpointDirectory::noteFailure(const RelayEndpoint& endpoint, Milliseconds now)
+void EndpointDirectory::noteFailure(const RelayEndpoint& endpoint, Milliseconds now, FailureEvidence evidence)
 {
     if (!m_settings.policies.has(Policy::ZoneAvoidance))
         return;
     if (!m_connector || m_connector->reachability() == Reachability::Reachable) {
-        recordFailure(endpoint, now);
+        recordFailure(endpoint, now, evidence);
         return;
     }
-    m_connector->ifReachable([this, id = endpoint.entry().id, now] {
+    m_connector->ifReachable([this, id = endpoint.entry().id, now, evidence] {
         if (const auto known = find(id))
-            recordFailure(*known, now);
+            recordFailure(*known, now, evidence);
     });
 }
 
-void EndpointDirectory::recordFailure(const RelayEndpoint& endpoint, Milliseconds now)
+void EndpointDirectory::noteSilence(const RelayEndpoint& endpoint, Milliseconds now, FailureEvidence evidence)
+{
+    noteFailure(endpoint, now, evidence);
+    reportFailure(endpoint, evidence);
+}
+
+void EndpointDirectory::awaitSignOfLife(const RelayEndpoint& endpoint, Milliseconds now, FailureEvidence evidence)
+{
+    const auto known = find(endpoint.entry().id);
+    if (known.get() != &endpoint)
+        return;
+    known->awaitConfirmation([id = endpoint.entry().id, failedAt = now, evidence](Milliseconds at) {
+        // Bytes that the endpoint sent before it failed may be read after its failure was noticed.
+        if (at - failedAt < minTimeToSignOfLife)
+            return false;
+        LogEvent("endpoint.alive-again", LogImportance::Routine)
+            .text("endpoint", id)
+            .text("evidence", nameIn(failureEvidenceNames, evidence))
+            .number("after_ms", (at - failedAt).count())
+            .write();
+        return true;
+    });
+}
+
+void EndpointDirectory::recordFailure(const RelayEndpoint& endpoint, Milliseconds now, FailureEvidence evidence)
 {
     auto& zone = m_zones[endpoint.entry().availabilityZone];
     auto& failures = zone.failures;
@@ -410,48 +436,54 @@
     const auto& id = endpoint.entry().id;
     const bool isRepeat = std::any_of(
         failures.begin(), failures.end(), [&id](const Failure& failure) { return failure.endpointId == id; });
+    awaitSignOfLife(endpoint, now, evidence);
     if (!isRepeat)
-        failures.push_back({ id, now });
+        failures.push_back({ id, now, evidence });
     if (failures.size() < m_settings.zoneFailureCount)
         return;
     if (now >= zone.avoidUntil) {
         zone.failedAt = now;
+        std::vector<FailureEvidence> shown;
+        for (const auto& failure : failures)
+            shown.push_back(failure.evidence);
+        const ZoneFailure failed { endpoint.entry().service, endpoint.entry().availabilityZone, failures.front().at,
+            now, failures.size(), commonEvidence(std::move(shown), m_settings.zoneFailureCount) };
         LogEvent("zone.avoided")
-            .text("zone", endpoint.entry().availabilityZone)
-            .number("failed_endpoints", static_cast<std::int64_t>(failures.size()))
+            .text("zone", failed.zone)
+            .number("failed_endpoints", static_cast<std::int64_t>(failed.endpoints))
+            .text("evidence", nameIn(failureEvidenceNames, failed.evidence))
             .number("for_ms", m_settings.avoidZone.count())
             .write();
-        noteZoneFailed(
-            endpoint.entry().service, endpoint.entry().availabilityZone, ZoneFailureSource::Own, failures.size());
+        noteZoneFailed(failed, ZoneFailureSource::Own);
     }
     zone.avoidUntil = now + m_settings.avoidZone;
 }
 
-void EndpointDirectory::noteZoneFailed(
-    const std::string& service, const std::string& zone, ZoneFailureSource source, std::size_t endpoints)
+void EndpointDirectory::noteZoneFailed(const ZoneFailure& failure, ZoneFailureSource source)
 {
     LogEvent("zone.failed")
-        .text("service", service)
-        .text("zone", zone)
+        .text("service", failure.service)
+        .text("zone", failure.zone)
         .text("source", nameIn(zoneFailureSourceNames, source))
-        .number("endpoints", static_cast<std::int64_t>(endpoints))
+        .number("endpoints", static_cast<std::int64_t>(failure.endpoints))
+        .text("evidence", nameIn(failureEvidenceNames, failure.evidence))
         .write();
     if (m_onZoneFailure)
-        m_onZoneFailure(source);
+        m_onZoneFailure(source, failure.evidence);
 }
 
-void EndpointDirectory::reportFailure(const RelayEndpoint& endpoint) const
+void EndpointDirectory::reportFailure(const RelayEndpoint& endpoint, FailureEvidence evidence) const
 {
     // The runs of an endpoint that is being removed end with it.
     if (!m_onFailure || !m_settings.policies.has(Policy::ZoneAvoidance) || endpoint.isShuttingDown())
         return;
     if (!m_connector) {
-        m_onFailure(endpoint);
+        m_onFailure(endpoint, evidence);
         return;
     }
-    m_connector->ifReachable([this, id = endpoint.entry().id] {
+    m_connector->ifReachable([this, id = endpoint.entry().id, evidence] {
         if (const auto known = find(id); known && !known->isShuttingDown())
-            m_onFailure(*known);
+            m_onFailure(*known, evidence);
     });
 }
 
@@ -466,7 +498,7 @@
     m_declaredFailures[failure.service][failure.zone]
         = { failure.declaredAt + m_settings.avoidZone, failure.firstFailureAt, now };
     m_zoneFailures[failure.service].add(failure.zone, failure.firstFailureAt);
-    noteZoneFailed(failure.service, failure.zone, ZoneFailureSource::Collector, failure.endpoints);
+    noteZoneFailed(failure, ZoneFailureSource::Collector);
     logEstimate(failure.service, now);
     return true;
 }
@@ -553,6 +585,11 @@
     return (found != m_zones.end() && found->second.failedAt > since) || (declared && declared->appliedAt > since);
 }
 
+bool EndpointDirectory::isLostWithZone(const RelayEndpoint& endpoint, Milliseconds since) const
+{
+    return hasZoneFailedSince(endpoint.entry().service, endpoint.entry().availabilityZone, since);
+}
+
 bool EndpointDirectory::isZoneAvoided(const std::string& service, const std::string& zone, Milliseconds now) const
 {
     const auto found = m_zones.find(zone);
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -16,6 +16,7 @@
 // Used on the relay's thread only. Lives for the process.
 #pragma once
 
+#include "health/FailureEvidence.h"
 #include "health/ZoneFailureDetector.h"
 #include "health/ZoneFailureHistory.h"
 #include "health/ZoneFailureSource.h"
@@ -102,16 +103,25 @@
 
     // Records a failure of the endpoint; several failing endpoints of a zone make the zone a failing one. Failures that
     // this VM sees because it is partitioned are not recorded.
-    void noteFailure(const RelayEndpoint&, Milliseconds now);
+    void noteFailure(const RelayEndpoint&, Milliseconds now, FailureEvidence = FailureEvidence::Failed);
     // Passes a failure that concerns the endpoint, not only the request, to the function that reports it to other VMs,
     // once it is known that this VM reaches other endpoints.
-    void reportFailure(const RelayEndpoint&) const;
-    void onEndpointFailure(std::function<void(const RelayEndpoint&)> callback) { m_onFailure = std::move(callback); }
+    void reportFailure(const RelayEndpoint&, FailureEvidence = FailureEvidence::Failed) const;
+    void onEndpointFailure(std::function<void(const RelayEndpoint&, FailureEvidence)> callback)
+    {
+        m_onFailure = std::move(callback);
+    }
+    // The endpoint answers nothing, which shows only later whether it has failed: records it, and reports it to other
+    // VMs.
+    void noteSilence(const RelayEndpoint&, Milliseconds now, FailureEvidence = FailureEvidence::Silent);
     // Applies a failure of a service's endpoints in a zone that other VMs have detected together with this one. Returns
     // false if it is known already.
     bool applyZoneFailure(const ZoneFailure&, Milliseconds now);
     // Sets the function to call when this VM or the collectors have detected the failure of a zone.
-    void onZoneFailure(std::function<void(ZoneFailureSource)> callback) { m_onZoneFailure = std::move(callback); }
+    void onZoneFailure(std::function<void(ZoneFailureSource, FailureEvidence)> callback)
+    {
+        m_onZoneFailure = std::move(callback);
+    }
     bool isZoneAvoided(const std::string& service, const std::string& zone, Milliseconds now) const;
     // True for an endpoint of a zone that failed if no sign of life has arrived from the endpoint since and the list is
     // too old to show whether it has restarted under another id. Without confirmations of the list, only a time counts.
@@ -119,6 +129,8 @@
     // True when several endpoints of the zone have failed together since that time, those of the service if the
     // failure was detected with other VMs.
     bool hasZoneFailedSince(const std::string& service, const std::string& zone, Milliseconds since) const;
+    // True when the endpoint's zone has failed since that time, so that what the endpoint held then is lost.
+    bool isLostWithZone(const RelayEndpoint&, Milliseconds since) const;
     // The failures of zones of the service that the collectors have declared.
     const ZoneFailureHistory& zoneFailures(const std::string& service) const;
     // The zones in which the service has endpoints.
@@ -130,6 +142,7 @@
     struct Failure {
         std::string endpointId;
         Milliseconds at;
+        FailureEvidence evidence;
     };
     // An incarnation whose entry was removed.
     struct Removal {
@@ -162,8 +175,10 @@
         std::int64_t percent { 0 };
     };
 
-    void recordFailure(const RelayEndpoint&, Milliseconds now);
-    void noteZoneFailed(const std::string& service, const std::string& zone, ZoneFailureSource, std::size_t endpoints);
+    void recordFailure(const RelayEndpoint&, Milliseconds now, FailureEvidence);
+    void noteZoneFailed(const ZoneFailure&, ZoneFailureSource);
+    // Notices when an endpoint that was seen to fail turns out to be alive.
+    void awaitSignOfLife(const RelayEndpoint&, Milliseconds now, FailureEvidence);
     // Logs which zone is expected to fail next if that has changed much.
     void logEstimate(const std::string& service, Milliseconds now);
     // Null if there is none.
@@ -209,8 +224,8 @@
     std::unordered_map<std::string, std::unordered_map<std::string, DeclaredFailure>> m_declaredFailures;
     std::unordered_map<std::string, ZoneFailureHistory> m_zoneFailures;
     std::unordered_map<std::string, LoggedEstimate> m_loggedEstimates;
-    std::function<void(const RelayEndpoint&)> m_onFailure;
-    std::function<void(ZoneFailureSource)> m_onZoneFailure;
+    std::function<void(const RelayEndpoint&, FailureEvidence)> m_onFailure;
+    std::function<void(ZoneFailureSource, FailureEvidence)> m_onZoneFailure;
     // Counts of the list or change that is being applied.
     EndpointCounts m_counts;
     // By EndpointEntry::incarnationName().
--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -90,7 +90,7 @@
     const auto isUsable = [this](const RunTarget& target) {
         const auto& entry = target.engine->entry();
         return isHealthy(*target.engine) && m_versions.next().admits(entry.version)
-            && !m_context.directory.hasZoneFailedSince(entry.service, entry.availabilityZone, target.since);
+            && !m_context.directory.isLostWithZone(*target.engine, target.since);
     };
     const auto usable = std::find_if(m_copies.begin(), m_copies.end(), isUsable);
     return usable == m_copies.end() ? std::nullopt : std::optional(*usable);
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -46,6 +46,14 @@
     return isBroken ? EngineEvidence::ConnectionBroke : EngineEvidence::None;
 }
 
+FailureEvidence failureEvidenceOf(FailureKind kind, bool isRefused)
+{
+    if (kind == FailureKind::Silent)
+        return FailureEvidence::Silent;
+    const bool isUnreachable = kind == FailureKind::ConnectionRefused && !isRefused;
+    return isUnreachable ? FailureEvidence::Unreachable : FailureEvidence::Failed;
+}
+
 ContinuedAt continuationOf(const std::optional<std::string>& beganVersion, const std::string& version)
 {
     if (!beganVersion)
@@ -590,11 +598,12 @@
         + (isSilent       ? settings.avoidAfterSilence
                 : wasSent ? settings.avoidAfterBrokenAnswer
                           : settings.avoidAfterRefusal));
-    m_context.directory.noteFailure(*run->endpoint, now);
+    const auto shown = failureEvidenceOf(kind, run->call->isRefused());
+    m_context.directory.noteFailure(*run->endpoint, now, shown);
     // A request that may crash endpoints says nothing about their zone.
     const auto evidence = wasSuspect ? EngineEvidence::None : evidenceOf(kind, m_livenessMonitor->hasProbeFailed());
     if (evidence == EngineEvidence::Failed)
-        m_context.directory.reportFailure(*run->endpoint);
+        m_context.directory.reportFailure(*run->endpoint, shown);
     else if (evidence == EngineEvidence::ConnectionBroke)
         EndpointFailureCheck::start(m_context, run->endpoint);
     m_choice->noteFailed(run->endpoint);
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -49,7 +49,8 @@
     m_directory.setConnector(m_connector);
     m_placement.setPaces(&m_context.enginePaces);
     m_directory.onFirstList([this] { m_handler.processWaitingRequests(); });
-    m_directory.onZoneFailure([this](ZoneFailureSource source) { m_metrics.countZoneFailure(source); });
+    m_directory.onZoneFailure(
+        [this](ZoneFailureSource source, FailureEvidence evidence) { m_metrics.countZoneFailure(source, evidence); });
     m_directory.setServices([this](const std::string& service) {
         return !m_context.configuration || m_context.configuration->findService(service);
     });
--- a/src/relay/RelayEndpoint.cpp
+++ b/src/relay/RelayEndpoint.cpp
@@ -31,6 +31,7 @@
     , m_connectionSettings(settings)
     , m_connector(connector)
     , m_lastAliveAt(now)
+    , m_lastConfirmedAt(now)
 {
 }
 
@@ -234,4 +235,17 @@
     m_avoidUntil = std::min(m_avoidUntil, now);
 }
 
+void RelayEndpoint::confirmAlive(Milliseconds now)
+{
+    noteAlive(now);
+    m_lastConfirmedAt = now;
+    if (m_onConfirmed && (*m_onConfirmed)(now))
+        m_onConfirmed.reset();
+}
+
+void RelayEndpoint::awaitConfirmation(std::function<bool(Milliseconds)> callback)
+{
+    m_onConfirmed = std::make_unique<std::function<bool(Milliseconds)>>(std::move(callback));
+}
+
 } // namespace lupinknot::internal
--- a/src/relay/RelayEndpoint.h
+++ b/src/relay/RelayEndpoint.h
@@ -116,6 +116,13 @@
     void noteAlive(Milliseconds now);
     // When the endpoint was last known to be alive: when it was first listed, or later.
     Milliseconds lastAliveAt() const { return m_lastAliveAt; }
+    // An answer or event has arrived that only this incarnation can have sent. An answer to a probe may come from a
+    // later one, which has the same address.
+    void confirmAlive(Milliseconds now);
+    // When the endpoint was first listed, or later confirmed to be alive.
+    Milliseconds lastConfirmedAt() const { return m_lastConfirmedAt; }
+    // Sets the function to call at each confirmation until it returns true.
+    void awaitConfirmation(std::function<bool(Milliseconds now)>);
 
 private:
     struct KeptConnection {
@@ -163,6 +170,9 @@
     bool m_isRemoved { false };
     Milliseconds m_avoidUntil { 0 };
     Milliseconds m_lastAliveAt;
+    Milliseconds m_lastConfirmedAt;
+    // Null for nearly all endpoints; a pointer saves the room of the function.
+    std::unique_ptr<std::function<bool(Milliseconds)>> m_onConfirmed;
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -40,7 +40,7 @@
                       .Register(*m_registry))
     , m_zoneFailures(prometheus::BuildCounter()
                          .Name("lupinknot_relay_zone_failures_total")
-                         .Help("Failures of whole zones, by who detected them.")
+                         .Help("Failures of whole zones, by who detected them and from what.")
                          .Register(*m_registry))
     , m_streams(prometheus::BuildCounter()
                     .Name("lupinknot_relay_streams_total")
@@ -119,9 +119,12 @@
     m_failures.Add({ { "failure", std::string(traitsOf(kind).name) } }).Increment();
 }
 
-void RelayMetrics::countZoneFailure(ZoneFailureSource source)
+void RelayMetrics::countZoneFailure(ZoneFailureSource source, FailureEvidence evidence)
 {
-    m_zoneFailures.Add({ { "source", std::string(nameIn(zoneFailureSourceNames, source)) } }).Increment();
+    m_zoneFailures
+        .Add({ { "source", std::string(nameIn(zoneFailureSourceNames, source)) },
+            { "evidence", std::string(nameIn(failureEvidenceNames, evidence)) } })
+        .Increment();
 }
 
 void RelayMetrics::countEndpointConnection(bool isThroughVm, HopResult result)
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -1,6 +1,7 @@
 // The relay's metrics, by prometheus-cpp. Label values come from fixed tables, never from callers.
 #pragma once
 
+#include "health/FailureEvidence.h"
 #include "health/ZoneFailureSource.h"
 #include "http/ConnectionPath.h"
 #include "lupinknot/Clock.h"
@@ -57,7 +58,7 @@
 
     void countRequest(RequestKind, unsigned status, Milliseconds took);
     void countFailure(FailureKind);
-    void countZoneFailure(ZoneFailureSource);
+    void countZoneFailure(ZoneFailureSource, FailureEvidence);
     // Counts an attempt to connect to an endpoint, directly or through another VM.
     void countEndpointConnection(bool isThroughVm, HopResult);
     // Counts a stream by its rank, empty when the configuration names none, and by how it ended.
--- a/src/relay/RunCopy.cpp
+++ b/src/relay/RunCopy.cpp
@@ -11,7 +11,7 @@
     if (!recorded || !recorded->isRemoved())
         return recorded;
     const auto& entry = recorded->entry();
-    if (directory.hasZoneFailedSince(entry.service, entry.availabilityZone, run.startedAt))
+    if (directory.isLostWithZone(*recorded, run.startedAt))
         return recorded;
     const auto current = directory.findAt(entry.service, entry.address);
     return current ? current : recorded;
--- a/src/relay/RunMover.cpp
+++ b/src/relay/RunMover.cpp
@@ -49,8 +49,7 @@
     if (!holder)
         return now - run.startedAt >= m_context.settings.relocateAfter;
     // The engines of a zone fail together, and the endpoint list shows it only seconds later.
-    return holder->isShuttingDown()
-        || m_context.directory.hasZoneFailedSince(m_request.service, holder->entry().availabilityZone, run.startedAt);
+    return holder->isShuttingDown() || m_context.directory.isLostWithZone(*holder, run.startedAt);
 }
 
 bool RunMover::mayMove(const StreamRun& run, const StreamOutlook& outlook, Milliseconds now)
--- a/test/EventStreamCallTest.cpp
+++ b/test/EventStreamCallTest.cpp
@@ -564,7 +564,7 @@
 {
     std::vector<std::string> reported;
     relay->daemon().directory().onEndpointFailure(
-        [&reported](const RelayEndpoint& endpoint) { reported.push_back(endpoint.entry().id); });
+        [&reported](const RelayEndpoint& endpoint, FailureEvidence) { reported.push_back(endpoint.entry().id); });
     relay->addEndpoint("e1", "a").onRequest(sendsAndResets(2));
     relay->addEndpoint("e2", "b").onRequest(sends(9, 9, "X-Request-Id: r1\r\nX-Response-Signature: t\r\n"));
     relay->addEndpoint("e3", "c").onRequest([](ScriptedConnection& asker, const std::string& request) {
@@ -606,7 +606,7 @@
     relay->settings.policies.switchOff(Policy::LivenessQuestions);
     std::vector<std::string> reported;
     relay->daemon().directory().onEndpointFailure(
-        [&reported](const RelayEndpoint& endpoint) { reported.push_back(endpoint.entry().id); });
+        [&reported](const RelayEndpoint& endpoint, FailureEvidence) { reported.push_back(endpoint.entry().id); });
     relay->addEndpoint("e1", "a").onRequest([](ScriptedConnection& asker, const std::string&) {
         asker.beginStream(signedHead);
         asker.sendEvent(1);
@@ -636,7 +636,7 @@
     relay->addEndpoint("e2", "b").onRequest(sends(2, 2));
     ready();
     relay->daemon().directory().onEndpointFailure(
-        [&reported](const RelayEndpoint& endpoint) { reported.push_back(endpoint.entry().id); });
+        [&reported](const RelayEndpoint& endpoint, FailureEvidence) { reported.push_back(endpoint.entry().id); });
     const auto caller = relay->call("/stream/1");
     await(caller);
     STRCMP_EQUAL(events(1, 2).c_str(), caller->body.c_str());
--- a/test/PartitionReportsTest.cpp
+++ b/test/PartitionReportsTest.cpp
@@ -24,7 +24,7 @@
         relay->configure();
         relay->list();
         relay->daemon().directory().onEndpointFailure(
-            [this](const RelayEndpoint& endpoint) { reported.push_back(endpoint.entry().id); });
+            [this](const RelayEndpoint& endpoint, FailureEvidence) { reported.push_back(endpoint.entry().id); });
     }
 
     std::shared_ptr<TestCaller> callStream()
