Add failing tests on conclusions from silence about zones

When all engines pause for a second, the zones are declared as failed one after the other, which holds after the engines go on: copies at engines that answer count as lost, and the zones stay avoided.

The test VMs list their engines at different addresses now; with the same address, those of zones a and b were replaced by those of zone c.

--- a/test/EndpointDirectoryTest.cpp
+++ b/test/EndpointDirectoryTest.cpp
@@ -189,6 +189,59 @@
     CHECK_FALSE(directory->isSuspected(*endpoints[2], now));
 }
 
+// Guards against copies that are given up although their holders answer.
+TEST(EndpointDirectory, WhatAnEndpointHoldsIsNotLostIfItHasAnsweredSinceItsZoneFailed)
+{
+    directory->replaceAll({ entry("e1", 1), entry("e2", 2), entry("e3", 3), entry("e4", 4, "b") }, now);
+    const auto copiedAt = now += Milliseconds { 10 };
+    const auto endpoints = directory->endpointsOf("s");
+    now += Milliseconds { 300 };
+    directory->noteFailure(*endpoints[0], now);
+    directory->noteFailure(*endpoints[1], now);
+    CHECK(directory->applyZoneFailure({ "s", "a", now, now, 3 }, now));
+    now += Milliseconds { 500 };
+    endpoints[2]->noteAlive(now);
+    CHECK_TEXT(directory->isLostWithZone(*endpoints[2], copiedAt), "a later incarnation answers probes as well");
+    endpoints[2]->confirmAlive(now);
+    CHECK_FALSE(directory->isLostWithZone(*endpoints[2], copiedAt));
+    CHECK(directory->isLostWithZone(*endpoints[1], copiedAt));
+}
+
+// Guards against a zone that is avoided, and engines that are suspected, after its silent engines speak again.
+TEST(EndpointDirectory, TheFailureOfAZoneEndsWhenHalfOfItsFailedEndpointsAnswer)
+{
+    directory->replaceAll({ entry("e1", 1), entry("e2", 2), entry("e3", 3), entry("e4", 4, "b") }, now);
+    const auto since = now += Milliseconds { 300 };
+    const auto endpoints = directory->endpointsOf("s");
+    for (std::size_t i = 0; i < 3; ++i)
+        directory->noteSilence(*endpoints[i], ++now);
+    CHECK(directory->isZoneAvoided("s", "a", now));
+    now += Milliseconds { 200 };
+    endpoints[0]->confirmAlive(now);
+    CHECK_TEXT(directory->isZoneAvoided("s", "a", now), "a few engines of a failed zone remain");
+    endpoints[1]->confirmAlive(now);
+    CHECK_FALSE(directory->isZoneAvoided("s", "a", now));
+    CHECK_FALSE(directory->hasZoneFailedSince("s", "a", since));
+    CHECK_FALSE(directory->isSuspected(*endpoints[2], now));
+}
+
+// Guards against all zones being avoided when all engines pause at once.
+TEST(EndpointDirectory, SilenceInMostZonesAtOnceIsNotTheFailureOfEach)
+{
+    directory->replaceAll({ entry("a1", 1), entry("a2", 2), entry("b1", 3, "b"), entry("b2", 4, "b"),
+                              entry("c1", 5, "c"), entry("c2", 6, "c") },
+        now);
+    for (const auto* const id : { "a1", "b1", "a2", "b2", "c1", "c2" })
+        directory->noteSilence(*directory->find(id), now += Milliseconds { 10 });
+    for (const auto* const zone : { "a", "b", "c" })
+        CHECK_FALSE_TEXT(directory->isZoneAvoided("s", zone, now), zone);
+    for (const auto* const id : { "a1", "b1", "a2" })
+        directory->noteFailure(*directory->find(id), now += Milliseconds { 500 }, FailureEvidence::Failed);
+    CHECK_FALSE(directory->isZoneAvoided("s", "a", now));
+    directory->noteFailure(*directory->find("a1"), now, FailureEvidence::Failed);
+    CHECK_TEXT(directory->isZoneAvoided("s", "a", now), "engines that refuse connections have failed");
+}
+
 // With one log line per endpoint, a zone of 64 engines that fails and returns would write at least 128 lines on each
 // VM.
 TEST(EndpointDirectory, CountsAChangeOfTheListAsAWhole)
--- a/test/PeerZoneHealthTest.cpp
+++ b/test/PeerZoneHealthTest.cpp
@@ -37,15 +37,22 @@
         feeds->handleMessages(
             PeerZoneExchange::newsPath, [this](const std::string& body) { return exchange->applyNews(body); });
         std::vector<EndpointEntry> engines;
+        const auto nextAddress = [&engines] {
+            return SocketAddress { "127.0.0.1", 1 + static_cast<std::int64_t>(engines.size()) };
+        };
         for (const auto* engineZone : { "a", "b", "c" }) {
             for (int i = 0; i < enginesPerZone; ++i)
-                engines.push_back({ engineZone + std::to_string(i), "s", { "127.0.0.1", 1 + i }, engineZone });
-            engines.push_back({ engineZone + std::string("-other"), "t", { "127.0.0.1", 99 }, engineZone });
+                engines.push_back({ engineZone + std::to_string(i), "s", nextAddress(), engineZone });
+            engines.push_back({ engineZone + std::string("-other"), "t", nextAddress(), engineZone });
         }
         directory.replaceAll(std::move(engines), clock.now() - Milliseconds { 10 });
     }
 
     void seeFailure(const std::string& endpoint) const { directory.reportFailure(*directory.find(endpoint)); }
+    void seeSilence(const std::string& endpoint, Milliseconds now)
+    {
+        directory.noteSilence(*directory.find(endpoint), now);
+    }
 
     RelaySettings settings;
     EndpointDirectory directory;
@@ -209,6 +216,46 @@
     CHECK_TEXT(took < Milliseconds { 300 }, std::to_string(took.count()).c_str());
 }
 
+// Guards against failures of all zones that are declared when all engines pause at once: VMs gave up the copies there.
+TEST(PeerZoneHealth, SilenceOfAllZonesAtOnceIsNoFailureOfAnyZone)
+{
+    addVms(4, 4);
+    const auto begin = clock.now();
+    for (int engine = 0; engine < 6; ++engine) {
+        for (const auto* const zone : { "a", "b", "c" })
+            vms[static_cast<std::size_t>(engine) % vms.size()]->seeSilence(zone + std::to_string(engine), clock.now());
+        runFor(Milliseconds { 10 });
+    }
+    runFor(Milliseconds { 200 });
+    for (const auto& vm : vms) {
+        for (const auto* const zone : { "a", "b", "c" }) {
+            CHECK_FALSE(knows(*vm, zone));
+            CHECK_FALSE(vm->directory.hasZoneFailedSince("s", zone, begin));
+        }
+        CHECK(vm->directory.zoneFailures("s").isEmpty());
+    }
+}
+
+// Guards against a false failure that VMs act on, and learn from, after the silent engines speak again.
+TEST(PeerZoneHealth, AllVmsRetractAFailureOnceItsEnginesAnswer)
+{
+    addVms(8, 6);
+    const auto begin = clock.now();
+    for (std::size_t i = 0; i < 3; ++i)
+        vms[i]->seeSilence("c" + std::to_string(i), clock.now());
+    CHECK(runUntil(*ioContext,
+        [this] { return std::all_of(vms.begin(), vms.end(), [this](const auto& vm) { return knows(*vm); }); }));
+    runFor(Milliseconds { 100 });
+    for (std::size_t i = 0; i < 2; ++i)
+        vms[i]->directory.find("c" + std::to_string(i))->confirmAlive(clock.now());
+    runFor(Milliseconds { 300 });
+    for (const auto& vm : vms) {
+        CHECK_FALSE(knows(*vm));
+        CHECK_FALSE(vm->directory.hasZoneFailedSince("s", "c", begin));
+        CHECK(vm->directory.zoneFailures("s").isEmpty());
+    }
+}
+
 // The collectors of a zone that is cut off decide on what its own VMs see.
 TEST(PeerZoneHealth, AZoneThatIsCutOffDetectsAFailureByItself)
 {
