Keep the copies at engines that answer after their zone failed

Callers saw streams end (copy-gone) although the engine with the copy went on: once a zone counted as failed, everything that its engines held then counted as lost, also at engines that had only been silent and have produced events since.

A copy is kept if its holder has answered since, by the same incarnation: answers to probes don't count, because a later incarnation at the address gives them as well.

--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -587,7 +587,13 @@
 
 bool EndpointDirectory::isLostWithZone(const RelayEndpoint& endpoint, Milliseconds since) const
 {
-    return hasZoneFailedSince(endpoint.entry().service, endpoint.entry().availabilityZone, since);
+    const auto& entry = endpoint.entry();
+    const auto isLoss = [&](Milliseconds failedAt) {
+        return failedAt > since && endpoint.lastConfirmedAt() < failedAt + minTimeToSignOfLife;
+    };
+    const auto zone = m_zones.find(entry.availabilityZone);
+    const auto* declared = declaredFailure(entry.service, entry.availabilityZone);
+    return (zone != m_zones.end() && isLoss(zone->second.failedAt)) || (declared && isLoss(declared->appliedAt));
 }
 
 bool EndpointDirectory::isZoneAvoided(const std::string& service, const std::string& zone, Milliseconds now) const
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -129,7 +129,8 @@
     // True when several endpoints of the zone have failed together since that time, those of the service if the
     // failure was detected with other VMs.
     bool hasZoneFailedSince(const std::string& service, const std::string& zone, Milliseconds since) const;
-    // True when the endpoint's zone has failed since that time, so that what the endpoint held then is lost.
+    // True when the endpoint's zone has failed since that time and the endpoint has not answered since, so that what it
+    // held then is lost.
     bool isLostWithZone(const RelayEndpoint&, Milliseconds since) const;
     // The failures of zones of the service that the collectors have declared.
     const ZoneFailureHistory& zoneFailures(const std::string& service) const;
