Retract failures of zones that were only silence

Callers saw streams end in the middle when all engines paused for a second: each VM that found two silent engines in a zone avoided the zone, collectors declared the failure of one zone after the other, and nothing took that back when the engines went on: engines were suspected for 4 s, copies were given up and ordered anew, and placement learned from the false failures.

Cause: silence was taken for final evidence, and each zone was judged without a look at the others.

- silence in most zones of a service within 400 ms is the failure of none of them; what the first reports declared is retracted (spread);
- a failure is retracted when half of the endpoints that were seen to fail have answered since, by the same incarnation (alive).
- a retraction ends the avoidance and the suspicion, and removes the failure from the history, also where other VMs still state it.

Refused or broken connections are declared as before, and so is a zone that alone is silent. Ruled out: counting only engines that accept no connection, which misses a dark zone whose hosts accept connections.

--- a/bench/ZoneFailureStudy.cpp
+++ b/bench/ZoneFailureStudy.cpp
@@ -7,6 +7,7 @@
 #include "health/ZoneFailureHistory.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <functional>
 #include <iomanip>
@@ -171,6 +172,101 @@
               << ", by a rule of two engines " << byTwo << "\n";
 }
 
+// ---- Silence
+
+// What becomes silent at once, and for how long; without an end for good.
+struct Silence {
+    const char* name;
+    double shareOfZone0;
+    double shareOfOthers;
+    std::optional<Milliseconds> end;
+};
+
+// What is concluded from reports of silence.
+enum class Conclusion {
+    AsFromRefusals, // Silence counts as a refused connection.
+    Unreachable, // Only engines whose connections are not accepted count.
+    Retracted, // Silence counts unless it is spread over most zones, and until half of the engines answer.
+};
+
+struct SilenceReport {
+    Milliseconds arrivesAt;
+    Milliseconds at;
+    int engine;
+    bool isAlive;
+};
+
+std::string zoneOf(const Fleet& fleet, int engine) { return std::string(1, "abc"[engine * zoneCount / fleet.engines]); }
+
+// Each run at a silent engine reports it once, and reports the next event.
+std::vector<SilenceReport> reportsOf(const Fleet& fleet, const Silence& silence, Random& random)
+{
+    std::vector<bool> isSilent;
+    isSilent.reserve(static_cast<std::size_t>(fleet.engines));
+    for (int i = 0; i < fleet.engines; ++i)
+        isSilent.push_back(
+            uniform(random, 0.0, 1.0) < (zoneOf(fleet, i) == "a" ? silence.shareOfZone0 : silence.shareOfOthers));
+    std::vector<SilenceReport> reports;
+    for (int run = 0; run < fleet.runs; ++run) {
+        const int engine = uniform(random, 0, fleet.engines - 1);
+        const Milliseconds at { uniform(random, 0.0, 1.0) < 0.15 ? uniform(random, 1000, 2500)
+                                                                 : 210 + uniform(random, 0, 120) };
+        if (!isSilent[static_cast<std::size_t>(engine)] || (silence.end && at >= *silence.end))
+            continue;
+        reports.push_back({ at + Milliseconds { uniform(random, 1, 30) }, at, engine, false });
+        if (!silence.end)
+            continue;
+        const auto aliveAt = *silence.end + Milliseconds { uniform(random, 0, 40) };
+        reports.push_back({ aliveAt + Milliseconds { uniform(random, 1, 30) }, aliveAt, engine, true });
+    }
+    std::sort(reports.begin(), reports.end(),
+        [](const SilenceReport& a, const SilenceReport& b) { return a.arrivesAt < b.arrivesAt; });
+    return reports;
+}
+
+void studySilence(const Fleet& fleet, const Silence& silence, Conclusion conclusion)
+{
+    Random random(5);
+    constexpr int events = 200;
+    const auto listed = static_cast<std::size_t>(fleet.engines / zoneCount);
+    double declared = 0;
+    double left = 0;
+    std::vector<std::int64_t> times;
+    for (int i = 0; i < events; ++i) {
+        ZoneFailureDetector detector;
+        bool isKnown = false;
+        // How often each zone was declared and not retracted.
+        std::map<std::string, int> open;
+        const auto reports = reportsOf(fleet, silence, random);
+        for (const auto& report : reports) {
+            const auto now = report.arrivesAt + Milliseconds { 10000 };
+            const auto at = report.at + Milliseconds { 10000 };
+            EndpointFailure endpoint { "s", zoneOf(fleet, report.engine), nameOf(report.engine) };
+            if (conclusion == Conclusion::Retracted)
+                endpoint.evidence = FailureEvidence::Silent;
+            if (report.isAlive && conclusion == Conclusion::Retracted)
+                detector.noteAlive(endpoint, at);
+            if (!report.isAlive && conclusion != Conclusion::Unreachable
+                && detector.noteFailure(endpoint, at, listed, now, zoneCount)) {
+                declared += 1.0 / events;
+                ++open[endpoint.zone];
+                if (!std::exchange(isKnown, true))
+                    times.push_back((report.arrivesAt - reports.front().at).count());
+            }
+            for (const auto& retracted : detector.takeRetractions("s", zoneCount, now))
+                open[retracted.failure.zone] = 0;
+        }
+        for (const auto& zone : open)
+            left += (zone.second > 0 ? 1.0 : 0.0) / events;
+    }
+    std::sort(times.begin(), times.end());
+    constexpr std::array<const char*, 3> names { "as from refusals", "only unreachable", "retracted" };
+    std::cout << "  " << std::setw(34) << silence.name << "  " << std::setw(16)
+              << names[static_cast<std::size_t>(conclusion)] << std::setprecision(2) << "  declared " << declared
+              << ", zones left " << left << ", median " << (times.empty() ? -1 : times[times.size() / 2])
+              << " ms, longest " << (times.empty() ? -1 : times.back()) << " ms\n";
+}
+
 // ---- Prediction
 
 using Shares = std::vector<double>;
@@ -290,6 +386,21 @@
     std::cout << "\nSingle engines of a zone of 40 that fail at random, one hour\n";
     for (const double minutes : { 10.0, 2.0, 1.0, 0.5 })
         studySingleFailures(minutes);
+    std::cout << "\nSilence, 200 events each: failures of zones declared, zones that count as failed in the end\n";
+    const std::vector<Silence> silences { { "one zone for good", 0.92, 0, std::nullopt },
+        { "one zone for good, 5% elsewhere", 0.92, 0.05, std::nullopt },
+        { "all engines, 1.2 s", 1, 1, Milliseconds { 1200 } },
+        { "half of the engines, 1.2 s", 0.5, 0.5, Milliseconds { 1200 } },
+        { "12 in 100 engines, 1.2 s", 0.12, 0.12, Milliseconds { 1200 } },
+        { "one zone, 1.2 s", 1, 0, Milliseconds { 1200 } }, { "30 in 100 engines for good", 0.3, 0.3, std::nullopt } };
+    for (const auto& fleet :
+        { Fleet { "74 VMs, 120 engines", 74, 120, 250 }, Fleet { "6 VMs, 24 engines", 6, 24, 60 } }) {
+        std::cout << fleet.name << "\n";
+        for (const auto& silence : silences) {
+            for (const auto conclusion : { Conclusion::AsFromRefusals, Conclusion::Unreachable, Conclusion::Retracted })
+                studySilence(fleet, silence, conclusion);
+        }
+    }
     std::cout << "\nNext failures that hit the copy (difference between the shares)\n";
     const std::vector<Sequence> sequences {
         { "in turn",
--- a/src/health/ZoneFailureHistory.cpp
+++ b/src/health/ZoneFailureHistory.cpp
@@ -42,8 +42,11 @@
     const bool isKnown = std::any_of(m_failures.begin(), m_failures.end(), [&](const Failure& failure) {
         return failure.zone == zone && std::chrono::abs(failure.at - at) < sameFailureWithin;
     });
+    const bool isRetracted = std::any_of(m_retracted.begin(), m_retracted.end(), [&](const Failure& failure) {
+        return failure.zone == zone && std::chrono::abs(failure.at - at) <= sameInstantWithin;
+    });
     const bool isTooOld = m_failures.size() >= maxFailures && at < m_failures.front().at;
-    if (isKnown || isTooOld)
+    if (isKnown || isRetracted || isTooOld)
         return false;
     const auto later = std::upper_bound(m_failures.begin(), m_failures.end(), at,
         [](Milliseconds instant, const Failure& failure) { return instant < failure.at; });
@@ -53,6 +56,16 @@
     return true;
 }
 
+void ZoneFailureHistory::retract(const std::string& zone, Milliseconds at)
+{
+    std::erase_if(m_failures, [&](const Failure& failure) {
+        return failure.zone == zone && std::chrono::abs(failure.at - at) <= sameInstantWithin;
+    });
+    m_retracted.push_back({ zone, at });
+    if (m_retracted.size() > maxRetracted)
+        m_retracted.pop_front();
+}
+
 std::vector<double> ZoneFailureHistory::positionCounts(const std::vector<std::string>& zones) const
 {
     std::vector<double> counts(zones.size(), 0);
--- a/src/health/ZoneFailureHistory.h
+++ b/src/health/ZoneFailureHistory.h
@@ -17,6 +17,7 @@
 
 #include "lupinknot/Clock.h"
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -37,8 +38,14 @@
     // before they returned.
     static constexpr Milliseconds sameFailureWithin { 2000 };
 
-    // Adds a failure, which may be earlier than the others. Returns false if it is known already.
+    // The retracted failures that are remembered, and how exactly VMs agree on the time of a failure.
+    static constexpr std::size_t maxRetracted = 32;
+    static constexpr Milliseconds sameInstantWithin { 400 };
+
+    // Adds a failure, which may be earlier than the others. Returns false if it is known already or was retracted.
     bool add(const std::string& zone, Milliseconds at);
+    // Removes a failure that was none. Other VMs may still state it.
+    void retract(const std::string& zone, Milliseconds at);
     bool isEmpty() const { return m_failures.empty(); }
     // Oldest first.
     const std::vector<Failure>& failures() const { return m_failures; }
@@ -57,6 +64,7 @@
     std::vector<double> positionCounts(const std::vector<std::string>& zones) const;
 
     std::vector<Failure> m_failures;
+    std::deque<Failure> m_retracted;
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -414,7 +414,7 @@
     const auto known = find(endpoint.entry().id);
     if (known.get() != &endpoint)
         return;
-    known->awaitConfirmation([id = endpoint.entry().id, failedAt = now, evidence](Milliseconds at) {
+    known->awaitConfirmation([this, id = endpoint.entry().id, failedAt = now, evidence](Milliseconds at) {
         // Bytes that the endpoint sent before it failed may be read after its failure was noticed.
         if (at - failedAt < minTimeToSignOfLife)
             return false;
@@ -423,40 +423,116 @@
             .text("evidence", nameIn(failureEvidenceNames, evidence))
             .number("after_ms", (at - failedAt).count())
             .write();
+        if (const auto alive = find(id))
+            noteSignOfLife(*alive, at);
         return true;
     });
 }
 
-void EndpointDirectory::recordFailure(const RelayEndpoint& endpoint, Milliseconds now, FailureEvidence evidence)
+void EndpointDirectory::noteSignOfLife(const RelayEndpoint& endpoint, Milliseconds now)
 {
     auto& zone = m_zones[endpoint.entry().availabilityZone];
+    std::erase_if(zone.failures, [&](const Failure& failure) { return failure.endpointId == endpoint.entry().id; });
+    if (const auto seen = zone.hasAnswered.find(endpoint.entry().id); seen != zone.hasAnswered.end())
+        seen->second = true;
+    const auto alive = std::count_if(
+        zone.hasAnswered.begin(), zone.hasAnswered.end(), [](const auto& entry) { return entry.second; });
+    if (zone.failure && 2 * static_cast<std::size_t>(alive) >= zone.hasAnswered.size())
+        retractOwn(zone, RetractionReason::Alive, now);
+    if (m_onSignOfLife)
+        m_onSignOfLife(endpoint);
+}
+
+bool EndpointDirectory::isSilenceSpread(const std::string& service, Milliseconds now) const
+{
+    const auto isSilent = [&](const Failure& failure) {
+        return failure.service == service && failure.evidence != FailureEvidence::Failed
+            && now - failure.at <= m_settings.zoneFailureWindow;
+    };
+    const auto silentZones = std::count_if(m_zones.begin(), m_zones.end(), [&isSilent](const auto& entry) {
+        const auto& failures = entry.second.failures;
+        return std::any_of(failures.begin(), failures.end(), isSilent);
+    });
+    return silentZones > 1 && 2 * static_cast<std::size_t>(silentZones) > zonesOf(service).size();
+}
+
+void EndpointDirectory::recordFailure(const RelayEndpoint& endpoint, Milliseconds now, FailureEvidence evidence)
+{
+    const auto& entry = endpoint.entry();
+    auto& zone = m_zones[entry.availabilityZone];
     auto& failures = zone.failures;
     while (!failures.empty() && now - failures.front().at > m_settings.zoneFailureWindow)
         failures.pop_front();
-    const auto& id = endpoint.entry().id;
     const bool isRepeat = std::any_of(
-        failures.begin(), failures.end(), [&id](const Failure& failure) { return failure.endpointId == id; });
+        failures.begin(), failures.end(), [&entry](const Failure& failure) { return failure.endpointId == entry.id; });
     awaitSignOfLife(endpoint, now, evidence);
     if (!isRepeat)
-        failures.push_back({ id, now, evidence });
-    if (failures.size() < m_settings.zoneFailureCount)
-        return;
-    if (now >= zone.avoidUntil) {
-        zone.failedAt = now;
+        failures.push_back({ entry.id, entry.service, now, evidence });
+    if (failures.size() >= m_settings.zoneFailureCount) {
         std::vector<FailureEvidence> shown;
         for (const auto& failure : failures)
             shown.push_back(failure.evidence);
-        const ZoneFailure failed { endpoint.entry().service, endpoint.entry().availabilityZone, failures.front().at,
-            now, failures.size(), commonEvidence(std::move(shown), m_settings.zoneFailureCount) };
-        LogEvent("zone.avoided")
-            .text("zone", failed.zone)
-            .number("failed_endpoints", static_cast<std::int64_t>(failed.endpoints))
-            .text("evidence", nameIn(failureEvidenceNames, failed.evidence))
-            .number("for_ms", m_settings.avoidZone.count())
-            .write();
-        noteZoneFailed(failed, ZoneFailureSource::Own);
+        const auto common = commonEvidence(std::move(shown), m_settings.zoneFailureCount);
+        const bool isFailure = common == FailureEvidence::Failed || !isSilenceSpread(entry.service, now);
+        if (isFailure && now >= zone.avoidUntil)
+            declareOwn(
+                zone, { entry.service, entry.availabilityZone, failures.front().at, now, failures.size(), common });
+        if (isFailure)
+            zone.avoidUntil = now + m_settings.avoidZone;
+        for (const auto& failure : failures)
+            zone.hasAnswered.try_emplace(failure.endpointId, false);
+    }
+    if (evidence != FailureEvidence::Failed)
+        retractSpreadSilence(entry.service, now);
+}
+
+void EndpointDirectory::declareOwn(ZoneHealth& zone, ZoneFailure failure)
+{
+    zone.previouslyFailedAt = std::exchange(zone.failedAt, failure.declaredAt);
+    zone.hasAnswered.clear();
+    LogEvent("zone.avoided")
+        .text("zone", failure.zone)
+        .number("failed_endpoints", static_cast<std::int64_t>(failure.endpoints))
+        .text("evidence", nameIn(failureEvidenceNames, failure.evidence))
+        .number("for_ms", m_settings.avoidZone.count())
+        .write();
+    noteZoneFailed(failure, ZoneFailureSource::Own);
+    zone.failure = std::move(failure);
+}
+
+void EndpointDirectory::retractOwn(ZoneHealth& zone, RetractionReason reason, Milliseconds now)
+{
+    noteRetraction(*zone.failure, ZoneFailureSource::Own, reason, now);
+    zone.failure.reset();
+    zone.hasAnswered.clear();
+    zone.failedAt = zone.previouslyFailedAt;
+    zone.avoidUntil = Milliseconds { 0 };
+}
+
+void EndpointDirectory::retractSpreadSilence(const std::string& service, Milliseconds now)
+{
+    if (!isSilenceSpread(service, now))
+        return;
+    for (auto& [name, zone] : m_zones) {
+        const auto& failure = zone.failure;
+        if (failure && failure->service == service && failure->evidence != FailureEvidence::Failed
+            && now - failure->declaredAt <= m_settings.zoneFailureWindow)
+            retractOwn(zone, RetractionReason::Spread, now);
     }
-    zone.avoidUntil = now + m_settings.avoidZone;
+}
+
+void EndpointDirectory::noteRetraction(
+    const ZoneFailure& failure, ZoneFailureSource source, RetractionReason reason, Milliseconds now) const
+{
+    LogEvent("zone.failure-retracted")
+        .text("service", failure.service)
+        .text("zone", failure.zone)
+        .text("source", nameIn(zoneFailureSourceNames, source))
+        .text("reason", nameIn(retractionReasonNames, reason))
+        .number("after_ms", (now - failure.declaredAt).count())
+        .write();
+    if (m_onZoneRetraction)
+        m_onZoneRetraction(source, reason);
 }
 
 void EndpointDirectory::noteZoneFailed(const ZoneFailure& failure, ZoneFailureSource source)
@@ -492,17 +568,33 @@
     // Services and zones that this VM does not know come from a VM with another list, or from an invalid message.
     if (!m_settings.policies.has(Policy::ZoneAvoidance) || endpointsOf(failure.service, failure.zone).empty())
         return false;
-    const auto* known = declaredFailure(failure.service, failure.zone);
-    if (known && failure.declaredAt < known->avoidUntil)
+    auto& known = m_declaredFailures[failure.service][failure.zone];
+    // Several collectors declare the same failure, perhaps after another one has retracted it.
+    const bool isRetracted = known.retractedAt && failure.firstFailureAt <= *known.retractedAt;
+    if (failure.declaredAt < known.avoidUntil || isRetracted)
         return false;
-    m_declaredFailures[failure.service][failure.zone]
-        = { failure.declaredAt + m_settings.avoidZone, failure.firstFailureAt, now };
+    known = { failure.declaredAt + m_settings.avoidZone, { failure.firstFailureAt, now },
+        known.retractedAt ? known.previous : known.times, std::nullopt };
     m_zoneFailures[failure.service].add(failure.zone, failure.firstFailureAt);
     noteZoneFailed(failure, ZoneFailureSource::Collector);
     logEstimate(failure.service, now);
     return true;
 }
 
+bool EndpointDirectory::retractZoneFailure(const ZoneFailure& failure, RetractionReason reason, Milliseconds now)
+{
+    if (endpointsOf(failure.service, failure.zone).empty())
+        return false;
+    m_zoneFailures[failure.service].retract(failure.zone, failure.firstFailureAt);
+    auto& known = m_declaredFailures[failure.service][failure.zone];
+    const auto difference = std::chrono::abs(known.times.firstFailureAt - failure.firstFailureAt);
+    if (known.retractedAt || difference > ZoneFailureDetector::window)
+        return false;
+    known = { Milliseconds { 0 }, known.previous, known.previous, now };
+    noteRetraction(failure, ZoneFailureSource::Collector, reason, now);
+    return true;
+}
+
 void EndpointDirectory::addToHistory(
     const std::string& service, const std::vector<ZoneFailureHistory::Failure>& failures)
 {
@@ -573,7 +665,8 @@
     const auto& entry = endpoint.entry();
     const auto zone = m_zones.find(entry.availabilityZone);
     const auto* declared = declaredFailure(entry.service, entry.availabilityZone);
-    return (zone != m_zones.end() && isSince(zone->second.failedAt)) || (declared && isSince(declared->firstFailureAt));
+    return (zone != m_zones.end() && isSince(zone->second.failedAt))
+        || (declared && isSince(declared->times.firstFailureAt));
 }
 
 bool EndpointDirectory::hasZoneFailedSince(
@@ -582,7 +675,8 @@
     const auto found = m_zones.find(zone);
     const auto* declared = declaredFailure(service, zone);
     // A copy that was ordered after the failure but before this VM was notified is lost as well.
-    return (found != m_zones.end() && found->second.failedAt > since) || (declared && declared->appliedAt > since);
+    return (found != m_zones.end() && found->second.failedAt > since)
+        || (declared && declared->times.appliedAt > since);
 }
 
 bool EndpointDirectory::isLostWithZone(const RelayEndpoint& endpoint, Milliseconds since) const
@@ -593,7 +687,7 @@
     };
     const auto zone = m_zones.find(entry.availabilityZone);
     const auto* declared = declaredFailure(entry.service, entry.availabilityZone);
-    return (zone != m_zones.end() && isLoss(zone->second.failedAt)) || (declared && isLoss(declared->appliedAt));
+    return (zone != m_zones.end() && isLoss(zone->second.failedAt)) || (declared && isLoss(declared->times.appliedAt));
 }
 
 bool EndpointDirectory::isZoneAvoided(const std::string& service, const std::string& zone, Milliseconds now) const
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -17,6 +17,7 @@
 #pragma once
 
 #include "health/FailureEvidence.h"
+#include "health/RetractionReason.h"
 #include "health/ZoneFailureDetector.h"
 #include "health/ZoneFailureHistory.h"
 #include "health/ZoneFailureSource.h"
@@ -114,9 +115,19 @@
     // The endpoint answers nothing, which shows only later whether it has failed: records it, and reports it to other
     // VMs.
     void noteSilence(const RelayEndpoint&, Milliseconds now, FailureEvidence = FailureEvidence::Silent);
+    // Sets the function that reports to other VMs that an endpoint which was seen to fail has answered since.
+    void onSignOfLife(std::function<void(const RelayEndpoint&)> callback) { m_onSignOfLife = std::move(callback); }
     // Applies a failure of a service's endpoints in a zone that other VMs have detected together with this one. Returns
     // false if it is known already.
     bool applyZoneFailure(const ZoneFailure&, Milliseconds now);
+    // The failure that began at this time was none: the zone's endpoints have not lost what they held. Returns false if
+    // the failure is not known.
+    bool retractZoneFailure(const ZoneFailure&, RetractionReason, Milliseconds now);
+    // Sets the function to call when this VM or the collectors have retracted the failure of a zone.
+    void onZoneRetraction(std::function<void(ZoneFailureSource, RetractionReason)> callback)
+    {
+        m_onZoneRetraction = std::move(callback);
+    }
     // Sets the function to call when this VM or the collectors have detected the failure of a zone.
     void onZoneFailure(std::function<void(ZoneFailureSource, FailureEvidence)> callback)
     {
@@ -142,6 +153,7 @@
 private:
     struct Failure {
         std::string endpointId;
+        std::string service;
         Milliseconds at;
         FailureEvidence evidence;
     };
@@ -158,16 +170,26 @@
     struct ZoneHealth {
         std::deque<Failure> failures;
         Milliseconds avoidUntil { 0 };
-        // When it last started to fail.
+        // When it last started to fail, and when it did before that, in case the failure is retracted.
         Milliseconds failedAt { 0 };
+        Milliseconds previouslyFailedAt { 0 };
+        // The present failure, the endpoints that were seen to fail, and whether they have answered since.
+        std::optional<ZoneFailure> failure;
+        std::map<std::string, bool> hasAnswered;
     };
 
+    // When a failure began, and when this VM was notified of it.
+    struct FailureTimes {
+        Milliseconds firstFailureAt { 0 };
+        Milliseconds appliedAt { 0 };
+    };
     // A failure of a service's endpoints in a zone that the collectors declared.
     struct DeclaredFailure {
         Milliseconds avoidUntil { 0 };
-        Milliseconds firstFailureAt { 0 };
-        // When this VM was notified.
-        Milliseconds appliedAt { 0 };
+        FailureTimes times;
+        // Those of the failure before, in case this one is retracted.
+        FailureTimes previous;
+        std::optional<Milliseconds> retractedAt;
     };
 
     // What the log last stated about a service's next failure.
@@ -178,6 +200,15 @@
 
     void recordFailure(const RelayEndpoint&, Milliseconds now, FailureEvidence);
     void noteZoneFailed(const ZoneFailure&, ZoneFailureSource);
+    void noteRetraction(const ZoneFailure&, ZoneFailureSource, RetractionReason, Milliseconds now) const;
+    // True if endpoints have become silent in most zones of the service.
+    bool isSilenceSpread(const std::string& service, Milliseconds now) const;
+    // Begins a failure of the zone that this VM has seen alone.
+    void declareOwn(ZoneHealth&, ZoneFailure);
+    void retractOwn(ZoneHealth&, RetractionReason, Milliseconds now);
+    // Retracts the failures of the service's zones that this VM concluded from silence alone.
+    void retractSpreadSilence(const std::string& service, Milliseconds now);
+    void noteSignOfLife(const RelayEndpoint&, Milliseconds now);
     // Notices when an endpoint that was seen to fail turns out to be alive.
     void awaitSignOfLife(const RelayEndpoint&, Milliseconds now, FailureEvidence);
     // Logs which zone is expected to fail next if that has changed much.
@@ -227,6 +258,8 @@
     std::unordered_map<std::string, LoggedEstimate> m_loggedEstimates;
     std::function<void(const RelayEndpoint&, FailureEvidence)> m_onFailure;
     std::function<void(ZoneFailureSource, FailureEvidence)> m_onZoneFailure;
+    std::function<void(const RelayEndpoint&)> m_onSignOfLife;
+    std::function<void(ZoneFailureSource, RetractionReason)> m_onZoneRetraction;
     // Counts of the list or change that is being applied.
     EndpointCounts m_counts;
     // By EndpointEntry::incarnationName().
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -599,13 +599,17 @@
                 : wasSent ? settings.avoidAfterBrokenAnswer
                           : settings.avoidAfterRefusal));
     const auto shown = failureEvidenceOf(kind, run->call->isRefused());
-    m_context.directory.noteFailure(*run->endpoint, now, shown);
     // A request that may crash endpoints says nothing about their zone.
     const auto evidence = wasSuspect ? EngineEvidence::None : evidenceOf(kind, m_livenessMonitor->hasProbeFailed());
-    if (evidence == EngineEvidence::Failed)
-        m_context.directory.reportFailure(*run->endpoint, shown);
-    else if (evidence == EngineEvidence::ConnectionBroke)
-        EndpointFailureCheck::start(m_context, run->endpoint);
+    if (evidence == EngineEvidence::Failed && shown == FailureEvidence::Silent) {
+        m_context.directory.noteSilence(*run->endpoint, now);
+    } else {
+        m_context.directory.noteFailure(*run->endpoint, now, shown);
+        if (evidence == EngineEvidence::Failed)
+            m_context.directory.reportFailure(*run->endpoint, shown);
+        else if (evidence == EngineEvidence::ConnectionBroke)
+            EndpointFailureCheck::start(m_context, run->endpoint);
+    }
     m_choice->noteFailed(run->endpoint);
     // A run's KV cache is copied from its first event on. When a run that continued from a copy is lost before that,
     // the other copies of the run before it remain.
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -51,6 +51,8 @@
     m_directory.onFirstList([this] { m_handler.processWaitingRequests(); });
     m_directory.onZoneFailure(
         [this](ZoneFailureSource source, FailureEvidence evidence) { m_metrics.countZoneFailure(source, evidence); });
+    m_directory.onZoneRetraction(
+        [this](ZoneFailureSource source, RetractionReason reason) { m_metrics.countZoneRetraction(source, reason); });
     m_directory.setServices([this](const std::string& service) {
         return !m_context.configuration || m_context.configuration->findService(service);
     });
--- a/src/relay/RelayEndpoint.h
+++ b/src/relay/RelayEndpoint.h
@@ -12,6 +12,7 @@
 #include "relay/EndpointEntry.h"
 #include "relay/EngineReport.h"
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <vector>
 
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -42,6 +42,10 @@
                          .Name("lupinknot_relay_zone_failures_total")
                          .Help("Failures of whole zones, by who detected them and from what.")
                          .Register(*m_registry))
+    , m_zoneRetractions(prometheus::BuildCounter()
+                            .Name("lupinknot_relay_zone_failures_retracted_total")
+                            .Help("Failures of whole zones that turned out to be none, by who detected them and why.")
+                            .Register(*m_registry))
     , m_streams(prometheus::BuildCounter()
                     .Name("lupinknot_relay_streams_total")
                     .Help("Streams ended, by rank and outcome.")
@@ -127,6 +131,14 @@
         .Increment();
 }
 
+void RelayMetrics::countZoneRetraction(ZoneFailureSource source, RetractionReason reason)
+{
+    m_zoneRetractions
+        .Add({ { "source", std::string(nameIn(zoneFailureSourceNames, source)) },
+            { "reason", std::string(nameIn(retractionReasonNames, reason)) } })
+        .Increment();
+}
+
 void RelayMetrics::countEndpointConnection(bool isThroughVm, HopResult result)
 {
     const std::string resultName(nameIn(hopResultNames, result));
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "health/FailureEvidence.h"
+#include "health/RetractionReason.h"
 #include "health/ZoneFailureSource.h"
 #include "http/ConnectionPath.h"
 #include "lupinknot/Clock.h"
@@ -59,6 +60,7 @@
     void countRequest(RequestKind, unsigned status, Milliseconds took);
     void countFailure(FailureKind);
     void countZoneFailure(ZoneFailureSource, FailureEvidence);
+    void countZoneRetraction(ZoneFailureSource, RetractionReason);
     // Counts an attempt to connect to an endpoint, directly or through another VM.
     void countEndpointConnection(bool isThroughVm, HopResult);
     // Counts a stream by its rank, empty when the configuration names none, and by how it ended.
@@ -74,6 +76,7 @@
     prometheus::Family<prometheus::Counter>& m_failures;
     prometheus::Family<prometheus::Histogram>& m_durations;
     prometheus::Family<prometheus::Counter>& m_zoneFailures;
+    prometheus::Family<prometheus::Counter>& m_zoneRetractions;
     prometheus::Family<prometheus::Counter>& m_streams;
     prometheus::Family<prometheus::Counter>& m_endpointConnections;
     prometheus::Family<prometheus::Counter>& m_continuations;
--- a/test/ZoneFailureDetectorTest.cpp
+++ b/test/ZoneFailureDetectorTest.cpp
@@ -82,6 +82,60 @@
 }
 
 // One engine with runs of many VMs must not count as many engines.
+// Guards against failures of all zones that are declared when all or half of the engines pause at once, and against a
+// zone that fails for good while single engines elsewhere are silent.
+TEST(ZoneFailureDetector, SilenceInMostZonesIsNoFailureOfEachButThatOfOneZoneIsDeclaredAsEarlyAsARefusal)
+{
+    ZoneFailureDetector byRefusal;
+    for (int number = 0; number < 200; ++number) {
+        const Milliseconds begin { 10000 * (number + 1) };
+        const bool isPause = number % 2 == 0;
+        std::vector<std::pair<Milliseconds, std::string>> reports;
+        for (int i = 0; i < 60; ++i)
+            reports.push_back({ begin + Milliseconds { uniform(160, 410) },
+                std::string(1, isPause ? "abcd"[uniform(0, 3)] : 'a') + std::to_string(uniform(0, 9)) });
+        reports.push_back({ begin + Milliseconds { 200 }, "b1" });
+        std::sort(reports.begin(), reports.end());
+        std::optional<Milliseconds> declaredAt;
+        std::optional<Milliseconds> refusedAt;
+        std::size_t open = 0;
+        for (const auto& [at, id] : reports) {
+            const EndpointFailure silent { "s", id.substr(0, 1), id, FailureEvidence::Silent };
+            if (detector.noteFailure(silent, at, 10, at, 4)) {
+                ++open;
+                declaredAt = declaredAt.value_or(at);
+            }
+            open -= detector.takeRetractions("s", 4, at).size();
+            if (byRefusal.noteFailure({ "s", silent.zone, id }, at, 10, at, 4))
+                refusedAt = refusedAt.value_or(at);
+        }
+        LONGS_EQUAL(isPause ? 0 : 1, open);
+        CHECK_TEXT(isPause || declaredAt == refusedAt, "a dead zone must be known as early as before");
+    }
+}
+
+// Guards against a false failure that is never taken back, and against one that is because a few engines survive.
+TEST(ZoneFailureDetector, RetractsAFailureOnceHalfOfItsEndpointsHaveAnswered)
+{
+    const auto alive = [this](int endpoint, Milliseconds at) {
+        detector.noteAlive({ "s", "a", "a" + std::to_string(endpoint) }, at);
+        return detector.takeRetractions("s", 3, at);
+    };
+    for (int i = 0; i < 6; ++i)
+        fail("a", i, Milliseconds { 1000 + i });
+    LONGS_EQUAL(1, declared);
+    CHECK(alive(1, Milliseconds { 900 }).empty());
+    CHECK(alive(1, Milliseconds { 1900 }).empty());
+    CHECK(alive(2, Milliseconds { 1910 }).empty());
+    const auto retracted = alive(3, Milliseconds { 3500 });
+    LONGS_EQUAL(1, retracted.size());
+    LONGS_EQUAL(1000, retracted[0].failure.firstFailureAt.count());
+    CHECK(alive(4, Milliseconds { 3600 }).empty());
+    for (int i = 0; i < 6; ++i)
+        fail("a", i, Milliseconds { 9000 + i });
+    LONGS_EQUAL_TEXT(2, declared, "the next failure must be declared");
+}
+
 TEST(ZoneFailureDetector, CountsAnEndpointOnce)
 {
     for (int vm = 0; vm < 50; ++vm)
--- a/test/ZoneFailureHistoryTest.cpp
+++ b/test/ZoneFailureHistoryTest.cpp
@@ -91,6 +91,18 @@
     LONGS_EQUAL(1, history.failures().size());
 }
 
+// Guards against a false failure that other VMs add again with their history.
+TEST(ZoneFailureHistory, ARetractedFailureIsNotAddedAgain)
+{
+    fail("a");
+    history.retract("a", now + Milliseconds { 10 });
+    CHECK(history.isEmpty());
+    CHECK_FALSE(history.add("a", now - Milliseconds { 20 }));
+    CHECK_TEXT(history.add("b", now), "the other zone has failed");
+    fail("a");
+    LONGS_EQUAL(2, history.failures().size());
+}
+
 // A VM that starts gets the history from another one, in any order and more than once.
 TEST(ZoneFailureHistory, IsTheSameWhateverTheOrderOfItsMessages)
 {
