Conclude nothing from silence after this VM stood still

A VM that was frozen found all its timers expired and all its endpoints silent when it ran again, and reported the failure of zones whose answers waited in its sockets. EndpointDirectory::noteSilence() now ignores silence until 150 ms after a stall, and a check of an endpoint that a stall interrupted is repeated.

The test failed without the check of the stall.

--- a/src/health/EndpointFailureCheck.cpp
+++ b/src/health/EndpointFailureCheck.cpp
@@ -40,6 +40,7 @@
 EndpointFailureCheck::EndpointFailureCheck(RelayContext& context, std::shared_ptr<RelayEndpoint> endpoint)
     : m_context(context)
     , m_endpoint(std::move(endpoint))
+    , m_startedAt(context.now())
     , m_lifetime(context.ioContext)
 {
 }
@@ -47,7 +48,10 @@
 void EndpointFailureCheck::handleAnswer(const HttpRoundTripResult& outcome)
 {
     m_lifetime.cancel();
-    if (!outcome.answer)
+    // The answer may wait in a socket while this VM stands still.
+    if (!outcome.answer && m_context.stalls.lastStallEnd(m_context.now()) > m_startedAt)
+        start(m_context, m_endpoint);
+    else if (!outcome.answer)
         m_context.directory.reportFailure(*m_endpoint, evidenceOf(outcome));
 }
 
--- a/src/health/EndpointFailureCheck.h
+++ b/src/health/EndpointFailureCheck.h
@@ -10,6 +10,7 @@
 // Used on the relay's thread only. Keeps itself alive until the probe has ended.
 #pragma once
 
+#include "lupinknot/Clock.h"
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 
@@ -31,6 +32,7 @@
 
     RelayContext& m_context;
     const std::shared_ptr<RelayEndpoint> m_endpoint;
+    const Milliseconds m_startedAt;
     std::shared_ptr<HttpRoundTrip> m_probe;
     // Its pending wait owns this object.
     boost::asio::steady_timer m_lifetime;
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -1,6 +1,7 @@
 #include "relay/EndpointDirectory.h"
 
 #include "common/EventLog.h"
+#include "health/StallDetector.h"
 #include "reach/EndpointConnector.h"
 
 #include <algorithm>
@@ -20,6 +21,8 @@
 constexpr std::int64_t loggedChangePercent = 15;
 // The time for which bytes of an endpoint that has failed may still wait to be read.
 constexpr Milliseconds minTimeToSignOfLife { 50 };
+// Less than the shortest silence that is noticed: shorter silence began while this VM stood still.
+constexpr Milliseconds minSilenceAfterStall { 150 };
 
 } // namespace
 
@@ -405,6 +408,9 @@
 
 void EndpointDirectory::noteSilence(const RelayEndpoint& endpoint, Milliseconds now, FailureEvidence evidence)
 {
+    const auto stallEnd = m_stalls ? m_stalls->lastStallEnd(now) : Milliseconds { 0 };
+    if (stallEnd > Milliseconds { 0 } && now - stallEnd < minSilenceAfterStall)
+        return;
     noteFailure(endpoint, now, evidence);
     reportFailure(endpoint, evidence);
 }
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -35,6 +35,7 @@
 namespace lupinknot::internal {
 
 class EndpointConnector;
+class StallDetector;
 struct CheckedEndpoint;
 
 // One change of the list: an endpoint's current entry, or the removal of an entry.
@@ -61,6 +62,8 @@
     // Sets what provides the paths of connections to the endpoints; it must outlive them. Call it before the first
     // list.
     void setConnector(EndpointConnector&);
+    // Sets what states when this VM itself stood still; it must outlive the directory.
+    void setStalls(const StallDetector& stalls) { m_stalls = &stalls; }
     // True while this VM reaches no endpoint directly.
     bool isPartitioned() const;
     void upsert(EndpointEntry, Milliseconds now);
@@ -113,7 +116,7 @@
         m_onFailure = std::move(callback);
     }
     // The endpoint answers nothing, which shows only later whether it has failed: records it, and reports it to other
-    // VMs.
+    // VMs, unless this VM itself has just stood still.
     void noteSilence(const RelayEndpoint&, Milliseconds now, FailureEvidence = FailureEvidence::Silent);
     // Sets the function that reports to other VMs that an endpoint which was seen to fail has answered since.
     void onSignOfLife(std::function<void(const RelayEndpoint&)> callback) { m_onSignOfLife = std::move(callback); }
@@ -260,6 +263,7 @@
     std::function<void(ZoneFailureSource, FailureEvidence)> m_onZoneFailure;
     std::function<void(const RelayEndpoint&)> m_onSignOfLife;
     std::function<void(ZoneFailureSource, RetractionReason)> m_onZoneRetraction;
+    const StallDetector* m_stalls { nullptr };
     // Counts of the list or change that is being applied.
     EndpointCounts m_counts;
     // By EndpointEntry::incarnationName().
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -47,6 +47,7 @@
 {
     m_context.waitingRequestLimit.setAgeingTime(m_settings.rankAgeingTime);
     m_directory.setConnector(m_connector);
+    m_directory.setStalls(m_context.stalls);
     m_placement.setPaces(&m_context.enginePaces);
     m_directory.onFirstList([this] { m_handler.processWaitingRequests(); });
     m_directory.onZoneFailure(
--- a/test/EndpointDirectoryTest.cpp
+++ b/test/EndpointDirectoryTest.cpp
@@ -1,4 +1,5 @@
 #include "relay/EndpointDirectory.h"
+#include "health/StallDetector.h"
 #include "relay/Placement.h"
 
 #include <CppUTest/TestHarness.h>
@@ -242,6 +243,28 @@
     CHECK_TEXT(directory->isZoneAvoided("s", "a", now), "engines that refuse connections have failed");
 }
 
+// Guards against a frozen VM that, when it wakes up, takes its own pause for the failure of zones.
+TEST(EndpointDirectory, AVmThatStoodStillConcludesNothingFromTheSilenceThatItFinds)
+{
+    StallDetector stalls;
+    directory->setStalls(stalls);
+    directory->replaceAll({ entry("a1", 1), entry("a2", 2), entry("b1", 3, "b") }, now);
+    const auto noteSilence = [this] {
+        for (const auto* const id : { "a1", "a2" })
+            directory->noteSilence(*directory->find(id), now);
+    };
+    stalls.noteTick(now);
+    now += Milliseconds { 1200 };
+    noteSilence();
+    stalls.noteTick(now);
+    noteSilence();
+    CHECK_FALSE(directory->isZoneAvoided("s", "a", now));
+    for (int i = 0; i < 4; ++i)
+        stalls.noteTick(now += StallDetector::interval);
+    noteSilence();
+    CHECK(directory->isZoneAvoided("s", "a", now));
+}
+
 // With one log line per endpoint, a zone of 64 engines that fails and returns would write at least 128 lines on each
 // VM.
 TEST(EndpointDirectory, CountsAChangeOfTheListAsAWhole)
