Count only the endpoints of a declared failure for its retraction

Silence that is spread over most zones added its endpoints to those of an earlier failure of the zone, which then needed more signs of life before it was retracted. Found by reading; no run showed it.

--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -483,10 +483,11 @@
         if (isFailure && now >= zone.avoidUntil)
             declareOwn(
                 zone, { entry.service, entry.availabilityZone, failures.front().at, now, failures.size(), common });
-        if (isFailure)
+        if (isFailure) {
             zone.avoidUntil = now + m_settings.avoidZone;
-        for (const auto& failure : failures)
-            zone.hasAnswered.try_emplace(failure.endpointId, false);
+            for (const auto& failure : failures)
+                zone.hasAnswered.try_emplace(failure.endpointId, false);
+        }
     }
     if (evidence != FailureEvidence::Failed)
         retractSpreadSilence(entry.service, now);
