--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -16,6 +16,8 @@
 // Used on the relay's thread only. Lives for the process.
 #pragma once
 
+#include "health/FailureEvidence.h"
+#include "health/RetractionReason.h"
 #include "health/ZoneFailureDetector.h"
 #include "health/ZoneFailureHistory.h"
 #include "health/ZoneFailureSource.h"
@@ -33,6 +35,7 @@
 namespace lupinknot::internal {
 
 class EndpointConnector;
+class StallDetector;
 struct CheckedEndpoint;
 
 // One change of the list: an endpoint's current entry, or the removal of an entry.
@@ -59,6 +62,8 @@
     // Sets what provides the paths of connections to the endpoints; it must outlive them. Call it before the first
     // list.
     void setConnector(EndpointConnector&);
+    // Sets what states when this VM itself stood still; it must outlive the directory.
+    void setStalls(const StallDetector& stalls) { m_stalls = &stalls; }
     // True while this VM reaches no endpoint directly.
     bool isPartitioned() const;
     void upsert(EndpointEntry, Milliseconds now);
@@ -102,16 +107,35 @@
 
     // Records a failure of the endpoint; several failing endpoints of a zone make the zone a failing one. Failures that
     // this VM sees because it is partitioned are not recorded.
-    void noteFailure(const RelayEndpoint&, Milliseconds now);
+    void noteFailure(const RelayEndpoint&, Milliseconds now, FailureEvidence = FailureEvidence::Failed);
     // Passes a failure that concerns the endpoint, not only the request, to the function that reports it to other VMs,
     // once it is known that this VM reaches other endpoints.
-    void reportFailure(const RelayEndpoint&) const;
-    void onEndpointFailure(std::function<void(const RelayEndpoint&)> callback) { m_onFailure = std::move(callback); }
+    void reportFailure(const RelayEndpoint&, FailureEvidence = FailureEvidence::Failed) const;
+    void onEndpointFailure(std::function<void(const RelayEndpoint&, FailureEvidence)> callback)
+    {
+        m_onFailure = std::move(callback);
+    }
+    // The endpoint answers nothing, which shows only later whether it has failed: records it, and reports it to other
+    // VMs, unless this VM itself has just stood still.
+    void noteSilence(const RelayEndpoint&, Milliseconds now, FailureEvidence = FailureEvidence::Silent);
+    // Sets the function that reports to other VMs that an endpoint which was seen to fail has answered since.
+    void onSignOfLife(std::function<void(const RelayEndpoint&)> callback) { m_onSignOfLife = std::move(callback); }
     // Applies a failure of a service's endpoints in a zone that other VMs have detected together with this one. Returns
     // false if it is known already.
     bool applyZoneFailure(const ZoneFailure&, Milliseconds now);
+    // The failure that began at this time was none: the zone's endpoints have not lost what they held. Returns false if
+    // the failure is not known.
+    bool retractZoneFailure(const ZoneFailure&, RetractionReason, Milliseconds now);
+    // Sets the function to call when this VM or the collectors have retracted the failure of a zone.
+    void onZoneRetraction(std::function<void(ZoneFailureSource, RetractionReason)> callback)
+    {
+        m_onZoneRetraction = std::move(callback);
+    }
     // Sets the function to call when this VM or the collectors have detected the failure of a zone.
-    void onZoneFailure(std::function<void(ZoneFailureSource)> callback) { m_onZoneFailure = std::move(callback); }
+    void onZoneFailure(std::function<void(ZoneFailureSource, FailureEvidence)> callback)
+    {
+        m_onZoneFailure = std::move(callback);
+    }
     bool isZoneAvoided(const std::string& service, const std::string& zone, Milliseconds now) const;
     // True for an endpoint of a zone that failed if no sign of life has arrived from the endpoint since and the list is
     // too old to show whether it has restarted under another id. Without confirmations of the list, only a time counts.
@@ -119,6 +143,9 @@
     // True when several endpoints of the zone have failed together since that time, those of the service if the
     // failure was detected with other VMs.
     bool hasZoneFailedSince(const std::string& service, const std::string& zone, Milliseconds since) const;
+    // True when the endpoint's zone has failed since that time and the endpoint has not answered since, so that what it
+    // held then is lost.
+    bool isLostWithZone(const RelayEndpoint&, Milliseconds since) const;
     // The failures of zones of the service that the collectors have declared.
     const ZoneFailureHistory& zoneFailures(const std::string& service) const;
     // The zones in which the service has endpoints.
@@ -129,7 +156,9 @@
 private:
     struct Failure {
         std::string endpointId;
+        std::string service;
         Milliseconds at;
+        FailureEvidence evidence;
     };
     // An incarnation whose entry was removed.
     struct Removal {
@@ -144,16 +173,26 @@
     struct ZoneHealth {
         std::deque<Failure> failures;
         Milliseconds avoidUntil { 0 };
-        // When it last started to fail.
+        // When it last started to fail, and when it did before that, in case the failure is retracted.
         Milliseconds failedAt { 0 };
+        Milliseconds previouslyFailedAt { 0 };
+        // The present failure, the endpoints that were seen to fail, and whether they have answered since.
+        std::optional<ZoneFailure> failure;
+        std::map<std::string, bool> hasAnswered;
     };
 
+    // When a failure began, and when this VM was notified of it.
+    struct FailureTimes {
+        Milliseconds firstFailureAt { 0 };
+        Milliseconds appliedAt { 0 };
+    };
     // A failure of a service's endpoints in a zone that the collectors declared.
     struct DeclaredFailure {
         Milliseconds avoidUntil { 0 };
-        Milliseconds firstFailureAt { 0 };
-        // When this VM was notified.
-        Milliseconds appliedAt { 0 };
+        FailureTimes times;
+        // Those of the failure before, in case this one is retracted.
+        FailureTimes previous;
+        std::optional<Milliseconds> retractedAt;
     };
 
     // What the log last stated about a service's next failure.
@@ -162,8 +201,19 @@
         std::int64_t percent { 0 };
     };
 
-    void recordFailure(const RelayEndpoint&, Milliseconds now);
-    void noteZoneFailed(const std::string& service, const std::string& zone, ZoneFailureSource, std::size_t endpoints);
+    void recordFailure(const RelayEndpoint&, Milliseconds now, FailureEvidence);
+    void noteZoneFailed(const ZoneFailure&, ZoneFailureSource);
+    void noteRetraction(const ZoneFailure&, ZoneFailureSource, RetractionReason, Milliseconds now) const;
+    // True if endpoints have become silent in most zones of the service.
+    bool isSilenceSpread(const std::string& service, Milliseconds now) const;
+    // Begins a failure of the zone that this VM has seen alone.
+    void declareOwn(ZoneHealth&, ZoneFailure);
+    void retractOwn(ZoneHealth&, RetractionReason, Milliseconds now);
+    // Retracts the failures of the service's zones that this VM concluded from silence alone.
+    void retractSpreadSilence(const std::string& service, Milliseconds now);
+    void noteSignOfLife(const RelayEndpoint&, Milliseconds now);
+    // Notices when an endpoint that was seen to fail turns out to be alive.
+    void awaitSignOfLife(const RelayEndpoint&, Milliseconds now, FailureEvidence);
     // Logs which zone is expected to fail next if that has changed much.
     void logEstimate(const std::string& service, Milliseconds now);
     // Null if there is none.
@@ -209,8 +259,11 @@
     std::unordered_map<std::string, std::unordered_map<std::string, DeclaredFailure>> m_declaredFailures;
     std::unordered_map<std::string, ZoneFailureHistory> m_zoneFailures;
     std::unordered_map<std::string, LoggedEstimate> m_loggedEstimates;
-    std::function<void(const RelayEndpoint&)> m_onFailure;
-    std::function<void(ZoneFailureSource)> m_onZoneFailure;
+    std::function<void(const RelayEndpoint&, FailureEvidence)> m_onFailure;
+    std::function<void(ZoneFailureSource, FailureEvidence)> m_onZoneFailure;
+    std::function<void(const RelayEndpoint&)> m_onSignOfLife;
+    std::function<void(ZoneFailureSource, RetractionReason)> m_onZoneRetraction;
+    const StallDetector* m_stalls { nullptr };
     // Counts of the list or change that is being applied.
     EndpointCounts m_counts;
     // By EndpointEntry::incarnationName().
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -47,6 +47,14 @@
     return isBroken ? EngineEvidence::ConnectionBroke : EngineEvidence::None;
 }
 
+FailureEvidence failureEvidenceOf(FailureKind kind, bool isRefused)
+{
+    if (kind == FailureKind::Silent)
+        return FailureEvidence::Silent;
+    const bool isUnreachable = kind == FailureKind::ConnectionRefused && !isRefused;
+    return isUnreachable ? FailureEvidence::Unreachable : FailureEvidence::Failed;
+}
+
 ContinuedAt continuationOf(const std::optional<std::string>& beganVersion, const std::string& version)
 {
     if (!beganVersion)
@@ -617,13 +625,19 @@
         + (isSilent       ? settings.avoidAfterSilence
                 : wasSent ? settings.avoidAfterBrokenAnswer
                           : settings.avoidAfterRefusal));
-    m_context.directory.noteFailure(*run.endpoint, now);
+    const bool isUnreachable = isSilent && run.silence && !run.silence->isConnected;
+    const auto shown = isUnreachable ? FailureEvidence::Unreachable : failureEvidenceOf(kind, run.call->isRefused());
     // A request that may crash endpoints says nothing about their zone.
     const auto evidence = wasSuspect ? EngineEvidence::None : evidenceOf(kind, m_livenessMonitor->hasProbeFailed());
-    if (evidence == EngineEvidence::Failed)
-        m_context.directory.reportFailure(*run.endpoint);
-    else if (evidence == EngineEvidence::ConnectionBroke)
-        EndpointFailureCheck::start(m_context, run.endpoint);
+    if (evidence == EngineEvidence::Failed && isSilent) {
+        m_context.directory.noteSilence(*run.endpoint, now, shown);
+    } else {
+        m_context.directory.noteFailure(*run.endpoint, now, shown);
+        if (evidence == EngineEvidence::Failed)
+            m_context.directory.reportFailure(*run.endpoint, shown);
+        else if (evidence == EngineEvidence::ConnectionBroke)
+            EndpointFailureCheck::start(m_context, run.endpoint);
+    }
     m_choice->noteFailed(run.endpoint);
 }
 
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -40,8 +40,12 @@
                       .Register(*m_registry))
     , m_zoneFailures(prometheus::BuildCounter()
                          .Name("lupinknot_relay_zone_failures_total")
-                         .Help("Failures of whole zones, by who detected them.")
+                         .Help("Failures of whole zones, by who detected them and from what.")
                          .Register(*m_registry))
+    , m_zoneRetractions(prometheus::BuildCounter()
+                            .Name("lupinknot_relay_zone_failures_retracted_total")
+                            .Help("Failures of whole zones that turned out to be none, by who detected them and why.")
+                            .Register(*m_registry))
     , m_streams(prometheus::BuildCounter()
                     .Name("lupinknot_relay_streams_total")
                     .Help("Streams ended, by rank and outcome.")
@@ -105,6 +109,7 @@
           "Requests that this VM began to hold back, because endpoints crashed under them."))
     , quarantineTrials(addCounter(*m_registry, "lupinknot_relay_quarantine_trials_total",
           "Attempts that were admitted to try a request again after a hold."))
+    , stalls(addCounter(*m_registry, "lupinknot_relay_stalls_total", "Times at which the event loop stood still."))
 {
 }
 
@@ -120,9 +125,20 @@
     m_failures.Add({ { "failure", std::string(traitsOf(kind).name) } }).Increment();
 }
 
-void RelayMetrics::countZoneFailure(ZoneFailureSource source)
+void RelayMetrics::countZoneFailure(ZoneFailureSource source, FailureEvidence evidence)
 {
-    m_zoneFailures.Add({ { "source", std::string(nameIn(zoneFailureSourceNames, source)) } }).Increment();
+    m_zoneFailures
+        .Add({ { "source", std::string(nameIn(zoneFailureSourceNames, source)) },
+            { "evidence", std::string(nameIn(failureEvidenceNames, evidence)) } })
+        .Increment();
+}
+
+void RelayMetrics::countZoneRetraction(ZoneFailureSource source, RetractionReason reason)
+{
+    m_zoneRetractions
+        .Add({ { "source", std::string(nameIn(zoneFailureSourceNames, source)) },
+            { "reason", std::string(nameIn(retractionReasonNames, reason)) } })
+        .Increment();
 }
 
 void RelayMetrics::countEndpointConnection(bool isThroughVm, HopResult result)
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -1,6 +1,8 @@
 // The relay's metrics, by prometheus-cpp. Label values come from fixed tables, never from callers.
 #pragma once
 
+#include "health/FailureEvidence.h"
+#include "health/RetractionReason.h"
 #include "health/ZoneFailureSource.h"
 #include "http/ConnectionPath.h"
 #include "lupinknot/Clock.h"
@@ -57,7 +59,8 @@
 
     void countRequest(RequestKind, unsigned status, Milliseconds took);
     void countFailure(FailureKind);
-    void countZoneFailure(ZoneFailureSource);
+    void countZoneFailure(ZoneFailureSource, FailureEvidence);
+    void countZoneRetraction(ZoneFailureSource, RetractionReason);
     // Counts an attempt to connect to an endpoint, directly or through another VM.
     void countEndpointConnection(bool isThroughVm, HopResult);
     // Counts a stream by its rank, empty when the configuration names none, and by how it ended.
@@ -73,6 +76,7 @@
     prometheus::Family<prometheus::Counter>& m_failures;
     prometheus::Family<prometheus::Histogram>& m_durations;
     prometheus::Family<prometheus::Counter>& m_zoneFailures;
+    prometheus::Family<prometheus::Counter>& m_zoneRetractions;
     prometheus::Family<prometheus::Counter>& m_streams;
     prometheus::Family<prometheus::Counter>& m_endpointConnections;
     prometheus::Family<prometheus::Counter>& m_continuations;
@@ -113,6 +117,8 @@
     // Requests that this VM began to hold back, and attempts that it admitted to try one again.
     prometheus::Counter& quarantineHolds;
     prometheus::Counter& quarantineTrials;
+    // Times at which this VM's event loop stood still.
+    prometheus::Counter& stalls;
 };
 
 } // namespace lupinknot::internal
