Log and count what is known about an endpoint under which a run was lost

Callers saw requests refused as held-back although no engine had crashed. The line quarantine.judged says that a run was silent, but not whether its engine gave a sign of life before the loss was judged, so that engines that paused and engines that crashed without closing their connections looked the same.

Change: quarantine.judged states the evidence (connection-broke, silent, alive), and the metric lupinknot_relay_judged_losses_total counts it. No decision changes.

--- a/src/relay/CrashGuard.cpp
+++ b/src/relay/CrashGuard.cpp
@@ -196,16 +196,28 @@
     return pendingLoss.loss.endpoint->entry().isDraining || m_losses.isCorrelatedLoss(pendingLoss.event, others);
 }
 
+LossEvidence CrashGuard::evidenceOf(const PendingLoss& pendingLoss) const
+{
+    if (pendingLoss.loss.run.failure != FailureKind::Silent)
+        return LossEvidence::ConnectionBroke;
+    const bool isAlive = pendingLoss.loss.endpoint->lastAliveAt() > pendingLoss.event.at;
+    return isAlive ? LossEvidence::Alive : LossEvidence::Silent;
+}
+
 void CrashGuard::evaluate(const PendingLoss& pendingLoss)
 {
     const auto& loss = pendingLoss.loss;
     const bool isCorrelated = isCorrelatedLoss(pendingLoss);
+    const auto evidence = evidenceOf(pendingLoss);
+    if (m_metrics)
+        m_metrics->countLossEvidence(evidence);
     LogEvent("quarantine.judged")
         .text("request", loss.requestId)
         .text("digest", loss.digest)
         .text("endpoint", pendingLoss.event.endpointId)
         .text("zone", pendingLoss.event.zone)
         .text("failure", traitsOf(loss.run.failure).name)
+        .text("evidence", nameIn(lossEvidenceNames, evidence))
         .text("beginning", nameIn(runStartNames, loss.run.beginning))
         .number("worked_ms", loss.run.workedFor.count())
         .number("weight_percent", inPercent(pendingLoss.weight))
--- a/src/relay/CrashGuard.h
+++ b/src/relay/CrashGuard.h
@@ -17,6 +17,7 @@
 #include "quarantine/CrashRecordSource.h"
 #include "quarantine/CrashWeight.h"
 #include "quarantine/EndpointLosses.h"
+#include "quarantine/LossEvidence.h"
 #include "quarantine/Quarantine.h"
 #include "quarantine/QuarantineStatus.h"
 #include "quarantine/ServedRequests.h"
@@ -120,6 +121,7 @@
     void evaluate();
     void evaluate(const PendingLoss&);
     bool isCorrelatedLoss(const PendingLoss&) const;
+    LossEvidence evidenceOf(const PendingLoss&) const;
     double pendingWeight(const std::string& digest) const;
     std::int64_t wallClockAt(Milliseconds instant) const;
     // Returns false if the record is known or does not count.
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -58,6 +58,10 @@
                          .Name("lupinknot_relay_crash_records_total")
                          .Help("Records of endpoints that crashed under a request, by source.")
                          .Register(*m_registry))
+    , m_lossEvidence(prometheus::BuildCounter()
+                         .Name("lupinknot_relay_judged_losses_total")
+                         .Help("Endpoint losses that were evaluated, by what is known about the endpoint.")
+                         .Register(*m_registry))
     , resumedFromCopy(addCounter(
           *m_registry, "lupinknot_relay_resumed_from_copy_total", "Streams that went on from a copy of their memory."))
     , resumedCold(addCounter(
@@ -146,6 +150,11 @@
     m_crashRecords.Add({ { "source", std::string(nameIn(crashRecordSourceNames, source)) } }).Increment();
 }
 
+void RelayMetrics::countLossEvidence(LossEvidence evidence)
+{
+    m_lossEvidence.Add({ { "evidence", std::string(nameIn(lossEvidenceNames, evidence)) } }).Increment();
+}
+
 std::string RelayMetrics::exposition() const
 {
     std::ostringstream text;
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -7,6 +7,7 @@
 #include "lupinknot/EnumNames.h"
 #include "lupinknot/FailureKind.h"
 #include "quarantine/CrashRecordSource.h"
+#include "quarantine/LossEvidence.h"
 #include "relay/RequestKind.h"
 #include <array>
 #include <memory>
@@ -65,6 +66,7 @@
     void countContinuation(ContinuedAt);
     // Counts a record of a crashed endpoint that is new to this VM.
     void countCrashRecord(CrashRecordSource);
+    void countLossEvidence(LossEvidence);
     std::string exposition() const;
 
 private:
@@ -77,6 +79,7 @@
     prometheus::Family<prometheus::Counter>& m_endpointConnections;
     prometheus::Family<prometheus::Counter>& m_continuations;
     prometheus::Family<prometheus::Counter>& m_crashRecords;
+    prometheus::Family<prometheus::Counter>& m_lossEvidence;
 
 public:
     // Streams that resumed at another engine from a copy of their KV cache, or by a new prefill of the prompt.
