Add failing tests for silence that is counted as a crash

Callers saw requests refused as held-back because engines that ran them had paused for less than a second; other VMs refused them too, because they received the records.

EndpointsThatPauseAreNoCrashes: three engines become silent and go on before the losses are judged; the score is 4 where the one broken connection counts 1. CountedSilenceIsTakenBackWhenTheEndpointsGoOn: the engines go on after the losses have been counted; the request is still held.

--- a/test/CrashGuardTest.cpp
+++ b/test/CrashGuardTest.cpp
@@ -1,10 +1,12 @@
 #include "relay/CrashGuard.h"
 #include "RunUntil.h"
 #include "lupinknot/ManualClock.h"
+#include "quarantine/CrashReports.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/RelaySettings.h"
 
 #include <CppUTest/TestHarness.h>
+#include <set>
 
 using namespace lupinknot;
 using namespace lupinknot::internal;
@@ -18,6 +20,19 @@
     int count { 0 };
 };
 
+// The records that other VMs have.
+class SharedRecords final : public CrashReports {
+public:
+    void publish(const CrashRecord& record) override { ids.insert(record.endpointId); }
+    void withdraw(const std::string&, const std::vector<std::string>& endpointIds) override
+    {
+        for (const auto& id : endpointIds)
+            ids.erase(id);
+    }
+
+    std::set<std::string> ids;
+};
+
 } // namespace
 
 TEST_GROUP(CrashGuard)
@@ -57,11 +72,33 @@
     }
 
     // Loses an endpoint that had begun the request at this instant.
-    void noteLoss(const std::string& id, const std::string& zone, Milliseconds sentAt, bool wasThroughVm)
+    void noteLoss(const std::string& id, const std::string& zone, Milliseconds sentAt, bool wasThroughVm,
+        FailureKind failure = FailureKind::ConnectionLost)
     {
         directory->upsert({ id, "service", { id, 1 }, zone }, clock.now());
         guard->noteLoss({ "r1", digest, directory->find(id), sentAt,
-            { FailureKind::ConnectionLost, RunStart::Begun, Milliseconds { 60 }, false, wasThroughVm } });
+            { failure, RunStart::Begun, Milliseconds { 60 }, false, wasThroughVm } });
+    }
+
+    // Three endpoints become silent one after the other, each having just begun the request.
+    void silenceEndpoints()
+    {
+        for (const std::string id : { "e1", "e2", "e3" }) {
+            clock.advance(Milliseconds { 1 });
+            noteLoss(id, "zone of " + id, clock.now() - Milliseconds { 1 }, false, FailureKind::Silent);
+        }
+    }
+
+    void endSilence()
+    {
+        clock.advance(Milliseconds { 1 });
+        for (const std::string id : { "e1", "e2", "e3" })
+            directory->find(id)->noteAlive(clock.now());
+    }
+
+    bool isStatusReached(QuarantineStatus status)
+    {
+        return runUntil(ioContext, [this, status] { return guard->quarantineStatus(digest) == status; });
     }
 
     void waitForEvaluation()
@@ -149,3 +186,59 @@
     loseConcurrentRuns(Milliseconds { 1 }, false);
     CHECK(guard->quarantineStatus(digest) == QuarantineStatus::Held);
 }
+
+// Guards against refusing a harmless request because engines that ran it paused for less than a second.
+TEST(CrashGuard, EndpointsThatPauseAreNoCrashes)
+{
+    silenceEndpoints();
+    CHECK(guard->quarantineStatus(digest) == QuarantineStatus::Pending);
+    endSilence();
+    noteLoss("e4", "d", clock.now(), false);
+    clock.advance(EndpointLosses::correlationWindow);
+    CHECK(runUntil(ioContext, [this] { return guard->evidence(digest).score > 0; }));
+    DOUBLES_EQUAL_TEXT(1, guard->evidence(digest).score, 0, "more than the broken connection counts");
+    CHECK(guard->quarantineStatus(digest) == QuarantineStatus::Free);
+}
+
+// Guards against a hold that outlasts the silence, at this VM and at those that have received its records.
+TEST(CrashGuard, CountedSilenceIsTakenBackWhenTheEndpointsGoOn)
+{
+    SharedRecords shared;
+    guard->setReports(&shared);
+    silenceEndpoints();
+    for (const std::string id : { "e1", "e2", "e3" })
+        directory->remove(id, clock.now());
+    waitForEvaluation();
+    CHECK(guard->quarantineStatus(digest) == QuarantineStatus::Held);
+    LONGS_EQUAL(3, shared.ids.size());
+    endSilence();
+    CHECK_TEXT(isStatusReached(QuarantineStatus::Free), "the request is still held");
+    CHECK_FALSE(guard->isSuspect(digest));
+    LONGS_EQUAL_TEXT(0, shared.ids.size(), "other VMs still have the records");
+}
+
+// Guards against a request that is sent on because the endpoints that it crashed became silent.
+TEST(CrashGuard, SilentEndpointsThatHaveBeenRemovedCountAsCrashed)
+{
+    silenceEndpoints();
+    for (const std::string id : { "e1", "e2", "e3" })
+        directory->remove(id, clock.now());
+    waitForEvaluation();
+    CHECK(guard->quarantineStatus(digest) == QuarantineStatus::Held);
+}
+
+// Guards against taking answers of a restarted endpoint, whose new entry is not known yet, for signs of life of the one
+// that crashed.
+TEST(CrashGuard, SignsOfLifeOfARestartedEndpointDoNotExcuseTheRequest)
+{
+    silenceEndpoints();
+    endSilence();
+    const auto startTime = std::chrono::system_clock::now().time_since_epoch() - Milliseconds { 100 };
+    const auto startedAt = std::chrono::duration_cast<Milliseconds>(startTime).count();
+    for (const std::string id : { "e1", "e2", "e3" })
+        directory->upsert(
+            { "new " + id, "service", { id, 1 }, "zone of " + id, 1, false, "", static_cast<std::uint64_t>(startedAt) },
+            clock.now());
+    clock.advance(EndpointLosses::correlationWindow);
+    CHECK_TEXT(isStatusReached(QuarantineStatus::Held), "the request is not held");
+}
