Count a silent endpoint as crashed only when it is confirmed to be gone

Callers saw requests refused as held-back because engines that ran them had paused for less than a second and then gone on, also at other VMs.

Cause: a run that was silent for 250 ms was judged 500 ms later like a broken connection, whether or not its engine had given a sign of life since, and the record stayed for as long as any other. Losses under the same content do not excuse each other, so that many callers who ask for the same met it first.

Change: silence is a suspicion. After its evaluation the endpoint is probed, and the loss counts when its entry is gone, no connection can be established, or no probe is answered for 2.5 s. Until the decision a request that it would hold waits, as before the evaluation. A later entry that states a start before the sign of life shows that a restarted endpoint gave it; after status 421, an answer is no sign of life of the earlier incarnation. The loss of a trial that is taken back ends its long hold.

Not changed: a silent loss that coincides with other losses of its zone is excused for good.

--- a/src/quarantine/CrashReports.h
+++ b/src/quarantine/CrashReports.h
@@ -14,6 +14,8 @@
     virtual void publish(const CrashRecord&) = 0;
     // Withdraws records of a request that has been served.
     virtual void withdraw(const std::string& digest, const std::vector<std::string>& endpointIds) = 0;
+    // Withdraws the record of an endpoint that has turned out to be alive. The request's other records still count.
+    virtual void withdrawOne(const std::string& digest, const std::string& endpointId) = 0;
 };
 
 } // namespace lupinknot::internal
--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -151,11 +151,51 @@
     const auto suspect = m_suspects.find(digest);
     if (suspect == m_suspects.end())
         return;
-    suspect->second.entries.erase(endpointId);
-    if (suspect->second.entries.empty())
+    auto& entries = suspect->second.entries;
+    const auto known = entries.find(endpointId);
+    const bool endedTrial = known != entries.end() && known->second.record.endsTrial;
+    entries.erase(endpointId);
+    if (entries.empty())
         m_suspects.erase(suspect);
     else if (scoreOf(suspect->second) < holdThreshold)
         suspect->second.heldUntil = Milliseconds { 0 };
+    else if (endedTrial)
+        endTrialHold(suspect->second);
+}
+
+// Without a failed trial the hold is the first one, which has usually ended, so that another trial may begin.
+void Quarantine::endTrialHold(Suspect& suspect) const
+{
+    const auto endsTrial = [](const auto& entry) { return entry.second.record.endsTrial; };
+    suspect.hasFailedTrial = std::any_of(suspect.entries.begin(), suspect.entries.end(), endsTrial);
+    suspect.lastAt = Milliseconds { 0 };
+    for (const auto& [id, entry] : suspect.entries)
+        suspect.lastAt = std::max(suspect.lastAt, entry.at);
+    hold(suspect);
+}
+
+bool Quarantine::withdraw(const std::string& digest, const std::string& endpointId, Milliseconds aliveAt)
+{
+    if (isWithdrawn(digest, endpointId, aliveAt))
+        return false;
+    if (m_withdrawnAt.size() >= maxWithdrawals) {
+        m_withdrawnAt.erase(std::min_element(m_withdrawnAt.begin(), m_withdrawnAt.end(),
+            [](const auto& left, const auto& right) { return left.second < right.second; }));
+    }
+    m_withdrawnAt[{ digest, endpointId }] = aliveAt;
+    const auto suspect = m_suspects.find(digest);
+    if (suspect == m_suspects.end())
+        return true;
+    const auto known = suspect->second.entries.find(endpointId);
+    if (known != suspect->second.entries.end() && known->second.at <= aliveAt)
+        remove(digest, endpointId);
+    return true;
+}
+
+bool Quarantine::isWithdrawn(const std::string& digest, const std::string& endpointId, Milliseconds lostAt) const
+{
+    const auto withdrawn = m_withdrawnAt.find({ digest, endpointId });
+    return withdrawn != m_withdrawnAt.end() && lostAt <= withdrawn->second;
 }
 
 std::vector<CrashRecord> Quarantine::takeUnshared(const std::string& digest)
@@ -222,7 +262,9 @@
 
 void Quarantine::forgetOld(Milliseconds now)
 {
-    std::erase_if(m_clearedAt, [now](const auto& cleared) { return now - cleared.second >= recordLifetime; });
+    const auto isOld = [now](const auto& entry) { return now - entry.second >= recordLifetime; };
+    std::erase_if(m_clearedAt, isOld);
+    std::erase_if(m_withdrawnAt, isOld);
     for (auto suspect = m_suspects.begin(); suspect != m_suspects.end();) {
         auto& entries = suspect->second.entries;
         for (auto entry = entries.begin(); entry != entries.end();)
@@ -281,11 +323,15 @@
     return suspect == m_suspects.end() ? Milliseconds { 0 } : suspect->second.heldUntil;
 }
 
-bool Quarantine::wouldBeHeld(const std::string& digest, double more) const
+bool Quarantine::wouldBeHeld(const std::string& digest, double more, const std::vector<CrashRecord>& records) const
 {
-    const auto suspect = m_suspects.find(digest);
-    const auto score = suspect == m_suspects.end() ? 0 : scoreOf(suspect->second);
-    return score + more >= holdThreshold;
+    const auto known = m_suspects.find(digest);
+    auto suspect = known == m_suspects.end() ? Suspect {} : known->second;
+    for (const auto& record : records) {
+        auto& entry = suspect.entries.try_emplace(record.endpointId, Entry { record }).first->second;
+        entry.record.weight = std::max(entry.record.weight, record.weight);
+    }
+    return scoreOf(suspect) + more >= holdThreshold;
 }
 
 QuarantineEvidence Quarantine::evidence(const std::string& digest) const
--- a/src/quarantine/Quarantine.h
+++ b/src/quarantine/Quarantine.h
@@ -46,8 +46,13 @@
     // they add up to one full suspicion. Sharing every half suspicion would take more calls to the store, which are
     // billed.
     std::vector<CrashRecord> takeUnshared(const std::string& digest);
-    // Removes a record that another VM has withdrawn.
+    // Removes a record that a VM has withdrawn, and ends a hold for which the others are not sufficient.
     void remove(const std::string& digest, const std::string& endpointId);
+    // Removes the record of an endpoint that was alive at `aliveAt`, and ignores those of its losses until then that
+    // other VMs report later. Returns false if this is known.
+    bool withdraw(const std::string& digest, const std::string& endpointId, Milliseconds aliveAt);
+    // True if the record of this loss was withdrawn.
+    bool isWithdrawn(const std::string& digest, const std::string& endpointId, Milliseconds lostAt) const;
     // Removes all records of the request, which has been served at `now`. Returns the endpoints whose records must be
     // withdrawn from other VMs: all shared ones if one more suspicion would hold the request. Fewer records do no harm,
     // and each withdrawal costs a call.
@@ -78,8 +83,8 @@
     Milliseconds noTrialUntil(const std::string& digest) const;
     // True if the request has been held and not been cleared since; its next crash is that of a trial.
     bool isOnTrial(const std::string& digest, Milliseconds now) const;
-    // True if evidence of weight `more` from another endpoint would hold the request.
-    bool wouldBeHeld(const std::string& digest, double more) const;
+    // True if evidence of weight `more` from other endpoints, together with these records, would hold the request.
+    bool wouldBeHeld(const std::string& digest, double more, const std::vector<CrashRecord>& = {}) const;
     QuarantineEvidence evidence(const std::string& digest) const;
     // The records of the request, in the order of their endpoints.
     std::vector<KnownCrash> records(const std::string& digest) const;
@@ -105,6 +110,7 @@
     static constexpr Milliseconds recordLifetime { 1'800'000 };
     // Maximum number of suspect requests; the one whose last crash is oldest is removed first.
     static constexpr std::size_t maxSuspects = 2000;
+    static constexpr std::size_t maxWithdrawals = 4096;
     static constexpr std::size_t maxRecordsPerSuspect = 16;
     // Further records that are stored, and so shared, if they end a trial. Without them no VM learned of failed trials
     // once other losses had used up maxRecordsPerSuspect, and each VM repeated the trial every 10 to 30 s.
@@ -133,11 +139,14 @@
     // Makes room for a record if one does not count.
     static void removeUncounted(Suspect&);
     void hold(Suspect&) const;
+    void endTrialHold(Suspect&) const;
     void removeOldestIfFull();
     void noteCleared(const std::string& digest, Milliseconds at);
 
     const Milliseconds m_firstHold;
     std::unordered_map<std::string, Suspect> m_suspects;
+    // When endpoints whose records were withdrawn were alive, by digest and endpoint.
+    std::map<std::pair<std::string, std::string>, Milliseconds> m_withdrawnAt;
     // When suspect requests were last cleared, by digest.
     std::unordered_map<std::string, Milliseconds> m_clearedAt;
 };
--- a/src/relay/CrashGuard.cpp
+++ b/src/relay/CrashGuard.cpp
@@ -5,11 +5,13 @@
 #include "quarantine/CrashReports.h"
 #include "quarantine/TrialSource.h"
 #include "relay/EndpointDirectory.h"
+#include "relay/EndpointProbe.h"
 #include "relay/RelayMetrics.h"
 #include "relay/RelaySettings.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <set>
 
 namespace lupinknot::internal {
 
@@ -17,7 +19,17 @@
 
 // Hundreds of losses at once come from a failed zone; losses beyond this number are ignored.
 constexpr std::size_t maxPendingLosses = 2000;
+constexpr std::size_t maxSuspectedLosses = 2000;
 constexpr Milliseconds expiryInterval { 60'000 };
+constexpr Milliseconds checkInterval { 100 };
+// A silent endpoint is probed often until its loss is decided, and then until its next sign of life.
+constexpr Milliseconds probeInterval { 200 };
+constexpr Milliseconds lateProbeInterval { 1000 };
+constexpr Milliseconds probeTime { 10'000 };
+// A request waits no longer for the decision about its suspected losses.
+constexpr Milliseconds maxSuspicionTime { maxEnginePause + 3 * probeInterval };
+// How long a sign of life, or the entry of another incarnation, changes the decision about a silent endpoint.
+constexpr Milliseconds suspectedLossLifetime { 30'000 };
 // Log fields are integers.
 constexpr double percent = 100;
 
@@ -34,6 +46,7 @@
     , m_metrics(metrics)
     , m_quarantine(settings.vmName)
     , m_evaluationTimer(ioContext)
+    , m_checkTimer(ioContext)
     , m_expiryTimer(ioContext)
 {
     scheduleExpiry();
@@ -52,12 +65,25 @@
 {
     double weight = 0;
     for (const auto& pendingLoss : m_pendingLosses) {
-        if (pendingLoss.loss.digest == digest)
+        if (pendingLoss.loss.digest == digest && !isAliveAfter(pendingLoss))
             weight += pendingLoss.weight;
     }
     return weight;
 }
 
+std::vector<CrashRecord> CrashGuard::suspectedRecords(const std::string& digest) const
+{
+    std::vector<CrashRecord> records;
+    for (const auto& suspected : m_suspectedLosses) {
+        const auto& pendingLoss = suspected.loss;
+        const bool isUndecided
+            = suspected.evidence == LossEvidence::Silent && m_clock.now() - pendingLoss.event.at < maxSuspicionTime;
+        if (isUndecided && pendingLoss.loss.digest == digest)
+            records.push_back(recordOf(pendingLoss, suspected.endsTrial));
+    }
+    return records;
+}
+
 void CrashGuard::admit(const std::string& digest, std::function<void(bool isAdmitted)> callback)
 {
     const auto now = m_clock.now();
@@ -111,8 +137,10 @@
     if (m_quarantine.isHeld(digest, m_clock.now()))
         return QuarantineStatus::Held;
     const auto pending = pendingWeight(digest);
-    return pending > 0 && m_quarantine.wouldBeHeld(digest, pending) ? QuarantineStatus::Pending
-                                                                    : QuarantineStatus::Free;
+    const auto suspected = suspectedRecords(digest);
+    const bool isUndecided = pending > 0 || !suspected.empty();
+    return isUndecided && m_quarantine.wouldBeHeld(digest, pending, suspected) ? QuarantineStatus::Pending
+                                                                               : QuarantineStatus::Free;
 }
 
 Milliseconds CrashGuard::quarantineTimeLeft(const std::string& digest) const
@@ -123,7 +151,7 @@
 
 bool CrashGuard::isSuspect(const std::string& digest) const
 {
-    return m_quarantine.isSuspect(digest) || pendingWeight(digest) > 0;
+    return m_quarantine.isSuspect(digest) || pendingWeight(digest) > 0 || !suspectedRecords(digest).empty();
 }
 
 void CrashGuard::addListener(const std::string& digest, const std::shared_ptr<QuarantineListener>& listener)
@@ -183,6 +211,12 @@
     scheduleEvaluation();
 }
 
+bool CrashGuard::isAliveAfter(const PendingLoss& pendingLoss)
+{
+    return pendingLoss.loss.run.failure == FailureKind::Silent
+        && pendingLoss.loss.endpoint->lastAliveAt() > pendingLoss.event.at;
+}
+
 bool CrashGuard::isCorrelatedLoss(const PendingLoss& pendingLoss) const
 {
     OtherEndpointCounts others;
@@ -196,19 +230,37 @@
     return pendingLoss.loss.endpoint->entry().isDraining || m_losses.isCorrelatedLoss(pendingLoss.event, others);
 }
 
-LossEvidence CrashGuard::evidenceOf(const PendingLoss& pendingLoss) const
+CrashRecord CrashGuard::recordOf(const PendingLoss& pendingLoss, bool endsTrial) const
 {
-    if (pendingLoss.loss.run.failure != FailureKind::Silent)
-        return LossEvidence::ConnectionBroke;
-    const bool isAlive = pendingLoss.loss.endpoint->lastAliveAt() > pendingLoss.event.at;
-    return isAlive ? LossEvidence::Alive : LossEvidence::Silent;
+    const auto& loss = pendingLoss.loss;
+    return { loss.digest, m_quarantine.crashName(loss.digest, pendingLoss.event.endpointId, loss.sentAt),
+        loss.endpoint->entry().address.text(), pendingLoss.weight, loss.run.workedFor, endsTrial,
+        wallClockAt(loss.sentAt), wallClockAt(pendingLoss.event.at),
+        loss.run.wasThroughVm ? std::string() : pendingLoss.event.zone, loss.run.failure == FailureKind::Silent };
+}
+
+std::string CrashGuard::count(const PendingLoss& pendingLoss, bool endsTrial)
+{
+    const auto& digest = pendingLoss.loss.digest;
+    const auto record = recordOf(pendingLoss, endsTrial);
+    if (add(record, pendingLoss.event.at, CrashRecordSource::Own) && m_directReports)
+        m_directReports->publish(record);
+    for (const auto& unshared : m_quarantine.takeUnshared(digest)) {
+        if (m_reports)
+            m_reports->publish(unshared);
+    }
+    return record.endpointId;
 }
 
 void CrashGuard::evaluate(const PendingLoss& pendingLoss)
 {
     const auto& loss = pendingLoss.loss;
     const bool isCorrelated = isCorrelatedLoss(pendingLoss);
-    const auto evidence = evidenceOf(pendingLoss);
+    const bool endsTrial = m_quarantine.isOnTrial(loss.digest, m_clock.now());
+    const bool isSilent = loss.run.failure == FailureKind::Silent;
+    const auto evidence = !isSilent ? LossEvidence::ConnectionBroke
+        : isAliveAfter(pendingLoss) ? LossEvidence::Alive
+                                    : LossEvidence::Silent;
     if (m_metrics)
         m_metrics->countLossEvidence(evidence);
     LogEvent("quarantine.judged")
@@ -226,17 +278,155 @@
         .write();
     if (isCorrelated)
         return;
-    auto crashName = m_quarantine.crashName(loss.digest, pendingLoss.event.endpointId, loss.sentAt);
-    const CrashRecord record { loss.digest, std::move(crashName), loss.endpoint->entry().address.text(),
-        pendingLoss.weight, loss.run.workedFor, m_quarantine.isOnTrial(loss.digest, m_clock.now()),
-        wallClockAt(loss.sentAt), wallClockAt(pendingLoss.event.at),
-        loss.run.wasThroughVm ? std::string() : pendingLoss.event.zone, loss.run.failure == FailureKind::Silent };
-    if (add(record, pendingLoss.event.at, CrashRecordSource::Own) && m_directReports)
-        m_directReports->publish(record);
-    for (const auto& unshared : m_quarantine.takeUnshared(loss.digest)) {
-        if (m_reports)
-            m_reports->publish(unshared);
+    if (!isSilent) {
+        count(pendingLoss, endsTrial);
+        return;
     }
+    if (m_suspectedLosses.size() >= maxSuspectedLosses)
+        return;
+    m_suspectedLosses.push_back({ pendingLoss, endsTrial, evidence });
+    update(m_suspectedLosses.back());
+    scheduleCheck();
+}
+
+void CrashGuard::scheduleCheck()
+{
+    if (m_isCheckScheduled || m_suspectedLosses.empty())
+        return;
+    m_isCheckScheduled = true;
+    m_checkTimer.expires_after(checkInterval);
+    m_checkTimer.async_wait([this](boost::system::error_code error) {
+        if (error)
+            return;
+        m_isCheckScheduled = false;
+        checkSuspectedLosses();
+    });
+}
+
+void CrashGuard::checkSuspectedLosses()
+{
+    const auto now = m_clock.now();
+    std::erase_if(m_suspectedLosses, [&](const SuspectedLoss& suspected) {
+        const auto& loss = suspected.loss.loss;
+        const bool wasShuttingDown = loss.endpoint->entry().isDraining && suspected.crashName.empty();
+        return now - suspected.loss.event.at >= suspectedLossLifetime || m_served.has(loss.digest, now)
+            || wasShuttingDown;
+    });
+    std::set<std::string> silent;
+    for (auto& suspected : m_suspectedLosses) {
+        update(suspected);
+        if (!suspected.aliveAt)
+            silent.insert(suspected.loss.event.endpointId);
+    }
+    std::erase_if(m_silentEndpoints, [&silent](const auto& entry) { return !silent.contains(entry.first); });
+    scheduleCheck();
+}
+
+std::shared_ptr<RelayEndpoint> CrashGuard::listedAtAddress(const SuspectedLoss& suspected) const
+{
+    return m_directory.findAt(suspected.loss.loss.endpoint->entry().address.text());
+}
+
+bool CrashGuard::isEntryGone(const SuspectedLoss& suspected) const
+{
+    const auto& endpoint = *suspected.loss.loss.endpoint;
+    const auto listed = listedAtAddress(suspected);
+    if (listed && listed.get() != &endpoint)
+        return listed->entry().incarnationName() != suspected.loss.event.endpointId;
+    return endpoint.isRemoved() || endpoint.isReplaced();
+}
+
+std::optional<Milliseconds> CrashGuard::firstSignOfLife(const SuspectedLoss& suspected) const
+{
+    if (suspected.aliveAt)
+        return suspected.aliveAt;
+    auto lastAliveAt = suspected.loss.loss.endpoint->lastAliveAt();
+    // The entry may have expired and be listed again.
+    const auto listed = listedAtAddress(suspected);
+    if (listed && listed->entry().incarnationName() == suspected.loss.event.endpointId)
+        lastAliveAt = std::max(lastAliveAt, listed->lastAliveAt());
+    return lastAliveAt > suspected.loss.event.at ? std::optional(lastAliveAt) : std::nullopt;
+}
+
+bool CrashGuard::isReplacedBefore(const SuspectedLoss& suspected, Milliseconds aliveAt) const
+{
+    const auto listed = listedAtAddress(suspected);
+    if (!listed || listed->entry().incarnationName() == suspected.loss.event.endpointId
+        || listed->entry().startTime == 0)
+        return false;
+    return static_cast<std::int64_t>(listed->entry().startTime) <= wallClockAt(aliveAt);
+}
+
+void CrashGuard::update(SuspectedLoss& suspected)
+{
+    const auto now = m_clock.now();
+    const auto& pendingLoss = suspected.loss;
+    const auto& id = pendingLoss.event.endpointId;
+    // The endpoint was replaced before its first sign of life, which is final.
+    if (suspected.evidence == LossEvidence::EntryGone && suspected.aliveAt)
+        return;
+    suspected.aliveAt = firstSignOfLife(suspected);
+    // Another incarnation may answer at the address of an endpoint whose entry is gone.
+    if (!suspected.aliveAt && !isEntryGone(suspected))
+        probe(suspected, now);
+    const auto& asked = m_silentEndpoints[id];
+    const bool hasBeenAlive = suspected.aliveAt && !isReplacedBefore(suspected, *suspected.aliveAt);
+    const auto evidence = judgeSilence({ now - pendingLoss.event.at, hasBeenAlive,
+        isEntryGone(suspected) || (suspected.aliveAt && !hasBeenAlive), asked.failedConnects, asked.unansweredProbes });
+    const bool isCounted = !suspected.crashName.empty();
+    if (evidence == suspected.evidence || (isCounted && evidence != LossEvidence::Alive))
+        return;
+    suspected.evidence = evidence;
+    if (m_metrics)
+        m_metrics->countLossEvidence(evidence);
+    LogEvent(isConfirmed(evidence) ? "quarantine.confirmed" : "quarantine.taken-back")
+        .text("request", pendingLoss.loss.requestId)
+        .text("digest", pendingLoss.loss.digest)
+        .text("endpoint", id)
+        .text("evidence", nameIn(lossEvidenceNames, evidence))
+        .number("after_ms", (now - pendingLoss.event.at).count())
+        .flag("was_counted", isCounted)
+        .write();
+    if (isConfirmed(evidence))
+        suspected.crashName = count(pendingLoss, suspected.endsTrial);
+    else if (isCounted)
+        takeBack(suspected);
+}
+
+void CrashGuard::takeBack(SuspectedLoss& suspected)
+{
+    const auto& digest = suspected.loss.loss.digest;
+    const auto crashName = std::exchange(suspected.crashName, {});
+    m_quarantine.withdraw(digest, crashName, *suspected.aliveAt);
+    if (m_reports)
+        m_reports->withdrawOne(digest, crashName);
+    if (m_directReports)
+        m_directReports->withdrawOne(digest, crashName);
+}
+
+void CrashGuard::probe(const SuspectedLoss& suspected, Milliseconds now)
+{
+    auto& asked = m_silentEndpoints[suspected.loss.event.endpointId];
+    const bool isLate = now - suspected.loss.event.at >= probeTime;
+    if (!m_probe || isLate || asked.isAsked || now < asked.nextProbeAt)
+        return;
+    asked.isAsked = true;
+    asked.nextProbeAt = now + (suspected.crashName.empty() ? probeInterval : lateProbeInterval);
+    m_probe->probe(suspected.loss.loss.endpoint, [this, id = suspected.loss.event.endpointId](ProbeResult result) {
+        const auto known = m_silentEndpoints.find(id);
+        if (known == m_silentEndpoints.end())
+            return;
+        auto& endpoint = known->second;
+        endpoint.isAsked = false;
+        if (result == ProbeResult::Answered)
+            endpoint.failedConnects = endpoint.unansweredProbes = 0;
+        else if (result == ProbeResult::NotConnected)
+            ++endpoint.failedConnects;
+        else if (result == ProbeResult::Unanswered) {
+            endpoint.failedConnects = 0;
+            ++endpoint.unansweredProbes;
+        }
+    });
 }
 
 bool CrashGuard::add(const CrashRecord& record, Milliseconds lostAt, CrashRecordSource source)
@@ -302,6 +492,8 @@
     m_pendingLosses.erase(std::remove_if(m_pendingLosses.begin(), m_pendingLosses.end(),
                               [&digest](const PendingLoss& pendingLoss) { return pendingLoss.loss.digest == digest; }),
         m_pendingLosses.end());
+    std::erase_if(
+        m_suspectedLosses, [&digest](const SuspectedLoss& suspected) { return suspected.loss.loss.digest == digest; });
     const bool wasSuspect = m_quarantine.isSuspect(digest);
     const auto endpoints = m_quarantine.clear(digest, m_clock.now());
     if (!wasSuspect)
@@ -324,14 +516,17 @@
     // A record that arrives late, or again after a restart of this VM, counts from the time of the loss.
     const auto age
         = std::clamp(Milliseconds { wallClockAt(now) - record.lostAt }, Milliseconds { 0 }, Quarantine::recordLifetime);
-    add(record, record.lostAt > 0 ? now - age : now, CrashRecordSource::Store);
+    const auto lostAt = record.lostAt > 0 ? now - age : now;
+    if (!m_quarantine.isWithdrawn(record.digest, record.endpointId, lostAt))
+        add(record, lostAt, CrashRecordSource::Store);
 }
 
 bool CrashGuard::addReportedCrash(const KnownCrash& crash)
 {
     auto record = crash.record;
     if (!m_settings.policies.has(Policy::CrashQuarantine) || m_served.has(record.digest, m_clock.now())
-        || m_quarantine.isClearedSince(record.digest, crash.lostAt))
+        || m_quarantine.isClearedSince(record.digest, crash.lostAt)
+        || m_quarantine.isWithdrawn(record.digest, record.endpointId, crash.lostAt))
         return false;
     const auto ranFor = record.lostAt - record.sentAt;
     record.lostAt = wallClockAt(crash.lostAt);
--- a/src/relay/CrashGuard.h
+++ b/src/relay/CrashGuard.h
@@ -6,6 +6,10 @@
 // quarantined if its pending losses counted waits for the evaluation. When a request is quarantined, its calls in
 // progress are notified and new ones are refused.
 //
+// Silence is no proof of a crash: a loss by silence remains a suspected loss until probes, the list of endpoints or a
+// long silence confirm it (LossEvidence). A sign of life from the endpoint ends the suspicion, and takes the loss back
+// if it has been counted, also at the other VMs.
+//
 //     guard.addListener(digest, call);                     // call->requestQuarantined() may follow.
 //     guard.noteLoss(loss);
 //     switch (guard.quarantineStatus(digest)) ...
@@ -23,7 +27,9 @@
 #include "quarantine/ServedRequests.h"
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 
 namespace lupinknot {
 class Clock;
@@ -32,6 +38,7 @@
 namespace lupinknot::internal {
 
 class CrashReports;
+class EndpointProbe;
 class TrialSource;
 class EndpointDirectory;
 class RelayEndpoint;
@@ -69,6 +76,10 @@
     // Publishes each loss to the other VMs directly. The same applies.
     void setDirectReports(CrashReports* reports) { m_directReports = reports; }
 
+    // Probes endpoints that have become silent. Must outlive the guard's use; null: suspected losses are confirmed by
+    // the list of endpoints only.
+    void setProbe(EndpointProbe* probe) { m_probe = probe; }
+
     // Decides about trials together with the other VMs. Must outlive the guard's use; null: each VM decides alone.
     void setTrials(TrialSource* trials) { m_trials = trials; }
 
@@ -100,6 +111,11 @@
     bool addReportedCrash(const KnownCrash&);
     // Another VM has served the request at an instant of this VM's clock. Returns false if this is known.
     bool noteServedElsewhere(const std::string& digest, Milliseconds servedAt);
+    // Another VM has found an endpoint alive whose loss it had reported. Returns false if this is known.
+    bool noteAliveElsewhere(const std::string& digest, const std::string& endpointId, Milliseconds aliveAt)
+    {
+        return m_quarantine.withdraw(digest, endpointId, aliveAt);
+    }
     std::vector<KnownCrash> knownCrashes(const std::string& digest) const { return m_quarantine.records(digest); }
     std::optional<KnownCrash> knownCrash(const std::string& digest, const std::string& endpointId) const;
     std::vector<std::string> suspects(double minScore, std::size_t max) const
@@ -115,14 +131,52 @@
         double weight;
     };
 
+    // A loss by silence after its evaluation.
+    struct SuspectedLoss {
+        PendingLoss loss;
+        // The request was on trial.
+        bool endsTrial;
+        LossEvidence evidence { LossEvidence::Silent };
+        // The first sign of life since the loss.
+        std::optional<Milliseconds> aliveAt {};
+        // Name of its record while it counts; empty otherwise.
+        std::string crashName {};
+    };
+
+    // Probes of one endpoint since it has become silent.
+    struct SilentEndpoint {
+        unsigned failedConnects { 0 };
+        unsigned unansweredProbes { 0 };
+        bool isAsked { false };
+        Milliseconds nextProbeAt { 0 };
+    };
+
     bool admitAlone(const std::string& digest);
     void logTrial(const std::string& digest, Milliseconds heldUntil) const;
     void scheduleEvaluation();
     void evaluate();
     void evaluate(const PendingLoss&);
     bool isCorrelatedLoss(const PendingLoss&) const;
-    LossEvidence evidenceOf(const PendingLoss&) const;
+    // True for a loss by silence whose endpoint has given a sign of life since.
+    static bool isAliveAfter(const PendingLoss&);
+    CrashRecord recordOf(const PendingLoss&, bool endsTrial) const;
+    // Adds the loss to the request's crashes and tells the other VMs. Returns the name of the record.
+    std::string count(const PendingLoss&, bool endsTrial);
+    void scheduleCheck();
+    void checkSuspectedLosses();
+    // Applies what is known now about the endpoint of a suspected loss.
+    void update(SuspectedLoss&);
+    void takeBack(SuspectedLoss&);
+    // The endpoint that is listed at the address of the lost one now, or null.
+    std::shared_ptr<RelayEndpoint> listedAtAddress(const SuspectedLoss&) const;
+    std::optional<Milliseconds> firstSignOfLife(const SuspectedLoss&) const;
+    bool isEntryGone(const SuspectedLoss&) const;
+    // True if the sign of life came from an incarnation that had taken the endpoint's place.
+    bool isReplacedBefore(const SuspectedLoss&, Milliseconds aliveAt) const;
+    void probe(const SuspectedLoss&, Milliseconds now);
+    // Weight of the losses that are not evaluated yet, and the records that the undecided suspected ones would be.
     double pendingWeight(const std::string& digest) const;
+    std::vector<CrashRecord> suspectedRecords(const std::string& digest) const;
     std::int64_t wallClockAt(Milliseconds instant) const;
     // Returns false if the record is known or does not count.
     bool add(const CrashRecord&, Milliseconds lostAt, CrashRecordSource);
@@ -138,16 +192,22 @@
     CrashReports* m_reports { nullptr };
     CrashReports* m_directReports { nullptr };
     TrialSource* m_trials { nullptr };
+    EndpointProbe* m_probe { nullptr };
     EndpointLosses m_losses;
     ServedRequests m_served;
     Quarantine m_quarantine;
     // Oldest first.
     std::deque<PendingLoss> m_pendingLosses;
+    std::vector<SuspectedLoss> m_suspectedLosses;
+    // By incarnation.
+    std::map<std::string, SilentEndpoint> m_silentEndpoints;
     // By digest.
     std::unordered_multimap<std::string, std::shared_ptr<QuarantineListener>> m_listeners;
     boost::asio::steady_timer m_evaluationTimer;
+    boost::asio::steady_timer m_checkTimer;
     boost::asio::steady_timer m_expiryTimer;
     bool m_isEvaluationScheduled { false };
+    bool m_isCheckScheduled { false };
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/EndpointCall.cpp
+++ b/src/relay/EndpointCall.cpp
@@ -91,6 +91,8 @@
     const auto now = m_context.now();
     // Unsigned bytes and responses of another process at the address are no evidence about this endpoint.
     const bool isFromEndpoint = (fields.isSigned || fields.isNotRun) && !fields.isOtherIncarnation;
+    if (fields.isOtherIncarnation)
+        m_endpoint->noteReplaced();
     if (isFromEndpoint) {
         m_endpoint->noteSignals(fields, now);
         if (fields.load.load && fields.load.load->pace)
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -32,6 +32,7 @@
     , m_localPermits(m_ioContext, m_clock)
     , m_context { m_ioContext, m_settings, m_clock, protocol, m_directory, m_placement, m_metrics, m_crashGuard,
         &m_localPermits, nullptr, {}, {}, nullptr, false }
+    , m_endpointProbe(m_context)
     , m_shareExchange(m_context.shares, m_clock, m_settings.vmName, m_settings.availabilityZone)
     , m_handler(m_context)
     , m_callerServer(m_ioContext, listenAt(addresses.front),
@@ -46,6 +47,7 @@
 {
     m_context.waitingRequestLimit.setAgeingTime(m_settings.rankAgeingTime);
     m_directory.setConnector(m_connector);
+    m_crashGuard.setProbe(&m_endpointProbe);
     m_placement.setPaces(&m_context.enginePaces);
     m_directory.onFirstList([this] { m_handler.processWaitingRequests(); });
     m_directory.onZoneFailure([this](ZoneFailureSource source) { m_metrics.countZoneFailure(source); });
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -22,6 +22,7 @@
 #include "relay/RelayHandler.h"
 #include "relay/RelayMetrics.h"
 #include "relay/ShareExchange.h"
+#include "relay/StateQueryProbe.h"
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -123,6 +124,7 @@
     CrashGuard m_crashGuard;
     LocalPermits m_localPermits;
     RelayContext m_context;
+    StateQueryProbe m_endpointProbe;
     ShareExchange m_shareExchange;
     RelayHandler m_handler;
     HttpServer m_callerServer;
--- a/src/relay/RelayEndpoint.cpp
+++ b/src/relay/RelayEndpoint.cpp
@@ -84,6 +84,7 @@
     if (m_entry.isDraining)
         m_signals.noteShuttingDown();
     m_isRemoved = false;
+    m_isReplaced = false;
     if (m_entry.isDraining)
         m_shuttingDownSince = m_shuttingDownSince.value_or(now);
     else
@@ -230,6 +231,8 @@
 
 void RelayEndpoint::noteAlive(Milliseconds now)
 {
+    if (m_isReplaced)
+        return;
     m_lastAliveAt = now;
     m_avoidUntil = std::min(m_avoidUntil, now);
 }
--- a/src/relay/RelayEndpoint.h
+++ b/src/relay/RelayEndpoint.h
@@ -114,6 +114,9 @@
     bool isAvoided(Milliseconds now) const { return now < m_avoidUntil; }
     // An answer or event has arrived: the endpoint is alive.
     void noteAlive(Milliseconds now);
+    // An answer shows that another incarnation runs at its address, so that further answers are of that one.
+    void noteReplaced() { m_isReplaced = true; }
+    bool isReplaced() const { return m_isReplaced; }
     // When the endpoint was last known to be alive: when it was first listed, or later.
     Milliseconds lastAliveAt() const { return m_lastAliveAt; }
 
@@ -161,6 +164,7 @@
     bool m_hasLoggedUnreadableLoad { false };
     std::optional<Milliseconds> m_shuttingDownSince;
     bool m_isRemoved { false };
+    bool m_isReplaced { false };
     Milliseconds m_avoidUntil { 0 };
     Milliseconds m_lastAliveAt;
 };
--- a/test/CrashGuardTest.cpp
+++ b/test/CrashGuardTest.cpp
@@ -29,6 +29,7 @@
         for (const auto& id : endpointIds)
             ids.erase(id);
     }
+    void withdrawOne(const std::string&, const std::string& endpointId) override { ids.erase(endpointId); }
 
     std::set<std::string> ids;
 };
--- a/test/QuarantineTest.cpp
+++ b/test/QuarantineTest.cpp
@@ -432,3 +432,17 @@
         LONGS_EQUAL(trials, sendsOfCrashingRequest(vmCount));
     }
 }
+
+// Guards against a hold of ten minutes because an endpoint paused during the trial.
+TEST(Quarantine, WithdrawnLossOfATrialEndsTheLongHold)
+{
+    addFull(3);
+    const auto trialAt = quarantine.heldUntil("d");
+    CHECK(addTrialLoss(quarantine, "trial", trialAt));
+    CHECK(quarantine.isHeld("d", trialAt + Quarantine::firstHold + Quarantine::holdSpread));
+    CHECK(quarantine.withdraw("d", "trial", trialAt + Milliseconds { 1 }));
+    CHECK_FALSE(quarantine.isHeld("d", trialAt));
+    CHECK(quarantine.isOnTrial("d", trialAt));
+    CHECK(quarantine.isWithdrawn("d", "trial", trialAt));
+    CHECK_FALSE(quarantine.isWithdrawn("d", "trial", trialAt + Milliseconds { 2 }));
+}
