--- a/src/relay/EndpointCall.cpp
+++ b/src/relay/EndpointCall.cpp
@@ -92,6 +92,8 @@
     // Unsigned bytes and responses of another process at the address are no evidence about this endpoint.
     const bool isFromEndpoint = (fields.isSigned || fields.isNotRun) && !fields.isOtherIncarnation;
     m_isFromEndpoint = isFromEndpoint;
+    if (fields.isOtherIncarnation)
+        m_endpoint->noteReplaced();
     if (isFromEndpoint) {
         m_endpoint->confirmAlive(now);
         m_endpoint->noteSignals(fields, now);
