Do not end the last attempt of a generation for silence

Callers of lupinknotd whose generation must not be repeated got may_have_run after prefill_ms of silence before the first token (1.2 s by default), although the engine went on a moment later. Repeatable generations ended with attempts_exhausted when the last attempt that they had was silent.

Cause: silence ended an attempt even if no other could follow it, so ending it gained nothing and lost its answer.

The driver now asks the recovery policy first: without a possible successor, the attempt stays until it ends, its connection breaks or the deadline passes. Attempts that can be followed are left as fast as before. An engine that is gone without closing its connection now holds such a generation until the caller's deadline.

GenerationDriver.WaitsForASilentEndpointWhenNoAttemptMayFollow and WaitsForItsLastAttemptUntilTheDeadline failed before ("CHECK_FALSE(driver.isOver()) failed") and pass now, as do the groups GenerationDriver (26) and Interleaving (5).

--- a/include/lupinknot/GenerationDriver.h
+++ b/include/lupinknot/GenerationDriver.h
@@ -89,6 +89,9 @@
         Milliseconds detected;
     };
 
+    // True if another attempt may follow when the running one is lost. Otherwise it is not ended for its silence,
+    // because its endpoint may continue.
+    bool mayAttemptFollow() const;
     bool isCurrent(AttemptNumber number) const { return m_state == State::Running && number == m_running.number; }
     AppendResult resultForStaleAttempt() const;
     void tryNextAttempt(Milliseconds now);
--- a/src/core/GenerationDriver.cpp
+++ b/src/core/GenerationDriver.cpp
@@ -98,6 +98,8 @@
 
 Milliseconds GenerationDriver::nextTick() const
 {
+    if (m_state == State::Running && !mayAttemptFollow())
+        return m_request.deadline;
     if (m_state == State::Running)
         return std::min(m_request.deadline, m_running.endpoint.liveness->nextCheck(m_running.activity));
     if (m_state == State::WaitingForEndpoint)
@@ -105,6 +107,14 @@
     return Milliseconds::max();
 }
 
+bool GenerationDriver::mayAttemptFollow() const
+{
+    auto afterLoss = m_recovery;
+    afterLoss.mayHaveStarted = true;
+    ++afterLoss.attemptsBegun;
+    return nextStep(afterLoss, m_settings) == RecoveryStep::Retry;
+}
+
 void GenerationDriver::abandon() { stop(GenerationErrorCode::Abandoned); }
 
 void GenerationDriver::stop(GenerationErrorCode code)
@@ -225,7 +235,7 @@
 void GenerationDriver::checkSilence(Milliseconds now)
 {
     const auto verdict = m_running.endpoint.liveness->verdict(now, m_running.activity);
-    if (verdict == LivenessVerdict::Alive)
+    if (verdict == LivenessVerdict::Alive || !mayAttemptFollow())
         return;
     const bool isFirstTokenLate = verdict == LivenessVerdict::StreamSilent && !m_running.activity.hasToken;
     handleFailedAttempt(isFirstTokenLate ? FailureKind::FirstTokenTimeout : FailureKind::Silent, now);
--- a/test/GenerationDriverTest.cpp
+++ b/test/GenerationDriverTest.cpp
@@ -127,6 +127,32 @@
     STRCMP_EQUAL("silent", host.lastFailure().c_str());
 }
 
+// Guards against ending an answer for silence when no other endpoint may continue it.
+TEST(GenerationDriver, WaitsForASilentEndpointWhenNoAttemptMayFollow)
+{
+    auto driver = makeDriver(false, 5000);
+    driver.start(at(0));
+    driver.tick(at(4000));
+    CHECK_FALSE(driver.isOver());
+    CHECK(driver.nextTick() == at(5000));
+    deliverTokens(driver, 1, 0, maxTokens, 4500);
+    CHECK(driver.isOver());
+    CHECK_FALSE(driver.error());
+    LONGS_EQUAL(1, host.orders.size());
+}
+
+TEST(GenerationDriver, WaitsForItsLastAttemptUntilTheDeadline)
+{
+    auto driver = makeDriver(true, 50000);
+    driver.start(at(0));
+    for (std::int64_t now = 10000; now < 50000; now += 10000)
+        driver.tick(at(now));
+    LONGS_EQUAL(settings.maxAttempts, host.orders.size());
+    CHECK_FALSE(driver.isOver());
+    driver.tick(at(50000));
+    STRCMP_EQUAL("deadline_exceeded", errorName(driver).c_str());
+}
+
 TEST(GenerationDriver, NextTickIsTheEndOfTheSilenceTimeout)
 {
     auto driver = makeDriver();
