Keep a run while the request to stop it is unanswered

A stream was cut although its engine was at work: when the engine did not answer the request to stop and move a run within relocationStopTimeout, the result Unknown cancelled the run, and the stream ended in the middle if no other engine could take it.

Cause: no answer was taken for a run that has stopped. The run's own stream shows whether it has: an engine that stops a run closes its stream.

The timeout now begins when that stream ends. Until then the run continues and the request stays open until the stream's deadline; an answer that is late is used like any other. A run that was stopped and whose engine says nothing starts over after the same time as before, counted from the end of its stream.

EventStreamCall.ARunContinuesWhileTheRequestToStopItIsUnanswered failed before (the caller got event 1 of 3) and passes now; AStoppedRunRestartsWhenTheRequestToStopItStaysUnanswered passed before and passes now. Group EventStreamCall: 24 passed.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -503,8 +503,10 @@
     }
     // An engine that stops a run to move it closes the connection. For a response without a length that looks like its
     // end.
-    if (!run->isFramed && m_mover->isStopping())
+    if (!run->isFramed && m_mover->isStopping()) {
+        m_mover->noteStreamEnded();
         return;
+    }
     if (!run->splitter.incompleteBytes().empty() || m_answer->length() == 0) {
         runFailed(FailureKind::EarlyEnd);
         return;
@@ -556,7 +558,9 @@
     if (!m_run || m_run->call.get() != &call || m_isFinished)
         return;
     // A run that is being moved closes its stream; the response to the move request determines how to continue.
-    if (!m_mover->isStopping())
+    if (m_mover->isStopping())
+        m_mover->noteStreamEnded();
+    else
         runFailed(kind);
 }
 
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -95,8 +95,8 @@
     // Timeout for an engine to copy the KV cache of a run to another engine. Copying 1.6 GB takes 50 ms within a zone
     // and 100 ms between zones, queued behind other copies.
     Milliseconds relocationCopyTimeout { 1500 };
-    // The same for the remainder that is copied once the run has stopped, while the caller waits. A run that starts
-    // over instead would pause the stream for more than a second.
+    // The same for the remainder that is copied once the run has stopped, from the end of its stream on, while the
+    // caller waits. A run that starts over instead would pause the stream for more than a second.
     Milliseconds relocationStopTimeout { 900 };
     // Moves for the same reason are spread over this time.
     Milliseconds relocationSpread { 600 };
--- a/src/relay/RunMover.cpp
+++ b/src/relay/RunMover.cpp
@@ -29,6 +29,12 @@
 
 bool RunMover::isStopping() const { return m_relocation && m_relocation->isStopping(); }
 
+void RunMover::noteStreamEnded()
+{
+    if (m_relocation)
+        m_relocation->noteStreamEnded();
+}
+
 void RunMover::cancel()
 {
     if (std::exchange(m_relocation, nullptr))
@@ -93,7 +99,7 @@
         .text("target_version", target->entry().version)
         .text("lost_copy", run.copyHolder ? run.copyHolder->entry().id : "")
         .write();
-    m_relocation = RunRelocation::start(m_context, run.endpoint, target, m_request.fields.requestId,
+    m_relocation = RunRelocation::start(m_context, run.endpoint, target, m_request.fields.requestId, m_request.deadline,
         [this](RelocationResult result, const std::string& handle) {
             const auto relocation = std::exchange(m_relocation, nullptr);
             m_callback({ result, relocation->source(), relocation->target(), handle });
--- a/src/relay/RunMover.h
+++ b/src/relay/RunMover.h
@@ -57,6 +57,8 @@
     void consider(const StreamRun&, const StreamOutlook&, Engines failed);
     // True once the engine may have received the request to stop the run: its stream then ends without its last event.
     bool isStopping() const;
+    // The stream of the run that is being stopped has ended.
+    void noteStreamEnded();
     // Cancels a move in progress and returns its retry to the budget.
     void cancel();
 
--- a/src/relay/RunRelocation.cpp
+++ b/src/relay/RunRelocation.cpp
@@ -8,28 +8,30 @@
 namespace lupinknot::internal {
 
 std::shared_ptr<RunRelocation> RunRelocation::start(RelayContext& context, std::shared_ptr<RelayEndpoint> source,
-    std::shared_ptr<RelayEndpoint> target, std::string requestId, Callback callback)
+    std::shared_ptr<RelayEndpoint> target, std::string requestId, Milliseconds deadline, Callback callback)
 {
-    std::shared_ptr<RunRelocation> relocation(
-        new RunRelocation(context, std::move(source), std::move(target), std::move(requestId), std::move(callback)));
+    std::shared_ptr<RunRelocation> relocation(new RunRelocation(
+        context, std::move(source), std::move(target), std::move(requestId), deadline, std::move(callback)));
     relocation->sendRequest();
     return relocation;
 }
 
 RunRelocation::RunRelocation(RelayContext& context, std::shared_ptr<RelayEndpoint> source,
-    std::shared_ptr<RelayEndpoint> target, std::string requestId, Callback callback)
+    std::shared_ptr<RelayEndpoint> target, std::string requestId, Milliseconds deadline, Callback callback)
     : m_context(context)
     , m_source(std::move(source))
     , m_target(std::move(target))
     , m_requestId(std::move(requestId))
+    , m_deadline(deadline)
     , m_callback(std::move(callback))
+    , m_timer(context.ioContext)
 {
 }
 
 void RunRelocation::sendRequest()
 {
     const auto& settings = m_context.settings;
-    const auto limit = m_isStopping ? settings.relocationStopTimeout : settings.relocationCopyTimeout;
+    const auto limit = m_isStopping ? m_deadline - m_context.now() : settings.relocationCopyTimeout;
     const auto request = m_context.protocol.encodeMoveRun(m_requestId, m_target->entry().address, m_isStopping);
     m_pendingRequest = HttpRoundTrip::ask(m_context.ioContext, m_source->openConnection(), request, limit,
         [weak = weak_from_this()](const HttpRoundTripResult& outcome) {
@@ -38,6 +40,16 @@
         });
 }
 
+void RunRelocation::noteStreamEnded()
+{
+    m_timer.expires_after(m_context.settings.relocationStopTimeout);
+    m_timer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self)
+            self->finish(RelocationResult::Unknown, "");
+    });
+}
+
 void RunRelocation::handleAnswer(const HttpRoundTripResult& outcome)
 {
     if (outcome.answer)
@@ -64,6 +76,7 @@
 void RunRelocation::finish(RelocationResult result, const std::string& handle)
 {
     const auto self = shared_from_this();
+    m_timer.cancel();
     if (const auto callback = std::exchange(m_callback, nullptr))
         callback(result, handle);
 }
--- a/test/EventStreamCallTest.cpp
+++ b/test/EventStreamCallTest.cpp
@@ -303,6 +303,75 @@
     CHECK(second.hasReceived(0, "/h7\r\n") || third.hasReceived(0, "/h7\r\n"));
 }
 
+// Guards against ending a run that was not stopped because its engine is slow to answer the request to stop it.
+TEST(EventStreamCall, ARunContinuesWhileTheRequestToStopItIsUnanswered)
+{
+    relay->settings.minTimeLeftForRelocation = Milliseconds { 0 };
+    relay->settings.probeAfterSilenceWhenSuspected = Milliseconds { 5 };
+    relay->settings.retrySlackShare = 1;
+    relay->settings.relocationSpread = Milliseconds { 1 };
+    relay->settings.relocateAfter = Milliseconds { 1 };
+    relay->settings.relocationStopTimeout = Milliseconds { 10 };
+    relay->settings.moveAfterPauseShare = 1000;
+    std::shared_ptr<ScriptedConnection> running;
+    std::shared_ptr<ScriptedConnection> mover;
+    relay->addEndpoint("e1", "a").onRequest([&](ScriptedConnection& asker, const std::string& request) {
+        if (request.find("/stream/") != std::string::npos) {
+            asker.beginStream(signedHead);
+            asker.sendEvent(1);
+            running = asker.shared_from_this();
+        } else if (request.find("\"last\"") != std::string::npos) {
+            mover = asker.shared_from_this();
+        } else {
+            asker.answer(200, "", R"({"handle":"h7"})");
+        }
+    });
+    auto& other = relay->addEndpoint("e2", "a");
+    ready();
+    const auto caller = relay->call("/stream/1");
+    CHECK(relay->runUntil([&] { return mover != nullptr; }));
+    const auto& clock = relay->daemon().clock();
+    relay->runUntil([&clock, end = clock.now() + Milliseconds { 50 }] { return clock.now() >= end; });
+    running->sendEvent(2);
+    running->sendEvent(3);
+    running->endStream();
+    await(caller);
+    STRCMP_EQUAL(events(1, 3).c_str(), caller->body.c_str());
+    CHECK_TEXT(other.requests().empty(), "the run must not be repeated");
+    running.reset();
+    mover.reset();
+}
+
+// Guards against a stream that waits until its deadline for the answer to a request that stopped its run.
+TEST(EventStreamCall, AStoppedRunRestartsWhenTheRequestToStopItStaysUnanswered)
+{
+    relay->settings.minTimeLeftForRelocation = Milliseconds { 0 };
+    relay->settings.probeAfterSilenceWhenSuspected = Milliseconds { 5 };
+    relay->settings.retrySlackShare = 1;
+    relay->settings.relocationSpread = Milliseconds { 1 };
+    relay->settings.relocateAfter = Milliseconds { 1 };
+    relay->settings.relocationStopTimeout = Milliseconds { 10 };
+    relay->settings.moveAfterPauseShare = 1000;
+    std::shared_ptr<ScriptedConnection> running;
+    relay->addEndpoint("e1", "a").onRequest([&](ScriptedConnection& asker, const std::string& request) {
+        if (request.find("/stream/") != std::string::npos) {
+            asker.beginStream(signedHead);
+            asker.sendEvent(1);
+            running = asker.shared_from_this();
+        } else if (request.find("\"last\"") != std::string::npos) {
+            running->close();
+        } else {
+            asker.answer(200, "", R"({"handle":"h7"})");
+        }
+    });
+    relay->addEndpoint("e2", "a").onRequest(sends(2, 3));
+    ready();
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    STRCMP_EQUAL(events(1, 3).c_str(), caller->body.c_str());
+    running.reset();
+}
+
 // A response without a length ends when its connection closes, and a run that is stopped to be moved closes it too.
 TEST(EventStreamCall, DoesNotTakeTheCloseOfAStoppedRunForTheEndOfTheAnswer)
 {
