Use or free a copy that a silent engine makes after its order timed out

Memory and a place at the target of a copy were held for handle-s although no stream could use them: an engine that was silent for longer than copyOrderTimeout made the copy when it went on, but its answer, with the only handle, was lost. At the same time the run counted as uncovered.

Cause: when an order timed out, its connection was closed. The engine may execute the order all the same.

An order now times out as before for the decisions of CopyRenewal, but its answer is awaited for 4 s from its start (lateOrderTimeout). A late copy becomes the run's copy if it has none, and is deleted otherwise; the same holds for an order that is abandoned because its stream has ended or its run is lost.

RunCopier.DeletesTheHandleOfACopyThatAnotherHasReplaced, ContinuesFromACopyThatIsMadeAfterTheOrderTimedOut and DeletesTheHandleWhenTheEngineAnswersLongAfterTheStreamEnded failed before (no release within the test's time, no copy) and pass now. Group RunCopier: 13 passed.

--- a/src/copies/CopyRenewalSettings.h
+++ b/src/copies/CopyRenewalSettings.h
@@ -22,6 +22,9 @@
     Milliseconds longTimeLeft { 8000 };
     // Timeout of an order. A copy of 8,000 tokens takes 0.1 to 0.25 s, queued behind others on the same links.
     Milliseconds copyOrderTimeout { 1000 };
+    // How long the answer to an order is awaited after it has timed out or is not needed any more. An engine that is
+    // only silent makes the copy later, and without its handle the copy could not be used or freed.
+    Milliseconds lateOrderTimeout { 4000 };
     // Timeout for the deletion of a handle. An engine that does not answer lets the handle expire.
     Milliseconds handleReleaseTimeout { 500 };
 };
--- a/src/copies/RunCopier.cpp
+++ b/src/copies/RunCopier.cpp
@@ -132,37 +132,59 @@
         .text("reason", reason)
         .write();
     m_order = RunCopyOrder::start(m_context, run.endpoint, target, m_request.fields.requestId,
-        [this](const CopyOrderAnswer& answer) { orderEnded(answer); });
+        [this](RunCopyOrder& order, const CopyOrderAnswer& answer) { orderAnswered(order, answer); });
 }
 
-void RunCopier::orderEnded(const CopyOrderAnswer& answer)
+void RunCopier::orderAnswered(RunCopyOrder& order, const CopyOrderAnswer& answer)
+{
+    if (m_order.get() != &order) {
+        std::erase_if(m_lateOrders, [&order](const auto& late) { return late.get() == &order; });
+        lateOrderEnded(order, answer);
+        return;
+    }
+    const auto ended = std::exchange(m_order, nullptr);
+    if (ended->isOpen())
+        m_lateOrders.push_back(ended);
+    orderEnded(order, answer);
+}
+
+void RunCopier::lateOrderEnded(const RunCopyOrder& order, const CopyOrderAnswer& answer)
+{
+    if (answer.result != CopyOrderResult::Copied)
+        return;
+    if (!m_copy || m_copy->holder == order.target())
+        orderEnded(order, answer);
+    else if (m_copy->handle != answer.handle)
+        HandleRelease::send(m_context, order.source(), answer.handle);
+}
+
+void RunCopier::orderEnded(const RunCopyOrder& order, const CopyOrderAnswer& answer)
 {
-    const auto order = std::exchange(m_order, nullptr);
     const auto now = m_context.now();
-    const bool isRefresh = m_copy && m_copy->holder == order->target();
+    const bool isRefresh = m_copy && m_copy->holder == order.target();
     const bool isCopied = answer.result == CopyOrderResult::Copied;
     m_renewal.noteOrderEnded(answer.result, now);
     LogEvent(
         isCopied ? "copy.renewed" : "copy.not-renewed", isRefresh ? LogImportance::Routine : LogImportance::Notable)
         .text("request", m_request.fields.requestId)
-        .text("endpoint", order->source()->entry().id)
-        .text("target", order->target()->entry().id)
+        .text("endpoint", order.source()->entry().id)
+        .text("target", order.target()->entry().id)
         .text("reason", isRefresh ? "refresh" : "order")
         .text("result", nameIn(copyOrderResultNames, answer.result))
-        .number("took_ms", (now - order->startedAt()).count())
+        .number("took_ms", (now - order.startedAt()).count())
         .write();
     if (isCopied) {
         if (!isRefresh)
             m_context.metrics.copiesRenewed.Increment();
         m_rejectedTargets.clear();
-        replaceCopy({ order->source(), order->target(), answer.handle, order->startedAt() });
+        replaceCopy({ order.source(), order.target(), answer.handle, order.startedAt() });
         return;
     }
     if (answer.result != CopyOrderResult::Rejected && answer.result != CopyOrderResult::Unanswered)
         return;
     if (isRefresh)
         m_copy->isRefreshRejected = true;
-    m_rejectedTargets.push_back(order->target());
+    m_rejectedTargets.push_back(order.target());
 }
 
 void RunCopier::replaceCopy(Copy copy)
@@ -182,6 +204,15 @@
         RunCopyOrder::abandon(order, m_copy ? m_copy->handle : std::string());
 }
 
+void RunCopier::endAllOrders()
+{
+    endOrder();
+    for (auto& order : std::exchange(m_lateOrders, {})) {
+        m_order = std::move(order);
+        endOrder();
+    }
+}
+
 std::vector<RunTarget> RunCopier::runLost(const StreamRun& run)
 {
     const auto now = m_context.now();
@@ -195,7 +226,7 @@
         const auto holder = copyHolderOf(run, m_context.directory);
         targets.push_back({ holder, { holder->entry().address, m_request.fields.requestId }, run.startedAt });
     }
-    endOrder();
+    endAllOrders();
     if (auto copy = std::exchange(m_copy, std::nullopt))
         m_earlierCopies.push_back(std::move(*copy));
     m_rejectedTargets.clear();
@@ -222,7 +253,7 @@
 
 void RunCopier::end()
 {
-    endOrder();
+    endAllOrders();
     if (auto copy = std::exchange(m_copy, std::nullopt))
         m_earlierCopies.push_back(std::move(*copy));
     releaseUnused();
--- a/src/copies/RunCopier.h
+++ b/src/copies/RunCopier.h
@@ -69,9 +69,12 @@
     void noteLoss(const StreamRun&, CopyLoss);
     void order(const StreamRun&, CopyLoss, const Engines& failed, Milliseconds now);
     void send(const StreamRun&, const std::shared_ptr<RelayEndpoint>& target, std::string_view reason);
-    void orderEnded(const CopyOrderAnswer&);
+    void orderAnswered(RunCopyOrder&, const CopyOrderAnswer&);
+    void orderEnded(const RunCopyOrder&, const CopyOrderAnswer&);
+    void lateOrderEnded(const RunCopyOrder&, const CopyOrderAnswer&);
     void replaceCopy(Copy);
     void endOrder();
+    void endAllOrders();
     CopyRenewal makeRenewal() const;
 
     RelayContext& m_context;
@@ -80,6 +83,8 @@
     CopyRenewal m_renewal;
     std::optional<Copy> m_copy;
     std::shared_ptr<RunCopyOrder> m_order;
+    // Orders that have timed out and may still be answered.
+    std::vector<std::shared_ptr<RunCopyOrder>> m_lateOrders;
     // Targets that could not take a copy of the current run.
     Engines m_rejectedTargets;
     // Copies of earlier runs.
--- a/src/copies/RunCopyOrder.cpp
+++ b/src/copies/RunCopyOrder.cpp
@@ -38,10 +38,16 @@
         new RunCopyOrder(context, std::move(source), std::move(target), std::move(callback)));
     const auto request = context.protocol.encodeMoveRun(requestId, order->m_target->entry().address, false);
     order->m_request = HttpRoundTrip::ask(context.ioContext, order->m_source->openConnection(), request,
-        context.settings.copies.copyOrderTimeout, [weak = order->weak_from_this()](const HttpRoundTripResult& outcome) {
+        context.settings.copies.lateOrderTimeout, [weak = order->weak_from_this()](const HttpRoundTripResult& outcome) {
             if (const auto self = weak.lock())
                 self->handleAnswer(outcome);
         });
+    order->m_timeout.expires_after(context.settings.copies.copyOrderTimeout);
+    order->m_timeout.async_wait([weak = order->weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self)
+            self->timedOut();
+    });
     return order;
 }
 
@@ -52,6 +58,7 @@
     , m_target(std::move(target))
     , m_startedAt(context.now())
     , m_callback(std::move(callback))
+    , m_timeout(context.ioContext)
     , m_lifetime(context.ioContext)
 {
 }
@@ -62,19 +69,30 @@
         return;
     order->m_callback = nullptr;
     order->m_handleInUse = std::move(handleInUse);
-    order->m_lifetime.expires_after(order->m_context.settings.copies.copyOrderTimeout);
+    order->m_lifetime.expires_after(order->m_context.settings.copies.lateOrderTimeout);
     order->m_lifetime.async_wait([order](boost::system::error_code) {});
 }
 
+void RunCopyOrder::timedOut()
+{
+    // The callback may end the order.
+    const auto self = shared_from_this();
+    if (const auto callback = m_callback)
+        callback(*this, {});
+}
+
 void RunCopyOrder::handleAnswer(const HttpRoundTripResult& outcome)
 {
+    const auto self = shared_from_this();
+    m_isOpen = false;
+    m_timeout.cancel();
     CopyOrderAnswer answer;
     if (outcome.answer) {
         m_source->noteSignals(m_context.protocol.decodeAnswer(*outcome.answer), m_context.now());
         answer = answerOf(m_context.protocol.decodeMoveRun(*outcome.answer));
     }
-    if (m_callback) {
-        std::exchange(m_callback, nullptr)(answer);
+    if (const auto callback = std::exchange(m_callback, nullptr)) {
+        callback(*this, answer);
         return;
     }
     m_lifetime.cancel();
--- a/test/RunCopierTest.cpp
+++ b/test/RunCopierTest.cpp
@@ -89,6 +89,11 @@
         return "";
     }
 
+    void wait(Milliseconds time)
+    {
+        const auto& clock = relay->daemon().clock();
+        relay->runUntil([&clock, end = clock.now() + time] { return clock.now() >= end; });
+    }
     // A zone's failure must be later than the copies, by the milliseconds of the relay's clock.
     void awaitNextMillisecond()
     {
@@ -251,6 +256,74 @@
     ordering.reset();
 }
 
+// Guards against memory held at the target when a silent engine makes the copy after the order has timed out.
+TEST(RunCopier, DeletesTheHandleOfACopyThatAnotherHasReplaced)
+{
+    relay->settings.copies.copyOrderTimeout = Milliseconds { 10 };
+    addEngine();
+    relay->addEndpoint("e2", "b");
+    relay->addEndpoint("e3", "c");
+    relay->addEndpoint("e4", "c");
+    std::shared_ptr<ScriptedConnection> ordering;
+    answerOrder = [&, first = true](ScriptedConnection& asker) mutable {
+        if (std::exchange(first, false))
+            ordering = asker.shared_from_this();
+        else
+            asker.answer(200, "", R"({"handle":"second"})");
+    };
+    remove(begin());
+    CHECK(relay->runUntil([&] { return metric("renewed") == "1"; }));
+    ordering->answer(200, "", R"({"handle":"late"})");
+    CHECK(relay->runUntil([&] { return !releases.empty(); }));
+    STRCMP_EQUAL("DELETE /api/kv-handle/late HTTP/1.1", releases[0].c_str());
+    ordering.reset();
+}
+
+// Guards against a stream that starts over although a silent engine has made the copy after all.
+TEST(RunCopier, ContinuesFromACopyThatIsMadeAfterTheOrderTimedOut)
+{
+    relay->settings.copies.copyOrderTimeout = Milliseconds { 10 };
+    relay->settings.copies.copyRetryInterval = Milliseconds { 60000 };
+    addEngine();
+    auto& second = relay->addEndpoint("e2", "b");
+    auto& third = relay->addEndpoint("e3", "c");
+    second.onRequest(continues);
+    third.onRequest(continues);
+    std::shared_ptr<ScriptedConnection> ordering;
+    answerOrder = [&](ScriptedConnection& asker) { ordering = asker.shared_from_this(); };
+    const auto holder = begin();
+    remove(holder);
+    CHECK(relay->runUntil([&] { return ordering != nullptr; }));
+    wait(Milliseconds { 40 });
+    ordering->answer(200, "", R"({"handle":"late"})");
+    CHECK(awaitCopies(1));
+    running->reset();
+    expectWhole();
+    CHECK((holder == "e2" ? third : second).hasReceived(0, "/late\r\n"));
+    ordering.reset();
+}
+
+// Guards against memory held at the target when the engine is silent until after the end of the stream.
+TEST(RunCopier, DeletesTheHandleWhenTheEngineAnswersLongAfterTheStreamEnded)
+{
+    relay->settings.copies.copyOrderTimeout = Milliseconds { 10 };
+    addEngine();
+    relay->addEndpoint("e2", "b");
+    relay->addEndpoint("e3", "c");
+    std::shared_ptr<ScriptedConnection> ordering;
+    answerOrder = [&](ScriptedConnection& asker) { ordering = asker.shared_from_this(); };
+    remove(begin());
+    CHECK(relay->runUntil([&] { return ordering != nullptr; }));
+    running->sendEvent(2);
+    running->endStream();
+    expectWhole();
+    wait(Milliseconds { 40 });
+    ordering->answer(200, "", R"({"handle":"late"})");
+    CHECK(relay->runUntil([&] { return !releases.empty(); }));
+    STRCMP_EQUAL("DELETE /api/kv-handle/late HTTP/1.1", releases[0].c_str());
+    ordering.reset();
+}
+
 // Guards against a handle that expires during the stream.
 TEST(RunCopier, RefreshesTheCopyAtItsHolder)
 {
