Wait longer for the deletion of a copy

The deletion is now awaited for 4 s, longer than engines that go on are silent. An engine that is gone for good costs an open connection for that time at most.

RunCopier.TheDeletionOfAHandleReachesAnEngineThatIsSilentForASecond failed before ("CHECK_FALSE(deleting->isClosedByPeer()) failed") and passes now.

--- a/src/copies/CopyRenewalSettings.h
+++ b/src/copies/CopyRenewalSettings.h
@@ -25,8 +25,9 @@
     // How long the answer to an order is awaited after it has timed out or is not needed any more. An engine that is
     // only silent makes the copy later, and without its handle the copy could not be used or freed.
     Milliseconds lateOrderTimeout { 4000 };
-    // Timeout for the deletion of a handle. An engine that does not answer lets the handle expire.
-    Milliseconds handleReleaseTimeout { 500 };
+    // Timeout for the deletion of a handle: longer than engines are silent, because a request is lost when its
+    // connection is closed before the engine has read it. A handle that is not deleted expires.
+    Milliseconds handleReleaseTimeout { 4000 };
 };
 
 } // namespace lupinknot::internal
--- a/test/RunCopierTest.cpp
+++ b/test/RunCopierTest.cpp
@@ -324,6 +324,31 @@
     ordering.reset();
 }
 
+// Guards against a deletion that is withdrawn before a silent engine has read it.
+TEST(RunCopier, TheDeletionOfAHandleReachesAnEngineThatIsSilentForASecond)
+{
+    addEngine();
+    relay->addEndpoint("e2", "b");
+    relay->addEndpoint("e3", "c");
+    std::shared_ptr<ScriptedConnection> deleting;
+    engine->onRequest(
+        [this, &deleting, script = engine->script()](ScriptedConnection& asker, const std::string& request) {
+            if (request.find("DELETE ") == 0)
+                deleting = asker.shared_from_this();
+            else
+                script(asker, request);
+        });
+    remove(begin());
+    CHECK(awaitCopies(1));
+    running->sendEvent(2);
+    running->endStream();
+    expectWhole();
+    CHECK(relay->runUntil([&] { return deleting != nullptr; }));
+    wait(Milliseconds { 1000 });
+    CHECK_FALSE(deleting->isClosedByPeer());
+    deleting.reset();
+}
+
 // Guards against a handle that expires during the stream.
 TEST(RunCopier, RefreshesTheCopyAtItsHolder)
 {
--- a/test/ScriptedEndpoint.h
+++ b/test/ScriptedEndpoint.h
@@ -118,6 +118,13 @@
 
     // Sets the handler for each request; without one the endpoint does not respond.
     void onRequest(ScriptedConnection::OnRequest script) { m_script = std::move(script); }
+    const ScriptedConnection::OnRequest& script() const { return m_script; }
+    // Refuses new connections; open ones continue.
+    void refuseConnections()
+    {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+    }
     std::int64_t port() const { return m_acceptor.local_endpoint().port(); }
     const std::vector<std::string>& requests() const { return m_requests; }
     const std::vector<std::shared_ptr<ScriptedConnection>>& connections() const { return m_connections; }
