Let either engine get the first run in the tests of moves

Both engines now have the same script, and the tests count the runs instead of the requests to one engine.

--- a/test/EventStreamCallTest.cpp
+++ b/test/EventStreamCallTest.cpp
@@ -14,6 +14,9 @@
 TEST_GROUP(EventStreamCall)
 {
     std::unique_ptr<RelayHarness> relay;
+    // The last run at the engines of addMovableEngines(), and their number of runs.
+    std::shared_ptr<ScriptedConnection> lastRun;
+    int runCount { 0 };
 
     void setup() override
     {
@@ -21,7 +24,11 @@
         relay->addRoute("stream", RequestKind::EventStream, 5);
     }
 
-    void teardown() override { relay.reset(); }
+    void teardown() override
+    {
+        lastRun.reset();
+        relay.reset();
+    }
 
     void ready()
     {
@@ -63,6 +70,47 @@
         };
     }
 
+    // Adds two engines, of which the first to get the run sends event 1 and the second event 2. The callback handles
+    // the requests to copy the run, and to stop it and copy the remainder.
+    using OnMove = std::function<void(ScriptedEndpoint&, ScriptedConnection&, bool isStop)>;
+    void addMovableEngines(const OnMove& onMove)
+    {
+        relay->settings.minTimeLeftForRelocation = Milliseconds { 0 };
+        relay->settings.probeAfterSilenceWhenSuspected = Milliseconds { 5 };
+        relay->settings.retrySlackShare = 1;
+        relay->settings.relocationSpread = Milliseconds { 1 };
+        relay->settings.relocateAfter = Milliseconds { 1 };
+        relay->settings.relocationStopTimeout = Milliseconds { 10 };
+        relay->settings.moveAfterPauseShare = 1000;
+        for (const auto* const id : { "e1", "e2" }) {
+            auto& engine = relay->addEndpoint(id, "a");
+            engine.onRequest([this, &engine, onMove](ScriptedConnection& asker, const std::string& request) {
+                if (request.find("/stream/") != std::string::npos)
+                    beginRun(asker);
+                else if (request.find("/api/kv-move") != std::string::npos)
+                    onMove(engine, asker, request.find("\"last\"") != std::string::npos);
+                else
+                    asker.answer(200, "", "{}");
+            });
+        }
+        ready();
+    }
+
+    void beginRun(ScriptedConnection & asker)
+    {
+        lastRun = asker.shared_from_this();
+        lastRun->beginStream(signedHead);
+        lastRun->sendEvent(++runCount);
+        if (runCount > 1)
+            lastRun->endStream();
+    }
+
+    void wait(Milliseconds time)
+    {
+        const auto& clock = relay->daemon().clock();
+        relay->runUntil([&clock, end = clock.now() + time] { return clock.now() >= end; });
+    }
+
     // An engine that sends an event every 4 ms, and ends or loses the run after 24 events.
     void addPacedEngine(bool losesRun)
     {
@@ -306,70 +354,37 @@
 // Guards against ending a run that was not stopped because its engine is slow to answer the request to stop it.
 TEST(EventStreamCall, ARunContinuesWhileTheRequestToStopItIsUnanswered)
 {
-    relay->settings.minTimeLeftForRelocation = Milliseconds { 0 };
-    relay->settings.probeAfterSilenceWhenSuspected = Milliseconds { 5 };
-    relay->settings.retrySlackShare = 1;
-    relay->settings.relocationSpread = Milliseconds { 1 };
-    relay->settings.relocateAfter = Milliseconds { 1 };
-    relay->settings.relocationStopTimeout = Milliseconds { 10 };
-    relay->settings.moveAfterPauseShare = 1000;
-    std::shared_ptr<ScriptedConnection> running;
     std::shared_ptr<ScriptedConnection> mover;
-    relay->addEndpoint("e1", "a").onRequest([&](ScriptedConnection& asker, const std::string& request) {
-        if (request.find("/stream/") != std::string::npos) {
-            asker.beginStream(signedHead);
-            asker.sendEvent(1);
-            running = asker.shared_from_this();
-        } else if (request.find("\"last\"") != std::string::npos) {
+    addMovableEngines([&](ScriptedEndpoint&, ScriptedConnection& asker, bool isStop) {
+        if (isStop)
             mover = asker.shared_from_this();
-        } else {
+        else
             asker.answer(200, "", R"({"handle":"h7"})");
-        }
     });
-    auto& other = relay->addEndpoint("e2", "a");
-    ready();
     const auto caller = relay->call("/stream/1");
     CHECK(relay->runUntil([&] { return mover != nullptr; }));
-    const auto& clock = relay->daemon().clock();
-    relay->runUntil([&clock, end = clock.now() + Milliseconds { 50 }] { return clock.now() >= end; });
-    running->sendEvent(2);
-    running->sendEvent(3);
-    running->endStream();
+    wait(Milliseconds { 50 });
+    lastRun->sendEvent(2);
+    lastRun->endStream();
     await(caller);
-    STRCMP_EQUAL(events(1, 3).c_str(), caller->body.c_str());
-    CHECK_TEXT(other.requests().empty(), "the run must not be repeated");
-    running.reset();
+    STRCMP_EQUAL(events(1, 2).c_str(), caller->body.c_str());
+    LONGS_EQUAL_TEXT(1, runCount, "the run must not be repeated");
     mover.reset();
 }
 
 // Guards against a stream that waits until its deadline for the answer to a request that stopped its run.
 TEST(EventStreamCall, AStoppedRunRestartsWhenTheRequestToStopItStaysUnanswered)
 {
-    relay->settings.minTimeLeftForRelocation = Milliseconds { 0 };
-    relay->settings.probeAfterSilenceWhenSuspected = Milliseconds { 5 };
-    relay->settings.retrySlackShare = 1;
-    relay->settings.relocationSpread = Milliseconds { 1 };
-    relay->settings.relocateAfter = Milliseconds { 1 };
-    relay->settings.relocationStopTimeout = Milliseconds { 10 };
-    relay->settings.moveAfterPauseShare = 1000;
-    std::shared_ptr<ScriptedConnection> running;
-    relay->addEndpoint("e1", "a").onRequest([&](ScriptedConnection& asker, const std::string& request) {
-        if (request.find("/stream/") != std::string::npos) {
-            asker.beginStream(signedHead);
-            asker.sendEvent(1);
-            running = asker.shared_from_this();
-        } else if (request.find("\"last\"") != std::string::npos) {
-            running->close();
-        } else {
+    addMovableEngines([&](ScriptedEndpoint&, ScriptedConnection& asker, bool isStop) {
+        if (isStop)
+            lastRun->close();
+        else
             asker.answer(200, "", R"({"handle":"h7"})");
-        }
     });
-    relay->addEndpoint("e2", "a").onRequest(sends(2, 3));
-    ready();
     const auto caller = relay->call("/stream/1");
     await(caller);
-    STRCMP_EQUAL(events(1, 3).c_str(), caller->body.c_str());
-    running.reset();
+    STRCMP_EQUAL(events(1, 2).c_str(), caller->body.c_str());
+    LONGS_EQUAL(2, runCount);
 }
 
 // A response without a length ends when its connection closes, and a run that is stopped to be moved closes it too.
