Keep a run when the request to stop it cannot be sent

A run was cancelled and repeated elsewhere, or its stream ended, when the engine accepted no connection for the request to stop and move it, for example because its queue of new connections was full while it was silent.

Cause: the result Unknown, although a request that was not sent has stopped nothing. The move is now Refused and its retry returned, and the run continues. If the stream of the run has ended meanwhile, the result stays Unknown, so that an engine that is gone is left as fast as before.

--- a/src/relay/RunRelocation.cpp
+++ b/src/relay/RunRelocation.cpp
@@ -33,7 +33,8 @@
     const auto& settings = m_context.settings;
     const auto limit = m_isStopping ? m_deadline - m_context.now() : settings.relocationCopyTimeout;
     const auto request = m_context.protocol.encodeMoveRun(m_requestId, m_target->entry().address, m_isStopping);
-    m_pendingRequest = HttpRoundTrip::ask(m_context.ioContext, m_source->openConnection(), request, limit,
+    m_connection = m_source->openConnection();
+    m_pendingRequest = HttpRoundTrip::ask(m_context.ioContext, m_connection, request, limit,
         [weak = weak_from_this()](const HttpRoundTripResult& outcome) {
             if (const auto self = weak.lock())
                 self->handleAnswer(outcome);
@@ -42,6 +43,7 @@
 
 void RunRelocation::noteStreamEnded()
 {
+    m_hasStreamEnded = true;
     m_timer.expires_after(m_context.settings.relocationStopTimeout);
     m_timer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
         const auto self = weak.lock();
@@ -55,6 +57,11 @@
     if (outcome.answer)
         m_source->noteSignals(m_context.protocol.decodeAnswer(*outcome.answer), m_context.now());
     const auto moved = outcome.answer ? m_context.protocol.decodeMoveRun(*outcome.answer) : MoveRunAnswer {};
+    // The source has not received the request, so the run continues unless its stream has ended for another reason.
+    if (!outcome.answer && !m_connection->hasSent() && !m_hasStreamEnded) {
+        finish(RelocationResult::Refused, "");
+        return;
+    }
     if (!m_isStopping) {
         // The run also stays at the source when the source has requested a back-off in the meantime.
         if (!moved.isCopied || m_source->isInBackOff(m_context.now())) {
--- a/src/relay/RunRelocation.h
+++ b/src/relay/RunRelocation.h
@@ -15,6 +15,7 @@
 
 namespace lupinknot::internal {
 
+class ClientConnection;
 class HttpRoundTrip;
 struct HttpRoundTripResult;
 class RelayEndpoint;
@@ -65,8 +66,10 @@
     const Milliseconds m_deadline;
     Callback m_callback;
     boost::asio::steady_timer m_timer;
+    std::shared_ptr<ClientConnection> m_connection;
     std::shared_ptr<HttpRoundTrip> m_pendingRequest;
     bool m_isStopping { false };
+    bool m_hasStreamEnded { false };
 };
 
 } // namespace lupinknot::internal
--- a/test/EventStreamCallTest.cpp
+++ b/test/EventStreamCallTest.cpp
@@ -372,6 +372,26 @@
     mover.reset();
 }
 
+// Guards against ending a run that was not stopped because its engine accepts no connection for the request to stop it.
+TEST(EventStreamCall, ARunContinuesWhenTheRequestToStopItCannotBeSent)
+{
+    relay->settings.probeAfterSilence = Milliseconds { 60000 };
+    bool isCopied = false;
+    addMovableEngines([&](ScriptedEndpoint& engine, ScriptedConnection& asker, bool) {
+        engine.refuseConnections();
+        asker.answer(200, "", R"({"handle":"h7"})");
+        isCopied = true;
+    });
+    const auto caller = relay->call("/stream/1");
+    CHECK(relay->runUntil([&] { return isCopied; }));
+    wait(Milliseconds { 50 });
+    lastRun->sendEvent(2);
+    lastRun->endStream();
+    await(caller);
+    STRCMP_EQUAL(events(1, 2).c_str(), caller->body.c_str());
+    LONGS_EQUAL_TEXT(1, runCount, "the run must not be repeated");
+}
+
 // Guards against a stream that waits until its deadline for the answer to a request that stopped its run.
 TEST(EventStreamCall, AStoppedRunRestartsWhenTheRequestToStopItStaysUnanswered)
 {
