--- a/src/http/TunnelLink.cpp
+++ b/src/http/TunnelLink.cpp
@@ -8,8 +8,21 @@
 
 namespace net = boost::asio;
 
+namespace {
+
+TunnelEnd endOf(bool isCaller, boost::system::error_code error)
+{
+    if (error == net::error::eof)
+        return isCaller ? TunnelEnd::CallerClosed : TunnelEnd::TargetClosed;
+    if (error == net::error::timed_out || error == net::error::host_unreachable)
+        return isCaller ? TunnelEnd::CallerUnreachable : TunnelEnd::TargetUnreachable;
+    return isCaller ? TunnelEnd::CallerReset : TunnelEnd::TargetReset;
+}
+
+} // namespace
+
 std::shared_ptr<TunnelLink> TunnelLink::start(
-    net::ip::tcp::socket caller, net::ip::tcp::socket target, std::string earlyBytes, std::function<void()> onEnd)
+    net::ip::tcp::socket caller, net::ip::tcp::socket target, std::string earlyBytes, EndCallback onEnd)
 {
     std::shared_ptr<TunnelLink> link(
         new TunnelLink(std::move(caller), std::move(target), std::move(earlyBytes), std::move(onEnd)));
@@ -22,11 +35,12 @@
 }
 
 TunnelLink::TunnelLink(
-    net::ip::tcp::socket caller, net::ip::tcp::socket target, std::string earlyBytes, std::function<void()> onEnd)
+    net::ip::tcp::socket caller, net::ip::tcp::socket target, std::string earlyBytes, EndCallback onEnd)
     : m_fromCaller(std::move(caller))
     , m_fromTarget(std::move(target))
     , m_onEnd(std::move(onEnd))
-    , m_lastUsedAt(std::chrono::steady_clock::now())
+    , m_startedAt(std::chrono::steady_clock::now())
+    , m_lastUsedAt(m_startedAt)
 {
     m_fromCaller.early = std::move(earlyBytes);
     for (auto* const direction : { &m_fromCaller, &m_fromTarget }) {
@@ -69,7 +83,7 @@
     const auto onEnd = std::exchange(m_onEnd, nullptr);
     close();
     if (onEnd)
-        onEnd();
+        onEnd(endOf(&other == &m_fromTarget, error));
 }
 
 void TunnelLink::close()
--- a/src/reach/EndpointTunnels.cpp
+++ b/src/reach/EndpointTunnels.cpp
@@ -20,6 +20,22 @@
 constexpr unsigned badGatewayStatus = 502;
 constexpr unsigned unavailableStatus = 503;
 
+void logEnded(const TunnelLink& link, const std::string& address, const std::string& vmAddress, TunnelEnd end)
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto msSince = [now](std::chrono::steady_clock::time_point instant) {
+        return std::chrono::duration_cast<Milliseconds>(now - instant).count();
+    };
+    const auto isOrderly = end == TunnelEnd::CallerClosed || end == TunnelEnd::TargetClosed;
+    LogEvent("tunnel.ended", isOrderly ? LogImportance::Routine : LogImportance::Notable)
+        .text("address", address)
+        .text("for_vm", vmAddress)
+        .text("end", nameIn(tunnelEndNames, end))
+        .number("open_ms", msSince(link.startedAt()))
+        .number("idle_ms", msSince(link.lastUsedAt()))
+        .write();
+}
+
 } // namespace
 
 // A connection to an endpoint that is being established for another VM.
@@ -117,18 +133,24 @@
 {
     LogEvent("tunnel.opened", LogImportance::Routine).text("address", opening->exchange->request().target).write();
     m_metrics.tunnelsOpened.Increment();
-    opening->exchange->upgrade([self = std::weak_ptr(m_self), opening](
-                                   net::ip::tcp::socket caller, std::string earlyBytes) {
-        const auto tunnels = self.lock();
-        if (!tunnels)
-            return;
-        auto& links = (*tunnels)->m_links;
-        const auto place = links.insert(links.end(), nullptr);
-        *place = TunnelLink::start(std::move(caller), std::move(opening->socket), std::move(earlyBytes), [self, place] {
-            if (const auto owner = self.lock())
-                (*owner)->m_links.erase(place);
+    opening->exchange->upgrade(
+        [self = std::weak_ptr(m_self), opening](net::ip::tcp::socket caller, std::string earlyBytes) {
+            const auto tunnels = self.lock();
+            if (!tunnels)
+                return;
+            auto& links = (*tunnels)->m_links;
+            const auto place = links.insert(links.end(), nullptr);
+            boost::system::error_code unknown;
+            const auto vmAddress = caller.remote_endpoint(unknown).address().to_string();
+            *place = TunnelLink::start(std::move(caller), std::move(opening->socket), std::move(earlyBytes),
+                [self, place, vmAddress, address = opening->exchange->request().target](TunnelEnd end) {
+                    const auto owner = self.lock();
+                    if (!owner)
+                        return;
+                    logEnded(**place, address, vmAddress, end);
+                    (*owner)->m_links.erase(place);
+                });
         });
-    });
 }
 
 } // namespace lupinknot::internal
