--- a/test/EndpointTunnelsTest.cpp
+++ b/test/EndpointTunnelsTest.cpp
@@ -1,5 +1,6 @@
 // Connections to endpoints that a VM makes for others.
 #include "reach/EndpointTunnels.h"
+#include "RawConnection.h"
 #include "RelayHarness.h"
 #include "http/HttpServer.h"
 
@@ -136,6 +137,26 @@
     STRCMP_EQUAL("late", first->body.c_str());
 }
 
+// A VM behind a partition continues its stream elsewhere 250 ms after the last event; the earlier engine must stop
+// within 400 ms of that, although nothing that this VM sends arrives.
+TEST(EndpointTunnels, EndWhenTheVmBehindThemIsPartitioned)
+{
+    constexpr Milliseconds mostTime { 650 };
+    auto& endpoint = relay->addEndpoint("e1");
+    ready();
+    RawConnection vm(server->port());
+    vm.send(
+        "CONNECT 127.0.0.1:" + std::to_string(endpoint.port()) + " HTTP/1.1\r\nHost: e1\r\n\r\nGET / HTTP/1.1\r\n\r\n");
+    CHECK(relay->runUntil([&] { return !endpoint.requests().empty(); }));
+    vm.dropReceivedPackets();
+    const auto engine = endpoint.connections().front();
+    engine->sendEvent(1);
+    const auto begin = std::chrono::steady_clock::now();
+    CHECK(relay->runUntil([&] { return engine->isClosedByPeer(); }));
+    const auto took = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - begin);
+    CHECK_TEXT(took <= mostTime, ("closed after " + std::to_string(took.count()) + " ms").c_str());
+}
+
 // An endpoint stops its work when its caller's connection closes.
 TEST(EndpointTunnels, CloseTheEndpointsConnectionWhenTheCallerLeaves)
 {
--- a/test/RawConnection.h
+++ b/test/RawConnection.h
@@ -6,7 +6,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <linux/filter.h>
 #include <string>
+#include <sys/socket.h>
 
 namespace lupinknot::internal {
 
@@ -42,6 +44,14 @@
 
     void close() { m_socket.close(); }
 
+    // From now on the peer's packets are dropped before they are acknowledged, as behind a partition.
+    void dropReceivedPackets()
+    {
+        sock_filter dropAll { BPF_RET | BPF_K, 0, 0, 0 };
+        const sock_fprog program { 1, &dropAll };
+        ::setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program));
+    }
+
 private:
     boost::asio::io_context m_ioContext;
     boost::asio::ip::tcp::socket m_socket;
