Drop tunnels whose VM does not acknowledge what the endpoint sends

Cause: a VM that carries a connection for another one kept it open for three seconds after the other VM had become unreachable. The other VM continues its stream after about 250 ms, and its closing of the earlier connection does not arrive. The VM that carried it was the only one that reached both.

Ruled out for these cases: a stop through another VM. The VM that went on reached no endpoint of the earlier engine's zone.

Change: on the side of the other VM, bytes may be unacknowledged for 150 ms, which the kernel counts from its second retransmission.

--- a/src/http/SocketLiveness.cpp
+++ b/src/http/SocketLiveness.cpp
@@ -24,7 +24,13 @@
     socket.set_option(TcpOption<TCP_KEEPIDLE>(seconds(liveness.idle)), ignored);
     socket.set_option(TcpOption<TCP_KEEPINTVL>(seconds(liveness.interval)), ignored);
     socket.set_option(TcpOption<TCP_KEEPCNT>(liveness.probes), ignored);
-    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(static_cast<int>(liveness.dropAfter().count())), ignored);
+    limitUnacknowledgedTime(socket, liveness.dropAfter());
+}
+
+void limitUnacknowledgedTime(net::ip::tcp::socket& socket, Milliseconds time)
+{
+    boost::system::error_code ignored;
+    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(static_cast<int>(time.count())), ignored);
 }
 
 } // namespace lupinknot::internal
--- a/src/http/SocketLiveness.h
+++ b/src/http/SocketLiveness.h
@@ -22,5 +22,8 @@
 
 // Options that the system does not support are skipped; the callers' own timeouts still apply.
 void applyLiveness(boost::asio::ip::tcp::socket&, const SocketLiveness&);
+// Drops the connection once sent bytes have been unacknowledged for this time. A peer whose process stands still
+// acknowledges them until its buffers are full. Keep-alive gives up after one unanswered probe from then on.
+void limitUnacknowledgedTime(boost::asio::ip::tcp::socket&, Milliseconds);
 
 } // namespace lupinknot::internal
--- a/src/http/TunnelLink.cpp
+++ b/src/http/TunnelLink.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+// A VM that gets no events for some 250 ms continues its streams elsewhere, and what it sends to end the earlier runs
+// may not arrive. The kernel counts this time from its second retransmission, some 400 ms after the first
+// unacknowledged byte.
+constexpr Milliseconds mostTimeUnacknowledged { 150 };
+
 TunnelEnd endOf(bool isCaller, boost::system::error_code error)
 {
     if (error == net::error::eof)
@@ -48,6 +53,7 @@
         direction->source.set_option(net::ip::tcp::no_delay(true), ignored);
         applyLiveness(direction->source, {});
     }
+    limitUnacknowledgedTime(m_fromCaller.source, mostTimeUnacknowledged);
 }
 
 void TunnelLink::read(Direction& from, Direction& to)
