--- a/test/CrashingRequestFleetTest.cpp
+++ b/test/CrashingRequestFleetTest.cpp
@@ -20,7 +20,7 @@
 
     void setup() override
     {
-        fleet.useCrashingEngines(engineCount);
+        fleet.useEngineCount(engineCount);
         fleet.partitionFromStore();
         CHECK(fleet.start());
     }
--- a/test/PartitionedFleet.cpp
+++ b/test/PartitionedFleet.cpp
@@ -1,10 +1,12 @@
 #include "PartitionedFleet.h"
 
 #include "RunUntil.h"
+#include "lupinknot/MonotonicClock.h"
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <future>
+#include <map>
 #include <nlohmann/json.hpp>
 
 namespace lupinknot::platform {
@@ -30,8 +32,8 @@
 nlohmann::json routeOf(const std::string& path, const std::string& kind, const std::string& service, bool isResumable)
 {
     return { { "name", path }, { "host", "h" }, { "path-prefix", path }, { "kind", kind }, { "service", service },
-        { "timeout-ms", 20000 }, { "slo-ms", 4500 }, { "gap-aim-ms", 700 }, { "max-attempts", 5 },
-        { "resumable", isResumable } };
+        { "timeout-ms", 20000 }, { "slo-ms", 4500 }, { "gap-aim-ms", PartitionedFleet::gapAim.count() },
+        { "max-attempts", 5 }, { "resumable", isResumable } };
 }
 
 std::string configurationText()
@@ -170,22 +172,20 @@
     m_eventCount = events;
 }
 
-void PartitionedFleet::useCrashingEngines(std::size_t count) { m_engineCount = count; }
-
 std::string PartitionedFleet::versionOf(const std::string& engineId) const
 {
     const auto number = std::stoul(engineId.substr(engineId.rfind('-') + 1));
     return m_engineVersions[number % m_engineVersions.size()];
 }
 
-std::shared_ptr<internal::TestCaller> PartitionedFleet::openStream(
-    std::size_t vm, const std::string& requestId, const std::string& promptId, const internal::HttpHeaders& extra)
+std::shared_ptr<internal::TestCaller> PartitionedFleet::openStream(std::size_t vm, const std::string& requestId,
+    const std::string& promptId, const internal::HttpHeaders& extra, const std::string& body)
 {
     auto caller = std::make_shared<internal::TestCaller>();
     internal::HttpRequest request { "POST", "/stories/",
         { { "Host", "h" }, { "X-Request-Id", requestId }, { "X-Deadline-Ms", std::to_string(streamDeadline.count()) },
             { "X-Prompt-Prefix", promptId + ":100" }, { "X-Token-Usage", "100,500" }, { "Connection", "close" } },
-        "body" };
+        body };
     for (const auto& field : extra.fields())
         request.headers.add(field.name, field.value);
     caller->connection = internal::ClientConnection::open(m_ioContext, { host, m_vms[vm]->frontPort }, {});
@@ -234,6 +234,38 @@
         network(i).begin(mode);
 }
 
+void PartitionedFleet::silenceEngines(std::size_t firstEngine, std::size_t count, Milliseconds time)
+{
+    for (std::size_t i = firstEngine; i < firstEngine + count; ++i)
+        m_endpoints[i].silenceFor(time);
+}
+
+void PartitionedFleet::silenceEnginesForGood(std::size_t firstEngine, std::size_t count)
+{
+    for (std::size_t i = firstEngine; i < firstEngine + count; ++i)
+        m_endpoints[i].silenceForGood();
+}
+
+Milliseconds PartitionedFleet::longestDoubleRun() const
+{
+    std::map<std::string, std::vector<EngineRunTimes>> runs;
+    for (const auto& engine : m_endpoints) {
+        for (const auto& run : engine.runs())
+            runs[run.requestId].push_back(run);
+    }
+    const auto endOf = [now = MonotonicClock().now()](const EngineRunTimes& run) { return run.endedAt.value_or(now); };
+    Milliseconds longest { 0 };
+    for (const auto& [requestId, runsOfRequest] : runs) {
+        for (const auto& first : runsOfRequest) {
+            for (const auto& second : runsOfRequest) {
+                if (second.beganAt > first.beganAt && second.firstEventAt)
+                    longest = std::max(longest, std::min(endOf(first), endOf(second)) - *second.firstEventAt);
+            }
+        }
+    }
+    return longest;
+}
+
 bool PartitionedFleet::runUntil(const std::function<bool()>& condition)
 {
     return internal::runUntil(m_ioContext, condition);
--- a/test/PartitionedFleet.h
+++ b/test/PartitionedFleet.h
@@ -38,15 +38,18 @@
 
 class PartitionedFleet {
 public:
+    // The longest pause of a stream that its route aims at.
+    static constexpr Milliseconds gapAim { 700 };
+
     // Each VM is in a zone of its own unless there are fewer zones. The engines and endpoints are in zone-0 and zone-1.
     explicit PartitionedFleet(std::size_t vms, std::size_t zones = maxZones);
     ~PartitionedFleet();
 
     // Sets the software versions of the engines, in turn, and how many events a stream has. Call it before start().
     void useEngines(std::vector<std::string> versions, std::uint64_t events);
-    // Sets the number of engines, which crash under each request whose body is crashText and are back at once. Call it
-    // before start().
-    void useCrashingEngines(std::size_t count);
+    // Sets the number of engines. Call it before start().
+    void useEngineCount(std::size_t count) { m_engineCount = count; }
+    // Engines crash under each request whose body is crashText and are back at once.
     static constexpr const char* crashText = "crash";
     // Partitions of VMs are from the store instead of the endpoints. Call it before start().
     void partitionFromStore() { m_partitionsStore = true; }
@@ -57,13 +60,17 @@
         std::size_t vm, const std::string& path, const std::string& promptId = "", const std::string& body = "body");
     // A stream whose events can be read as they arrive.
     std::shared_ptr<internal::TestCaller> openStream(std::size_t vm, const std::string& requestId,
-        const std::string& promptId, const internal::HttpHeaders& extra = {});
+        const std::string& promptId, const internal::HttpHeaders& extra = {}, const std::string& body = "body");
     // Waits until all callers have a result. Returns false on a timeout.
     bool waitFor(const std::vector<std::shared_ptr<FleetCaller>>&);
     bool runUntil(const std::function<bool()>&);
     void runFor(Milliseconds);
     internal::NetworkPartition& network(std::size_t vm) { return m_vms[vm]->network; }
     void partition(std::size_t firstVm, std::size_t count, internal::PartitionMode);
+    void silenceEngines(std::size_t firstEngine, std::size_t count, Milliseconds);
+    void silenceEnginesForGood(std::size_t firstEngine, std::size_t count);
+    // The longest time that a request went on at two engines after the second one had produced an event.
+    Milliseconds longestDoubleRun() const;
     void stopVm(std::size_t);
     // Starts a VM that was stopped, at its former address. Returns false if it does not start.
     bool startVm(std::size_t);
--- a/test/RelayHarness.h
+++ b/test/RelayHarness.h
@@ -15,7 +15,14 @@
 class TestCaller final : public ClientConnectionListener, public std::enable_shared_from_this<TestCaller> {
 public:
     void responseHeaderReceived(const HttpResponse& response) override { head = response; }
-    void responseBodyReceived(std::string_view piece) override { body.append(piece); }
+    void responseBodyReceived(std::string_view piece) override
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (!body.empty())
+            longestPause = std::max(longestPause, std::chrono::duration_cast<Milliseconds>(now - lastPieceAt));
+        lastPieceAt = now;
+        body.append(piece);
+    }
     bool responseEnded() override
     {
         isWhole = true;
@@ -29,6 +36,9 @@
     std::string body;
     bool isWhole { false };
     bool isBroken { false };
+    std::chrono::steady_clock::time_point lastPieceAt;
+    // The longest time between two pieces of the body.
+    Milliseconds longestPause { 0 };
     std::shared_ptr<ClientConnection> connection;
 };
 
