Test that engines which are gone for good are left soon

A stream whose engine is gone must not wait for it as for one that is silent for a time. A VM that has just started has no fixed retries; the test therefore shortens the retry window.

--- a/test/PartitionedFleet.cpp
+++ b/test/PartitionedFleet.cpp
@@ -87,6 +87,7 @@
     settings.peerAddress = { host, m_peerPorts[index] };
     settings.isFirstStart = !m_hasStarted;
     settings.relay.retrySlackShare = 0;
+    settings.relay.retryWindow = m_retryWindow.value_or(settings.relay.retryWindow);
     return settings;
 }
 
--- a/test/PartitionedFleet.h
+++ b/test/PartitionedFleet.h
@@ -51,6 +51,8 @@
     void useEngineCount(std::size_t count) { m_engineCount = count; }
     // Engines crash under each request whose body is crashText and are back at once.
     static constexpr const char* crashText = "crash";
+    // VMs that have just started may use the fixed number of retries after this time. Call it before start().
+    void useRetryWindow(Milliseconds window) { m_retryWindow = window; }
     // Partitions of VMs are from the store instead of the endpoints. Call it before start().
     void partitionFromStore() { m_partitionsStore = true; }
     // Starts everything and waits until each VM serves. Returns false if that does not happen.
@@ -110,6 +112,7 @@
     std::vector<std::string> m_engineVersions { "" };
     std::uint64_t m_eventCount { 40 };
     std::size_t m_engineCount { endpointsPerService };
+    std::optional<Milliseconds> m_retryWindow;
     std::vector<EngineCrash> m_crashes;
     bool m_partitionsStore { false };
     bool m_hasStarted { false };
--- a/test/SilentEngineFleetTest.cpp
+++ b/test/SilentEngineFleetTest.cpp
@@ -7,8 +7,9 @@
 using namespace lupinknot::internal;
 using lupinknot::platform::PartitionedFleet;
 
-TEST_GROUP(SilentEngineFleet)
-{
+namespace {
+
+struct EngineFleetTest : Utest {
     static constexpr std::size_t vmCount = 4;
     static constexpr std::size_t engineCount = 9;
     static constexpr std::size_t streamCount = 24;
@@ -65,6 +66,10 @@
     }
 };
 
+} // namespace
+
+TEST_GROUP_BASE(SilentEngineFleet, EngineFleetTest) {};
+
 TEST(SilentEngineFleet, StreamsEndWhenAllEnginesAreSilent)
 {
     openStreams(streamCount);
@@ -119,3 +124,28 @@
     fleet.silenceEngines(0, engineCount, Milliseconds { 1200 });
     checkStreamsAreWhole();
 }
+
+// VMs that have not just started, and may therefore use the fixed number of retries.
+TEST_GROUP_BASE(SilentEngineFleetWithRetries, EngineFleetTest) {
+    void setup() override { fleet.useRetryWindow(Milliseconds { 1000 });
+EngineFleetTest::setup();
+}
+}
+;
+
+// Engines that are gone must be left as soon as engines whose connections break.
+TEST(SilentEngineFleetWithRetries, StreamsPauseLongWhenAThirdOfTheEnginesIsGone)
+{
+    openStreams(streamCount);
+    fleet.runFor(midStream);
+    fleet.silenceEnginesForGood(0, engineCount / 3);
+    checkStreamsAreWhole();
+    // A stream whose engine and copy holder are both gone starts over elsewhere, which takes longer.
+    const auto pausesAtMost = [this](Milliseconds pause) {
+        return std::count_if(
+            callers.begin(), callers.end(), [pause](const auto& caller) { return caller->longestPause <= pause; });
+    };
+    CHECK_TEXT(4 * pausesAtMost(PartitionedFleet::gapAim) >= 3 * static_cast<std::ptrdiff_t>(streamCount),
+        "over a quarter of the streams paused for longer than the gap aim");
+    LONGS_EQUAL_TEXT(streamCount, pausesAtMost(2 * PartitionedFleet::gapAim), "a pause was over twice the gap aim");
+}
