Test fleet: count double runs that begin in the same millisecond

Two runs of a request that began in the same millisecond were not compared, so longestDoubleRun() returned 0.

--- a/test/PartitionedFleet.cpp
+++ b/test/PartitionedFleet.cpp
@@ -259,7 +259,7 @@
     for (const auto& [requestId, runsOfRequest] : runs) {
         for (const auto& first : runsOfRequest) {
             for (const auto& second : runsOfRequest) {
-                if (second.beganAt > first.beganAt && second.firstEventAt)
+                if (&second != &first && second.beganAt >= first.beganAt && second.firstEventAt)
                     longest = std::max(longest, std::min(endOf(first), endOf(second)) - *second.firstEventAt);
             }
         }
