--- a/test/PartitionedFleet.cpp
+++ b/test/PartitionedFleet.cpp
@@ -87,6 +87,7 @@
     settings.peerAddress = { host, m_peerPorts[index] };
     settings.isFirstStart = !m_hasStarted;
     settings.relay.retrySlackShare = 0;
+    settings.relay.retryWindow = m_retryWindow.value_or(settings.relay.retryWindow);
     return settings;
 }
 
@@ -258,7 +259,7 @@
     for (const auto& [requestId, runsOfRequest] : runs) {
         for (const auto& first : runsOfRequest) {
             for (const auto& second : runsOfRequest) {
-                if (second.beganAt > first.beganAt && second.firstEventAt)
+                if (&second != &first && second.beganAt >= first.beganAt && second.firstEventAt)
                     longest = std::max(longest, std::min(endOf(first), endOf(second)) - *second.firstEventAt);
             }
         }
