--- a/src/copies/RunCopier.cpp
+++ b/src/copies/RunCopier.cpp
@@ -49,7 +49,7 @@
 {
     const auto& entry = holder.entry();
     const auto current = m_context.directory.findAt(entry.service, entry.address);
-    return { .hasZoneFailed = m_context.directory.hasZoneFailedSince(entry.service, entry.availabilityZone, since),
+    return { .hasZoneFailed = m_context.directory.isLostWithZone(holder, since),
         .isRemoved = holder.isRemoved(),
         .isReplaced = holder.isRemoved() && current && current.get() != &holder,
         .isShuttingDown = holder.isShuttingDown() };
@@ -132,37 +132,59 @@
         .text("reason", reason)
         .write();
     m_order = RunCopyOrder::start(m_context, run.endpoint, target, m_request.fields.requestId,
-        [this](const CopyOrderAnswer& answer) { orderEnded(answer); });
+        [this](RunCopyOrder& order, const CopyOrderAnswer& answer) { orderAnswered(order, answer); });
 }
 
-void RunCopier::orderEnded(const CopyOrderAnswer& answer)
+void RunCopier::orderAnswered(RunCopyOrder& order, const CopyOrderAnswer& answer)
+{
+    if (m_order.get() != &order) {
+        std::erase_if(m_lateOrders, [&order](const auto& late) { return late.get() == &order; });
+        lateOrderEnded(order, answer);
+        return;
+    }
+    const auto ended = std::exchange(m_order, nullptr);
+    if (ended->isOpen())
+        m_lateOrders.push_back(ended);
+    orderEnded(order, answer);
+}
+
+void RunCopier::lateOrderEnded(const RunCopyOrder& order, const CopyOrderAnswer& answer)
+{
+    if (answer.result != CopyOrderResult::Copied)
+        return;
+    if (!m_copy || m_copy->holder == order.target())
+        orderEnded(order, answer);
+    else if (m_copy->handle != answer.handle)
+        HandleRelease::send(m_context, order.source(), answer.handle);
+}
+
+void RunCopier::orderEnded(const RunCopyOrder& order, const CopyOrderAnswer& answer)
 {
-    const auto order = std::exchange(m_order, nullptr);
     const auto now = m_context.now();
-    const bool isRefresh = m_copy && m_copy->holder == order->target();
+    const bool isRefresh = m_copy && m_copy->holder == order.target();
     const bool isCopied = answer.result == CopyOrderResult::Copied;
     m_renewal.noteOrderEnded(answer.result, now);
     LogEvent(
         isCopied ? "copy.renewed" : "copy.not-renewed", isRefresh ? LogImportance::Routine : LogImportance::Notable)
         .text("request", m_request.fields.requestId)
-        .text("endpoint", order->source()->entry().id)
-        .text("target", order->target()->entry().id)
+        .text("endpoint", order.source()->entry().id)
+        .text("target", order.target()->entry().id)
         .text("reason", isRefresh ? "refresh" : "order")
         .text("result", nameIn(copyOrderResultNames, answer.result))
-        .number("took_ms", (now - order->startedAt()).count())
+        .number("took_ms", (now - order.startedAt()).count())
         .write();
     if (isCopied) {
         if (!isRefresh)
             m_context.metrics.copiesRenewed.Increment();
         m_rejectedTargets.clear();
-        replaceCopy({ order->source(), order->target(), answer.handle, order->startedAt() });
+        replaceCopy({ order.source(), order.target(), answer.handle, order.startedAt() });
         return;
     }
     if (answer.result != CopyOrderResult::Rejected && answer.result != CopyOrderResult::Unanswered)
         return;
     if (isRefresh)
         m_copy->isRefreshRejected = true;
-    m_rejectedTargets.push_back(order->target());
+    m_rejectedTargets.push_back(order.target());
 }
 
 void RunCopier::replaceCopy(Copy copy)
@@ -182,7 +204,16 @@
         RunCopyOrder::abandon(order, m_copy ? m_copy->handle : std::string());
 }
 
-std::vector<RunTarget> RunCopier::runLost(const StreamRun& run)
+void RunCopier::endAllOrders()
+{
+    endOrder();
+    for (auto& order : std::exchange(m_lateOrders, {})) {
+        m_order = std::move(order);
+        endOrder();
+    }
+}
+
+std::vector<RunTarget> RunCopier::copiesOf(const StreamRun& run) const
 {
     const auto now = m_context.now();
     std::vector<RunTarget> targets;
@@ -195,7 +226,13 @@
         const auto holder = copyHolderOf(run, m_context.directory);
         targets.push_back({ holder, { holder->entry().address, m_request.fields.requestId }, run.startedAt });
     }
-    endOrder();
+    return targets;
+}
+
+std::vector<RunTarget> RunCopier::runLost(const StreamRun& run)
+{
+    auto targets = copiesOf(run);
+    endAllOrders();
     if (auto copy = std::exchange(m_copy, std::nullopt))
         m_earlierCopies.push_back(std::move(*copy));
     m_rejectedTargets.clear();
@@ -203,6 +240,12 @@
     return targets;
 }
 
+void RunCopier::noteUsed(const std::string& name)
+{
+    if (m_copy && m_copy->handle == name)
+        m_copy.reset();
+}
+
 void RunCopier::noteContinued(const std::string& name)
 {
     std::erase_if(m_earlierCopies, [&name](const Copy& copy) { return copy.handle == name; });
@@ -212,9 +255,8 @@
 {
     for (const auto& copy : std::exchange(m_earlierCopies, {})) {
         // After a restart, the same handle may be that of another run.
-        const auto& entry = copy.source->entry();
-        const bool mayHaveRestarted = copy.source->isRemoved()
-            || m_context.directory.hasZoneFailedSince(entry.service, entry.availabilityZone, copy.confirmedAt);
+        const bool mayHaveRestarted
+            = copy.source->isRemoved() || m_context.directory.isLostWithZone(*copy.source, copy.confirmedAt);
         if (!mayHaveRestarted)
             HandleRelease::send(m_context, copy.source, copy.handle);
     }
@@ -222,7 +264,7 @@
 
 void RunCopier::end()
 {
-    endOrder();
+    endAllOrders();
     if (auto copy = std::exchange(m_copy, std::nullopt))
         m_earlierCopies.push_back(std::move(*copy));
     releaseUnused();
--- a/src/copies/RunCopier.h
+++ b/src/copies/RunCopier.h
@@ -45,8 +45,12 @@
     bool isEnabledFor(const StreamRun&) const;
     // Orders or refreshes a copy of the run if CopyRenewal decides so.
     void consider(const StreamRun&, Milliseconds expectedTimeLeft, const Engines& failed);
-    // Ends the orders for the run. Returns the copies from which it can continue, in the order in which to try them.
+    // The copies from which the run can continue, in the order in which to try them.
+    std::vector<RunTarget> copiesOf(const StreamRun&) const;
+    // Ends the orders for the run. Returns its copies.
     std::vector<RunTarget> runLost(const StreamRun&);
+    // The copy with this name can no longer be used, although the run goes on.
+    void noteUsed(const std::string& name);
     // A run that continues from the copy with this name was sent; its engine frees the copy.
     void noteContinued(const std::string& name);
     // Frees the copies of earlier runs that are not in use.
@@ -69,9 +73,12 @@
     void noteLoss(const StreamRun&, CopyLoss);
     void order(const StreamRun&, CopyLoss, const Engines& failed, Milliseconds now);
     void send(const StreamRun&, const std::shared_ptr<RelayEndpoint>& target, std::string_view reason);
-    void orderEnded(const CopyOrderAnswer&);
+    void orderAnswered(RunCopyOrder&, const CopyOrderAnswer&);
+    void orderEnded(const RunCopyOrder&, const CopyOrderAnswer&);
+    void lateOrderEnded(const RunCopyOrder&, const CopyOrderAnswer&);
     void replaceCopy(Copy);
     void endOrder();
+    void endAllOrders();
     CopyRenewal makeRenewal() const;
 
     RelayContext& m_context;
@@ -80,6 +87,8 @@
     CopyRenewal m_renewal;
     std::optional<Copy> m_copy;
     std::shared_ptr<RunCopyOrder> m_order;
+    // Orders that have timed out and may still be answered.
+    std::vector<std::shared_ptr<RunCopyOrder>> m_lateOrders;
     // Targets that could not take a copy of the current run.
     Engines m_rejectedTargets;
     // Copies of earlier runs.
--- a/src/http/HttpRoundTrip.cpp
+++ b/src/http/HttpRoundTrip.cpp
@@ -13,7 +13,7 @@
     roundTrip->m_timer.async_wait([weak = roundTrip->weak_from_this()](boost::system::error_code error) {
         const auto self = weak.lock();
         if (!error && self)
-            self->fail("no-answer");
+            self->fail("no-answer", false);
     });
     return roundTrip;
 }
@@ -48,20 +48,25 @@
     // The connection can become idle only after this callback returns, so the result is reported later.
     boost::asio::post(m_ioContext, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
-            self->report({ &self->m_response, "" });
+            self->report({ &self->m_response, "", true });
     });
     return false;
 }
 
-void HttpRoundTrip::connectionFailed(ClientFailure failure) { fail(nameIn(clientFailureNames, failure)); }
+void HttpRoundTrip::connectionFailed(ClientFailure failure)
+{
+    const bool isBroken = failure != ClientFailure::NotConnected || m_connection->isRefused();
+    fail(nameIn(clientFailureNames, failure), isBroken);
+}
 
-void HttpRoundTrip::fail(std::string_view problem)
+void HttpRoundTrip::fail(std::string_view problem, bool isBroken)
 {
     if (m_isResponseComplete)
         return;
     m_timer.cancel();
+    const bool isConnected = m_connection->hasSent();
     m_connection->close();
-    report({ nullptr, problem });
+    report({ nullptr, problem, isConnected, isBroken });
 }
 
 void HttpRoundTrip::report(const HttpRoundTripResult& outcome)
--- a/src/http/TunnelLink.cpp
+++ b/src/http/TunnelLink.cpp
@@ -8,8 +8,26 @@
 
 namespace net = boost::asio;
 
+namespace {
+
+// A VM that gets no events for some 250 ms continues its streams elsewhere, and what it sends to end the earlier runs
+// may not arrive. The kernel counts this time from its second retransmission, some 400 ms after the first
+// unacknowledged byte.
+constexpr Milliseconds mostTimeUnacknowledged { 150 };
+
+TunnelEnd endOf(bool isCaller, boost::system::error_code error)
+{
+    if (error == net::error::eof)
+        return isCaller ? TunnelEnd::CallerClosed : TunnelEnd::TargetClosed;
+    if (error == net::error::timed_out || error == net::error::host_unreachable)
+        return isCaller ? TunnelEnd::CallerUnreachable : TunnelEnd::TargetUnreachable;
+    return isCaller ? TunnelEnd::CallerReset : TunnelEnd::TargetReset;
+}
+
+} // namespace
+
 std::shared_ptr<TunnelLink> TunnelLink::start(
-    net::ip::tcp::socket caller, net::ip::tcp::socket target, std::string earlyBytes, std::function<void()> onEnd)
+    net::ip::tcp::socket caller, net::ip::tcp::socket target, std::string earlyBytes, EndCallback onEnd)
 {
     std::shared_ptr<TunnelLink> link(
         new TunnelLink(std::move(caller), std::move(target), std::move(earlyBytes), std::move(onEnd)));
@@ -22,11 +40,12 @@
 }
 
 TunnelLink::TunnelLink(
-    net::ip::tcp::socket caller, net::ip::tcp::socket target, std::string earlyBytes, std::function<void()> onEnd)
+    net::ip::tcp::socket caller, net::ip::tcp::socket target, std::string earlyBytes, EndCallback onEnd)
     : m_fromCaller(std::move(caller))
     , m_fromTarget(std::move(target))
     , m_onEnd(std::move(onEnd))
-    , m_lastUsedAt(std::chrono::steady_clock::now())
+    , m_startedAt(std::chrono::steady_clock::now())
+    , m_lastUsedAt(m_startedAt)
 {
     m_fromCaller.early = std::move(earlyBytes);
     for (auto* const direction : { &m_fromCaller, &m_fromTarget }) {
@@ -34,6 +53,7 @@
         direction->source.set_option(net::ip::tcp::no_delay(true), ignored);
         applyLiveness(direction->source, {});
     }
+    limitUnacknowledgedTime(m_fromCaller.source, mostTimeUnacknowledged);
 }
 
 void TunnelLink::read(Direction& from, Direction& to)
@@ -69,7 +89,7 @@
     const auto onEnd = std::exchange(m_onEnd, nullptr);
     close();
     if (onEnd)
-        onEnd();
+        onEnd(endOf(&other == &m_fromTarget, error));
 }
 
 void TunnelLink::close()
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -22,6 +22,7 @@
 #include "relay/RelayHandler.h"
 #include "relay/RelayMetrics.h"
 #include "relay/ShareExchange.h"
+#include "relay/StateQueryProbe.h"
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -111,6 +112,8 @@
     void awaitSignal();
     void awaitStop();
     void runHousekeeping();
+    // Notices when the event loop has stood still.
+    void runStallTimer();
 
     RelaySettings m_settings;
     const MonotonicClock m_clock;
@@ -123,6 +126,7 @@
     CrashGuard m_crashGuard;
     LocalPermits m_localPermits;
     RelayContext m_context;
+    StateQueryProbe m_endpointProbe;
     ShareExchange m_shareExchange;
     RelayHandler m_handler;
     HttpServer m_callerServer;
@@ -131,6 +135,7 @@
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_stopTimer;
     boost::asio::steady_timer m_housekeepingTimer;
+    boost::asio::steady_timer m_stallTimer;
     std::function<void()> m_onReload;
     std::function<void()> m_onStopping;
     std::optional<Milliseconds> m_stopRequestedAt;
--- a/src/relay/RelayEndpoint.cpp
+++ b/src/relay/RelayEndpoint.cpp
@@ -31,6 +31,7 @@
     , m_connectionSettings(settings)
     , m_connector(connector)
     , m_lastAliveAt(now)
+    , m_lastConfirmedAt(now)
 {
 }
 
@@ -84,6 +85,7 @@
     if (m_entry.isDraining)
         m_signals.noteShuttingDown();
     m_isRemoved = false;
+    m_isReplaced = false;
     if (m_entry.isDraining)
         m_shuttingDownSince = m_shuttingDownSince.value_or(now);
     else
@@ -230,8 +232,23 @@
 
 void RelayEndpoint::noteAlive(Milliseconds now)
 {
+    if (m_isReplaced)
+        return;
     m_lastAliveAt = now;
     m_avoidUntil = std::min(m_avoidUntil, now);
 }
 
+void RelayEndpoint::confirmAlive(Milliseconds now)
+{
+    noteAlive(now);
+    m_lastConfirmedAt = now;
+    if (m_onConfirmed && (*m_onConfirmed)(now))
+        m_onConfirmed.reset();
+}
+
+void RelayEndpoint::awaitConfirmation(std::function<bool(Milliseconds)> callback)
+{
+    m_onConfirmed = std::make_unique<std::function<bool(Milliseconds)>>(std::move(callback));
+}
+
 } // namespace lupinknot::internal
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -40,8 +40,12 @@
                       .Register(*m_registry))
     , m_zoneFailures(prometheus::BuildCounter()
                          .Name("lupinknot_relay_zone_failures_total")
-                         .Help("Failures of whole zones, by who detected them.")
+                         .Help("Failures of whole zones, by who detected them and from what.")
                          .Register(*m_registry))
+    , m_zoneRetractions(prometheus::BuildCounter()
+                            .Name("lupinknot_relay_zone_failures_retracted_total")
+                            .Help("Failures of whole zones that turned out to be none, by who detected them and why.")
+                            .Register(*m_registry))
     , m_streams(prometheus::BuildCounter()
                     .Name("lupinknot_relay_streams_total")
                     .Help("Streams ended, by rank and outcome.")
@@ -58,10 +62,16 @@
                          .Name("lupinknot_relay_crash_records_total")
                          .Help("Records of endpoints that crashed under a request, by source.")
                          .Register(*m_registry))
+    , m_lossEvidence(prometheus::BuildCounter()
+                         .Name("lupinknot_relay_judged_losses_total")
+                         .Help("Endpoint losses that were evaluated, by what is known about the endpoint.")
+                         .Register(*m_registry))
     , resumedFromCopy(addCounter(
           *m_registry, "lupinknot_relay_resumed_from_copy_total", "Streams that went on from a copy of their memory."))
     , resumedCold(addCounter(
           *m_registry, "lupinknot_relay_resumed_cold_total", "Streams that went on by reading the prompt again."))
+    , silencesEnded(addCounter(*m_registry, "lupinknot_relay_silences_ended_total",
+          "Runs that were silent for too long and went on by themselves."))
     , copiesRenewed(addCounter(*m_registry, "lupinknot_relay_copies_renewed_total",
           "New copies made of the KV caches of running streams whose copy was lost."))
     , copiesLost(addCounter(
@@ -103,6 +113,7 @@
           "Requests that this VM began to hold back, because endpoints crashed under them."))
     , quarantineTrials(addCounter(*m_registry, "lupinknot_relay_quarantine_trials_total",
           "Attempts that were admitted to try a request again after a hold."))
+    , stalls(addCounter(*m_registry, "lupinknot_relay_stalls_total", "Times at which the event loop stood still."))
 {
 }
 
@@ -118,9 +129,20 @@
     m_failures.Add({ { "failure", std::string(traitsOf(kind).name) } }).Increment();
 }
 
-void RelayMetrics::countZoneFailure(ZoneFailureSource source)
+void RelayMetrics::countZoneFailure(ZoneFailureSource source, FailureEvidence evidence)
 {
-    m_zoneFailures.Add({ { "source", std::string(nameIn(zoneFailureSourceNames, source)) } }).Increment();
+    m_zoneFailures
+        .Add({ { "source", std::string(nameIn(zoneFailureSourceNames, source)) },
+            { "evidence", std::string(nameIn(failureEvidenceNames, evidence)) } })
+        .Increment();
+}
+
+void RelayMetrics::countZoneRetraction(ZoneFailureSource source, RetractionReason reason)
+{
+    m_zoneRetractions
+        .Add({ { "source", std::string(nameIn(zoneFailureSourceNames, source)) },
+            { "reason", std::string(nameIn(retractionReasonNames, reason)) } })
+        .Increment();
 }
 
 void RelayMetrics::countEndpointConnection(bool isThroughVm, HopResult result)
@@ -146,6 +168,11 @@
     m_crashRecords.Add({ { "source", std::string(nameIn(crashRecordSourceNames, source)) } }).Increment();
 }
 
+void RelayMetrics::countLossEvidence(LossEvidence evidence)
+{
+    m_lossEvidence.Add({ { "evidence", std::string(nameIn(lossEvidenceNames, evidence)) } }).Increment();
+}
+
 std::string RelayMetrics::exposition() const
 {
     std::ostringstream text;
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -1,12 +1,15 @@
 // The relay's metrics, by prometheus-cpp. Label values come from fixed tables, never from callers.
 #pragma once
 
+#include "health/FailureEvidence.h"
+#include "health/RetractionReason.h"
 #include "health/ZoneFailureSource.h"
 #include "http/ConnectionPath.h"
 #include "lupinknot/Clock.h"
 #include "lupinknot/EnumNames.h"
 #include "lupinknot/FailureKind.h"
 #include "quarantine/CrashRecordSource.h"
+#include "quarantine/LossEvidence.h"
 #include "relay/RequestKind.h"
 #include <array>
 #include <memory>
@@ -57,7 +60,8 @@
 
     void countRequest(RequestKind, unsigned status, Milliseconds took);
     void countFailure(FailureKind);
-    void countZoneFailure(ZoneFailureSource);
+    void countZoneFailure(ZoneFailureSource, FailureEvidence);
+    void countZoneRetraction(ZoneFailureSource, RetractionReason);
     // Counts an attempt to connect to an endpoint, directly or through another VM.
     void countEndpointConnection(bool isThroughVm, HopResult);
     // Counts a stream by its rank, empty when the configuration names none, and by how it ended.
@@ -65,6 +69,7 @@
     void countContinuation(ContinuedAt);
     // Counts a record of a crashed endpoint that is new to this VM.
     void countCrashRecord(CrashRecordSource);
+    void countLossEvidence(LossEvidence);
     std::string exposition() const;
 
 private:
@@ -73,15 +78,19 @@
     prometheus::Family<prometheus::Counter>& m_failures;
     prometheus::Family<prometheus::Histogram>& m_durations;
     prometheus::Family<prometheus::Counter>& m_zoneFailures;
+    prometheus::Family<prometheus::Counter>& m_zoneRetractions;
     prometheus::Family<prometheus::Counter>& m_streams;
     prometheus::Family<prometheus::Counter>& m_endpointConnections;
     prometheus::Family<prometheus::Counter>& m_continuations;
     prometheus::Family<prometheus::Counter>& m_crashRecords;
+    prometheus::Family<prometheus::Counter>& m_lossEvidence;
 
 public:
     // Streams that resumed at another engine from a copy of their KV cache, or by a new prefill of the prompt.
     prometheus::Counter& resumedFromCopy;
     prometheus::Counter& resumedCold;
+    // Silences of runs that ended with an event of the same run.
+    prometheus::Counter& silencesEnded;
     // New copies of the KV caches of running streams, and copies that were lost while their stream ran.
     prometheus::Counter& copiesRenewed;
     prometheus::Counter& copiesLost;
@@ -111,6 +120,8 @@
     // Requests that this VM began to hold back, and attempts that it admitted to try one again.
     prometheus::Counter& quarantineHolds;
     prometheus::Counter& quarantineTrials;
+    // Times at which this VM's event loop stood still.
+    prometheus::Counter& stalls;
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -87,6 +87,11 @@
     Milliseconds probeTimeout { 70 };
     // Interval between probes while a stream stays silent and its engine is alive.
     Milliseconds probeInterval { 150 };
+    // Longest interval between two searches for an engine that can take the place of a silent one. The first one is
+    // probeInterval.
+    Milliseconds maxSilenceReportInterval { 600 };
+    // Number of engines, beside the holder of the run's copy, that such a search probes.
+    std::size_t substituteCandidates { 2 };
     // Silence after which a stream moves although its engine is alive, as a share of the route's longest pause.
     double moveAfterPauseShare { 0.75 };
     // How much longer than the usual prefill time of its prompt a stream waits for its first event before its engine is
@@ -95,8 +100,8 @@
     // Timeout for an engine to copy the KV cache of a run to another engine. Copying 1.6 GB takes 50 ms within a zone
     // and 100 ms between zones, queued behind other copies.
     Milliseconds relocationCopyTimeout { 1500 };
-    // The same for the remainder that is copied once the run has stopped, while the caller waits. A run that starts
-    // over instead would pause the stream for more than a second.
+    // The same for the remainder that is copied once the run has stopped, from the end of its stream on, while the
+    // caller waits. A run that starts over instead would pause the stream for more than a second.
     Milliseconds relocationStopTimeout { 900 };
     // Moves for the same reason are spread over this time.
     Milliseconds relocationSpread { 600 };
--- a/test/EventStreamCallTest.cpp
+++ b/test/EventStreamCallTest.cpp
@@ -14,6 +14,9 @@
 TEST_GROUP(EventStreamCall)
 {
     std::unique_ptr<RelayHarness> relay;
+    // The last run at the engines of addMovableEngines(), and their number of runs.
+    std::shared_ptr<ScriptedConnection> lastRun;
+    int runCount { 0 };
 
     void setup() override
     {
@@ -21,7 +24,11 @@
         relay->addRoute("stream", RequestKind::EventStream, 5);
     }
 
-    void teardown() override { relay.reset(); }
+    void teardown() override
+    {
+        lastRun.reset();
+        relay.reset();
+    }
 
     void ready()
     {
@@ -63,6 +70,47 @@
         };
     }
 
+    // Adds two engines, of which the first to get the run sends event 1 and the second event 2. The callback handles
+    // the requests to copy the run, and to stop it and copy the remainder.
+    using OnMove = std::function<void(ScriptedEndpoint&, ScriptedConnection&, bool isStop)>;
+    void addMovableEngines(const OnMove& onMove)
+    {
+        relay->settings.minTimeLeftForRelocation = Milliseconds { 0 };
+        relay->settings.probeAfterSilenceWhenSuspected = Milliseconds { 5 };
+        relay->settings.retrySlackShare = 1;
+        relay->settings.relocationSpread = Milliseconds { 1 };
+        relay->settings.relocateAfter = Milliseconds { 1 };
+        relay->settings.relocationStopTimeout = Milliseconds { 10 };
+        relay->settings.moveAfterPauseShare = 1000;
+        for (const auto* const id : { "e1", "e2" }) {
+            auto& engine = relay->addEndpoint(id, "a");
+            engine.onRequest([this, &engine, onMove](ScriptedConnection& asker, const std::string& request) {
+                if (request.find("/stream/") != std::string::npos)
+                    beginRun(asker);
+                else if (request.find("/api/kv-move") != std::string::npos)
+                    onMove(engine, asker, request.find("\"last\"") != std::string::npos);
+                else
+                    asker.answer(200, "", "{}");
+            });
+        }
+        ready();
+    }
+
+    void beginRun(ScriptedConnection & asker)
+    {
+        lastRun = asker.shared_from_this();
+        lastRun->beginStream(signedHead);
+        lastRun->sendEvent(++runCount);
+        if (runCount > 1)
+            lastRun->endStream();
+    }
+
+    void wait(Milliseconds time)
+    {
+        const auto& clock = relay->daemon().clock();
+        relay->runUntil([&clock, end = clock.now() + time] { return clock.now() >= end; });
+    }
+
     // An engine that sends an event every 4 ms, and ends or loses the run after 24 events.
     void addPacedEngine(bool losesRun)
     {
@@ -303,6 +351,62 @@
     CHECK(second.hasReceived(0, "/h7\r\n") || third.hasReceived(0, "/h7\r\n"));
 }
 
+// Guards against ending a run that was not stopped because its engine is slow to answer the request to stop it.
+TEST(EventStreamCall, ARunContinuesWhileTheRequestToStopItIsUnanswered)
+{
+    std::shared_ptr<ScriptedConnection> mover;
+    addMovableEngines([&](ScriptedEndpoint&, ScriptedConnection& asker, bool isStop) {
+        if (isStop)
+            mover = asker.shared_from_this();
+        else
+            asker.answer(200, "", R"({"handle":"h7"})");
+    });
+    const auto caller = relay->call("/stream/1");
+    CHECK(relay->runUntil([&] { return mover != nullptr; }));
+    wait(Milliseconds { 50 });
+    lastRun->sendEvent(2);
+    lastRun->endStream();
+    await(caller);
+    STRCMP_EQUAL(events(1, 2).c_str(), caller->body.c_str());
+    LONGS_EQUAL_TEXT(1, runCount, "the run must not be repeated");
+    mover.reset();
+}
+
+// Guards against ending a run that was not stopped because its engine accepts no connection for the request to stop it.
+TEST(EventStreamCall, ARunContinuesWhenTheRequestToStopItCannotBeSent)
+{
+    relay->settings.probeAfterSilence = Milliseconds { 60000 };
+    bool isCopied = false;
+    addMovableEngines([&](ScriptedEndpoint& engine, ScriptedConnection& asker, bool) {
+        engine.refuseConnections();
+        asker.answer(200, "", R"({"handle":"h7"})");
+        isCopied = true;
+    });
+    const auto caller = relay->call("/stream/1");
+    CHECK(relay->runUntil([&] { return isCopied; }));
+    wait(Milliseconds { 50 });
+    lastRun->sendEvent(2);
+    lastRun->endStream();
+    await(caller);
+    STRCMP_EQUAL(events(1, 2).c_str(), caller->body.c_str());
+    LONGS_EQUAL_TEXT(1, runCount, "the run must not be repeated");
+}
+
+// Guards against a stream that waits until its deadline for the answer to a request that stopped its run.
+TEST(EventStreamCall, AStoppedRunRestartsWhenTheRequestToStopItStaysUnanswered)
+{
+    addMovableEngines([&](ScriptedEndpoint&, ScriptedConnection& asker, bool isStop) {
+        if (isStop)
+            lastRun->close();
+        else
+            asker.answer(200, "", R"({"handle":"h7"})");
+    });
+    const auto caller = relay->call("/stream/1");
+    await(caller);
+    STRCMP_EQUAL(events(1, 2).c_str(), caller->body.c_str());
+    LONGS_EQUAL(2, runCount);
+}
+
 // A response without a length ends when its connection closes, and a run that is stopped to be moved closes it too.
 TEST(EventStreamCall, DoesNotTakeTheCloseOfAStoppedRunForTheEndOfTheAnswer)
 {
@@ -564,7 +668,7 @@
 {
     std::vector<std::string> reported;
     relay->daemon().directory().onEndpointFailure(
-        [&reported](const RelayEndpoint& endpoint) { reported.push_back(endpoint.entry().id); });
+        [&reported](const RelayEndpoint& endpoint, FailureEvidence) { reported.push_back(endpoint.entry().id); });
     relay->addEndpoint("e1", "a").onRequest(sendsAndResets(2));
     relay->addEndpoint("e2", "b").onRequest(sends(9, 9, "X-Request-Id: r1\r\nX-Response-Signature: t\r\n"));
     relay->addEndpoint("e3", "c").onRequest([](ScriptedConnection& asker, const std::string& request) {
@@ -576,7 +680,7 @@
         asker.sendEvent(3);
     });
     ready();
-    const auto caller = relay->call("/stream/1");
+    const auto caller = relay->call("/stream/1", { { "X-Deadline-Ms", "1500" } });
     await(caller);
     CHECK(relay->runUntil([&] { return !reported.empty(); }));
     LONGS_EQUAL_TEXT(1, reported.size(), "only the connection of e1 broke");
@@ -606,7 +710,7 @@
     relay->settings.policies.switchOff(Policy::LivenessQuestions);
     std::vector<std::string> reported;
     relay->daemon().directory().onEndpointFailure(
-        [&reported](const RelayEndpoint& endpoint) { reported.push_back(endpoint.entry().id); });
+        [&reported](const RelayEndpoint& endpoint, FailureEvidence) { reported.push_back(endpoint.entry().id); });
     relay->addEndpoint("e1", "a").onRequest([](ScriptedConnection& asker, const std::string&) {
         asker.beginStream(signedHead);
         asker.sendEvent(1);
@@ -636,7 +740,7 @@
     relay->addEndpoint("e2", "b").onRequest(sends(2, 2));
     ready();
     relay->daemon().directory().onEndpointFailure(
-        [&reported](const RelayEndpoint& endpoint) { reported.push_back(endpoint.entry().id); });
+        [&reported](const RelayEndpoint& endpoint, FailureEvidence) { reported.push_back(endpoint.entry().id); });
     const auto caller = relay->call("/stream/1");
     await(caller);
     STRCMP_EQUAL(events(1, 2).c_str(), caller->body.c_str());
