--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -137,6 +137,10 @@
         request.excluded = { silent };
         request.mustBeHealthy = false;
         engines = m_context.placement.candidates(request, count, now);
+        // An engine that is avoided although it has just answered has rejected a request.
+        std::erase_if(engines, [&](const auto& engine) {
+            return engine->isAvoided(now) && now - engine->lastAliveAt() <= m_context.settings.avoidAfterRejection;
+        });
     }
     return engines;
 }
