Do not offer a copy again that a substitute has used or its holder rejected

Found by review: the copies of a silent run were listed anew for each search, so that a copy whose holder had rejected it was tried again until the retries were spent, and neither another copy nor a new prefill was tried.

Four smaller faults of the same review in the same functions, without tests of their own: a search that outlived the move of its run; a run kept as silent although its engine had ended it to move it; a held request whose substitute went on; a silent run that ended within an event or at another incarnation, which cancelled its substitute or blamed the request.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -230,12 +230,12 @@
 // A run that produces events does not crash its engine, whatever happened to other runs of the request.
 void EventStreamCall::requestBecameHeld()
 {
-    const auto& run = m_silentRun ? m_silentRun : m_run;
-    if (run && run->hasEvent)
-        return;
-    if (m_silentRun)
+    if (m_silentRun) {
         cancelSubstitute();
-    giveUpAsHeld();
+        returnToSilentRun();
+    }
+    if (!m_run || !m_run->hasEvent)
+        giveUpAsHeld();
 }
 
 void EventStreamCall::startRun()
@@ -538,8 +538,9 @@
     if (!run || m_isFinished)
         return;
     if (run == m_silentRun) {
-        if (!run->isStream) {
-            silentRunFailed(FailureKind::ErrorStatus);
+        const bool isComplete = run->isStream && run->splitter.incompleteBytes().empty() && m_answer->length() > 0;
+        if (!isComplete) {
+            silentRunFailed(run->isStream ? FailureKind::EarlyEnd : FailureKind::ErrorStatus);
             return;
         }
         resumeSilentRun();
@@ -588,6 +589,8 @@
     m_liveSearch.reset();
     run->reading.reset();
     logRunRejected(m_request, *run);
+    if (m_silentRun)
+        noteCopyUsed(*run);
     ++m_rejectedRuns;
     if (run->isFromCopy)
         logNotContinued(m_request, continuation::copyRejected, false, false);
@@ -668,7 +671,10 @@
         m_loan = run->loan;
     }
     noteEngineFailure(*run, kind, now);
-    if (!m_silentRun) {
+    if (m_silentRun) {
+        if (run->call->hasSent())
+            noteCopyUsed(*run);
+    } else {
         // A run's KV cache is copied from its first event on. When a run that continued from a copy is lost before
         // that, the other copies of the run before it remain.
         auto copies = m_copier->runLost(*run);
@@ -685,10 +691,12 @@
 {
     const auto run = m_silentRun;
     const auto now = m_context.now();
-    if (run->fields.isNotRun)
+    if (run->fields.isNotRun || run->fields.isOtherIncarnation)
         --m_possibleRuns;
     else
         noteEngineFailure(*run, kind, now);
+    if (run->fields.isOtherIncarnation)
+        m_context.directory.remove(run->endpoint->entry().id, now);
     releaseSilentRun(kind);
     // Without a run in its place, the next one is being prepared or searched.
     if (!m_run && !m_permit && !m_loanRequest)
@@ -727,10 +735,10 @@
     m_liveSearch = LiveEngineSearch::start(
         m_context, engines, [weak = weak_from_this(), engines, copy, mayBeAwake](std::optional<std::size_t> found) {
             const auto self = weak.lock();
-            if (!self || self->m_isFinished || !self->m_run)
+            if (!self || self->m_isFinished)
                 return;
             self->m_liveSearch.reset();
-            if (!found)
+            if (!found || !self->m_run)
                 return;
             const auto& engine = engines[*found];
             if (mayBeAwake && *found == 0) {
@@ -745,6 +753,11 @@
 
 void EventStreamCall::startSubstitute(const std::shared_ptr<RelayEndpoint>& engine, std::optional<RunMemorySource> copy)
 {
+    // The engine has stopped the run to move it.
+    if (m_run->call->isOver()) {
+        runFailed(FailureKind::ConnectionLost);
+        return;
+    }
     m_livenessMonitor->stop();
     m_mover->cancel();
     if (m_silentRun)
@@ -783,9 +796,14 @@
             m_context.retryBudget(m_request.service).giveBack();
         return;
     }
+    noteCopyUsed(*run);
+}
+
+void EventStreamCall::noteCopyUsed(const StreamRun& substitute)
+{
     // An engine gives out a copy only once.
-    m_copier->noteUsed(run->copyName);
-    if (run->isFromCopy && run->copyName == m_request.fields.requestId)
+    m_copier->noteUsed(substitute.copyName);
+    if (substitute.isFromCopy && substitute.copyName == m_request.fields.requestId)
         m_silentRun->copyHolder.reset();
 }
 
@@ -857,6 +875,7 @@
         runFailed(FailureKind::ConnectionLost);
         return;
     }
+    m_liveSearch.reset();
     m_run->call->cancel();
     m_timing.recordEnginePace(*m_run, m_context.now());
     m_copier->end();
--- a/test/SilentEndpointTest.cpp
+++ b/test/SilentEndpointTest.cpp
@@ -182,3 +182,26 @@
     wait(Milliseconds { 300 });
     finishAtSilent();
 }
+
+// Guards against a copy that is tried again and again after its holder has rejected the run.
+TEST(SilentStream, RetriesTheCopyThatItsHolderHasRejected)
+{
+    relay->addRoute("stream", RequestKind::EventStream, 4);
+    open(true);
+    int fromCopy = 0;
+    other->onRequest([&](ScriptedConnection& connection, const std::string& request) {
+        if (!isStream(request)) {
+            connection.answer(200, "", "{}");
+        } else if (request.find("Kv-From") != std::string::npos) {
+            ++fromCopy;
+            connection.answer(503, "X-Request-Id: r1\r\nX-Not-Executed: 1\r\n", "");
+        } else {
+            connection.beginStream(signedHead);
+            connection.sendEvent(2);
+            connection.endStream();
+        }
+    });
+    CHECK(relay->runUntil([&] { return caller->isWhole || caller->isBroken; }));
+    CHECK(caller->isWhole);
+    LONGS_EQUAL(1, fromCopy);
+}
