--- a/src/health/ZoneFailureDetector.cpp
+++ b/src/health/ZoneFailureDetector.cpp
@@ -144,6 +144,7 @@
     if (together.size() < threshold(listed) || isDeclared(failure.service, failure.zone, now))
         return std::nullopt;
     std::vector<FailureEvidence> shown;
+    shown.reserve(together.size());
     for (const auto& each : together)
         shown.push_back(each.evidence);
     const auto evidence = commonEvidence(std::move(shown), threshold(listed));
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -476,6 +476,7 @@
         failures.push_back({ entry.id, entry.service, now, evidence });
     if (failures.size() >= m_settings.zoneFailureCount) {
         std::vector<FailureEvidence> shown;
+        shown.reserve(failures.size());
         for (const auto& failure : failures)
             shown.push_back(failure.evidence);
         const auto common = commonEvidence(std::move(shown), m_settings.zoneFailureCount);
--- a/test/ZoneFailureDetectorTest.cpp
+++ b/test/ZoneFailureDetectorTest.cpp
@@ -90,8 +90,10 @@
     for (int number = 0; number < 200; ++number) {
         const Milliseconds begin { 10000 * (number + 1) };
         const bool isPause = number % 2 == 0;
+        constexpr int reportCount = 60;
         std::vector<std::pair<Milliseconds, std::string>> reports;
-        for (int i = 0; i < 60; ++i)
+        reports.reserve(reportCount + 1);
+        for (int i = 0; i < reportCount; ++i)
             reports.push_back({ begin + Milliseconds { uniform(160, 410) },
                 std::string(1, isPause ? "abcd"[uniform(0, 3)] : 'a') + std::to_string(uniform(0, 9)) });
         reports.push_back({ begin + Milliseconds { 200 }, "b1" });
