--- a/src/relay/RunLivenessMonitor.cpp
+++ b/src/relay/RunLivenessMonitor.cpp
@@ -42,7 +42,7 @@
     m_probe.reset();
     m_run = std::move(run);
     m_nextProbeAt = m_context.now();
-    // A run that is silent already has been searched a substitute for without success.
+    // For a run that is still silent, a search for a substitute has just failed.
     m_reportInterval = m_run->silence ? m_context.settings.maxSilenceReportInterval : m_context.settings.probeInterval;
     m_nextReportAt = m_context.now() + m_reportInterval;
     m_hasProbeFailed = false;
