--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -663,10 +663,7 @@
     if (run->call->hasSent()) {
         m_versions.noteAnswer(*run->endpoint, AnswerQuality::Bad);
     } else {
-        --m_possibleRuns;
-        --m_possibleDeliveries;
-        if (run->tookRetry)
-            m_context.retryBudget(m_request.service).giveBack();
+        takeBackUnsent(*run);
         // It reached no engine, so it may still be used.
         m_loan = run->loan;
     }
@@ -790,15 +787,20 @@
     run->reading.reset();
     run->call->cancel();
     if (!run->call->hasSent()) {
-        --m_possibleRuns;
-        --m_possibleDeliveries;
-        if (run->tookRetry)
-            m_context.retryBudget(m_request.service).giveBack();
+        takeBackUnsent(*run);
         return;
     }
     noteCopyUsed(*run);
 }
 
+void EventStreamCall::takeBackUnsent(const StreamRun& run)
+{
+    --m_possibleRuns;
+    --m_possibleDeliveries;
+    if (run.tookRetry)
+        m_context.retryBudget(m_request.service).giveBack();
+}
+
 void EventStreamCall::noteCopyUsed(const StreamRun& substitute)
 {
     // An engine gives out a copy only once.
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -97,6 +97,8 @@
     void startSubstitute(const std::shared_ptr<RelayEndpoint>&, std::optional<RunMemorySource>);
     // Ends the current run, which has taken the place of the silent one without producing an event.
     void cancelSubstitute();
+    // The run has reached no engine: it counts neither as an attempt nor as a retry.
+    void takeBackUnsent(const StreamRun&);
     // The copy of the silent run from which the substitute was to continue cannot be used again.
     void noteCopyUsed(const StreamRun& substitute);
     // The kept run is the current one again, still silent.
