review: case 3, a resumed stream goes to the service that its route has left

The operator moves a route to another service; more than config-apply-ms later the entry VM of a running stream is killed. Its caller resumes at another VM, which sends the request to a runner of the old service.

Before that, one run of case 3 could not start (exit code 2): a port had been given out twice.

--- a/review/common/Standin.hpp
+++ b/review/common/Standin.hpp
@@ -251,8 +251,7 @@
 inline std::string ownHost(int number)
 {
     const auto id = static_cast<int>(::getpid());
-    return "127." + std::to_string(2 + id / 62500 % 250) + "." + std::to_string(id / 250 % 250) + "."
-        + std::to_string(1 + (id * 8 + number) % 250);
+    return "127." + std::to_string(2 + id / 250 % 250) + "." + std::to_string(id % 250) + "." + std::to_string(number);
 }
 
 struct Address {
@@ -286,12 +285,20 @@
     return fd;
 }
 
-inline int freePort(const std::string& host)
+// The first port from the given one on that is free on all hosts. Below the ports that the kernel gives to clients.
+inline int freePort(const std::vector<std::string>& hosts, int from)
 {
-    Address address { host, 0 };
-    const int fd = listenOn(address);
-    ::close(fd);
-    return address.port;
+    for (int port = from;; ++port) {
+        const bool isFree = std::all_of(hosts.begin(), hosts.end(), [port](const std::string& host) {
+            Address address { host, port };
+            const int fd = listenOn(address);
+            if (fd >= 0)
+                ::close(fd);
+            return fd >= 0;
+        });
+        if (isFree || port > from + 500)
+            return port;
+    }
 }
 
 inline std::shared_ptr<Connection> connectTo(const Address& address, std::int64_t timeoutMs = 0)
@@ -637,13 +644,13 @@
         : name(vmName)
         , host(vmHost)
         , zone(vmZone)
-        , front { vmHost, freePort(vmHost) }
-        , ready { vmHost, freePort(vmHost) }
+        , front { vmHost, freePort({ vmHost }, 8740) }
+        , ready { vmHost, freePort({ vmHost }, 18749) }
         , bootPath(folder() + "/" + vmName + ".toml")
         , logPath(folder() + "/" + vmName + ".log")
-        , metricsPort(freePort(vmHost))
+        , metricsPort(freePort({ vmHost }, 9464))
     {
-        const int internal = internalPort ? internalPort : freePort(vmHost);
+        const int internal = internalPort ? internalPort : freePort({ vmHost }, 7200);
         std::string seeds;
         for (const auto& seed : seedHosts)
             seeds += (seeds.empty() ? "\"" : ",\"") + seed + ":8748\"";
