--- a/review/common/Engine.hpp
+++ b/review/common/Engine.hpp
@@ -84,8 +84,8 @@
     std::string report() const
     {
         const json body { { "stage", "hybrid" }, { "models", json::array({ { { "name", "m" }, { "version", 1 } } }) },
-            { "busy", false }, { "sequence", 2 }, { "waiting", 0 }, { "running", m_running.load() }, { "kv-used", 5000 },
-            { "kv-total", 55000 }, { "handles", 0 }, { "runs", json::array() } };
+            { "busy", false }, { "sequence", 2 }, { "waiting", 0 }, { "running", m_running.load() },
+            { "kv-used", 5000 }, { "kv-total", 55000 }, { "handles", 0 }, { "runs", json::array() } };
         return response(200, { { "Content-Type", "application/json" } }, body.dump());
     }
 
@@ -111,9 +111,9 @@
             const std::lock_guard lock(m_world.mutex);
             m_world.runs.push_back({ id, m_id, request.body, continuedFrom, memory.prompt });
         }
-        record(m_id + " runs " + id + " (prompt \"" + request.body + "\") after event "
-            + std::to_string(memory.events)
-            + (from.empty() ? std::string() : ", from the memory of " + continuedFrom + " (\"" + memory.prompt + "\")"));
+        record(m_id + " runs " + id + " (prompt \"" + request.body + "\") after event " + std::to_string(memory.events)
+            + (from.empty() ? std::string()
+                            : ", from the memory of " + continuedFrom + " (\"" + memory.prompt + "\")"));
         ++m_running;
         const bool isWhole = send(connection, request, memory, from.empty() ? prefillMs : eventMs);
         --m_running;
--- a/review/common/Standin.hpp
+++ b/review/common/Standin.hpp
@@ -1,5 +1,6 @@
 // Stand-ins for the cases in this folder: HTTP/1.1 over blocking sockets, the platform's store, child processes and the
-// record of a run. They follow PROTOCOL.md and DEPLOY.md. Each connection has its own thread; a case ends with its process.
+// record of a run. They follow PROTOCOL.md and DEPLOY.md. Each connection has its own thread; a case ends with its
+// process.
 #pragma once
 
 #include <algorithm>
@@ -335,8 +336,9 @@
                 const int client = ::accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
                 if (client < 0)
                     return;
-                std::thread([connection = std::make_shared<Connection>(client), handler] { handler(connection); })
-                    .detach();
+                std::thread([connection = std::make_shared<Connection>(client), handler] {
+                    handler(connection);
+                }).detach();
             }
         }).detach();
     }
@@ -477,8 +479,8 @@
 
     json get(std::map<std::string, std::string>& query)
     {
-        const std::size_t limit
-            = std::min<std::size_t>(query.count("limit") ? std::strtoul(query["limit"].c_str(), nullptr, 10) : 500, 500);
+        const std::size_t limit = std::min<std::size_t>(
+            query.count("limit") ? std::strtoul(query["limit"].c_str(), nullptr, 10) : 500, 500);
         auto rows = json::array();
         bool hasMore = false;
         const Key from { query["table"], query["part"], query["from"] };
@@ -558,8 +560,8 @@
     Child(const Child&) = delete;
     Child& operator=(const Child&) = delete;
 
-    bool start(const std::vector<std::string>& words, const std::vector<std::string>& environment,
-        const std::string& logPath)
+    bool start(
+        const std::vector<std::string>& words, const std::vector<std::string>& environment, const std::string& logPath)
     {
         std::vector<char*> arguments;
         for (const auto& word : words)
@@ -655,23 +657,28 @@
         for (const auto& seed : seedHosts)
             seeds += (seeds.empty() ? "\"" : ",\"") + seed + ":8748\"";
         std::ofstream(bootPath)
-            << "node-name = \"" << name << "\"\nrole = \"entry\"\nmachine-class = \"edge\"\nserves = [\"edge\"]\nip = \""
-            << host << "\"\nzone = \"" << zone << "\"\nregion = \"northvale\"\ninternal-ports = [" << internal << ","
-            << internal << "]\nseeds = [" << seeds
-            << "]\nbootstrap = true\nloss-counts = false\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeat-ms = 1200\n"
+            << "node-name = \"" << name
+            << "\"\nrole = \"entry\"\nmachine-class = \"edge\"\nserves = [\"edge\"]\nip = \"" << host << "\"\nzone = \""
+            << zone << "\"\nregion = \"northvale\"\ninternal-ports = [" << internal << "," << internal << "]\nseeds = ["
+            << seeds
+            << "]\nbootstrap = true\nloss-counts = false\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeat-ms = "
+               "1200\n"
             << "contracts = "
-               "[\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"platform\"]\n"
+               "[\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\","
+               "\"platform\"]\n"
             << "[zones]\nhall-a = \"northvale\"\nhall-b = \"northvale\"\nhall-c = \"northvale\"\n"
             << "[listen]\nfront = \"" << front.text() << "\"\nready = \"" << ready.text() << "\"\n"
             << "[limits]\ncpu-share = 0.25\ncores = 1\nmemory-mb = 260\nmax-fds = 4100\nlink-mbps = 1000.0\n"
             << "[fault-tolerance]\nmachines = 1\nzones = 1\nregions = 0\n"
             << "[bounds]\nseed-lag-s = 3\nreuse-after-s = 2\ncontact-ms = 3000\nack-ms = 4000\ncatch-up-s = 4\n"
                "drain-ms = 2000\ngrace-s = 8\nloss-slack-ms = 200\nconfig-apply-ms = 2000\ndowngrade-ms = 250\n"
-               "outer-ms = 5000\nfail-closed = false\nrevoke-ms = 5000\nretry-budget-ratio = 0.8\nbudget-window-s = 10\n"
+               "outer-ms = 5000\nfail-closed = false\nrevoke-ms = 5000\nretry-budget-ratio = 0.8\nbudget-window-s = "
+               "10\n"
                "budget-slack = 150\nrecovery-s = 12\npass-ms = 120\nagain-s = 7.1\n"
             << "[platform]\naddress = \"" << store.text()
             << "\"\nform = \"table\"\nwrites-per-s = 400\nreads-per-s = 2000\ntx-ms = 3.0\npart-writes-s = 300\n"
-               "row-bytes = 65536\nacross = true\nhistory-s = 20\nblob-bytes = 8388608\nblob-ms = 25.0\nblob-mb-s = 80.0\n"
+               "row-bytes = 65536\nacross = true\nhistory-s = 20\nblob-bytes = 8388608\nblob-ms = 25.0\nblob-mb-s = "
+               "80.0\n"
             << more;
     }
 
