review: case 3, a stream that another VM carries ends as complete when that VM is killed

review/common: runners that refuse new connections for a time, and streams without a length. The other cases don't use either.

--- a/review/common/Engine.hpp
+++ b/review/common/Engine.hpp
@@ -44,11 +44,13 @@
     static constexpr std::int64_t prefillMs = 300;
     static constexpr std::int64_t eventMs = 30;
 
-    Engine(const std::string& host, std::string id, std::string zone, EngineWorld& world)
+    // One stream of `unframedEvery` has no length and ends with its connection; 0: none.
+    Engine(const std::string& host, std::string id, std::string zone, EngineWorld& world, int unframedEvery = 0)
         : m_server(host)
         , m_id(std::move(id))
         , m_zone(std::move(zone))
         , m_world(world)
+        , m_unframedEvery(unframedEvery)
     {
         m_server.serve([this](const auto& connection) { serve(*connection); });
     }
@@ -56,6 +58,7 @@
     const std::string& id() const { return m_id; }
     const std::string& zone() const { return m_zone; }
     json entry(const std::string& service) const { return runnerEntry(service, address(), m_zone, slots); }
+    Server& server() { return m_server; }
 
 private:
     void serve(Connection& connection)
@@ -124,16 +127,22 @@
     {
         pause(untilFirst);
         const auto id = request.header("X-Request-Id");
+        const bool isFramed = m_unframedEvery == 0 || ++m_streams % m_unframedEvery != 0;
+        if (!isFramed)
+            record(m_id + " answers " + id + " without a length");
         if (!connection.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: " + id
-                + "\r\nX-Response-Signature: s-" + m_id + "-" + id + "\r\nTransfer-Encoding: chunked\r\n\r\n"))
+                + "\r\nX-Response-Signature: s-" + m_id + "-" + id
+                + (isFramed ? "\r\nTransfer-Encoding: chunked\r\n\r\n" : "\r\n\r\n")))
             return false;
         const auto holder = request.header("X-Kv-Backup");
         while (memory.events < events) {
             const auto text = eventText(memory.prompt, ++memory.events);
             char size[20];
             std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
-            if (!connection.send(size + text + "\r\n"))
+            if (!connection.send(isFramed ? size + text + "\r\n" : text)) {
+                record(m_id + " can't send event " + std::to_string(memory.events) + " of " + id);
                 return false;
+            }
             if (!holder.empty()) {
                 const std::lock_guard lock(m_world.mutex);
                 m_world.copies[{ holder, id }] = memory;
@@ -144,13 +153,15 @@
             const std::lock_guard lock(m_world.mutex);
             m_world.copies.erase({ holder, id });
         }
-        return connection.send("0\r\n\r\n");
+        return isFramed && connection.send("0\r\n\r\n");
     }
 
     Server m_server;
     const std::string m_id;
     const std::string m_zone;
     EngineWorld& m_world;
+    const int m_unframedEvery;
+    std::atomic<int> m_streams { 0 };
     std::atomic<int> m_running { 0 };
 };
 
--- a/review/common/Standin.hpp
+++ b/review/common/Standin.hpp
@@ -327,11 +327,40 @@
         , m_fd(listenOn(m_address))
     {
     }
+    ~Server()
+    {
+        if (m_acceptor.joinable())
+            m_acceptor.detach();
+    }
     bool isListening() const { return m_fd >= 0; }
     const Address& address() const { return m_address; }
     void serve(Handler handler)
     {
-        std::thread([fd = m_fd, handler = std::move(handler)] {
+        m_handler = std::move(handler);
+        accept();
+    }
+    // Refuses new connections, or accepts them again; open ones go on.
+    void setListening(bool isOn)
+    {
+        if (isOn == isListening())
+            return;
+        if (isOn) {
+            m_fd = listenOn(m_address);
+            accept();
+            return;
+        }
+        ::shutdown(m_fd, SHUT_RDWR);
+        m_acceptor.join();
+        ::close(m_fd);
+        m_fd = -1;
+    }
+
+private:
+    void accept()
+    {
+        if (m_acceptor.joinable())
+            m_acceptor.join();
+        m_acceptor = std::thread([fd = m_fd, handler = m_handler] {
             for (;;) {
                 const int client = ::accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
                 if (client < 0)
@@ -340,12 +369,13 @@
                     handler(connection);
                 }).detach();
             }
-        }).detach();
+        });
     }
 
-private:
     Address m_address;
     int m_fd;
+    Handler m_handler;
+    std::thread m_acceptor;
 };
 
 inline std::string encodeBase64(const std::string& bytes)
