Keep the ports of test fleets reserved until their VMs bind them

Cause: PartitionedFleet chose free ports, closed the sockets and bound the ports later, when another socket could have them.

Endpoints bind port 0 and their port is read back. An endpoint that does not start now fails the fleet instead of being ignored.

--- a/test/PartitionedFleet.cpp
+++ b/test/PartitionedFleet.cpp
@@ -4,7 +4,6 @@
 #include "lupinknot/MonotonicClock.h"
 
 #include <algorithm>
-#include <boost/asio/ip/tcp.hpp>
 #include <future>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -22,13 +21,6 @@
 constexpr Milliseconds feedsStartDelay { 1200 };
 constexpr const char* host = "127.0.0.1";
 
-unsigned short freePort()
-{
-    boost::asio::io_context ioContext;
-    const boost::asio::ip::tcp::acceptor acceptor(ioContext, { boost::asio::ip::make_address(host), 0 });
-    return acceptor.local_endpoint().port();
-}
-
 nlohmann::json routeOf(const std::string& path, const std::string& kind, const std::string& service, bool isResumable)
 {
     return { { "name", path }, { "host", "h" }, { "path-prefix", path }, { "kind", kind }, { "service", service },
@@ -57,7 +49,7 @@
 {
     m_vms.resize(vms);
     for (std::size_t i = 0; i < vms; ++i)
-        m_peerPorts.push_back(freePort());
+        m_peerPorts.emplace_back(m_ioContext);
 }
 
 PartitionedFleet::~PartitionedFleet()
@@ -84,21 +76,20 @@
     settings.relay.availabilityZone = "zone-" + std::to_string(index % m_zones);
     settings.addresses = { { host, 0 }, { host, 0 }, { host, 0 } };
     settings.store = { host, m_store.port() };
-    settings.peerAddress = { host, m_peerPorts[index] };
+    settings.peerAddress = { host, m_peerPorts[index].number() };
     settings.isFirstStart = !m_hasStarted;
     settings.relay.retrySlackShare = 0;
     settings.relay.retryWindow = m_retryWindow.value_or(settings.relay.retryWindow);
     return settings;
 }
 
-void PartitionedFleet::addEndpoint(const std::string& service, std::size_t number)
+bool PartitionedFleet::addEndpoint(const std::string& service, std::size_t number)
 {
     EngineStandInSettings settings;
     settings.id = service + "-" + std::to_string(number);
     settings.service = service;
     settings.zone = "zone-" + std::to_string(number % 2);
-    const auto port = freePort();
-    settings.address = { host, port };
+    settings.address = { host, 0 };
     settings.store = { host, m_store.port() };
     settings.prefillTime = Milliseconds { 150 };
     settings.crashAfter = timeUntilCrash - settings.prefillTime;
@@ -112,18 +103,24 @@
         m_crashes.push_back({ endpoint.settings().id, std::chrono::steady_clock::now() });
         endpoint.resetConnections();
     });
-    endpoint.start();
-    m_endpointPorts.push_back(port);
+    if (endpoint.start())
+        return false;
+    m_endpointPorts.push_back(static_cast<unsigned short>(endpoint.settings().address.port));
+    return true;
 }
 
 bool PartitionedFleet::start()
 {
     m_store.start();
     m_store.put("op", "config", configurationText());
-    for (std::size_t i = 0; i < m_engineCount; ++i)
-        addEndpoint("llm", i);
-    for (std::size_t i = 0; i < endpointsPerService; ++i)
-        addEndpoint("plain", i);
+    for (std::size_t i = 0; i < m_engineCount; ++i) {
+        if (!addEndpoint("llm", i))
+            return false;
+    }
+    for (std::size_t i = 0; i < endpointsPerService; ++i) {
+        if (!addEndpoint("plain", i))
+            return false;
+    }
     for (std::size_t i = 0; i < m_vms.size(); ++i) {
         if (!startVm(i))
             return false;
--- a/test/PartitionedFleet.h
+++ b/test/PartitionedFleet.h
@@ -11,6 +11,7 @@
 #include "EntryVm.h"
 #include "NetworkPartition.h"
 #include "RelayHarness.h"
+#include "ReservedPort.h"
 #include "http/HttpRoundTrip.h"
 #include "standin/StoreStandIn.h"
 #include <deque>
@@ -100,7 +101,8 @@
     static constexpr std::size_t endpointsPerService = 4;
 
     PlatformSettings settingsOf(std::size_t index);
-    void addEndpoint(const std::string& service, std::size_t number);
+    // Returns false if the endpoint does not start.
+    bool addEndpoint(const std::string& service, std::size_t number);
 
     boost::asio::io_context m_ioContext;
     StoreStandIn m_store;
@@ -108,7 +110,7 @@
     std::vector<unsigned short> m_endpointPorts;
     std::vector<std::unique_ptr<Vm>> m_vms;
     // Each VM's address for the others, which it keeps when it starts again.
-    std::vector<unsigned short> m_peerPorts;
+    std::deque<internal::ReservedPort> m_peerPorts;
     std::vector<std::string> m_engineVersions { "" };
     std::uint64_t m_eventCount { 40 };
     std::size_t m_engineCount { endpointsPerService };
