Log which delivery of a request an answer belongs to

Before any change of logic: the log could not tell whether a call that ran twice had got the second copy of an answer to an earlier delivery, or bytes that belong to no request. Lines of rejected and failed attempts now name the connection and whether the answer stated that the request was not run; answer.doubtful and lupinknot_relay_doubtful_answers_total show answers that name no request or another one, or that come on a connection which has carried the request before. answer.skipped becomes part of answer.doubtful.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "common/ByteSizes.h"
 
+#include <atomic>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -23,6 +24,13 @@
 constexpr unsigned okStatus = 200;
 constexpr unsigned badGatewayStatus = 502;
 
+std::uint64_t nextNumber()
+{
+    // Connections are opened on several threads in tests.
+    static std::atomic<std::uint64_t> last { 0 };
+    return ++last;
+}
+
 bool mayCarryBody(const std::string& method) { return method == "POST" || method == "PUT" || method == "PATCH"; }
 
 std::string serialize(const HttpRequest& request)
@@ -110,6 +118,7 @@
 ClientConnection::ClientConnection(net::io_context& ioContext, const SocketAddress& address,
     const ClientConnectionSettings& settings, std::unique_ptr<ConnectionPath> path)
     : m_ioContext(ioContext)
+    , m_number(nextNumber())
     , m_address(address)
     , m_settings(settings)
     , m_path(std::move(path))
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -25,6 +25,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <cstdint>
 #include <memory>
 
 namespace lupinknot::internal {
@@ -76,6 +77,8 @@
     // True when the last response was complete, no bytes followed it and both sides keep the connection open.
     bool isIdle() const { return m_state == State::Idle; }
     bool isClosed() const { return m_state == State::Closed; }
+    // Identifies the connection within this process.
+    std::uint64_t number() const { return m_number; }
     // True if the connection was made by another VM.
     bool isThroughVm() const { return m_isThroughVm; }
     // True once bytes of the current request may have left this process.
@@ -121,6 +124,7 @@
     void fail(ClientFailure);
 
     boost::asio::io_context& m_ioContext;
+    const std::uint64_t m_number;
     const SocketAddress m_address;
     const ClientConnectionSettings m_settings;
     // Null for a direct connection that nobody observes.
--- a/src/relay/BufferedCall.cpp
+++ b/src/relay/BufferedCall.cpp
@@ -152,11 +152,14 @@
     ++m_possibleRuns;
     const auto checkAfter
         = std::max(usualCallTimes * m_context.pace(m_request.service).medianCallTime(), settings.minSilenceBeforeCheck);
+    std::vector<std::uint64_t> earlierConnections;
+    for (const auto& earlier : m_attempts)
+        earlierConnections.push_back(earlier->call->connectionNumber());
     auto attempt = std::make_unique<Attempt>();
     attempt->tookRetry = tookRetry;
     auto& stored = *m_attempts.emplace_back(std::move(attempt));
-    stored.call = EndpointCall::start(
-        m_context, endpoint, request, { m_request.fields.requestId, maxIdleTime, checkAfter }, weak_from_this());
+    stored.call = EndpointCall::start(m_context, endpoint, request,
+        { m_request.fields.requestId, maxIdleTime, checkAfter, std::move(earlierConnections) }, weak_from_this());
     const bool isFirst = m_attempts.size() == 1 && m_waits == 0;
     if (isFirst && m_request.route->mayRunAgain() && m_context.has(Policy::SecondSendings))
         armHedge();
@@ -226,7 +229,9 @@
         LogEvent("request.turned-away")
             .text("request", m_request.fields.requestId)
             .text("endpoint", endpoint->entry().id)
+            .number("connection", static_cast<std::int64_t>(attempt.call->connectionNumber()))
             .number("status", status)
+            .flag("says_not_run", attempt.fields.isNotRun)
             .number("retry_after_ms", attempt.fields.backOff.time.value_or(Milliseconds { -1 }).count())
             .flag("leaving", attempt.fields.isShuttingDown)
             .write();
@@ -276,6 +281,7 @@
         .text("endpoint", endpoint->entry().id)
         .text("failure", traitsOf(kind).name)
         .flag("sent", wasSent)
+        .number("connection", static_cast<std::int64_t>(call.connectionNumber()))
         .number("after_ms", (now - call.startedAt()).count())
         .write();
     m_context.metrics.countFailure(kind);
--- a/src/relay/EndpointCall.cpp
+++ b/src/relay/EndpointCall.cpp
@@ -2,8 +2,10 @@
 
 #include "common/EventLog.h"
 #include "relay/RelayContext.h"
+#include "relay/RelayMetrics.h"
 #include "relay/RelaySettings.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 
 namespace lupinknot::internal {
@@ -84,11 +86,36 @@
     m_endpoint->callEnded();
 }
 
+AnswerAttribution EndpointCall::attributionOfAnswer(const AnswerFields& fields) const
+{
+    const auto& earlier = m_options.earlierConnections;
+    const bool hasEarlierDelivery = std::find(earlier.begin(), earlier.end(), m_connection->number()) != earlier.end();
+    return attributionOf(m_options.requestId, fields.requestId, hasEarlierDelivery);
+}
+
+void EndpointCall::noteDoubtfulAnswer(const HttpResponse& head, const AnswerFields& fields) const
+{
+    LogEvent("answer.doubtful")
+        .text("request", m_options.requestId)
+        .text("answer_for", fields.requestId)
+        .text("attribution", nameIn(answerAttributionNames, *m_attribution))
+        .text("endpoint", m_endpoint->entry().id)
+        .number("connection", static_cast<std::int64_t>(m_connection->number()))
+        .number("status", head.status)
+        .flag("says_not_run", fields.isNotRun)
+        .flag("signed", fields.isSigned)
+        .write();
+    m_context.metrics.countDoubtfulAnswer(*m_attribution, fields.isNotRun);
+}
+
 void EndpointCall::responseHeaderReceived(const HttpResponse& head)
 {
     m_checkTimer.cancel();
     const auto fields = m_context.protocol.decodeAnswer(head);
     const auto now = m_context.now();
+    m_attribution = attributionOfAnswer(fields);
+    if (m_attribution != AnswerAttribution::ThisDelivery)
+        noteDoubtfulAnswer(head, fields);
     // Unsigned bytes and responses of another process at the address are no evidence about this endpoint.
     const bool isFromEndpoint = (fields.isSigned || fields.isNotRun) && !fields.isOtherIncarnation;
     m_isFromEndpoint = isFromEndpoint;
@@ -101,14 +128,8 @@
             m_context.enginePaces.noteStatedPace(m_endpoint->entry().service, *fields.load.load->pace, now);
     }
     m_isSkipping = !fields.requestId.empty() && fields.requestId != m_options.requestId;
-    if (m_isSkipping) {
-        LogEvent("answer.skipped")
-            .text("request", m_options.requestId)
-            .text("answer_for", fields.requestId)
-            .text("endpoint", m_endpoint->entry().id)
-            .write();
+    if (m_isSkipping)
         return;
-    }
     if (isFromEndpoint)
         m_endpoint->noteRejections({ fields.toleratedRejections, fields.isNotRun, m_startedAt },
             m_context.settings.vmCount(), m_context.settings.vmName, now);
--- a/src/relay/EndpointCall.h
+++ b/src/relay/EndpointCall.h
@@ -12,9 +12,12 @@
 
 #include "http/ClientConnection.h"
 #include "lupinknot/FailureKind.h"
+#include "relay/AnswerAttribution.h"
 #include "relay/CallProtocol.h"
 #include "relay/RelayEndpoint.h"
 #include <memory>
+#include <optional>
+#include <vector>
 
 namespace lupinknot::internal {
 
@@ -38,6 +41,8 @@
     // If no response begins within this time on a kept connection, the endpoint is checked for reachability; zero:
     // never.
     Milliseconds checkAfter { 0 };
+    // Numbers of the connections that have carried earlier deliveries of the request.
+    std::vector<std::uint64_t> earlierConnections {};
 };
 
 class EndpointCall final : public ClientConnectionListener, public std::enable_shared_from_this<EndpointCall> {
@@ -59,6 +64,9 @@
     bool mayHang() const { return m_endpoint->mayHang(*m_connection); }
     // True if the endpoint refused the connection.
     bool isRefused() const { return m_connection->isRefused(); }
+    std::uint64_t connectionNumber() const { return m_connection->number(); }
+    // What the last answer belongs to; nothing before its header.
+    std::optional<AnswerAttribution> attribution() const { return m_attribution; }
     // Closes the connection. No callback follows.
     void cancel();
 
@@ -72,6 +80,8 @@
         RelayContext&, std::shared_ptr<RelayEndpoint>, EndpointCallOptions, std::weak_ptr<EndpointCallListener>);
     void end();
     void armCheck();
+    AnswerAttribution attributionOfAnswer(const AnswerFields&) const;
+    void noteDoubtfulAnswer(const HttpResponse&, const AnswerFields&) const;
 
     RelayContext& m_context;
     const std::shared_ptr<RelayEndpoint> m_endpoint;
@@ -80,6 +90,7 @@
     const Milliseconds m_startedAt;
     std::shared_ptr<ClientConnection> m_connection;
     boost::asio::steady_timer m_checkTimer;
+    std::optional<AnswerAttribution> m_attribution;
     // The response comes from the endpoint's incarnation.
     bool m_isFromEndpoint { false };
     bool m_isSkipping { false };
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -355,8 +355,12 @@
     m_run = run;
     m_choice->noteLocation(*run);
     const auto request = m_context.protocol.encodeForward(exchange->request(), fields);
-    run->call = EndpointCall::start(
-        m_context, endpoint, request, { m_request.fields.requestId, m_context.settings.maxIdleTime }, weak_from_this());
+    run->call = EndpointCall::start(m_context, endpoint, request,
+        { .requestId = m_request.fields.requestId,
+            .maxIdleTime = m_context.settings.maxIdleTime,
+            .earlierConnections = m_connections },
+        weak_from_this());
+    m_connections.push_back(run->call->connectionNumber());
     m_livenessMonitor->begin(m_run);
 }
 
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -163,6 +163,8 @@
     unsigned m_attempts { 0 };
     // Number of requests that may have reached an engine; any further one counts as a retry.
     unsigned m_possibleDeliveries { 0 };
+    // Numbers of the connections that have carried the request.
+    std::vector<std::uint64_t> m_connections;
     // True when the retry budget has already been charged for the next run.
     bool m_tookRetryForNextRun { false };
     // Set while other VMs are asked for a retry; cancels the request when it is destroyed.
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -66,6 +66,10 @@
                          .Name("lupinknot_relay_judged_losses_total")
                          .Help("Endpoint losses that were evaluated, by what is known about the endpoint.")
                          .Register(*m_registry))
+    , m_doubtfulAnswers(prometheus::BuildCounter()
+                            .Name("lupinknot_relay_doubtful_answers_total")
+                            .Help("Answers that do not certainly belong to the delivery that awaits them.")
+                            .Register(*m_registry))
     , resumedFromCopy(addCounter(
           *m_registry, "lupinknot_relay_resumed_from_copy_total", "Streams that went on from a copy of their memory."))
     , resumedCold(addCounter(
@@ -129,6 +133,14 @@
     m_failures.Add({ { "failure", std::string(traitsOf(kind).name) } }).Increment();
 }
 
+void RelayMetrics::countDoubtfulAnswer(AnswerAttribution attribution, bool saysNotRun)
+{
+    m_doubtfulAnswers
+        .Add({ { "attribution", std::string(nameIn(answerAttributionNames, attribution)) },
+            { "says_not_run", saysNotRun ? "true" : "false" } })
+        .Increment();
+}
+
 void RelayMetrics::countZoneFailure(ZoneFailureSource source, FailureEvidence evidence)
 {
     m_zoneFailures
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -10,6 +10,7 @@
 #include "lupinknot/FailureKind.h"
 #include "quarantine/CrashRecordSource.h"
 #include "quarantine/LossEvidence.h"
+#include "relay/AnswerAttribution.h"
 #include "relay/RequestKind.h"
 #include <array>
 #include <memory>
@@ -70,6 +71,8 @@
     // Counts a record of a crashed endpoint that is new to this VM.
     void countCrashRecord(CrashRecordSource);
     void countLossEvidence(LossEvidence);
+    // Counts an answer that does not certainly belong to the delivery that awaits it.
+    void countDoubtfulAnswer(AnswerAttribution, bool saysNotRun);
     std::string exposition() const;
 
 private:
@@ -84,6 +87,7 @@
     prometheus::Family<prometheus::Counter>& m_continuations;
     prometheus::Family<prometheus::Counter>& m_crashRecords;
     prometheus::Family<prometheus::Counter>& m_lossEvidence;
+    prometheus::Family<prometheus::Counter>& m_doubtfulAnswers;
 
 public:
     // Streams that resumed at another engine from a copy of their KV cache, or by a new prefill of the prompt.
