Tie an answer to one delivery of a request, not to the request

Callers saw calls that ran twice, or ran although they were refused. A full endpoint turned a call away, the call was sent to it again on the same kept connection, and a late second copy of the rejection was taken for the answer to the delivery that ran. The run was then subtracted from a counter that no longer said which delivery it spoke of.

A request now remembers the connection of each delivery and never uses one twice, so that an answer on a connection that names the request belongs to that delivery; other requests still use it. DeliveryHistory replaces the counters of possible runs: each delivery has its own outcome, once. A new connection replaces an idle one, so that no more are open than before.

--- a/src/relay/BufferedCall.cpp
+++ b/src/relay/BufferedCall.cpp
@@ -65,13 +65,6 @@
         waitForCapacity(RefusalReason::NoEndpoint);
 }
 
-bool BufferedCall::mayHaveArrived() const
-{
-    return std::any_of(m_attempts.begin(), m_attempts.end(), [](const std::unique_ptr<Attempt>& attempt) {
-        return !attempt->call || !attempt->call->isOver() || attempt->call->hasSent();
-    });
-}
-
 PlacementRequest BufferedCall::anyEndpoint()
 {
     return { .service = m_request.service, .excluded = m_triedEndpoints, .version = m_versions.next() };
@@ -149,17 +142,16 @@
         .number("config_version", static_cast<std::int64_t>(m_request.configurationVersion))
         .write();
     m_versions.noteSent();
-    ++m_possibleRuns;
     const auto checkAfter
         = std::max(usualCallTimes * m_context.pace(m_request.service).medianCallTime(), settings.minSilenceBeforeCheck);
-    std::vector<std::uint64_t> earlierConnections;
-    for (const auto& earlier : m_attempts)
-        earlierConnections.push_back(earlier->call->connectionNumber());
+    auto earlierConnections = m_deliveries.connections();
     auto attempt = std::make_unique<Attempt>();
+    attempt->delivery = m_deliveries.add();
     attempt->tookRetry = tookRetry;
     auto& stored = *m_attempts.emplace_back(std::move(attempt));
     stored.call = EndpointCall::start(m_context, endpoint, request,
         { m_request.fields.requestId, maxIdleTime, checkAfter, std::move(earlierConnections) }, weak_from_this());
+    m_deliveries.noteConnection(stored.delivery, stored.call->connectionNumber());
     const bool isFirst = m_attempts.size() == 1 && m_waits == 0;
     if (isFirst && m_request.route->mayRunAgain() && m_context.has(Policy::SecondSendings))
         armHedge();
@@ -180,7 +172,7 @@
 void BufferedCall::hedge()
 {
     // Do not risk a second endpoint with a request that may have crashed the earlier ones.
-    if (!hasOpenAttempt() || m_possibleRuns >= m_request.route->maxAttempts || m_crashTracker.isSuspect())
+    if (!hasOpenAttempt() || m_deliveries.possibleRuns() >= m_request.route->maxAttempts || m_crashTracker.isSuspect())
         return;
     if (!m_context.retryBudget(m_request.service).take(RetryPurpose::Proactive, m_request.admittedAt, m_context.now()))
         return;
@@ -225,7 +217,7 @@
     const auto& endpoint = attempt.call->endpoint();
     const auto status = attempt.answer.status;
     if (attempt.fields.isNotRun || attempt.fields.isOtherIncarnation) {
-        --m_possibleRuns;
+        m_deliveries.settle(attempt.delivery, DeliveryOutcome::NotRun);
         LogEvent("request.turned-away")
             .text("request", m_request.fields.requestId)
             .text("endpoint", endpoint->entry().id)
@@ -285,8 +277,8 @@
         .number("after_ms", (now - call.startedAt()).count())
         .write();
     m_context.metrics.countFailure(kind);
+    m_deliveries.settle(attemptOf(call).delivery, wasSent ? DeliveryOutcome::MayHaveRun : DeliveryOutcome::Unsent);
     if (!wasSent) {
-        --m_possibleRuns;
         endpoint->avoidUntil(now + settings.avoidAfterRefusal);
         if (attemptOf(call).tookRetry)
             m_context.retryBudget(m_request.service).giveBack();
@@ -303,15 +295,15 @@
 {
     if (m_permit)
         return;
-    auto attemptDecision = decideAttempt(m_crashTracker.attemptState(m_possibleRuns));
+    auto attemptDecision = decideAttempt(m_crashTracker.attemptState(m_deliveries.possibleRuns()));
     if (attemptDecision == AttemptDecision::Held) {
-        refuse(refusalAfter(attemptDecision, m_possibleRuns));
+        refuse(refusalAfter(attemptDecision, m_deliveries.possibleRuns()));
         return;
     }
     if (waitsForEvaluation(lastReason))
         return;
     auto& budget = m_context.retryBudget(m_request.service);
-    const bool isRetry = mayHaveArrived();
+    const bool isRetry = m_deliveries.possibleArrivals() > 0;
     if (attemptDecision == AttemptDecision::Allowed && isRetry
         && !budget.take(retryPurposeAfter(lastReason), m_request.admittedAt, m_context.now()))
         attemptDecision = AttemptDecision::RetriesSpent;
@@ -327,7 +319,7 @@
     if (m_errorAnswer) {
         const auto endpointId = m_errorAnswer->call->endpoint()->entry().id;
         answer(std::move(m_errorAnswer->answer), "endpoint-status", endpointId);
-    } else if (m_possibleRuns > 0) {
+    } else if (m_deliveries.possibleRuns() > 0) {
         refuse(RefusalReason::EndpointFailed);
     } else {
         waitForCapacity(
@@ -337,7 +329,7 @@
 
 bool BufferedCall::waitsForEvaluation(RefusalReason lastReason)
 {
-    if (decideAttempt(m_crashTracker.attemptState(m_possibleRuns)) != AttemptDecision::Undecided)
+    if (decideAttempt(m_crashTracker.attemptState(m_deliveries.possibleRuns())) != AttemptDecision::Undecided)
         return false;
     m_waitTimer.expires_after(m_context.settings.endpointRetryInterval);
     m_waitTimer.async_wait([weak = weak_from_this(), lastReason](boost::system::error_code error) {
@@ -348,9 +340,12 @@
     return true;
 }
 
-void BufferedCall::refuseAsHeld() { refuse(refusalAfter(AttemptDecision::Held, m_possibleRuns)); }
+void BufferedCall::refuseAsHeld() { refuse(refusalAfter(AttemptDecision::Held, m_deliveries.possibleRuns())); }
 
-bool BufferedCall::mayWait() const { return m_possibleRuns == 0 && !m_errorAnswer && m_context.has(Policy::Waiting); }
+bool BufferedCall::mayWait() const
+{
+    return m_deliveries.possibleRuns() == 0 && !m_errorAnswer && m_context.has(Policy::Waiting);
+}
 
 double BufferedCall::jitter() const
 {
@@ -436,7 +431,7 @@
     if (waitsForEvaluation(lastReason))
         return;
     auto& budget = m_context.retryBudget(m_request.service);
-    const bool isRetry = mayHaveArrived();
+    const bool isRetry = m_deliveries.possibleArrivals() > 0;
     if (isRetry && !budget.take(retryPurposeAfter(lastReason), m_request.admittedAt, m_context.now())) {
         waitForCapacity(RefusalReason::RetryBudgetSpent);
         return;
@@ -526,7 +521,7 @@
     m_permit.reset();
     leaveWaitingRequestLimit();
     // An attempt that was sent and not answered has probably run.
-    if (m_possibleRuns > 0 && !m_attempts.empty())
+    if (m_deliveries.possibleRuns() > 0 && !m_attempts.empty())
         noteStarted(m_attempts.front()->call->startedAt());
     for (const auto& attempt : m_attempts)
         attempt->call->cancel();
--- a/src/relay/BufferedCall.h
+++ b/src/relay/BufferedCall.h
@@ -10,6 +10,7 @@
 // relay's thread only. Owned by its pending timers and the exchange's callback.
 #pragma once
 
+#include "admission/DeliveryHistory.h"
 #include "relay/CrashTracker.h"
 #include "relay/EndpointCall.h"
 #include "relay/RelayRefusal.h"
@@ -41,6 +42,7 @@
         std::shared_ptr<EndpointCall> call;
         HttpResponse answer;
         AnswerFields fields;
+        DeliveryHistory::Number delivery { 0 };
         // The retry budget was charged for this attempt.
         bool tookRetry { false };
     };
@@ -67,8 +69,6 @@
     void displaced(RefusalReason);
     // Pseudo-random number from 0 to 1 that differs between calls and between waits of a call.
     double jitter() const;
-    // True when an earlier attempt may have reached its endpoint, which makes the next attempt a retry.
-    bool mayHaveArrived() const;
     void armHedge();
     void hedge();
     void timedOut();
@@ -95,8 +95,7 @@
     std::shared_ptr<PermitWait> m_permit;
     // Endpoints tried since the last wait.
     std::vector<std::shared_ptr<RelayEndpoint>> m_triedEndpoints;
-    // Number of attempts that an endpoint may have run.
-    unsigned m_possibleRuns { 0 };
+    DeliveryHistory m_deliveries;
     // A complete error answer of an endpoint, passed on if no attempt succeeds.
     std::unique_ptr<Attempt> m_errorAnswer;
     boost::asio::steady_timer m_deadlineTimer;
--- a/src/relay/EndpointCall.cpp
+++ b/src/relay/EndpointCall.cpp
@@ -34,8 +34,8 @@
 {
     std::shared_ptr<EndpointCall> call(
         new EndpointCall(context, std::move(endpoint), std::move(options), std::move(listener)));
-    const auto margin = context.settings.idleTimeoutMargin;
-    call->m_connection = call->m_endpoint->takeConnection(call->m_startedAt, call->m_options.maxIdleTime, margin);
+    call->m_connection = call->m_endpoint->takeConnection(call->m_startedAt,
+        { call->m_options.maxIdleTime, context.settings.idleTimeoutMargin, call->m_options.earlierConnections });
     const bool isKept = call->m_connection->isIdle();
     call->m_connection->send(request, call->weak_from_this());
     if (isKept && call->m_options.checkAfter > Milliseconds { 0 })
@@ -116,6 +116,8 @@
     m_attribution = attributionOfAnswer(fields);
     if (m_attribution != AnswerAttribution::ThisDelivery)
         noteDoubtfulAnswer(head, fields);
+    m_isSkipping
+        = m_attribution == AnswerAttribution::OtherRequest || m_attribution == AnswerAttribution::EarlierDelivery;
     // Unsigned bytes and responses of another process at the address are no evidence about this endpoint.
     const bool isFromEndpoint = (fields.isSigned || fields.isNotRun) && !fields.isOtherIncarnation;
     m_isFromEndpoint = isFromEndpoint;
@@ -127,7 +129,6 @@
         if (fields.load.load && fields.load.load->pace)
             m_context.enginePaces.noteStatedPace(m_endpoint->entry().service, *fields.load.load->pace, now);
     }
-    m_isSkipping = !fields.requestId.empty() && fields.requestId != m_options.requestId;
     if (m_isSkipping)
         return;
     if (isFromEndpoint)
--- a/src/relay/EndpointCall.h
+++ b/src/relay/EndpointCall.h
@@ -1,7 +1,8 @@
 // A request sent to one endpoint, and the response to it.
 //
 // A response with another request id is skipped: an endpoint may send a duplicate response, which then arrives in place
-// of the response to the next request on the connection.
+// of the response to the next request on the connection. For the same reason a connection carries each request only
+// once.
 //
 //     auto call = EndpointCall::start(context, endpoint, request, options, listener);
 //     ...                                  // listener->callHeader(), callBody(), then callEnded() or callFailed()
@@ -41,7 +42,7 @@
     // If no response begins within this time on a kept connection, the endpoint is checked for reachability; zero:
     // never.
     Milliseconds checkAfter { 0 };
-    // Numbers of the connections that have carried earlier deliveries of the request.
+    // Numbers of the connections that have carried earlier deliveries of the request. The call uses none of them.
     std::vector<std::uint64_t> earlierConnections {};
 };
 
--- a/src/relay/EngineLoadProbe.cpp
+++ b/src/relay/EngineLoadProbe.cpp
@@ -33,7 +33,8 @@
 void EngineLoadProbe::ask(const std::shared_ptr<RelayEndpoint>& engine)
 {
     const auto& settings = m_context.settings;
-    const auto connection = engine->takeConnection(m_context.now(), settings.maxIdleTime, settings.idleTimeoutMargin);
+    const auto connection = engine->takeConnection(
+        m_context.now(), { .maxIdleTime = settings.maxIdleTime, .idleTimeoutMargin = settings.idleTimeoutMargin });
     m_context.metrics.engineProbes.Increment();
     m_probes.push_back(HttpRoundTrip::ask(m_context.ioContext, connection, m_context.protocol.encodeLoadQuery(),
         settings.loadProbeTimeout, [weak = weak_from_this(), engine, connection](const HttpRoundTripResult& outcome) {
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -151,13 +151,13 @@
     const std::shared_ptr<RelayEndpoint>& engine, std::optional<RunMemorySource> copy)
 {
     m_tookRetryForNextRun = false;
-    if (!mayRunOnceMore(m_crashTracker.attemptState(m_possibleRuns))) {
+    if (!mayRunOnceMore(m_crashTracker.attemptState(m_deliveries.possibleRuns()))) {
         logLostRunEnds(continuation::runsUsedUp);
-        giveUp(refusalAfter(AttemptDecision::RunsSpent, m_possibleRuns));
+        giveUp(refusalAfter(AttemptDecision::RunsSpent, m_deliveries.possibleRuns()));
         return;
     }
     const auto now = m_context.now();
-    if (m_possibleDeliveries > 0 && !(m_loan && m_loan->isValid(now))) {
+    if (m_deliveries.possibleArrivals() > 0 && !(m_loan && m_loan->isValid(now))) {
         m_loan.reset();
         const auto purpose = retryPurpose(copy.has_value());
         m_tookRetryForNextRun = m_context.retryBudget(m_request.service).take(purpose, m_request.admittedAt, now);
@@ -208,12 +208,12 @@
 void EventStreamCall::giveUpWithoutRetry()
 {
     logLostRunEnds(continuation::noRetryLeft);
-    giveUp(refusalAfter(AttemptDecision::RetriesSpent, m_possibleRuns));
+    giveUp(refusalAfter(AttemptDecision::RetriesSpent, m_deliveries.possibleRuns()));
 }
 
 bool EventStreamCall::mayBeSent()
 {
-    const auto attemptDecision = decideAttempt(m_crashTracker.attemptState(m_possibleRuns));
+    const auto attemptDecision = decideAttempt(m_crashTracker.attemptState(m_deliveries.possibleRuns()));
     if (attemptDecision == AttemptDecision::Held)
         giveUpAsHeld();
     else if (attemptDecision == AttemptDecision::Undecided)
@@ -224,7 +224,7 @@
 void EventStreamCall::giveUpAsHeld()
 {
     logLostRunEnds(continuation::held);
-    endStream(refusalAfter(AttemptDecision::Held, m_possibleRuns));
+    endStream(refusalAfter(AttemptDecision::Held, m_deliveries.possibleRuns()));
 }
 
 // A run that produces events does not crash its engine, whatever happened to other runs of the request.
@@ -257,7 +257,7 @@
         return;
     }
     const auto earlier = m_choice->takeEarlierEngine();
-    if (m_possibleRuns == 0 && m_context.has(Policy::TimeCheck)
+    if (m_deliveries.possibleRuns() == 0 && m_context.has(Policy::TimeCheck)
         && m_timing.lacksTimeToFinish(m_answer->lastEventId(), earlier != nullptr)) {
         giveUp(RefusalReason::TooLittleTime);
         return;
@@ -347,8 +347,7 @@
     logRunSent(m_request, *run, *m_answer, m_attempts == 0, now);
     m_versions.noteSent();
     ++m_attempts;
-    ++m_possibleDeliveries;
-    ++m_possibleRuns;
+    run->delivery = m_deliveries.add();
     if (!run->isFromCopy)
         run->reading
             = std::make_unique<PrefillScope>(endpoint, m_context.pace(m_request.service).waitingPrompts, run->priority);
@@ -358,9 +357,9 @@
     run->call = EndpointCall::start(m_context, endpoint, request,
         { .requestId = m_request.fields.requestId,
             .maxIdleTime = m_context.settings.maxIdleTime,
-            .earlierConnections = m_connections },
+            .earlierConnections = m_deliveries.connections() },
         weak_from_this());
-    m_connections.push_back(run->call->connectionNumber());
+    m_deliveries.noteConnection(run->delivery, run->call->connectionNumber());
     m_livenessMonitor->begin(m_run);
 }
 
@@ -398,7 +397,7 @@
 {
     if (m_answer->length() == 0) {
         const auto& settings = m_context.settings;
-        const auto decision = waitOrRefuseStream(m_choice->nextAvailability(), m_possibleRuns,
+        const auto decision = waitOrRefuseStream(m_choice->nextAvailability(), m_deliveries.possibleRuns(),
             m_request.admittedAt + settings.waitForEndpoint, settings.endpointRetryInterval, m_context.now());
         // Behind a partition no VM helps either, and the caller's next try reaches another VM.
         if (!decision.waits || m_context.directory.isPartitioned()) {
@@ -588,7 +587,7 @@
 {
     const auto run = std::exchange(m_run, nullptr);
     const auto now = m_context.now();
-    --m_possibleRuns;
+    m_deliveries.settle(run->delivery, DeliveryOutcome::NotRun);
     m_livenessMonitor->stop();
     m_liveSearch.reset();
     run->reading.reset();
@@ -665,6 +664,7 @@
     logRunFailed(m_request, *run, *m_answer, kind, now);
     m_context.metrics.countFailure(kind);
     if (run->call->hasSent()) {
+        m_deliveries.settle(run->delivery, DeliveryOutcome::MayHaveRun);
         m_versions.noteAnswer(*run->endpoint, AnswerQuality::Bad);
     } else {
         takeBackUnsent(*run);
@@ -692,10 +692,12 @@
 {
     const auto run = m_silentRun;
     const auto now = m_context.now();
-    if (run->fields.isNotRun || run->fields.isOtherIncarnation)
-        --m_possibleRuns;
-    else
+    if (run->fields.isNotRun || run->fields.isOtherIncarnation) {
+        m_deliveries.settle(run->delivery, DeliveryOutcome::NotRun);
+    } else {
+        m_deliveries.settle(run->delivery, DeliveryOutcome::MayHaveRun);
         noteEngineFailure(*run, kind, now);
+    }
     if (run->fields.isOtherIncarnation)
         m_context.directory.remove(run->endpoint->entry().id, now);
     releaseSilentRun(kind);
@@ -718,7 +720,8 @@
 
 void EventStreamCall::searchSubstitute(const RunSilence& silence, bool isFirstSearch)
 {
-    if (m_liveSearch || decideAttempt(m_crashTracker.attemptState(m_possibleRuns)) != AttemptDecision::Allowed
+    if (m_liveSearch
+        || decideAttempt(m_crashTracker.attemptState(m_deliveries.possibleRuns())) != AttemptDecision::Allowed
         || m_versions.isBoundVersionGone())
         return;
     LiveEngineSearch::Engines engines;
@@ -799,8 +802,7 @@
 
 void EventStreamCall::takeBackUnsent(const StreamRun& run)
 {
-    --m_possibleRuns;
-    --m_possibleDeliveries;
+    m_deliveries.settle(run.delivery, DeliveryOutcome::Unsent);
     if (run.tookRetry)
         m_context.retryBudget(m_request.service).giveBack();
 }
@@ -865,7 +867,7 @@
         m_copier->consider(*m_run, expectedTimeLeft, m_choice->failed());
         return;
     }
-    const bool hasAttemptLeft = m_possibleRuns + 1 < m_request.route->maxAttempts;
+    const bool hasAttemptLeft = m_deliveries.possibleRuns() + 1 < m_request.route->maxAttempts;
     m_mover->consider(*m_run, { hasAttemptLeft, expectedTimeLeft }, m_choice->failed());
 }
 
@@ -899,7 +901,7 @@
         return;
     if (!m_run)
         logLostRunEnds(continuation::noEngine);
-    endStream(m_possibleRuns > 0 ? RefusalReason::TimedOut : RefusalReason::TimedOutUnsent);
+    endStream(m_deliveries.possibleRuns() > 0 ? RefusalReason::TimedOut : RefusalReason::TimedOutUnsent);
 }
 
 void EventStreamCall::complete()
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -15,6 +15,7 @@
 #pragma once
 
 #include "admission/AnswerLateness.h"
+#include "admission/DeliveryHistory.h"
 #include "relay/CrashTracker.h"
 #include "relay/EndpointCall.h"
 #include "relay/RelayRefusal.h"
@@ -158,13 +159,9 @@
     std::unique_ptr<RunMover> m_mover;
     // Set by begin().
     std::unique_ptr<RunCopier> m_copier;
-    // Number of runs that an engine may have started.
-    unsigned m_possibleRuns { 0 };
+    // A delivery counts as a retry if an earlier one may have reached an engine.
+    DeliveryHistory m_deliveries;
     unsigned m_attempts { 0 };
-    // Number of requests that may have reached an engine; any further one counts as a retry.
-    unsigned m_possibleDeliveries { 0 };
-    // Numbers of the connections that have carried the request.
-    std::vector<std::uint64_t> m_connections;
     // True when the retry budget has already been charged for the next run.
     bool m_tookRetryForNextRun { false };
     // Set while other VMs are asked for a retry; cancels the request when it is destroyed.
--- a/src/relay/RelayEndpoint.cpp
+++ b/src/relay/RelayEndpoint.cpp
@@ -5,6 +5,7 @@
 #include "reach/EndpointConnector.h"
 #include "relay/CallProtocol.h"
 
+#include <algorithm>
 #include <cstdio>
 
 namespace lupinknot::internal {
@@ -37,18 +38,36 @@
 
 RelayEndpoint::~RelayEndpoint() { closeKeptConnections(); }
 
-std::shared_ptr<ClientConnection> RelayEndpoint::takeConnection(
-    Milliseconds now, Milliseconds maxIdleTime, Milliseconds margin)
-{
-    while (!m_kept.empty()) {
-        const auto kept = std::move(m_kept.back());
-        m_kept.pop_back();
-        const auto announced = kept.connection->peerIdleTimeout();
-        const auto longest = announced ? std::min(maxIdleTime, *announced - margin) : maxIdleTime;
-        const bool mayReuse = !m_connector || m_connector->mayReuse(*kept.connection);
-        if (mayReuse && kept.connection->isIdle() && now - kept.since <= longest)
-            return kept.connection;
-        kept.connection->close();
+bool RelayEndpoint::isUsable(const KeptConnection& kept, Milliseconds now, const ConnectionNeeds& needs) const
+{
+    const auto announced = kept.connection->peerIdleTimeout();
+    const auto longest
+        = announced ? std::min(needs.maxIdleTime, *announced - needs.idleTimeoutMargin) : needs.maxIdleTime;
+    const bool mayReuse = !m_connector || m_connector->mayReuse(*kept.connection);
+    return mayReuse && kept.connection->isIdle() && now - kept.since <= longest;
+}
+
+std::shared_ptr<ClientConnection> RelayEndpoint::takeConnection(Milliseconds now, const ConnectionNeeds& needs)
+{
+    const auto isExcluded = [&needs](const KeptConnection& kept) {
+        return std::find(needs.excluded.begin(), needs.excluded.end(), kept.connection->number())
+            != needs.excluded.end();
+    };
+    // Newest first, until one can be used.
+    auto kept = m_kept.end();
+    while (kept != m_kept.begin()) {
+        --kept;
+        if (isExcluded(*kept))
+            continue;
+        const auto candidate = *kept;
+        kept = m_kept.erase(kept);
+        if (isUsable(candidate, now, needs))
+            return candidate.connection;
+        candidate.connection->close();
+    }
+    if (!m_kept.empty()) {
+        m_kept.front().connection->close();
+        m_kept.erase(m_kept.begin());
     }
     return openConnection();
 }
--- a/src/relay/RelayEndpoint.h
+++ b/src/relay/RelayEndpoint.h
@@ -23,6 +23,15 @@
 struct StatedLoad;
 struct AnswerFields;
 
+// Which idle connection may carry a request.
+struct ConnectionNeeds {
+    // The longest idle time; shorter if the endpoint has announced a shorter idle timeout, less the margin.
+    Milliseconds maxIdleTime { 0 };
+    Milliseconds idleTimeoutMargin { 0 };
+    // Numbers of connections that may not carry it.
+    std::vector<std::uint64_t> excluded {};
+};
+
 class RelayEndpoint {
 public:
     // Without a connector, connections are direct.
@@ -36,9 +45,9 @@
     // Applies a new entry of the same incarnation; the endpoint is listed from then on.
     void updateEntry(EndpointEntry, Milliseconds now);
 
-    // The most recently used idle connection that has not been idle for too long, or a new connection. The limit is
-    // maxIdleTime or, if shorter, the idle timeout that the endpoint announced less the margin.
-    std::shared_ptr<ClientConnection> takeConnection(Milliseconds now, Milliseconds maxIdleTime, Milliseconds margin);
+    // The most recently used idle connection that meets the needs, or a new connection. When only an excluded one is
+    // idle, the new connection replaces it, so that the number of connections does not grow.
+    std::shared_ptr<ClientConnection> takeConnection(Milliseconds now, const ConnectionNeeds&);
     std::shared_ptr<ClientConnection> openConnection();
     // Keeps the connection if it can carry another request, and closes it otherwise.
     void giveBack(const std::shared_ptr<ClientConnection>&, Milliseconds now);
@@ -134,6 +143,7 @@
         Milliseconds since;
     };
 
+    bool isUsable(const KeptConnection&, Milliseconds now, const ConnectionNeeds&) const;
     void logLimitChange(LimitChange, std::string_view source) const;
 
     struct TimedReport {
--- a/src/relay/StreamRun.h
+++ b/src/relay/StreamRun.h
@@ -4,6 +4,7 @@
 // thread only.
 #pragma once
 
+#include "admission/DeliveryHistory.h"
 #include "http/HttpResponse.h"
 #include "lupinknot/Generation.h"
 #include "placement/EventGaps.h"
@@ -23,6 +24,7 @@
 
 struct StreamRun {
     AttemptNumber number { 0 };
+    DeliveryHistory::Number delivery { 0 };
     std::shared_ptr<EndpointCall> call;
     std::shared_ptr<RelayEndpoint> endpoint;
     // The engine that receives a live copy of the run's KV cache, if any.
