Skip answers that name no request, and learn nothing from skipped ones

Cause: bytes that belong to no request were taken for the answer when they had the form of one without a request id.

Each answer of an endpoint names its request, so that one which names none belongs to none: it is skipped like one that names another request, and the answer is awaited. A skipped answer shows nothing about the endpoint either: neither that it is alive nor that it was replaced. After eight skipped answers the connection is given up, as for bytes that are no answer.

--- a/src/relay/EndpointCall.cpp
+++ b/src/relay/EndpointCall.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+// Answers that do not belong to the delivery, after which the connection is given up.
+constexpr unsigned maxSkippedAnswers = 8;
+
 FailureKind failureKindOf(ClientFailure failure)
 {
     switch (failure) {
@@ -114,10 +117,11 @@
     const auto fields = m_context.protocol.decodeAnswer(head);
     const auto now = m_context.now();
     m_attribution = attributionOfAnswer(fields);
-    if (m_attribution != AnswerAttribution::ThisDelivery)
+    m_isSkipping = m_attribution != AnswerAttribution::ThisDelivery;
+    if (m_isSkipping) {
         noteDoubtfulAnswer(head, fields);
-    m_isSkipping
-        = m_attribution == AnswerAttribution::OtherRequest || m_attribution == AnswerAttribution::EarlierDelivery;
+        return;
+    }
     // Unsigned bytes and responses of another process at the address are no evidence about this endpoint.
     const bool isFromEndpoint = (fields.isSigned || fields.isNotRun) && !fields.isOtherIncarnation;
     m_isFromEndpoint = isFromEndpoint;
@@ -129,8 +133,6 @@
         if (fields.load.load && fields.load.load->pace)
             m_context.enginePaces.noteStatedPace(m_endpoint->entry().service, *fields.load.load->pace, now);
     }
-    if (m_isSkipping)
-        return;
     if (isFromEndpoint)
         m_endpoint->noteRejections({ fields.toleratedRejections, fields.isNotRun, m_startedAt },
             m_context.settings.vmCount(), m_context.settings.vmName, now);
@@ -154,11 +156,15 @@
 {
     if (m_isOver)
         return false;
+    const auto self = shared_from_this();
     if (m_isSkipping) {
         m_isSkipping = false;
-        return true;
+        if (++m_skippedAnswers <= maxSkippedAnswers)
+            return true;
+        m_connection->close();
+        connectionFailed(ClientFailure::Malformed);
+        return false;
     }
-    const auto self = shared_from_this();
     m_hadSent = true;
     end();
     m_endpoint->noteAlive(m_context.now());
--- a/src/relay/EndpointCall.h
+++ b/src/relay/EndpointCall.h
@@ -1,8 +1,8 @@
 // A request sent to one endpoint, and the response to it.
 //
-// A response with another request id is skipped: an endpoint may send a duplicate response, which then arrives in place
-// of the response to the next request on the connection. For the same reason a connection carries each request only
-// once.
+// Only a response that names the request is used; any other is skipped and shows nothing about the endpoint. An
+// endpoint may send a duplicate response, which then arrives in place of the response to the next request on the
+// connection, or bytes that belong to no request. For the same reason a connection carries each request only once.
 //
 //     auto call = EndpointCall::start(context, endpoint, request, options, listener);
 //     ...                                  // listener->callHeader(), callBody(), then callEnded() or callFailed()
@@ -95,6 +95,7 @@
     // The response comes from the endpoint's incarnation.
     bool m_isFromEndpoint { false };
     bool m_isSkipping { false };
+    unsigned m_skippedAnswers { 0 };
     bool m_isOver { false };
     bool m_hadSent { false };
 };
--- a/test/RelayHarness.cpp
+++ b/test/RelayHarness.cpp
@@ -75,4 +75,12 @@
     return internal::runUntil(daemon().ioContext(), condition);
 }
 
+std::string signedHeadFor(const std::string& request)
+{
+    const std::string name = "X-Request-Id: ";
+    const auto start = request.find(name);
+    const auto end = request.find("\r\n", start);
+    return request.substr(start, end - start) + "\r\nX-Response-Signature: s\r\n";
+}
+
 } // namespace lupinknot::internal
--- a/test/RelayHarness.h
+++ b/test/RelayHarness.h
@@ -83,6 +83,9 @@
     std::uint64_t m_version { 0 };
 };
 
+// Header lines of an endpoint's response to the request, whose text is given.
+std::string signedHeadFor(const std::string& request);
+
 // Header lines that make the response to request r1 acceptable.
 inline const std::string signedHead = "X-Request-Id: r1\r\nX-Response-Signature: s\r\n";
 
