--- a/test/BufferedCallTest.cpp
+++ b/test/BufferedCallTest.cpp
@@ -273,8 +273,9 @@
 TEST(BufferedCall, DoesNotSendAgainToAnEndpointThatWasReplaced)
 {
     auto& old = relay->addEndpoint("e1");
-    old.onRequest(
-        [](ScriptedConnection& asker, const std::string&) { asker.answer(421, "X-Instance-Id: other\r\n", ""); });
+    old.onRequest([](ScriptedConnection& asker, const std::string&) {
+        asker.answer(421, "X-Request-Id: r1\r\nX-Not-Executed: 1\r\nX-Instance-Id: other\r\n", "");
+    });
     ready();
     const auto caller = relay->call("/once/1", { { "X-Deadline-Ms", "120" } });
     await(caller);
--- a/test/PlatformCallProtocolTest.cpp
+++ b/test/PlatformCallProtocolTest.cpp
@@ -99,8 +99,10 @@
 {
     HttpResponse shed { 503, { { "X-Not-Executed", "1" } }, "" };
     CHECK(protocol.decodeAnswer(shed).isNotRun);
-    HttpResponse other { 421, { { "X-Instance-Id", "i-2" } }, "" };
+    HttpResponse other { 421, { { "X-Not-Executed", "1" }, { "X-Instance-Id", "i-2" } }, "" };
     CHECK(protocol.decodeAnswer(other).isOtherIncarnation);
+    HttpResponse statusAlone { 421, { { "X-Instance-Id", "i-2" } }, "" };
+    CHECK_FALSE(protocol.decodeAnswer(statusAlone).isOtherIncarnation);
     HttpResponse good { 200, { { "X-Response-Signature", "s" }, { "X-Request-Id", "9c41" } }, "" };
     const auto fields = protocol.decodeAnswer(good);
     CHECK(fields.isSigned && !fields.isNotRun && !fields.isOtherIncarnation);
