--- a/test/SoakPartsTest.cpp
+++ b/test/SoakPartsTest.cpp
@@ -1,5 +1,7 @@
 #include "LoopbackProxy.h"
 #include "RawConnection.h"
+#include "ReservedPort.h"
+#include "RunUntil.h"
 #include "ScriptedEndpoint.h"
 #include "SoakWorld.h"
 
@@ -83,3 +85,42 @@
     STRCMP_EQUAL("", responseThrough(LinkMode::DropToTarget).c_str());
     LONGS_EQUAL(0, requests);
 }
+
+// A proxy that does not repeat an answer would let the soak pass without having tested anything.
+TEST(LoopbackProxy, RepeatsTheLastAnswerBeforeTheNextRequest)
+{
+    ScriptedEndpoint endpoint(ioContext);
+    endpoint.onRequest([](ScriptedConnection& caller, const std::string& request) {
+        caller.answer(200, "X-Request-Id: r\r\n", request.substr(0, request.find(' ')));
+    });
+    const ReservedPort own(ioContext);
+    LoopbackProxy proxy(ioContext, { "127.0.0.1", own.number() }, { "127.0.0.1", endpoint.port() });
+    proxy.setMode(LinkMode::RepeatAnswers);
+    boost::asio::ip::tcp::socket socket(ioContext);
+    socket.connect({ boost::asio::ip::address_v4::loopback(), own.number() });
+    std::string received;
+    for (const std::string method : { "ONE", "TWO", "THREE" }) {
+        boost::asio::write(socket, boost::asio::buffer(method + " / HTTP/1.1\r\n\r\n"));
+        const auto isAnswered = [&] {
+            char piece[512];
+            boost::system::error_code error;
+            socket.non_blocking(true);
+            received.append(piece, socket.read_some(boost::asio::buffer(piece), error));
+            return received.size() >= method.size() && received.substr(received.size() - method.size()) == method;
+        };
+        CHECK(runUntil(ioContext, isAnswered));
+    }
+    const auto count = [&received](const std::string& text) {
+        std::size_t found = 0;
+        for (auto at = received.find(text); at != std::string::npos; at = received.find(text, at + 1))
+            ++found;
+        return found;
+    };
+    LONGS_EQUAL(2, count("ONE"));
+    LONGS_EQUAL(2, count("TWO"));
+    LONGS_EQUAL(1, count("THREE"));
+    LONGS_EQUAL_TEXT(4, count("X-Request-Id: r"), "the second repetition names no request");
+    socket.close();
+    proxy.resetConnections();
+    ioContext.poll();
+}
