--- a/test/EndpointTunnelsTest.cpp
+++ b/test/EndpointTunnelsTest.cpp
@@ -102,6 +102,26 @@
     CHECK(relay->runUntil([&] { return relay->daemon().tunnels().count() == 0; }));
 }
 
+// Guards against a stream that ends as complete because the VM that carried it was killed.
+TEST(EndpointTunnels, AnAnswerWithoutALengthIsNotCompleteWhenItsVmEnds)
+{
+    ScriptedEndpoint vm(relay->daemon().ioContext());
+    vm.onRequest([](ScriptedConnection& connection, const std::string& request) {
+        connection.send("HTTP/1.1 200 OK\r\n\r\n");
+        if (request.find("CONNECT") == 0)
+            return;
+        connection.send("half of the answer");
+        connection.close();
+    });
+    auto caller = std::make_shared<TestCaller>();
+    caller->connection = ClientConnection::open(relay->daemon().ioContext(), { "127.0.0.1", 1 }, {},
+        std::make_unique<PathThrough>(SocketAddress { "127.0.0.1", vm.port() }, results));
+    caller->connection->send({ "POST", "/x", { { "Host", "h" } }, "body" }, caller);
+    await(caller);
+    STRCMP_EQUAL("half of the answer", caller->body.c_str());
+    CHECK(caller->isBroken);
+}
+
 TEST(EndpointTunnels, AreRejectedForAddressesThatAreNoEndpoints)
 {
     relay->addEndpoint("e1");
