Do not take the answer to another request for an engine's load report

A report names no request; an answer that names one is now ignored.

EngineLoadProbe.AnAnswerToAnotherRequestIsNoReport failed before and passes.

--- a/src/relay/EngineLoadProbe.cpp
+++ b/src/relay/EngineLoadProbe.cpp
@@ -47,9 +47,12 @@
     const std::shared_ptr<ClientConnection>& connection, const HttpRoundTripResult& outcome)
 {
     const auto now = m_context.now();
-    if (outcome.answer)
-        engine->noteSignals(m_context.protocol.decodeAnswer(*outcome.answer), now);
-    const auto report = outcome.answer ? m_context.protocol.decodeLoad(*outcome.answer) : std::nullopt;
+    const auto fields = outcome.answer ? m_context.protocol.decodeAnswer(*outcome.answer) : AnswerFields {};
+    // On a kept connection the answer to an earlier request may arrive once more, in place of the report.
+    const bool isForProbe = outcome.answer && fields.requestId.empty();
+    if (isForProbe)
+        engine->noteSignals(fields, now);
+    const auto report = isForProbe ? m_context.protocol.decodeLoad(*outcome.answer) : std::nullopt;
     if (report) {
         engine->noteAlive(now);
         engine->noteReport(*report, now);
--- a/test/EngineLoadProbeTest.cpp
+++ b/test/EngineLoadProbeTest.cpp
@@ -122,3 +122,19 @@
     CHECK(relay->runUntil([&] { return caller->isWhole || caller->isBroken; }));
     LONGS_EQUAL(1, first.requests().size() + second.requests().size());
 }
+
+// Guards against an engine that gets no work because the late second answer to another request was taken for its
+// report.
+TEST(EngineLoadProbe, AnAnswerToAnotherRequestIsNoReport)
+{
+    auto& repeating = relay->addEndpoint("e1");
+    repeating.onRequest([](ScriptedConnection& client, const std::string&) {
+        client.answer(503, "X-Request-Id: r0\r\nX-Not-Executed: full\r\nRetry-After: 5\r\n", "");
+    });
+    auto& other = addEngine("e2", load(0, 0));
+    callOnce();
+    CHECK(hasServed(other));
+    const auto engine = relay->daemon().directory().find("e1");
+    CHECK_FALSE(engine->isInBackOff(relay->daemon().clock().now()));
+    CHECK(engine->report() == nullptr);
+}
