Find a stream's run by its prompt and its content

The key is now a hash of the prompt's part and the request's content (path, body, organisation), which are the same at each attempt of a caller. Ruled out: the content as a further field of the note, because two streams of a session would still replace each other's notes. While VMs of two releases run side by side, a caller that resumes at a VM of the other release finds no note; its stream begins without a copy or is refused as version-unknown, as after the loss of a note.

--- a/src/relay/RelayRequest.cpp
+++ b/src/relay/RelayRequest.cpp
@@ -23,7 +23,7 @@
 
 std::string runKeyOf(const RelayRequest& request)
 {
-    return request.fields.promptId.empty() ? streamIdOf(request) : request.fields.promptId;
+    return request.fields.promptId.empty() ? streamIdOf(request) : streamIdOf(request, request.fields.promptId);
 }
 
 } // namespace lupinknot::internal
