--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -400,8 +400,8 @@
         fail(ClientFailure::ClosedBeforeResponse);
         return;
     }
-    // A response without a length ends with an orderly close; after a reset it is truncated. Another VM's process closes
-    // its connections in the same way when it is killed, so that through it such a response has no certain end.
+    // A response without a length ends with an orderly close; after a reset it is truncated. Another VM's process
+    // closes its connections in the same way when it is killed, so that through it such a response has no certain end.
     beast::error_code parseError;
     if (error == net::error::eof && !m_isThroughVm && m_parser->is_header_done() && m_parser->need_eof())
         m_parser->put_eof(parseError);
--- a/src/relay/RelayRequest.h
+++ b/src/relay/RelayRequest.h
@@ -34,9 +34,9 @@
 std::string streamIdOf(const RelayRequest&);
 // The id of the stream of the same content that the attempt began.
 std::string streamIdOf(const RelayRequest&, const std::string& firstAttempt);
-// The key under which VMs find the run of the request: its prompt and its content, which are the same also when a caller
-// does not name the attempt that it resumes, or else its stream. Other requests of a session name the same prompt.
-// Hexadecimal.
+// The key under which VMs find the run of the request: its prompt and its content, which are the same also when a
+// caller does not name the attempt that it resumes, or else its stream. Other requests of a session name the same
+// prompt. Hexadecimal.
 std::string runKeyOf(const RelayRequest&);
 
 // The rank in logs: -1 when the configuration names none.
--- a/test/AnswerMemoryTest.cpp
+++ b/test/AnswerMemoryTest.cpp
@@ -34,10 +34,12 @@
 TEST(AnswerMemory, SoundAnswersArriveWholeBesideAnswersWithoutEnd)
 {
     constexpr int soundCount = 100;
+    constexpr int endlessCount = 10;
     constexpr std::size_t soundBytes = 8;
     std::vector<std::unique_ptr<AnswerMemory::Holding>> sound;
     std::vector<std::unique_ptr<AnswerMemory::Holding>> endless;
-    for (int i = 0; i < 10; ++i)
+    endless.reserve(endlessCount);
+    for (int i = 0; i < endlessCount; ++i)
         endless.push_back(open(soundCount + i));
     for (int i = 0; i < soundCount; ++i) {
         sound.push_back(open(i));
@@ -46,7 +48,7 @@
             holding->add(20);
         CHECK(memory->total() <= limit);
     }
-    LONGS_EQUAL(10, givenUp.size());
+    LONGS_EQUAL(endlessCount, givenUp.size());
     for (const auto number : givenUp)
         CHECK(number >= soundCount);
 }
--- a/test/SecondAnswerTest.cpp
+++ b/test/SecondAnswerTest.cpp
@@ -87,7 +87,7 @@
 
     std::shared_ptr<TestCaller> call(const std::string& path, const std::string& id = "r1")
     {
-        const auto caller = relay->call(path, { { "X-Deadline-Ms", callTime } }, id);
+        auto caller = relay->call(path, { { "X-Deadline-Ms", callTime } }, id);
         CHECK_TEXT(relay->runUntil([&] { return caller->isWhole || caller->isBroken; }), "no answer came");
         return caller;
     }
--- a/test/UnboundedAnswerTest.cpp
+++ b/test/UnboundedAnswerTest.cpp
@@ -61,7 +61,7 @@
     {
         relay->configure();
         relay->list();
-        const auto caller = relay->call(path, { { "X-Deadline-Ms", "60000" } });
+        auto caller = relay->call(path, { { "X-Deadline-Ms", "60000" } });
         CHECK_TEXT(relay->runUntil([&] { return caller->isWhole || caller->isBroken; }), "no answer came");
         return caller;
     }
