Count a stream's memory over all its runs, and free what a failed call held

Found while reading the diff: the memory of an answer that was given up stayed with its call until the deadline without being counted, and the events of a stream counted only while the run that sent them was the current one.

A failed attempt of a call now frees its body, and a stream counts what all its runs have sent; when that is the largest answer, the stream ends. EndpointCall no longer stores the attribution of an answer, which only its log line needs.

--- a/src/relay/AnswerHolding.cpp
+++ b/src/relay/AnswerHolding.cpp
@@ -1,27 +1,22 @@
 #include "relay/AnswerHolding.h"
 
 #include "common/EventLog.h"
-#include "relay/EndpointCall.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayMetrics.h"
+#include "relay/RelayRequest.h"
 
 namespace lupinknot::internal {
 
 std::unique_ptr<AnswerMemory::Holding> holdAnswer(
-    RelayContext& context, const std::shared_ptr<EndpointCall>& call, const std::string& requestId)
+    RelayContext& context, const RelayRequest& request, std::function<void()> giveUp)
 {
-    return context.answerMemory->open([&context, weak = std::weak_ptr(call), requestId] {
-        const auto answering = weak.lock();
-        if (!answering)
-            return;
+    return context.answerMemory->open([&context, requestId = request.fields.requestId, giveUp = std::move(giveUp)] {
         LogEvent("answer.too-large")
             .text("request", requestId)
-            .text("endpoint", answering->endpoint()->entry().id)
-            .number("connection", static_cast<std::int64_t>(answering->connectionNumber()))
             .number("others_bytes", static_cast<std::int64_t>(context.answerMemory->total()))
             .write();
         context.metrics.answersTooLarge.Increment();
-        answering->giveUp();
+        giveUp();
     });
 }
 
--- a/src/relay/AnswerHolding.h
+++ b/src/relay/AnswerHolding.h
@@ -1,17 +1,16 @@
-// Counts an endpoint's answer against the memory for answers.
+// Counts an answer that endpoints are sending against the memory for answers.
 #pragma once
 
 #include "admission/AnswerMemory.h"
+#include <functional>
 #include <memory>
-#include <string>
 
 namespace lupinknot::internal {
 
-class EndpointCall;
 struct RelayContext;
+struct RelayRequest;
 
-// The call is given up, which is logged, when the answers together need too much memory and this one is the largest.
-std::unique_ptr<AnswerMemory::Holding> holdAnswer(
-    RelayContext&, const std::shared_ptr<EndpointCall>&, const std::string& requestId);
+// The callback is called when the answers together need too much memory and this one is the largest, which is logged.
+std::unique_ptr<AnswerMemory::Holding> holdAnswer(RelayContext&, const RelayRequest&, std::function<void()> giveUp);
 
 } // namespace lupinknot::internal
--- a/src/relay/BufferedCall.cpp
+++ b/src/relay/BufferedCall.cpp
@@ -210,7 +210,10 @@
     auto& attempt = attemptOf(call);
     attempt.answer.body.append(piece);
     if (!attempt.memory)
-        attempt.memory = holdAnswer(m_context, attempt.call, m_request.fields.requestId);
+        attempt.memory = holdAnswer(m_context, m_request, [weak = std::weak_ptr(attempt.call)] {
+            if (const auto answering = weak.lock())
+                answering->giveUp();
+        });
     attempt.memory->add(piece.size());
 }
 
@@ -288,10 +291,14 @@
         .number("after_ms", (now - call.startedAt()).count())
         .write();
     m_context.metrics.countFailure(kind);
-    m_deliveries.settle(attemptOf(call).delivery, wasSent ? DeliveryOutcome::MayHaveRun : DeliveryOutcome::Unsent);
+    auto& attempt = attemptOf(call);
+    m_deliveries.settle(attempt.delivery, wasSent ? DeliveryOutcome::MayHaveRun : DeliveryOutcome::Unsent);
+    // Assigning an empty text would keep the memory.
+    std::string().swap(attempt.answer.body);
+    attempt.memory.reset();
     if (!wasSent) {
         endpoint->avoidUntil(now + settings.avoidAfterRefusal);
-        if (attemptOf(call).tookRetry)
+        if (attempt.tookRetry)
             m_context.retryBudget(m_request.service).giveBack();
     } else {
         m_versions.noteAnswer(*endpoint, AnswerQuality::Bad);
--- a/src/relay/EndpointCall.cpp
+++ b/src/relay/EndpointCall.cpp
@@ -98,19 +98,20 @@
     return attributionOf(m_options.requestId, fields.requestId, hasEarlierDelivery);
 }
 
-void EndpointCall::noteDoubtfulAnswer(const HttpResponse& head, const AnswerFields& fields) const
+void EndpointCall::noteDoubtfulAnswer(
+    const HttpResponse& head, const AnswerFields& fields, AnswerAttribution attribution) const
 {
     LogEvent("answer.doubtful")
         .text("request", m_options.requestId)
         .text("answer_for", fields.requestId)
-        .text("attribution", nameIn(answerAttributionNames, *m_attribution))
+        .text("attribution", nameIn(answerAttributionNames, attribution))
         .text("endpoint", m_endpoint->entry().id)
         .number("connection", static_cast<std::int64_t>(m_connection->number()))
         .number("status", head.status)
         .flag("says_not_run", fields.isNotRun)
         .flag("signed", fields.isSigned)
         .write();
-    m_context.metrics.countDoubtfulAnswer(*m_attribution, fields.isNotRun);
+    m_context.metrics.countDoubtfulAnswer(attribution, fields.isNotRun);
 }
 
 void EndpointCall::responseHeaderReceived(const HttpResponse& head)
@@ -118,10 +119,10 @@
     m_checkTimer.cancel();
     const auto fields = m_context.protocol.decodeAnswer(head);
     const auto now = m_context.now();
-    m_attribution = attributionOfAnswer(fields);
-    m_isSkipping = m_attribution != AnswerAttribution::ThisDelivery;
+    const auto attribution = attributionOfAnswer(fields);
+    m_isSkipping = attribution != AnswerAttribution::ThisDelivery;
     if (m_isSkipping) {
-        noteDoubtfulAnswer(head, fields);
+        noteDoubtfulAnswer(head, fields, attribution);
         return;
     }
     // Unsigned bytes and responses of another process at the address are no evidence about this endpoint.
--- a/src/relay/EndpointCall.h
+++ b/src/relay/EndpointCall.h
@@ -17,7 +17,6 @@
 #include "relay/CallProtocol.h"
 #include "relay/RelayEndpoint.h"
 #include <memory>
-#include <optional>
 #include <vector>
 
 namespace lupinknot::internal {
@@ -66,8 +65,6 @@
     // True if the endpoint refused the connection.
     bool isRefused() const { return m_connection->isRefused(); }
     std::uint64_t connectionNumber() const { return m_connection->number(); }
-    // What the last answer belongs to; nothing before its header.
-    std::optional<AnswerAttribution> attribution() const { return m_attribution; }
     // Closes the connection. No callback follows.
     void cancel();
     // Closes the connection; the call fails as one whose answer is malformed.
@@ -84,7 +81,7 @@
     void end();
     void armCheck();
     AnswerAttribution attributionOfAnswer(const AnswerFields&) const;
-    void noteDoubtfulAnswer(const HttpResponse&, const AnswerFields&) const;
+    void noteDoubtfulAnswer(const HttpResponse&, const AnswerFields&, AnswerAttribution) const;
 
     RelayContext& m_context;
     const std::shared_ptr<RelayEndpoint> m_endpoint;
@@ -93,7 +90,6 @@
     const Milliseconds m_startedAt;
     std::shared_ptr<ClientConnection> m_connection;
     boost::asio::steady_timer m_checkTimer;
-    std::optional<AnswerAttribution> m_attribution;
     // The response comes from the endpoint's incarnation.
     bool m_isFromEndpoint { false };
     bool m_isSkipping { false };
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -108,6 +108,7 @@
           });
     m_copier = std::make_unique<RunCopier>(m_context, m_request, m_versions);
     m_crashTracker.begin(ifNotFinished(&EventStreamCall::requestBecameHeld));
+    m_memory = holdAnswer(m_context, m_request, ifNotFinished(&EventStreamCall::answerBecameTooLarge));
     m_deadlineTimer.expires_after(m_request.deadline - m_context.now());
     m_deadlineTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error)
@@ -228,6 +229,8 @@
     endStream(refusalAfter(AttemptDecision::Held, m_deliveries.possibleRuns()));
 }
 
+void EventStreamCall::answerBecameTooLarge() { endStream(RefusalReason::EndpointFailed); }
+
 // A run that produces events does not crash its engine, whatever happened to other runs of the request.
 void EventStreamCall::requestBecameHeld()
 {
@@ -451,10 +454,8 @@
     const auto run = runOf(call);
     if (!run)
         return;
-    if (!run->memory)
-        run->memory = holdAnswer(m_context, run->call, m_request.fields.requestId);
-    run->memory->add(piece.size());
-    if (run->call->isOver())
+    m_memory->add(piece.size());
+    if (m_isFinished)
         return;
     if (!run->isStream) {
         run->head.body.append(piece);
@@ -1004,6 +1005,7 @@
     m_loanRequest.reset();
     m_liveSearch.reset();
     m_mover->cancel();
+    m_memory.reset();
     for (const auto& run : { std::exchange(m_run, nullptr), std::exchange(m_silentRun, nullptr) }) {
         if (run)
             run->call->cancel();
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -15,6 +15,7 @@
 #pragma once
 
 #include "admission/AnswerLateness.h"
+#include "admission/AnswerMemory.h"
 #include "admission/DeliveryHistory.h"
 #include "relay/CrashTracker.h"
 #include "relay/EndpointCall.h"
@@ -114,6 +115,8 @@
     std::shared_ptr<StreamRun> runOf(const EndpointCall&) const;
     void runRejected();
     void giveUpAsHeld();
+    // The events of all runs together need too much memory.
+    void answerBecameTooLarge();
     void requestBecameHeld();
 
     // Renews the copy of the run where the service's engines can; elsewhere, moves the run preventively if no engine
@@ -144,6 +147,8 @@
     // Set while the run is searched that the caller resumes.
     std::shared_ptr<EarlierRunSearch> m_search;
     const std::shared_ptr<StreamResponse> m_answer;
+    // Set by begin(); counts what all runs have sent.
+    std::unique_ptr<AnswerMemory::Holding> m_memory;
     std::shared_ptr<StreamRun> m_run;
     // The silent run that is kept while m_run is tried, or prepared, in its place.
     std::shared_ptr<StreamRun> m_silentRun;
--- a/src/relay/StreamRun.h
+++ b/src/relay/StreamRun.h
@@ -4,7 +4,6 @@
 // thread only.
 #pragma once
 
-#include "admission/AnswerMemory.h"
 #include "admission/DeliveryHistory.h"
 #include "http/HttpResponse.h"
 #include "lupinknot/Generation.h"
@@ -32,8 +31,6 @@
     std::shared_ptr<RelayEndpoint> copyHolder;
     HttpResponse head;
     AnswerFields fields;
-    // Set when the first byte of a body arrives.
-    std::unique_ptr<AnswerMemory::Holding> memory;
     EventSplitter splitter;
     EventGaps gaps;
     // Set while the engine prefills the prompt.
