Do not name a request in a scripted endpoint's answer to a load query

Cause: the scripted endpoints of this test name a request in every answer, also in those to load queries, which have no id; the name was whatever stood at the beginning of the query. An endpoint that is asked without an id has none to give back.

The product is unchanged, and so is the assertion: a back-off that is stated in the answer to a load query still counts.

--- a/test/EndpointRestTest.cpp
+++ b/test/EndpointRestTest.cpp
@@ -11,16 +11,16 @@
 
 namespace {
 
-std::string idOf(const std::string& request)
+// The line that names the request in its answer; empty for requests without an id, such as load queries.
+std::string idLineOf(const std::string& request)
 {
-    const std::string name = "X-Request-Id: ";
-    const auto begin = request.find(name) + name.size();
-    return request.substr(begin, request.find("\r\n", begin) - begin);
+    const auto begin = request.find("X-Request-Id: ");
+    return begin == std::string::npos ? "" : request.substr(begin, request.find("\r\n", begin) + 2 - begin);
 }
 
 std::string signedHeadOf(const std::string& request)
 {
-    return "X-Request-Id: " + idOf(request) + "\r\nX-Response-Signature: s\r\n";
+    return idLineOf(request) + "X-Response-Signature: s\r\n";
 }
 
 void answerWhole(ScriptedConnection& connection, const std::string& request)
@@ -38,7 +38,7 @@
 ScriptedConnection::OnRequest rejectsWith(const std::string& headerLines)
 {
     return [headerLines](ScriptedConnection& connection, const std::string& request) {
-        connection.answer(503, "X-Request-Id: " + idOf(request) + "\r\nX-Not-Executed: shed\r\n" + headerLines, "");
+        connection.answer(503, idLineOf(request) + "X-Not-Executed: shed\r\n" + headerLines, "");
     };
 }
 
@@ -215,7 +215,7 @@
 {
     auto& endpoint = relay->addEndpoint("e1");
     endpoint.onRequest([](ScriptedConnection& connection, const std::string& request) {
-        connection.answer(503, "X-Request-Id: " + idOf(request) + "\r\nRetry-After: 60\r\nServer-Leaving: 1\r\n", "");
+        connection.answer(503, idLineOf(request) + "Retry-After: 60\r\nServer-Leaving: 1\r\n", "");
     });
     ready();
     callAndWait("/once/1");
