--- a/test/UsageReporterTest.cpp
+++ b/test/UsageReporterTest.cpp
@@ -1,5 +1,7 @@
 // The usage duty with a stand-in of the store and of the platform's receiver: one correct report per window, whatever
 // happens to its leader.
+#include "RunUntil.h"
+#include "StoreLeaderLease.h"
 #include "UsageReporter.h"
 #include "http/HttpExchange.h"
 #include "lupinknot/ManualClock.h"
@@ -243,3 +245,61 @@
     LONGS_EQUAL(1, receiver->reports().at(firstWindow).size());
     CHECK_TEXT(receiver->reports().rbegin()->first > firstWindow + 2, "later windows should be reported");
 }
+
+// Guards against two reports of one window: a leader that takes over once more removes the fixed report of a window that
+// its record states as incomplete.
+TEST(UsageReporter, ALeaseDoesNotRemoveTheRowsOfAnEarlierOne)
+{
+    struct Process {
+        Process(boost::asio::io_context& ioContext, const ManualClock& clock, std::int64_t port, const char* name)
+            : era(StoreEra::create(ioContext))
+            , leadership(ioContext, clock, { "127.0.0.1", port }, era, "usage", name, lease)
+        {
+        }
+
+        std::shared_ptr<StoreEra> era;
+        StoreLeaderLease leadership;
+    };
+    Process first(ioContext, clock, store->port(), "first");
+    Process second(ioContext, clock, store->port(), "second");
+    const auto acquire = [&](StoreLeaderLease& leadership) {
+        for (int steps = 0; steps < 100 && !leadership.isHeld(); ++steps) {
+            clock.advance(lease / 10);
+            leadership.advance();
+            CHECK(runUntil(ioContext, [&] { return !leadership.isCalling(); }));
+        }
+        CHECK(leadership.isHeld());
+    };
+    acquire(first.leadership);
+    first.leadership.writeOnce("7", "counts", [](const std::optional<std::string>&) {});
+    CHECK(runUntil(ioContext, [&] { return !first.leadership.isCalling(); }));
+    first.leadership.complete(7, "7");
+    acquire(second.leadership);
+    acquire(first.leadership);
+    CHECK(first.leadership.completed() < 7);
+    CHECK_TEXT(store->value("duty-usage", "7").has_value(), "the fixed report was removed");
+}
+
+TEST(UsageReporter, ARowIsRemovedWithTheWriteThatStatesItsWindowComplete)
+{
+    StoreLeaderLease leadership(
+        ioContext, clock, { "127.0.0.1", store->port() }, StoreEra::create(ioContext), "usage", "first", lease);
+    const auto advance = [&] {
+        clock.advance(lease / 2);
+        leadership.advance();
+        CHECK(runUntil(ioContext, [&] { return !leadership.isCalling(); }));
+    };
+    for (int steps = 0; steps < 100 && !leadership.isHeld(); ++steps)
+        advance();
+    leadership.writeOnce("7", "counts", [](const std::optional<std::string>&) {});
+    CHECK(runUntil(ioContext, [&] { return !leadership.isCalling(); }));
+    CHECK(store->value("duty-usage", "7").has_value());
+    // Completed while a renewal is under way that does not contain it.
+    clock.advance(lease / 2);
+    leadership.advance();
+    leadership.complete(7, "7");
+    CHECK(runUntil(ioContext, [&] { return !leadership.isCalling(); }));
+    CHECK(store->value("duty-usage", "7").has_value());
+    advance();
+    CHECK_FALSE(store->value("duty-usage", "7").has_value());
+}
