Do not resume a stream at the service that its route has left

Cause: the note of a run names an endpoint and a copy holder by id, and both were used whatever their service. An id was too little of their identity for a request that is tied to a service.

Change: an endpoint of another service is used neither as the earlier engine nor as the copy holder. The stream continues at the present service.

StreamOfAMovedRoute.DoesNotContinueAtTheServiceThatTheRouteHasLeft failed before and passes after.

--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -40,8 +40,13 @@
 
 void EngineChoice::setEarlierRun(const RunLocation& location)
 {
-    m_earlierEngine = m_context.directory.find(location.endpointId);
-    auto holder = m_context.directory.find(location.copyHolderId);
+    // The route may have been moved to another service since.
+    const auto findInService = [this](const std::string& id) {
+        auto endpoint = m_context.directory.find(id);
+        return endpoint && endpoint->entry().service == m_request.service ? endpoint : nullptr;
+    };
+    m_earlierEngine = findInService(location.endpointId);
+    auto holder = findInService(location.copyHolderId);
     if (!holder || holder->isRemoved())
         holder = m_context.directory.findAt(m_request.service, location.copyHolderAddress);
     if (holder)
--- a/test/StreamVersionTest.cpp
+++ b/test/StreamVersionTest.cpp
@@ -3,6 +3,7 @@
 #include "PartitionedFleet.h"
 #include "RelayHarness.h"
 #include "relay/EventStreamCall.h"
+#include "relay/RunLocations.h"
 
 #include <set>
 
@@ -426,3 +427,57 @@
         STRCMP_EQUAL(begun.c_str(), resumed.c_str());
     }
 }
+
+namespace {
+
+// Knows one run, whatever its key.
+class OneRunLocation final : public RunLocations {
+public:
+    void note(const std::string&, const RunLocation&) override { }
+    void forget(const std::string&) override { }
+    void find(const std::string&, FindCallback found) override { found({ location, true }); }
+
+    RunLocation location;
+};
+
+} // namespace
+
+TEST_GROUP(StreamOfAMovedRoute) {};
+
+// Guards against a resumed stream that goes to an endpoint of the service from which its route has been moved.
+TEST(StreamOfAMovedRoute, DoesNotContinueAtTheServiceThatTheRouteHasLeft)
+{
+    RelayHarness relay;
+    relay.addRoute("stream", RequestKind::EventStream, 5);
+    bool usedCopy = false;
+    const auto serves = [&usedCopy](ScriptedConnection& client, const std::string& request) {
+        usedCopy = usedCopy || request.find("Kv-From") != std::string::npos;
+        client.beginStream(signedHeadFor(request));
+        client.sendEvent(3);
+        client.endStream();
+    };
+    auto& earlier = relay.addEndpoint("e1");
+    auto& holder = relay.addEndpoint("e2");
+    auto& current = relay.addEndpoint("e3");
+    for (auto* endpoint : { &earlier, &holder, &current })
+        endpoint->onRequest(serves);
+    relay.configure();
+    relay.list();
+    auto& directory = relay.daemon().directory();
+    const auto now = relay.daemon().clock().now();
+    const SocketAddress holderAddress { "127.0.0.1", holder.port() };
+    directory.remove("e1", now);
+    directory.remove("e2", now);
+    directory.upsert({ "old1", "earlier-service", { "127.0.0.1", earlier.port() }, "a", 4, false, "v1" }, now);
+    directory.upsert({ "old2", "earlier-service", holderAddress, "a", 4, false, "v1" }, now);
+    OneRunLocation locations;
+    locations.location = { "old1", "old2", "r0", holderAddress, "v1" };
+    relay.daemon().setRunLocations(&locations);
+    const auto caller = relay.call("/stream/1", { { "Resumes", "r0" }, { "Last-Event-Id", "2" } });
+    CHECK(relay.runUntil([&] { return caller->isWhole || caller->isBroken; }));
+    LONGS_EQUAL(200, caller->head.status);
+    LONGS_EQUAL(1, current.requests().size());
+    LONGS_EQUAL(0, earlier.requests().size());
+    LONGS_EQUAL(0, holder.requests().size());
+    CHECK_FALSE(usedCopy);
+}
