Give a caller that lacks only the end of its stream the end

What the review read: a caller that has received all events, but not the end, resumes and is refused each time, because an answer without events counts as one that ended early.

Change: a whole answer without events completes a stream that was resumed, if its end is certain (a length or chunks). Where only the close of the connection ends it, it stays a failure: an engine that is lost closes as well.

AReconnectingCallerThatLacksNoEventGetsTheEnd failed before (502) and passes after; AReconnectingCallerIsNotGivenTheEndByAnAnswerWithoutALength holds the other side, before and after.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -565,10 +565,14 @@
         m_mover->noteStreamEnded();
         return;
     }
-    if (!run->splitter.incompleteBytes().empty() || m_answer->length() == 0) {
+    // A caller that has received all events may lack the end, which only an answer with a length or chunks shows.
+    const bool hasOnlyEnd = m_answer->length() == 0 && m_request.fields.lastEventId && run->isFramed;
+    if (!run->splitter.incompleteBytes().empty() || (m_answer->length() == 0 && !hasOnlyEnd)) {
         runFailed(FailureKind::EarlyEnd);
         return;
     }
+    if (hasOnlyEnd)
+        m_answer->forwardToCaller(run->head, m_context.now());
     complete();
 }
 
--- a/test/EventStreamCallTest.cpp
+++ b/test/EventStreamCallTest.cpp
@@ -263,6 +263,31 @@
     CHECK(engine.hasReceived(0, "Last-Event-Id: 7\r\n"));
 }
 
+// Guards against a caller that has received all events but not the end, and is refused whenever it resumes.
+TEST(EventStreamCall, AReconnectingCallerThatLacksNoEventGetsTheEnd)
+{
+    relay->addEndpoint("e1").onRequest(sends(1, 0));
+    ready();
+    const auto caller = relay->call("/stream/1", { { "Last-Event-Id", "7" } });
+    await(caller);
+    LONGS_EQUAL(200, caller->head.status);
+    CHECK(caller->isWhole);
+    STRCMP_EQUAL("", caller->body.c_str());
+}
+
+// Guards against an answer without a length whose engine was lost before its first event.
+TEST(EventStreamCall, AReconnectingCallerIsNotGivenTheEndByAnAnswerWithoutALength)
+{
+    relay->addEndpoint("e1").onRequest([](ScriptedConnection& caller, const std::string&) {
+        caller.send("HTTP/1.1 200 OK\r\n" + signedHead + "Content-Type: text/event-stream\r\n\r\n");
+        caller.close();
+    });
+    ready();
+    const auto caller = relay->call("/stream/1", { { "Last-Event-Id", "7" } });
+    await(caller);
+    CHECK_FALSE(caller->isWhole && caller->head.status == 200);
+}
+
 TEST(EventStreamCall, AbortsTheResponseWhenNoEngineCanResume)
 {
     relay->addEndpoint("e1", "a").onRequest(sendsAndResets(1));
