Accept only endpoint entries with all fields

An address alone was taken for the identity of an endpoint's next incarnation.

Change: all eight fields are required, each with its type.

Ruled out: to keep the endpoint until the new entry's answers name it. A process that has crashed and started again at its address would be found only by rejected requests.

Tests: RejectsAnEndpointThatLacksAField fails before (`cold-left-ms`), and RejectsEntriesThatAreNotEndpoints now changes one field of a valid entry at a time, so that each case is rejected for its own reason; it is stricter than before, when most cases lacked other fields as well. `cold-left-ms` of another type failed before.

--- a/test/PlatformRowsTest.cpp
+++ b/test/PlatformRowsTest.cpp
@@ -1,5 +1,7 @@
 #include "PlatformRows.h"
 
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace lupinknot;
@@ -8,6 +10,10 @@
 
 namespace {
 
+constexpr const char* endpointText
+    = R"({"service":"llm","address":"10.1.0.9:8080","zone":"hall-a","version":"v1","slots":4,"state":"ready",)"
+      R"("cold-left-ms":0,"sequence":4})";
+
 const char* const configurationText = R"({"version":7,"routes":[
  {"name":"r1","host":"a.example","path-prefix":"/x/","kind":"streaming","timeout-ms":25000,"slo-ms":4500,
   "service":"llm","max-attempts":5,"public":false,"resumable":true,"gap-aim-ms":700},
@@ -109,7 +115,9 @@
 TEST(PlatformRows, DecodesAnEndpoint)
 {
     const auto entry = decodeEndpoint("i-7f",
-        R"({"service":"llm","address":"10.1.0.9:8080","zone":"hall-a","slots":64,"state":"draining"})", problem);
+        R"({"service":"llm","address":"10.1.0.9:8080","zone":"hall-a","version":"v1","slots":64,"state":"draining",)"
+        R"("cold-left-ms":0,"sequence":4})",
+        problem);
     STRCMP_EQUAL("i-7f", entry->id.c_str());
     STRCMP_EQUAL("10.1.0.9:8080", entry->address.text().c_str());
     STRCMP_EQUAL("hall-a", entry->availabilityZone.c_str());
@@ -125,34 +133,43 @@
 // Other writers add entries to the same table. They describe no usable endpoint, and the other entries must stay valid.
 TEST(PlatformRows, RejectsEntriesThatAreNotEndpoints)
 {
-    for (const auto* text :
-        { "", "[]", "7", "null", "\xff\xfe{", R"({"service":"llm"})", R"({"service":"llm","address":"10.1.0.9:8080"})",
-            R"({"service":7,"address":"10.1.0.9:8080","state":"ready"})",
-            R"({"service":"llm","address":["10.1.0.9:8080"],"state":"ready"})",
-            R"({"service":"llm","address":"10.1.0.9:8080","state":7})",
-            R"({"service":"llm","address":"10.1.0.9:8080","state":"resting"})",
-            R"({"service":"llm","address":"10.1.0.9:8080","state":"ready","slots":"many"})",
-            R"({"service":"llm","address":"10.1.0.9:8080","state":"ready","slots":-1})",
-            R"({"service":"llm","address":"10.1.0.9:8080","state":"ready","slots":1e18})",
-            R"({"service":"llm","address":"10.1.0.9:8080","state":"ready","born":1.5})",
-            R"({"service":"llm","address":"10.1.0.9:80x","state":"ready"})",
-            R"({"service":"llm","address":"10.1.0.9:0","state":"ready"})",
-            R"({"service":"llm","address":"10.1.0.9:65536","state":"ready"})",
-            R"({"service":"llm","address":"10.1.0.9:99999999999999999999","state":"ready"})",
-            R"({"service":"llm","address":"10.1.0.9:-1","state":"ready"})",
-            R"({"service":"llm","address":"somewhere:80","state":"ready"})",
-            R"({"service":"llm","address":":80","state":"ready"})" }) {
+    for (const auto* text : { "", "[]", "7", "null", "\xff\xfe{" }) {
         problem.clear();
         CHECK_TEXT(!decodeEndpoint("i-7f", text, problem), text);
         CHECK_TEXT(!problem.empty(), text);
     }
+    for (const auto* change :
+        { R"({"service":7})", R"({"address":["10.1.0.9:8080"]})", R"({"state":7})", R"({"state":"resting"})",
+            R"({"slots":"many"})", R"({"slots":-1})", R"({"slots":1e18})", R"({"born":1.5})", R"({"born":"yesterday"})",
+            R"({"address":"nowhere"})", R"({"address":"10.1.0.9:80x"})", R"({"address":"10.1.0.9:0"})",
+            R"({"address":"10.1.0.9:65536"})", R"({"address":"10.1.0.9:99999999999999999999"})",
+            R"({"address":"10.1.0.9:-1"})", R"({"address":"somewhere:80"})", R"({"address":":80"})",
+            R"({"zone":7})", R"({"version":1})", R"({"cold-left-ms":"long"})", R"({"sequence":"first"})" }) {
+        auto entry = nlohmann::json::parse(endpointText);
+        CHECK(decodeEndpoint("i-7f", entry.dump(), problem).has_value());
+        entry.update(nlohmann::json::parse(change));
+        problem.clear();
+        CHECK_TEXT(!decodeEndpoint("i-7f", entry.dump(), problem), change);
+        CHECK_TEXT(!problem.empty(), change);
+    }
+}
+
+// Guards against an entry of another writer that lacks fields and takes the address of an endpoint that serves.
+TEST(PlatformRows, RejectsAnEndpointThatLacksAField)
+{
+    const auto whole = nlohmann::json::parse(endpointText);
+    for (const auto& [name, value] : whole.items()) {
+        auto other = whole;
+        other.erase(name);
+        CHECK_TEXT(!decodeEndpoint("i-7f", other.dump(), problem), name.c_str());
+    }
 }
 
 TEST(PlatformRows, DecodesTheStartTimeOfAnEndpoint)
 {
     const auto entry = [this](const std::string& rest) {
-        return decodeEndpoint(
-            "i-7f", R"({"service":"llm","address":"10.1.0.9:8080","state":"ready")" + rest + "}", problem);
+        const std::string text(endpointText);
+        return decodeEndpoint("i-7f", text.substr(0, text.size() - 1) + rest + "}", problem);
     };
     CHECK(entry(R"(,"born":1791000000123)")->startTime == 1791000000123);
     CHECK_TEXT(entry("")->startTime == 0, "the start time is optional");
