Count answers until their slow callers have received them

A whole answer, or a whole stream, that waits for a slow caller was held without a limit, up to the write timeout of 30 s; callers that do not read can use up a VM's memory behind a sound, fast endpoint.

Ways: to read the endpoint only as fast as the caller reads would hold less, but an idempotent call could then not be sent again after a truncated answer, and an engine would be slowed down by one caller. To refuse new answers while slow callers hold the memory punishes those who read.

Change: a response and a stream's events hold their share of AnswerMemory until the session has sent them or has closed.

--- a/src/http/HttpResponse.h
+++ b/src/http/HttpResponse.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "http/HttpHeaders.h"
+#include <memory>
+#include <string>
 
 namespace lupinknot::internal {
 
@@ -9,6 +11,8 @@
     unsigned status { 200 };
     HttpHeaders headers;
     std::string body;
+    // Of a response to a caller: released when it has been sent or its connection has closed.
+    std::shared_ptr<void> heldUntilSent {};
 };
 
 } // namespace lupinknot::internal
--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -320,6 +320,7 @@
     if (keepAlive)
         m_response->insert(http::field::keep_alive, keepAliveText(*m_owner->settings()));
     m_response->body() = std::move(response.body);
+    m_heldUntilSent = std::move(response.heldUntilSent);
     m_response->prepare_payload();
     m_isWriting = true;
     m_stream.expires_after(m_owner->settings()->writeTimeout);
@@ -328,6 +329,7 @@
             self->m_isWriting = false;
             self->m_isBusy = false;
             self->m_response.reset();
+            self->m_heldUntilSent.reset();
             self->m_exchange.reset();
             if (!error && self->m_mustDrain)
                 self->beginDrain();
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -81,6 +81,7 @@
     boost::beast::flat_buffer m_buffer;
     std::optional<Request> m_parser;
     std::optional<BufferedResponse> m_response;
+    std::shared_ptr<void> m_heldUntilSent;
     std::optional<StreamHeader> m_header;
     std::optional<StreamHeaderSerializer> m_headerSerializer;
     std::shared_ptr<Exchange> m_exchange;
--- a/src/relay/BufferedCall.cpp
+++ b/src/relay/BufferedCall.cpp
@@ -211,8 +211,11 @@
     attempt.answer.body.append(piece);
     if (!attempt.memory)
         attempt.memory = holdAnswer(m_context, m_request, [weak = std::weak_ptr(attempt.call)] {
-            if (const auto answering = weak.lock())
-                answering->giveUp();
+            const auto answering = weak.lock();
+            if (!answering || answering->isOver())
+                return false;
+            answering->giveUp();
+            return true;
         });
     attempt.memory->add(piece.size());
 }
@@ -271,7 +274,7 @@
         recover(RefusalReason::EndpointFailed);
         return;
     }
-    answer(std::move(attempt.answer), isSuccess(status) ? "answered" : "endpoint-status", endpoint->entry().id);
+    answer(attempt, isSuccess(status) ? "answered" : "endpoint-status", endpoint->entry().id);
 }
 
 void BufferedCall::callFailed(EndpointCall& call, FailureKind kind)
@@ -336,7 +339,7 @@
         return;
     if (m_errorAnswer) {
         const auto endpointId = m_errorAnswer->call->endpoint()->entry().id;
-        answer(std::move(m_errorAnswer->answer), "endpoint-status", endpointId);
+        answer(*m_errorAnswer, "endpoint-status", endpointId);
     } else if (m_deliveries.possibleRuns() > 0) {
         refuse(RefusalReason::EndpointFailed);
     } else {
@@ -488,8 +491,10 @@
         m_context.noteStarted(m_request.organisation, startedAt);
 }
 
-void BufferedCall::answer(HttpResponse response, std::string_view outcome, std::string_view endpointId)
+void BufferedCall::answer(Attempt& attempt, std::string_view outcome, std::string_view endpointId)
 {
+    auto response = std::move(attempt.answer);
+    response.heldUntilSent = std::move(attempt.memory);
     const auto now = m_context.now();
     recordCallTime(now);
     LogEvent("request.done", LogImportance::Routine)
--- a/src/relay/BufferedCall.h
+++ b/src/relay/BufferedCall.h
@@ -82,7 +82,8 @@
     void refuseAsHeld();
     bool hasOpenAttempt() const;
     Attempt& attemptOf(const EndpointCall&);
-    void answer(HttpResponse, std::string_view outcome, std::string_view endpointId);
+    // Forwards the attempt's answer to the caller.
+    void answer(Attempt&, std::string_view outcome, std::string_view endpointId);
     void recordCallTime(Milliseconds now);
     // Records once that an endpoint has started the request.
     void noteStarted(Milliseconds startedAt);
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -108,7 +108,13 @@
           });
     m_copier = std::make_unique<RunCopier>(m_context, m_request, m_versions);
     m_crashTracker.begin(ifNotFinished(&EventStreamCall::requestBecameHeld));
-    m_memory = holdAnswer(m_context, m_request, ifNotFinished(&EventStreamCall::answerBecameTooLarge));
+    m_answer->countIn(holdAnswer(m_context, m_request, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self || self->m_isFinished)
+            return false;
+        self->answerBecameTooLarge();
+        return true;
+    }));
     m_deadlineTimer.expires_after(m_request.deadline - m_context.now());
     m_deadlineTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error)
@@ -454,7 +460,7 @@
     const auto run = runOf(call);
     if (!run)
         return;
-    m_memory->add(piece.size());
+    m_answer->count(piece.size());
     if (m_isFinished)
         return;
     if (!run->isStream) {
@@ -590,7 +596,9 @@
     }
     countStream(StreamOutcome::Failed);
     logEnd("endpoint-status", run->head.status);
-    m_request.exchange->respond(run->head);
+    auto response = run->head;
+    response.heldUntilSent = m_answer;
+    m_request.exchange->respond(std::move(response));
     finish();
 }
 
@@ -1009,7 +1017,6 @@
     m_loanRequest.reset();
     m_liveSearch.reset();
     m_mover->cancel();
-    m_memory.reset();
     for (const auto& run : { std::exchange(m_run, nullptr), std::exchange(m_silentRun, nullptr) }) {
         if (run)
             run->call->cancel();
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -15,7 +15,6 @@
 #pragma once
 
 #include "admission/AnswerLateness.h"
-#include "admission/AnswerMemory.h"
 #include "admission/DeliveryHistory.h"
 #include "relay/CrashTracker.h"
 #include "relay/EndpointCall.h"
@@ -147,8 +146,6 @@
     // Set while the run is searched that the caller resumes.
     std::shared_ptr<EarlierRunSearch> m_search;
     const std::shared_ptr<StreamResponse> m_answer;
-    // Set by begin(); counts what all runs have sent.
-    std::unique_ptr<AnswerMemory::Holding> m_memory;
     std::shared_ptr<StreamRun> m_run;
     // The silent run that is kept while m_run is tried, or prepared, in its place.
     std::shared_ptr<StreamRun> m_silentRun;
--- a/src/relay/StreamResponse.h
+++ b/src/relay/StreamResponse.h
@@ -11,6 +11,7 @@
 // Used on the relay's thread only. Owned by the stream's call and by the caller's connection.
 #pragma once
 
+#include "admission/AnswerMemory.h"
 #include "lupinknot/Clock.h"
 #include "lupinknot/Generation.h"
 #include "relay/EventSplitter.h"
@@ -35,6 +36,9 @@
     bool append(const StreamRun&, std::vector<CompleteEvent>&&);
     // Passes the received events to the caller; the first call also sends the response header.
     void forwardToCaller(const HttpResponse& head, Milliseconds now);
+    // Counts what the runs send in this holding, until the caller's connection has sent it.
+    void countIn(std::unique_ptr<AnswerMemory::Holding> memory) { m_memory = std::move(memory); }
+    void count(std::size_t bytes) { m_memory->add(bytes); }
     // Marks the answer as complete.
     void complete() { m_isComplete = true; }
 
@@ -61,6 +65,7 @@
     // Number of events that the caller had received before this call.
     const std::uint64_t m_previousEventId;
     Generation m_events;
+    std::unique_ptr<AnswerMemory::Holding> m_memory;
     Milliseconds m_firstEventAt { 0 };
     std::optional<Milliseconds> m_lastEventAt;
     bool m_hasBegun { false };
--- a/test/UnboundedAnswerTest.cpp
+++ b/test/UnboundedAnswerTest.cpp
@@ -1,6 +1,9 @@
+#include "RawConnection.h"
 #include "RelayHarness.h"
 #include "common/ByteSizes.h"
 
+#include <deque>
+
 #include <CppUTest/TestHarness.h>
 #include <boost/asio/post.hpp>
 
@@ -10,6 +13,8 @@
 namespace {
 
 constexpr std::size_t pieceBytes = 4 * kibibyte;
+// Larger than what the system buffers for a connection whose caller does not read.
+constexpr std::size_t largeAnswerBytes = 16 * mebibyte;
 const std::string chunkedHead = "HTTP/1.1 200 OK\r\n" + signedHead + "Transfer-Encoding: chunked\r\n\r\n";
 
 std::string chunk(const std::string& content)
@@ -49,6 +54,20 @@
             [this, connection, piece, times] { sendRepeatedly(connection, piece, times - 1); });
     }
 
+    // Sends events from the first id to the last one, and the end of the stream, until the peer closes the connection.
+    void sendEvents(const std::shared_ptr<ScriptedConnection>& connection, std::size_t id, std::size_t lastId)
+    {
+        if (connection->isClosedByPeer())
+            return;
+        if (id > lastId) {
+            connection->endStream();
+            return;
+        }
+        connection->sendChunk("id: " + std::to_string(id) + "\ndata: " + std::string(pieceBytes, 'x') + "\n\n");
+        boost::asio::post(
+            relay->daemon().ioContext(), [this, connection, id, lastId] { sendEvents(connection, id + 1, lastId); });
+    }
+
     ScriptedConnection::OnRequest sendsWithoutEnd(const std::string& head, const std::string& piece)
     {
         return [this, head, piece](ScriptedConnection& caller, const std::string&) {
@@ -66,6 +85,31 @@
         return caller;
     }
 
+    // Three callers that do not read get answers of which the memory for answers holds two.
+    void checkSlowCallersAreBounded(const std::string& path, const ScriptedConnection::OnRequest& sendLargeAnswer)
+    {
+        relay->settings.maxAnswerMemory = 5 * largeAnswerBytes / 2;
+        relay->addEndpoint("e1").onRequest(sendLargeAnswer);
+        relay->configure();
+        relay->list();
+        const auto endpoint = relay->daemon().directory().find("e1");
+        const auto tooLarge = [this] {
+            return relay->daemon().metrics().exposition().find("lupinknot_relay_answers_too_large_total 1")
+                != std::string::npos;
+        };
+        // Each answer is whole before the next one begins.
+        std::deque<RawConnection> slowCallers;
+        for (int i = 0; i < 3; ++i) {
+            CHECK_FALSE(tooLarge());
+            auto& caller = slowCallers.emplace_back(relay->daemon().frontPort());
+            caller.send("POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: s" + std::to_string(i)
+                + "\r\nX-Deadline-Ms: 60000\r\nContent-Length: 0\r\n\r\n");
+            CHECK(relay->runUntil([&] { return endpoint->inFlight() == 1; }));
+            CHECK(relay->runUntil([&] { return endpoint->inFlight() == 0; }));
+        }
+        CHECK_TEXT(relay->runUntil(tooLarge), "the answers to slow callers were held without a limit");
+    }
+
     void checkIsGivenUp(const std::string& path, const std::string& head, const std::string& piece)
     {
         auto& endpoint = relay->addEndpoint("e1");
@@ -135,23 +179,31 @@
 TEST(UnboundedAnswer, EventsWithoutEndEndTheirStream)
 {
     auto& endpoint = relay->addEndpoint("e1");
-    const auto lastEvent = std::make_shared<int>(0);
-    std::function<void(const std::shared_ptr<ScriptedConnection>&)> sendEvents
-        = [&](const std::shared_ptr<ScriptedConnection>& connection) {
-              if (connection->isClosedByPeer())
-                  return;
-              connection->sendChunk(
-                  "id: " + std::to_string(++*lastEvent) + "\ndata: " + std::string(pieceBytes, 'x') + "\n\n");
-              boost::asio::post(relay->daemon().ioContext(), [&sendEvents, connection] { sendEvents(connection); });
-          };
-    endpoint.onRequest([&](ScriptedConnection& caller, const std::string&) {
+    endpoint.onRequest([this](ScriptedConnection& caller, const std::string&) {
         caller.beginStream(signedHead);
-        sendEvents(caller.shared_from_this());
+        sendEvents(caller.shared_from_this(), 1, SIZE_MAX);
     });
     CHECK(call("/stream/1")->isBroken);
     CHECK(relay->runUntil([&] { return endpoint.connections()[0]->isClosedByPeer(); }));
 }
 
+TEST(UnboundedAnswer, WholeAnswersToSlowCallersAreBounded)
+{
+    checkSlowCallersAreBounded("/once/1", [this](ScriptedConnection& client, const std::string& request) {
+        client.send("HTTP/1.1 200 OK\r\n" + signedHeadFor(request)
+            + "Content-Length: " + std::to_string(largeAnswerBytes) + "\r\n\r\n");
+        sendRepeatedly(client.shared_from_this(), std::string(pieceBytes, 'x'), largeAnswerBytes / pieceBytes);
+    });
+}
+
+TEST(UnboundedAnswer, WholeStreamsToSlowCallersAreBounded)
+{
+    checkSlowCallersAreBounded("/stream/1", [this](ScriptedConnection& client, const std::string& request) {
+        client.beginStream(signedHeadFor(request));
+        sendEvents(client.shared_from_this(), 1, largeAnswerBytes / pieceBytes);
+    });
+}
+
 TEST(UnboundedAnswer, AProbesAnswerWithoutEndFailsTheProbe)
 {
     auto& endpoint = relay->addEndpoint("e1");
