Write the version of a stream to the store soon while a service has several

Cause: most refusals were `version-unknown`, for streams whose run the store knew: the row was written before the first event had bound the stream to a version, and the note with the version waited in a batch of 2 s when the VMs were killed.

Ruled out: to use the version of the engine that the row names.

Change: a note that is needed to continue (the stream is bound, and the service has several versions) is written after 0.25 s. Notes say so to the zone reader; a reader of an earlier release ignores it and writes as before.

AStreamContinuesWhenAllVmsAreLostSoonAfterItsFirstEvent fails with the batch of 2 s and passes with 0.25 s.

--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -58,15 +58,16 @@
     if (!runLocations() || !m_request.route->mayRunAgain())
         return;
     // Without several versions, the run's is known before its first event.
+    const auto onlyVersion = m_context.directory.versions().onlyVersion(m_request.service, m_context.now());
     m_notedVersion = m_versions.boundVersion();
     if (!m_notedVersion)
-        m_notedVersion = m_context.directory.versions().onlyVersion(m_request.service, m_context.now());
+        m_notedVersion = onlyVersion;
     const auto& holder = run.copyHolder;
     const bool isFirstAttempt = m_request.fields.resumedRequestId.empty();
     runLocations()->note(runKeyOf(m_request),
         { run.endpoint->entry().id, holder ? holder->entry().id : "", m_request.fields.requestId,
             holder ? holder->entry().address : SocketAddress {}, m_notedVersion,
-            isFirstAttempt ? "" : streamIdOf(m_request) });
+            isFirstAttempt ? "" : streamIdOf(m_request), m_versions.boundVersion() && !onlyVersion });
 }
 
 void EngineChoice::noteVersion(const StreamRun& run)
--- a/src/relay/RunLocations.h
+++ b/src/relay/RunLocations.h
@@ -26,6 +26,8 @@
     std::optional<std::string> version {};
     // The stream to which the run belongs (streamIdOf); empty when the attempt that the run is named after began it.
     std::string streamId {};
+    // The service has several versions, so that the stream can continue elsewhere only if the note is found.
+    bool isNeededToContinue { false };
 };
 
 // Result of a search for a stream's run.
--- a/test/PeerRunLocationsTest.cpp
+++ b/test/PeerRunLocationsTest.cpp
@@ -218,8 +218,9 @@
 TEST(PeerRunLocations, ANoteKeepsTheVersionAndTheStreamOfItsRun)
 {
     for (const auto& version : { std::optional<std::string>("v1"), std::optional<std::string>() }) {
-        const auto decoded = decodeLocation(encodeLocation({ "e1", "", "r1", {}, version, "5a" }));
+        const auto decoded = decodeLocation(encodeLocation({ "e1", "", "r1", {}, version, "5a", version.has_value() }));
         CHECK(decoded->version == version);
+        CHECK(decoded->isNeededToContinue == version.has_value());
         STRCMP_EQUAL("5a", decoded->streamId.c_str());
     }
     const auto earlier = decodeLocation({ { "endpoint", "e1" }, { "request", "r1" }, { "version", 7 } });
--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -429,6 +429,18 @@
     CHECK_FALSE(store->value("runs", "p1").has_value());
 }
 
+TEST(PlatformStore, ANoteThatIsNeededToContinueIsWrittenBeforeEarlierOnes)
+{
+    StoreRunLocations usual(*ioContext, { "127.0.0.1", store->port() });
+    StoreRunLocations needed(*ioContext, { "127.0.0.1", store->port() });
+    usual.note("p1", { "e1", "", "r1" });
+    RunLocation location { "e1", "", "r2" };
+    location.isNeededToContinue = true;
+    needed.note("p2", location);
+    CHECK(runUntil([&] { return store->value("runs", "p2").has_value(); }));
+    CHECK_FALSE(store->value("runs", "p1").has_value());
+}
+
 TEST(PlatformStore, RejectedNotesAreWrittenAfterTheStoreRecovers)
 {
     store->setFault(StoreFault::Unavailable);
--- a/test/StreamVersionTest.cpp
+++ b/test/StreamVersionTest.cpp
@@ -340,6 +340,18 @@
         }
         return continued;
     }
+
+    // Terminates all VMs this long after the streams' first events, and starts one of them again.
+    void checkMostContinueWhenAllVmsAreLost(Milliseconds afterFirstEvents)
+    {
+        beginStreams(0);
+        fleet.runFor(afterFirstEvents);
+        for (std::size_t i = 0; i < 3; ++i)
+            fleet.stopVm(i);
+        CHECK(fleet.startVm(1));
+        const auto continued = expectOneVersionEach(resumeStreams(1));
+        CHECK_TEXT(2 * continued >= streamCount, "fewer than half of the streams continued");
+    }
 };
 
 // Guards against a caller who reaches another VM after the loss of the first and continues at another version.
@@ -353,14 +365,14 @@
 // Guards against VMs that continue at any version after all of them were terminated together.
 TEST(StreamVersionFleet, AVmThatHasJustStartedContinuesAtTheVersionThatBegan)
 {
-    beginStreams(0);
     constexpr Milliseconds storeWriteInterval { 2500 };
-    fleet.runFor(storeWriteInterval);
-    for (std::size_t i = 0; i < 3; ++i)
-        fleet.stopVm(i);
-    CHECK(fleet.startVm(1));
-    const auto continued = expectOneVersionEach(resumeStreams(1));
-    CHECK_TEXT(2 * continued >= streamCount, "fewer than half of the streams continued");
+    checkMostContinueWhenAllVmsAreLost(storeWriteInterval);
+}
+
+// Guards against the loss of streams whose version was not in the store yet when all VMs were terminated.
+TEST(StreamVersionFleet, AStreamContinuesWhenAllVmsAreLostSoonAfterItsFirstEvent)
+{
+    checkMostContinueWhenAllVmsAreLost(Milliseconds { 700 });
 }
 
 // Guards against a VM that reaches neither the others nor the store and continues at any version.
