--- a/test/EndpointRestTest.cpp
+++ b/test/EndpointRestTest.cpp
@@ -18,10 +18,7 @@
     return begin == std::string::npos ? "" : request.substr(begin, request.find("\r\n", begin) + 2 - begin);
 }
 
-std::string signedHeadOf(const std::string& request)
-{
-    return idLineOf(request) + "X-Response-Signature: s\r\n";
-}
+std::string signedHeadOf(const std::string& request) { return idLineOf(request) + "X-Response-Signature: s\r\n"; }
 
 void answerWhole(ScriptedConnection& connection, const std::string& request)
 {
--- a/test/PlatformRowsTest.cpp
+++ b/test/PlatformRowsTest.cpp
@@ -143,8 +143,8 @@
             R"({"slots":"many"})", R"({"slots":-1})", R"({"slots":1e18})", R"({"born":1.5})", R"({"born":"yesterday"})",
             R"({"address":"nowhere"})", R"({"address":"10.1.0.9:80x"})", R"({"address":"10.1.0.9:0"})",
             R"({"address":"10.1.0.9:65536"})", R"({"address":"10.1.0.9:99999999999999999999"})",
-            R"({"address":"10.1.0.9:-1"})", R"({"address":"somewhere:80"})", R"({"address":":80"})",
-            R"({"zone":7})", R"({"version":1})", R"({"cold-left-ms":"long"})", R"({"sequence":"first"})" }) {
+            R"({"address":"10.1.0.9:-1"})", R"({"address":"somewhere:80"})", R"({"address":":80"})", R"({"zone":7})",
+            R"({"version":1})", R"({"cold-left-ms":"long"})", R"({"sequence":"first"})" }) {
         auto entry = nlohmann::json::parse(endpointText);
         CHECK(decodeEndpoint("i-7f", entry.dump(), problem).has_value());
         entry.update(nlohmann::json::parse(change));
--- a/test/UsageReporterTest.cpp
+++ b/test/UsageReporterTest.cpp
@@ -1,8 +1,8 @@
 // The usage duty with a stand-in of the store and of the platform's receiver: one correct report per window, whatever
 // happens to its leader.
+#include "UsageReporter.h"
 #include "RunUntil.h"
 #include "StoreLeaderLease.h"
-#include "UsageReporter.h"
 #include "http/HttpExchange.h"
 #include "lupinknot/ManualClock.h"
 #include "standin/StoreStandIn.h"
@@ -246,8 +246,8 @@
     CHECK_TEXT(receiver->reports().rbegin()->first > firstWindow + 2, "later windows should be reported");
 }
 
-// Guards against two reports of one window: a leader that takes over once more removes the fixed report of a window that
-// its record states as incomplete.
+// Guards against two reports of one window: a leader that takes over once more removes the fixed report of a window
+// that its record states as incomplete.
 TEST(UsageReporter, ALeaseDoesNotRemoveTheRowsOfAnEarlierOne)
 {
     struct Process {
