Let the permit tests measure time by a clock that they advance

KNOWN-RED.txt listed PeerPermits.SubstituteKeeperIssuesLessWhenTheFirstKeeperDoesNotAnswer: once, at a machine load of 20, it counted 1 permit where 3 to 7 are expected.

Trace: with the test's process suspended for 100 ms at a time (SIGSTOP, 20 ms between) it failed 6 of 6. All VMs of the test are one process, so that a suspension of more than 60 ms ends the call to the substitute keeper, which has granted the permit, and less of the two seconds is left to ask in. A keeper that is too slow to answer loses its permits also in production; that is safe and intended. The test took its time from the machine, which it must not.

The bounds of all five tests are unchanged.

--- a/test/PeerPermitsTest.cpp
+++ b/test/PeerPermitsTest.cpp
@@ -1,7 +1,7 @@
 #include "PeerPermits.h"
 #include "PeerFeeds.h"
 #include "RunUntil.h"
-#include "lupinknot/MonotonicClock.h"
+#include "lupinknot/ManualClock.h"
 #include "standin/StoreStandIn.h"
 
 #include <algorithm>
@@ -14,6 +14,11 @@
 
 namespace {
 
+// Longer than this process is ever suspended. A VM that is gone refuses connections at once.
+constexpr Milliseconds callTimeout { 10000 };
+// The time that a request and its answer take.
+constexpr Milliseconds requestTime { 1 };
+
 // A VM with an address at which other VMs call it.
 struct TestVm {
     TestVm(boost::asio::io_context& ioContext, const Clock& clock, const std::string& name, std::int64_t storePort)
@@ -22,7 +27,7 @@
     {
         CHECK_FALSE(feeds->start().has_value());
         entry = { name, "a", { "127.0.0.1", feeds->port() } };
-        permits = std::make_unique<PeerPermits>(ioContext, clock, entry);
+        permits = std::make_unique<PeerPermits>(ioContext, clock, entry, callTimeout);
         feeds->handleExchanges(
             PeerPermits::requestPath, [this](const std::string& body) { return permits->answer(body); });
         feeds->handleMessages(
@@ -41,11 +46,12 @@
 {
     std::unique_ptr<boost::asio::io_context> ioContext;
     std::unique_ptr<StoreStandIn> store;
-    MonotonicClock clock;
+    ManualClock clock;
     std::vector<std::unique_ptr<TestVm>> vms;
 
     void setup() override
     {
+        clock.advance(Milliseconds { 1000 });
         ioContext = std::make_unique<boost::asio::io_context>();
         store = std::make_unique<StoreStandIn>(*ioContext);
         store->start();
@@ -86,6 +92,7 @@
         vms[vm]->permits->ask({ "e1", { perSecond, Milliseconds { 0 } }, Milliseconds { 0 } },
             [&got](const PermitAnswer& answer) { got = answer; });
         CHECK(runUntil(*ioContext, [&got] { return got.has_value(); }));
+        clock.advance(requestTime);
         return *got;
     }
 
@@ -146,8 +153,7 @@
     ask(0, 1);
     CHECK_FALSE(ask(1, 1).isGranted);
     // Ensures that the report without a limit is newer than the last one with a limit.
-    const auto later = clock.now() + Milliseconds { 5 };
-    CHECK(runUntil(*ioContext, [&] { return clock.now() > later; }));
+    clock.advance(Milliseconds { 5 });
     vms[2]->permits->reportLimit("e1", { std::nullopt, Milliseconds { 0 } });
     std::optional<PermitAnswer> got;
     CHECK(runUntil(*ioContext, [&] {
