--- a/test/PlatformStoreTest.cpp
+++ b/test/PlatformStoreTest.cpp
@@ -441,6 +441,21 @@
     CHECK_FALSE(store->value("runs", "p1").has_value());
 }
 
+// Guards against notes of many streams that are written in parts, each a batching time after the last one.
+TEST(PlatformStore, NotesBeyondOneWriteDoNotWaitForTheNextBatch)
+{
+    StoreRunLocations many(*ioContext, { "127.0.0.1", store->port() });
+    StoreRunLocations few(*ioContext, { "127.0.0.1", store->port() });
+    constexpr std::size_t count = 300;
+    for (std::size_t i = 0; i < count; ++i)
+        many.note("p" + std::to_string(i), { "e1", "", "r1" });
+    few.note("q1", { "e1", "", "r1" });
+    CHECK(runUntil([&] { return store->value("runs", "q1").has_value(); }));
+    few.note("q2", { "e1", "", "r1" });
+    CHECK(runUntil([&] { return store->value("runs", "q2").has_value(); }));
+    LONGS_EQUAL(count + 2, store->keys("runs").size());
+}
+
 TEST(PlatformStore, RejectedNotesAreWrittenAfterTheStoreRecovers)
 {
     store->setFault(StoreFault::Unavailable);
