Do not spend a resumed stream's only delivery on a copy that is gone

Cause: callers notice a power loss after some 9 s, and an engine keeps a copy for 4 s.

Ruled out: the version of the stream (known for all but one); full engines (the rejections are of copies).

Change: after two copies were rejected in succession, a stream that would have no retry left after another rejection is sent on without its copy, for 2 s. RetryBudget::isLeft() is take() without its effect; CopyOutcomes holds the decision, stream.not-sent-on has the reason copy-not-tried.

The class that knows one run moved from StreamVersionTest to FixedRunLocation.h.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -189,6 +189,15 @@
                                                                                            : RetryPurpose::LateStream;
 }
 
+bool EventStreamCall::mayTryCopy() const
+{
+    const auto now = m_context.now();
+    const bool isRetry = m_deliveries.possibleArrivals() > 0;
+    return isRetry || m_context.pace(m_request.service).copyOutcomes.areExpected(now)
+        || m_context.retryBudget(m_request.service).isLeft(retryPurpose(false), m_request.admittedAt, now)
+        || m_timing.lacksTimeToFinish(m_answer->lastEventId(), false);
+}
+
 bool EventStreamCall::borrowRetry(RetryPurpose purpose)
 {
     if (!m_context.retryLoans || !mayBorrow(purpose) || m_rejectedRuns > maxRejectedRunsOnLoan)
@@ -263,8 +272,11 @@
         return;
     }
     if (const auto copyLocation = m_choice->copyTarget()) {
-        startRunIfAllowed(copyLocation->engine, copyLocation->copy);
-        return;
+        if (mayTryCopy()) {
+            startRunIfAllowed(copyLocation->engine, copyLocation->copy);
+            return;
+        }
+        logNotContinued(m_request, continuation::copyNotTried, false, true);
     }
     const auto earlier = m_choice->takeEarlierEngine();
     if (m_deliveries.possibleRuns() == 0 && m_context.has(Policy::TimeCheck)
@@ -504,6 +516,8 @@
     if (!run.hasEvent && m_failedAt)
         recordResumption(run, now);
     run.hasEvent = true;
+    if (run.isFromCopy && run.delivery == 0)
+        m_context.pace(m_request.service).copyOutcomes.noteUsed();
     if (!run.firstEventAt) {
         run.firstEventAt = now;
         m_copier->releaseUnused();
@@ -614,8 +628,11 @@
     if (m_silentRun)
         noteCopyUsed(*run);
     ++m_rejectedRuns;
-    if (run->isFromCopy)
+    if (run->isFromCopy) {
+        if (run->delivery == 0)
+            m_context.pace(m_request.service).copyOutcomes.noteRejected(now);
         logNotContinued(m_request, continuation::copyRejected, false, false);
+    }
     if (run->fields.isOtherIncarnation) {
         m_context.directory.remove(run->endpoint->entry().id, now);
         m_choice->noteFailed(run->endpoint);
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -71,6 +71,9 @@
     // part of the budget is spent.
     void startRunIfAllowed(const std::shared_ptr<RelayEndpoint>&, std::optional<RunMemorySource>);
     RetryPurpose retryPurpose(bool isFromCopy) const;
+    // False when the copy is probably gone and no retry is left, so that the only delivery is better sent to an engine
+    // that needs no copy and has the time to read the prompt again.
+    bool mayTryCopy() const;
     // Asks other VMs for a retry. Returns false if none may be borrowed.
     bool borrowRetry(RetryPurpose);
     void retryBorrowed(const std::optional<RetryLoan>&);
--- a/src/relay/RetryBudget.cpp
+++ b/src/relay/RetryBudget.cpp
@@ -37,14 +37,19 @@
     return m_settings.retryShare * (earned + granted);
 }
 
-bool RetryBudget::take(RetryPurpose purpose, Milliseconds requestedAt, Milliseconds now)
+bool RetryBudget::isLeft(RetryPurpose purpose, Milliseconds requestedAt, Milliseconds now)
 {
     forgetOld(now);
     const auto limit = part(requestedAt, now) * shareFor(purpose);
-    if (static_cast<double>(spent(now)) + 1 > limit + m_rounding)
-        return false;
-    m_retries.push_back(now);
-    return true;
+    return static_cast<double>(spent(now)) + 1 <= limit + m_rounding;
+}
+
+bool RetryBudget::take(RetryPurpose purpose, Milliseconds requestedAt, Milliseconds now)
+{
+    const bool isTaken = isLeft(purpose, requestedAt, now);
+    if (isTaken)
+        m_retries.push_back(now);
+    return isTaken;
 }
 
 // Removes the oldest retry, so that the ones that reached an endpoint count for as long as any of them would.
--- a/src/relay/RetryBudget.h
+++ b/src/relay/RetryBudget.h
@@ -40,6 +40,8 @@
     RetryBudget(const RetryBudget&) = delete;
     RetryBudget& operator=(const RetryBudget&) = delete;
     void noteRequest(Milliseconds now, unsigned rank = defaultRequestRank);
+    // Whether take() would take a retry now.
+    bool isLeft(RetryPurpose, Milliseconds requestedAt, Milliseconds now);
     // Takes one retry for the request that was noted at requestedAt; false when the budget is spent.
     bool take(RetryPurpose, Milliseconds requestedAt, Milliseconds now);
     // Returns a retry that was taken but did not reach an endpoint: only those that arrive count.
--- a/src/relay/ServicePace.h
+++ b/src/relay/ServicePace.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "admission/PromptMix.h"
+#include "copies/CopyOutcomes.h"
 #include "relay/EngineForecast.h"
 #include "relay/Estimate.h"
 #include <memory>
@@ -39,6 +40,9 @@
     // When the first of the engines that were probed last was expected to have room for another prompt; 0 when unknown.
     Milliseconds engineRoomAt { 0 };
 
+    // The copies that resumed streams of this VM have tried to continue from.
+    CopyOutcomes copyOutcomes {};
+
     // This VM's prompts that wait for their first event, by priority.
     std::shared_ptr<PromptMix> waitingPrompts { std::make_shared<PromptMix>() };
 
--- a/src/relay/StreamLog.h
+++ b/src/relay/StreamLog.h
@@ -18,6 +18,7 @@
 inline constexpr std::string_view versionGone = "version-gone";
 inline constexpr std::string_view copyGone = "copy-gone";
 inline constexpr std::string_view copyRejected = "copy-rejected";
+inline constexpr std::string_view copyNotTried = "copy-not-tried";
 } // namespace continuation
 
 class StreamResponse;
--- a/test/StreamVersionTest.cpp
+++ b/test/StreamVersionTest.cpp
@@ -1,9 +1,9 @@
 // A stream continues only at the software version that began it, whoever continues it.
 
+#include "FixedRunLocation.h"
 #include "PartitionedFleet.h"
 #include "RelayHarness.h"
 #include "relay/EventStreamCall.h"
-#include "relay/RunLocations.h"
 
 #include <set>
 
@@ -440,20 +440,6 @@
     }
 }
 
-namespace {
-
-// Knows one run, whatever its key.
-class OneRunLocation final : public RunLocations {
-public:
-    void note(const std::string&, const RunLocation&) override { }
-    void forget(const std::string&) override { }
-    void find(const std::string&, FindCallback found) override { found({ location, true }); }
-
-    RunLocation location;
-};
-
-} // namespace
-
 TEST_GROUP(StreamOfAMovedRoute) {};
 
 // Guards against a resumed stream that goes to an endpoint of the service from which its route has been moved.
@@ -482,7 +468,7 @@
     directory.remove("e2", now);
     directory.upsert({ "old1", "earlier-service", { "127.0.0.1", earlier.port() }, "a", 4, false, "v1" }, now);
     directory.upsert({ "old2", "earlier-service", holderAddress, "a", 4, false, "v1" }, now);
-    OneRunLocation locations;
+    FixedRunLocation locations;
     locations.location = { "old1", "old2", "r0", holderAddress, "v1" };
     relay.daemon().setRunLocations(&locations);
     const auto caller = relay.call("/stream/1", { { "Resumes", "r0" }, { "Last-Event-Id", "2" } });
