--- a/src/copies/CopyOutcomes.h
+++ b/src/copies/CopyOutcomes.h
@@ -4,7 +4,7 @@
 // a few seconds after its last update, so that either most of these copies are still there or hardly any.
 //
 //     outcomes.noteRejected(now);
-//     if (outcomes.areExpected(now)) ...      // Until copies have been rejected in succession, and a while after that.
+//     if (!outcomes.areExpected(now)) ...     // Copies have just been rejected in succession.
 //
 // A value without I/O or synchronization. One for each service.
 #pragma once
