Log for how long a lost run was open beside its continuation

Logs could not distinguish the hypotheses of the incident: a lost run did not say when its engine was last known to be alive, or whether a run that continued from its copy was open at the same time, and the end of a substitute was not logged at all. stream.run-lost states both now, stream.substitute-ended is new, and a histogram counts the overlap. No decision changes.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -382,6 +382,8 @@
             .earlierConnections = m_deliveries.connections() },
         weak_from_this());
     m_deliveries.noteConnection(run->delivery, run->call->connectionNumber());
+    if (m_silentRun && run->isFromCopy)
+        m_silentRun->substitutedAt = m_silentRun->substitutedAt.value_or(now);
     m_livenessMonitor->begin(m_run);
 }
 
@@ -829,6 +831,7 @@
     }
     run->reading.reset();
     run->call->cancel();
+    logSubstituteEnded(m_request, *run, m_context.now());
     if (!run->call->hasSent()) {
         takeBackUnsent(*run);
         return;
@@ -874,6 +877,8 @@
     const auto now = m_context.now();
     logRunFailed(m_request, *run, *m_answer, kind, now);
     m_context.metrics.countFailure(kind);
+    if (run->substitutedAt)
+        m_context.metrics.runOverlap.Observe(static_cast<double>((now - *run->substitutedAt).count()));
     m_versions.noteAnswer(*run->endpoint, AnswerQuality::Bad);
     run->reading.reset();
     run->call->cancel();
--- a/src/relay/StreamLog.cpp
+++ b/src/relay/StreamLog.cpp
@@ -114,6 +114,21 @@
         .number("silent_ms", (now - run.lastActivity).count())
         .number("run_ms", (now - run.startedAt).count())
         .number("begun_ms", run.headerReceivedAt ? (now - *run.headerReceivedAt).count() : -1)
+        .number("last_alive_ms", (now - run.endpoint->lastAliveAt()).count())
+        .number("beside_copy_ms", run.substitutedAt ? (now - *run.substitutedAt).count() : -1)
+        .write();
+}
+
+void logSubstituteEnded(const RelayRequest& request, const StreamRun& run, Milliseconds now)
+{
+    LogEvent("stream.substitute-ended")
+        .text("request", request.fields.requestId)
+        .text("endpoint", run.endpoint->entry().id)
+        .flag("sent", run.call->hasSent())
+        .flag("from_copy", run.isFromCopy)
+        .number("connection", static_cast<std::int64_t>(run.call->connectionNumber()))
+        .number("run_ms", (now - run.startedAt).count())
+        .number("begun_ms", run.headerReceivedAt ? (now - *run.headerReceivedAt).count() : -1)
         .write();
 }
 
--- a/src/relay/StreamLog.h
+++ b/src/relay/StreamLog.h
@@ -38,6 +38,8 @@
 // A silent run has produced an event, or its engine has answered a probe. substituted: another run had been sent.
 void logSilenceEnded(const RelayRequest&, const StreamRun&, bool isSubstituted, Milliseconds now);
 void logRunFailed(const RelayRequest&, const StreamRun&, const StreamResponse&, FailureKind, Milliseconds now);
+// A run that was to take the place of a silent one was cancelled.
+void logSubstituteEnded(const RelayRequest&, const StreamRun&, Milliseconds now);
 // lastEventAt is the time of the last event before the failure, if there was one; failedAt is when the failure was
 // detected.
 // Logs why a lost run is not continued, or not from its copy. `reason` is one of the names below; `ends` is true when
--- a/src/relay/StreamRun.h
+++ b/src/relay/StreamRun.h
@@ -50,6 +50,8 @@
     std::string copyName;
     // Set while nothing arrives from the run.
     std::optional<RunSilence> silence;
+    // When a run that continues from a copy was sent to take the place of this one.
+    std::optional<Milliseconds> substitutedAt;
     // When the engine answered a probe after it had been silent.
     Milliseconds answeredAgainAt { 0 };
     // The priority that was sent to the engine, if any.
