--- /dev/null
+++ b/test/TwoRunsOfAStreamTest.cpp
@@ -0,0 +1,219 @@
+// Guards against an engine that works on a stream while the stream goes on at another engine.
+#include "FixedRunLocation.h"
+#include "RelayHarness.h"
+#include "relay/RunLocations.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+
+namespace {
+
+// The platform's limit on the time for which two engines may work on one request.
+constexpr Milliseconds maxDoubleRun { 400 };
+constexpr Milliseconds silenceBeforeProbe { 10 };
+
+// An engine that works on a run until it learns that the run has ended.
+class WorkingEngine {
+public:
+    // The events that it sends of a run, after which it is silent.
+    void sendEvents(int first, int last)
+    {
+        m_first = first;
+        m_last = last;
+    }
+    // A connection that hangs: its close does not reach the engine.
+    void ignoreClose() { m_ignoresClose = true; }
+    // The answers to requests to stop a run, in order; the last one is repeated. By default a run is stopped.
+    void answerStops(std::vector<std::pair<int, std::string>> answers) { m_stopAnswers = std::move(answers); }
+    void leaveStopsUnanswered() { m_answersStops = false; }
+    // Answers the last request to stop a run.
+    void answerStop() { m_stopper->answer(200, "", R"({"handle":"h2"})"); }
+    void answerProbes() { m_answersProbes = true; }
+
+    void handle(ScriptedConnection& asker, const std::string& request)
+    {
+        if (request.find("/stream/") != std::string::npos)
+            begin(asker, request);
+        else if (request.find("/api/kv-move") != std::string::npos)
+            stop(asker, request);
+        else if (request.find("/api/kv-handle/") != std::string::npos)
+            freed.push_back(request.substr(0, request.find(" HTTP")));
+        else if (m_answersProbes)
+            asker.answer(200, "", "{}");
+    }
+
+    bool isWorking() const { return m_run && (m_ignoresClose || !m_run->isClosedByPeer()); }
+    ScriptedConnection& run() { return *m_run; }
+    bool hasBegun() const { return m_runs > 0; }
+    int runs() const { return m_runs; }
+
+    // The ids of the requests that it was asked to stop, and the handles that were freed.
+    std::vector<std::string> stopped;
+    std::vector<std::string> freed;
+
+private:
+    void begin(ScriptedConnection& asker, const std::string& request)
+    {
+        ++m_runs;
+        m_run = asker.shared_from_this();
+        m_run->beginStream(signedHeadFor(request));
+        for (int id = m_first; id <= m_last; ++id)
+            m_run->sendEvent(id);
+    }
+
+    void stop(ScriptedConnection& asker, const std::string& request)
+    {
+        if (request.find("\"last\"") == std::string::npos) {
+            asker.answer(200, "", R"({"handle":"h1"})");
+            return;
+        }
+        const std::string field = "\"id\":\"";
+        const auto begin = request.find(field) + field.size();
+        stopped.push_back(request.substr(begin, request.find('"', begin) - begin));
+        if (!m_answersStops) {
+            m_stopper = asker.shared_from_this();
+            return;
+        }
+        const auto number = std::min(stopped.size(), m_stopAnswers.size());
+        const auto [status, body] = number ? m_stopAnswers[number - 1] : std::pair(200, R"({"handle":"h2"})");
+        if (status == 200 || body.find("handle") != std::string::npos)
+            m_run.reset();
+        asker.answer(status, "", body);
+    }
+
+    std::shared_ptr<ScriptedConnection> m_run;
+    std::shared_ptr<ScriptedConnection> m_stopper;
+    std::vector<std::pair<int, std::string>> m_stopAnswers;
+    int m_first { 1 };
+    int m_last { 0 };
+    bool m_ignoresClose { false };
+    bool m_answersProbes { false };
+    bool m_answersStops { true };
+    int m_runs { 0 };
+};
+
+} // namespace
+
+TEST_GROUP(TwoRunsOfAStream)
+{
+    std::unique_ptr<RelayHarness> relay;
+    std::unique_ptr<WorkingEngine> before;
+    std::unique_ptr<WorkingEngine> holder;
+    FixedRunLocation locations;
+
+    void setup() override
+    {
+        relay = std::make_unique<RelayHarness>();
+        relay->useCopyingService();
+        relay->addRoute("stream", RequestKind::EventStream, 5);
+        relay->settings.probeAfterSilence = silenceBeforeProbe;
+        relay->settings.probeAfterSilenceWhenSuspected = silenceBeforeProbe;
+        relay->settings.probeTimeout = silenceBeforeProbe;
+        before = addEngine("e1", "a");
+        before->sendEvents(1, 2);
+        holder = addEngine("e2", "b");
+        holder->answerProbes();
+    }
+
+    void teardown() override
+    {
+        before.reset();
+        holder.reset();
+        relay.reset();
+    }
+
+    std::unique_ptr<WorkingEngine> addEngine(const std::string& id, const std::string& zone)
+    {
+        auto& endpoint = relay->addEndpoint(id, zone);
+        auto engine = std::make_unique<WorkingEngine>();
+        endpoint.onRequest([engine = engine.get()](ScriptedConnection& asker, const std::string& request) {
+            engine->handle(asker, request);
+        });
+        return engine;
+    }
+
+    std::shared_ptr<TestCaller> callStream(const HttpHeaders& extra = {})
+    {
+        relay->configure();
+        relay->list();
+        return relay->call("/stream/1", extra);
+    }
+
+    void wait(Milliseconds time)
+    {
+        const auto& clock = relay->daemon().clock();
+        relay->runUntil([&clock, end = clock.now() + time] { return clock.now() >= end; });
+    }
+
+    void waitForContinuation()
+    {
+        CHECK_TEXT(relay->runUntil([&] { return holder->hasBegun(); }), "the stream did not go on from its copy");
+        wait(maxDoubleRun);
+    }
+
+    void waitForEvents(const std::shared_ptr<TestCaller>& caller)
+    {
+        CHECK(relay->runUntil([&] { return caller->body.find("id: 2") != std::string::npos; }));
+    }
+};
+
+TEST(TwoRunsOfAStream, WhileTheFirstEventFromACopyIsLate)
+{
+    const auto caller = callStream();
+    waitForContinuation();
+    CHECK_TEXT(!before->isWorking(), "the engine before works on");
+    CHECK(holder->isWorking());
+}
+
+TEST(TwoRunsOfAStream, WhenTheCloseOfAConnectionDoesNotArrive)
+{
+    before->ignoreClose();
+    holder->sendEvents(3, 3);
+    const auto caller = callStream();
+    waitForContinuation();
+    CHECK_TEXT(!before->isWorking(), "the engine before works on");
+    CHECK(holder->isWorking());
+}
+
+TEST(TwoRunsOfAStream, WhenAConnectionIsResetForTheVmAlone)
+{
+    before->ignoreClose();
+    holder->sendEvents(3, 3);
+    const auto caller = callStream();
+    waitForEvents(caller);
+    before->run().reset();
+    waitForContinuation();
+    CHECK_TEXT(!before->isWorking(), "the engine before works on");
+    CHECK(holder->isWorking());
+}
+
+TEST(TwoRunsOfAStream, WhenASilentRunGoesOnAndTheCloseOfItsSubstituteDoesNotArrive)
+{
+    holder->ignoreClose();
+    const auto caller = callStream();
+    CHECK(relay->runUntil([&] { return holder->hasBegun(); }));
+    before->run().sendEvent(3);
+    before->run().endStream();
+    wait(maxDoubleRun);
+    CHECK_TEXT(!holder->isWorking(), "the substitute works on");
+    CHECK(caller->isWhole);
+}
+
+TEST(TwoRunsOfAStream, WhenACallerResumesAtAnotherVm)
+{
+    before->ignoreClose();
+    holder->sendEvents(3, 3);
+    const auto caller = callStream();
+    waitForEvents(caller);
+    caller->connection->close();
+    locations.location = { .endpointId = "e1", .copyHolderId = "e2", .requestId = "r1", .version = "v1" };
+    relay->daemon().setRunLocations(&locations);
+    const auto again = relay->call("/stream/1", { { "Last-Event-Id", "2" } }, "r2");
+    waitForContinuation();
+    CHECK_TEXT(!before->isWorking(), "the engine before works on");
+    CHECK(holder->isWorking());
+}
