End a silent run soon after its stream has continued from a copy

Callers saw whole streams, but two engines worked on one request for longer than the platform tolerates. A silent run was kept beside its substitute until one of them sent an event, and nothing bounded the time until then: with a copy whose first event came late, both engines worked for as long as that took.

The silent run is now ended maxRunOverlap after the continuation was sent, unless the copy has been rejected or an event has decided first. Ruled out: ending it as soon as the continuation is sent, because a rejected copy would then cost the only run that may go on. A substitute that reads the prompt again is not concerned: it does not continue the run.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -81,6 +81,7 @@
     , m_answer(StreamResponse::make(m_request))
     , m_deadlineTimer(context.ioContext)
     , m_retryTimer(context.ioContext)
+    , m_overlapTimer(context.ioContext)
 {
 }
 
@@ -383,10 +384,25 @@
         weak_from_this());
     m_deliveries.noteConnection(run->delivery, run->call->connectionNumber());
     if (m_silentRun && run->isFromCopy)
-        m_silentRun->substitutedAt = m_silentRun->substitutedAt.value_or(now);
+        limitOverlap();
     m_livenessMonitor->begin(m_run);
 }
 
+void EventStreamCall::limitOverlap()
+{
+    m_silentRun->substitutedAt = m_silentRun->substitutedAt.value_or(m_context.now());
+    m_overlapTimer.expires_after(m_context.settings.maxRunOverlap);
+    m_overlapTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (error || !self || self->m_isFinished || !self->m_silentRun || !self->m_run || !self->m_run->isFromCopy)
+            return;
+        if (self->m_run->call->hasSent())
+            self->releaseSilentRun(FailureKind::Silent);
+        else
+            self->limitOverlap();
+    });
+}
+
 std::optional<unsigned> EventStreamCall::choosePriority(bool isPromptCached)
 {
     if (!m_request.rank.isNamed || !m_context.hasEngines(m_request.service))
@@ -1032,6 +1048,7 @@
     m_crashTracker.end();
     m_deadlineTimer.cancel();
     m_retryTimer.cancel();
+    m_overlapTimer.cancel();
     m_livenessMonitor->stop();
     m_choice->cancel();
     m_search.reset();
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -7,7 +7,8 @@
 // lacks.
 //
 // An engine that is only silent may go on at any time. Its run is kept while another one is tried at an engine that is
-// known to be alive; the first of the two that produces an event goes on, and the other one is cancelled. Where no
+// known to be alive; the first of the two that produces an event goes on, and the other one is cancelled. Beside a run
+// that continues from its copy, it is kept only for a short time: two engines must not work on one request. Where no
 // engine is alive, the stream waits for the silent one.
 //
 // A stream that must not run twice is not moved once an engine may have started it. Used on the relay's thread only.
@@ -113,6 +114,8 @@
     void releaseSilentRun(FailureKind);
     void silentRunFailed(FailureKind);
     void noteSilenceEnded(StreamRun&, Milliseconds now);
+    // A run that continues from a copy is sent beside the silent one, which is ended soon.
+    void limitOverlap();
     // The run of the call, if it is the current or the kept one.
     std::shared_ptr<StreamRun> runOf(const EndpointCall&) const;
     void runRejected();
@@ -184,6 +187,8 @@
     bool m_isFinished { false };
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_retryTimer;
+    // Set while a silent run is open beside one that continues from its copy.
+    boost::asio::steady_timer m_overlapTimer;
 };
 
 } // namespace lupinknot::internal
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -98,6 +98,10 @@
     std::size_t substituteCandidates { 2 };
     // Silence after which a stream moves although its engine is alive, as a share of the route's longest pause.
     double moveAfterPauseShare { 0.75 };
+    // How long a silent run stays open beside a run that continues from its copy, unless one of them sends an event
+    // first. The platform tolerates two engines at work on one request for 400 ms, and the request to stop the silent
+    // run takes a round trip.
+    Milliseconds maxRunOverlap { 200 };
     // How much longer than the usual prefill time of its prompt a stream waits for its first event before its engine is
     // probed.
     Milliseconds prefillMargin { 300 };
