Stop a run over a new connection when its stream goes on elsewhere

A run was ended only by closing the connection that carries it, and nothing showed whether its engine learned of that. Where the connection hangs although new ones work, where it was reset for the VM alone, or where the engine continues after a close, two engines worked on one request until the earlier run was complete. The class of the fault: ended here was taken for ended there.

EndedRuns keeps the runs that a stream has let go, and when a run is sent to another engine or an event arrives from one, RunStop asks the engines of the others to stop, over a new connection, with the second step of a move. Its answer says what became of the run; a busy engine is asked again, one that refuses connections is not; the KV cache that a stopped run leaves is freed. Runs are let go here: a lost run, a silent run that is released, a substitute that is cancelled, and a silent run whose caller has gone. A request to stop a run names only the request: while one may still take effect at an engine, no run of the stream is sent there, and an engine with an open run is not asked.

--- /dev/null
+++ b/src/relay/EndedRuns.h
@@ -0,0 +1,56 @@
+// The runs of one stream that this VM has ended, or knows of from another VM, and whose engines may still work on them.
+//
+//     EndedRuns runs(context, requestId);
+//     runs.add(engine, requestId);     // The connection was closed, or has broken.
+//     runs.stopAllBut({ next });       // The stream goes on at next.
+//
+// A run is stopped when the stream goes on at another engine, because until then its KV cache may be of use. A request
+// to stop it names only the request, so that a new run of the same request at the engine would be stopped as well: no
+// run is sent there while that may happen. Used on the relay's thread only. Owned by the stream.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lupinknot::internal {
+
+class RelayEndpoint;
+class RunStop;
+struct RelayContext;
+
+class EndedRuns {
+public:
+    using Engines = std::vector<std::shared_ptr<RelayEndpoint>>;
+
+    // The request of the stream. The context must outlive the runs.
+    EndedRuns(RelayContext&, const std::string& service, std::string requestId);
+    ~EndedRuns();
+    EndedRuns(const EndedRuns&) = delete;
+    EndedRuns& operator=(const EndedRuns&) = delete;
+
+    // The engine may work on a run, named by the request id of the caller's attempt.
+    void add(const std::shared_ptr<RelayEndpoint>& engine, const std::string& requestId);
+    // Stops all runs at other engines than those at which the stream has open runs, of which there is at least one.
+    void stopAllBut(const Engines& inUse);
+    // True if a new run of the stream's request at the engine may be stopped by a request that is under way.
+    bool mayStopNewRunAt(const RelayEndpoint& engine) const;
+    Engines enginesBeingStopped() const;
+
+private:
+    struct Run {
+        std::shared_ptr<RelayEndpoint> engine;
+        std::string requestId;
+    };
+
+    bool canStopRuns() const;
+    bool isBeingStopped(const RunStop&) const;
+
+    RelayContext& m_context;
+    const std::string m_service;
+    const std::string m_requestId;
+    std::vector<Run> m_runs;
+    std::vector<std::shared_ptr<RunStop>> m_stops;
+};
+
+} // namespace lupinknot::internal
--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -1,6 +1,7 @@
 #include "relay/EngineChoice.h"
 
 #include "common/EventLog.h"
+#include "relay/EndedRuns.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/EngineForecast.h"
 #include "relay/EngineLoadProbe.h"
@@ -19,15 +20,17 @@
 namespace lupinknot::internal {
 
 std::shared_ptr<EngineChoice> EngineChoice::make(
-    RelayContext& context, const RelayRequest& request, RequestVersions& versions)
+    RelayContext& context, const RelayRequest& request, RequestVersions& versions, const EndedRuns& endedRuns)
 {
-    return std::shared_ptr<EngineChoice>(new EngineChoice(context, request, versions));
+    return std::shared_ptr<EngineChoice>(new EngineChoice(context, request, versions, endedRuns));
 }
 
-EngineChoice::EngineChoice(RelayContext& context, const RelayRequest& request, RequestVersions& versions)
+EngineChoice::EngineChoice(
+    RelayContext& context, const RelayRequest& request, RequestVersions& versions, const EndedRuns& endedRuns)
     : m_context(context)
     , m_request(request)
     , m_versions(versions)
+    , m_endedRuns(endedRuns)
 {
 }
 
@@ -86,7 +89,7 @@
 {
     const auto now = m_context.now();
     return !engine.isShuttingDown() && !engine.isAvoided(now) && !engine.isInBackOff(now)
-        && now >= engine.noPermitUntil()
+        && now >= engine.noPermitUntil() && !m_endedRuns.mayStopNewRunAt(engine)
         && !m_context.directory.isZoneAvoided(m_request.service, engine.entry().availabilityZone, now)
         && !m_context.directory.isSuspected(engine, now);
 }
@@ -121,7 +124,10 @@
 PlacementRequest EngineChoice::placementRequest() const
 {
     const auto& settings = m_context.settings;
-    PlacementRequest conditions { .service = m_request.service, .excluded = m_failed, .version = m_versions.next() };
+    PlacementRequest conditions {
+        .service = m_request.service, .excluded = m_endedRuns.enginesBeingStopped(), .version = m_versions.next()
+    };
+    conditions.excluded.insert(conditions.excluded.end(), m_failed.begin(), m_failed.end());
     if (!m_failed.empty())
         conditions.zonesToAvoid.push_back(m_failed.back()->entry().availabilityZone);
     if (m_context.has(Policy::PromptPreference))
@@ -140,7 +146,8 @@
     request.mustBeHealthy = true;
     auto engines = m_context.placement.candidates(request, count, now);
     if (engines.empty()) {
-        request.excluded = { silent };
+        request.excluded = m_endedRuns.enginesBeingStopped();
+        request.excluded.push_back(silent);
         request.mustBeHealthy = false;
         engines = m_context.placement.candidates(request, count, now);
         // An engine that is avoided although it has just answered has rejected a request.
@@ -159,8 +166,11 @@
     const auto now = m_context.now();
     auto engine = m_context.placement.choose(placementRequest(), now);
     if (!engine && !m_failed.empty())
-        engine = m_context.placement.choose(
-            { .service = m_request.service, .version = m_versions.next(), .mustBeHealthy = true }, now);
+        engine = m_context.placement.choose({ .service = m_request.service,
+                                                .excluded = m_endedRuns.enginesBeingStopped(),
+                                                .version = m_versions.next(),
+                                                .mustBeHealthy = true },
+            now);
     callback(engine);
 }
 
--- a/src/relay/EngineChoice.h
+++ b/src/relay/EngineChoice.h
@@ -20,6 +20,7 @@
 
 namespace lupinknot::internal {
 
+class EndedRuns;
 class EngineLoadProbe;
 class RelayEndpoint;
 class RequestVersions;
@@ -43,8 +44,8 @@
     using Engines = std::vector<std::shared_ptr<RelayEndpoint>>;
     using Callback = std::function<void(const std::shared_ptr<RelayEndpoint>&)>;
 
-    // The context, the request and its versions must outlive this object.
-    static std::shared_ptr<EngineChoice> make(RelayContext&, const RelayRequest&, RequestVersions&);
+    // The context, the request, its versions and its ended runs must outlive this object.
+    static std::shared_ptr<EngineChoice> make(RelayContext&, const RelayRequest&, RequestVersions&, const EndedRuns&);
     ~EngineChoice();
 
     // Sets where the run was that the caller resumes.
@@ -87,10 +88,11 @@
     std::optional<EndpointAvailability> nextAvailability() const;
 
 private:
-    EngineChoice(RelayContext&, const RelayRequest&, RequestVersions&);
+    EngineChoice(RelayContext&, const RelayRequest&, RequestVersions&, const EndedRuns&);
     // Null where VMs do not share run locations.
     RunLocations* runLocations() const;
-    // True unless the engine is shutting down, avoided, in back-off, without permits, suspected or in a failing zone.
+    // True unless the engine is shutting down, avoided, in back-off, without permits, suspected, in a failing zone or
+    // about to stop runs of this request.
     bool isHealthy(const RelayEndpoint&) const;
     // The placement for a run that has to prefill the prompt.
     PlacementRequest placementRequest() const;
@@ -108,6 +110,7 @@
     RelayContext& m_context;
     const RelayRequest& m_request;
     RequestVersions& m_versions;
+    const EndedRuns& m_endedRuns;
     Engines m_failed;
     std::shared_ptr<RelayEndpoint> m_earlierEngine;
     std::vector<RunTarget> m_copies;
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -77,7 +77,8 @@
     , m_timing(m_context, m_request)
     , m_versions(m_context, m_request)
     , m_crashTracker(m_context, m_request)
-    , m_choice(EngineChoice::make(m_context, m_request, m_versions))
+    , m_endedRuns(m_context, m_request.service, m_request.fields.requestId)
+    , m_choice(EngineChoice::make(m_context, m_request, m_versions, m_endedRuns))
     , m_answer(StreamResponse::make(m_request))
     , m_deadlineTimer(context.ioContext)
     , m_retryTimer(context.ioContext)
@@ -337,6 +338,13 @@
         startRun();
         return;
     }
+    if (m_endedRuns.mayStopNewRunAt(*endpoint)) {
+        if (std::exchange(m_tookRetryForNextRun, false))
+            m_context.retryBudget(m_request.service).giveBack();
+        m_loan = loan;
+        startRun();
+        return;
+    }
     const auto& exchange = m_request.exchange;
     auto run = std::make_shared<StreamRun>();
     run->number = m_answer->beginRun();
@@ -385,6 +393,7 @@
     m_deliveries.noteConnection(run->delivery, run->call->connectionNumber());
     if (m_silentRun && run->isFromCopy)
         limitOverlap();
+    stopEndedRuns();
     m_livenessMonitor->begin(m_run);
 }
 
@@ -403,6 +412,25 @@
     });
 }
 
+void EventStreamCall::noteEnded(const StreamRun& run, FailureKind kind)
+{
+    // An engine that has answered with an error does not work on the request any more.
+    if (run.call->hasSent() && !run.fields.isNotRun && !run.fields.isOtherIncarnation
+        && kind != FailureKind::ErrorStatus)
+        m_endedRuns.add(run.endpoint, m_request.fields.requestId);
+}
+
+void EventStreamCall::stopEndedRuns()
+{
+    EndedRuns::Engines inUse;
+    for (const auto& run : { m_run, m_silentRun }) {
+        if (run)
+            inUse.push_back(run->endpoint);
+    }
+    if (!inUse.empty())
+        m_endedRuns.stopAllBut(inUse);
+}
+
 std::optional<unsigned> EventStreamCall::choosePriority(bool isPromptCached)
 {
     if (!m_request.rank.isNamed || !m_context.hasEngines(m_request.service))
@@ -526,6 +554,8 @@
         noteSilenceEnded(run, now);
     if (m_silentRun)
         releaseSilentRun(FailureKind::Silent);
+    else
+        stopEndedRuns();
     run.lastActivity = now;
     run.endpoint->noteAlive(now);
     m_timing.noteEvents(now);
@@ -717,6 +747,7 @@
     m_mover->cancel();
     logRunFailed(m_request, *run, *m_answer, kind, now);
     m_context.metrics.countFailure(kind);
+    noteEnded(*run, kind);
     if (run->call->hasSent()) {
         m_deliveries.settle(run->delivery, DeliveryOutcome::MayHaveRun);
         m_versions.noteAnswer(*run->endpoint, AnswerQuality::Bad);
@@ -852,6 +883,7 @@
         takeBackUnsent(*run);
         return;
     }
+    noteEnded(*run, FailureKind::Silent);
     noteCopyUsed(*run);
 }
 
@@ -884,6 +916,7 @@
     cancelSubstitute();
     noteSilenceEnded(*m_silentRun, m_context.now());
     returnToSilentRun();
+    stopEndedRuns();
     m_choice->noteLocation(*m_run);
 }
 
@@ -901,8 +934,10 @@
     m_timing.recordEnginePace(*run, now);
     m_isFailureSilence = false;
     m_copier->runLost(*run);
+    noteEnded(*run, kind);
     if (m_run)
         m_copier->noteContinued(m_run->copyName);
+    stopEndedRuns();
 }
 
 void EventStreamCall::noteSilenceEnded(StreamRun& run, Milliseconds now)
@@ -1056,10 +1091,19 @@
     m_loanRequest.reset();
     m_liveSearch.reset();
     m_mover->cancel();
+    std::shared_ptr<RelayEndpoint> copyHolder;
     for (const auto& run : { std::exchange(m_run, nullptr), std::exchange(m_silentRun, nullptr) }) {
-        if (run)
-            run->call->cancel();
+        if (!run)
+            continue;
+        run->call->cancel();
+        // The close of a connection from which nothing arrives may not reach the engine.
+        if (run->silence && run->copyHolder) {
+            noteEnded(*run, FailureKind::Silent);
+            copyHolder = run->copyHolder;
+        }
     }
+    if (copyHolder)
+        m_endedRuns.stopAllBut({ copyHolder });
     m_copier->end();
 }
 
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -18,6 +18,7 @@
 #include "admission/AnswerLateness.h"
 #include "admission/DeliveryHistory.h"
 #include "relay/CrashTracker.h"
+#include "relay/EndedRuns.h"
 #include "relay/EndpointCall.h"
 #include "relay/RelayRefusal.h"
 #include "relay/RelayRequest.h"
@@ -116,6 +117,10 @@
     void noteSilenceEnded(StreamRun&, Milliseconds now);
     // A run that continues from a copy is sent beside the silent one, which is ended soon.
     void limitOverlap();
+    // The engine may work on the run although this VM has ended it.
+    void noteEnded(const StreamRun&, FailureKind);
+    // Stops the ended runs at all engines but those of the runs that are open.
+    void stopEndedRuns();
     // The run of the call, if it is the current or the kept one.
     std::shared_ptr<StreamRun> runOf(const EndpointCall&) const;
     void runRejected();
@@ -148,6 +153,7 @@
     StreamTiming m_timing;
     RequestVersions m_versions;
     CrashTracker m_crashTracker;
+    EndedRuns m_endedRuns;
     const std::shared_ptr<EngineChoice> m_choice;
     // Set while the run is searched that the caller resumes.
     std::shared_ptr<EarlierRunSearch> m_search;
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -70,6 +70,10 @@
                             .Name("lupinknot_relay_doubtful_answers_total")
                             .Help("Answers that do not certainly belong to the delivery that awaits them.")
                             .Register(*m_registry))
+    , m_runStops(prometheus::BuildCounter()
+                     .Name("lupinknot_relay_run_stops_total")
+                     .Help("Runs that engines were asked to stop because their stream went on elsewhere.")
+                     .Register(*m_registry))
     , resumedFromCopy(addCounter(
           *m_registry, "lupinknot_relay_resumed_from_copy_total", "Streams that went on from a copy of their memory."))
     , resumedCold(addCounter(
@@ -148,6 +152,11 @@
         .Increment();
 }
 
+void RelayMetrics::countRunStop(RunStopResult result)
+{
+    m_runStops.Add({ { "result", std::string(nameIn(runStopResultNames, result)) } }).Increment();
+}
+
 void RelayMetrics::countZoneFailure(ZoneFailureSource source, FailureEvidence evidence)
 {
     m_zoneFailures
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -12,6 +12,7 @@
 #include "quarantine/LossEvidence.h"
 #include "relay/AnswerAttribution.h"
 #include "relay/RequestKind.h"
+#include "relay/RunStopResult.h"
 #include <array>
 #include <memory>
 #include <optional>
@@ -73,6 +74,8 @@
     void countLossEvidence(LossEvidence);
     // Counts an answer that does not certainly belong to the delivery that awaits it.
     void countDoubtfulAnswer(AnswerAttribution, bool saysNotRun);
+    // Counts a request to an engine to stop a run that this VM had ended.
+    void countRunStop(RunStopResult);
     std::string exposition() const;
 
 private:
@@ -88,6 +91,7 @@
     prometheus::Family<prometheus::Counter>& m_crashRecords;
     prometheus::Family<prometheus::Counter>& m_lossEvidence;
     prometheus::Family<prometheus::Counter>& m_doubtfulAnswers;
+    prometheus::Family<prometheus::Counter>& m_runStops;
 
 public:
     // Streams that resumed at another engine from a copy of their KV cache, or by a new prefill of the prompt.
--- /dev/null
+++ b/src/relay/RunStop.cpp
@@ -0,0 +1,128 @@
+#include "relay/RunStop.h"
+
+#include "common/EventLog.h"
+#include "copies/HandleRelease.h"
+#include "http/HttpRoundTrip.h"
+#include "relay/CallProtocol.h"
+#include "relay/RelayContext.h"
+#include "relay/RelayEndpoint.h"
+#include "relay/RelayMetrics.h"
+#include "relay/RelaySettings.h"
+
+namespace lupinknot::internal {
+
+RunStopResult runStopResultOf(const MoveRunAnswer& answer)
+{
+    if (answer.isCopied || !answer.handle.empty())
+        return RunStopResult::Stopped;
+    return answer.status == MoveRunStatus::UnknownRun ? RunStopResult::NotRunning : RunStopResult::Pending;
+}
+
+std::shared_ptr<RunStop> RunStop::start(RelayContext& context, std::shared_ptr<RelayEndpoint> engine,
+    const std::shared_ptr<RelayEndpoint>& target, std::string requestId)
+{
+    const std::shared_ptr<RunStop> stop(new RunStop(context, std::move(engine), target, std::move(requestId)));
+    stop->m_lifetime.expires_after(context.settings.runStopTimeout);
+    stop->m_lifetime.async_wait([stop](boost::system::error_code) {
+        stop->m_retryTimer.cancel();
+        stop->finish(stop->mayTakeEffect() ? RunStopResult::Unanswered : RunStopResult::Unreachable);
+        stop->m_requests.clear();
+    });
+    stop->send();
+    return stop;
+}
+
+RunStop::RunStop(RelayContext& context, std::shared_ptr<RelayEndpoint> engine,
+    const std::shared_ptr<RelayEndpoint>& target, std::string requestId)
+    : m_context(context)
+    , m_engine(std::move(engine))
+    , m_target(target->entry().address)
+    , m_targetId(target->entry().id)
+    , m_requestId(std::move(requestId))
+    , m_startedAt(context.now())
+    , m_retryTimer(context.ioContext)
+    , m_lifetime(context.ioContext)
+{
+}
+
+void RunStop::send()
+{
+    ++m_sent;
+    ++m_unanswered;
+    m_requests.push_back(HttpRoundTrip::ask(m_context.ioContext, m_engine->openConnection(),
+        m_context.protocol.encodeMoveRun(m_requestId, m_target, true), m_context.settings.runStopTimeout,
+        [weak = weak_from_this()](const HttpRoundTripResult& outcome) {
+            if (const auto self = weak.lock())
+                self->handleAnswer(outcome);
+        }));
+    sendAgainLater();
+}
+
+void RunStop::sendAgainLater()
+{
+    if (m_sent >= m_context.settings.runStopRequests)
+        return;
+    m_retryTimer.expires_after(m_context.settings.runStopInterval);
+    m_retryTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && self->m_result == RunStopResult::Pending)
+            self->send();
+    });
+}
+
+void RunStop::handleAnswer(const HttpRoundTripResult& outcome)
+{
+    if (!outcome.answer) {
+        // The engine may have received the request unless no connection was established.
+        if (!outcome.isConnected)
+            noteNotConnected(outcome.isBroken);
+        return;
+    }
+    --m_unanswered;
+    m_engine->noteSignals(m_context.protocol.decodeAnswer(*outcome.answer), m_context.now());
+    const auto answer = m_context.protocol.decodeMoveRun(*outcome.answer);
+    if (!answer.handle.empty())
+        HandleRelease::send(m_context, m_engine, answer.handle);
+    if (const auto result = runStopResultOf(answer); result != RunStopResult::Pending)
+        finish(result);
+    endIfDone();
+}
+
+void RunStop::noteNotConnected(bool isRefused)
+{
+    --m_unanswered;
+    // No process listens where a connection is refused.
+    if (isRefused || ++m_failedConnects >= m_context.settings.runStopConnectAttempts)
+        finish(m_unanswered > 0 ? RunStopResult::Unanswered : RunStopResult::Unreachable);
+    endIfDone();
+}
+
+void RunStop::endIfDone()
+{
+    if (m_result != RunStopResult::Pending && m_unanswered == 0)
+        m_lifetime.cancel();
+}
+
+void RunStop::finish(RunStopResult result)
+{
+    if (m_result != RunStopResult::Pending)
+        return;
+    m_result = result;
+    m_retryTimer.cancel();
+    m_context.metrics.countRunStop(result);
+    logResult();
+}
+
+void RunStop::logResult() const
+{
+    LogEvent("run.stopped", m_result == RunStopResult::NotRunning ? LogImportance::Routine : LogImportance::Notable)
+        .text("request", m_requestId)
+        .text("endpoint", m_engine->entry().id)
+        .text("target", m_targetId)
+        .text("result", nameIn(runStopResultNames, m_result))
+        .number("requests", m_sent)
+        .number("took_ms", (m_context.now() - m_startedAt).count())
+        .write();
+}
+
+} // namespace lupinknot::internal
--- /dev/null
+++ b/src/relay/RunStop.h
@@ -0,0 +1,74 @@
+// Stops a run that this VM has ended, at an engine that may still work on it.
+//
+// Closing the connection that carries a run is no proof that the engine has dropped the run: the connection may hang
+// although new ones work, and some engines continue for a while. The request to stop a run uses a new connection, and
+// its answer shows what became of the run. The engine keeps the KV cache of a run that it stops, which is freed.
+//
+//     const auto stop = RunStop::start(context, engine, target, requestId);
+//     if (stop->mayTakeEffect()) ...   // A new run of this request at the engine might be stopped as well.
+//
+// Used on the relay's thread only. Owns itself until all its requests have ended; its user may share it to look at it.
+#pragma once
+
+#include "http/SocketAddress.h"
+#include "lupinknot/Clock.h"
+#include "relay/RunStopResult.h"
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lupinknot::internal {
+
+class HttpRoundTrip;
+class RelayEndpoint;
+struct HttpRoundTripResult;
+struct MoveRunAnswer;
+struct RelayContext;
+
+// What an answer says about the run; Pending if the request has to be repeated. An engine that works on another
+// request for the run (Busy) has not stopped it. Without a handle, a rejection does not say whether the run was
+// stopped.
+RunStopResult runStopResultOf(const MoveRunAnswer&);
+
+class RunStop : public std::enable_shared_from_this<RunStop> {
+public:
+    // The target is an engine other than the run's, which the protocol requires: a stop is the second step of a move.
+    static std::shared_ptr<RunStop> start(RelayContext&, std::shared_ptr<RelayEndpoint> engine,
+        const std::shared_ptr<RelayEndpoint>& target, std::string requestId);
+
+    const std::string& requestId() const { return m_requestId; }
+    const std::shared_ptr<RelayEndpoint>& engine() const { return m_engine; }
+    RunStopResult result() const { return m_result; }
+    // True while a request that the engine has not answered may still reach it.
+    bool mayTakeEffect() const { return m_unanswered > 0; }
+
+private:
+    RunStop(RelayContext&, std::shared_ptr<RelayEndpoint> engine, const std::shared_ptr<RelayEndpoint>& target,
+        std::string requestId);
+    void send();
+    void sendAgainLater();
+    void handleAnswer(const HttpRoundTripResult&);
+    void noteNotConnected(bool isRefused);
+    void finish(RunStopResult);
+    void endIfDone();
+    void logResult() const;
+
+    RelayContext& m_context;
+    const std::shared_ptr<RelayEndpoint> m_engine;
+    const SocketAddress m_target;
+    const std::string m_targetId;
+    const std::string m_requestId;
+    const Milliseconds m_startedAt;
+    RunStopResult m_result { RunStopResult::Pending };
+    unsigned m_sent { 0 };
+    unsigned m_failedConnects { 0 };
+    // Requests that the engine may have received or may receive, and has not answered.
+    unsigned m_unanswered { 0 };
+    // Earlier requests stay open: the first one may be answered only when the KV cache has been copied.
+    std::vector<std::shared_ptr<HttpRoundTrip>> m_requests;
+    boost::asio::steady_timer m_retryTimer;
+    boost::asio::steady_timer m_lifetime;
+};
+
+} // namespace lupinknot::internal
--- a/test/TwoRunsOfAStreamTest.cpp
+++ b/test/TwoRunsOfAStreamTest.cpp
@@ -217,3 +217,57 @@
     CHECK_TEXT(!before->isWorking(), "the engine before works on");
     CHECK(holder->isWorking());
 }
+
+// Guards against a stop that is given up while the engine copies the run.
+TEST(TwoRunsOfAStream, WhenTheEngineIsBusyWithAnotherRequestForTheRun)
+{
+    before->ignoreClose();
+    before->answerStops({ { 409, "{}" }, { 200, R"({"handle":"h2"})" } });
+    holder->sendEvents(3, 3);
+    const auto caller = callStream();
+    waitForContinuation();
+    CHECK_TEXT(!before->isWorking(), "the engine before works on");
+    LONGS_EQUAL(2, before->stopped.size());
+}
+
+TEST(TwoRunsOfAStream, TheMemoryOfAStoppedRunIsFreed)
+{
+    // Without room at the target, the KV cache stays at the engine that has stopped the run.
+    before->answerStops({ { 503, R"({"handle":"h7"})" } });
+    holder->sendEvents(3, 3);
+    const auto caller = callStream();
+    waitForContinuation();
+    LONGS_EQUAL(1, before->stopped.size());
+    CHECK(std::count(before->freed.begin(), before->freed.end(), "DELETE /api/kv-handle/h7") == 1);
+}
+
+TEST(TwoRunsOfAStream, AnEngineThatDoesNotRunTheRequestIsAskedOnce)
+{
+    before->answerStops({ { 404, "{}" } });
+    holder->sendEvents(3, 3);
+    const auto caller = callStream();
+    waitForContinuation();
+    LONGS_EQUAL(1, before->stopped.size());
+    LONGS_EQUAL(0, before->freed.size());
+}
+
+TEST(TwoRunsOfAStream, TheRunThatGoesOnIsNotStopped)
+{
+    holder->sendEvents(3, 3);
+    const auto caller = callStream();
+    waitForContinuation();
+    STRCMP_EQUAL("r1", before->stopped.front().c_str());
+    LONGS_EQUAL(0, holder->stopped.size());
+}
+
+// A stop that is under way names only the request, and would stop its next run at that engine as well.
+TEST(TwoRunsOfAStream, NoRunIsSentToAnEngineThatMayStillBeToldToStop)
+{
+    before->leaveStopsUnanswered();
+    holder->sendEvents(3, 3);
+    const auto caller = callStream();
+    CHECK(relay->runUntil([&] { return !before->stopped.empty(); }));
+    holder->run().reset();
+    wait(maxDoubleRun);
+    LONGS_EQUAL_TEXT(1, before->runs(), "a run was sent to the engine while a request to stop it was unanswered");
+}
