Stop the earlier run of a stream that continues from its copy at another VM

A caller that resumed at another VM continued from the copy of its earlier run, and nobody told that run's engine: it stopped only if the VM that had sent the run closed its connection and the close arrived. The second VM knows the run's engine from its location, and now stops it when the stream continues from that run's copy. Only then, because two callers may send the same content, and the location may be that of the other one's run.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -152,6 +152,7 @@
         return;
     }
     m_versions.bindTo(*run.version.version);
+    m_earlierRun = run.location;
     if (run.location)
         m_choice->setEarlierRun(*run.location);
     startRun();
@@ -373,6 +374,12 @@
     if (copy)
         m_copier->noteContinued(copy->name);
     m_choice->noteSent(copy);
+    // The run of another VM counts as this one from here on.
+    if (copy && m_earlierRun && copy->name == m_earlierRun->requestId) {
+        if (const auto engine = m_context.directory.find(m_earlierRun->endpointId))
+            m_endedRuns.add(engine, m_earlierRun->requestId);
+        m_earlierRun.reset();
+    }
     fields.continueFrom = std::move(copy);
 
     logRunSent(m_request, *run, *m_answer, m_attempts == 0, now);
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -23,6 +23,7 @@
 #include "relay/RelayRefusal.h"
 #include "relay/RelayRequest.h"
 #include "relay/RequestVersions.h"
+#include "relay/RunLocations.h"
 #include "relay/StreamRun.h"
 #include "relay/StreamTiming.h"
 #include "retries/RetryLoanSource.h"
@@ -157,6 +158,8 @@
     const std::shared_ptr<EngineChoice> m_choice;
     // Set while the run is searched that the caller resumes.
     std::shared_ptr<EarlierRunSearch> m_search;
+    // Where the run is that the caller resumes; empty once a run has continued from its copy.
+    std::optional<RunLocation> m_earlierRun;
     const std::shared_ptr<StreamResponse> m_answer;
     std::shared_ptr<StreamRun> m_run;
     // The silent run that is kept while m_run is tried, or prepared, in its place.
