--- a/test/ScriptedEndpoint.h
+++ b/test/ScriptedEndpoint.h
@@ -91,9 +91,9 @@
         if (headEnd == std::string::npos)
             return;
         std::size_t length = 0;
-        const auto field = m_received.find("Content-Length: ");
+        const auto field = m_received.find("Content-Length:");
         if (field < headEnd)
-            length = std::stoul(m_received.substr(field + 16));
+            length = std::stoul(m_received.substr(field + 15));
         if (m_received.size() < headEnd + 4 + length)
             return;
         const auto request = m_received.substr(0, headEnd + 4 + length);
