Do not take an interim response of an engine for its answer

Callers of a service got status 100 with an empty body, framed as whole, when the service sent an interim response (100 Continue) and closed. By reading, not from a run, an answer after the interim one became its body. cpprestsdk takes any head for the final one. A call that may run again was not sent to another endpoint either.

Ruled out: cuts within a head, a length-delimited body, chunk headers and the last chunk fail the call, and the relay's own client reads interim responses. The generations were correct before: they end only with their final event.

A status below 200 now fails the call as lost, and closes its connection. The call may have run, which is what its caller is told.

FailsItsCall, IsNoAnswerToAServiceCallThatMustNotRunTwice and IsReplacedForAServiceCallThatMayRunAgain of CutEngineAnswer failed before (interim response, orderly close after 25 bytes) and pass. A service that sends an interim response without being asked to cannot be used through lupinknotd; its answers were unusable before, too.

--- a/src/http/HttpCall.cpp
+++ b/src/http/HttpCall.cpp
@@ -21,6 +21,8 @@
 // failed write, after which the peer may have received the request.
 constexpr std::string_view connectFailureText = "Failed to connect to any resolved endpoint";
 
+constexpr unsigned firstFinalStatus = 200;
+
 bool isConnectFailure(const http_exception& error)
 {
     return std::string_view(error.what()).find(connectFailureText) != std::string_view::npos;
@@ -76,6 +78,12 @@
 
     void headerReceived(http_response response)
     {
+        // cpprestsdk takes an interim response for the final one, and what follows for its body.
+        if (response.status_code() < firstFinalStatus) {
+            takeListener()->failed(HttpCallFailure::Lost, "the endpoint sent an interim response");
+            m_cancellation.cancel();
+            return;
+        }
         m_response = std::move(response);
         m_body = m_response.body().streambuf();
         m_listener->headerArrived(m_response.status_code(), headersOf(m_response));
--- a/test/CutEngineAnswerTest.cpp
+++ b/test/CutEngineAnswerTest.cpp
@@ -118,6 +118,7 @@
             { "length", okLine, "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n", body },
             { "chunks", okLine, "Transfer-Encoding: chunked\r\n\r\n", chunks },
             { "connection", okLine, "\r\n", body, true },
+            { "interim response", "HTTP/1.1 100 Continue\r\n\r\n" + okLine, "\r\n", body, true },
         };
     }
 
@@ -179,3 +180,21 @@
         STRCMP_EQUAL_TEXT("[0,1,2]", body["choices"][0]["token_ids"].dump().c_str(), name.c_str());
     });
 }
+
+TEST(CutEngineAnswer, IsNoAnswerToAGenerationThatMustNotRunTwice)
+{
+    const auto cluster = makeCluster();
+    forEachCut(framingsOf(eventsFrom(0)), [&](const std::string& name) {
+        const auto result = cluster->post("/v1/completions", R"({"model":"story","prompt":[11,12,13],"max_tokens":3})",
+            { { "Lupinknot-Repeatable", "false" } });
+        const auto body = nlohmann::json::parse(result.response.body);
+        // Once it has tokens, a generation is continued.
+        if (result.response.status == 200) {
+            STRCMP_EQUAL_TEXT("[0,1,2]", body["choices"][0]["token_ids"].dump().c_str(), name.c_str());
+            return;
+        }
+        LONGS_EQUAL_TEXT(502, result.response.status, name.c_str());
+        STRCMP_EQUAL_TEXT("unknown", body["error"]["outcome"].get<std::string>().c_str(), name.c_str());
+        LONGS_EQUAL_TEXT(1, deliveryCount(), name.c_str());
+    });
+}
