Do not forward a caller's Expect field to services

The body has arrived when the call is sent, so that the expectation is met; the field is left out. The relay is not affected: its client reads interim responses.

IsNotCausedByACallersExpectation of CutEngineAnswer failed before (502) and passes.

--- a/src/daemon/ServiceCall.cpp
+++ b/src/daemon/ServiceCall.cpp
@@ -9,6 +9,7 @@
 #include "settings/DaemonSettings.h"
 
 #include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/post.hpp>
 
 namespace lupinknot::internal {
@@ -123,7 +124,14 @@
 HttpRequest ServiceCall::endpointRequest() const
 {
     const auto& incoming = m_exchange->request();
-    return { incoming.method, incoming.target, incoming.headers.endToEnd(), incoming.body };
+    const auto forwarded = incoming.headers.endToEnd();
+    HttpHeaders headers;
+    for (const auto& field : forwarded.fields()) {
+        // The body has arrived and follows at once, so that the endpoint must not ask for it.
+        if (!boost::algorithm::iequals(field.name, "expect"))
+            headers.add(field.name, field.value);
+    }
+    return { incoming.method, incoming.target, std::move(headers), incoming.body };
 }
 
 void ServiceCall::endAttempt(std::optional<FailureKind> failure)
--- a/test/CutEngineAnswerTest.cpp
+++ b/test/CutEngineAnswerTest.cpp
@@ -48,12 +48,17 @@
     std::string firstBytes;
     Close close { Close::Orderly };
     unsigned deliveries { 0 };
+    // The endpoint answers all requests, those with an expectation first with an interim response.
+    bool asksForBody { false };
 
     void setup() override
     {
         endpoint.onRequest([this](ScriptedConnection& connection, const std::string& request) {
             const std::lock_guard lock(mutex);
-            if (++deliveries == 1)
+            const bool expectsInterim = request.find("Expect:") != std::string::npos;
+            if (asksForBody && expectsInterim)
+                connection.send("HTTP/1.1 100 Continue\r\n\r\n");
+            if (++deliveries == 1 && !asksForBody)
                 sendsAndEnds(firstBytes, close)(connection, request);
             else
                 answer(connection, request);
@@ -198,3 +203,16 @@
         LONGS_EQUAL_TEXT(1, deliveryCount(), name.c_str());
     });
 }
+
+// Guards against a call that fails because its caller announces the body and the service asks for it.
+TEST(CutEngineAnswer, IsNotCausedByACallersExpectation)
+{
+    const auto cluster = makeCluster();
+    {
+        const std::lock_guard lock(mutex);
+        asksForBody = true;
+    }
+    const auto result = cluster->post("/thumbs/1", "text", { { "Expect", "100-continue" } });
+    LONGS_EQUAL(200, result.response.status);
+    STRCMP_EQUAL("whole", result.response.body.c_str());
+}
