Bound the depth of JSON from other processes

Callers of lupinknotd and engines could end the process with one body or answer of arrays inside each other: parsing takes no stack for each level, but copying and writing a value does.

OddAnswers.AnyBodyOfACaller..., AnyAnswerOfAnEngine...: SIGSEGV before (400 KB, 200,000 levels, stack of 8 MB, aarch64, -O2), pass now. Not run on x86-64.

--- a/src/daemon/CompletionRequest.cpp
+++ b/src/daemon/CompletionRequest.cpp
@@ -1,5 +1,6 @@
 #include "daemon/CompletionRequest.h"
 
+#include "common/JsonText.h"
 #include "http/HttpRequest.h"
 
 #include <algorithm>
@@ -41,7 +42,7 @@
 leaf::result<json> parseBody(const std::string& body)
 {
     try {
-        auto parsed = json::parse(body);
+        auto parsed = parseJson(body);
         if (!parsed.is_object())
             return invalidField("body", "expected a JSON object" + foundType(parsed));
         return parsed;
--- a/src/daemon/EngineProtocol.cpp
+++ b/src/daemon/EngineProtocol.cpp
@@ -1,5 +1,7 @@
 #include "daemon/EngineProtocol.h"
 
+#include "common/JsonText.h"
+
 #include <nlohmann/json.hpp>
 
 namespace lupinknot::internal {
@@ -65,7 +67,7 @@
 HttpRequest engineRequest(
     const CompletionRequest& request, const EngineStreamOptions& stream, const std::optional<EnginePrefix>& prefix)
 {
-    auto body = json::parse(request.sampling);
+    auto body = parseJson(request.sampling);
     body["model"] = request.model;
     body["stream"] = true;
     body["return_token_ids"] = true;
@@ -103,7 +105,7 @@
         event.isDone = true;
         return event;
     }
-    const auto body = json::parse(data, nullptr, false);
+    const auto body = tryParseJson(data);
     if (!body.is_object())
         return std::nullopt;
     const auto promptIds = idsIn(body, "prompt_token_ids");
--- a/src/daemon/PlatformReader.cpp
+++ b/src/daemon/PlatformReader.cpp
@@ -1,5 +1,6 @@
 #include "daemon/PlatformReader.h"
 
+#include "common/JsonText.h"
 #include "common/Log.h"
 #include "daemon/EndpointTable.h"
 #include "http/HttpCallGroup.h"
@@ -19,7 +20,7 @@
 // Parses `{"endpoints": [{"name": "e1", "state": "live"}, ...]}`. Returns nothing for any other input.
 std::optional<std::vector<EndpointListingEntry>> parseListing(const std::string& text)
 {
-    const auto body = json::parse(text, nullptr, false);
+    const auto body = tryParseJson(text);
     if (!body.is_object() || !body.contains("endpoints") || !body["endpoints"].is_array())
         return std::nullopt;
     std::vector<EndpointListingEntry> entries;
--- a/src/relay/ShareExchange.cpp
+++ b/src/relay/ShareExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "admission/RequestRank.h"
 #include "common/EventLog.h"
+#include "common/JsonText.h"
 #include "health/ZoneExchange.h"
 
 #include <algorithm>
@@ -136,7 +137,7 @@
 void ShareExchange::applyReport(const std::string& body)
 {
     const auto now = m_clock.now();
-    const auto object = json::parse(body, nullptr, false);
+    const auto object = tryParseJson(body);
     const auto sender = textIn(object, "vm");
     const auto counts = object.is_object() ? decodeCounts(object) : std::nullopt;
     if (!counts || sender.empty()) {
@@ -189,7 +190,7 @@
 
 void ShareExchange::applyNews(const std::string& body)
 {
-    const auto object = json::parse(body, nullptr, false);
+    const auto object = tryParseJson(body);
     const auto counts = object.is_object() ? decodeCounts(object) : std::nullopt;
     if (!counts) {
         logInvalid(textIn(object, "vm"));
--- /dev/null
+++ b/test/OddAnswersTest.cpp
@@ -0,0 +1,87 @@
+// Odd values in what a VM reads: rows, and the answers of other VMs, engines and callers.
+#include "OddValues.h"
+#include "daemon/CompletionRequest.h"
+#include "daemon/EngineProtocol.h"
+#include "http/HttpRequest.h"
+#include <boost/leaf/handle_errors.hpp>
+
+#include "CrashMessage.h"
+#include "FeedHarness.h"
+#include "PlatformCallProtocol.h"
+#include "PlatformRows.h"
+#include "RunUntil.h"
+#include "StoreClient.h"
+#include "StoreLeaderLease.h"
+#include "StoreRunLocations.h"
+#include "VmListText.h"
+#include "lupinknot/MonotonicClock.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+using namespace lupinknot::platform;
+
+TEST_GROUP(OddAnswers)
+{
+    boost::asio::io_context ioContext;
+    MonotonicClock clock;
+    std::unique_ptr<StoreStandIn> store;
+
+    void setup() override
+    {
+        store = std::make_unique<StoreStandIn>(ioContext);
+        store->start();
+    }
+
+    void teardown() override { store.reset(); }
+
+    bool runUntil(const std::function<bool()>& condition) { return internal::runUntil(ioContext, condition); }
+};
+
+// Guards against answers of engines that end the process.
+TEST(OddAnswers, AnyAnswerOfAnEngineIsRead)
+{
+    const PlatformCallProtocol protocol;
+    for (const auto& odd : variantsOf(R"({"running":1,"waiting":0,"runs":[{}],"kv-used":1,"kv-total":2})", rowBytes))
+        protocol.decodeLoad({ 200, {}, odd });
+    for (const auto& odd : variantsOf(R"({"handle":"h1"})", rowBytes)) {
+        const auto handle = protocol.decodeMoveRun({ 200, {}, odd }).handle;
+        CHECK(handle.size() < 5000);
+    }
+    for (const auto& odd :
+        variantsOf(R"({"prompt_token_ids":[1],"choices":[{"text":"a","token_ids":[1],"position":0}]})", rowBytes))
+        parseEngineEvent(odd);
+}
+
+// Guards against a comparison of crash records that ends the process.
+TEST(OddAnswers, AnyCrashMessageIsReadOrRejected)
+{
+    const std::string key = "{\"digest\":\"" + std::string(48, 'd') + "\",\"age-ms\":5}";
+    for (const auto& odd : variantsOf("{\"crashes\":[],\"served\":[" + key + "],\"alive\":[]}", rowBytes)) {
+        try {
+            decodeCrashMessage(odd, Milliseconds { 0 });
+        } catch (const std::exception&) {
+            continue;
+        }
+    }
+}
+
+// Guards against bodies of callers that end the process.
+TEST(OddAnswers, AnyBodyOfACallerIsReadOrRejected)
+{
+    const auto valid = R"({"model":"m","prompt":[1],"max_tokens":5,"stop":["a"],"seed":1,"stream":true,)"
+                       R"("logit_bias":{"5":1},"user":"u","temperature":0.5})";
+    for (const auto& odds : { oddTexts(rowBytes), variantsOf(valid, rowBytes) }) {
+        for (const auto& odd : odds) {
+            boost::leaf::try_handle_all(
+                [&]() -> boost::leaf::result<void> {
+                    BOOST_LEAF_AUTO(
+                        request, parseCompletionRequest({ "POST", "/", {}, odd }, { 100, Milliseconds { 1 } }));
+                    engineRequest(request, { "id", {} }, EnginePrefix { { 1 }, { 2 } });
+                    return {};
+                },
+                [](const JsonError& error) { LONGS_EQUAL(400, error.status); }, [] { FAIL("expected a JsonError"); });
+        }
+    }
+}
