--- a/test/OddRowsTest.cpp
+++ b/test/OddRowsTest.cpp
@@ -188,6 +188,27 @@
     }
 }
 
+// Guards against keys that the store accepts and that end a table's pages or a VM.
+TEST(OddRows, AFeedReadsATableWithOddKeys)
+{
+    std::set<std::string> keys;
+    for (const char byte : std::string("\0\1\n\r\"\\/ %&#?+=\x7f", 16))
+        keys.insert(std::string(200, byte));
+    keys.insert("\xc3\xa9\xe2\x82\xac%00%0A&from=a#\r\nX: y");
+    // Pages end at odd keys.
+    for (const auto& start : std::set(keys)) {
+        for (int i = 0; i < 500; ++i)
+            keys.insert(start.substr(0, 190) + std::to_string(i));
+    }
+    for (const auto& key : keys)
+        store->put("servers", key, "v");
+    RecordingFeed followed;
+    followed.follow(ioContext, store->port(), "servers");
+    CHECK(internal::runUntil(ioContext, [&] { return followed.rows.size() == keys.size(); }));
+    store->put("servers", "good", "v");
+    CHECK(internal::runUntil(ioContext, [&] { return followed.rows.count("good") == 1; }));
+}
+
 // Guards against a VM that ends when another VM sends it an odd message.
 TEST(OddRows, AVmTakesAnyMessageOfAnotherVm)
 {
