--- a/test/OddAnswersTest.cpp
+++ b/test/OddAnswersTest.cpp
@@ -39,6 +39,38 @@
     bool runUntil(const std::function<bool()>& condition) { return internal::runUntil(ioContext, condition); }
 };
 
+// Guards against a feed that ends or loses the store after an odd answer of another VM.
+TEST(OddAnswers, AFeedTakesAnyAnswerOfAnotherVm)
+{
+    store->put("servers", "a", "1");
+    RecordingFeed followed;
+    followed.follow(ioContext, store->port(), "servers");
+    CHECK(runUntil([&] { return followed.rows.count("a") == 1; }));
+    const auto valid = R"({"age-ms":5,"ver":1,"era":0,"rows":[{"key":"a","ver":1,"value":"MQ=="}]})";
+    for (const auto& odd : variantsOf(valid, rowBytes))
+        followed.feed->applyFromPeer(odd);
+    store->put("servers", "b", "2");
+    CHECK(runUntil([&] { return followed.rows["b"] == "2"; }));
+    for (const auto& odd : variantsOf(R"({"version":"x","vms":[["a","b","127.0.0.1",9,1.0]]})", rowBytes)) {
+        const auto list = decodeVmList(odd);
+        CHECK(!list || !list->vms || list->vms->empty() || list->vms->front().address.text() == "127.0.0.1:9");
+    }
+}
+
+// Guards against a search for a run that ends the process at an odd row.
+TEST(OddAnswers, ARunIsSearchedBesideOddRows)
+{
+    StoreRunLocations locations(ioContext, { "127.0.0.1", store->port() });
+    for (const auto& odd : variantsOf(locationRow, rowBytes)) {
+        store->put("runs", "r1", odd);
+        std::optional<RunLocationResult> result;
+        locations.find("r1", [&](const RunLocationResult& found) { result = found; });
+        CHECK(runUntil([&] { return result.has_value(); }));
+        const auto port = result->location ? result->location->copyHolderAddress.port : 0;
+        CHECK(port >= 0 && port <= 65535);
+    }
+}
+
 // Guards against answers of engines that end the process.
 TEST(OddAnswers, AnyAnswerOfAnEngineIsRead)
 {
--- a/test/OddRowsTest.cpp
+++ b/test/OddRowsTest.cpp
@@ -169,6 +169,22 @@
     }
 };
 
+// Guards against a VM that ends, or reads a table no further, when the table holds odd rows as the VM starts.
+TEST(OddRows, AVmStartsBesideOddRows)
+{
+    for (const auto& row : rows()) {
+        int number = 0;
+        for (const auto& odd : oddTexts(rowBytes))
+            store->put(row.table, row.key + std::to_string(number++), odd);
+    }
+    startVm();
+    CHECK(followsEndpoints("good"));
+    CHECK(runUntil([&] { return vm->daemon().configuration() != nullptr; }));
+    CHECK(runUntil([&] { return knownVms().find("other") != std::string::npos; }));
+    CHECK(vm->daemon().directory().find("odd0") == nullptr);
+    CHECK(knownVms().find("odd") == std::string::npos);
+}
+
 // Guards against a VM that ends, or follows the store no further, when an odd row is written.
 TEST(OddRows, AVmFollowsChangesBesideOddRows)
 {
