--- a/test/OddAnswersTest.cpp
+++ b/test/OddAnswersTest.cpp
@@ -39,6 +39,15 @@
     bool runUntil(const std::function<bool()>& condition) { return internal::runUntil(ioContext, condition); }
 };
 
+// Guards against memory that is written past its end for values that are not base64.
+TEST(OddAnswers, ValuesThatAreNotBase64AreDecodedWithinBounds)
+{
+    for (std::size_t length = 0; length < 200; ++length) {
+        CHECK(decodeBase64(std::string(length, 'A')).size() == length * 3 / 4);
+        CHECK(decodeBase64(std::string(length, '*')).empty());
+    }
+}
+
 // Guards against a feed that ends or loses the store after an odd answer of another VM.
 TEST(OddAnswers, AFeedTakesAnyAnswerOfAnotherVm)
 {
