--- a/test/OddAnswersTest.cpp
+++ b/test/OddAnswersTest.cpp
@@ -39,6 +39,27 @@
     bool runUntil(const std::function<bool()>& condition) { return internal::runUntil(ioContext, condition); }
 };
 
+// Guards against decoders that end the process, and against numbers out of their range.
+TEST(OddAnswers, DecodersTakeAnyValue)
+{
+    std::string problem;
+    for (const auto& text : variantsOf(configuration, rowBytes)) {
+        const auto decoded = decodeConfiguration(text, problem);
+        const auto route = decoded ? decoded->findRoute("h", "/x/1") : nullptr;
+        CHECK(!route || (route->timeout.count() >= 0 && route->timeout < Milliseconds { 1LL << 40 }));
+    }
+    for (const auto& text : variantsOf(endpoint, rowBytes)) {
+        const auto decoded = decodeEndpoint("e", text, problem);
+        CHECK(!decoded || decoded->address.text() == "127.0.0.1:9");
+    }
+    for (const auto& text : variantsOf(orderRow, rowBytes)) {
+        const auto decoded = decodeRolloutOrder("llm", 1, text, problem);
+        CHECK(!decoded || (decoded->duration.count() >= 0 && decoded->duration < Milliseconds { 1LL << 40 }));
+    }
+    for (const auto& text : variantsOf(R"({"state":"running","target-version":"v2"})", rowBytes))
+        decodeRolloutStatus(text);
+}
+
 // Guards against memory that is written past its end for values that are not base64.
 TEST(OddAnswers, ValuesThatAreNotBase64AreDecodedWithinBounds)
 {
