Take up a duty whose record cannot be read

A leader's record that another writer left was a failed read for as long as it stayed, so no VM led the duty. It now counts as the record of a leader that has gone, with a token that no leader of the era has had.

OddAnswers.ADutyIsTakenUpAfterAnOddRecord: no leader after 20 s before, passes now.

--- a/src/duty/LeaderLease.cpp
+++ b/src/duty/LeaderLease.cpp
@@ -79,6 +79,11 @@
         m_completed = std::max(m_completed, record.completed);
 }
 
+void LeaderLease::noteUnreadableRecord(std::uint64_t version, Milliseconds now)
+{
+    noteRecord({ "", lowestTokenOfEra() + version, 0, version }, now);
+}
+
 void LeaderLease::noteWritten(std::uint64_t version, Milliseconds now)
 {
     if (m_stepUnderWay != LeaseStep::Acquire && m_stepUnderWay != LeaseStep::Renew)
--- a/src/duty/LeaderLease.h
+++ b/src/duty/LeaderLease.h
@@ -54,6 +54,9 @@
     void stepStarted(LeaseStep, Milliseconds now);
     // The record as the store has it, from a read or from a write that failed its condition.
     void noteRecord(const LeaderRecord&, Milliseconds now);
+    // The stored record has this version and cannot be read. It counts as that of a leader that has gone, whose token
+    // was at most the version: each token of an era takes a transaction, and versions count all transactions.
+    void noteUnreadableRecord(std::uint64_t version, Milliseconds now);
     // The write was applied and gave the record this version.
     void noteWritten(std::uint64_t version, Milliseconds now);
     // No usable answer. A write may have been applied, or may be applied later if its condition still holds.
--- a/test/OddAnswersTest.cpp
+++ b/test/OddAnswersTest.cpp
@@ -101,6 +101,18 @@
     }
 }
 
+// Guards against a duty that nobody takes up again because its record is odd.
+TEST(OddAnswers, ADutyIsTakenUpAfterAnOddRecord)
+{
+    const auto era = StoreEra::create(ioContext);
+    for (const std::string odd : { "", "{", "[1]", R"({"process":1,"token":-1,"completed":1e300})" }) {
+        store->put("leaders", "usage.0", odd);
+        StoreLeaderLease lease(
+            ioContext, clock, { "127.0.0.1", store->port() }, era, "usage", "p", Milliseconds { 60 });
+        CHECK(runUntil([&] { return lease.advance(), lease.isHeld(); }));
+    }
+}
+
 // Guards against answers of engines that end the process.
 TEST(OddAnswers, AnyAnswerOfAnEngineIsRead)
 {
