Let a fleet's partitions separate a VM from other VMs

A partition could separate a VM of the test fleet from the endpoints or from the store. It can now also separate it from the other VMs, in both directions, alone or together with the store; engines of another version may join a running fleet, and a VM may stand still.

--- a/test/CrashingRequestFleetTest.cpp
+++ b/test/CrashingRequestFleetTest.cpp
@@ -7,6 +7,7 @@
 using namespace lupinknot::internal;
 using lupinknot::platform::FleetCaller;
 using lupinknot::platform::PartitionedFleet;
+using lupinknot::platform::PartitionedFrom;
 
 TEST_GROUP(CrashingRequestFleet)
 {
@@ -21,7 +22,7 @@
     void setup() override
     {
         fleet.useEngineCount(engineCount);
-        fleet.partitionFromStore();
+        fleet.partitionFrom(PartitionedFrom::Store);
         CHECK(fleet.start());
     }
 
--- a/test/NetworkPartition.cpp
+++ b/test/NetworkPartition.cpp
@@ -7,7 +7,7 @@
 #include <map>
 #include <mutex>
 #include <netinet/in.h>
-#include <set>
+#include <optional>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -58,65 +58,89 @@
         Reset,
     };
 
-    bool isRemote(const sockaddr* address)
+    // The mode of the partition from the address; nothing if the address is not a remote one.
+    std::optional<PartitionMode> modeOf(const sockaddr* address)
     {
         if (address->sa_family != AF_INET)
-            return false;
+            return std::nullopt;
         const std::lock_guard lock(m_mutex);
-        return m_remotePorts.count(ntohs(reinterpret_cast<const sockaddr_in*>(address)->sin_port)) > 0;
+        const auto found = m_remotePorts.find(portOf(address));
+        return found == m_remotePorts.end() ? std::nullopt : std::optional(found->second);
     }
 
-    PartitionMode mode()
+    void add(int socket, const sockaddr* address)
     {
         const std::lock_guard lock(m_mutex);
-        return m_mode;
-    }
-
-    void add(int socket)
-    {
-        const std::lock_guard lock(m_mutex);
-        m_actions[socket] = Action::Pass;
+        m_connections[socket] = { portOf(address), Action::Pass };
     }
 
     void remove(int socket)
     {
         const std::lock_guard lock(m_mutex);
-        m_actions.erase(socket);
+        m_connections.erase(socket);
     }
 
     Action action(int socket)
     {
         const std::lock_guard lock(m_mutex);
-        const auto found = m_actions.find(socket);
-        return found == m_actions.end() ? Action::Pass : found->second;
+        const auto found = m_connections.find(socket);
+        return found == m_connections.end() ? Action::Pass : found->second.action;
     }
 
     void addRemotePort(unsigned short port)
     {
         const std::lock_guard lock(m_mutex);
-        m_remotePorts.insert(port);
+        m_remotePorts.emplace(port, m_mode);
     }
 
     void begin(PartitionMode mode)
     {
         const std::lock_guard lock(m_mutex);
         m_mode = mode;
-        for (auto& [socket, action] : m_actions) {
-            if (mode == PartitionMode::Hang)
-                action = Action::Drop;
-            if (mode != PartitionMode::Reset)
-                continue;
-            action = Action::Reset;
-            // Wakes the VM's pending read, which then gets the reset.
-            ::shutdown(socket, SHUT_RDWR);
+        for (auto& port : m_remotePorts)
+            port.second = mode;
+        for (auto& connection : m_connections)
+            apply(mode, connection.first, connection.second);
+    }
+
+    void begin(PartitionMode mode, unsigned short port)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_remotePorts[port] = mode;
+        for (auto& connection : m_connections) {
+            if (connection.second.port == port)
+                apply(mode, connection.first, connection.second);
         }
     }
 
 private:
+    // A connection to a remote port.
+    struct Connection {
+        unsigned short port { 0 };
+        Action action { Action::Pass };
+    };
+
+    static unsigned short portOf(const sockaddr* address)
+    {
+        return ntohs(reinterpret_cast<const sockaddr_in*>(address)->sin_port);
+    }
+
+    static void apply(PartitionMode mode, int socket, Connection& connection)
+    {
+        if (mode == PartitionMode::Hang)
+            connection.action = Action::Drop;
+        if (mode != PartitionMode::Reset)
+            return;
+        connection.action = Action::Reset;
+        // Wakes the VM's pending read, which then gets the reset.
+        ::shutdown(socket, SHUT_RDWR);
+    }
+
     std::mutex m_mutex;
+    // The mode for ports that are added.
     PartitionMode m_mode { PartitionMode::None };
-    std::set<unsigned short> m_remotePorts;
-    std::map<int, Action> m_actions;
+    std::map<unsigned short, PartitionMode> m_remotePorts;
+    std::map<int, Connection> m_connections;
 };
 
 namespace {
@@ -164,6 +188,8 @@
 
 void NetworkPartition::begin(PartitionMode mode) { m_state->begin(mode); }
 
+void NetworkPartition::begin(PartitionMode mode, unsigned short port) { m_state->begin(mode, port); }
+
 } // namespace lupinknot::internal
 
 using lupinknot::internal::actionFor;
@@ -175,9 +201,9 @@
 int connect(int socket, const sockaddr* address, socklen_t size)
 {
     static auto* const real = lupinknot::internal::realFunction<int(int, const sockaddr*, socklen_t)>("connect");
-    if (!attached || !attached->isRemote(address))
+    const auto mode = attached ? attached->modeOf(address) : std::nullopt;
+    if (!mode)
         return real(socket, address, size);
-    const auto mode = attached->mode();
     if (mode == PartitionMode::RefuseNew) {
         errno = ECONNREFUSED;
         return -1;
@@ -186,7 +212,7 @@
         const auto& nowhere = lupinknot::internal::fullListener().address();
         return real(socket, reinterpret_cast<const sockaddr*>(&nowhere), sizeof(nowhere));
     }
-    attached->add(socket);
+    attached->add(socket, address);
     return real(socket, address, size);
 }
 
--- a/test/NetworkPartition.h
+++ b/test/NetworkPartition.h
@@ -1,4 +1,4 @@
-// A partition between one VM of a test and the endpoints, simulated in the VM's system calls.
+// A partition between one VM of a test and the servers at some ports, simulated in the VM's system calls.
 //
 //     NetworkPartition network;
 //     std::thread thread([&] { network.attachThisThread(); vm.daemon().run(); });
@@ -6,8 +6,7 @@
 //     network.begin(PartitionMode::Hang);
 //
 // The test program overrides connect(), send(), recv() and close(). Connections of an attached thread to the remote
-// ports behave as behind a partition; all others, such as those to the store and between VMs, are not affected.
-// Thread-safe.
+// ports behave as behind a partition; all others are not affected. Thread-safe.
 #pragma once
 
 #include <memory>
@@ -30,7 +29,10 @@
 
     void attachThisThread();
     void addRemotePort(unsigned short);
+    // Begins a partition from all remote ports.
     void begin(PartitionMode);
+    // Begins a partition from one remote port.
+    void begin(PartitionMode, unsigned short port);
     // Connections that were opened before the end stay as they are.
     void end() { begin(PartitionMode::None); }
 
--- a/test/PartitionedFleet.cpp
+++ b/test/PartitionedFleet.cpp
@@ -4,6 +4,7 @@
 #include "lupinknot/MonotonicClock.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <future>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -83,7 +84,7 @@
     return settings;
 }
 
-bool PartitionedFleet::addEndpoint(const std::string& service, std::size_t number)
+bool PartitionedFleet::addEndpoint(const std::string& service, std::size_t number, const std::string& version)
 {
     EngineStandInSettings settings;
     settings.id = service + "-" + std::to_string(number);
@@ -95,8 +96,7 @@
     settings.crashAfter = timeUntilCrash - settings.prefillTime;
     settings.callTime = Milliseconds { 20 };
     settings.eventCount = m_eventCount;
-    if (service == "llm")
-        settings.version = m_engineVersions[number % m_engineVersions.size()];
+    settings.version = version;
     settings.crashText = crashText;
     auto& endpoint = m_endpoints.emplace_back(m_ioContext, settings);
     endpoint.onCrash([this, &endpoint] {
@@ -114,11 +114,11 @@
     m_store.start();
     m_store.put("op", "config", configurationText());
     for (std::size_t i = 0; i < m_engineCount; ++i) {
-        if (!addEndpoint("llm", i))
+        if (!addEndpoint("llm", i, m_engineVersions[i % m_engineVersions.size()]))
             return false;
     }
     for (std::size_t i = 0; i < endpointsPerService; ++i) {
-        if (!addEndpoint("plain", i))
+        if (!addEndpoint("plain", i, ""))
             return false;
     }
     for (std::size_t i = 0; i < m_vms.size(); ++i) {
@@ -146,12 +146,7 @@
 {
     auto& vm = m_vms[index];
     vm = std::make_unique<Vm>(settingsOf(index));
-    if (m_partitionsStore)
-        vm->network.addRemotePort(static_cast<unsigned short>(m_store.port()));
-    else {
-        for (const auto port : m_endpointPorts)
-            vm->network.addRemotePort(port);
-    }
+    addRemotePorts(index);
     std::promise<unsigned short> port;
     vm->thread = std::thread([&vm = *vm, &port] {
         vm.network.attachThisThread();
@@ -164,6 +159,23 @@
     return vm->frontPort != 0;
 }
 
+void PartitionedFleet::addRemotePorts(std::size_t vm)
+{
+    auto& network = m_vms[vm]->network;
+    const bool isFromVms
+        = m_partitionedFrom == PartitionedFrom::OtherVms || m_partitionedFrom == PartitionedFrom::StoreAndOtherVms;
+    if (m_partitionedFrom == PartitionedFrom::Endpoints) {
+        for (const auto port : m_endpointPorts)
+            network.addRemotePort(port);
+    }
+    if (m_partitionedFrom == PartitionedFrom::Store || m_partitionedFrom == PartitionedFrom::StoreAndOtherVms)
+        network.addRemotePort(static_cast<unsigned short>(m_store.port()));
+    for (std::size_t other = 0; isFromVms && other < m_vms.size(); ++other) {
+        if (other != vm)
+            network.addRemotePort(peerPort(other));
+    }
+}
+
 void PartitionedFleet::useEngines(std::vector<std::string> versions, std::uint64_t events)
 {
     m_engineVersions = std::move(versions);
@@ -172,8 +184,9 @@
 
 std::string PartitionedFleet::versionOf(const std::string& engineId) const
 {
-    const auto number = std::stoul(engineId.substr(engineId.rfind('-') + 1));
-    return m_engineVersions[number % m_engineVersions.size()];
+    const auto found = std::find_if(m_endpoints.begin(), m_endpoints.end(),
+        [&engineId](const EngineStandIn& engine) { return engine.settings().id == engineId; });
+    return found == m_endpoints.end() ? "" : found->settings().version;
 }
 
 std::shared_ptr<internal::TestCaller> PartitionedFleet::openStream(std::size_t vm, const std::string& requestId,
@@ -232,6 +245,34 @@
         network(i).begin(mode);
 }
 
+void PartitionedFleet::beginPartition(std::size_t vm, internal::PartitionMode mode)
+{
+    network(vm).begin(mode);
+    if (m_partitionedFrom != PartitionedFrom::OtherVms && m_partitionedFrom != PartitionedFrom::StoreAndOtherVms)
+        return;
+    for (std::size_t other = 0; other < m_vms.size(); ++other) {
+        if (other != vm && m_vms[other])
+            network(other).begin(mode, peerPort(vm));
+    }
+}
+
+void PartitionedFleet::standStill(std::size_t vm, Milliseconds time)
+{
+    boost::asio::post(m_vms[vm]->vm.daemon().ioContext(), [time] { std::this_thread::sleep_for(time); });
+}
+
+bool PartitionedFleet::addEngine(const std::string& version) { return addEndpoint("llm", m_engineCount++, version); }
+
+void PartitionedFleet::removeEngines(const std::string& version)
+{
+    for (auto& engine : m_endpoints) {
+        if (engine.settings().version != version)
+            continue;
+        m_store.remove("servers", engine.settings().id);
+        engine.resetConnections();
+    }
+}
+
 void PartitionedFleet::silenceEngines(std::size_t firstEngine, std::size_t count, Milliseconds time)
 {
     for (std::size_t i = firstEngine; i < firstEngine + count; ++i)
--- a/test/PartitionedFleet.h
+++ b/test/PartitionedFleet.h
@@ -37,6 +37,14 @@
     std::chrono::steady_clock::time_point at;
 };
 
+// From what a partition separates a VM. Callers and, except for Endpoints, the endpoints still reach it.
+enum class PartitionedFrom {
+    Endpoints,
+    Store,
+    OtherVms,
+    StoreAndOtherVms,
+};
+
 class PartitionedFleet {
 public:
     // The longest pause of a stream that its route aims at.
@@ -54,8 +62,8 @@
     static constexpr const char* crashText = "crash";
     // VMs that have just started may use the fixed number of retries after this time. Call it before start().
     void useRetryWindow(Milliseconds window) { m_retryWindow = window; }
-    // Partitions of VMs are from the store instead of the endpoints. Call it before start().
-    void partitionFromStore() { m_partitionsStore = true; }
+    // Sets from what partitions separate VMs. Call it before start().
+    void partitionFrom(PartitionedFrom from) { m_partitionedFrom = from; }
     // Starts everything and waits until each VM serves. Returns false if that does not happen.
     bool start();
     // A request to the VM. With a prompt id it is a stream.
@@ -70,6 +78,15 @@
     void runFor(Milliseconds);
     internal::NetworkPartition& network(std::size_t vm) { return m_vms[vm]->network; }
     void partition(std::size_t firstVm, std::size_t count, internal::PartitionMode);
+    // Separates the VM in both directions.
+    void beginPartition(std::size_t vm, internal::PartitionMode);
+    void endPartition(std::size_t vm) { beginPartition(vm, internal::PartitionMode::None); }
+    // The VM's process stands still for this time from now on.
+    void standStill(std::size_t vm, Milliseconds);
+    // An engine of the version starts. Returns false if it does not.
+    bool addEngine(const std::string& version);
+    // Removes the entries of the version's engines from the store's table and resets their connections.
+    void removeEngines(const std::string& version);
     void silenceEngines(std::size_t firstEngine, std::size_t count, Milliseconds);
     void silenceEnginesForGood(std::size_t firstEngine, std::size_t count);
     // The longest time that a request went on at two engines after the second one had produced an event.
@@ -102,7 +119,10 @@
 
     PlatformSettings settingsOf(std::size_t index);
     // Returns false if the endpoint does not start.
-    bool addEndpoint(const std::string& service, std::size_t number);
+    bool addEndpoint(const std::string& service, std::size_t number, const std::string& version);
+    // Adds the remote ports of the VM's partition.
+    void addRemotePorts(std::size_t vm);
+    unsigned short peerPort(std::size_t vm) const { return static_cast<unsigned short>(m_peerPorts[vm].number()); }
 
     boost::asio::io_context m_ioContext;
     StoreStandIn m_store;
@@ -116,7 +136,7 @@
     std::size_t m_engineCount { endpointsPerService };
     std::optional<Milliseconds> m_retryWindow;
     std::vector<EngineCrash> m_crashes;
-    bool m_partitionsStore { false };
+    PartitionedFrom m_partitionedFrom { PartitionedFrom::Endpoints };
     bool m_hasStarted { false };
     const std::size_t m_zones;
     unsigned m_requests { 0 };
