Take a version for the only one only as of the caller's return

What callers saw: one VM was cut off from the store, from the other VMs or from both, while engines of a second version joined. Streams that had begun at that version through other VMs were resumed at the VM and went on at the first version, so that an answer held events of two versions. In other cases they got version-gone and were told to begin again, although the version served.

Cause: the VM took the only version in its list for the only one in existence, whether or not the search for the stream's note was complete and however old its list was.

Ruled out: that a complete search is enough. Notes of streams that share a prompt replace each other, so that a search answered by all location keepers finds none for most of them, also after the partition has ended.

Change: the only version counts once the store has sent the list's state as of the caller's return, which the search asks for where it finds no note. A gap in the list makes the history unknown until the table of versions has been read again. A version known from a note counts from then on, and is gone only if the list still lacks it later on.

Conclusion: what a VM concludes from the lack of a version holds only as of its list's last state.

--- a/src/relay/EarlierRunSearch.cpp
+++ b/src/relay/EarlierRunSearch.cpp
@@ -10,6 +10,13 @@
 
 namespace lupinknot::internal {
 
+namespace {
+
+// The store sends the present list of endpoints within some milliseconds.
+constexpr Milliseconds listInterval { 15 };
+
+} // namespace
+
 std::shared_ptr<EarlierRunSearch> EarlierRunSearch::start(
     RelayContext& context, const RelayRequest& request, Callback callback)
 {
@@ -30,7 +37,7 @@
 void EarlierRunSearch::search()
 {
     if (!m_context.runLocations || !m_context.has(Policy::LocationHints)) {
-        decide({});
+        handleResult({});
         return;
     }
     m_context.runLocations->find(runKeyOf(m_request), [weak = weak_from_this()](RunLocationResult result) {
@@ -39,10 +46,16 @@
             return;
         if (result.location && !self->isOfThisStream(*result.location))
             result.location.reset();
-        self->decide(result);
+        self->handleResult(result);
     });
 }
 
+void EarlierRunSearch::handleResult(const RunLocationResult& result)
+{
+    m_answeredAt = m_context.now();
+    decide(result);
+}
+
 // Streams of one session may have the same prompt.
 bool EarlierRunSearch::isOfThisStream(const RunLocation& location) const
 {
@@ -54,27 +67,42 @@
 void EarlierRunSearch::decide(const RunLocationResult& result)
 {
     const auto now = m_context.now();
-    auto& directory = m_context.directory;
-    const auto decision = decideVersion({ .noted = result.location ? result.location->version : std::nullopt,
-        .only = directory.versions().onlyVersion(m_request.service, now),
+    auto& versions = m_context.directory.versions();
+    const auto noted = result.location ? result.location->version : std::nullopt;
+    if (noted)
+        versions.noteHeardOf(m_request.service, *noted, now);
+    const auto only = versions.onlyVersion(m_request.service, now);
+    const auto decision = decideVersion({ .noted = noted,
+        .only = only,
+        .isOnlyCurrent = versions.isKnownAsOf(m_startedAt),
         .isSearchComplete = result.isComplete,
-        .isHistoryKnown = directory.versions().isHistoryKnown(now),
+        .isHistoryKnown = versions.isHistoryKnown(now),
         .searchedFor = now - m_startedAt,
         .searchTime = m_context.settings.versionSearchTime });
     if (decision.source == VersionSource::SearchAgain) {
-        searchLater();
+        // With several versions, the present list would not tell which of them began the stream.
+        if (only || !versions.isHistoryKnown(now))
+            versions.requestUpdate();
+        tryLater(result);
         return;
     }
     if (const auto callback = std::exchange(m_callback, nullptr))
         callback({ result.location, decision });
 }
 
-void EarlierRunSearch::searchLater()
+void EarlierRunSearch::tryLater(const RunLocationResult& result)
 {
-    m_timer.expires_after(m_context.settings.versionSearchInterval);
-    m_timer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+    const auto now = m_context.now();
+    // The list of endpoints may be all that is missing, so it is looked at between two searches.
+    const bool awaitsList = now - m_answeredAt < m_context.settings.versionSearchInterval;
+    m_timer.expires_after(awaitsList ? listInterval : Milliseconds { 0 });
+    m_timer.async_wait([weak = weak_from_this(), result, awaitsList](boost::system::error_code error) {
         const auto self = weak.lock();
-        if (!error && self)
+        if (error || !self)
+            return;
+        if (awaitsList)
+            self->decide(result);
+        else
             self->search();
     });
 }
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -76,7 +76,11 @@
     // passed.
     void listRestored(Milliseconds now);
     // The list is the store's current one at this time: while the store is unavailable, no VM can write to it.
-    void listConfirmed(Milliseconds instant) { m_listConfirmedAt = std::max(m_listConfirmedAt, instant); }
+    void listConfirmed(Milliseconds instant)
+    {
+        m_listConfirmedAt = std::max(m_listConfirmedAt, instant);
+        m_versions.noteListReceived(m_listConfirmedAt);
+    }
     // True once a list has been applied, even an empty one.
     bool isKnown() const { return m_isKnown; }
     // Sets which services exist; an entry of another service does not replace the endpoint at its address. Without this
--- a/src/relay/RequestVersions.cpp
+++ b/src/relay/RequestVersions.cpp
@@ -70,8 +70,19 @@
     const auto* const rollout = m_context.rollouts.find(m_request.service);
     if (isIndistinct(*m_boundVersion) || (rollout && rollout->isExcluded(*m_boundVersion, now)))
         return true;
-    const auto missingSince = m_context.directory.versionMissingSince(m_request.service, *m_boundVersion, now);
-    return missingSince && now - *missingSince >= m_context.settings.versionGoneAfter;
+    auto& directory = m_context.directory;
+    const auto missingSince = directory.versionMissingSince(m_request.service, *m_boundVersion, now);
+    if (!missingSince)
+        return false;
+    const auto goneAt = *missingSince + m_context.settings.versionGoneAfter;
+    if (now < goneAt)
+        return false;
+    // An endpoint of the version may have been listed since.
+    if (!directory.versions().isKnownAsOf(goneAt)) {
+        directory.versions().requestUpdate();
+        return false;
+    }
+    return true;
 }
 
 VersionChoice RequestVersions::next()
--- a/src/versions/ServiceVersions.cpp
+++ b/src/versions/ServiceVersions.cpp
@@ -1,5 +1,8 @@
 #include "versions/ServiceVersions.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace lupinknot::internal {
 
 ServiceVersions::ServiceVersions(Milliseconds streamLifetime)
@@ -19,6 +22,34 @@
     return !m_historyUnknownSince || !isRecent(*m_historyUnknownSince, now);
 }
 
+void ServiceVersions::followList(Milliseconds maxGap, std::function<void()> requestUpdate)
+{
+    m_maxGap = maxGap;
+    m_requestUpdate = std::move(requestUpdate);
+}
+
+void ServiceVersions::noteListAsOf(Milliseconds instant) { m_listAsOf = std::max(m_listAsOf, instant); }
+
+void ServiceVersions::noteListReceived(Milliseconds now)
+{
+    const auto previous = std::exchange(m_listReceivedAt, now);
+    if (m_requestUpdate && previous && now - *previous > m_maxGap)
+        awaitHistory(now);
+}
+
+void ServiceVersions::requestUpdate() const
+{
+    if (m_requestUpdate)
+        m_requestUpdate();
+}
+
+void ServiceVersions::noteHeardOf(const std::string& service, const std::string& version, Milliseconds now)
+{
+    const auto [known, isNew] = m_listedAt.try_emplace({ service, version }, now);
+    if (!isNew && !isRecent(known->second, now))
+        known->second = now;
+}
+
 void ServiceVersions::noteListed(const std::string& service, const std::string& version, Milliseconds now)
 {
     const ServiceVersion listed { service, version };
--- a/src/versions/ServiceVersions.h
+++ b/src/versions/ServiceVersions.h
@@ -10,6 +10,14 @@
 //     versions.applyHistory({ { "s", "v0" } }, now);
 //     if (const auto version = versions.onlyVersion("s", now)) ...
 //
+// A VM that follows a list from elsewhere knows only the versions that were listed as of some time: it may be cut off,
+// or have stood still. What it concludes from the lack of a version holds only up to that time, and after a gap between
+// two states of the list, in which versions may have come and gone, it has to read the history again.
+//
+//     versions.followList(maxGap, [] { ... });             // Asks for the present list, and for the history.
+//     versions.noteListAsOf(askedAt);
+//     if (!versions.isKnownAsOf(now)) versions.requestUpdate();
+//
 // A value without I/O or synchronization.
 #pragma once
 
@@ -45,6 +53,20 @@
     void applyHistory(const std::vector<ServiceVersion>&, Milliseconds now);
     bool isHistoryKnown(Milliseconds now) const;
 
+    // From now on the versions are known only as of the list's last state. Versions may have come and gone between two
+    // states that are further apart than maxGap. `requestUpdate` asks for the list's present state, and for the history
+    // if it is unknown; it may be called often.
+    void followList(Milliseconds maxGap, std::function<void()> requestUpdate);
+    // All changes of the list before this time have been noted.
+    void noteListAsOf(Milliseconds instant);
+    // The list is the one in force, as far as whoever sent it knows.
+    void noteListReceived(Milliseconds now);
+    // True when the versions that were listed up to this time are known.
+    bool isKnownAsOf(Milliseconds instant) const { return !m_requestUpdate || m_listAsOf >= instant; }
+    void requestUpdate() const;
+
+    // Another VM knows an endpoint of the version, which this VM's list need not contain yet.
+    void noteHeardOf(const std::string& service, const std::string& version, Milliseconds now);
     // An endpoint of the version is listed, or has been until now.
     void noteListed(const std::string& service, const std::string& version, Milliseconds now);
     // When the version was last noted; empty if it was not within the stream lifetime.
@@ -65,6 +87,11 @@
     const Milliseconds m_streamLifetime;
     std::map<ServiceVersion, Milliseconds> m_listedAt;
     std::optional<Milliseconds> m_historyUnknownSince;
+    // Empty while no list is followed.
+    std::function<void()> m_requestUpdate;
+    Milliseconds m_maxGap { 0 };
+    Milliseconds m_listAsOf { 0 };
+    std::optional<Milliseconds> m_listReceivedAt;
     std::function<void(const ServiceVersion&)> m_onNewVersion;
 };
 
--- a/src/versions/VersionSearch.h
+++ b/src/versions/VersionSearch.h
@@ -23,9 +23,11 @@
     std::optional<std::string> noted;
     // The only version of the service that can have begun a stream that still runs.
     std::optional<std::string> only;
+    // The only version is known as of the caller's return: no other one can have begun the stream since.
+    bool isOnlyCurrent { true };
     // False when a VM or a store that may know the stream has not answered.
     bool isSearchComplete { true };
-    // False until this VM knows which versions were listed before it started.
+    // False until this VM knows which versions were listed before it started, or while it was cut off.
     bool isHistoryKnown { true };
     // How long the search has taken, and may take.
     Milliseconds searchedFor { 0 };
@@ -35,7 +37,7 @@
 enum class VersionSource {
     Note, // A VM noted the version when the stream began.
     OnlyVersion, // The service had no other version while the stream can have begun.
-    SearchAgain, // Not known yet: a VM or the store has not answered.
+    SearchAgain, // Not known yet: a VM or the store has not answered, or the list of endpoints may be old.
     Unknown,
 };
 
--- a/test/ServiceVersionsTest.cpp
+++ b/test/ServiceVersionsTest.cpp
@@ -65,6 +65,40 @@
     LONGS_EQUAL(1, versions.recent(start + 3 * lifetime).size());
 }
 
+// Guards against a VM that was cut off and takes the version it still lists for the only one that served meanwhile.
+TEST(ServiceVersions, AGapBetweenStatesOfTheListMakesTheHistoryUnknown)
+{
+    constexpr Milliseconds maxGap { 4000 };
+    int requests = 0;
+    CHECK(versions.isKnownAsOf(start));
+    versions.followList(maxGap, [&requests] { ++requests; });
+    CHECK_FALSE(versions.isKnownAsOf(start));
+    versions.requestUpdate();
+    LONGS_EQUAL(1, requests);
+    versions.noteListed("s", "v1", start);
+    versions.noteListAsOf(start);
+    versions.noteListReceived(start);
+    versions.noteListReceived(start + maxGap);
+    CHECK(versions.isKnownAsOf(start));
+    CHECK_FALSE(versions.isKnownAsOf(start + maxGap));
+    STRCMP_EQUAL("v1", only(start + maxGap).c_str());
+    const auto end = start + 2 * maxGap + Milliseconds { 1 };
+    versions.noteListReceived(end);
+    STRCMP_EQUAL("none", only(end).c_str());
+    versions.applyHistory({ { "s", "v1" } }, end);
+    STRCMP_EQUAL("v1", only(end).c_str());
+}
+
+// Guards against a version that counts as gone because this VM's list does not contain it yet.
+TEST(ServiceVersions, AVersionKnownToAnotherVmCountsFromThenOn)
+{
+    versions.noteListed("s", "v1", start);
+    versions.noteHeardOf("s", "v2", start);
+    STRCMP_EQUAL("none", only(start).c_str());
+    versions.noteHeardOf("s", "v2", start + lifetime);
+    CHECK(versions.lastListedAt("s", "v2") == start);
+}
+
 TEST_GROUP(VersionSearch) {
     static VersionSource sourceOf(const VersionKnowledge& known) { return decideVersion(known).source;
 }
@@ -79,6 +113,16 @@
     CHECK(sourceOf({ .only = "v2" }) == VersionSource::OnlyVersion);
 }
 
+// Guards against a VM out of step that takes the only version it has seen for the only one.
+TEST(VersionSearch, TheOnlyVersionCountsOnlyIfTheListIsCurrent)
+{
+    constexpr Milliseconds searchTime { 1500 };
+    CHECK(sourceOf({ .only = "v1", .isOnlyCurrent = false, .searchTime = searchTime }) == VersionSource::SearchAgain);
+    CHECK(sourceOf({ .only = "v1", .isOnlyCurrent = false, .searchedFor = searchTime, .searchTime = searchTime })
+        == VersionSource::Unknown);
+    CHECK(sourceOf({ .noted = "v2", .only = "v1", .isOnlyCurrent = false }) == VersionSource::Note);
+}
+
 // Replays callers that return to a VM while the store and other VMs do not answer, and after they have.
 TEST(VersionSearch, SearchesAgainOnlyWhileAnAnswerMayStillCome)
 {
