--- a/test/FleetStreams.h
+++ b/test/FleetStreams.h
@@ -90,7 +90,7 @@
             m_streams.begin(), m_streams.end(), [&](const Stream& stream) { return fateOf(stream) == fate; }));
     }
 
-    // The fates of the streams, for the message of a failed test.
+    // What became of the streams, for the message of a failed test.
     std::string text() const
     {
         std::string text;
@@ -98,8 +98,11 @@
             text += stream.names.attemptId + ":";
             for (const auto& version : versionsOf(*stream.first))
                 text += " " + version;
-            text += " fate " + std::to_string(static_cast<int>(fateOf(stream))) + " status "
-                + std::to_string(stream.resumed->head.status) + "\n";
+            const auto& last = stream.resumed ? stream.resumed : stream.first;
+            text += " status " + std::to_string(last->head.status);
+            if (stream.resumed)
+                text += " fate " + std::to_string(static_cast<int>(fateOf(stream)));
+            text += "\n";
         }
         return text;
     }
--- a/test/StreamVersionPartitionTest.cpp
+++ b/test/StreamVersionPartitionTest.cpp
@@ -60,7 +60,7 @@
             streams->begin(servingVm, { "unnamed" + number, "b" + number, false });
             streams->begin(servingVm, { "session" + number, "5e55" });
         }
-        CHECK(streams->haveEvents());
+        CHECK_TEXT(streams->haveEvents(), streams->text().c_str());
         CHECK_TEXT(streams->countBegunAt("v2") >= 4, "too few streams began at the new version");
     }
 
