Soak: faults after which an engine works on beside the copy of its run

Change: the stand-in keeps a table of its runs, stops a run on request, may work on after a close, may be silent towards its callers while it works, and logs the beginning and the end of each run. Four kinds of faults use that, and the new check allows no engine before to work 400 ms after a copy was continued, unless the VM could not reach it or had itself a fault in the 3 s before.

--- a/test/SoakPartsTest.cpp
+++ b/test/SoakPartsTest.cpp
@@ -1,3 +1,5 @@
+#include "../platform/standin/EngineStandIn.h"
+#include "EngineRunLog.h"
 #include "LoopbackProxy.h"
 #include "RawConnection.h"
 #include "ReservedPort.h"
@@ -7,6 +9,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 using namespace lupinknot;
 using namespace lupinknot::internal;
 using namespace lupinknot::soak;
@@ -124,3 +128,283 @@
     proxy.resetConnections();
     ioContext.poll();
 }
+
+// A caller, a proxy and an endpoint that holds seven connections through it, each with a request.
+TEST_GROUP(OneInSevenConnections)
+{
+    static constexpr std::size_t count = LoopbackProxy::affectedShare;
+
+    boost::asio::io_context ioContext;
+    ScriptedEndpoint endpoint { ioContext };
+    ReservedPort own { ioContext };
+    LoopbackProxy proxy { ioContext, { "127.0.0.1", own.number() }, { "127.0.0.1", endpoint.port() } };
+    std::vector<std::shared_ptr<ScriptedConnection>> atEndpoint;
+    std::vector<boost::asio::ip::tcp::socket> callers;
+
+    void setup() override
+    {
+        endpoint.onRequest(
+            [this](ScriptedConnection& asker, const std::string&) { atEndpoint.push_back(asker.shared_from_this()); });
+        for (std::size_t i = 0; i < count; ++i)
+            connect();
+    }
+
+    void teardown() override
+    {
+        callers.clear();
+        for (const auto& connection : atEndpoint)
+            connection->close();
+        proxy.resetConnections();
+        ioContext.poll();
+    }
+
+    void connect()
+    {
+        auto& caller = callers.emplace_back(ioContext);
+        caller.connect({ boost::asio::ip::address_v4::loopback(), own.number() });
+        caller.non_blocking(true);
+        boost::asio::write(caller, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+        CHECK(runUntil(ioContext, [this] { return atEndpoint.size() == callers.size(); }));
+    }
+
+    // The outcomes of reading from each caller's connection once: no error where bytes have arrived.
+    std::vector<boost::system::error_code> readAll()
+    {
+        std::vector<boost::system::error_code> outcomes;
+        for (auto& caller : callers) {
+            char piece[512];
+            outcomes.emplace_back();
+            caller.read_some(boost::asio::buffer(piece), outcomes.back());
+        }
+        return outcomes;
+    }
+
+    std::size_t closedAtEndpoint() const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            atEndpoint.begin(), atEndpoint.end(), [](const auto& each) { return each->isClosedByPeer(); }));
+    }
+
+    void answerAll()
+    {
+        for (const auto& connection : atEndpoint)
+            connection->answer(200, "", "whole");
+        constexpr int turns = 50;
+        for (int turn = 0; turn < turns; ++turn) {
+            ioContext.run_one_for(std::chrono::milliseconds(2));
+            ioContext.restart();
+        }
+    }
+};
+
+TEST(OneInSevenConnections, AHangingConnectionForwardsNeitherBytesNorItsClose)
+{
+    proxy.hangConnections();
+    connect();
+    answerAll();
+    const auto outcomes = readAll();
+    LONGS_EQUAL(1, std::count(outcomes.begin(), outcomes.end(), boost::asio::error::would_block));
+    LONGS_EQUAL(count, std::count(outcomes.begin(), outcomes.end(), boost::system::error_code()));
+    callers.clear();
+    CHECK(runUntil(ioContext, [this] { return closedAtEndpoint() == count; }));
+    answerAll();
+    LONGS_EQUAL(count, closedAtEndpoint());
+}
+
+TEST(OneInSevenConnections, AResetTowardsTheCallerLeavesTheEndpointsSideOpen)
+{
+    proxy.resetConnectionsToCaller();
+    answerAll();
+    const auto outcomes = readAll();
+    LONGS_EQUAL(1, std::count(outcomes.begin(), outcomes.end(), boost::asio::error::connection_reset));
+    LONGS_EQUAL(count - 1, std::count(outcomes.begin(), outcomes.end(), boost::system::error_code()));
+    LONGS_EQUAL(0, closedAtEndpoint());
+}
+
+// A check that overlooks an engine which works on would let the soak pass without having tested anything.
+TEST_GROUP(EngineRunLog)
+{
+    EngineRunLog log;
+
+    void read(const std::string& engineId, const std::string& line) { CHECK(log.readLine(engineId, line)); }
+};
+
+TEST(EngineRunLog, LeavesOtherLinesToOthers)
+{
+    CHECK_FALSE(log.readLine("e1", "ran r1 100"));
+    CHECK_FALSE(log.readLine("e1", "limit 100"));
+    CHECK(log.runs().empty());
+}
+
+TEST(EngineRunLog, AnEngineThatWorksAfterTheLimitIsReported)
+{
+    read("e1", "began r1 100");
+    read("e2", "began r1 1000 r1");
+    read("e1", "ended r1 1401 closed");
+    LONGS_EQUAL(1, log.overlaps().size());
+    STRCMP_EQUAL("e1", log.overlaps()[0].earlier.engineId.c_str());
+    STRCMP_EQUAL("closed", log.overlaps()[0].earlier.end.c_str());
+    STRCMP_EQUAL("e2", log.overlaps()[0].continuation.engineId.c_str());
+}
+
+TEST(EngineRunLog, AnEngineThatHasEndedAtTheLimitIsNotReported)
+{
+    read("e1", "began r1 100");
+    read("e2", "began r1 1000 r1");
+    read("e1", "ended r1 1400 stopped");
+    LONGS_EQUAL(0, log.overlaps().size());
+    LONGS_EQUAL(1, log.continuationsUntil(Milliseconds { 1000 }));
+    LONGS_EQUAL(0, log.continuationsUntil(Milliseconds { 999 }));
+}
+
+TEST(EngineRunLog, ARunThatNeverEndsIsReported)
+{
+    read("e1", "began r1 100");
+    read("e2", "began r1 1000 r1");
+    LONGS_EQUAL(1, log.overlaps().size());
+}
+
+TEST(EngineRunLog, TheRunOfAnEarlierAttemptIsFoundByTheNameOfItsCopy)
+{
+    read("e1", "began r1 100");
+    read("e2", "began r2 1000 r1");
+    LONGS_EQUAL(1, log.overlaps().size());
+}
+
+TEST(EngineRunLog, ARunOfTheSameRequestIsFoundWhenTheCopyIsAHandle)
+{
+    read("e1", "began r1 100");
+    read("e2", "began r1 1000 h7");
+    LONGS_EQUAL(1, log.overlaps().size());
+}
+
+TEST(EngineRunLog, RunsWithoutACopyMayOverlap)
+{
+    read("e1", "began r1 100");
+    read("e2", "began r1 1000");
+    LONGS_EQUAL(0, log.overlaps().size());
+}
+
+TEST(EngineRunLog, ALaterRunElsewhereIsNotAnEarlierOne)
+{
+    read("e1", "began r1 100 r0");
+    read("e2", "began r1 200");
+    LONGS_EQUAL(0, log.overlaps().size());
+}
+
+TEST(EngineRunLog, TheEndOfAnEnginesProcessEndsItsRuns)
+{
+    read("e1", "began r1 100");
+    read("e2", "began r1 1000 r1");
+    log.endEngine("e1", Milliseconds { 900 });
+    LONGS_EQUAL(0, log.overlaps().size());
+}
+
+TEST_GROUP(EngineStandIn)
+{
+    boost::asio::io_context ioContext;
+    std::unique_ptr<platform::EngineStandIn> engine;
+    std::vector<boost::asio::ip::tcp::socket> callers;
+    std::vector<std::string> received;
+
+    void start(Milliseconds lingerTime = {})
+    {
+        platform::EngineStandInSettings settings;
+        settings.id = "e1";
+        settings.prefillTime = Milliseconds { 5 };
+        settings.eventInterval = Milliseconds { 5 };
+        settings.address = { "127.0.0.1", 0 };
+        settings.lingerTime = lingerTime;
+        settings.eventCount = 1000;
+        engine = std::make_unique<platform::EngineStandIn>(ioContext, settings);
+        CHECK_FALSE(engine->start().has_value());
+    }
+
+    void teardown() override
+    {
+        callers.clear();
+        received.clear();
+        if (engine)
+            engine->resetConnections();
+        ioContext.poll();
+        engine.reset();
+    }
+
+    // Returns the number of the connection.
+    std::size_t send(const std::string& head, const std::string& body = "")
+    {
+        auto& caller = callers.emplace_back(ioContext);
+        received.emplace_back();
+        caller.connect(
+            { boost::asio::ip::address_v4::loopback(), static_cast<unsigned short>(engine->settings().address.port) });
+        caller.non_blocking(true);
+        boost::asio::write(caller,
+            boost::asio::buffer(
+                head + "Host: e\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body));
+        return callers.size() - 1;
+    }
+
+    std::size_t requestStream()
+    {
+        return send("POST / HTTP/1.1\r\nX-Request-Id: r1\r\nX-Expect-Instance: e1\r\nX-Prompt-Prefix: aa:10\r\n");
+    }
+
+    std::size_t stopRun(const std::string& id)
+    {
+        return send(
+            "POST /api/kv-move HTTP/1.1\r\n", R"({"id":")" + id + R"(","target-version":"127.0.0.1:1","last":true})");
+    }
+
+    const std::string& textOf(std::size_t number)
+    {
+        char piece[4096];
+        boost::system::error_code error;
+        received[number].append(piece, callers[number].read_some(boost::asio::buffer(piece), error));
+        return received[number];
+    }
+
+    bool arrives(std::size_t number, const std::string& text)
+    {
+        return runUntil(ioContext, [&] { return textOf(number).find(text) != std::string::npos; });
+    }
+
+    bool isWorking() const { return !engine->runs().empty() && !engine->runs().back().endedAt; }
+};
+
+TEST(EngineStandIn, StopsARunAndAnswersWithAHandle)
+{
+    start();
+    const auto stream = requestStream();
+    CHECK(arrives(stream, "id: 3"));
+    const auto stop = stopRun("r1");
+    CHECK(arrives(stop, R"("handle":)"));
+    CHECK_FALSE(isWorking());
+    STRCMP_CONTAINS("HTTP/1.1 200", textOf(stop).c_str());
+    CHECK_TRUE_TEXT(textOf(stream).find("\r\n0\r\n") == std::string::npos, "the stream has no end");
+    CHECK(arrives(stopRun("r1"), "HTTP/1.1 404"));
+}
+
+TEST(EngineStandIn, WorksOnAfterACloseForTheLingerTime)
+{
+    constexpr Milliseconds lingerTime { 200 };
+    start(lingerTime);
+    CHECK(arrives(requestStream(), "id: 3"));
+    const auto closedAt = MonotonicClock().now();
+    callers[0].close();
+    CHECK(runUntil(ioContext, [this] { return !isWorking(); }));
+    CHECK(*engine->runs().back().endedAt >= closedAt + lingerTime);
+}
+
+TEST(EngineStandIn, TakesClosesAndStopsWhileItSendsNothing)
+{
+    start();
+    const auto stream = requestStream();
+    CHECK(arrives(stream, "id: 3"));
+    CHECK(arrives(send("POST /standin/hold HTTP/1.1\r\n", "60000"), "HTTP/1.1 200"));
+    const auto report = send("GET /api/report HTTP/1.1\r\n");
+    const auto before = textOf(stream);
+    stopRun("r1");
+    CHECK(runUntil(ioContext, [this] { return !isWorking(); }));
+    STRCMP_EQUAL(before.c_str(), textOf(stream).c_str());
+    STRCMP_EQUAL("", textOf(report).c_str());
+}
