Soak: count continuations, moves, and copies that lost to the silent run

The kind brief-silences holds a third of the engines for 150 to 400 ms, about as long as it takes a stream to continue elsewhere: a silent run that returns ends its substitute, and its engine works on.

--- a/test/SoakPartsTest.cpp
+++ b/test/SoakPartsTest.cpp
@@ -269,6 +269,7 @@
     read("e1", "began r1 100");
     read("e2", "began r2 1000 r1");
     LONGS_EQUAL(1, log.overlaps().size());
+    LONGS_EQUAL(0, log.movesUntil(Milliseconds { 1000 }));
 }
 
 TEST(EngineRunLog, ARunOfTheSameRequestIsFoundWhenTheCopyIsAHandle)
@@ -276,6 +277,16 @@
     read("e1", "began r1 100");
     read("e2", "began r1 1000 h7");
     LONGS_EQUAL(1, log.overlaps().size());
+    LONGS_EQUAL(1, log.movesUntil(Milliseconds { 1000 }));
+}
+
+// The engine before works on although the stream has gone back to it.
+TEST(EngineRunLog, AnEngineThatWorksOnIsReportedAlsoWhereTheContinuationHasEnded)
+{
+    read("e1", "began r1 100");
+    read("e2", "began r1 1000 r1");
+    read("e2", "ended r1 1010 closed");
+    LONGS_EQUAL(1, log.overlaps().size());
 }
 
 TEST(EngineRunLog, RunsWithoutACopyMayOverlap)
