--- a/test/SoakPartsTest.cpp
+++ b/test/SoakPartsTest.cpp
@@ -314,6 +314,8 @@
 TEST_GROUP(EngineStandIn)
 {
     boost::asio::io_context ioContext;
+    static constexpr const char* crashText = "crash";
+
     std::unique_ptr<platform::EngineStandIn> engine;
     std::vector<boost::asio::ip::tcp::socket> callers;
     std::vector<std::string> received;
@@ -326,6 +328,7 @@
         settings.eventInterval = Milliseconds { 5 };
         settings.address = { "127.0.0.1", 0 };
         settings.lingerTime = lingerTime;
+        settings.crashText = crashText;
         settings.eventCount = 1000;
         engine = std::make_unique<platform::EngineStandIn>(ioContext, settings);
         CHECK_FALSE(engine->start().has_value());
@@ -406,6 +409,19 @@
     CHECK(*engine->runs().back().endedAt >= closedAt + lingerTime);
 }
 
+// Without it, an engine that has crashed while it was drained counts as one that works on.
+TEST(EngineStandIn, ACrashEndsAllRuns)
+{
+    start();
+    bool hasCrashed = false;
+    engine->onCrash([&] { hasCrashed = true; });
+    const auto stream = requestStream();
+    CHECK(arrives(stream, "id: 3"));
+    send("POST / HTTP/1.1\r\nX-Request-Id: r2\r\nX-Expect-Instance: e1\r\n", crashText);
+    CHECK(runUntil(ioContext, [&] { return hasCrashed; }));
+    CHECK_FALSE(isWorking());
+}
+
 TEST(EngineStandIn, TakesClosesAndStopsWhileItSendsNothing)
 {
     start();
