Use the answer of a silent run that completes it beside its continuation

Cause: events of a silent run were held even where they complete the answer.

An engine that has completed its run does not work on the request any more, so that its answer is used at once and the continuation is stopped.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -420,7 +420,7 @@
         const auto& silent = *self->m_silentRun;
         if (run.call->hasSent() && run.endpoint->lastAliveAt() > run.startedAt)
             self->releaseSilentRun(FailureKind::Silent);
-        else if (!silent.heldEvents.empty() || silent.hasHeldEnd)
+        else if (!silent.heldEvents.empty())
             self->resumeSilentRun();
         else
             self->limitOverlap(self->m_context.settings.overlapCheckInterval);
@@ -570,8 +570,6 @@
         return;
     if (auto events = std::exchange(run->heldEvents, {}); !events.empty())
         processEvents(*run, std::move(events));
-    if (std::exchange(run->hasHeldEnd, false) && run == m_run && !m_isFinished)
-        complete();
 }
 
 void EventStreamCall::processEvents(StreamRun& run, std::vector<CompleteEvent>&& events)
@@ -658,10 +656,7 @@
             silentRunFailed(run->isStream ? FailureKind::EarlyEnd : FailureKind::ErrorStatus);
             return;
         }
-        if (isContinuedFromCopy()) {
-            run->hasHeldEnd = true;
-            return;
-        }
+        // The engine works on it no longer, and the answer is whole.
         resumeSilentRun();
     }
     if (run == m_run)
@@ -892,7 +887,7 @@
         runFailed(FailureKind::ConnectionLost);
         return;
     }
-    if (m_silentRun && (!m_silentRun->heldEvents.empty() || m_silentRun->hasHeldEnd)) {
+    if (m_silentRun && !m_silentRun->heldEvents.empty()) {
         resumeSilentRun();
         return;
     }
@@ -959,7 +954,7 @@
         m_failedAt.reset();
     m_livenessMonitor->begin(m_run);
     stopEndedRuns();
-    if (m_run->heldEvents.empty() && !m_run->hasHeldEnd)
+    if (m_run->heldEvents.empty())
         return;
     boost::asio::post(m_context.ioContext, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -9,7 +9,8 @@
 // An engine that is only silent may go on at any time. Its run is kept while another one is tried at an engine that is
 // known to be alive; the first of the two that produces an event goes on, and the other one is cancelled. A run that
 // continues from its copy is different, because two engines must not work on one request: the silent run is kept only
-// for a short time, in case the copy is rejected or its engine is silent as well, and its events are held until then.
+// for a short time, in case the copy is rejected or its engine is silent as well, and its events are held until then
+// unless they complete the answer.
 // Where no engine is alive, the stream waits for the silent one.
 //
 // A stream that must not run twice is not moved once an engine may have started it. Used on the relay's thread only.
--- a/src/relay/StreamRun.h
+++ b/src/relay/StreamRun.h
@@ -55,7 +55,6 @@
     std::optional<Milliseconds> substitutedAt;
     // What the run has sent while another run continues from its copy, which may still reject that.
     std::vector<CompleteEvent> heldEvents;
-    bool hasHeldEnd { false };
     // When the engine answered a probe after it had been silent.
     Milliseconds answeredAgainAt { 0 };
     // The priority that was sent to the engine, if any.
--- a/test/TwoRunsOfAStreamTest.cpp
+++ b/test/TwoRunsOfAStreamTest.cpp
@@ -258,12 +258,25 @@
     const auto caller = callStream();
     CHECK(relay->runUntil([&] { return holder->rejections() > 0; }));
     before->run().sendEvent(3);
+    CHECK(relay->runUntil([&] { return caller->body.find("id: 3") != std::string::npos; }));
     before->run().endStream();
     CHECK(relay->runUntil([&] { return caller->isWhole; }));
-    CHECK(caller->body.find("id: 3") != std::string::npos);
     LONGS_EQUAL_TEXT(1, before->runs(), "the run must not be repeated");
 }
 
+// Guards against an answer that is thrown away although the silent run has completed it.
+TEST(TwoRunsOfAStream, ASilentRunThatCompletesTheAnswerIsUsed)
+{
+    const auto caller = callStream();
+    CHECK(relay->runUntil([&] { return holder->hasBegun(); }));
+    before->run().sendEvent(3);
+    before->run().endStream();
+    CHECK(relay->runUntil([&] { return caller->isWhole; }));
+    CHECK(caller->body.find("id: 3") != std::string::npos);
+    wait(maxDoubleRun);
+    CHECK_TEXT(!holder->isWorking(), "the substitute works on");
+}
+
 TEST(TwoRunsOfAStream, WhenACallerResumesAtAnotherVm)
 {
     before->ignoreClose();
