--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -342,10 +342,8 @@
         return;
     }
     if (m_endedRuns.mayStopNewRunAt(*endpoint)) {
-        if (std::exchange(m_tookRetryForNextRun, false))
-            m_context.retryBudget(m_request.service).giveBack();
         m_loan = loan;
-        startRunLater();
+        postponeRun();
         return;
     }
     const auto& exchange = m_request.exchange;
@@ -376,12 +374,7 @@
     if (copy)
         m_copier->noteContinued(copy->name);
     m_choice->noteSent(copy);
-    // The run of another VM counts as this one from here on.
-    if (copy && m_earlierRun && copy->name == m_earlierRun->requestId) {
-        if (const auto engine = m_context.directory.find(m_earlierRun->endpointId))
-            m_endedRuns.add(engine, m_earlierRun->requestId);
-        m_earlierRun.reset();
-    }
+    noteEarlierRunContinued(copy);
     fields.continueFrom = std::move(copy);
 
     logRunSent(m_request, *run, *m_answer, m_attempts == 0, now);
@@ -400,14 +393,35 @@
             .earlierConnections = m_deliveries.connections() },
         weak_from_this());
     m_deliveries.noteConnection(run->delivery, run->call->connectionNumber());
-    if (m_silentRun && run->isFromCopy) {
-        m_silentRun->substitutedAt = m_silentRun->substitutedAt.value_or(now);
+    runSent();
+}
+
+void EventStreamCall::runSent()
+{
+    if (m_silentRun && m_run->isFromCopy) {
+        m_silentRun->substitutedAt = m_silentRun->substitutedAt.value_or(m_run->startedAt);
         limitOverlap(m_context.settings.maxRunOverlap);
     }
     stopEndedRuns();
     m_livenessMonitor->begin(m_run);
 }
 
+void EventStreamCall::postponeRun()
+{
+    if (std::exchange(m_tookRetryForNextRun, false))
+        m_context.retryBudget(m_request.service).giveBack();
+    startRunLater();
+}
+
+void EventStreamCall::noteEarlierRunContinued(const std::optional<RunMemorySource>& copy)
+{
+    if (!copy || !m_earlierRun || copy->name != m_earlierRun->requestId)
+        return;
+    if (const auto engine = m_context.directory.find(m_earlierRun->endpointId))
+        m_endedRuns.add(engine, m_earlierRun->requestId);
+    m_earlierRun.reset();
+}
+
 void EventStreamCall::limitOverlap(Milliseconds time)
 {
     m_overlapTimer.expires_after(time);
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -68,6 +68,12 @@
     // Starts a run at the endpoint, or at another one if it is rate-limited and grants no permit.
     void startRunAt(const std::shared_ptr<RelayEndpoint>&, std::optional<RunMemorySource>);
     void sendTo(const std::shared_ptr<RelayEndpoint>&, std::optional<RunMemorySource>);
+    // Stops ended runs, and limits how long a silent one stays open beside the run that has just been sent.
+    void runSent();
+    // Chooses an engine again a little later, and returns the retry that was taken for the run.
+    void postponeRun();
+    // The run of another VM counts as this stream's once a run continues from its copy.
+    void noteEarlierRunContinued(const std::optional<RunMemorySource>&);
     // The engine is null when none is available.
     void engineChosen(const std::shared_ptr<RelayEndpoint>&);
     void waitForEndpoint();
--- a/src/relay/RunStop.cpp
+++ b/src/relay/RunStop.cpp
@@ -21,7 +21,7 @@
 std::shared_ptr<RunStop> RunStop::start(RelayContext& context, std::shared_ptr<RelayEndpoint> engine,
     const std::shared_ptr<RelayEndpoint>& target, std::string requestId, std::string handleInUse)
 {
-    const std::shared_ptr<RunStop> stop(
+    std::shared_ptr<RunStop> stop(
         new RunStop(context, std::move(engine), target, std::move(requestId), std::move(handleInUse)));
     stop->m_lifetime.expires_after(context.settings.runStopTimeout);
     stop->m_lifetime.async_wait([stop](boost::system::error_code) {
