--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -371,10 +371,8 @@
         fields.lastEventId = m_answer->lastEventId();
     if (run->copyHolder)
         fields.copyTo = run->copyHolder->entry().address;
-    if (copy)
-        m_copier->noteContinued(copy->name);
     m_choice->noteSent(copy);
-    noteEarlierRunContinued(copy);
+    noteContinued(copy);
     fields.continueFrom = std::move(copy);
 
     logRunSent(m_request, *run, *m_answer, m_attempts == 0, now);
@@ -413,8 +411,10 @@
     startRunLater();
 }
 
-void EventStreamCall::noteEarlierRunContinued(const std::optional<RunMemorySource>& copy)
+void EventStreamCall::noteContinued(const std::optional<RunMemorySource>& copy)
 {
+    if (copy)
+        m_copier->noteContinued(copy->name);
     if (!copy || !m_earlierRun || copy->name != m_earlierRun->requestId)
         return;
     if (const auto engine = m_context.directory.find(m_earlierRun->endpointId))
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -72,8 +72,9 @@
     void runSent();
     // Chooses an engine again a little later, and returns the retry that was taken for the run.
     void postponeRun();
-    // The run of another VM counts as this stream's once a run continues from its copy.
-    void noteEarlierRunContinued(const std::optional<RunMemorySource>&);
+    // A run continues from the copy, if there is one. If that is the copy of a run of another VM, this run counts as
+    // one of this stream from here on.
+    void noteContinued(const std::optional<RunMemorySource>&);
     // The engine is null when none is available.
     void engineChosen(const std::shared_ptr<RelayEndpoint>&);
     void waitForEndpoint();
