Do not read past a literal in the test of odd keys

clang-tidy reports a string of 16 characters from a literal of 15. The extra one was the terminating zero, which is in the set already: the same keys are tried.

--- a/test/OddRowsTest.cpp
+++ b/test/OddRowsTest.cpp
@@ -208,7 +208,7 @@
 TEST(OddRows, AFeedReadsATableWithOddKeys)
 {
     std::set<std::string> keys;
-    for (const char byte : std::string("\0\1\n\r\"\\/ %&#?+=\x7f", 16))
+    for (const char byte : std::string("\0\1\n\r\"\\/ %&#?+=\x7f", 15))
         keys.insert(std::string(200, byte));
     keys.insert("\xc3\xa9\xe2\x82\xac%00%0A&from=a#\r\nX: y");
     // Pages end at odd keys.
