Log what a stream had when it lacked a retry, and count streams broken off

A stream that ended for lack of a retry left only `no-retry-left` in the log: not how many retries were allowed and spent, for which purpose, how much time was left, whether a silent run was kept, nor whether a request to stop an earlier run was still to be answered. The hypotheses of the incident could not be told apart.

`stream.lacks-retry` has these, and lupinknot_relay_streams_broken_off_total counts streams that end after events were sent to their callers, by reason. No decision changes: RetryBudget::isLeft uses the account that is logged.

--- a/src/admission/RetryPurpose.h
+++ b/src/admission/RetryPurpose.h
@@ -15,6 +15,15 @@
     Proactive, // Nothing has failed yet: a hedged request, or a preemptive move of a run.
 };
 
+inline constexpr std::array<EnumName<RetryPurpose>, 6> retryPurposeNames { {
+    { RetryPurpose::Failover, "failover" },
+    { RetryPurpose::Continuation, "continuation" },
+    { RetryPurpose::Restart, "restart" },
+    { RetryPurpose::LateStream, "late-stream" },
+    { RetryPurpose::AfterRejection, "after-rejection" },
+    { RetryPurpose::Proactive, "proactive" },
+} };
+
 // The purposes for which a VM may borrow a retry from another one, with their names in messages and logs.
 inline constexpr std::array<EnumName<RetryPurpose>, 2> loanPurposeNames { {
     { RetryPurpose::Continuation, "continuation" },
--- a/src/relay/EndedRuns.cpp
+++ b/src/relay/EndedRuns.cpp
@@ -125,4 +125,6 @@
     return engines;
 }
 
+std::size_t EndedRuns::openStops() const { return enginesBeingStopped().size(); }
+
 } // namespace lupinknot::internal
--- a/src/relay/EndedRuns.h
+++ b/src/relay/EndedRuns.h
@@ -60,6 +60,8 @@
     // Frees the KV caches that engines keep of the stopped runs.
     void freeMemory();
     Engines enginesBeingStopped() const;
+    // Number of requests to stop a run of the stream's request that may still be answered.
+    std::size_t openStops() const;
 
 private:
     bool canStopRuns() const;
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -182,6 +182,10 @@
         const auto purpose = retryPurpose(copy.has_value());
         m_tookRetryForNextRun = m_context.retryBudget(m_request.service).take(purpose, m_request.admittedAt, now);
         if (!m_tookRetryForNextRun) {
+            logLackOfRetry(m_request, *m_answer,
+                { purpose, m_context.retryBudget(m_request.service).accountFor(purpose, m_request.admittedAt, now),
+                    m_silentRun != nullptr, m_endedRuns.openStops() },
+                now);
             if (!borrowRetry(purpose))
                 giveUpWithoutRetry();
             return;
@@ -1117,8 +1121,11 @@
 
 void EventStreamCall::logLostRunEnds(std::string_view reason) const
 {
-    if (m_failedAt)
-        logNotContinued(m_request, reason, !m_silentRun, m_choice->copyTarget().has_value());
+    if (!m_failedAt)
+        return;
+    logNotContinued(m_request, reason, !m_silentRun, m_choice->copyTarget().has_value());
+    if (!m_silentRun && m_answer->hasBegun())
+        m_context.metrics.countBrokenOff(reason);
 }
 
 void EventStreamCall::logMissingCopy() const
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -74,6 +74,10 @@
                      .Name("lupinknot_relay_run_stops_total")
                      .Help("Runs that engines were asked to stop because their stream went on elsewhere.")
                      .Register(*m_registry))
+    , m_brokenOff(prometheus::BuildCounter()
+                      .Name("lupinknot_relay_streams_broken_off_total")
+                      .Help("Streams that this VM ended after events had been sent to their callers, by reason.")
+                      .Register(*m_registry))
     , resumedFromCopy(addCounter(
           *m_registry, "lupinknot_relay_resumed_from_copy_total", "Streams that went on from a copy of their memory."))
     , resumedCold(addCounter(
@@ -155,6 +159,11 @@
     m_failures.Add({ { "failure", std::string(traitsOf(kind).name) } }).Increment();
 }
 
+void RelayMetrics::countBrokenOff(std::string_view reason)
+{
+    m_brokenOff.Add({ { "reason", std::string(reason) } }).Increment();
+}
+
 void RelayMetrics::countDoubtfulAnswer(AnswerAttribution attribution, bool saysNotRun)
 {
     m_doubtfulAnswers
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -69,6 +69,9 @@
     // Counts a stream by its rank, empty when the configuration names none, and by how it ended.
     void countStream(std::optional<unsigned> rank, StreamOutcome);
     void countContinuation(ContinuedAt);
+    // Counts a stream that this VM ends after its caller has received events; the reason is one of
+    // relay/StreamLog's `continuation`.
+    void countBrokenOff(std::string_view reason);
     // Counts a record of a crashed endpoint that is new to this VM.
     void countCrashRecord(CrashRecordSource);
     void countLossEvidence(LossEvidence);
@@ -92,6 +95,7 @@
     prometheus::Family<prometheus::Counter>& m_lossEvidence;
     prometheus::Family<prometheus::Counter>& m_doubtfulAnswers;
     prometheus::Family<prometheus::Counter>& m_runStops;
+    prometheus::Family<prometheus::Counter>& m_brokenOff;
 
 public:
     // Streams that resumed at another engine from a copy of their KV cache, or by a new prefill of the prompt.
--- a/src/relay/RetryBudget.cpp
+++ b/src/relay/RetryBudget.cpp
@@ -38,10 +38,15 @@
 }
 
 bool RetryBudget::isLeft(RetryPurpose purpose, Milliseconds requestedAt, Milliseconds now)
+{
+    const auto account = accountFor(purpose, requestedAt, now);
+    return static_cast<double>(account.sent + account.lent) + 1 <= account.allowed;
+}
+
+RetryAccount RetryBudget::accountFor(RetryPurpose purpose, Milliseconds requestedAt, Milliseconds now)
 {
     forgetOld(now);
-    const auto limit = part(requestedAt, now) * shareFor(purpose);
-    return static_cast<double>(spent(now)) + 1 <= limit + m_rounding;
+    return { part(requestedAt, now) * shareFor(purpose) + m_rounding, m_retries.size(), m_lentRetries.size() };
 }
 
 bool RetryBudget::take(RetryPurpose purpose, Milliseconds requestedAt, Milliseconds now)
--- a/src/relay/RetryBudget.h
+++ b/src/relay/RetryBudget.h
@@ -33,6 +33,14 @@
 
 struct RelaySettings;
 
+// The retries of one VM that count at a time.
+struct RetryAccount {
+    // Retries that the VM may have sent and lent when it takes one for the purpose.
+    double allowed { 0 };
+    std::size_t sent { 0 };
+    std::size_t lent { 0 };
+};
+
 class RetryBudget {
 public:
     // The settings must outlive the budget.
@@ -50,6 +58,8 @@
     LoanDecision lend(RetryPurpose, unsigned rank, Milliseconds now);
     // The decision without its effect.
     LoanDecision decideLoan(RetryPurpose, unsigned rank, Milliseconds now);
+    // The account from which take() would take a retry for the purpose.
+    RetryAccount accountFor(RetryPurpose, Milliseconds requestedAt, Milliseconds now);
     // Retries sent and lent that count at this time.
     std::size_t spent(Milliseconds now);
 
--- a/src/relay/StreamLog.cpp
+++ b/src/relay/StreamLog.cpp
@@ -5,6 +5,7 @@
 #include "relay/EndpointCall.h"
 #include "relay/RelayEndpoint.h"
 #include "relay/RelayRequest.h"
+#include "relay/RetryBudget.h"
 #include "relay/RunMover.h"
 #include "relay/RunRelocation.h"
 #include "relay/RunSilence.h"
@@ -144,6 +145,23 @@
         .write();
 }
 
+void logLackOfRetry(
+    const RelayRequest& request, const StreamResponse& answer, const LackOfRetry& lack, Milliseconds now)
+{
+    constexpr int hundredths = 100;
+    LogEvent("stream.lacks-retry")
+        .text("request", request.fields.requestId)
+        .text("purpose", nameIn(retryPurposeNames, lack.purpose))
+        .number("allowed_hundredths", static_cast<std::int64_t>(hundredths * lack.account.allowed))
+        .number("sent", static_cast<std::int64_t>(lack.account.sent))
+        .number("lent", static_cast<std::int64_t>(lack.account.lent))
+        .number("last_event", static_cast<std::int64_t>(answer.lastEventId()))
+        .number("left_ms", (request.deadline - now).count())
+        .flag("keeps_silent_run", lack.keepsSilentRun)
+        .number("open_stops", static_cast<std::int64_t>(lack.openStops))
+        .write();
+}
+
 void logLate(
     const RelayRequest& request, std::string_view reason, std::optional<Milliseconds> forecast, Milliseconds now)
 {
--- a/src/relay/StreamLog.h
+++ b/src/relay/StreamLog.h
@@ -23,10 +23,21 @@
 
 class StreamResponse;
 struct EarlierRun;
+struct RetryAccount;
 struct RelayRequest;
 struct RunMove;
 struct RunSilence;
 struct StreamRun;
+enum class RetryPurpose;
+
+// What a stream had when it lacked a retry.
+struct LackOfRetry {
+    RetryPurpose purpose;
+    const RetryAccount& account;
+    // Whether a silent run is kept, and the number of requests to stop earlier runs that may still be answered.
+    bool keepsSilentRun { false };
+    std::size_t openStops { 0 };
+};
 
 void logRunSent(const RelayRequest&, const StreamRun&, const StreamResponse&, bool isFirst, Milliseconds now);
 void logFirstEvent(const RelayRequest&, const StreamRun&, Milliseconds now);
@@ -45,6 +56,7 @@
 // Logs why a lost run is not continued, or not from its copy. `reason` is one of the names below; `ends` is true when
 // the stream ends with it, and `hasCopy` when an engine held a usable copy.
 void logNotContinued(const RelayRequest&, std::string_view reason, bool ends, bool hasCopy);
+void logLackOfRetry(const RelayRequest&, const StreamResponse&, const LackOfRetry&, Milliseconds now);
 // Logs that the answer is late or certain to be late. The forecast is the expected time until the first event.
 void logLate(const RelayRequest&, std::string_view reason, std::optional<Milliseconds> forecast, Milliseconds now);
 // beganVersion is the version that generated the stream's first event, if it is known.
