--- /dev/null
+++ b/test/BrokenOffStreamTest.cpp
@@ -0,0 +1,166 @@
+// Guards against streams that have begun and are broken off although an engine can still complete them in time.
+#include "RelayHarness.h"
+#include "WorkingEngine.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace lupinknot;
+using namespace lupinknot::internal;
+
+namespace {
+
+constexpr Milliseconds silenceBeforeProbe { 10 };
+constexpr Milliseconds retryWindow { 800 };
+constexpr Milliseconds rejectionDelay { 50 };
+
+} // namespace
+
+TEST_GROUP(BrokenOffStream)
+{
+    std::unique_ptr<RelayHarness> relay;
+    std::unique_ptr<WorkingEngine> before;
+    std::unique_ptr<WorkingEngine> holder;
+
+    // Starts a relay with two engines, the second of which holds the copy of the run that the first one begins.
+    void setup() override
+    {
+        relay = std::make_unique<RelayHarness>();
+        relay->useCopyingService();
+        relay->addRoute("stream", RequestKind::EventStream, 5);
+        auto& settings = relay->settings;
+        settings.probeAfterSilence = silenceBeforeProbe;
+        settings.probeAfterSilenceWhenSuspected = silenceBeforeProbe;
+        settings.probeTimeout = silenceBeforeProbe;
+        // One retry for a continuation leaves none for a stream that is late.
+        settings.retryRatio = 0;
+        settings.retryShare = 1;
+        settings.retrySlack = 2;
+        settings.retrySlackShare = 1;
+        settings.retryWindow = retryWindow;
+        before = addEngine("e1", "a");
+        before->sendEvents(1, 2);
+        holder = addEngine("e2", "b");
+        holder->answerProbes();
+        holder->sendEvents(3, 3);
+    }
+
+    void teardown() override
+    {
+        before.reset();
+        holder.reset();
+        relay.reset();
+    }
+
+    std::unique_ptr<WorkingEngine> addEngine(const std::string& id, const std::string& zone)
+    {
+        auto engine = std::make_unique<WorkingEngine>();
+        relay->addEndpoint(id, zone).onRequest([engine = engine.get()](ScriptedConnection& asker,
+                                                   const std::string& request) { engine->handle(asker, request); });
+        return engine;
+    }
+
+    std::shared_ptr<TestCaller> callStream(const HttpHeaders& extra = {})
+    {
+        relay->configure();
+        relay->list();
+        const auto caller = relay->call("/stream/1", extra);
+        CHECK(relay->runUntil([&] { return caller->body.find("id: 2") != std::string::npos; }));
+        return caller;
+    }
+
+    void wait(Milliseconds time)
+    {
+        const auto& clock = relay->daemon().clock();
+        relay->runUntil([&clock, end = clock.now() + time] { return clock.now() >= end; });
+    }
+
+    void waitForRejection()
+    {
+        CHECK_TEXT(relay->runUntil([&] { return holder->rejections() > 0; }), "the copy was not tried");
+    }
+
+    void checkIsCompletedBy(WorkingEngine & engine, const std::shared_ptr<TestCaller>& caller)
+    {
+        CHECK(relay->runUntil([&] { return caller->body.find("id: 3") != std::string::npos || caller->isBroken; }));
+        CHECK_TEXT(!caller->isBroken, "the stream was broken off");
+        engine.run().endStream();
+        CHECK(relay->runUntil([&] { return caller->isWhole || caller->isBroken; }));
+        CHECK_TEXT(caller->isWhole, "the stream was broken off");
+        CHECK_TEXT(caller->body.find("id: 3") == caller->body.rfind("id: 3"), "an event was repeated");
+    }
+};
+
+TEST(BrokenOffStream, WhenItsCopyIsRejectedAndNoRetryIsLeft)
+{
+    before->leaveStopsUnanswered();
+    holder->rejectCopies();
+    const auto caller = callStream();
+    checkIsCompletedBy(*holder, caller);
+}
+
+TEST(BrokenOffStream, WhenTheConnectionToTheHolderOfItsCopyIsReset)
+{
+    before->leaveStopsUnanswered();
+    holder->resetCopies();
+    const auto caller = callStream();
+    checkIsCompletedBy(*holder, caller);
+}
+
+TEST(BrokenOffStream, WhenItsSilentRunGoesOnAfterItsCopyWasRejected)
+{
+    before->leaveStopsUnanswered();
+    holder->rejectCopies(rejectionDelay, relay->daemon().ioContext());
+    const auto caller = callStream();
+    waitForRejection();
+    wait(rejectionDelay);
+    CHECK_TEXT(before->isWorking(), "the silent run was given up for a copy that does not exist");
+    before->run().sendEvent(3);
+    checkIsCompletedBy(*before, caller);
+    LONGS_EQUAL_TEXT(0, holder->runs(), "the prompt must not be read again");
+}
+
+// The engine answers the request to stop only when the copy has been rejected.
+TEST(BrokenOffStream, WhenItsStoppedRunIsKeptByItsEngine)
+{
+    before->leaveStopsUnanswered();
+    holder->rejectCopies(rejectionDelay, relay->daemon().ioContext());
+    const auto caller = callStream();
+    waitForRejection();
+    wait(rejectionDelay);
+    before->sendEvents(3, 3);
+    before->answerStop();
+    before->run().close();
+    checkIsCompletedBy(*before, caller);
+    CHECK_TEXT(before->lastRequest().find("/h2\r\n") != std::string::npos, "the run must go on from its KV cache");
+    LONGS_EQUAL_TEXT(0, holder->runs(), "the prompt must not be read again");
+}
+
+TEST(BrokenOffStream, WhenItsEnginesBreakOffInSuccession)
+{
+    const auto caller = callStream();
+    before->answerStops({ { 404, "{}" } });
+    before->leaveProbesUnanswered();
+    before->run().reset();
+    CHECK(relay->runUntil([&] { return holder->hasBegun(); }));
+    before->answerProbes();
+    before->sendEvents(4, 4);
+    holder->answerStops({ { 404, "{}" } });
+    holder->sendEvents(4, 4);
+    holder->run().reset();
+    CHECK(relay->runUntil([&] { return caller->body.find("id: 4") != std::string::npos || caller->isBroken; }));
+    CHECK_TEXT(!caller->isBroken, "the stream was broken off");
+}
+
+// Guards against a caller that waits for a retry which comes too late for it.
+TEST(BrokenOffStream, EndsAtOnceWhenNoRetryReturnsBeforeItsDeadline)
+{
+    relay->settings.retryWindow = Milliseconds { 10000 };
+    before->answerStops({ { 404, "{}" } });
+    holder->rejectCopies();
+    const auto caller = callStream({ { "X-Deadline-Ms", "3000" } });
+    const auto& clock = relay->daemon().clock();
+    const auto begun = clock.now();
+    before->run().reset();
+    CHECK(relay->runUntil([&] { return caller->isBroken; }));
+    CHECK_TEXT(clock.now() - begun < Milliseconds { 1000 }, "a hopeless stream must end at once");
+}
