Let streams that have begun wait for a retry

Callers lost streams in mid-answer as soon as their VM's part of the retry budget had no retry left, although retries return with the sliding window and most of these callers would have waited for many seconds more. One silence takes two retries within some ten milliseconds when a copy is rejected, so that a few silent engines use up a part.

The stream now looks at the budget every 50 ms, by rank, as long as the rest of its answer can be completed by its deadline with the next retry that returns; otherwise it still ends at once. After 1.5 s it may use the whole part, since its caller would lose an answer in progress. RetryWait has the decision, RetryBudget::availableAt tells when a retry returns. Nothing changes for streams without an event, whose callers are refused.

Ruled out: lending more (the sum of all parts would be spent sooner), and a larger part for late streams from the start (continuations in time need it).

The test of a hopeless stream sets its budget before the relay starts now; it had not used the budget that it states.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -2,6 +2,7 @@
 
 #include "admission/AttemptAdmission.h"
 #include "admission/RetryPurpose.h"
+#include "admission/RetryWait.h"
 #include "common/EventLog.h"
 #include "common/NameHash.h"
 #include "copies/RunCopier.h"
@@ -197,6 +198,8 @@
 RetryPurpose EventStreamCall::retryPurpose(bool isFromCopy) const
 {
     const auto now = m_context.now();
+    if (mayUseWholePart(now))
+        return RetryPurpose::WaitingStream;
     if (isFromCopy)
         return m_timing.canBeInTime(Milliseconds { 0 }, now) ? RetryPurpose::Continuation : RetryPurpose::LateStream;
     // A caller that resumes a stream is in mid-stream.
@@ -205,6 +208,11 @@
                                                                                            : RetryPurpose::LateStream;
 }
 
+bool EventStreamCall::mayUseWholePart(Milliseconds now) const
+{
+    return m_waitsForRetrySince && now - *m_waitsForRetrySince >= m_context.settings.retryPatience;
+}
+
 bool EventStreamCall::mayTryCopy() const
 {
     const auto now = m_context.now();
@@ -243,8 +251,47 @@
         giveUpWithoutRetry();
 }
 
+bool EventStreamCall::waitForRetry()
+{
+    if (m_silentRun || !m_answer->hasBegun())
+        return false;
+    const auto now = m_context.now();
+    const auto& settings = m_context.settings;
+    auto& budget = m_context.retryBudget(m_request.service);
+    const bool isPromptKept = copyTarget().has_value();
+    const auto retryAt = earliestRetry({ budget.availableAt(retryPurpose(isPromptKept), m_request.admittedAt, now),
+        budget.availableAt(RetryPurpose::WaitingStream, m_request.admittedAt, now),
+        m_waitsForRetrySince.value_or(now) + settings.retryPatience });
+    const auto timeToFinish = m_timing.timeToFinish(m_answer->lastEventId(), isPromptKept);
+    if (!retryAt || !mayWaitForRetry(*retryAt, timeToFinish, m_request.deadline))
+        return false;
+    if (!m_waitsForRetrySince) {
+        m_waitsForRetrySince = now;
+        logWaitsForRetry(m_request, *m_answer, *retryAt - now, timeToFinish, now);
+    }
+    m_retryTimer.expires_after(
+        rankedDelay(m_request.rank, settings.retryCheckInterval, fractionOfName(m_request.fields.requestId)));
+    m_retryTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->m_isFinished)
+            self->checkRetryBudget();
+    });
+    return true;
+}
+
+void EventStreamCall::checkRetryBudget()
+{
+    const auto purpose = retryPurpose(copyTarget().has_value());
+    if (m_context.retryBudget(m_request.service).isLeft(purpose, m_request.admittedAt, m_context.now()))
+        startRun();
+    else
+        giveUpWithoutRetry();
+}
+
 void EventStreamCall::giveUpWithoutRetry()
 {
+    if (waitForRetry())
+        return;
     logLostRunEnds(continuation::noRetryLeft);
     giveUp(refusalAfter(AttemptDecision::RetriesSpent, m_deliveries.possibleRuns()));
 }
@@ -432,6 +479,10 @@
     run->isFromCopy = copy.has_value();
     run->copyName = copy ? copy->name : std::string();
     run->tookRetry = std::exchange(m_tookRetryForNextRun, false);
+    if (const auto since = std::exchange(m_waitsForRetrySince, std::nullopt)) {
+        run->retryWait = now - *since;
+        m_context.metrics.retryWait.Observe(static_cast<double>(run->retryWait.count()));
+    }
     if (const auto since = std::exchange(m_waitsForStopSince, std::nullopt)) {
         run->stopWait = now - *since;
         m_context.metrics.stopWait.Observe(static_cast<double>(run->stopWait.count()));
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -102,6 +102,8 @@
     // part of the budget is spent.
     void startRunIfAllowed(const std::shared_ptr<RelayEndpoint>&, std::optional<RunMemorySource>);
     RetryPurpose retryPurpose(bool isFromCopy) const;
+    // True if the stream has waited for a retry for so long that it may use the whole part of the budget.
+    bool mayUseWholePart(Milliseconds now) const;
     // False when the copy is probably gone and no retry is left, so that the only delivery is better sent to an engine
     // that needs no copy and has the time to read the prompt again.
     bool mayTryCopy() const;
@@ -114,6 +116,10 @@
     bool borrowRetry(RetryPurpose);
     void retryBorrowed(const std::optional<RetryLoan>&);
     void giveUpWithoutRetry();
+    // Waits until the budget has a retry again, and returns true, if the stream has begun and can still be completed
+    // with that retry.
+    bool waitForRetry();
+    void checkRetryBudget();
     // Returns false when the request is quarantined, which ends the call, or may be soon, in which case the call waits
     // for the decision.
     bool mayBeSent();
@@ -213,6 +219,8 @@
     bool m_tookRetryForNextRun { false };
     // Set while other VMs are asked for a retry; cancels the request when it is destroyed.
     std::shared_ptr<void> m_loanRequest;
+    // Set while the stream waits for a retry.
+    std::optional<Milliseconds> m_waitsForRetrySince;
     // A retry that another VM has lent for the next run.
     std::optional<RetryLoan> m_loan;
     unsigned m_rejectedRuns { 0 };
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -110,6 +110,8 @@
     prometheus::Histogram& resumeGap;
     // How long a stream waited for the engine of its run before it continued from a copy, in milliseconds.
     prometheus::Histogram& stopWait;
+    // How long a stream that had begun waited for a retry, in milliseconds.
+    prometheus::Histogram& retryWait;
     prometheus::Counter& engineProbes;
     prometheus::Gauge& configurationVersion;
     prometheus::Gauge& endpointsKnown;
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -57,6 +57,10 @@
     double restartShare { 0.75 };
     // The same for streams that are late in any case: their callers gain little from them.
     double lateStreamShare { 0.5 };
+    // After this time, a stream that has begun and waits for a retry may use the whole part. The interval between two
+    // looks at the budget while it waits.
+    Milliseconds retryPatience { 1500 };
+    Milliseconds retryCheckInterval { 50 };
     // Share of this VM's part, one retry at least, that it does not lend to other VMs.
     double loanReserveShare { 0.1 };
     // How long a retry that another VM lends may be used, from the moment at which it was asked for.
--- a/src/relay/RetryBudget.cpp
+++ b/src/relay/RetryBudget.cpp
@@ -4,6 +4,7 @@
 #include "relay/RelaySettings.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace lupinknot::internal {
 
@@ -37,6 +38,25 @@
     return m_settings.retryShare * (earned + granted);
 }
 
+std::optional<Milliseconds> RetryBudget::availableAt(RetryPurpose purpose, Milliseconds requestedAt, Milliseconds now)
+{
+    const auto account = accountFor(purpose, requestedAt, now);
+    const auto allowed = static_cast<std::size_t>(std::max(account.allowed, 0.0));
+    if (allowed == 0)
+        return std::nullopt;
+    const auto counted = account.sent + account.lent;
+    if (counted < allowed)
+        return now;
+    std::vector<Milliseconds> countedUntil;
+    for (const auto sentAt : m_retries)
+        countedUntil.push_back(sentAt + m_settings.retryWindow);
+    for (const auto lentAt : m_lentRetries)
+        countedUntil.push_back(lentAt + m_settings.retryWindow + m_settings.loanValidity);
+    const auto needed = countedUntil.begin() + static_cast<std::ptrdiff_t>(counted - allowed);
+    std::nth_element(countedUntil.begin(), needed, countedUntil.end());
+    return *needed + Milliseconds { 1 };
+}
+
 bool RetryBudget::isLeft(RetryPurpose purpose, Milliseconds requestedAt, Milliseconds now)
 {
     const auto account = accountFor(purpose, requestedAt, now);
@@ -100,6 +120,7 @@
     switch (purpose) {
     case RetryPurpose::Failover:
     case RetryPurpose::Continuation:
+    case RetryPurpose::WaitingStream:
         return 1;
     case RetryPurpose::Restart:
         return m_settings.restartShare;
--- a/src/relay/RetryBudget.h
+++ b/src/relay/RetryBudget.h
@@ -28,6 +28,7 @@
 #include "retries/RetryLoanSource.h"
 #include <array>
 #include <deque>
+#include <optional>
 
 namespace lupinknot::internal {
 
@@ -48,6 +49,8 @@
     RetryBudget(const RetryBudget&) = delete;
     RetryBudget& operator=(const RetryBudget&) = delete;
     void noteRequest(Milliseconds now, unsigned rank = defaultRequestRank);
+    // When take() takes a retry if nothing else is taken until then; empty if the VM's part allows none.
+    std::optional<Milliseconds> availableAt(RetryPurpose, Milliseconds requestedAt, Milliseconds now);
     // Whether take() would take a retry now.
     bool isLeft(RetryPurpose, Milliseconds requestedAt, Milliseconds now);
     // Takes one retry for the request that was noted at requestedAt; false when the budget is spent.
--- a/src/relay/StreamLog.cpp
+++ b/src/relay/StreamLog.cpp
@@ -27,6 +27,7 @@
         .text("copy_version", run.copyHolder ? run.copyHolder->entry().version : "")
         .flag("from_copy", run.isFromCopy)
         .number("stop_wait_ms", run.stopWait.count())
+        .number("retry_wait_ms", run.retryWait.count())
         .number("run", run.number)
         .number("after_event", static_cast<std::int64_t>(answer.lastEventId()))
         .number("in_flight", endpoint.inFlight())
@@ -162,6 +163,19 @@
         .write();
 }
 
+void logWaitsForRetry(const RelayRequest& request, const StreamResponse& answer, Milliseconds forAtLeast,
+    Milliseconds timeToFinish, Milliseconds now)
+{
+    LogEvent("stream.waits-for-retry")
+        .text("request", request.fields.requestId)
+        .number("last_event", static_cast<std::int64_t>(answer.lastEventId()))
+        .number("for_ms", forAtLeast.count())
+        .number("needs_ms", timeToFinish.count())
+        .number("left_ms", (request.deadline - now).count())
+        .number("rank", loggedRank(request.rank))
+        .write();
+}
+
 void logLate(
     const RelayRequest& request, std::string_view reason, std::optional<Milliseconds> forecast, Milliseconds now)
 {
--- a/src/relay/StreamLog.h
+++ b/src/relay/StreamLog.h
@@ -57,6 +57,9 @@
 // the stream ends with it, and `hasCopy` when an engine held a usable copy.
 void logNotContinued(const RelayRequest&, std::string_view reason, bool ends, bool hasCopy);
 void logLackOfRetry(const RelayRequest&, const StreamResponse&, const LackOfRetry&, Milliseconds now);
+// A stream that has begun waits for a retry, which returns to the budget after the given time at the earliest.
+void logWaitsForRetry(
+    const RelayRequest&, const StreamResponse&, Milliseconds forAtLeast, Milliseconds timeToFinish, Milliseconds now);
 // Logs that the answer is late or certain to be late. The forecast is the expected time until the first event.
 void logLate(const RelayRequest&, std::string_view reason, std::optional<Milliseconds> forecast, Milliseconds now);
 // beganVersion is the version that generated the stream's first event, if it is known.
--- a/src/relay/StreamRun.h
+++ b/src/relay/StreamRun.h
@@ -53,6 +53,8 @@
     std::optional<RunSilence> silence;
     // How long the run waited for the engines of earlier runs before it was sent.
     Milliseconds stopWait { 0 };
+    // How long the run waited for a retry.
+    Milliseconds retryWait { 0 };
     // When the engine answered a probe after it had been silent.
     Milliseconds answeredAgainAt { 0 };
     // The priority that was sent to the engine, if any.
--- a/src/relay/StreamTiming.cpp
+++ b/src/relay/StreamTiming.cpp
@@ -9,6 +9,7 @@
 #include "relay/StreamRun.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lupinknot::internal {
 
@@ -37,21 +38,28 @@
     return tokens == 0 ? 0 : static_cast<std::int64_t>(m_request.fields.maxAnswerTokens / tokens);
 }
 
-bool StreamTiming::lacksTimeToFinish(std::uint64_t lastEventId, bool isPromptKept) const
+Milliseconds StreamTiming::timeToFinish(std::uint64_t lastEventId, bool isPromptKept) const
 {
     const auto& pace = m_context.pace(m_request.service);
     const auto prefillTime
         = isPromptKept ? 0.0 : pace.prefillTimePerToken.quantile(fastestQuantile) * m_request.fields.promptTokens;
     const auto minEvents = pace.answerShare.quantile(fastestQuantile) * static_cast<double>(maxEvents());
     const auto missing = std::max(minEvents - static_cast<double>(lastEventId), 0.0);
-    const auto needed = prefillTime + missing * pace.eventInterval.quantile(fastestQuantile);
+    return Milliseconds { static_cast<std::int64_t>(
+        std::ceil(prefillTime + missing * pace.eventInterval.quantile(fastestQuantile))) };
+}
+
+bool StreamTiming::lacksTimeToFinish(std::uint64_t lastEventId, bool isPromptKept) const
+{
+    const auto& pace = m_context.pace(m_request.service);
+    const auto needed = timeToFinish(lastEventId, isPromptKept);
     const auto left = m_request.deadline - m_context.now();
-    if (needed <= static_cast<double>(left.count()))
+    if (needed <= left)
         return false;
     LogEvent("stream.lacks-time")
         .text("request", m_request.fields.requestId)
         .number("left_ms", left.count())
-        .number("needed_ms", static_cast<std::int64_t>(needed))
+        .number("needed_ms", needed.count())
         .number("after_event", static_cast<std::int64_t>(lastEventId))
         .flag("is_prompt_kept", isPromptKept)
         .number("samples", static_cast<std::int64_t>(pace.eventInterval.sampleCount()))
--- a/src/relay/StreamTiming.h
+++ b/src/relay/StreamTiming.h
@@ -27,8 +27,10 @@
     std::uint32_t tokensPerEvent() const;
     // Maximum number of events of the whole answer; 0 when unknown.
     std::int64_t maxEvents() const;
-    // True when too little time is left for any engine to finish the stream before its deadline. The prefill takes no
-    // time where an engine still has the prompt cached.
+    // The time that the fastest engines need to finish the stream. The prefill takes no time where an engine still has
+    // the prompt cached.
+    Milliseconds timeToFinish(std::uint64_t lastEventId, bool isPromptKept) const;
+    // True when too little time is left for any engine to finish the stream before its deadline.
     bool lacksTimeToFinish(std::uint64_t lastEventId, bool isPromptKept) const;
 
     // Records that events have arrived.
--- a/test/BrokenOffStreamTest.cpp
+++ b/test/BrokenOffStreamTest.cpp
@@ -21,9 +21,13 @@
     std::unique_ptr<WorkingEngine> before;
     std::unique_ptr<WorkingEngine> holder;
 
+    // One retry for a continuation leaves none for a stream that is late.
+    void setup() override { start(2, retryWindow); }
+
     // Starts a relay with two engines, the second of which holds the copy of the run that the first one begins.
-    void setup() override
+    void start(double retries, Milliseconds window)
     {
+        teardown();
         relay = std::make_unique<RelayHarness>();
         relay->useCopyingService();
         relay->addRoute("stream", RequestKind::EventStream, 5);
@@ -31,12 +35,11 @@
         settings.probeAfterSilence = silenceBeforeProbe;
         settings.probeAfterSilenceWhenSuspected = silenceBeforeProbe;
         settings.probeTimeout = silenceBeforeProbe;
-        // One retry for a continuation leaves none for a stream that is late.
         settings.retryRatio = 0;
         settings.retryShare = 1;
-        settings.retrySlack = 2;
+        settings.retrySlack = retries;
         settings.retrySlackShare = 1;
-        settings.retryWindow = retryWindow;
+        settings.retryWindow = window;
         before = addEngine("e1", "a");
         before->sendEvents(1, 2);
         holder = addEngine("e2", "b");
@@ -154,7 +157,7 @@
 // Guards against a caller that waits for a retry which comes too late for it.
 TEST(BrokenOffStream, EndsAtOnceWhenNoRetryReturnsBeforeItsDeadline)
 {
-    relay->settings.retryWindow = Milliseconds { 10000 };
+    start(1, Milliseconds { 10000 });
     before->answerStops({ { 404, "{}" } });
     holder->rejectCopies();
     const auto caller = callStream({ { "X-Deadline-Ms", "3000" } });
--- a/test/RetryBudgetTest.cpp
+++ b/test/RetryBudgetTest.cpp
@@ -190,3 +190,35 @@
         CHECK_TEXT(sum(retries) <= 0.8 * sum(requests) + 150, "all VMs together must stay within the budget");
     }
 }
+
+// Guards against streams that end because no retry is left although one returns soon.
+TEST(RetryBudget, TellsWhenTheNextRetryReturns)
+{
+    RetryBudget budget(settings);
+    const auto before = now - settings.retryWindow - Milliseconds { 1 };
+    LONGS_EQUAL(now.count(), budget.availableAt(RetryPurpose::Failover, before, now)->count());
+    const auto first = now;
+    CHECK(take(budget));
+    now += Milliseconds { 100 };
+    const auto second = now;
+    CHECK(take(budget));
+    CHECK_FALSE(take(budget));
+    now += Milliseconds { 100 };
+    const auto returnsAt = *budget.availableAt(RetryPurpose::Failover, before, now);
+    LONGS_EQUAL((first + settings.retryWindow + Milliseconds { 1 }).count(), returnsAt.count());
+    // Half of the part is one retry, so that both have to return.
+    const auto lateAt = *budget.availableAt(RetryPurpose::LateStream, before, now);
+    LONGS_EQUAL((second + settings.retryWindow + Milliseconds { 1 }).count(), lateAt.count());
+    now = returnsAt - Milliseconds { 1 };
+    CHECK_FALSE(take(budget));
+    now = returnsAt;
+    CHECK(take(budget));
+}
+
+TEST(RetryBudget, NoRetryReturnsToAPartWithoutAny)
+{
+    settings.retrySlack = 0;
+    settings.retryRatio = 0;
+    RetryBudget budget(settings);
+    CHECK_FALSE(budget.availableAt(RetryPurpose::Failover, now, now).has_value());
+}
