Keep a silent run until the run in its place is certain

Callers lost streams whose engine was sound and only silent: the run was closed and stopped for its copy, the copy was rejected or the connection to its holder was reset, and nothing was left to go on with. The request to stop is what keeps two engines from working on one request; the close adds to it only where the engine answers.

The engine is still asked to stop the run before the continuation is sent. While it says nothing, the connection is kept for 200 ms at most, or until the run in its place has an event. If that run is rejected or fails without a response header, the stream returns to its silent run and sends no further request to stop it; if the engine has stopped it all the same, the stream continues from the KV cache that the engine keeps. An end of a run that its engine was asked to stop is not a failure of the engine, and such an end of a response without a length is not the end of the answer. A copy is not tried twice for one silence. Events that arrive from a silent run while its continuation is under way are dropped, and the run is closed.

Ruled out: to return to the silent run also after the continuation has sent a header (two engines may have worked on the request), and to withdraw the request to stop (an engine reads what it has received).

--- a/src/relay/EndedRuns.cpp
+++ b/src/relay/EndedRuns.cpp
@@ -69,6 +69,11 @@
     return best;
 }
 
+bool EndedRuns::concerns(const RunStop& stop, const RelayEndpoint& engine) const
+{
+    return stop.requestId() == m_requestId && isSameAddress(*stop.engine(), engine);
+}
+
 bool EndedRuns::isBeingStopped(const RunStop& stop) const
 {
     return stop.requestId() == m_requestId && stop.mayTakeEffect();
@@ -77,7 +82,7 @@
 bool EndedRuns::mayStopNewRunAt(const RelayEndpoint& engine) const
 {
     return std::any_of(m_stops.begin(), m_stops.end(),
-        [&](const auto& stop) { return isSameAddress(*stop->engine(), engine) && isBeingStopped(*stop); });
+        [&](const auto& stop) { return concerns(*stop, engine) && stop->mayTakeEffect(); });
 }
 
 bool EndedRuns::mayContinue(Milliseconds now) const
@@ -115,6 +120,30 @@
         stop->freeMemory();
 }
 
+void EndedRuns::returnTo(const RelayEndpoint& engine)
+{
+    for (const auto& stop : m_stops) {
+        if (concerns(*stop, engine))
+            stop->sendNoMore();
+        else
+            stop->freeMemory();
+    }
+}
+
+bool EndedRuns::mayHaveStopped(const RelayEndpoint& engine) const
+{
+    return std::any_of(m_stops.begin(), m_stops.end(), [&](const auto& stop) { return concerns(*stop, engine); });
+}
+
+bool EndedRuns::hasAnsweredStop(const RelayEndpoint& engine) const
+{
+    const auto now = m_context.now();
+    return std::any_of(m_stops.begin(), m_stops.end(), [&](const auto& stop) {
+        const auto progress = stop->state(now).progress;
+        return concerns(*stop, engine) && (progress == StopProgress::Busy || progress == StopProgress::Decided);
+    });
+}
+
 EndedRuns::Engines EndedRuns::enginesBeingStopped() const
 {
     Engines engines;
--- a/src/relay/EndedRuns.h
+++ b/src/relay/EndedRuns.h
@@ -59,6 +59,12 @@
     void noteContinued(const RunMemorySource&);
     // Frees the KV caches that engines keep of the stopped runs.
     void freeMemory();
+    // The stream returns to its run at the engine: stops asking the engine to stop it, and frees the other KV caches.
+    void returnTo(const RelayEndpoint& engine);
+    // True if the engine was asked to stop a run of the stream's request and may have done so.
+    bool mayHaveStopped(const RelayEndpoint& engine) const;
+    // True if the engine has answered a request to stop a run of the stream's request.
+    bool hasAnsweredStop(const RelayEndpoint& engine) const;
     Engines enginesBeingStopped() const;
     // Number of requests to stop a run of the stream's request that may still be answered.
     std::size_t openStops() const;
@@ -66,6 +72,7 @@
 private:
     bool canStopRuns() const;
     bool isBeingStopped(const RunStop&) const;
+    bool concerns(const RunStop&, const RelayEndpoint& engine) const;
     // An engine to which the engine of a run may copy its KV cache when it stops the run: preferably one at which the
     // stream has no run, because the copy needs room there, and one of the same zone. Null if there is no other engine.
     std::shared_ptr<RelayEndpoint> chooseTarget(const RelayEndpoint& engine, const Engines& inUse) const;
--- a/src/relay/EngineChoice.cpp
+++ b/src/relay/EngineChoice.cpp
@@ -105,12 +105,23 @@
     return usable == m_copies.end() ? std::nullopt : std::optional(*usable);
 }
 
+void EngineChoice::setCopies(std::vector<RunTarget> copies)
+{
+    std::erase_if(copies, [this](const RunTarget& target) {
+        return std::any_of(m_triedCopies.begin(), m_triedCopies.end(), [&target](const RunMemorySource& tried) {
+            return tried.name == target.copy.name && tried.engine.text() == target.copy.engine.text();
+        });
+    });
+    m_copies = std::move(copies);
+}
+
 void EngineChoice::noteSent(const std::optional<RunMemorySource>& copy)
 {
     if (!copy) {
         m_copies.clear();
         return;
     }
+    m_triedCopies.push_back(*copy);
     std::erase_if(m_copies, [&copy](const RunTarget& target) { return target.copy.name == copy->name; });
 }
 
--- a/src/relay/EngineChoice.h
+++ b/src/relay/EngineChoice.h
@@ -60,10 +60,11 @@
     // The first copy whose engine is healthy and has not lost it.
     std::optional<RunTarget> copyTarget() const;
     // The copies of the lost run, in the order in which to try them.
-    void setCopies(std::vector<RunTarget> copies) { m_copies = std::move(copies); }
-    // A run was sent: the copy that it continues from is not tried again. The other copies stay until the run produces
-    // events, unless it starts over.
+    void setCopies(std::vector<RunTarget>);
+    // A run was sent: the copy that it continues from is not tried again until a run has produced its first event. The
+    // other copies stay until then, unless the run starts over.
     void noteSent(const std::optional<RunMemorySource>& copy);
+    void noteFirstEvent() { m_triedCopies.clear(); }
     // The engine that ran the request for another VM and has its prompt cached; null if it is not healthy. Returned
     // only once.
     std::shared_ptr<RelayEndpoint> takeEarlierEngine();
@@ -114,6 +115,7 @@
     Engines m_failed;
     std::shared_ptr<RelayEndpoint> m_earlierEngine;
     std::vector<RunTarget> m_copies;
+    std::vector<RunMemorySource> m_triedCopies;
     // The version in the last note of the run.
     std::optional<std::string> m_notedVersion;
     std::optional<Milliseconds> m_firstEventForecast;
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -33,6 +33,9 @@
 constexpr unsigned firstServerError = 500;
 // After more rejected runs, retries are not borrowed: the service is full, or the VM is wrong about its copies.
 constexpr unsigned maxRejectedRunsOnLoan = 1;
+// How long a silent run that its engine has been asked to stop is kept beside the run in its place. Two engines may
+// work on one request for 400 ms, and the close has to arrive.
+constexpr Milliseconds keepStoppedRunFor { 200 };
 
 // What a failed run shows about its engine.
 enum class EngineEvidence {
@@ -92,6 +95,7 @@
     , m_deadlineTimer(context.ioContext)
     , m_retryTimer(context.ioContext)
     , m_stopTimer(context.ioContext)
+    , m_stoppedRunTimer(context.ioContext)
 {
 }
 
@@ -432,6 +436,8 @@
             sendWhenStopped(endpoint, *copy);
             return;
         }
+        if (m_silentRun && m_endedRuns.hasAnsweredStop(*m_silentRun->endpoint))
+            releaseSilentRun(FailureKind::Silent);
     }
     const auto& exchange = m_request.exchange;
     const auto run = makeRun(endpoint, copy);
@@ -464,6 +470,8 @@
     m_deliveries.noteConnection(run->delivery, run->call->connectionNumber());
     stopEndedRuns();
     m_livenessMonitor->begin(m_run);
+    if (m_silentRun && m_silentRun->isBeingStopped)
+        releaseStoppedRunLater();
 }
 
 std::shared_ptr<StreamRun> EventStreamCall::makeRun(
@@ -510,8 +518,11 @@
 
 void EventStreamCall::endRunsBefore(const std::shared_ptr<RelayEndpoint>& endpoint, const RunMemorySource& copy)
 {
-    if (m_silentRun)
-        releaseSilentRun(FailureKind::Silent);
+    if (m_silentRun && !m_silentRun->isBeingStopped) {
+        m_silentRun->isBeingStopped = true;
+        m_silentRun->wasAskedToStop = true;
+        noteEnded(*m_silentRun, FailureKind::Silent);
+    }
     takeOverEarlierRun(copy);
     m_endedRuns.stopAllBut({ endpoint }, copy.name);
 }
@@ -682,8 +693,14 @@
     }
     if (events.empty())
         return;
-    if (run == m_silentRun)
+    if (run == m_silentRun) {
+        if (run->isBeingStopped && m_run) {
+            // The stream has gone on at another engine.
+            releaseSilentRun(FailureKind::Silent);
+            return;
+        }
         resumeSilentRun();
+    }
     processEvents(*run, std::move(events));
 }
 
@@ -718,6 +735,7 @@
         copyOutcomesOf(run).noteUsed();
     if (!run.firstEventAt) {
         run.firstEventAt = now;
+        m_choice->noteFirstEvent();
         m_copier->releaseUnused();
         m_endedRuns.freeMemory();
         m_timing.recordFirstEvent(run, now);
@@ -772,8 +790,11 @@
     const auto run = runOf(call);
     if (!run || m_isFinished)
         return;
+    // An engine that stops a run closes the connection. For a response without a length that looks like its end.
+    const bool mayBeStopped = !run->isFramed && mayHaveBeenStopped(*run);
     if (run == m_silentRun) {
-        const bool isComplete = run->isStream && run->splitter.incompleteBytes().empty() && m_answer->length() > 0;
+        const bool isComplete
+            = run->isStream && run->splitter.incompleteBytes().empty() && m_answer->length() > 0 && !mayBeStopped;
         if (!isComplete) {
             silentRunFailed(run->isStream ? FailureKind::EarlyEnd : FailureKind::ErrorStatus);
             return;
@@ -785,12 +806,14 @@
         handleNonStreamResponse(run);
         return;
     }
-    // An engine that stops a run to move it closes the connection. For a response without a length that looks like its
-    // end.
     if (!run->isFramed && m_mover->isStopping()) {
         m_mover->noteStreamEnded();
         return;
     }
+    if (mayBeStopped) {
+        runFailed(FailureKind::EarlyEnd);
+        return;
+    }
     // A caller that has received all events may lack the end, which only an answer with a length or chunks shows.
     const bool hasOnlyEnd = m_answer->length() == 0 && m_request.fields.lastEventId && run->isFramed;
     if (!run->splitter.incompleteBytes().empty() || (m_answer->length() == 0 && !hasOnlyEnd)) {
@@ -911,7 +934,12 @@
         // It reached no engine, so it may still be used.
         m_loan = run->loan;
     }
-    noteEngineFailure(*run, kind, now);
+    const bool isBroken = kind == FailureKind::ConnectionLost || kind == FailureKind::EarlyEnd;
+    if (!isBroken || !mayHaveBeenStopped(*run))
+        noteEngineFailure(*run, kind, now);
+    // The run in place of the silent one has begun, so that the silent one must not go on.
+    if (m_silentRun && m_silentRun->isBeingStopped && run->headerReceivedAt)
+        releaseSilentRun(FailureKind::Silent);
     if (!m_silentRun) {
         // A run's KV cache is copied from its first event on. When a run that continued from a copy is lost before
         // that, the other copies of the run before it remain.
@@ -925,10 +953,20 @@
     startRun();
 }
 
+bool EventStreamCall::mayHaveBeenStopped(const StreamRun& run) const
+{
+    return run.wasAskedToStop && m_endedRuns.mayHaveStopped(*run.endpoint);
+}
+
 void EventStreamCall::silentRunFailed(FailureKind kind)
 {
     const auto run = m_silentRun;
     const auto now = m_context.now();
+    if (run->isBeingStopped) {
+        // The engine has done what it was asked to do, and the run in its place is sent or waits for that.
+        releaseSilentRun(kind);
+        return;
+    }
     if (run->fields.isNotRun || run->fields.isOtherIncarnation) {
         m_deliveries.settle(run->delivery, DeliveryOutcome::NotRun);
     } else {
@@ -1001,6 +1039,8 @@
     }
     m_livenessMonitor->stop();
     m_mover->cancel();
+    if (m_silentRun && m_silentRun->isBeingStopped)
+        releaseSilentRun(FailureKind::Silent);
     if (m_silentRun)
         cancelSubstitute();
     else
@@ -1021,6 +1061,8 @@
     m_permit.reset();
     m_loanRequest.reset();
     m_retryTimer.cancel();
+    m_stopTimer.cancel();
+    m_waitsForStopSince.reset();
     m_livenessMonitor->stop();
     const auto run = std::exchange(m_run, nullptr);
     if (!run) {
@@ -1049,12 +1091,14 @@
 {
     m_run = std::exchange(m_silentRun, nullptr);
     m_run->number = m_answer->beginRun();
+    m_run->isBeingStopped = false;
+    m_stoppedRunTimer.cancel();
     if (std::exchange(m_isFailureSilence, false))
         m_failedAt.reset();
     m_livenessMonitor->begin(m_run);
     stopEndedRuns();
     // The stream continues from its own run again, and not from that of a substitute.
-    m_endedRuns.freeMemory();
+    m_endedRuns.returnTo(*m_run->endpoint);
 }
 
 void EventStreamCall::resumeSilentRun()
@@ -1077,10 +1121,22 @@
     m_timing.recordEnginePace(*run, now);
     m_isFailureSilence = false;
     m_copier->runLost(*run);
-    noteEnded(*run, kind);
+    m_stoppedRunTimer.cancel();
+    if (!run->isBeingStopped)
+        noteEnded(*run, kind);
     stopEndedRuns();
 }
 
+void EventStreamCall::releaseStoppedRunLater()
+{
+    m_stoppedRunTimer.expires_after(keepStoppedRunFor);
+    m_stoppedRunTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->m_isFinished && self->m_silentRun && self->m_silentRun->isBeingStopped)
+            self->releaseSilentRun(FailureKind::Silent);
+    });
+}
+
 void EventStreamCall::noteSilenceEnded(StreamRun& run, Milliseconds now)
 {
     logSilenceEnded(m_request, run, m_silentRun != nullptr, now);
@@ -1229,6 +1285,7 @@
     m_deadlineTimer.cancel();
     m_retryTimer.cancel();
     m_stopTimer.cancel();
+    m_stoppedRunTimer.cancel();
     m_livenessMonitor->stop();
     m_choice->cancel();
     m_search.reset();
@@ -1241,7 +1298,7 @@
             continue;
         run->call->cancel();
         // The close of a connection from which nothing arrives may not reach the engine.
-        if (run->silence)
+        if (run->silence && !run->isBeingStopped)
             noteEnded(*run, FailureKind::Silent);
     }
     m_endedRuns.stopAllBut({}, "");
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -8,9 +8,10 @@
 //
 // An engine that is only silent may go on at any time. Its run is kept while another one is tried at an engine that is
 // known to be alive; the first of the two that produces an event goes on, and the other one is cancelled. A run that
-// continues from a copy is different, because two engines must not work on one request: the silent run is closed and
-// stopped before that one is sent. If the copy is rejected, the stream continues from the KV cache of the stopped run.
-// Where no engine is alive, the stream waits for the silent one.
+// continues from a copy is different, because two engines must not work on one request: the engine of the silent run is
+// asked to stop it before that one is sent. While that engine says nothing, the connection of the silent run is kept
+// for a short time, so that the stream can return to it if the copy is rejected or its engine fails. If the run has
+// been stopped, the stream continues from its KV cache. Where no engine is alive, the stream waits for the silent one.
 //
 // A stream that must not run twice is not moved once an engine may have started it. Used on the relay's thread only.
 // Owned by its pending timers and the exchange's callback.
@@ -82,7 +83,7 @@
         const std::shared_ptr<RelayEndpoint>&, const std::optional<RunMemorySource>& copy);
     // Sets the run's priority as well.
     ForwardFields forwardFieldsFor(StreamRun&);
-    // Closes and stops the earlier runs, so that the stream may continue from the copy at the endpoint.
+    // Asks the engines of the earlier runs to stop them, so that the stream may continue from the copy at the endpoint.
     void endRunsBefore(const std::shared_ptr<RelayEndpoint>&, const RunMemorySource&);
     // Sends the run as soon as the engines of the earlier runs need not be waited for.
     void sendWhenStopped(const std::shared_ptr<RelayEndpoint>&, const RunMemorySource&);
@@ -151,7 +152,11 @@
     void resumeSilentRun();
     // The kept run has failed, or the one in its place has produced an event.
     void releaseSilentRun(FailureKind);
+    // Closes the kept run soon, because its engine has been asked to stop it and another one works on the request.
+    void releaseStoppedRunLater();
     void silentRunFailed(FailureKind);
+    // True if the end of the run may be the work of the engine that was asked to stop it.
+    bool mayHaveBeenStopped(const StreamRun&) const;
     void noteSilenceEnded(StreamRun&, Milliseconds now);
     // The engine may work on the run although this VM has ended it.
     void noteEnded(const StreamRun&, FailureKind);
@@ -236,6 +241,8 @@
     boost::asio::steady_timer m_retryTimer;
     // Set while a run that continues from a copy waits for the engines of the earlier runs.
     boost::asio::steady_timer m_stopTimer;
+    // Set while a silent run that its engine has been asked to stop is kept beside the run in its place.
+    boost::asio::steady_timer m_stoppedRunTimer;
     std::optional<Milliseconds> m_waitsForStopSince;
 };
 
--- a/src/relay/RunStop.cpp
+++ b/src/relay/RunStop.cpp
@@ -80,6 +80,12 @@
         freeMemory();
 }
 
+void RunStop::sendNoMore()
+{
+    m_sent = m_context.settings.runStopRequests;
+    m_retryTimer.cancel();
+}
+
 void RunStop::freeMemory()
 {
     m_mustFreeMemory = true;
--- a/src/relay/RunStop.h
+++ b/src/relay/RunStop.h
@@ -50,6 +50,9 @@
     const std::string& keptHandle() const { return m_keptHandle; }
     // A run continues from that KV cache.
     void noteMemoryUsed() { m_keptHandle.clear(); }
+    // The stream may go on with the run: no further request is sent. One that the engine has received may still stop
+    // it.
+    void sendNoMore();
     // Frees that KV cache, also if the engine names it only later.
     void freeMemory();
     // True while another request will be sent, or one that the engine has not answered may still be read there: until
--- a/src/relay/StreamRun.h
+++ b/src/relay/StreamRun.h
@@ -51,6 +51,11 @@
     std::string copyName;
     // Set while nothing arrives from the run.
     std::optional<RunSilence> silence;
+    // The engine has been asked to stop this silent run, whose connection is kept until the run in its place is
+    // certain.
+    bool isBeingStopped { false };
+    // The same, also after the stream has returned to the run: the engine may still stop it.
+    bool wasAskedToStop { false };
     // How long the run waited for the engines of earlier runs before it was sent.
     Milliseconds stopWait { 0 };
     // How long the run waited for a retry.
