Take the retry of a continuation after the wait for its lost run

A stream whose run was lost took a retry, here a loan that is valid for 400 ms, and then waited up to 600 ms for an engine that was busy with another request for the run. The loan expired, no second one was lent, and the caller's stream was broken off.

The engine of a lost run is asked to stop it first, and the retry is taken when the continuation can be sent. The run was lost already, so that nothing is given up before there is a retry. A silent run is different: it is asked to stop only when there is one. A copy that engines no longer keep is not tried after a long wait for a retry.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -14,6 +14,7 @@
 #include "relay/EngineChoice.h"
 #include "relay/LiveEngineSearch.h"
 #include "relay/PermitWait.h"
+#include "relay/RelayConfiguration.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayMetrics.h"
 #include "relay/RelaySettings.h"
@@ -182,6 +183,15 @@
         return;
     }
     const auto now = m_context.now();
+    // The retry is taken after the wait for a lost run, because a loan could expire in it. A silent run is kept until
+    // there is a retry.
+    if (copy && !m_silentRun && !m_endedRuns.mayStopNewRunAt(*engine)) {
+        endRunsBefore(engine, *copy);
+        if (!m_endedRuns.mayContinue(now)) {
+            waitForStop(engine, *copy, &EventStreamCall::startRunIfAllowed);
+            return;
+        }
+    }
     if (m_deliveries.possibleArrivals() > 0 && !(m_loan && m_loan->isValid(now))) {
         m_loan.reset();
         const auto purpose = retryPurpose(copy.has_value());
@@ -433,7 +443,7 @@
         endRunsBefore(endpoint, *copy);
         if (!m_endedRuns.mayContinue(now)) {
             m_loan = loan;
-            sendWhenStopped(endpoint, *copy);
+            waitForStop(endpoint, *copy, &EventStreamCall::sendTo);
             return;
         }
         if (m_silentRun && m_endedRuns.hasAnsweredStop(*m_silentRun->endpoint))
@@ -527,21 +537,23 @@
     m_endedRuns.stopAllBut({ endpoint }, copy.name);
 }
 
-void EventStreamCall::sendWhenStopped(const std::shared_ptr<RelayEndpoint>& endpoint, const RunMemorySource& copy)
+void EventStreamCall::waitForStop(
+    const std::shared_ptr<RelayEndpoint>& endpoint, const RunMemorySource& copy, ContinuationStep step)
 {
     m_waitsForStopSince = m_waitsForStopSince.value_or(m_context.now());
     m_stopTimer.expires_after(m_context.settings.stopCheckInterval);
-    m_stopTimer.async_wait([weak = weak_from_this(), endpoint, copy](boost::system::error_code error) {
+    m_stopTimer.async_wait([weak = weak_from_this(), endpoint, copy, step](boost::system::error_code error) {
         const auto self = weak.lock();
         if (!error && self && !self->m_isFinished)
-            self->sendAfterWait(endpoint, copy);
+            self->endWaitForStop(endpoint, copy, step);
     });
 }
 
-void EventStreamCall::sendAfterWait(const std::shared_ptr<RelayEndpoint>& endpoint, const RunMemorySource& copy)
+void EventStreamCall::endWaitForStop(
+    const std::shared_ptr<RelayEndpoint>& endpoint, const RunMemorySource& copy, ContinuationStep step)
 {
     if (endpoint->mayTakeWork(m_context.now(), m_context.settings.removedEndpointGrace)) {
-        sendTo(endpoint, copy);
+        (this->*step)(endpoint, copy);
         return;
     }
     if (std::exchange(m_tookRetryForNextRun, false))
@@ -565,9 +577,16 @@
     m_earlierRun.reset();
 }
 
+bool EventStreamCall::haveCopiesExpired() const
+{
+    const auto* service = m_context.configuration->findService(m_request.service);
+    const auto keptFor = service ? service->handleTime : Milliseconds { 0 };
+    return m_failedAt && keptFor > Milliseconds { 0 } && m_context.now() - *m_failedAt >= keptFor;
+}
+
 std::optional<RunTarget> EventStreamCall::copyTarget()
 {
-    if (auto copy = m_choice->copyTarget())
+    if (auto copy = m_choice->copyTarget(); copy && !haveCopiesExpired())
         return copy;
     auto stopped = m_endedRuns.stoppedRun();
     return stopped && m_versions.next().admits(stopped->engine->entry().version) ? stopped : std::nullopt;
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -85,14 +85,19 @@
     ForwardFields forwardFieldsFor(StreamRun&);
     // Asks the engines of the earlier runs to stop them, so that the stream may continue from the copy at the endpoint.
     void endRunsBefore(const std::shared_ptr<RelayEndpoint>&, const RunMemorySource&);
-    // Sends the run as soon as the engines of the earlier runs need not be waited for.
-    void sendWhenStopped(const std::shared_ptr<RelayEndpoint>&, const RunMemorySource&);
-    // Sends the run unless its engine has begun to leave, or asked for a back-off, in the meantime.
-    void sendAfterWait(const std::shared_ptr<RelayEndpoint>&, const RunMemorySource&);
+    // A step towards a run at the endpoint that continues from the copy.
+    using ContinuationStep
+        = void (EventStreamCall::*)(const std::shared_ptr<RelayEndpoint>&, std::optional<RunMemorySource>);
+    // Takes the step after a short wait for the engines of the earlier runs, unless the endpoint has begun to leave, or
+    // asked for a back-off, in the meantime.
+    void waitForStop(const std::shared_ptr<RelayEndpoint>&, const RunMemorySource&, ContinuationStep);
+    void endWaitForStop(const std::shared_ptr<RelayEndpoint>&, const RunMemorySource&, ContinuationStep);
     // Chooses an engine again a little later, and returns the retry that was taken for the run.
     void postponeRun();
     // If the copy is that of a run of another VM, that run counts as one of this stream from here on.
     void takeOverEarlierRun(const RunMemorySource&);
+    // True if engines no longer keep the copies of the lost run, because the stream has waited for too long since.
+    bool haveCopiesExpired() const;
     // The copy that the next run may continue from.
     std::optional<RunTarget> copyTarget();
     // The engine is null when none is available.
