Soak: reject copies and arrivals, and check that no stream is broken off

Callers saw connections of streams end in the middle while a VM did planned work. No kind of the soak rejects a copy or turns an arrival away beside silent engines, and no check compares the end of a stream with what its engine did: callers resume such streams, so that all of them are whole.

Five kinds are added: rejected-copies, some-rejected-copies, full-engines, reset-arrivals and unknown-stops, each beside silences and planned work.

StreamEnd decides how a stream ended for its caller: it is broken off by the VM when the connection ends without a complete answer before the deadline and neither an engine's end, an unplanned fault nor the end of the grace time explains it. The number of streams begun and broken off is printed.

--- a/test/SoakPartsTest.cpp
+++ b/test/SoakPartsTest.cpp
@@ -6,6 +6,7 @@
 #include "RunUntil.h"
 #include "ScriptedEndpoint.h"
 #include "SoakWorld.h"
+#include "StreamEnd.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -34,6 +35,149 @@
     CHECK_FALSE(log.overlaps(Milliseconds { 201 }, Milliseconds { 900 }));
 }
 
+TEST(DisturbanceLog, NamesTheEarliestBeginAmongThoseOfThePeriod)
+{
+    DisturbanceLog log;
+    log.begin(Milliseconds { 100 });
+    log.end(Milliseconds { 200 });
+    log.begin(Milliseconds { 400 });
+    log.begin(Milliseconds { 500 });
+    CHECK(log.firstBegin(Milliseconds { 300 }, Milliseconds { 900 }) == Milliseconds { 400 });
+    CHECK_FALSE(log.firstBegin(Milliseconds { 201 }, Milliseconds { 399 }).has_value());
+}
+
+// A verdict that excuses too much would let the soak pass although streams are broken off, and one that excuses too
+// little would report what no VM can avoid.
+TEST_GROUP(StreamEnd)
+{
+    static constexpr Milliseconds sentAt { 20000 };
+    static constexpr Milliseconds endedAt { 22000 };
+    CallRecord call;
+    DisturbanceLog vm;
+    DisturbanceLog engine;
+    DisturbanceLog stops;
+    StreamFaults faults;
+
+    void setup() override
+    {
+        call.status = 200;
+        call.sentAt = sentAt;
+        call.endedAt = endedAt;
+        call.deadline = sentAt + Milliseconds { 20000 };
+        faults.unplanned = { &vm, &engine };
+        faults.plannedStops = &stops;
+    }
+
+    void check(StreamEnd expected)
+    {
+        STRCMP_EQUAL(std::string(nameIn(streamEndNames, expected)).c_str(),
+            std::string(nameIn(streamEndNames, streamEndOf(call, faults))).c_str());
+    }
+};
+
+TEST(StreamEnd, AConnectionThatEndsWithoutReasonIsBrokenOff) { check(StreamEnd::BrokenOff); }
+
+TEST(StreamEnd, AStreamThatHasNotBegunIsNotBrokenOff)
+{
+    call.status = 0;
+    check(StreamEnd::NotBegun);
+    call.status = 503;
+    check(StreamEnd::NotBegun);
+}
+
+TEST(StreamEnd, ACompleteStreamIsNotBrokenOff)
+{
+    call.isComplete = true;
+    check(StreamEnd::Complete);
+}
+
+TEST(StreamEnd, ACallerThatLeavesBreaksOffItself)
+{
+    call.isAbandoned = true;
+    check(StreamEnd::CallerLeft);
+}
+
+TEST(StreamEnd, TheDeadlineEndsAStreamOnlyOnceItHasPassed)
+{
+    call.deadline = endedAt;
+    check(StreamEnd::DeadlinePassed);
+    call.deadline = endedAt + Milliseconds { 1 };
+    check(StreamEnd::BrokenOff);
+}
+
+TEST(StreamEnd, TheEndOfAnEngineIsNoFaultOfTheVm)
+{
+    faults.hasEngineEnded = true;
+    check(StreamEnd::EngineEnded);
+}
+
+TEST(StreamEnd, AnUnplannedFaultExcusesTheStreamsOfItsTime)
+{
+    engine.add(sentAt - Milliseconds { 3000 });
+    check(StreamEnd::Disturbed);
+    call.sentAt += Milliseconds { 1 };
+    check(StreamEnd::BrokenOff);
+    vm.begin(endedAt);
+    check(StreamEnd::Disturbed);
+}
+
+TEST(StreamEnd, AFaultAfterTheEndExcusesNothing)
+{
+    vm.begin(endedAt + Milliseconds { 1 });
+    check(StreamEnd::BrokenOff);
+}
+
+TEST(StreamEnd, AVmThatIsStoppedBreaksOffNothingWithinItsGrace)
+{
+    stops.begin(sentAt);
+    check(StreamEnd::BrokenOff);
+    call.endedAt = sentAt + Milliseconds { 6666 };
+    check(StreamEnd::BrokenOff);
+    call.endedAt = sentAt + Milliseconds { 6667 };
+    check(StreamEnd::GraceOver);
+}
+
+TEST(StreamEnd, AVmThatIsStoppedCompletesWhatItAcceptsMuchLater)
+{
+    stops.begin(sentAt - Milliseconds { 3001 });
+    call.endedAt = sentAt + Milliseconds { 4900 };
+    check(StreamEnd::BrokenOff);
+    call.sentAt -= Milliseconds { 1 };
+    check(StreamEnd::GraceOver);
+}
+
+TEST_GROUP(EvenShare)
+{
+    platform::EvenShare share;
+
+    std::string chosen(std::size_t count)
+    {
+        std::string text;
+        for (std::size_t i = 0; i < count; ++i)
+            text += share.next() ? 'x' : '.';
+        return text;
+    }
+};
+
+TEST(EvenShare, ChoosesNoneUntilItIsSet)
+{
+    STRCMP_EQUAL("....", chosen(4).c_str());
+    share.set(0, 10);
+    STRCMP_EQUAL("....", chosen(4).c_str());
+}
+
+TEST(EvenShare, SpreadsThreeInTen)
+{
+    share.set(3, 10);
+    STRCMP_EQUAL("...x..x..x...x..x..x", chosen(20).c_str());
+}
+
+TEST(EvenShare, ChoosesAllOfAWhole)
+{
+    share.set(1, 1);
+    STRCMP_EQUAL("xxx", chosen(3).c_str());
+}
+
 TEST_GROUP(LoopbackProxy)
 {
     boost::asio::io_context ioContext;
@@ -129,6 +273,35 @@
     ioContext.poll();
 }
 
+// A proxy that resets none would let the soak pass without having tested anything.
+TEST(LoopbackProxy, ResetsThreeInTenArrivals)
+{
+    ScriptedEndpoint endpoint(ioContext);
+    endpoint.onRequest([](ScriptedConnection& asker, const std::string&) { asker.answer(200, "", "whole"); });
+    const ReservedPort own(ioContext);
+    LoopbackProxy proxy(ioContext, { "127.0.0.1", own.number() }, { "127.0.0.1", endpoint.port() });
+    proxy.resetArrivals(3);
+    std::string outcomes;
+    constexpr int arrivals = 10;
+    for (int i = 0; i < arrivals; ++i) {
+        boost::asio::ip::tcp::socket socket(ioContext);
+        socket.connect({ boost::asio::ip::address_v4::loopback(), own.number() });
+        boost::system::error_code error;
+        boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")), error);
+        socket.non_blocking(true);
+        char piece[512];
+        CHECK(runUntil(ioContext, [&] {
+            socket.read_some(boost::asio::buffer(piece), error);
+            return error != boost::asio::error::would_block;
+        }));
+        outcomes += error ? 'x' : '.';
+    }
+    STRCMP_EQUAL("...x..x..x", outcomes.c_str());
+    LONGS_EQUAL(7, endpoint.requests().size());
+    proxy.resetConnections();
+    ioContext.poll();
+}
+
 // A caller, a proxy and an endpoint that holds seven connections through it, each with a request.
 TEST_GROUP(OneInSevenConnections)
 {
@@ -524,6 +697,39 @@
     }
 }
 
+TEST(EngineStandIn, AStopOfAnUnknownRunLeavesTheRun)
+{
+    start();
+    setFault(platform::EngineStandIn::unknownStopsPath, "1");
+    CHECK(arrives(requestStream(), "id: 3"));
+    CHECK(arrives(stopRun("r1"), "HTTP/1.1 404"));
+    CHECK(isWorking());
+}
+
+TEST(EngineStandIn, RejectsEachThirdCopyAndNoOtherRun)
+{
+    start();
+    setFault(platform::EngineStandIn::rejectCopiesPath, "3");
+    for (const bool isRejected : { false, false, true, false }) {
+        CHECK(arrives(requestStream(), "id: 3"));
+        CHECK(arrives(continueFrom("r0"), isRejected ? "X-Not-Executed: no-copy" : "id: 4"));
+    }
+    setFault(platform::EngineStandIn::rejectCopiesPath, "1");
+    CHECK(arrives(continueFrom("r0"), "X-Not-Executed: no-copy"));
+    setFault(platform::EngineStandIn::rejectCopiesPath, "");
+    CHECK(arrives(continueFrom("r0"), "id: 4"));
+}
+
+TEST(EngineStandIn, TurnsAwayThreeInTenRuns)
+{
+    start();
+    setFault(platform::EngineStandIn::turnAwayPath, "3");
+    for (const bool isRejected : { false, false, false, true, false, false, true, false, false, true })
+        CHECK(arrives(requestStream(), isRejected ? "X-Not-Executed: full" : "id: 3"));
+    setFault(platform::EngineStandIn::turnAwayPath, "");
+    CHECK(arrives(requestStream(), "id: 3"));
+}
+
 TEST(EngineStandIn, LateStopsTakeEffectBeforeTheirResponseOrHaveNone)
 {
     start();
