Test incomplete bodies that hold connections beside an ordinary caller

Beside callers that hold a request whose body lacks a byte, or wait for 100 Continue, a caller on a new connection is answered 503 until those requests time out. The crowd and the bounds are those of the other tests of HeldConnections (320 connections, 256 descriptors, a machine of 64 MiB), and the crowd stays while the ordinary request is made.

--- a/test/HeldConnectionsTest.cpp
+++ b/test/HeldConnectionsTest.cpp
@@ -236,6 +236,23 @@
     checkServes();
 }
 
+// The crowd stays while the ordinary caller opens its connection.
+TEST(HeldConnections, OfCallersWhoseBodiesLackAByteLeaveRoomForOthers)
+{
+    gather([this] { return vm->requestHead("/calls/1") + "Content-Length: 4\r\n\r\nhal"; });
+    checkIsWithinLimits();
+    checkServes();
+    checkIsWithinLimits();
+}
+
+TEST(HeldConnections, OfCallersThatWaitForContinueLeaveRoomForOthers)
+{
+    gather([this] { return vm->requestHead("/calls/1") + "Expect: 100-continue\r\nContent-Length: 4\r\n\r\n"; });
+    checkIsWithinLimits();
+    checkServes();
+    checkIsWithinLimits();
+}
+
 TEST(HeldConnections, OfCallersThatDoNotReadAnswersAreBounded)
 {
     vm->answerBytes = 256 * kibibyte;
