Let incomplete bodies give way to new connections

Callers on new connections were answered 503 too_many_connections while a crowd held requests whose bodies lacked a byte, or waited for 100 Continue, until the body timeout. The cause is the reserve of descriptors, not the memory of requests: a connection counted as busy, twice, once its header was complete, and a busy connection is never closed.

A connection that receives a body now has a state of its own and counts once. When no connection is new or receives its header, the larger group of incomplete bodies and resting connections gives way, the one without progress for longest first; 64 KiB of a body are progress. The refused caller gets 503 with not-run, which is true because a request is handled only once it is whole. A displaced request that has arrived whole is served while there is room for it.

--- a/src/http/ConnectionAdmission.cpp
+++ b/src/http/ConnectionAdmission.cpp
@@ -86,9 +86,18 @@
     connection.state = state;
 }
 
+void ConnectionAdmission::progressed(Id id)
+{
+    const auto found = m_connections.find(id);
+    if (found != m_connections.end() && found->second.state == ConnectionState::ReceivingBody)
+        move(found->second, ConnectionState::ReceivingBody);
+}
+
 std::optional<ConnectionAdmission::Id> ConnectionAdmission::displace()
 {
-    for (const auto state : { ConnectionState::New, ConnectionState::ReceivingHeader, ConnectionState::Resting }) {
+    const auto hasMoreBodies = count(ConnectionState::ReceivingBody) >= count(ConnectionState::Resting);
+    const auto larger = hasMoreBodies ? ConnectionState::ReceivingBody : ConnectionState::Resting;
+    for (const auto state : { ConnectionState::New, ConnectionState::ReceivingHeader, larger }) {
         auto& list = listOf(state);
         if (list.empty())
             continue;
--- a/src/http/ConnectionAdmission.h
+++ b/src/http/ConnectionAdmission.h
@@ -1,13 +1,15 @@
 // Decides which connections a server keeps while descriptors are short.
 //
-// Load pattern: callers open connections and send nothing, send part of a header, or rest after a request, until the
-// process has no descriptors left for its own connections, without which it serves nobody. A busy connection usually
-// needs a second descriptor, for the connection to an endpoint.
+// Load pattern: callers open connections and send nothing, send part of a header or of a body, or rest after a request,
+// until the process has no descriptors left for its own connections, without which it serves nobody. A busy connection
+// usually needs a second descriptor, for the connection to an endpoint.
 //
-// A new connection is admitted in place of the one that has been new, receiving its header or resting for longest, in
-// this order of states: a new connection was promised nothing, an incomplete request can be refused truthfully, and a
-// resting one may be about to carry the caller's next request. A busy connection is never closed. If all connections
-// are busy, the new one is refused.
+// A new connection is admitted in place of another one. New connections give way first, because they were promised
+// nothing, then incomplete headers, which can be refused truthfully; in each state the one that has been in it for
+// longest. Then either an incomplete body or a resting connection gives way, whichever are more numerous, because a
+// crowd that holds connections is in the larger group: the body that has made no progress for longest, or the
+// connection that has rested for longest. A busy connection is never closed. If all connections are busy, the new one
+// is refused.
 //
 // A displaced connection may turn out to have received a request. That request is served while there is room for it,
 // and another connection is displaced. Otherwise it is refused, as is a request for which there is no second
@@ -59,6 +61,8 @@
     };
 
     Change changeState(Id, ConnectionState, const ConnectionBounds&);
+    // More of the body has arrived on this connection.
+    void progressed(Id);
     // Returns the connection to close because a descriptor is needed now, and none if all are busy.
     std::optional<Id> displace();
     // The same if there are more connections than there is room for.
@@ -81,7 +85,7 @@
     std::list<Id>& listOf(ConnectionState state) { return m_byState[static_cast<std::size_t>(state)]; }
 
     std::unordered_map<Id, Connection> m_connections;
-    // The connections in each state, the ones that have been in it for longest first.
+    // The connections in each state, the ones that have been in it, or without progress, for longest first.
     std::array<std::list<Id>, connectionStateNames.size()> m_byState;
 };
 
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -161,6 +161,12 @@
         return !isRefused;
     }
 
+    void sessionProgressed(HttpSession* session) override
+    {
+        const std::lock_guard lock(m_mutex);
+        m_admission.progressed(session);
+    }
+
     void sessionClosed(HttpSession* session) override
     {
         const std::lock_guard lock(m_mutex);
--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -28,6 +28,8 @@
 // Bytes that are read at once: of a header, and of a body.
 constexpr std::size_t headerReadSize = 4 * kibibyte;
 constexpr std::size_t bodyReadSize = 16 * kibibyte;
+// Bytes of a body that count as progress. With fewer, callers could hold their connections by a byte now and then.
+constexpr std::size_t progressBytes = 64 * kibibyte;
 // Memory of a header field beside its name and value.
 constexpr std::size_t fieldOverhead = 128;
 // The body of a request that is handled, and a copy that is sent to an endpoint.
@@ -247,7 +249,7 @@
             // A request that has arrived is handled.
             if (self->m_stream.socket().available(error) == 0)
                 self->close();
-        } else if (!self->m_isClosed && self->m_isReceivingHeader) {
+        } else if (!self->m_isClosed && self->m_isReceiving) {
             self->m_isDisplaced = true;
             self->m_stream.cancel();
         }
@@ -276,7 +278,8 @@
 
 void HttpSession::readRequest()
 {
-    m_isReceivingHeader = true;
+    m_isReceiving = true;
+    m_reportedBodyBytes = 0;
     m_isDisplaced = !m_owner->sessionChanged(this, ConnectionState::ReceivingHeader);
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_owner->settings()->maxHeaderBytes));
@@ -314,23 +317,9 @@
 
 void HttpSession::parse()
 {
+    const bool wasHeaderDone = m_parser->is_header_done();
     beast::error_code error;
-    while (!error && m_buffer.size() > 0 && !m_parser->is_done()) {
-        const bool wasHeaderDone = m_parser->is_header_done();
-        m_buffer.consume(m_parser->put(m_buffer.data(), error));
-        if (wasHeaderDone || !m_parser->is_header_done())
-            continue;
-        for (const auto& field : m_parser->get())
-            m_fieldBytes += fieldOverhead + field.name_string().size() + field.value().size();
-        m_parser->eager(true);
-        m_isReceivingHeader = false;
-        if (m_isDisplaced || !m_owner->sessionChanged(this, ConnectionState::Busy)) {
-            refuseForDescriptors();
-            return;
-        }
-        if (!m_parser->is_done())
-            startReadTimer(m_owner->settings()->bodyTimeout);
-    }
+    parseBuffer(error);
     if (error && error != http::error::need_more) {
         refuse(error);
         return;
@@ -345,6 +334,10 @@
         refuse(http::error::buffer_overflow);
         return;
     }
+    if (!keepsConnection(wasHeaderDone)) {
+        refuseForDescriptors();
+        return;
+    }
     if (m_buffer.size() == 0)
         m_buffer.shrink_to_fit();
     m_lacksMemory = !memory().resize(receivedBytes(), MonotonicClock().now());
@@ -354,6 +347,37 @@
         readSome();
 }
 
+void HttpSession::parseBuffer(beast::error_code& error)
+{
+    while (!error && m_buffer.size() > 0 && !m_parser->is_done()) {
+        const bool wasHeaderDone = m_parser->is_header_done();
+        m_buffer.consume(m_parser->put(m_buffer.data(), error));
+        if (wasHeaderDone || !m_parser->is_header_done())
+            continue;
+        for (const auto& field : m_parser->get())
+            m_fieldBytes += fieldOverhead + field.name_string().size() + field.value().size();
+        m_parser->eager(true);
+    }
+}
+
+bool HttpSession::keepsConnection(bool wasHeaderDone)
+{
+    if (m_isDisplaced)
+        return false;
+    if (!m_parser->is_header_done())
+        return true;
+    if (!wasHeaderDone) {
+        startReadTimer(m_owner->settings()->bodyTimeout);
+        return m_owner->sessionChanged(this, ConnectionState::ReceivingBody);
+    }
+    const auto size = m_parser->get().body().size();
+    if (size - m_reportedBodyBytes >= progressBytes) {
+        m_reportedBodyBytes = size;
+        m_owner->sessionProgressed(this);
+    }
+    return true;
+}
+
 std::size_t HttpSession::receivedBytes() const
 {
     return m_buffer.capacity() + m_fieldBytes + m_parser->get().body().capacity();
@@ -418,6 +442,13 @@
 
 void HttpSession::dispatch()
 {
+    // A request that has arrived whole is served also when its connection was displaced, while there is room for it.
+    if (!m_owner->sessionChanged(this, ConnectionState::Busy)) {
+        refuseForDescriptors();
+        return;
+    }
+    m_isDisplaced = false;
+    m_isReceiving = false;
     auto& body = m_parser->get().body();
     if (body.capacity() - body.size() > maxUnusedBytes)
         body.shrink_to_fit();
@@ -456,7 +487,7 @@
     // A connection that closes or times out between two requests has sent no request that needs a response.
     const bool isIdle = m_parser && !m_parser->got_some() && m_buffer.size() == 0;
     const bool isOwnCancel = m_hasReadTimedOut || m_isDisplaced || m_lacksMemory;
-    m_isReceivingHeader = false;
+    m_isReceiving = false;
     releaseRequest();
     if (!m_lacksMemory && (isIdle || (isDisconnect(error) && !isOwnCancel))) {
         close();
@@ -479,6 +510,7 @@
 {
     ++m_readNumber;
     m_readTimer.cancel();
+    m_isReceiving = false;
     releaseRequest();
     writeBufferedResponse(errorResponse(describeConnectionLimit()), false);
 }
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -33,6 +33,8 @@
     virtual void handle(const std::shared_ptr<HttpExchange>&) = 0;
     // Returns false if the session must refuse its request.
     virtual bool sessionChanged(HttpSession*, ConnectionState) = 0;
+    // More of the body of the session's request has arrived.
+    virtual void sessionProgressed(HttpSession*) = 0;
     // Called once, when the session has closed or handed over its connection.
     virtual void sessionClosed(HttpSession*) = 0;
 };
@@ -51,7 +53,7 @@
     // Answers that there are too many connections. If mayDrain is false, the connection is closed without reading what
     // the peer has sent, which can destroy the answer on its way.
     void refuseForConnectionLimit(bool mayDrain);
-    // Closes the connection if no request has begun on it, or refuses a request whose header is incomplete.
+    // Closes the connection if no request has begun on it, or refuses a request that is incomplete.
     // Thread-safe.
     void displace();
     // Resets the connection. Thread-safe.
@@ -73,6 +75,9 @@
     void readSome();
     void received(boost::beast::error_code, std::size_t size);
     void parse();
+    void parseBuffer(boost::beast::error_code&);
+    // Returns false when the request is refused because others need the connection's descriptor.
+    bool keepsConnection(bool wasHeaderDone);
     // The memory that the request needs: while it is read, and once it has arrived whole.
     std::size_t receivedBytes() const;
     std::size_t completeBytes() const;
@@ -124,7 +129,10 @@
     // Others need the connection's descriptor.
     bool m_isDisplaced { false };
     bool m_hasReceivedRequest { false };
-    bool m_isReceivingHeader { false };
+    // True while a request is being read.
+    bool m_isReceiving { false };
+    // Size of the body when the owner was last told of its progress.
+    std::size_t m_reportedBodyBytes { 0 };
     // Bytes that were dropped, because the peer has sent more than a header's size after its request.
     std::size_t m_dropped { 0 };
     bool m_keepAlive { false };
--- a/test/ConnectionAdmissionTest.cpp
+++ b/test/ConnectionAdmissionTest.cpp
@@ -20,16 +20,30 @@
 
 const ConnectionBounds usualBounds { 4096, maxDescriptors, otherDescriptors, {} };
 
-// How a server treats connections when they are short.
+// How a server treats connections when they are short. The last two differ from CloseLongestIdle in what gives way
+// when no connection is new or receives its header.
 enum class Way {
     RefuseNew,
     CloseLongestIdle,
     ShortenIdleTime,
+    CloseBodiesFirst,
+    CloseBodiesLast,
+};
+
+// What the crowd does with its connections.
+enum class Crowd {
+    SendsNothing,
+    HasBeenServed,
+    LeavesBodiesIncomplete,
+    // Every second one has been served, the others leave a body incomplete.
+    Mixed,
 };
 
 struct Outcome {
     // Requests of ordinary callers that found no connection.
     int refused { 0 };
+    // Bodies of ordinary callers whose connection was closed while they arrived.
+    int brokenBodies { 0 };
     // Connections of ordinary callers that were closed before the time that the server had promised.
     int brokenPromises { 0 };
     std::size_t maxOpen { 0 };
@@ -43,8 +57,8 @@
     {
     }
 
-    // Each millisecond one more connection of the crowd is opened; `sendsRequest` means that it has been served once.
-    Outcome run(bool sendsRequest)
+    // Each millisecond one more connection of the crowd is opened.
+    Outcome run(Crowd crowd)
     {
         std::array<int, keptCallers> kept {};
         for (auto& connection : kept)
@@ -52,8 +66,12 @@
         for (m_now = 1; m_now < duration; ++m_now) {
             expire();
             const auto hostile = open(false);
-            if (hostile && sendsRequest)
+            const auto isServed = crowd == Crowd::HasBeenServed || (crowd == Crowd::Mixed && m_now % 2 == 0);
+            if (hostile && isServed)
                 serve(*hostile);
+            else if (hostile && crowd != Crowd::SendsNothing)
+                change(*hostile, ConnectionState::ReceivingBody);
+            upload();
             if (m_now % newCallerInterval == 0)
                 request(m_now, std::nullopt);
             for (int i = 0; i < keptCallers; ++i) {
@@ -70,15 +88,26 @@
         bool isOrdinary { false };
         bool isServed { false };
         int idleSince { 0 };
+        ConnectionState state { ConnectionState::New };
+    };
+
+    // A body of an ordinary caller that arrives.
+    struct Upload {
+        int number { 0 };
+        int startedAt { 0 };
     };
 
     static constexpr int duration = 40000;
     static constexpr int idleTimeout = 15000;
+    static constexpr int bodyTimeout = 20000;
     static constexpr int promisedTime = idleTimeout * 4 / 5;
     static constexpr int shortIdleTime = 1000;
     static constexpr int newCallerInterval = 100;
     static constexpr int keptCallers = 50;
     static constexpr int keptCallerInterval = 2000;
+    static constexpr int uploadInterval = 500;
+    static constexpr int uploadTime = 4000;
+    static constexpr int progressInterval = 62;
 
     ConnectionAdmission::Id idOf(int number) const { return &m_places.at(static_cast<std::size_t>(number)); }
     int numberOf(ConnectionAdmission::Id id) const
@@ -104,8 +133,69 @@
     {
         m_connections[number].idleSince = m_now;
         m_connections[number].isServed = true;
-        m_admission.changeState(idOf(number), ConnectionState::Busy, usualBounds);
-        m_admission.changeState(idOf(number), ConnectionState::Resting, usualBounds);
+        change(number, ConnectionState::Busy);
+        change(number, ConnectionState::Resting);
+    }
+
+    void change(int number, ConnectionState state)
+    {
+        m_connections[number].state = state;
+        const auto displaced = m_admission.changeState(idOf(number), state, usualBounds).displaced;
+        if (displaced)
+            close(numberOf(*displaced));
+    }
+
+    // Ordinary callers send bodies that make progress until they are complete.
+    void upload()
+    {
+        if (m_now % uploadInterval == 0) {
+            if (const auto number = open(true)) {
+                m_uploads.push_back({ *number, m_now });
+                change(*number, ConnectionState::ReceivingBody);
+            } else {
+                ++m_outcome.refused;
+            }
+        }
+        for (const auto& [number, startedAt] : m_uploads) {
+            if (m_connections.count(number) == 0)
+                ++m_outcome.brokenBodies;
+            else if (m_now - startedAt == uploadTime)
+                completeUpload(number);
+            else if ((m_now - startedAt) % progressInterval == 0)
+                progress(number);
+        }
+        std::erase_if(m_uploads, [this](const Upload& current) {
+            return m_connections.count(current.number) == 0 || m_now - current.startedAt == uploadTime;
+        });
+    }
+
+    void progress(int number)
+    {
+        m_connections[number].idleSince = m_now;
+        m_admission.progressed(idOf(number));
+    }
+
+    // The caller closes its connection after the response.
+    void completeUpload(int number)
+    {
+        change(number, ConnectionState::Busy);
+        close(number);
+    }
+
+    // The connection that gives way where the model decides it.
+    std::optional<int> findVictim() const
+    {
+        const auto rank = [this](ConnectionState state) {
+            if (state == ConnectionState::New)
+                return 0;
+            return (state == ConnectionState::ReceivingBody) == (m_way == Way::CloseBodiesFirst) ? 1 : 2;
+        };
+        const auto victim = std::min_element(
+            m_connections.begin(), m_connections.end(), [&rank](const auto& left, const auto& right) {
+                return std::pair(rank(left.second.state), left.second.idleSince)
+                    < std::pair(rank(right.second.state), right.second.idleSince);
+            });
+        return victim == m_connections.end() ? std::nullopt : std::optional(victim->first);
     }
 
     std::optional<int> open(bool isOrdinary)
@@ -118,7 +208,11 @@
             if (!decision.isAdmitted)
                 return std::nullopt;
         } else if (m_connections.size() >= m_admission.room(usualBounds)) {
-            return std::nullopt;
+            const auto isOwnOrder = m_way == Way::CloseBodiesFirst || m_way == Way::CloseBodiesLast;
+            const auto victim = isOwnOrder ? findVictim() : std::nullopt;
+            if (!victim)
+                return std::nullopt;
+            close(*victim);
         }
         m_connections[number] = { isOrdinary, false, m_now };
         return number;
@@ -130,7 +224,9 @@
             = m_way == Way::ShortenIdleTime && m_connections.size() * 4 >= m_admission.room(usualBounds) * 3;
         for (auto next = m_connections.begin(); next != m_connections.end();) {
             const auto current = next++;
-            if (m_now - current->second.idleSince >= (isShort ? shortIdleTime : idleTimeout))
+            const auto time = isShort ? shortIdleTime : idleTimeout;
+            const auto isBody = current->second.state == ConnectionState::ReceivingBody;
+            if (m_now - current->second.idleSince >= (isBody ? bodyTimeout : time))
                 close(current->first);
         }
     }
@@ -149,6 +245,7 @@
     const std::vector<char> m_places = std::vector<char>(100000);
     ConnectionAdmission m_admission;
     std::map<int, Connection> m_connections;
+    std::vector<Upload> m_uploads;
     int m_next { 0 };
     int m_now { 0 };
     Outcome m_outcome;
@@ -239,6 +336,34 @@
     CHECK(oldest == admission.changeState(busy[1], ConnectionState::Busy, bounds).displaced);
 }
 
+// The states that give way last: the larger group, because a crowd is in it.
+TEST(ConnectionAdmission, ClosesAnIncompleteBodyWhereTheseAreMoreThanRestingConnections)
+{
+    const auto resting = admit(ConnectionState::Resting);
+    const auto body = admit(ConnectionState::ReceivingBody);
+    admit(ConnectionState::ReceivingBody);
+    CHECK(body == admission.displace());
+    admit(ConnectionState::Resting);
+    CHECK(resting == admission.displace());
+}
+
+// Guards against an ordinary large body that is refused for a crowd which came after it.
+TEST(ConnectionAdmission, TreatsABodyThatProgressesAsTheLatest)
+{
+    const auto first = admit(ConnectionState::ReceivingBody);
+    const auto second = admit(ConnectionState::ReceivingBody);
+    admission.progressed(first);
+    CHECK(second == admission.displace());
+}
+
+TEST(ConnectionAdmission, CountsNoSecondDescriptorForAnIncompleteBody)
+{
+    const auto room = admission.room(usualBounds);
+    for (int i = 0; i < 100; ++i)
+        admit(ConnectionState::ReceivingBody);
+    LONGS_EQUAL(room, admission.room(usualBounds));
+}
+
 // A displaced connection may have received a request in the meantime and is kept then.
 TEST(ConnectionAdmission, CountsADisplacedConnectionUntilItIsClosed)
 {
@@ -267,17 +392,37 @@
 // which docs/design/connection-limits.md compares, fail one or the other.
 TEST(ConnectionAdmission, KeepsOrdinaryCallersBesideACrowdThatSendsNothing)
 {
-    const auto chosen = ServerModel(Way::CloseLongestIdle).run(false);
+    const auto chosen = ServerModel(Way::CloseLongestIdle).run(Crowd::SendsNothing);
     LONGS_EQUAL(0, chosen.refused);
     LONGS_EQUAL(0, chosen.brokenPromises);
     CHECK(chosen.maxOpen <= maxDescriptors * 3 / 4);
-    CHECK(ServerModel(Way::RefuseNew).run(false).refused > 0);
-    CHECK(ServerModel(Way::ShortenIdleTime).run(false).brokenPromises > 0);
+    CHECK(ServerModel(Way::RefuseNew).run(Crowd::SendsNothing).refused > 0);
+    CHECK(ServerModel(Way::ShortenIdleTime).run(Crowd::SendsNothing).brokenPromises > 0);
 }
 
 TEST(ConnectionAdmission, KeepsOrdinaryCallersBesideACrowdThatHasBeenServedOnce)
 {
-    const auto chosen = ServerModel(Way::CloseLongestIdle).run(true);
+    const auto chosen = ServerModel(Way::CloseLongestIdle).run(Crowd::HasBeenServed);
     LONGS_EQUAL(0, chosen.refused);
+    LONGS_EQUAL(0, chosen.brokenBodies);
     CHECK(chosen.maxOpen <= maxDescriptors * 3 / 4);
+    CHECK(ServerModel(Way::CloseBodiesFirst).run(Crowd::HasBeenServed).brokenBodies > 0);
+}
+
+// Guards against callers that hold all connections with bodies that they never complete.
+TEST(ConnectionAdmission, KeepsOrdinaryCallersBesideACrowdThatLeavesBodiesIncomplete)
+{
+    const auto chosen = ServerModel(Way::CloseLongestIdle).run(Crowd::LeavesBodiesIncomplete);
+    LONGS_EQUAL(0, chosen.refused);
+    LONGS_EQUAL(0, chosen.brokenBodies);
+    LONGS_EQUAL(0, chosen.brokenPromises);
+    CHECK(chosen.maxOpen <= maxDescriptors * 3 / 4);
+    CHECK(ServerModel(Way::CloseBodiesLast).run(Crowd::LeavesBodiesIncomplete).brokenPromises > 0);
+}
+
+TEST(ConnectionAdmission, KeepsOrdinaryBodiesBesideACrowdOfBothKinds)
+{
+    const auto chosen = ServerModel(Way::CloseLongestIdle).run(Crowd::Mixed);
+    LONGS_EQUAL(0, chosen.refused);
+    LONGS_EQUAL(0, chosen.brokenBodies);
 }
--- a/test/HttpServerTest.cpp
+++ b/test/HttpServerTest.cpp
@@ -294,6 +294,22 @@
     checkContains(received, "Lupinknot-Outcome: not-run");
 }
 
+// Guards against callers that hold all connections with bodies that they never complete.
+TEST(HttpServer, RefusesAnIncompleteBodyInFavourOfANewConnection)
+{
+    ManualResponseServer server({ .maxConnections = 1 });
+    RawConnection first(server.port());
+    first.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhalf");
+    std::this_thread::sleep_for(Milliseconds { 50 });
+    RawConnection second(server.port());
+    second.send(request);
+    server.exchange(0)->respond({ 200, {}, "second" });
+    checkContains(second.readUntil("second"), "second");
+    const auto received = first.readAll();
+    checkContains(received, "HTTP/1.1 503");
+    checkContains(received, "Lupinknot-Outcome: not-run");
+}
+
 // Guards against a process that spends its processor time on accepting connections that it has no descriptors for.
 TEST(HttpServer, PausesWhenNoDescriptorIsLeft)
 {
