Keep large requests that arrive quickly beside small ones that are held

Beside 2,500 incomplete requests of 26 KiB that had been held for 1 s, an ordinary caller's 4 MiB that arrived in 64 ms were refused (503, not run): they had the larger product of memory and time, by which RequestMemory chooses.

Each byte's first 250 ms are now left out of the product; only where no request exceeds that does the plain product decide. Requests that arrive within half a second give way to none that are held. The plain product stays for the rest, so that small requests that take 200 ms are not refused for large bodies that come and go. Ruled out by reasoning: refusing what has been without progress for longest, which such bodies would use.

New: SmallRequestsArriveBesideLargeOnesThatComeAndGo, which guards the other side; it was not run on the code before.

--- a/src/http/RequestMemory.cpp
+++ b/src/http/RequestMemory.cpp
@@ -11,6 +11,9 @@
 // cannot take. Both are divisors.
 constexpr std::size_t smallRequestDivisor = 64;
 constexpr std::size_t reservedDivisor = 4;
+// Time for which the bytes of an ordinary request are held on average before it is complete: it arrives within twice
+// this time. Longer times would let a crowd of large bodies, each held for less, refuse small slow requests.
+constexpr Milliseconds ordinaryTime { 250 };
 
 } // namespace
 
@@ -65,6 +68,16 @@
     return m_cost + static_cast<std::int64_t>(m_bytes) * time.count();
 }
 
+std::int64_t RequestMemory::Holding::excessAt(Milliseconds now) const
+{
+    return std::max<std::int64_t>(costAt(now) - static_cast<std::int64_t>(m_bytes) * ordinaryTime.count(), 0);
+}
+
+bool RequestMemory::Holding::isPreferredTo(const Holding& other, Milliseconds now) const
+{
+    return std::pair(excessAt(now), costAt(now)) < std::pair(other.excessAt(now), other.costAt(now));
+}
+
 std::unique_ptr<RequestMemory::Holding> RequestMemory::open(Milliseconds now, std::function<void()> onRefused)
 {
     return std::unique_ptr<Holding>(new Holding(shared_from_this(), now, std::move(onRefused)));
@@ -123,7 +136,7 @@
 {
     while (m_total > m_maxBytes && !m_incomplete.empty()) {
         auto* const victim = *std::max_element(m_incomplete.begin(), m_incomplete.end(),
-            [now](const Holding* left, const Holding* right) { return left->costAt(now) < right->costAt(now); });
+            [now](const Holding* left, const Holding* right) { return left->isPreferredTo(*right, now); });
         refuse(*victim);
         if (victim != &growing)
             victim->m_onRefused();
--- a/src/http/RequestMemory.h
+++ b/src/http/RequestMemory.h
@@ -2,9 +2,11 @@
 //
 // Load pattern: a crowd of callers sends requests up to the limits of a single one and leaves them incomplete, beside
 // callers whose requests arrive whole within a short time. When the requests together need more memory than the limit,
-// an incomplete one is refused: the one with the largest product of memory and time so far, then the next. A request
-// that has arrived whole is never refused later; it may be passed on. Small requests have a part of the memory that
-// large ones cannot take, so that whole large requests do not lock them out.
+// an incomplete one is refused: the one with the largest product of memory and time so far, then the next. The time in
+// which an ordinary request arrives is not counted where some request has held its memory for longer, because a large
+// one has a large product after a few milliseconds. A request that has arrived whole is never refused later; it may be
+// passed on. Small requests have a part of the memory that large ones cannot take, so that whole large requests do not
+// lock them out.
 //
 //     const auto holding = memory->open(now, [] { ... });   // Called when this request is refused for another one.
 //     if (!holding->resize(bytes, now)) ...                 // Refused.
@@ -51,8 +53,11 @@
     private:
         friend class RequestMemory;
         Holding(std::shared_ptr<RequestMemory>, Milliseconds now, std::function<void()> onRefused);
-        // The product of memory and time so far.
+        // The product of memory and time so far, and what it exceeds that of an ordinary request by.
         std::int64_t costAt(Milliseconds now) const;
+        std::int64_t excessAt(Milliseconds now) const;
+        // True if the other one is refused first.
+        bool isPreferredTo(const Holding& other, Milliseconds now) const;
 
         const std::shared_ptr<RequestMemory> m_memory;
         const std::function<void()> m_onRefused;
--- a/test/RequestMemoryTest.cpp
+++ b/test/RequestMemoryTest.cpp
@@ -1,5 +1,6 @@
 #include "http/RequestMemory.h"
 
+#include <deque>
 #include <set>
 #include <vector>
 
@@ -146,6 +147,32 @@
     LONGS_EQUAL(0, refused.count(0));
 }
 
+// Guards against large bodies that are sent quickly, one after another, and refuse small requests that take longer.
+TEST(RequestMemory, SmallRequestsArriveBesideLargeOnesThatComeAndGo)
+{
+    constexpr int rounds = 200;
+    constexpr Milliseconds interval { 10 };
+    constexpr Milliseconds smallTime { 200 };
+    constexpr std::size_t crowdSize = 50;
+    std::deque<std::unique_ptr<RequestMemory::Holding>> large;
+    std::vector<std::unique_ptr<RequestMemory::Holding>> small;
+    for (int i = 0; i < rounds; ++i) {
+        large.push_back(open(1));
+        large.back()->resize(largeBytes, now);
+        small.push_back(open(0));
+        CHECK(small.back()->resize(smallBytes, now));
+        now += interval;
+        if (small.size() * interval > smallTime) {
+            CHECK(small.front()->complete(copies * smallBytes, now));
+            small.erase(small.begin());
+        }
+        if (large.size() > crowdSize)
+            large.pop_front();
+        CHECK(memory->total() <= limit);
+    }
+    LONGS_EQUAL(0, refused.count(0));
+}
+
 TEST(RequestMemory, OrdinaryRequestsArriveBesideSlowOnesThatGoOn)
 {
     growCrowd(2500, 26 * kibibyte);
