Test the memory of what callers send while they are busy

The bytes of a next request, up to a header's size for each connection, are not counted in the memory of requests.

--- a/test/DisorderlyClientsTest.cpp
+++ b/test/DisorderlyClientsTest.cpp
@@ -160,6 +160,18 @@
     checkBounded(24, { lengthField(maxBodyBytes) + "\r\n", std::string(pieceBytes, 'x'), maxBodyBytes / pieceBytes });
 }
 
+// Each caller sends as much as is kept of a next request while the endpoint takes its time for the first one.
+TEST(DisorderlyClients, BytesOfNextRequestsWhileTheirCallersAreBusy)
+{
+    constexpr std::int64_t headerBytes = 256 * kibibyte;
+    vm = std::make_unique<EntryProcess>(*ioContext,
+        platform::EntryProcessSettings { .memoryMegabytes = machineMegabytes, .maxHeaderBytes = headerBytes });
+    const auto problem = vm->start();
+    CHECK_TEXT(!problem, problem.value_or("").c_str());
+    vm->callTime = Milliseconds { 1000 };
+    checkBounded(400, { lengthField(0) + "\r\n", std::string(pieceBytes, 'x'), headerBytes / pieceBytes });
+}
+
 TEST(DisorderlyClients, AnswersThatAreNotRead)
 {
     constexpr std::size_t count = 40;
