Test crowds at the addresses for operators and through tunnels

Connections held at the readiness and metrics addresses (nothing sent, half a header, a body that lacks a byte, whole requests) and tunnels with half a request: the VM stays ready, serves an ordinary caller and stays within its bounds.

--- a/test/EntryProcess.cpp
+++ b/test/EntryProcess.cpp
@@ -156,6 +156,12 @@
     return total;
 }
 
+bool EntryProcess::isReady()
+{
+    const auto answer = ask(m_ready, { "GET", "/", { { "Host", "h" }, { "Connection", "close" } }, "" });
+    return answer && answer->status == okStatus;
+}
+
 std::string EntryProcess::metrics()
 {
     const auto answer = ask(m_metrics, { "GET", "/metrics", { { "Host", "h" }, { "Connection", "close" } }, "" });
--- a/test/EntryProcess.h
+++ b/test/EntryProcess.h
@@ -59,6 +59,8 @@
     std::size_t openDescriptors() const;
     // Bytes of callers that the process has not read yet.
     std::size_t unreadBytes() const;
+    // Whether the process answers at its readiness address that it serves requests.
+    bool isReady();
     // The text of the metrics page.
     std::string metrics();
     // The text of the process's log.
@@ -67,6 +69,9 @@
     const internal::SocketAddress& front() const { return m_front; }
     // Where the process serves other VMs.
     const internal::SocketAddress& peers() const { return m_peers; }
+    const internal::SocketAddress& readinessAddress() const { return m_ready; }
+    const internal::SocketAddress& metricsAddress() const { return m_metrics; }
+    internal::SocketAddress endpoint() const { return { m_host, m_endpoint.port() }; }
     StoreStandIn& store() { return m_store; }
 
     // How the endpoint answers: the time that it takes, and the size of the body.
--- a/test/HeldConnectionsTest.cpp
+++ b/test/HeldConnectionsTest.cpp
@@ -34,6 +34,10 @@
 // Time for the VM to accept the connections and to handle what was sent on them.
 constexpr Milliseconds settleTime { 1000 };
 
+// What callers send at an address for operators: nothing, half a header, a body that lacks a byte, a whole request.
+const std::vector<std::string> operatorRequests { "", "GET /metrics HTTP/1.1\r\nHost: h\r\n",
+    "POST /metrics HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nhal", "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n" };
+
 // Callers that connect and hold their connections until the end of the test.
 class Crowd {
 public:
@@ -288,6 +292,48 @@
     checkServes();
 }
 
+// Guards against a VM that takes no more requests because callers hold its readiness or metrics address.
+TEST(HeldConnections, AtTheReadinessAddressLeaveRoomForOthers)
+{
+    crowd = std::make_unique<Crowd>(ioContext, vm->readinessAddress());
+    for (const auto& bytes : operatorRequests) {
+        gather([&bytes] { return bytes; });
+        checkIsWithinLimits();
+        CHECK_TEXT(vm->isReady(), ("not ready beside callers that send: " + bytes).c_str());
+        checkServes();
+        checkIsWithinLimits();
+    }
+}
+
+TEST(HeldConnections, AtTheMetricsAddressLeaveRoomForOthers)
+{
+    crowd = std::make_unique<Crowd>(ioContext, vm->metricsAddress());
+    for (const auto& bytes : operatorRequests) {
+        gather([&bytes] { return bytes; });
+        checkIsWithinLimits();
+        CHECK_TEXT(vm->isReady(), ("not ready beside callers that send: " + bytes).c_str());
+        checkServes();
+        checkIsWithinLimits();
+    }
+}
+
+// Each holds a connection to an endpoint too, with half a request on it.
+TEST(HeldConnections, ThatAreTunnelsLeaveRoomForCallers)
+{
+    crowd = std::make_unique<Crowd>(ioContext, vm->peers());
+    const auto endpoint = vm->endpoint().text();
+    gather([&] {
+        return "CONNECT " + endpoint + " HTTP/1.1\r\nHost: " + endpoint + "\r\n\r\n" + vm->requestHead("/calls/1");
+    });
+    checkIsWithinLimits();
+    checkServes();
+    CHECK(vm->isReady());
+    checkIsWithinLimits();
+    STRCMP_CONTAINS("\nlupinknot_relay_tunnels_opened_total ", vm->metrics().c_str());
+    CHECK_TEXT(
+        vm->metrics().find("\nlupinknot_relay_tunnels_opened_total 0\n") == std::string::npos, "no tunnel opened");
+}
+
 // The same for lupinknotd.
 TEST_GROUP(HeldConnectionsOfDaemon) {};
 
