--- a/test/EntryProcess.cpp
+++ b/test/EntryProcess.cpp
@@ -4,14 +4,19 @@
 #include "http/HttpExchange.h"
 #include "http/HttpRoundTrip.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <climits>
 #include <csignal>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 namespace lupinknot::platform {
@@ -26,6 +31,7 @@
 constexpr int startTries = 400;
 constexpr Milliseconds startPause { 25 };
 constexpr std::int64_t frontPort = 7000;
+const std::string commentLine = "#" + std::string(78, '-') + "\n";
 // The state of a listening socket in /proc/net/tcp.
 constexpr std::string_view listening = "0A";
 
@@ -74,11 +80,13 @@
 EntryProcess::~EntryProcess()
 {
     m_process.reset();
+    if (m_logReader >= 0)
+        ::close(m_logReader);
     std::error_code ignored;
     std::filesystem::remove_all(m_folder, ignored);
 }
 
-std::optional<std::string> EntryProcess::start()
+std::optional<std::string> EntryProcess::launch()
 {
     if (auto problem = m_store.start())
         return problem;
@@ -88,7 +96,14 @@
     writeSettings();
     const std::vector<std::string> command { (binaryFolder() / "lupinknot-entry").string(), "--settings",
         m_folder + "/vm.toml", "--metrics-port", std::to_string(m_metrics.port) };
-    m_process = std::make_unique<soak::ChildProcess>(command, m_folder + "/vm.log");
+    const auto logPath = m_folder + "/vm.log";
+    if (m_settings.isLogUnread) {
+        // The process opens the other end when it starts, which waits for a reader.
+        if (::mkfifo(logPath.c_str(), S_IRUSR | S_IWUSR) != 0)
+            return "the pipe for the log could not be created";
+        m_logReader = ::open(logPath.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+    }
+    m_process = std::make_unique<soak::ChildProcess>(command, logPath);
     if (!m_process->start())
         return "lupinknot-entry could not be started; is it built?";
     if (m_settings.maxDescriptors) {
@@ -96,6 +111,13 @@
         if (::prlimit(m_process->id(), RLIMIT_NOFILE, &limit, nullptr) != 0)
             return "the limit of descriptors could not be set";
     }
+    return std::nullopt;
+}
+
+std::optional<std::string> EntryProcess::start()
+{
+    if (auto problem = launch())
+        return problem;
     for (int i = 0; i < startTries && isRunning(); ++i) {
         const auto answer = ask(m_ready, { "GET", "/", { { "Host", "h" } }, "" });
         if (answer && answer->status == okStatus)
@@ -108,6 +130,28 @@
     return "lupinknot-entry did not become ready: " + log();
 }
 
+bool EntryProcess::isReadingSettings() const
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator entries("/proc/" + std::to_string(m_process->id()) + "/fd", error);
+    if (error)
+        return false;
+    return std::any_of(begin(entries), end(entries), [this](const std::filesystem::directory_entry& entry) {
+        std::error_code gone;
+        return std::filesystem::read_symlink(entry.path(), gone) == m_folder + "/vm.toml";
+    });
+}
+
+void EntryProcess::fillLog() const
+{
+    const auto writer = ::open((m_folder + "/vm.log").c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+    const std::string text(PIPE_BUF, 'x');
+    for (const auto size : { text.size(), std::size_t { 1 } }) {
+        while (::write(writer, text.data(), size) > 0) { }
+    }
+    ::close(writer);
+}
+
 unsigned EntryProcess::answerTo(const std::string& target, const std::string& body)
 {
     const HttpHeaders headers { { "Host", "h" }, { "X-Request-Id", "ordinary-" + std::to_string(++m_lastRequest) },
@@ -122,10 +166,20 @@
         + "\r\nX-Deadline-Ms: 10000\r\n";
 }
 
-void EntryProcess::requestStop()
+void EntryProcess::signal(int number)
 {
     if (m_process)
-        m_process->signal(SIGTERM);
+        m_process->signal(number);
+}
+
+void EntryProcess::requestStop() { signal(SIGTERM); }
+
+bool EntryProcess::isListening()
+{
+    boost::asio::ip::tcp::socket socket(m_ioContext);
+    boost::system::error_code error;
+    socket.connect({ boost::asio::ip::make_address(m_front.host), static_cast<unsigned short>(m_front.port) }, error);
+    return !error;
 }
 
 std::size_t EntryProcess::openDescriptors() const
@@ -162,7 +216,10 @@
     return answer ? answer->body : "";
 }
 
-std::string EntryProcess::log() const { return readFile(m_folder + "/vm.log"); }
+std::string EntryProcess::log() const
+{
+    return m_settings.isLogUnread ? "(the log is not read)" : readFile(m_folder + "/vm.log");
+}
 
 void EntryProcess::writeConfiguration()
 {
@@ -183,13 +240,15 @@
 
 void EntryProcess::writeSettings() const
 {
-    std::ofstream(m_folder + "/vm.toml") << "node-name = \"vm0\"\nzone = \"zone-0\"\ninternal-ports = [" << m_peers.port
-                                         << "]\n[listen]\nfront = \"" << m_front.text() << "\"\nready = \""
-                                         << m_ready.text()
-                                         << "\"\n[bounds]\ncontact-ms = 3000\nconfig-apply-ms = 2000\ndrain-ms = "
-                                            "2500\ngrace-s = 8\n[limits]\nmemory-mb = "
-                                         << m_settings.memoryMegabytes << "\n[platform]\naddress = \""
-                                         << SocketAddress { m_host, m_store.port() }.text() << "\"\n";
+    std::ofstream file(m_folder + "/vm.toml");
+    for (std::size_t size = 0; size < m_settings.settingsComment; size += commentLine.size())
+        file << commentLine;
+    file << "node-name = \"vm0\"\nzone = \"zone-0\"\ninternal-ports = [" << m_peers.port << "]\n[listen]\nfront = \""
+         << m_front.text() << "\"\nready = \"" << m_ready.text()
+         << "\"\n[bounds]\ncontact-ms = 3000\nconfig-apply-ms = 2000\ndrain-ms = "
+            "2500\ngrace-s = 8\n[limits]\nmemory-mb = "
+         << m_settings.memoryMegabytes << "\n[platform]\naddress = \""
+         << SocketAddress { m_host, m_store.port() }.text() << "\"\n";
 }
 
 void EntryProcess::serveAsEndpoint(const std::shared_ptr<HttpExchange>& exchange)
--- a/test/EntryProcess.h
+++ b/test/EntryProcess.h
@@ -32,6 +32,10 @@
     std::int64_t idleTimeoutMilliseconds { 15000 };
     // Limit of open descriptors of the process; nothing: that of the test's process.
     std::optional<std::size_t> maxDescriptors {};
+    // Bytes of comment in the settings file, which make reading it take longer.
+    std::size_t settingsComment { 0 };
+    // The log is a pipe that nobody reads.
+    bool isLogUnread { false };
 };
 
 class EntryProcess {
@@ -43,6 +47,12 @@
 
     // Starts the process and waits until it serves requests. Returns the error text, or nothing on success.
     std::optional<std::string> start();
+    // Starts the process only.
+    std::optional<std::string> launch();
+    // True while the process reads its settings file.
+    bool isReadingSettings() const;
+    // Writes to a log that is not read until it takes no more.
+    void fillLog() const;
     // Sends a request and runs the event loop until it is answered. Returns the status, 0 without an answer.
     unsigned answerTo(const std::string& target, const std::string& body = "");
     // The bytes of a request's header up to its length: request line, host, id and deadline.
@@ -51,8 +61,11 @@
     bool isRunning() { return m_process && m_process->isRunning(); }
     // How the process ended.
     std::string lastExit() const { return m_process ? m_process->lastExit() : ""; }
+    void signal(int number);
     // Sends SIGTERM.
     void requestStop();
+    // False when connections of callers are refused.
+    bool isListening();
     // The most memory that the process has had resident, in bytes.
     std::size_t peakMemory() const { return memoryOf("VmHWM:"); }
     std::size_t residentMemory() const { return memoryOf("VmRSS:"); }
@@ -61,7 +74,7 @@
     std::size_t unreadBytes() const;
     // The text of the metrics page.
     std::string metrics();
-    // The text of the process's log.
+    // The text of the process's log, unless the log is not read.
     std::string log() const;
 
     const internal::SocketAddress& front() const { return m_front; }
@@ -96,6 +109,8 @@
     internal::HttpServer m_endpoint;
     std::size_t m_endpointRequests { 0 };
     std::uint64_t m_lastRequest { 0 };
+    // The end of the log's pipe that is not read.
+    int m_logReader { -1 };
     std::unique_ptr<soak::ChildProcess> m_process;
 };
 
