--- a/test/SignalsTest.cpp
+++ b/test/SignalsTest.cpp
@@ -1,8 +1,10 @@
 // Signals of planned work that reach a process before it serves, while it stops and after it has stopped serving.
 #include "EntryProcess.h"
 #include "RunUntil.h"
+#include "common/ByteSizes.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <csignal>
 
 #include <CppUTest/TestHarness.h>
 
@@ -12,7 +14,12 @@
 
 namespace {
 
+// Takes long enough to read that the process is found reading it.
+constexpr std::size_t longComment = 8 * mebibyte;
 constexpr Milliseconds pollInterval { 1 };
+constexpr Milliseconds signalInterval { 10 };
+// An endpoint's work on a request that is open when the stop begins.
+constexpr Milliseconds workTime { 1000 };
 const std::string plannedEnd = "exit 0";
 
 } // namespace
@@ -33,6 +40,16 @@
         CHECK_TEXT(!problem, problem.value_or("").c_str());
     }
 
+    void launchAndSignalDuringStart(std::initializer_list<int> signals)
+    {
+        create({ .settingsComment = longComment });
+        const auto problem = vm->launch();
+        CHECK_TEXT(!problem, problem.value_or("").c_str());
+        CHECK_TEXT(waitUntil([this] { return vm->isReadingSettings(); }), "the process was not found starting");
+        for (const auto number : signals)
+            vm->signal(number);
+    }
+
     // Runs the event loop and checks the condition at each poll interval.
     bool waitUntil(const std::function<bool()>& condition)
     {
@@ -56,8 +73,43 @@
         CHECK_TEXT(waitUntil([this] { return !vm->isRunning(); }), "the process does not end");
         STRCMP_EQUAL(plannedEnd.c_str(), vm->lastExit().c_str());
     }
+
+    // Sends the signal again and again until the process ends or the timer is cancelled.
+    void signalRepeatedly(boost::asio::steady_timer & timer, int number)
+    {
+        vm->signal(number);
+        timer.expires_after(signalInterval);
+        timer.async_wait([this, &timer, number](boost::system::error_code error) {
+            if (!error && vm->isRunning())
+                signalRepeatedly(timer, number);
+        });
+    }
 };
 
+TEST(Signals, AStopRequestedDuringTheStartIsAPlannedStop)
+{
+    launchAndSignalDuringStart({ SIGTERM });
+    checkEndsAsPlanned();
+    STRCMP_CONTAINS("process.stopping", vm->log().c_str());
+}
+
+TEST(Signals, AReloadRequestedDuringTheStartIsCarriedOut)
+{
+    launchAndSignalDuringStart({ SIGHUP });
+    CHECK_TEXT(
+        waitUntil([this] { return !vm->isRunning() || vm->log().find("settings.applied") != std::string::npos; }),
+        "the settings were not read again");
+    CHECK_TEXT(vm->isRunning(), vm->lastExit().c_str());
+}
+
+TEST(Signals, AReloadAndAStopRequestedDuringTheStartAreBothCarriedOut)
+{
+    launchAndSignalDuringStart({ SIGHUP, SIGTERM });
+    checkEndsAsPlanned();
+    STRCMP_CONTAINS("settings.applied", vm->log().c_str());
+    STRCMP_CONTAINS("process.stopping", vm->log().c_str());
+}
+
 // Guards against a process that waits for its log until it is killed.
 TEST(Signals, AStopEndsAlthoughTheLogIsNotRead)
 {
@@ -67,3 +119,43 @@
     vm->requestStop();
     checkEndsAsPlanned();
 }
+
+// The process waits for its log at the end, when it serves nobody any more.
+TEST(Signals, AReloadRequestedAfterTheStopDoesNotEndTheProcess)
+{
+    create({ .isLogUnread = true });
+    start();
+    vm->fillLog();
+    vm->requestStop();
+    CHECK_TEXT(waitUntil([this] { return !vm->isListening(); }), "the process does not stop");
+    vm->signal(SIGHUP);
+    checkEndsAsPlanned();
+}
+
+TEST(Signals, AStopRequestedAgainAfterTheStopDoesNotEndTheProcess)
+{
+    create({ .isLogUnread = true });
+    start();
+    vm->fillLog();
+    vm->requestStop();
+    CHECK_TEXT(waitUntil([this] { return !vm->isListening(); }), "the process does not stop");
+    vm->signal(SIGTERM);
+    checkEndsAsPlanned();
+}
+
+TEST(Signals, ReloadsDuringAStopLeaveOpenRequestsTheirAnswers)
+{
+    create({});
+    vm->callTime = workTime;
+    start();
+    boost::asio::steady_timer stopTimer(ioContext, workTime / 2);
+    boost::asio::steady_timer signalTimer(ioContext);
+    stopTimer.async_wait([&](boost::system::error_code) {
+        vm->requestStop();
+        signalRepeatedly(signalTimer, SIGHUP);
+    });
+    LONGS_EQUAL(200, vm->answerTo("/calls/1"));
+    checkEndsAsPlanned();
+    signalTimer.cancel();
+    ioContext.poll();
+}
