Keep SIGHUP and early signals from ending lupinknotd

SIGHUP ended lupinknotd at any time by its default action, with every call and generation in progress: the caller of the test's call got no answer. SIGTERM during the start ended it by the signal as well.

SIGTERM and SIGINT were blocked only after the settings had been read, and SIGHUP not at all; the daemon has no reload of its settings.

The three signals are blocked first in main(). The thread that waits for them logs and ignores SIGHUP. DaemonProcess moves to a header of its own for the new tests; HeldConnectionsTest is unchanged otherwise.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,7 @@
 // lupinknotd: the daemon of an entry VM.
 
 #include "common/Log.h"
+#include "common/PlannedSignals.h"
 #include "common/Version.h"
 #include "daemon/Daemon.h"
 #include "http/HttpCall.h"
@@ -10,7 +11,6 @@
 #include <boost/leaf/handle_errors.hpp>
 #include <csignal>
 #include <iostream>
-#include <pthread.h>
 #include <tclap/CmdLine.h>
 
 namespace {
@@ -39,15 +39,17 @@
     return { settings.getValue(), check.getValue(), reference.getValue() };
 }
 
-int serve(const DaemonSettings& settings)
+// The signals are blocked in every thread.
+void awaitStopSignal()
 {
-    // The signals are blocked before the first thread starts, and therefore in every thread; one thread waits for them.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const auto signals = plannedSignals();
+    int signal = 0;
+    while (sigwait(&signals, &signal) == 0 && signal == SIGHUP)
+        logInfo(LogComponent::Daemon, "SIGHUP is ignored: the settings are read at the start only.");
+}
 
+int serve(const DaemonSettings& settings)
+{
     initializeLog(valueIn(logLevelNames, settings.vm.logLevel).value_or(LogLevel::Info));
     setHttpCallThreads(static_cast<unsigned>(settings.vm.callThreads));
 
@@ -56,9 +58,8 @@
         logError(LogComponent::Daemon, *problem + ".");
         return exitNotStarted;
     }
-    std::thread([&daemon, signals] {
-        int signal = 0;
-        sigwait(&signals, &signal);
+    std::thread([&daemon] {
+        awaitStopSignal();
         daemon.requestStop();
     }).detach();
     daemon.waitForStopRequest();
@@ -96,6 +97,7 @@
 
 int main(int argc, char** argv)
 {
+    blockPlannedSignals();
     try {
         const auto code = run(parseOptions(argc, argv));
         std::cout.flush();
--- a/test/HeldConnectionsTest.cpp
+++ b/test/HeldConnectionsTest.cpp
@@ -1,18 +1,12 @@
+#include "DaemonProcess.h"
 #include "EntryProcess.h"
-#include "ReservedPort.h"
 #include "RunUntil.h"
-#include "TestCluster.h"
 #include "common/ByteSizes.h"
-#include "soak/ChildProcess.h"
-#include "standin/ServiceStandIn.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <deque>
-#include <filesystem>
-#include <fstream>
-#include <sys/resource.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -72,74 +66,6 @@
     std::deque<tcp::socket> m_sockets;
 };
 
-// lupinknotd as a child process, with one service.
-class DaemonProcess {
-public:
-    DaemonProcess()
-        : m_service("s1", "127.0.0.1", 0)
-        , m_callers(m_ioContext)
-        , m_operators(m_ioContext)
-        , m_folder(std::filesystem::temp_directory_path() / ("lupinknotd-" + std::to_string(::getpid())))
-    {
-        m_service.start();
-        std::filesystem::create_directories(m_folder);
-        std::ofstream(m_folder / "vm.toml")
-            << "[vm]\nname = \"a1\"\nzone = \"z1\"\nstop_notice_ms = 0\n[listener]\nport = " << m_callers.number()
-            << "\n[admin]\nport = " << m_operators.number()
-            << "\n[[endpoint]]\nname = \"s1\"\nzone = \"z1\"\naddress = \"127.0.0.1\"\nport = " << m_service.port()
-            << "\n[[service]]\nname = \"thumbs\"\npath = \"/thumbs\"\nendpoints = [\"s1\"]\n";
-        const auto program = std::filesystem::read_symlink("/proc/self/exe").parent_path() / "lupinknotd";
-        const std::vector<std::string> command { program.string(), "--settings", (m_folder / "vm.toml").string() };
-        m_process = std::make_unique<soak::ChildProcess>(command, (m_folder / "vm.log").string());
-    }
-
-    ~DaemonProcess()
-    {
-        m_process.reset();
-        std::error_code ignored;
-        std::filesystem::remove_all(m_folder, ignored);
-    }
-
-    DaemonProcess(const DaemonProcess&) = delete;
-    DaemonProcess& operator=(const DaemonProcess&) = delete;
-
-    // Starts the process with this limit of descriptors. Returns whether it became ready.
-    bool start(std::size_t limit)
-    {
-        if (!m_process->start())
-            return false;
-        const rlimit descriptors { limit, limit };
-        ::prlimit(m_process->id(), RLIMIT_NOFILE, &descriptors, nullptr);
-        return becomesTrue([this] { return ask({ "GET", "/readyz", { { "Host", "h" } }, "" }, m_operators) == 200; });
-    }
-
-    bool isRunning() { return m_process->isRunning(); }
-    unsigned answerTo(const std::string& target)
-    {
-        return ask({ "POST", target, { { "Host", "h" }, { "Connection", "close" } }, "body" }, m_callers);
-    }
-    SocketAddress front() const { return { "127.0.0.1", m_callers.number() }; }
-    std::size_t openDescriptors() const
-    {
-        std::error_code error;
-        const std::filesystem::directory_iterator entries("/proc/" + std::to_string(m_process->id()) + "/fd", error);
-        return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
-    }
-
-private:
-    static unsigned ask(const HttpRequest& request, const ReservedPort& port)
-    {
-        return fetch({ "127.0.0.1", port.number() }, request, Milliseconds { 10000 }).response.status;
-    }
-
-    boost::asio::io_context m_ioContext;
-    ServiceStandIn m_service;
-    const ReservedPort m_callers;
-    const ReservedPort m_operators;
-    const std::filesystem::path m_folder;
-    std::unique_ptr<soak::ChildProcess> m_process;
-};
-
 } // namespace
 
 // Guards against a VM that serves nobody because callers hold all descriptors of its process.
--- a/test/SignalsTest.cpp
+++ b/test/SignalsTest.cpp
@@ -1,10 +1,12 @@
 // Signals of planned work that reach a process before it serves, while it stops and after it has stopped serving.
+#include "DaemonProcess.h"
 #include "EntryProcess.h"
 #include "RunUntil.h"
 #include "common/ByteSizes.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <future>
 
 #include <CppUTest/TestHarness.h>
 
@@ -20,6 +22,7 @@
 constexpr Milliseconds signalInterval { 10 };
 // An endpoint's work on a request that is open when the stop begins.
 constexpr Milliseconds workTime { 1000 };
+constexpr std::size_t maxDescriptors = 256;
 const std::string plannedEnd = "exit 0";
 
 } // namespace
@@ -159,3 +162,48 @@
     signalTimer.cancel();
     ioContext.poll();
 }
+
+// The same for lupinknotd.
+TEST_GROUP(SignalsOfDaemon) { static void checkEndsAsPlanned(DaemonProcess & daemon) {
+    CHECK_TEXT(becomesTrue([&daemon] { return !daemon.isRunning(); }), "the process does not end");
+STRCMP_EQUAL(plannedEnd.c_str(), daemon.lastExit().c_str());
+}
+
+static void launchAndSignalDuringStart(DaemonProcess& daemon, int number)
+{
+    CHECK(daemon.launch());
+    while (!daemon.isReadingSettings() && daemon.isRunning())
+        std::this_thread::sleep_for(pollInterval);
+    daemon.signal(number);
+}
+}
+;
+
+TEST(SignalsOfDaemon, AStopRequestedDuringTheStartIsAPlannedStop)
+{
+    DaemonProcess daemon(longComment);
+    launchAndSignalDuringStart(daemon, SIGTERM);
+    checkEndsAsPlanned(daemon);
+}
+
+TEST(SignalsOfDaemon, AHangupDuringTheStartDoesNotEndTheProcess)
+{
+    DaemonProcess daemon(longComment);
+    launchAndSignalDuringStart(daemon, SIGHUP);
+    CHECK_TEXT(daemon.becomesReady(), daemon.lastExit().c_str());
+}
+
+TEST(SignalsOfDaemon, AHangupLeavesOpenRequestsTheirAnswers)
+{
+    DaemonProcess daemon;
+    CHECK(daemon.start(maxDescriptors));
+    daemon.service().control(R"({"delay_ms": 500})");
+    auto status = std::async(std::launch::async, [&daemon] { return daemon.answerTo("/thumbs/1"); });
+    do {
+        daemon.signal(SIGHUP);
+    } while (status.wait_for(signalInterval) == std::future_status::timeout);
+    LONGS_EQUAL(200, status.get());
+    daemon.signal(SIGTERM);
+    daemon.signal(SIGHUP);
+    checkEndsAsPlanned(daemon);
+}
