Answer a request that waits for the quarantine's decision at the end

A request of a quarantined content that was read whole, and for which another VM decides whether it is the trial, got no answer when the process ended: the connection was closed.

Between its admission and the decision the request was held by the callback only, and OpenCalls, through which the rest is answered at the end of the grace, did not know it. It is an open call now until it is decided, and is refused with `stopping` (503, not run) at the end; a decision that comes later is dropped.

PlannedStop.ARequestThatWaitsForTheQuarantineIsRefused: before, no answer (1 of 1 run); after, 503, and nothing is sent to the endpoint although the trial is granted afterwards.

--- a/src/relay/RelayHandler.cpp
+++ b/src/relay/RelayHandler.cpp
@@ -7,12 +7,14 @@
 #include "relay/CrashGuard.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/EventStreamCall.h"
+#include "relay/OpenCalls.h"
 #include "relay/RelayConfiguration.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayMetrics.h"
 #include "relay/RelaySettings.h"
 
 #include <algorithm>
+#include <utility>
 #include <xxhash.h>
 
 namespace lupinknot::internal {
@@ -40,6 +42,46 @@
 
 } // namespace
 
+// A request that waits for the decision whether it is quarantined, which other VMs may take part in.
+class RelayHandler::UndecidedRequest final : public OpenCall, public std::enable_shared_from_this<UndecidedRequest> {
+public:
+    UndecidedRequest(RelayHandler& handler, RelayRequest request)
+        : m_handler(handler)
+        , m_openCalls(handler.m_context.openCalls)
+        , m_request(std::move(request))
+    {
+    }
+
+    ~UndecidedRequest() override { m_openCalls->remove(*this); }
+    UndecidedRequest(const UndecidedRequest&) = delete;
+    UndecidedRequest& operator=(const UndecidedRequest&) = delete;
+
+    void begin() { m_openCalls->add(*this); }
+
+    // The request, unless it has been answered.
+    std::optional<RelayRequest> take()
+    {
+        m_openCalls->remove(*this);
+        return std::exchange(m_request, std::nullopt);
+    }
+
+    // The decision comes soon.
+    void stopRequested() override { }
+
+    void processEnds() override
+    {
+        if (const auto request = take())
+            m_handler.refuse(*request, RefusalReason::Stopping);
+    }
+
+    std::shared_ptr<OpenCall> hold() override { return shared_from_this(); }
+
+private:
+    RelayHandler& m_handler;
+    const std::shared_ptr<OpenCalls> m_openCalls;
+    std::optional<RelayRequest> m_request;
+};
+
 RelayHandler::RelayHandler(RelayContext& context)
     : m_context(context)
     , m_startedAt(context.now())
@@ -114,14 +156,18 @@
         .number("config_version", static_cast<std::int64_t>(request.configurationVersion))
         .write();
     const auto digest = request.digest;
-    const auto shared = std::make_shared<RelayRequest>(std::move(request));
-    m_context.crashGuard.admit(digest, [this, isStream, shared](bool isAdmitted) {
+    const auto undecided = std::make_shared<UndecidedRequest>(*this, std::move(request));
+    undecided->begin();
+    m_context.crashGuard.admit(digest, [this, isStream, undecided](bool isAdmitted) {
+        auto decided = undecided->take();
+        if (!decided)
+            return;
         if (!isAdmitted)
-            refuse(*shared, RefusalReason::HeldInQuarantine);
+            refuse(*decided, RefusalReason::HeldInQuarantine);
         else if (isStream)
-            EventStreamCall::serve(m_context, std::move(*shared));
+            EventStreamCall::serve(m_context, std::move(*decided));
         else
-            BufferedCall::serve(m_context, std::move(*shared));
+            BufferedCall::serve(m_context, std::move(*decided));
     });
 }
 
--- a/src/relay/RelayHandler.h
+++ b/src/relay/RelayHandler.h
@@ -22,6 +22,8 @@
     void processWaitingRequests() { m_startupQueue.release(); }
 
 private:
+    class UndecidedRequest;
+
     void serveOrWait(const StartupQueue::Request&);
     void serve(const StartupQueue::Request&);
     // The rank of a request that has not been admitted yet.
--- a/test/PlannedStopTest.cpp
+++ b/test/PlannedStopTest.cpp
@@ -2,6 +2,9 @@
 #include "RawConnection.h"
 #include "RelayHarness.h"
 #include "limits/PermitSource.h"
+#include "quarantine/RequestDigest.h"
+#include "quarantine/TrialSource.h"
+#include "relay/CrashGuard.h"
 
 #include <CppUTest/TestHarness.h>
 #include <boost/asio/steady_timer.hpp>
@@ -37,12 +40,30 @@
     std::vector<std::function<void(const PermitAnswer&)>> m_callbacks;
 };
 
+// Never decides about a trial.
+class SilentTrials final : public TrialSource {
+public:
+    void ask(const std::string&, Callback callback) override { m_callbacks.push_back(std::move(callback)); }
+
+    void grantAll()
+    {
+        for (const auto& callback : std::exchange(m_callbacks, {}))
+            callback({ TrialAnswer::Granted, Milliseconds { 0 } });
+    }
+
+    std::size_t asked() const { return m_callbacks.size(); }
+
+private:
+    std::vector<Callback> m_callbacks;
+};
+
 } // namespace
 
 // Guards against requests that are cut without an answer when the process ends.
 TEST_GROUP(PlannedStop)
 {
     LatePermits permits;
+    SilentTrials trials;
     std::unique_ptr<RelayHarness> relay;
     std::unique_ptr<boost::asio::steady_timer> timer;
 
@@ -94,6 +115,26 @@
         relay.reset();
     }
 
+    // A request that was held because endpoints crashed under it, and whose hold has ended.
+    void endHold(const std::string& path)
+    {
+        auto& guard = relay->daemon().crashGuard();
+        const auto digest = digestOf({ "POST", path, { { "Host", "h" } }, "" }, "");
+        for (int i = 0; i < 3; ++i) {
+            const auto name = std::to_string(i);
+            const auto lostAt = relay->daemon().clock().now() - Milliseconds { 120000 - 1000 * i };
+            guard.addReportedCrash({ { .digest = digest,
+                                         .endpointId = "lost" + name,
+                                         .address = "127.0.0.1:" + name,
+                                         .weight = 1,
+                                         .sentAt = 0,
+                                         .lostAt = 100,
+                                         .zone = "zone " + name },
+                lostAt });
+        }
+        CHECK_TEXT(guard.trialFrom(digest) != Milliseconds { 0 }, "the request has not been held");
+    }
+
     static void checkStatus(int expected, RawConnection& caller)
     {
         const auto answer = caller.readAll();
@@ -151,6 +192,23 @@
     checkStatus(503, caller);
 }
 
+TEST(PlannedStop, ARequestThatWaitsForTheQuarantineIsRefused)
+{
+    auto& endpoint = relay->addEndpoint("e1");
+    ready();
+    relay->daemon().crashGuard().setTrials(&trials);
+    endHold("/once/1");
+    RawConnection caller(relay->daemon().frontPort());
+    caller.send(request("/once/1"));
+    CHECK(relay->runUntil([&] { return trials.asked() > 0; }));
+    relay->daemon().requestStop();
+    relay->daemon().run();
+    trials.grantAll();
+    LONGS_EQUAL(0, endpoint.requests().size());
+    relay.reset();
+    checkStatus(503, caller);
+}
+
 TEST(PlannedStop, AStreamThatWaitsForAnEngineIsRefused)
 {
     relay->settings.waitForEndpoint = Milliseconds { 60000 };
