Answer requests that arrive on kept connections as a stop ends

When a VM that is stopped had no request in progress, its event loop ended at once. A request whose bytes had just been taken from its kept connection was cut: the parsing was queued behind the end. One that arrived just before its idle connection was closed was lost with a reset. Both callers got a closed connection and no answer, so that a request that must not be repeated was lost; none had been passed on.

The check that found no request in progress stopped the loop in the same call, before the queued reads and closes ran. closeIfIdle() did not look at what had arrived, as displace() does. Idle connections were closed once only, so that those of streams that ended later stayed open to the end.

The tests let the event loop stand still, so that the request and the check are due at once.

--- a/src/http/HttpSession.cpp
+++ b/src/http/HttpSession.cpp
@@ -233,20 +233,22 @@
 
 void HttpSession::closeIfIdle()
 {
-    net::post(m_stream.get_executor(), [self = shared_from_this()] {
-        if (self->m_isIdle)
-            self->close();
-    });
+    net::post(m_stream.get_executor(), [self = shared_from_this()] { self->closeIfNothingArrived(); });
+}
+
+void HttpSession::closeIfNothingArrived()
+{
+    beast::error_code error;
+    // A request that has arrived is handled.
+    if (m_isIdle && m_stream.socket().available(error) == 0)
+        close();
 }
 
 void HttpSession::displace()
 {
     net::post(m_stream.get_executor(), [self = shared_from_this()] {
-        beast::error_code error;
         if (self->m_isIdle) {
-            // A request that has arrived is handled.
-            if (self->m_stream.socket().available(error) == 0)
-                self->close();
+            self->closeIfNothingArrived();
         } else if (!self->m_isClosed && self->m_isReceivingHeader) {
             self->m_isDisplaced = true;
             self->m_stream.cancel();
--- a/src/http/HttpSession.h
+++ b/src/http/HttpSession.h
@@ -56,7 +56,7 @@
     void displace();
     // Resets the connection. Thread-safe.
     void abort();
-    // Closes the connection if no request has begun on it. Thread-safe.
+    // Closes the connection if no part of a request has arrived on it. Thread-safe.
     void closeIfIdle();
     // True from the last byte of a request to the last byte of its response. Thread-safe.
     bool isBusy() const { return m_isBusy; }
@@ -69,6 +69,7 @@
     using StreamHeaderSerializer = boost::beast::http::response_serializer<boost::beast::http::empty_body>;
 
     void awaitRequest();
+    void closeIfNothingArrived();
     void readRequest();
     void readSome();
     void received(boost::beast::error_code, std::size_t size);
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -202,18 +202,22 @@
     const auto elapsed = m_clock.now() - *m_stopRequestedAt;
     if (elapsed >= m_settings.stopAcceptsFor && !m_context.isStopping) {
         m_context.isStopping = true;
-        m_callerServer.closeIdleConnections();
         m_tunnels.stop();
         m_handler.processWaitingRequests();
     }
-    if (m_context.isStopping)
+    if (m_context.isStopping) {
+        m_callerServer.closeIdleConnections();
         m_tunnels.closeIdle();
+    }
     // Settings that are reloaded during the stop apply to it.
     m_context.endsAt = *m_stopRequestedAt + m_settings.stopWithin;
     if (elapsed >= m_settings.stopWithin && !std::exchange(m_hasAnsweredAll, true))
         m_context.openCalls->end();
     const auto busy = m_callerServer.busyCount() + m_tunnels.busyCount();
-    if ((m_context.isStopping && busy == 0) || elapsed >= m_settings.stopWithin + lastAnswersTime) {
+    const bool isFinished = m_context.isStopping && busy == 0;
+    // Requests that arrived before the idle connections were closed are answered by the next check.
+    const bool wasFinished = std::exchange(m_wasFinished, isFinished);
+    if ((isFinished && wasFinished) || elapsed >= m_settings.stopWithin + lastAnswersTime) {
         LogEvent("process.stopped").number("broken_off", static_cast<std::int64_t>(busy)).write();
         m_ioContext.stop();
         return;
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -151,6 +151,8 @@
     std::optional<Milliseconds> m_stopRequestedAt;
     // At the end of the stop, the requests that had no answer have got one.
     bool m_hasAnsweredAll { false };
+    // At the last check during the stop, no request was in progress.
+    bool m_wasFinished { false };
 };
 
 } // namespace lupinknot::internal
--- a/test/PlannedStopTest.cpp
+++ b/test/PlannedStopTest.cpp
@@ -8,6 +8,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <boost/asio/steady_timer.hpp>
+#include <thread>
 
 using namespace lupinknot;
 using namespace lupinknot::internal;
@@ -57,6 +58,9 @@
     std::vector<Callback> m_callbacks;
 };
 
+// Lets the time pass while the event loop stands still.
+void standStill(Milliseconds time) { std::this_thread::sleep_for(time); }
+
 } // namespace
 
 // Guards against requests that are cut without an answer when the process ends.
@@ -115,6 +119,21 @@
         relay.reset();
     }
 
+    // Sends a first request, whose answer lets the caller keep the connection.
+    std::unique_ptr<RawConnection> keptConnection(ScriptedEndpoint & endpoint)
+    {
+        endpoint.onRequest([](ScriptedConnection& client, const std::string& text) {
+            client.answer(200, signedHeadFor(text), "first answer");
+        });
+        ready();
+        auto caller = std::make_unique<RawConnection>(relay->daemon().frontPort());
+        caller->send(request("/once/1"));
+        CHECK(relay->runUntil([&] { return caller->hasInput(); }));
+        STRCMP_CONTAINS("200 ", caller->readUntil("first answer").c_str());
+        caller->forgetReceived();
+        return caller;
+    }
+
     // A request that was held because endpoints crashed under it, and whose hold has ended.
     void endHold(const std::string& path)
     {
@@ -209,6 +228,31 @@
     checkStatus(503, caller);
 }
 
+TEST(PlannedStop, ARequestThatArrivesOnAKeptConnectionAtTheEndIsRefused)
+{
+    const auto caller = keptConnection(relay->addEndpoint("e1"));
+    after(acceptsFor / 2, [&] {
+        caller->send(request("/once/2"));
+        standStill(acceptsFor);
+    });
+    stop();
+    checkStatus(503, *caller);
+}
+
+TEST(PlannedStop, ARequestThatArrivesAsItsKeptConnectionIsClosedIsRefused)
+{
+    const auto caller = keptConnection(relay->addEndpoint("e1"));
+    // Both timers are due when the event loop goes on, and so is the check that closes connections.
+    boost::asio::steady_timer arrival(relay->daemon().ioContext(), acceptsFor / 2);
+    arrival.async_wait([&](boost::system::error_code) { caller->send(request("/once/2")); });
+    after(acceptsFor / 4, [] { standStill(2 * acceptsFor); });
+    relay->daemon().requestStop();
+    relay->daemon().run();
+    timer.reset();
+    relay.reset();
+    checkStatus(503, *caller);
+}
+
 TEST(PlannedStop, AStreamThatWaitsForAnEngineIsRefused)
 {
     relay->settings.waitForEndpoint = Milliseconds { 60000 };
--- a/test/RawConnection.h
+++ b/test/RawConnection.h
@@ -42,6 +42,15 @@
     // Reads until the peer closes the connection.
     std::string readAll() { return readUntil(std::string(1, '\0')); }
 
+    // Forgets what has been received.
+    void forgetReceived() { m_received.clear(); }
+    // True when bytes or the end of the connection can be read.
+    bool hasInput()
+    {
+        char byte = 0;
+        return ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+    }
+
     void close() { m_socket.close(); }
 
     // Closes the connection with a reset.
