--- a/test/SignalsTest.cpp
+++ b/test/SignalsTest.cpp
@@ -4,7 +4,10 @@
 #include "RunUntil.h"
 #include "common/ByteSizes.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <csignal>
 #include <future>
 
@@ -23,6 +26,8 @@
 // An endpoint's work on a request that is open when the stop begins.
 constexpr Milliseconds workTime { 1000 };
 constexpr std::size_t maxDescriptors = 256;
+// More than the sockets between the process and its caller take.
+constexpr std::size_t longAnswer = 24 * mebibyte;
 const std::string plannedEnd = "exit 0";
 
 } // namespace
@@ -163,6 +168,31 @@
     ioContext.poll();
 }
 
+// Guards against an answer that is cut because its VM stops while its caller reads it slowly.
+TEST(Signals, AStopLeavesASlowReaderItsWholeAnswer)
+{
+    create({ .memoryMegabytes = 512 });
+    vm->answerBytes = longAnswer;
+    start();
+    boost::asio::ip::tcp::socket caller(ioContext, boost::asio::ip::tcp::v4());
+    caller.set_option(boost::asio::socket_base::receive_buffer_size(64 * kibibyte));
+    caller.connect({ boost::asio::ip::make_address(vm->front().host), static_cast<unsigned short>(vm->front().port) });
+    boost::asio::write(caller, boost::asio::buffer(vm->requestHead("/calls/1") + "Content-Length: 0\r\n\r\n"));
+    CHECK(waitUntil([this] { return vm->endpointRequests() == 1 && vm->hasEndpointAnswered(); }));
+    vm->requestStop();
+    boost::asio::steady_timer pause(ioContext, workTime);
+    bool isOver = false;
+    pause.async_wait([&](boost::system::error_code) { isOver = true; });
+    CHECK(waitUntil([&] { return isOver; }));
+    std::string answer;
+    boost::system::error_code error;
+    boost::asio::read(caller, boost::asio::dynamic_buffer(answer), error);
+    const auto bodyAt = answer.find("\r\n\r\n");
+    CHECK_TEXT(bodyAt != std::string::npos, "the answer has no header");
+    LONGS_EQUAL(longAnswer, answer.size() - bodyAt - 4);
+    checkEndsAsPlanned();
+}
+
 // The same for lupinknotd.
 TEST_GROUP(SignalsOfDaemon) { static void checkEndsAsPlanned(DaemonProcess & daemon) {
     CHECK_TEXT(becomesTrue([&daemon] { return !daemon.isRunning(); }), "the process does not end");
