Tell whether the hold of a request may end before its time

A stream that has begun is ended when its request is held, although a hold that rests on silent engines ends as soon as they go on. Calls had no way to tell such a hold from one that rests on broken connections, which is final.

Nothing uses it yet; the time for which a loss is taken back moves to its header.

--- a/src/relay/CrashGuard.cpp
+++ b/src/relay/CrashGuard.cpp
@@ -3,6 +3,7 @@
 #include "common/EventLog.h"
 #include "lupinknot/Clock.h"
 #include "quarantine/CrashReports.h"
+#include "quarantine/HoldRetraction.h"
 #include "quarantine/TrialSource.h"
 #include "relay/EndpointDirectory.h"
 #include "relay/EndpointProbe.h"
@@ -29,7 +30,7 @@
 // A request waits no longer for the decision about its suspected losses.
 constexpr Milliseconds maxSuspicionTime { maxEnginePause + 3 * probeInterval };
 // How long a sign of life, or the entry of another incarnation, changes the decision about a silent endpoint.
-constexpr Milliseconds suspectedLossLifetime { 30'000 };
+constexpr Milliseconds suspectedLossLifetime { silenceRetractionTime };
 // Log fields are integers.
 constexpr double percent = 100;
 
