Count no silence that all engines share as a crash

Callers were refused (`held-back`), and begun streams ended, because engines that were suspended for more than 2.5 s counted as crashed by the request that most of them were running. Losses of one zone at a time count as one, but engines of three zones that pause together are three, which is a hold. The rule that excuses mass losses does not apply: it leaves out engines lost under the same request, and here there is only one. The losses were taken back when the engines went on, but by then the streams had ended.

Ruled out: concurrent losses of all zones as one. A request whose engines hang within 300 ms of each other looks the same (SilentLossReplay.RequestWhoseEnginesHangIsHeld), so that simultaneity alone does not tell the two apart. Counting no silence at all fails the same test.

What tells them apart are the engines that have not lost the request: they are silent as well in a common pause. `still-silent` now needs 2.5 s of silence while such a witness of the zone, or of the service where the zone has none, is alive without a longer gap. A removed entry, which only says that no heartbeat was written, counts while a witness is alive or where there is none. Another incarnation, broken connections and connections that cannot be established count as before. While all witnesses are silent the request waits, for 10 s at most, which is the hold that it had before.

CrashGuard.EntriesRemovedWhileAllEndpointsAreSilentAreNoCrashes fails without the condition on removed entries and passes with it. The other tests of CrashGuard and SilentLossReplay pass unchanged, and so do Quarantine, CrashWeight, PeerCrashReports, StoreCrashReports, TrialGrants, CrashingRequest, CrashingRequestFleet, SilentEndpoint, SilentEngineFleet and SilentEngineFleetWithRetries, one run each.

Conclusion: silence counts where other engines show that it is not common. Half of the engines of each zone that pause for more than 2.5 s still count unless a run of the request goes on elsewhere.

--- a/src/quarantine/LossEvidence.cpp
+++ b/src/quarantine/LossEvidence.cpp
@@ -15,11 +15,11 @@
 {
     if (facts.hasBeenAlive)
         return LossEvidence::Alive;
-    if (facts.isEntryGone)
+    if (facts.isReplaced || (facts.isRemoved && !facts.areOthersSilent))
         return LossEvidence::EntryGone;
     if (facts.failedConnects >= minFailedConnects)
         return LossEvidence::Unreachable;
-    if (facts.silentFor >= maxEnginePause && facts.unansweredProbes >= minUnansweredProbes)
+    if (facts.silentBesideOthers >= maxEnginePause && facts.unansweredProbes >= minUnansweredProbes)
         return LossEvidence::StillSilent;
     return LossEvidence::Silent;
 }
--- a/src/quarantine/LossEvidence.h
+++ b/src/quarantine/LossEvidence.h
@@ -1,9 +1,11 @@
 // What this VM knows about an endpoint under which it has lost a run, and whether the loss counts as a crash.
 //
 // A run becomes silent when its engine has crashed without closing its connections, and also when the engine pauses and
-// then goes on. Silence is therefore only a suspicion, which a sign of life ends at any time. It is
-// confirmed when no connection can be established, when the entry is gone, or when the endpoint accepts connections but
-// answers none of several probes for longer than engines pause. Pure; no state.
+// then goes on. Silence is therefore only a suspicion, which a sign of life ends at any time. It is confirmed when no
+// connection can be established, when another incarnation has taken the endpoint's place, or when the endpoint accepts
+// connections but answers none of several probes for longer than engines pause while others of its zone or service are
+// alive. Engines that are silent together have a common cause, which is not the request. An entry that was only removed
+// has not been written for some time, which is silence as well: it counts only while others are alive. Pure; no state.
 #pragma once
 
 #include "lupinknot/Clock.h"
@@ -19,7 +21,7 @@
     Alive, // The endpoint has given a sign of life since the run became silent.
     EntryGone, // The run became silent, and the endpoint's entry was removed or is of another incarnation.
     Unreachable, // The run became silent, and no connection to the endpoint can be established.
-    StillSilent, // The run became silent, and the endpoint has answered no probe for maxEnginePause.
+    StillSilent, // The run became silent, and the endpoint has answered no probe for maxEnginePause, unlike others.
 };
 
 inline constexpr std::array<EnumName<LossEvidence>, 6> lossEvidenceNames { {
@@ -33,9 +35,15 @@
 
 // What is known about an endpoint since a run there became silent.
 struct SilenceFacts {
-    Milliseconds silentFor { 0 };
     bool hasBeenAlive { false };
-    bool isEntryGone { false };
+    // Another incarnation is listed at its address.
+    bool isReplaced { false };
+    // Its entry was removed.
+    bool isRemoved { false };
+    // There are others that could have shown a sign of life since the run became silent, and none has.
+    bool areOthersSilent { false };
+    // How long it has been silent while others were alive.
+    Milliseconds silentBesideOthers { 0 };
     // Consecutive probes for which no connection was established, and those that were sent but not answered.
     unsigned failedConnects { 0 };
     unsigned unansweredProbes { 0 };
--- a/src/relay/CrashGuard.cpp
+++ b/src/relay/CrashGuard.cpp
@@ -12,7 +12,6 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <set>
 
 namespace lupinknot::internal {
 
@@ -27,8 +26,12 @@
 constexpr Milliseconds probeInterval { 200 };
 constexpr Milliseconds lateProbeInterval { 1000 };
 constexpr Milliseconds probeTime { 10'000 };
-// A request waits no longer for the decision about its suspected losses.
+// A request waits no longer for the decision about a suspected loss: since witnesses are alive, and since the loss
+// while none is. While all engines are silent, nothing is gained by sending the request.
 constexpr Milliseconds maxSuspicionTime { maxEnginePause + 3 * probeInterval };
+constexpr Milliseconds maxCommonSilence { Quarantine::firstHold };
+// Witnesses that show no sign of life for this long may have paused as well, or this VM has.
+constexpr Milliseconds maxWitnessGap { 1000 };
 // How long a sign of life, or the entry of another incarnation, changes the decision about a silent endpoint.
 constexpr Milliseconds suspectedLossLifetime { silenceRetractionTime };
 // Log fields are integers.
@@ -46,6 +49,7 @@
     , m_directory(directory)
     , m_metrics(metrics)
     , m_quarantine(settings.vmName)
+    , m_witnesses(clock, directory)
     , m_evaluationTimer(ioContext)
     , m_checkTimer(ioContext)
     , m_expiryTimer(ioContext)
@@ -77,14 +81,35 @@
     std::vector<CrashRecord> records;
     for (const auto& suspected : m_suspectedLosses) {
         const auto& pendingLoss = suspected.loss;
-        const bool isUndecided
-            = suspected.evidence == LossEvidence::Silent && m_clock.now() - pendingLoss.event.at < maxSuspicionTime;
-        if (isUndecided && pendingLoss.loss.digest == digest)
+        if (pendingLoss.loss.digest == digest && isUndecided(suspected))
             records.push_back(recordOf(pendingLoss, suspected.endsTrial));
     }
     return records;
 }
 
+bool CrashGuard::isUndecided(const SuspectedLoss& suspected) const
+{
+    if (suspected.evidence != LossEvidence::Silent)
+        return false;
+    const auto now = m_clock.now();
+    return suspected.othersAliveSince ? now - *suspected.othersAliveSince < maxSuspicionTime
+                                      : now - suspected.loss.event.at < maxCommonSilence;
+}
+
+std::unordered_map<std::string, std::set<std::string>> CrashGuard::silentIncarnations() const
+{
+    std::unordered_map<std::string, std::set<std::string>> silent;
+    for (const auto& suspected : m_suspectedLosses) {
+        if (!suspected.aliveAt)
+            silent[suspected.loss.loss.digest].insert(suspected.loss.event.endpointId);
+    }
+    for (const auto& pendingLoss : m_pendingLosses) {
+        if (!isAliveAfter(pendingLoss))
+            silent[pendingLoss.loss.digest].insert(pendingLoss.event.endpointId);
+    }
+    return silent;
+}
+
 void CrashGuard::admit(const std::string& digest, std::function<void(bool isAdmitted)> callback)
 {
     const auto now = m_clock.now();
@@ -286,7 +311,7 @@
     if (m_suspectedLosses.size() >= maxSuspectedLosses)
         return;
     m_suspectedLosses.push_back({ pendingLoss, endsTrial, evidence });
-    update(m_suspectedLosses.back());
+    update(m_suspectedLosses.back(), silentIncarnations()[loss.digest]);
     scheduleCheck();
 }
 
@@ -314,12 +339,15 @@
             || wasShuttingDown;
     });
     std::set<std::string> silent;
+    auto silentUnder = silentIncarnations();
     for (auto& suspected : m_suspectedLosses) {
-        update(suspected);
+        update(suspected, silentUnder[suspected.loss.loss.digest]);
         if (!suspected.aliveAt)
             silent.insert(suspected.loss.event.endpointId);
     }
     std::erase_if(m_silentEndpoints, [&silent](const auto& entry) { return !silent.contains(entry.first); });
+    if (m_suspectedLosses.empty())
+        m_witnesses.forget();
     scheduleCheck();
 }
 
@@ -328,13 +356,30 @@
     return m_directory.findAt(suspected.loss.loss.endpoint->entry().address.text());
 }
 
-bool CrashGuard::isEntryGone(const SuspectedLoss& suspected) const
+bool CrashGuard::isReplaced(const SuspectedLoss& suspected) const
 {
     const auto& endpoint = *suspected.loss.loss.endpoint;
     const auto listed = listedAtAddress(suspected);
     if (listed && listed.get() != &endpoint)
         return listed->entry().incarnationName() != suspected.loss.event.endpointId;
-    return endpoint.isRemoved() || endpoint.isReplaced();
+    return endpoint.isReplaced();
+}
+
+bool CrashGuard::isRemoved(const SuspectedLoss& suspected) const
+{
+    return suspected.loss.loss.endpoint->isRemoved() && !listedAtAddress(suspected);
+}
+
+void CrashGuard::observeOthers(SuspectedLoss& suspected, const std::set<std::string>& silent)
+{
+    const auto& event = suspected.loss.event;
+    const auto aliveAt = m_witnesses.lastAliveAt(event, silent);
+    suspected.areOthersSilent = aliveAt && *aliveAt <= event.at;
+    if (!aliveAt || *aliveAt <= std::max(event.at, suspected.othersAliveAt))
+        return;
+    if (!suspected.othersAliveSince || *aliveAt - suspected.othersAliveAt > maxWitnessGap)
+        suspected.othersAliveSince = aliveAt;
+    suspected.othersAliveAt = *aliveAt;
 }
 
 std::optional<Milliseconds> CrashGuard::firstSignOfLife(const SuspectedLoss& suspected) const
@@ -358,7 +403,7 @@
     return static_cast<std::int64_t>(listed->entry().startTime) <= wallClockAt(aliveAt);
 }
 
-void CrashGuard::update(SuspectedLoss& suspected)
+void CrashGuard::update(SuspectedLoss& suspected, const std::set<std::string>& silent)
 {
     const auto now = m_clock.now();
     const auto& pendingLoss = suspected.loss;
@@ -368,12 +413,16 @@
         return;
     suspected.aliveAt = firstSignOfLife(suspected);
     // Another incarnation may answer at the address of an endpoint whose entry is gone.
-    if (!suspected.aliveAt && !isEntryGone(suspected))
+    if (!suspected.aliveAt && !isReplaced(suspected) && !isRemoved(suspected))
         probe(suspected, now);
+    if (!suspected.aliveAt && suspected.evidence == LossEvidence::Silent)
+        observeOthers(suspected, silent);
     const auto& asked = m_silentEndpoints[id];
     const bool hasBeenAlive = suspected.aliveAt && !isReplacedBefore(suspected, *suspected.aliveAt);
-    const auto evidence = judgeSilence({ now - pendingLoss.event.at, hasBeenAlive,
-        isEntryGone(suspected) || (suspected.aliveAt && !hasBeenAlive), asked.failedConnects, asked.unansweredProbes });
+    const auto silentBesideOthers = suspected.othersAliveAt - suspected.othersAliveSince.value_or(Milliseconds { 0 });
+    const auto evidence = judgeSilence(
+        { hasBeenAlive, isReplaced(suspected) || (suspected.aliveAt && !hasBeenAlive), isRemoved(suspected),
+            suspected.areOthersSilent, silentBesideOthers, asked.failedConnects, asked.unansweredProbes });
     const bool isCounted = !suspected.crashName.empty();
     if (evidence == suspected.evidence || (isCounted && evidence != LossEvidence::Alive))
         return;
--- a/src/relay/CrashGuard.h
+++ b/src/relay/CrashGuard.h
@@ -7,8 +7,8 @@
 // progress are notified and new ones are refused.
 //
 // Silence is no proof of a crash: a loss by silence remains a suspected loss until probes, the list of endpoints or a
-// long silence confirm it (LossEvidence). A sign of life from the endpoint ends the suspicion, and takes the loss back
-// if it has been counted, also at the other VMs.
+// long silence beside endpoints that are alive (SilenceWitnesses) confirm it (LossEvidence). A sign of life from the
+// endpoint ends the suspicion, and takes the loss back if it has been counted, also at the other VMs.
 //
 //     guard.addListener(digest, call);                     // call->requestQuarantined() may follow.
 //     guard.noteLoss(loss);
@@ -25,11 +25,14 @@
 #include "quarantine/Quarantine.h"
 #include "quarantine/QuarantineStatus.h"
 #include "quarantine/ServedRequests.h"
+#include "relay/SilenceWitnesses.h"
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <unordered_map>
 
 namespace lupinknot {
 class Clock;
@@ -78,7 +81,11 @@
 
     // Probes endpoints that have become silent. Must outlive the guard's use; null: suspected losses are confirmed by
     // the list of endpoints only.
-    void setProbe(EndpointProbe* probe) { m_probe = probe; }
+    void setProbe(EndpointProbe* probe)
+    {
+        m_probe = probe;
+        m_witnesses.setProbe(probe);
+    }
 
     // Decides about trials together with the other VMs. Must outlive the guard's use; null: each VM decides alone.
     void setTrials(TrialSource* trials) { m_trials = trials; }
@@ -141,6 +148,11 @@
         std::optional<Milliseconds> aliveAt {};
         // Name of its record while it counts; empty otherwise.
         std::string crashName {};
+        // The first and the last sign of life of a witness since the loss, without a longer gap in between.
+        std::optional<Milliseconds> othersAliveSince {};
+        Milliseconds othersAliveAt { 0 };
+        // No witness has shown a sign of life since the loss.
+        bool areOthersSilent { false };
     };
 
     // Probes of one endpoint since it has become silent.
@@ -164,13 +176,22 @@
     std::string count(const PendingLoss&, bool endsTrial);
     void scheduleCheck();
     void checkSuspectedLosses();
-    // Applies what is known now about the endpoint of a suspected loss.
-    void update(SuspectedLoss&);
+    // Applies what is known now about the endpoint of a suspected loss. `silent` has the incarnations that are silent
+    // under the same request.
+    void update(SuspectedLoss&, const std::set<std::string>& silent);
     void takeBack(SuspectedLoss&);
     // The endpoint that is listed at the address of the lost one now, or null.
     std::shared_ptr<RelayEndpoint> listedAtAddress(const SuspectedLoss&) const;
     std::optional<Milliseconds> firstSignOfLife(const SuspectedLoss&) const;
-    bool isEntryGone(const SuspectedLoss&) const;
+    // Another incarnation has taken the endpoint's place, or its entry was removed.
+    bool isReplaced(const SuspectedLoss&) const;
+    bool isRemoved(const SuspectedLoss&) const;
+    // True while the request waits for the decision about this loss.
+    bool isUndecided(const SuspectedLoss&) const;
+    // Notes signs of life of other endpoints.
+    void observeOthers(SuspectedLoss&, const std::set<std::string>& silent);
+    // The incarnations that are silent under each request, by digest.
+    std::unordered_map<std::string, std::set<std::string>> silentIncarnations() const;
     // True if the sign of life came from an incarnation that had taken the endpoint's place.
     bool isReplacedBefore(const SuspectedLoss&, Milliseconds aliveAt) const;
     void probe(const SuspectedLoss&, Milliseconds now);
@@ -201,6 +222,7 @@
     std::vector<SuspectedLoss> m_suspectedLosses;
     // By incarnation.
     std::map<std::string, SilentEndpoint> m_silentEndpoints;
+    SilenceWitnesses m_witnesses;
     // By digest.
     std::unordered_multimap<std::string, std::shared_ptr<QuarantineListener>> m_listeners;
     boost::asio::steady_timer m_evaluationTimer;
--- a/test/CrashGuardTest.cpp
+++ b/test/CrashGuardTest.cpp
@@ -228,6 +228,22 @@
     CHECK(guard->quarantineStatus(digest) == QuarantineStatus::Held);
 }
 
+// Guards against taking engines for crashed because their entries lapse while all engines of the service are suspended.
+TEST(CrashGuard, EntriesRemovedWhileAllEndpointsAreSilentAreNoCrashes)
+{
+    constexpr std::chrono::milliseconds evaluationTime { 900 };
+    directory->upsert({ "other", "service", { "other", 1 }, "z" }, clock.now());
+    silenceEndpoints();
+    for (const std::string id : { "e1", "e2", "e3" })
+        directory->remove(id, clock.now());
+    clock.advance(EndpointLosses::correlationWindow);
+    ioContext.run_for(evaluationTime);
+    CHECK_TEXT(guard->quarantineStatus(digest) == QuarantineStatus::Pending, "silence counts as a crash");
+    clock.advance(Milliseconds { 1 });
+    directory->find("other")->noteAlive(clock.now());
+    CHECK_TEXT(isStatusReached(QuarantineStatus::Held), "entries removed beside a living endpoint do not count");
+}
+
 // Guards against taking answers of a restarted endpoint, whose new entry is not known yet, for signs of life of the one
 // that crashed.
 TEST(CrashGuard, SignsOfLifeOfARestartedEndpointDoNotExcuseTheRequest)
--- a/test/SilentLossReplayTest.cpp
+++ b/test/SilentLossReplayTest.cpp
@@ -137,6 +137,23 @@
         });
     }
 
+    // The engines of some zones together.
+    void replayCommonPauses(std::size_t zones, Milliseconds pause, Milliseconds interval, Milliseconds duration)
+    {
+        auto nextAt = clock.now();
+        replay(duration, false, [&] {
+            if (clock.now() < nextAt)
+                return;
+            for (std::size_t i = 0; i < engineCount; ++i) {
+                if (i % zoneCount < zones)
+                    silentUntil[nameOf(i)] = clock.now() + pause;
+            }
+            nextAt += interval;
+        });
+        LONGS_EQUAL_TEXT(0, refused, "a harmless request was held");
+        CHECK(sent > 0);
+    }
+
     void replayCrashes(ProbeResult resultOfCrashed)
     {
         constexpr Milliseconds judgementTime { 1000 };
@@ -157,6 +174,20 @@
     CHECK(sent > 0);
 }
 
+// Guards against taking engines for crashed by the request that all of them were running when all of them paused.
+TEST(SilentLossReplay, PausesOfAllEnginesForLongerThanUsualHoldNothing)
+{
+    replayCommonPauses(zoneCount, Milliseconds { 3300 }, Milliseconds { 3600 }, Milliseconds { 7100 });
+    CHECK_TEXT(runUntil(ioContext, [this] { return guard.quarantineStatus(digest) == QuarantineStatus::Free; }),
+        "the request waits after the pauses");
+}
+
+// Guards against the same where the engines of one zone go on answering.
+TEST(SilentLossReplay, PausesOfTwoZonesForLongerThanUsualHoldNothing)
+{
+    replayCommonPauses(2, Milliseconds { 3300 }, Milliseconds { 3600 }, Milliseconds { 7100 });
+}
+
 TEST(SilentLossReplay, RequestWhoseEnginesCannotBeReachedIsHeld) { replayCrashes(ProbeResult::NotConnected); }
 
 TEST(SilentLossReplay, RequestWhoseEnginesHangIsHeld) { replayCrashes(ProbeResult::Unanswered); }
