Ask again when the connection of a request to stop a run is reset

An engine that reset the new connection of a request to stop its run was taken for ended: RunStop read any failure to connect as a refusal, sent no further request, and the engine worked on beside the continuation for as long as it goes on after a close.

A connection that is reset before it is established is told apart from a refused one, and the engine is asked again after the usual interval.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -201,6 +201,7 @@
     m_socket.async_connect({ ip, static_cast<unsigned short>(address.port) },
         [self = shared_from_this(), ifCurrent](boost::system::error_code connectError) {
             ifCurrent([connectError](ClientConnection& connection) {
+                connection.m_wasResetOnConnect = connectError == net::error::connection_reset;
                 if (!connectError && connection.m_isThroughVm)
                     connection.requestTunnel();
                 else
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -87,6 +87,9 @@
     bool hasSent() const { return m_hasSent; }
     // True if the last attempt to connect was refused; false if nothing answered it.
     bool isRefused() const { return m_isRefused; }
+    // True if the connection was reset before it was established: the peer's host is up, and another connection may be
+    // accepted.
+    bool wasResetOnConnect() const { return m_wasResetOnConnect; }
     // How long the peer keeps the connection open while idle, if its last response stated it (Keep-Alive header).
     std::optional<Milliseconds> peerIdleTimeout() const { return m_peerIdleTimeout; }
     // Closes immediately; with a reset if a response is still pending, so that the peer notices it at its next read or
@@ -139,6 +142,7 @@
     unsigned m_hopNumber { 0 };
     bool m_isThroughVm { false };
     bool m_isRefused { false };
+    bool m_wasResetOnConnect { false };
     std::chrono::steady_clock::time_point m_hopStartedAt;
     // True while a hop has no result.
     bool m_isHopOpen { false };
--- a/src/http/HttpRoundTrip.cpp
+++ b/src/http/HttpRoundTrip.cpp
@@ -100,7 +100,7 @@
     // Assigning an empty text would keep the memory.
     std::string().swap(m_response.body);
     m_held.reset();
-    report({ nullptr, problem, isConnected, isBroken });
+    report({ nullptr, problem, isConnected, isBroken, m_connection->wasResetOnConnect() });
 }
 
 void HttpRoundTrip::report(const HttpRoundTripResult& outcome)
--- a/src/http/HttpRoundTrip.h
+++ b/src/http/HttpRoundTrip.h
@@ -27,6 +27,8 @@
     bool isConnected { false };
     // True if the connection was refused or broke: the peer's process has ended, or the connection was reset.
     bool isBroken { false };
+    // True if the connection was reset before it was established.
+    bool wasResetOnConnect { false };
 };
 
 class HttpRoundTrip final : public ClientConnectionListener, public std::enable_shared_from_this<HttpRoundTrip> {
--- a/src/relay/RunStop.cpp
+++ b/src/relay/RunStop.cpp
@@ -122,7 +122,9 @@
 {
     if (!outcome.answer) {
         // The engine may have received the request unless no connection was established.
-        if (!outcome.isConnected)
+        if (outcome.wasResetOnConnect)
+            --m_unanswered;
+        else if (!outcome.isConnected)
             noteNotConnected(outcome.isBroken);
         return;
     }
--- a/test/ScriptedEndpoint.h
+++ b/test/ScriptedEndpoint.h
@@ -125,6 +125,8 @@
         boost::system::error_code ignored;
         m_acceptor.close(ignored);
     }
+    // Resets the next connections as soon as they are established.
+    void resetNext(unsigned connections) { m_toReset = connections; }
     std::int64_t port() const { return m_acceptor.local_endpoint().port(); }
     const std::vector<std::string>& requests() const { return m_requests; }
     const std::vector<std::shared_ptr<ScriptedConnection>>& connections() const { return m_connections; }
@@ -149,6 +151,13 @@
         m_acceptor.async_accept([this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
             if (error)
                 return;
+            if (m_toReset > 0) {
+                --m_toReset;
+                socket.set_option(boost::asio::socket_base::linger(true, 0));
+                socket.close();
+                accept();
+                return;
+            }
             const auto connection = std::make_shared<ScriptedConnection>(
                 std::move(socket), [this](ScriptedConnection& client, const std::string& request) {
                     m_requests.push_back(request);
@@ -165,6 +174,7 @@
     ScriptedConnection::OnRequest m_script;
     std::vector<std::string> m_requests;
     std::vector<std::shared_ptr<ScriptedConnection>> m_connections;
+    unsigned m_toReset { 0 };
 };
 
 } // namespace lupinknot::internal
