Let a stream that has begun wait while the hold of its request may end

A stream that had begun ended as held as soon as its run was lost, although a hold that rests on silent engines is taken back when they go on, and one that ends by time may end long before the stream's deadline.

It waits as for an undecided hold now, unless a run of it is open, the records are final and the hold ends too late. By reading only: no test drives a begun stream into a hold that is taken back.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -8,6 +8,7 @@
 #include "copies/RunCopier.h"
 #include "health/EndpointFailureCheck.h"
 #include "http/HttpExchange.h"
+#include "quarantine/HoldRetraction.h"
 #include "relay/AnswerHolding.h"
 #include "relay/EarlierRunSearch.h"
 #include "relay/EndpointDirectory.h"
@@ -320,8 +321,23 @@
     return attemptDecision != AttemptDecision::Held && attemptDecision != AttemptDecision::Undecided;
 }
 
+bool EventStreamCall::mayHoldEnd() const
+{
+    if (m_run || !m_answer->hasBegun())
+        return false;
+    const auto now = m_context.now();
+    const auto& digest = m_request.digest;
+    const auto needed = m_timing.timeToFinish(m_answer->lastEventId(), false);
+    return mayHoldBeRetracted(m_context.crashGuard.knownCrashes(digest), now)
+        || now + m_context.crashGuard.quarantineTimeLeft(digest) + needed <= m_request.deadline;
+}
+
 void EventStreamCall::giveUpAsHeld()
 {
+    if (mayHoldEnd()) {
+        startRunLater();
+        return;
+    }
     logLostRunEnds(continuation::held);
     endStream(refusalAfter(AttemptDecision::Held, m_deliveries.possibleRuns()));
 }
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -170,6 +170,8 @@
     // The run of the call, if it is the current or the kept one.
     std::shared_ptr<StreamRun> runOf(const EndpointCall&) const;
     void runRejected();
+    // True if the stream has begun, no run of it is open, and the hold of its request may end early enough to finish it.
+    bool mayHoldEnd() const;
     void giveUpAsHeld();
     // The events of all runs together need too much memory.
     void answerBecameTooLarge();
