--- a/test/UnboundedAnswerTest.cpp
+++ b/test/UnboundedAnswerTest.cpp
@@ -1,6 +1,8 @@
 #include "RawConnection.h"
 #include "RelayHarness.h"
 #include "common/ByteSizes.h"
+#include "http/HttpRoundTrip.h"
+#include "http/RoundTripMemory.h"
 
 #include <algorithm>
 #include <deque>
@@ -306,3 +308,35 @@
     CHECK(relay->runUntil([&] { return problem.has_value(); }));
     STRCMP_EQUAL("response-too-large", problem->c_str());
 }
+
+// Health checks and load reports are round trips. Each answer is within the limit of one; all together are not.
+TEST(UnboundedAnswer, AnswersToManyProbesThatDoNotEndAreBounded)
+{
+    constexpr std::size_t probeCount = 60;
+    constexpr std::size_t bodyBytes = 900 * kibibyte;
+    auto& endpoint = relay->addEndpoint("e1");
+    endpoint.onRequest([](ScriptedConnection& caller, const std::string&) {
+        caller.send(chunkedHead + chunk(std::string(bodyBytes, 'x')));
+    });
+    auto& ioContext = relay->daemon().ioContext();
+    const SocketAddress address { "127.0.0.1", endpoint.port() };
+    const HttpRequest request { "GET", "/", {}, "" };
+    std::size_t failed = 0;
+    std::vector<std::shared_ptr<HttpRoundTrip>> probes;
+    for (std::size_t i = 0; i < probeCount; ++i) {
+        probes.push_back(HttpRoundTrip::ask(ioContext, ClientConnection::open(ioContext, address, {}), request,
+            Milliseconds { 60000 }, [&failed](const HttpRoundTripResult& result) {
+                failed += result.problem == "response-too-large" ? 1 : 0;
+            }));
+    }
+    constexpr auto heldProbes = RoundTripMemory::defaultMaxBytes / bodyBytes;
+    CHECK_TEXT(
+        relay->runUntil([&] { return failed + heldProbes >= probeCount; }), "more is held than the limit allows");
+    endpoint.onRequest([](ScriptedConnection& caller, const std::string&) { caller.answer(200, signedHead, "whole"); });
+    std::optional<bool> isAnswered;
+    const auto another
+        = HttpRoundTrip::ask(ioContext, ClientConnection::open(ioContext, address, {}), request, Milliseconds { 60000 },
+            [&isAnswered](const HttpRoundTripResult& result) { isAnswered = result.answer != nullptr; });
+    CHECK(relay->runUntil([&] { return isAnswered.has_value(); }));
+    CHECK(*isAnswered);
+}
