--- a/test/BrokenOffStreamTest.cpp
+++ b/test/BrokenOffStreamTest.cpp
@@ -138,6 +138,86 @@
     LONGS_EQUAL_TEXT(0, holder->runs(), "the prompt must not be read again");
 }
 
+// An engine closes the stream of a run that it stops, copies its memory, and answers only then.
+TEST(BrokenOffStream, WhenItsStoppedRunIsClosedBeforeTheStopIsAnswered)
+{
+    before->leaveStopsUnanswered();
+    holder->rejectCopies(rejectionDelay, relay->daemon().ioContext());
+    const auto caller = callStream();
+    waitForRejection();
+    wait(rejectionDelay);
+    before->answerProbes();
+    // The retry that the copy took returns meanwhile.
+    for (int id = 3; id <= 12; ++id) {
+        before->run().sendEvent(id);
+        wait(retryWindow / 8);
+    }
+    before->sendEvents(13, 13);
+    before->run().close();
+    wait(Milliseconds { 5 });
+    before->answerStop();
+    CHECK(relay->runUntil([&] { return before->runs() + holder->runs() > 1; }));
+    LONGS_EQUAL_TEXT(0, holder->runs(), "the prompt must not be read again");
+    CHECK_TEXT(before->lastRequest().find("/h2\r\n") != std::string::npos, "the run must go on from its KV cache");
+    CHECK(relay->runUntil([&] { return caller->body.find("id: 13") != std::string::npos; }));
+}
+
+// Guards against a repeated request that stops the run to which the stream has returned.
+TEST(BrokenOffStream, WhenTheStopOfItsRunIsRefusedAfterItWentOn)
+{
+    before->leaveStopsUnanswered();
+    holder->rejectCopies(rejectionDelay, relay->daemon().ioContext());
+    const auto caller = callStream();
+    waitForRejection();
+    wait(rejectionDelay);
+    before->answerProbes();
+    before->run().sendEvent(3);
+    CHECK(relay->runUntil([&] { return caller->body.find("id: 3") != std::string::npos; }));
+    const auto requests = before->stopped.size();
+    before->refuseStop();
+    wait(Milliseconds { 400 });
+    LONGS_EQUAL_TEXT(requests, before->stopped.size(), "a run that goes on must not be stopped");
+    checkIsCompletedBy(*before, caller);
+}
+
+// Guards against a copy that is forgotten because its engine once had no room for the run.
+TEST(BrokenOffStream, WhenItsRunIsLostAfterItsCopyWasTurnedAway)
+{
+    before->leaveStopsUnanswered();
+    holder->rejectCopies(rejectionDelay, relay->daemon().ioContext());
+    const auto caller = callStream();
+    waitForRejection();
+    wait(rejectionDelay);
+    before->answerProbes();
+    before->run().sendEvent(3);
+    CHECK(relay->runUntil([&] { return caller->body.find("id: 3") != std::string::npos; }));
+    holder->acceptCopies();
+    holder->sendEvents(4, 4);
+    before->answerStops({ { 404, "{}" } });
+    before->run().reset();
+    CHECK(relay->runUntil([&] { return caller->body.find("id: 4") != std::string::npos || caller->isBroken; }));
+    CHECK_TEXT(!caller->isBroken, "the stream was broken off");
+    CHECK_TEXT(holder->lastRequest().find("Kv-From") != std::string::npos, "the copy must be tried again");
+}
+
+// The route allows one more run, and the engine obeys the request to stop the run that the stream returned to.
+TEST(BrokenOffStream, WhenOneAttemptIsLeftAndTheHolderOfItsCopyResetsTheConnection)
+{
+    relay->addRoute("short/stream", RequestKind::EventStream, 2);
+    before->leaveStopsUnanswered();
+    holder->resetCopies();
+    relay->configure();
+    relay->list();
+    const auto caller = relay->call("/short/stream/1", {});
+    CHECK(relay->runUntil([&] { return caller->body.find("id: 2") != std::string::npos; }));
+    CHECK(relay->runUntil([&] { return !before->stopped.empty(); }));
+    wait(Milliseconds { 20 });
+    before->sendEvents(3, 3);
+    before->answerStop();
+    before->run().close();
+    checkIsCompletedBy(*before, caller);
+}
+
 TEST(BrokenOffStream, WhenItsEnginesBreakOffInSuccession)
 {
     const auto caller = callStream();
--- a/test/WorkingEngine.h
+++ b/test/WorkingEngine.h
@@ -33,6 +33,8 @@
     void leaveStopsUnanswered() { m_answersStops = false; }
     // Answers the last request to stop a run.
     void answerStop() { m_stopper->answer(200, "", R"({"handle":"h2"})"); }
+    // Answers it as an engine that is busy with another request for the run.
+    void refuseStop() { m_stopper->answer(409, "", "{}"); }
     void answerProbes() { m_answersProbes = true; }
     void leaveProbesUnanswered() { m_answersProbes = false; }
     // Rejects runs that continue from a copy, as an engine that does not have it, at once or after a time.
@@ -43,6 +45,7 @@
         m_rejectionDelay = after;
         m_timer = std::make_unique<boost::asio::steady_timer>(ioContext);
     }
+    void acceptCopies() { m_rejectsCopies = false; }
     // Resets the connections of runs that continue from a copy.
     void resetCopies() { m_resetsCopies = true; }
     int rejections() const { return m_rejections; }
