--- a/test/BrokenOffStreamTest.cpp
+++ b/test/BrokenOffStreamTest.cpp
@@ -234,6 +234,34 @@
     CHECK_TEXT(!caller->isBroken, "the stream was broken off");
 }
 
+// The VM takes its share of the fixed number of retries only one window after its start.
+TEST(BrokenOffStream, WhenItsVmHasJustStarted)
+{
+    relay->daemon().delayRetrySlack(Milliseconds { 0 });
+    before->answerStops({ { 404, "{}" } });
+    const auto caller = callStream();
+    before->run().reset();
+    checkIsCompletedBy(*holder, caller);
+}
+
+// Guards against an engine that counts as crashed because it has stopped a run as it was asked to.
+TEST(BrokenOffStream, AnEngineThatStopsItsRunBesideASubstituteHasNotCrashed)
+{
+    start(20, Milliseconds { 10000 });
+    before->leaveStopsUnanswered();
+    holder->sendEvents(3, 2);
+    holder->rejectCopies(rejectionDelay, relay->daemon().ioContext());
+    const auto caller = callStream();
+    CHECK(relay->runUntil([&] { return holder->runs() > 0; }));
+    before->answerProbes();
+    wait(Milliseconds { 20 });
+    before->run().close();
+    before->answerStop();
+    wait(Milliseconds { 1500 });
+    const auto metrics = relay->daemon().metrics().exposition();
+    CHECK_TEXT(metrics.find("evidence=\"connection-broke\"") == std::string::npos, "the engine has obeyed");
+}
+
 // Guards against a caller that waits for a retry which comes too late for it.
 TEST(BrokenOffStream, EndsAtOnceWhenNoRetryReturnsBeforeItsDeadline)
 {
--- a/test/RunCopierTest.cpp
+++ b/test/RunCopierTest.cpp
@@ -434,3 +434,53 @@
     CHECK(std::none_of(releases.begin(), releases.end(),
         [](const auto& release) { return release.find("/h1 ") != std::string::npos; }));
 }
+
+// Guards against the deletion of a copy whose refresh is answered while the stream is about to continue from it.
+TEST(RunCopier, DoesNotDeleteTheCopyThatAContinuationWaitsForWhenItsRefreshIsAnswered)
+{
+    relay->useCopyingService(Milliseconds { 500 });
+    relay->settings.probeAfterSilence = Milliseconds { 10 };
+    relay->settings.probeTimeout = Milliseconds { 10 };
+    std::shared_ptr<ScriptedConnection> refresh;
+    bool isSilent = false;
+    bool hasContinued = false;
+    answerOrder = [&](ScriptedConnection& asker) {
+        if (orders.size() == 1) {
+            asker.answer(200, "", R"({"handle":"h1","create-rev":1})");
+        } else if (!refresh) {
+            refresh = asker.shared_from_this();
+            isSilent = true;
+        }
+    };
+    engine = &relay->addEndpoint("e1", "a");
+    engine->onRequest([&](ScriptedConnection& asker, const std::string& request) {
+        if (request.find("POST /stream/") == 0) {
+            asker.beginStream(signedHead);
+            asker.sendEvent(1);
+            running = asker.shared_from_this();
+        } else if (request.find("POST /api/kv-move") == 0) {
+            orders.push_back(request);
+            answerOrder(asker);
+        } else if (request.find("DELETE ") == 0) {
+            releases.push_back(request.substr(0, request.find("\r\n")));
+            asker.answer(200, "", "");
+        } else if (!isSilent) {
+            asker.answer(200, "", "{}");
+        }
+    });
+    const auto hold = [&](ScriptedConnection& asker, const std::string& request) {
+        if (request.find("Kv-From: ") != std::string::npos)
+            hasContinued = true;
+        else if (request.find("POST /stream/") != 0)
+            asker.answer(200, "", "{}");
+    };
+    relay->addEndpoint("e2", "b").onRequest(hold);
+    relay->addEndpoint("e3", "c").onRequest(hold);
+    remove(begin());
+    CHECK_TEXT(relay->runUntil([&] { return hasContinued; }), "the copy was not tried");
+    wait(Milliseconds { 250 });
+    refresh->answer(200, "", R"({"handle":"h1","create-rev":1})");
+    wait(Milliseconds { 100 });
+    for (const auto& release : releases)
+        CHECK_TEXT(release.find("/h1 ") == std::string::npos, "the copy in use must not be freed");
+}
