Tell when a VM that has just started gets its share of retries

A VM that has just started has no share of the fixed number of retries for a while, so that its streams ended at once for lack of a retry although the time of that share is known. RetryBudget::availableAt takes it into account.

--- a/src/relay/RetryBudget.cpp
+++ b/src/relay/RetryBudget.cpp
@@ -40,21 +40,32 @@
 
 std::optional<Milliseconds> RetryBudget::availableAt(RetryPurpose purpose, Milliseconds requestedAt, Milliseconds now)
 {
-    const auto account = accountFor(purpose, requestedAt, now);
-    const auto allowed = static_cast<std::size_t>(std::max(account.allowed, 0.0));
+    const auto availableNow = returnOfRetry(accountFor(purpose, requestedAt, now).allowed, now);
+    const auto slackStart = m_settings.retrySlackStartsAt;
+    if (now >= slackStart)
+        return availableNow;
+    // The part grows when the VM gets its share of the fixed number.
+    const auto grown = part(requestedAt, slackStart) * shareFor(purpose) + m_rounding;
+    const auto availableLater = returnOfRetry(grown, slackStart);
+    return availableNow && availableLater ? std::min(availableNow, availableLater)
+                                          : std::max(availableNow, availableLater);
+}
+
+std::optional<Milliseconds> RetryBudget::returnOfRetry(double allowedRetries, Milliseconds from) const
+{
+    const auto allowed = static_cast<std::size_t>(std::max(allowedRetries, 0.0));
     if (allowed == 0)
         return std::nullopt;
-    const auto counted = account.sent + account.lent;
-    if (counted < allowed)
-        return now;
     std::vector<Milliseconds> countedUntil;
     for (const auto sentAt : m_retries)
         countedUntil.push_back(sentAt + m_settings.retryWindow);
     for (const auto lentAt : m_lentRetries)
         countedUntil.push_back(lentAt + m_settings.retryWindow + m_settings.loanValidity);
-    const auto needed = countedUntil.begin() + static_cast<std::ptrdiff_t>(counted - allowed);
+    if (countedUntil.size() < allowed)
+        return from;
+    const auto needed = countedUntil.begin() + static_cast<std::ptrdiff_t>(countedUntil.size() - allowed);
     std::nth_element(countedUntil.begin(), needed, countedUntil.end());
-    return *needed + Milliseconds { 1 };
+    return std::max(*needed + Milliseconds { 1 }, from);
 }
 
 bool RetryBudget::isLeft(RetryPurpose purpose, Milliseconds requestedAt, Milliseconds now)
--- a/src/relay/RetryBudget.h
+++ b/src/relay/RetryBudget.h
@@ -70,6 +70,8 @@
     // Retries that this VM may send within the window, including a fraction.
     double part(Milliseconds requestedAt, Milliseconds now) const;
     double shareFor(RetryPurpose) const;
+    // When this number of retries allows another one, from the given time on; empty if it allows none.
+    std::optional<Milliseconds> returnOfRetry(double allowedRetries, Milliseconds from) const;
     void noteRank(unsigned rank, Milliseconds now);
     unsigned mostUrgentRank(Milliseconds now) const;
     void forgetOld(Milliseconds now);
