--- a/src/copies/RunCopier.cpp
+++ b/src/copies/RunCopier.cpp
@@ -243,8 +243,6 @@
 void RunCopier::noteContinued(const std::string& name)
 {
     std::erase_if(m_earlierCopies, [&name](const Copy& copy) { return copy.handle == name; });
-    if (m_copy && m_copy->handle == name)
-        m_copy.reset();
 }
 
 void RunCopier::releaseUnused()
--- a/src/relay/EndedRuns.cpp
+++ b/src/relay/EndedRuns.cpp
@@ -137,11 +137,8 @@
 
 bool EndedRuns::hasAnsweredStop(const RelayEndpoint& engine) const
 {
-    const auto now = m_context.now();
-    return std::any_of(m_stops.begin(), m_stops.end(), [&](const auto& stop) {
-        const auto progress = stop->state(now).progress;
-        return concerns(*stop, engine) && (progress == StopProgress::Busy || progress == StopProgress::Decided);
-    });
+    return std::any_of(
+        m_stops.begin(), m_stops.end(), [&](const auto& stop) { return concerns(*stop, engine) && stop->hasAnswer(); });
 }
 
 EndedRuns::Engines EndedRuns::enginesBeingStopped() const
--- a/src/relay/EngineChoice.h
+++ b/src/relay/EngineChoice.h
@@ -61,10 +61,10 @@
     std::optional<RunTarget> copyTarget() const;
     // The copies of the lost run, in the order in which to try them.
     void setCopies(std::vector<RunTarget>);
-    // A run was sent: the copy that it continues from is not tried again until a run has produced its first event. The
-    // other copies stay until then, unless the run starts over.
+    // A run was sent: the copy that it continues from is not tried again until a run has produced an event. The other
+    // copies stay until a run has produced its first event, unless the run starts over.
     void noteSent(const std::optional<RunMemorySource>& copy);
-    void noteFirstEvent() { m_triedCopies.clear(); }
+    void noteEvents() { m_triedCopies.clear(); }
     // The engine that ran the request for another VM and has its prompt cached; null if it is not healthy. Returned
     // only once.
     std::shared_ptr<RelayEndpoint> takeEarlierEngine();
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -178,7 +178,8 @@
     const std::shared_ptr<RelayEndpoint>& engine, std::optional<RunMemorySource> copy)
 {
     m_tookRetryForNextRun = false;
-    if (!mayRunOnceMore(m_crashTracker.attemptState(m_deliveries.possibleRuns()))) {
+    // The limit is one of engines, and the engine of a stopped run is one of those that had the request.
+    if (!mayRunOnceMore(m_crashTracker.attemptState(m_deliveries.possibleRuns())) && !isKept(engine, copy)) {
         logLostRunEnds(continuation::runsUsedUp);
         giveUp(refusalAfter(AttemptDecision::RunsSpent, m_deliveries.possibleRuns()));
         return;
@@ -545,9 +546,10 @@
 void EventStreamCall::endRunsBefore(const std::shared_ptr<RelayEndpoint>& endpoint, const RunMemorySource& copy)
 {
     if (m_silentRun && !m_silentRun->isBeingStopped) {
+        m_copier->runLost(*m_silentRun);
+        noteEnded(*m_silentRun, FailureKind::Silent);
         m_silentRun->isBeingStopped = true;
         m_silentRun->wasAskedToStop = true;
-        noteEnded(*m_silentRun, FailureKind::Silent);
     }
     takeOverEarlierRun(copy);
     m_endedRuns.stopAllBut({ endpoint }, copy.name);
@@ -681,7 +683,7 @@
         rankedDelay(rank, settings.endpointRetryInterval, fractionOfName(m_request.fields.requestId)));
     m_retryTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
         const auto self = weak.lock();
-        if (!error && self && !self->m_isFinished)
+        if (!error && self && !self->m_isFinished && !self->m_run)
             self->startRun();
     });
 }
@@ -752,6 +754,7 @@
         runFailed(FailureKind::WrongPosition);
         return;
     }
+    m_choice->noteEvents();
     if (run.silence)
         noteSilenceEnded(run, now);
     if (m_silentRun)
@@ -770,7 +773,6 @@
         copyOutcomesOf(run).noteUsed();
     if (!run.firstEventAt) {
         run.firstEventAt = now;
-        m_choice->noteFirstEvent();
         m_copier->releaseUnused();
         m_endedRuns.freeMemory();
         m_timing.recordFirstEvent(run, now);
@@ -960,7 +962,11 @@
     m_mover->cancel();
     logRunFailed(m_request, *run, *m_answer, kind, now);
     m_context.metrics.countFailure(kind);
-    noteEnded(*run, kind);
+    const bool isBroken = kind == FailureKind::ConnectionLost || kind == FailureKind::EarlyEnd;
+    const bool mayBeStopped = isBroken && mayHaveBeenStopped(*run);
+    const bool awaitsAnswer = mayBeStopped && !m_silentRun;
+    if (!awaitsAnswer)
+        noteEnded(*run, kind);
     if (run->call->hasSent()) {
         m_deliveries.settle(run->delivery, DeliveryOutcome::MayHaveRun);
         m_versions.noteAnswer(*run->endpoint, AnswerQuality::Bad);
@@ -969,8 +975,7 @@
         // It reached no engine, so it may still be used.
         m_loan = run->loan;
     }
-    const bool isBroken = kind == FailureKind::ConnectionLost || kind == FailureKind::EarlyEnd;
-    if (!isBroken || !mayHaveBeenStopped(*run))
+    if (!mayBeStopped)
         noteEngineFailure(*run, kind, now);
     // The run in place of the silent one has begun, so that the silent one must not go on.
     if (m_silentRun && m_silentRun->isBeingStopped && run->headerReceivedAt)
@@ -985,7 +990,33 @@
             logMissingCopy();
     }
     m_failedAt = m_failedAt.value_or(now);
-    startRun();
+    if (awaitsAnswer)
+        startRunAfterStop(run, now + m_context.settings.stopBusyWait);
+    else
+        startRun();
+}
+
+void EventStreamCall::startRunAfterStop(const std::shared_ptr<StreamRun>& run, Milliseconds latest)
+{
+    if (m_endedRuns.hasAnsweredStop(*run->endpoint) || m_context.now() >= latest) {
+        if (!m_endedRuns.stoppedRun())
+            noteEnded(*run, FailureKind::ConnectionLost);
+        startRun();
+        return;
+    }
+    m_retryTimer.expires_after(m_context.settings.stopCheckInterval);
+    m_retryTimer.async_wait([weak = weak_from_this(), run, latest](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->m_isFinished && !self->m_run)
+            self->startRunAfterStop(run, latest);
+    });
+}
+
+bool EventStreamCall::isKept(
+    const std::shared_ptr<RelayEndpoint>& engine, const std::optional<RunMemorySource>& copy) const
+{
+    const auto stopped = m_endedRuns.stoppedRun();
+    return copy && stopped && stopped->engine == engine && stopped->copy.name == copy->name;
 }
 
 bool EventStreamCall::mayHaveBeenStopped(const StreamRun& run) const
@@ -997,22 +1028,19 @@
 {
     const auto run = m_silentRun;
     const auto now = m_context.now();
-    if (run->isBeingStopped) {
-        // The engine has done what it was asked to do, and the run in its place is sent or waits for that.
-        releaseSilentRun(kind);
-        return;
-    }
+    const bool isBroken = kind == FailureKind::ConnectionLost || kind == FailureKind::EarlyEnd;
     if (run->fields.isNotRun || run->fields.isOtherIncarnation) {
         m_deliveries.settle(run->delivery, DeliveryOutcome::NotRun);
     } else {
         m_deliveries.settle(run->delivery, DeliveryOutcome::MayHaveRun);
-        noteEngineFailure(*run, kind, now);
+        if (!isBroken || !mayHaveBeenStopped(*run))
+            noteEngineFailure(*run, kind, now);
     }
     if (run->fields.isOtherIncarnation)
         m_context.directory.remove(run->endpoint->entry().id, now);
     releaseSilentRun(kind);
     // Without a run in its place, the next one is being prepared or searched.
-    if (!m_run && !m_permit && !m_loanRequest)
+    if (!m_run && !m_permit && !m_loanRequest && !m_waitsForStopSince)
         startRun();
 }
 
@@ -1155,10 +1183,11 @@
     run->call->cancel();
     m_timing.recordEnginePace(*run, now);
     m_isFailureSilence = false;
-    m_copier->runLost(*run);
     m_stoppedRunTimer.cancel();
-    if (!run->isBeingStopped)
+    if (!run->isBeingStopped) {
+        m_copier->runLost(*run);
         noteEnded(*run, kind);
+    }
     stopEndedRuns();
 }
 
--- a/src/relay/EventStreamCall.h
+++ b/src/relay/EventStreamCall.h
@@ -160,6 +160,11 @@
     // Closes the kept run soon, because its engine has been asked to stop it and another one works on the request.
     void releaseStoppedRunLater();
     void silentRunFailed(FailureKind);
+    // Starts the next run once the engine has said whether it keeps the KV cache of the run that it stopped, or after a
+    // while.
+    void startRunAfterStop(const std::shared_ptr<StreamRun>&, Milliseconds latest);
+    // True if the engine keeps the KV cache of a run of this stream that it has stopped.
+    bool isKept(const std::shared_ptr<RelayEndpoint>&, const std::optional<RunMemorySource>&) const;
     // True if the end of the run may be the work of the engine that was asked to stop it.
     bool mayHaveBeenStopped(const StreamRun&) const;
     void noteSilenceEnded(StreamRun&, Milliseconds now);
@@ -170,7 +175,8 @@
     // The run of the call, if it is the current or the kept one.
     std::shared_ptr<StreamRun> runOf(const EndpointCall&) const;
     void runRejected();
-    // True if the stream has begun, no run of it is open, and the hold of its request may end early enough to finish it.
+    // True if the stream has begun, no run of it is open, and the hold of its request may end early enough to finish
+    // it.
     bool mayHoldEnd() const;
     void giveUpAsHeld();
     // The events of all runs together need too much memory.
--- a/src/relay/RunStop.cpp
+++ b/src/relay/RunStop.cpp
@@ -58,7 +58,7 @@
 
 bool RunStop::mustSendAgain() const
 {
-    return m_sent < m_context.settings.runStopRequests && m_result == RunStopResult::Pending;
+    return !m_sendsNoMore && m_sent < m_context.settings.runStopRequests && m_result == RunStopResult::Pending;
 }
 
 StopState RunStop::state(Milliseconds now) const
@@ -82,10 +82,15 @@
 
 void RunStop::sendNoMore()
 {
-    m_sent = m_context.settings.runStopRequests;
+    m_sendsNoMore = true;
     m_retryTimer.cancel();
 }
 
+bool RunStop::hasAnswer() const
+{
+    return m_isBusy || m_result == RunStopResult::Stopped || m_result == RunStopResult::NotRunning;
+}
+
 void RunStop::freeMemory()
 {
     m_mustFreeMemory = true;
--- a/src/relay/RunStop.h
+++ b/src/relay/RunStop.h
@@ -45,6 +45,8 @@
     const std::string& requestId() const { return m_requestId; }
     const std::shared_ptr<RelayEndpoint>& engine() const { return m_engine; }
     RunStopResult result() const { return m_result; }
+    // True if the engine has said what became of the run, or that it is busy with another request for the run.
+    bool hasAnswer() const;
     StopState state(Milliseconds now) const;
     // The KV cache that the engine has kept of the run, named by its handle; empty if there is none, or it was freed.
     const std::string& keptHandle() const { return m_keptHandle; }
@@ -86,6 +88,7 @@
     unsigned m_sent { 0 };
     unsigned m_failedConnects { 0 };
     unsigned m_busyAnswers { 0 };
+    bool m_sendsNoMore { false };
     // True if the last answer said that the engine is busy with another request for the run.
     bool m_isBusy { false };
     // Requests that the engine may have received or may receive, and has not answered.
