--- a/test/BrokenOffStreamTest.cpp
+++ b/test/BrokenOffStreamTest.cpp
@@ -66,7 +66,7 @@
     {
         relay->configure();
         relay->list();
-        const auto caller = relay->call("/stream/1", extra);
+        auto caller = relay->call("/stream/1", extra);
         CHECK(relay->runUntil([&] { return caller->body.find("id: 2") != std::string::npos; }));
         return caller;
     }
