Ask in one place whether a failure broke an answer off

EventStreamCall tested for the same two kinds of failure in three places; isBrokenOff() serves them all. Behaviour is unchanged.

--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -46,12 +46,14 @@
     ConnectionBroke, // The engine has ended, or only the connection was reset.
 };
 
+// The engine, or only the connection, has ended the answer early.
+bool isBrokenOff(FailureKind kind) { return kind == FailureKind::ConnectionLost || kind == FailureKind::EarlyEnd; }
+
 EngineEvidence evidenceOf(FailureKind kind, bool hasProbeFailed)
 {
     if (kind == FailureKind::ConnectionRefused || (kind == FailureKind::Silent && hasProbeFailed))
         return EngineEvidence::Failed;
-    const bool isBroken = kind == FailureKind::ConnectionLost || kind == FailureKind::EarlyEnd;
-    return isBroken ? EngineEvidence::ConnectionBroke : EngineEvidence::None;
+    return isBrokenOff(kind) ? EngineEvidence::ConnectionBroke : EngineEvidence::None;
 }
 
 FailureEvidence failureEvidenceOf(FailureKind kind, bool isRefused)
@@ -962,8 +964,7 @@
     m_mover->cancel();
     logRunFailed(m_request, *run, *m_answer, kind, now);
     m_context.metrics.countFailure(kind);
-    const bool isBroken = kind == FailureKind::ConnectionLost || kind == FailureKind::EarlyEnd;
-    const bool mayBeStopped = isBroken && mayHaveBeenStopped(*run);
+    const bool mayBeStopped = isBrokenOff(kind) && mayHaveBeenStopped(*run);
     const bool awaitsAnswer = mayBeStopped && !m_silentRun;
     if (!awaitsAnswer)
         noteEnded(*run, kind);
@@ -1028,12 +1029,11 @@
 {
     const auto run = m_silentRun;
     const auto now = m_context.now();
-    const bool isBroken = kind == FailureKind::ConnectionLost || kind == FailureKind::EarlyEnd;
     if (run->fields.isNotRun || run->fields.isOtherIncarnation) {
         m_deliveries.settle(run->delivery, DeliveryOutcome::NotRun);
     } else {
         m_deliveries.settle(run->delivery, DeliveryOutcome::MayHaveRun);
-        if (!isBroken || !mayHaveBeenStopped(*run))
+        if (!isBrokenOff(kind) || !mayHaveBeenStopped(*run))
             noteEngineFailure(*run, kind, now);
     }
     if (run->fields.isOtherIncarnation)
