--- a/review/common-2/world.hpp
+++ b/review/common-2/world.hpp
@@ -618,8 +618,9 @@
         if (after < m_historyFrom || after > m_version)
             return nowAnd(json::object());
         const auto cuts = m_cuts;
-        // A watch that hears nothing is held until it is cut.
-        while (m_isSilent || (!hasChange() && Clock::now() < until)) {
+        // A watch that hears nothing is held until it is cut; a call that does not wait is answered.
+        const bool isWatch = parameter(target, "wait-ms") != "0";
+        while (isWatch && (m_isSilent || (!hasChange() && Clock::now() < until))) {
             if (m_isSilent)
                 m_changed.wait(lock);
             else
