--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -9,8 +9,9 @@
 constexpr int runnerCount = 3;
 // Routes of the operator: the whole configuration stays below row-bytes.
 constexpr int moreRoutes = 280;
+constexpr int mostKills = 5;
 constexpr milliseconds recovery { 12'000 };
-constexpr milliseconds measured { 8'000 };
+constexpr milliseconds measured { 4'000 };
 
 json configuration()
 {
@@ -86,7 +87,7 @@
             cannotRun("a machine does not get ready");
     }
     pause(milliseconds(1000));
-    const auto before = ask(machines, milliseconds(4000));
+    const auto served = ask(machines, milliseconds(4000));
 
     Count beside;
     if (hasTrouble()) {
@@ -100,26 +101,31 @@
         beside = ask(machines, milliseconds(2000));
         record("beside these entries, %d of %d served", beside.served, beside.asked);
     }
-    for (auto* machine : machines)
-        machine->killNow();
-    pause(milliseconds(300));
-    std::string listed;
-    for (const auto& key : store.keys("servers"))
-        listed += " " + key;
-    record("listed as the machines start:%s", listed.c_str());
-    for (auto* machine : machines)
-        machine->start(false);
-    const auto backAt = Clock::now();
-    for (auto* machine : machines)
-        awaitReady(*machine, milliseconds(5000));
-    std::this_thread::sleep_until(backAt + recovery);
-    const auto after = ask(machines, measured);
-
-    const bool isBroken = 4 * before.served >= before.asked && 4 * after.served < after.asked;
-    record("before the final fault %d of %d served, later than recovery-s after it %d of %d", before.served,
-        before.asked, after.served, after.asked);
-    printf("case 6: %d of %d served before the final fault, %d of %d later than recovery-s after it\n", before.served,
-        before.asked, after.served, after.asked);
+    // The kill of all processes may come more than once in a day; the last one is the day's final fault.
+    auto before = served;
+    Count after;
+    bool isBroken = false;
+    int kills = 0;
+    while (!isBroken && kills < mostKills) {
+        ++kills;
+        for (auto* machine : machines)
+            machine->killNow();
+        pause(milliseconds(300));
+        for (auto* machine : machines)
+            machine->start(false);
+        const auto backAt = Clock::now();
+        for (auto* machine : machines)
+            awaitReady(*machine, milliseconds(5000));
+        std::this_thread::sleep_until(backAt + recovery);
+        after = ask(machines, measured);
+        record("kill %d: before it %d of %d served, later than recovery-s after it %d of %d", kills, before.served,
+            before.asked, after.served, after.asked);
+        isBroken = 4 * before.served >= before.asked && 4 * after.served < after.asked;
+        if (!isBroken)
+            before = after;
+    }
+    printf("case 6: kill %d: %d of %d served before it, %d of %d later than recovery-s after it\n", kills,
+        before.served, before.asked, after.served, after.asked);
     fflush(stdout);
     first.keepLog();
     second.keepLog();
