Keep every listed endpoint, and derive which is in use at an address

Cause: EndpointDirectory decided at each entry, by the order of arrival, which endpoint has an address, and dropped the other one. A whole list arrives in the order of its keys. Ruled out: that the list was not read yet (it was), and that endpoints turn requests away (calls are refused without an attempt).

Now all entries are kept, and AddressClaim decides from their set: of one service the endpoint that started last, then the entry written last; between services only a later start displaces. A 421 takes an endpoint out of use until its entry changes (noteMisdirected), and the next one at the address is used. Entries carry their position in the list's history.

EndpointDirectory.FindsTheEndpointListedAtAnAddress expected nothing at an address whose earlier entry was still listed; it now expects that entry, and nothing after both were removed. IgnoresALateEntryOfAnEarlierIncarnation states when its entry was written, in two ways.

Conclusion: the result no longer depends on the order in which entries arrive.

--- a/src/relay/BufferedCall.cpp
+++ b/src/relay/BufferedCall.cpp
@@ -279,7 +279,7 @@
             .write();
         const auto now = m_context.now();
         if (attempt.fields.isOtherIncarnation)
-            m_context.directory.remove(endpoint->entry().id, now);
+            m_context.directory.noteMisdirected(*endpoint, now);
         else
             endpoint->avoidUntil(now + m_context.settings.avoidAfterRejection);
         recover(RefusalReason::EndpointsBusy);
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -79,21 +79,39 @@
     m_versions.noteListed(entry.service, entry.version, now);
     m_unconfirmed.missing.erase(entry.id);
     m_unconfirmed.relisted.erase(entry.id);
-    const auto known = m_endpointsById.find(entry.id);
-    if (known != m_endpointsById.end())
-        m_idsByAddress.erase(known->second->entry().address.text());
-    removePreviousAt(entry, now);
-    if (known != m_endpointsById.end()) {
-        const auto endpoint = known->second;
-        // An entry without a start time is taken to be of the known incarnation.
-        entry.startTime = std::max(entry.startTime, endpoint->entry().startTime);
-        if (endpoint->entry().isDraining != entry.isDraining || endpoint->isRemoved()) {
-            ++m_counts.changed;
-            logEndpoint("endpoint.changed", entry);
-        }
-        if (entry.isDraining)
-            endpoint->closeKeptConnections();
-        endpoint->updateEntry(std::move(entry), now);
+    const auto address = entry.address.text();
+    const auto* const listed = listedEntry(entry.id);
+    const auto previousAddress = listed ? listed->address.text() : address;
+    if (previousAddress != address)
+        eraseAddress(previousAddress, entry.id);
+    addAddress(entry);
+    const auto known = find(entry.id);
+    if (known && !known->isRemoved())
+        update(known, std::move(entry), now);
+    else
+        putUnused(std::move(entry));
+    decideAt(address, now);
+    if (previousAddress != address)
+        decideAt(previousAddress, now);
+}
+
+void EndpointDirectory::update(const std::shared_ptr<RelayEndpoint>& endpoint, EndpointEntry entry, Milliseconds now)
+{
+    // An entry without a start time is taken to be of the known incarnation.
+    entry.startTime = std::max(entry.startTime, endpoint->entry().startTime);
+    if (endpoint->entry().isDraining != entry.isDraining || endpoint->isRemoved()) {
+        ++m_counts.changed;
+        logEndpoint("endpoint.changed", entry);
+    }
+    if (entry.isDraining)
+        endpoint->closeKeptConnections();
+    endpoint->updateEntry(std::move(entry), now);
+}
+
+void EndpointDirectory::add(EndpointEntry entry, Milliseconds now)
+{
+    if (const auto lastResort = find(entry.id)) {
+        update(lastResort, std::move(entry), now);
         return;
     }
     ++m_counts.added;
@@ -114,6 +132,100 @@
     listed.byZone[endpoint->entry().availabilityZone].push_back(endpoint);
 }
 
+void EndpointDirectory::putUnused(EndpointEntry entry)
+{
+    const auto known = m_unused.find(entry.id);
+    const bool isUnchanged = known != m_unused.end() && known->second.entry.incarnationName() == entry.incarnationName()
+        && known->second.entry.writtenAt == entry.writtenAt;
+    const bool isMisdirected = isUnchanged && known->second.isMisdirected;
+    auto& unused = m_unused[entry.id];
+    unused = { std::move(entry), isMisdirected };
+}
+
+void EndpointDirectory::addAddress(const EndpointEntry& entry)
+{
+    auto& ids = m_idsByAddress[entry.address.text()];
+    if (std::find(ids.begin(), ids.end(), entry.id) == ids.end())
+        ids.push_back(entry.id);
+}
+
+void EndpointDirectory::eraseAddress(const std::string& address, const std::string& id)
+{
+    const auto known = m_idsByAddress.find(address);
+    if (known == m_idsByAddress.end())
+        return;
+    std::erase(known->second, id);
+    if (known->second.empty())
+        m_idsByAddress.erase(known);
+}
+
+const EndpointEntry* EndpointDirectory::listedEntry(const std::string& id) const
+{
+    if (const auto unused = m_unused.find(id); unused != m_unused.end())
+        return &unused->second.entry;
+    const auto known = m_endpointsById.find(id);
+    return known == m_endpointsById.end() ? nullptr : &known->second->entry();
+}
+
+bool EndpointDirectory::isInUse(const std::string& id) const
+{
+    const auto known = m_endpointsById.find(id);
+    return known != m_endpointsById.end() && !known->second->isRemoved();
+}
+
+std::vector<AddressClaim> EndpointDirectory::claimsOf(const std::vector<std::string>& ids) const
+{
+    std::vector<AddressClaim> claims;
+    claims.reserve(ids.size());
+    for (const auto& id : ids) {
+        const auto* const entry = listedEntry(id);
+        const auto unused = m_unused.find(id);
+        claims.push_back({ .entry = entry,
+            .isListed = unused != m_unused.end() || isInUse(id),
+            .isMisdirected = unused != m_unused.end() && unused->second.isMisdirected,
+            .isServiceKnown = !m_isKnownService || m_isKnownService(entry->service) });
+    }
+    return claims;
+}
+
+void EndpointDirectory::decideAt(const std::string& address, Milliseconds now)
+{
+    const auto found = m_idsByAddress.find(address);
+    if (found == m_idsByAddress.end())
+        return;
+    std::vector<std::string> displaced;
+    std::vector<std::string> chosen;
+    const auto claims = claimsOf(found->second);
+    for (const auto& claim : claims) {
+        const bool isDisplaced = std::any_of(
+            claims.begin(), claims.end(), [&claim](const AddressClaim& other) { return other.displaces(claim); });
+        if (isDisplaced)
+            displaced.push_back(claim.entry->id);
+        else if (claim.isListed && !claim.isMisdirected)
+            chosen.push_back(claim.entry->id);
+    }
+    for (const auto& id : displaced)
+        displace(id, now);
+    for (const auto& id : chosen) {
+        if (auto unused = m_unused.extract(id))
+            add(std::move(unused.mapped().entry), now);
+    }
+}
+
+void EndpointDirectory::displace(const std::string& id, Milliseconds now)
+{
+    const auto endpoint = find(id);
+    if (!endpoint)
+        return;
+    ++m_counts.replaced;
+    logEndpoint("endpoint.replaced", endpoint->entry());
+    if (!endpoint->isRemoved()) {
+        putUnused(endpoint->entry());
+        retire(endpoint, now);
+    }
+    drop(endpoint);
+}
+
 void EndpointDirectory::restoreSignals(const std::string& incarnation, const EndpointSignals& signals, Milliseconds now)
 {
     m_restoredSignals[incarnation].merge(signals);
@@ -130,6 +242,8 @@
         entry.isDraining = entry.isDraining || known->second->entry().isDraining;
         return;
     }
+    if (const auto unused = m_unused.find(entry.id); unused != m_unused.end())
+        entry.isDraining = entry.isDraining || unused->second.entry.isDraining;
     const auto removal = m_removals.find(entry.incarnationName());
     entry.isDraining = entry.isDraining || (removal != m_removals.end() && removal->second.signals.isShuttingDown());
 }
@@ -154,57 +268,90 @@
 
 bool EndpointDirectory::removeEarlierIncarnation(const EndpointEntry& entry, Milliseconds now)
 {
-    const auto known = m_endpointsById.find(entry.id);
-    if (known == m_endpointsById.end() || entry.startTime == 0)
+    const auto* const listed = listedEntry(entry.id);
+    if (!listed || entry.startTime == 0)
         return true;
-    const auto current = known->second;
-    if (entry.startTime < current->entry().startTime) {
+    // In one era of the list, the entry that was written last is of the present incarnation, even if its clock was set
+    // back.
+    const bool isWrittenLater = entry.writtenAt.era == listed->writtenAt.era && entry.writtenAt > listed->writtenAt;
+    if (entry.startTime < listed->startTime && !isWrittenLater) {
         LogEvent("endpoint.stale-entry")
             .text("endpoint", entry.id)
             .number("born", static_cast<std::int64_t>(entry.startTime))
-            .number("known_born", static_cast<std::int64_t>(current->entry().startTime))
+            .number("known_born", static_cast<std::int64_t>(listed->startTime))
             .write();
         return false;
     }
-    if (current->entry().startTime == 0 || entry.startTime == current->entry().startTime)
+    if (listed->startTime == 0 || entry.startTime == listed->startTime)
         return true;
     ++m_counts.replaced;
     logEndpoint("endpoint.restarted", entry);
-    remove(entry.id, now);
-    drop(current);
+    const auto address = listed->address.text();
+    m_unused.erase(entry.id);
+    if (const auto current = find(entry.id)) {
+        retire(current, now);
+        drop(current);
+    }
+    eraseAddress(address, entry.id);
+    if (address != entry.address.text())
+        decideAt(address, now);
     return true;
 }
 
-// A new incarnation at an address proves that the previous one is gone.
-void EndpointDirectory::removePreviousAt(const EndpointEntry& entry, Milliseconds now)
+void EndpointDirectory::remove(const std::string& id, Milliseconds now)
 {
-    if (m_isKnownService && !m_isKnownService(entry.service))
-        return;
-    auto& id = m_idsByAddress[entry.address.text()];
-    const auto previous = std::exchange(id, entry.id);
-    const auto known = m_endpointsById.find(previous);
-    if (known == m_endpointsById.end() || m_endpointsById.count(entry.id))
+    m_unconfirmed.missing.erase(id);
+    m_unconfirmed.relisted.erase(id);
+    const auto* const listed = listedEntry(id);
+    if (!listed)
         return;
-    ++m_counts.replaced;
-    logEndpoint("endpoint.replaced", known->second->entry());
-    remove(previous, now);
-    drop(std::shared_ptr<RelayEndpoint>(known->second));
+    const auto address = listed->address.text();
+    m_unused.erase(id);
+    if (const auto known = find(id))
+        retire(known, now);
+    else
+        eraseAddress(address, id);
+    decideAt(address, now);
 }
 
-void EndpointDirectory::remove(const std::string& id, Milliseconds now)
+void EndpointDirectory::retire(const std::shared_ptr<RelayEndpoint>& endpoint, Milliseconds now)
 {
-    m_unconfirmed.missing.erase(id);
-    m_unconfirmed.relisted.erase(id);
-    const auto known = m_endpointsById.find(id);
-    if (known == m_endpointsById.end() || known->second->isRemoved())
+    if (endpoint->isRemoved())
         return;
-    const auto& entry = known->second->entry();
+    const auto& entry = endpoint->entry();
     m_versions.noteListed(entry.service, entry.version, now);
-    m_removals.insert_or_assign(entry.incarnationName(), Removal { now, known->second->signals() });
+    m_removals.insert_or_assign(entry.incarnationName(), Removal { now, endpoint->signals() });
     ++m_counts.removed;
-    logEndpoint("endpoint.removed", known->second->entry());
-    known->second->setRemoved(now);
-    known->second->closeKeptConnections();
+    logEndpoint("endpoint.removed", entry);
+    endpoint->setRemoved(now);
+    endpoint->closeKeptConnections();
+}
+
+void EndpointDirectory::noteMisdirected(const RelayEndpoint& endpoint, Milliseconds now)
+{
+    const auto entry = endpoint.entry();
+    const auto* const listed = listedEntry(entry.id);
+    const auto address = entry.address.text();
+    // The list may name another incarnation or address by now.
+    if (!listed || listed->incarnationName() != entry.incarnationName() || listed->address.text() != address)
+        return;
+    const auto known = find(entry.id);
+    const bool isInUseStill = known && !known->isRemoved();
+    if (isInUseStill) {
+        putUnused(entry);
+        retire(known, now);
+    }
+    const auto unused = m_unused.find(entry.id);
+    if (unused == m_unused.end())
+        return;
+    unused->second.isMisdirected = true;
+    decideAt(address, now);
+    const auto present = findAt(address);
+    LogEvent("endpoint.misdirected")
+        .text("endpoint", entry.id)
+        .text("address", address)
+        .text("used_instead", present ? present->entry().id : "")
+        .write();
 }
 
 EndpointCounts EndpointDirectory::change(std::vector<EndpointChange> changes, Milliseconds now, std::uint64_t version)
@@ -245,6 +392,7 @@
         .number("removed", counts.removed)
         .number("in_doubt", static_cast<std::int64_t>(m_unconfirmed.missing.size() + m_unconfirmed.relisted.size()))
         .number("known", static_cast<std::int64_t>(size()))
+        .number("unused", static_cast<std::int64_t>(m_unused.size()))
         .write();
     return counts;
 }
@@ -270,6 +418,10 @@
         if (!listed.count(id) && !endpoint->isRemoved())
             gone.push_back(id);
     }
+    for (const auto& [id, unused] : m_unused) {
+        if (!listed.count(id))
+            gone.push_back(id);
+    }
     for (const auto& id : gone) {
         if (mayLackPresent)
             m_unconfirmed.missing.insert(id);
@@ -290,15 +442,27 @@
 
 std::shared_ptr<RelayEndpoint> EndpointDirectory::findAt(const std::string& service, const SocketAddress& address) const
 {
-    const auto endpoint = findAt(address.text());
-    return endpoint && endpoint->entry().service == service ? endpoint : nullptr;
+    const auto ids = m_idsByAddress.find(address.text());
+    if (ids == m_idsByAddress.end())
+        return nullptr;
+    for (const auto& id : ids->second) {
+        if (const auto endpoint = find(id); isInUse(id) && endpoint->entry().service == service)
+            return endpoint;
+    }
+    return nullptr;
 }
 
 std::shared_ptr<RelayEndpoint> EndpointDirectory::findAt(const std::string& address) const
 {
-    const auto id = m_idsByAddress.find(address);
-    const auto endpoint = id == m_idsByAddress.end() ? nullptr : find(id->second);
-    return endpoint && !endpoint->isRemoved() ? endpoint : nullptr;
+    const auto ids = m_idsByAddress.find(address);
+    if (ids == m_idsByAddress.end())
+        return nullptr;
+    AddressClaim best;
+    for (const auto& claim : claimsOf(ids->second)) {
+        if (isInUse(claim.entry->id) && (!best.entry || claim.precedes(best)))
+            best = claim;
+    }
+    return best.entry ? find(best.entry->id) : nullptr;
 }
 
 const std::vector<std::shared_ptr<RelayEndpoint>>& EndpointDirectory::endpointsOf(const std::string& service) const
@@ -395,9 +559,8 @@
     // The entry may only have expired: what the endpoint announced still holds when it is listed again.
     if (const auto removal = m_removals.find(endpoint->entry().incarnationName()); removal != m_removals.end())
         removal->second.signals.merge(endpoint->signals());
-    const auto atAddress = m_idsByAddress.find(endpoint->entry().address.text());
-    if (atAddress != m_idsByAddress.end() && atAddress->second == endpoint->entry().id)
-        m_idsByAddress.erase(atAddress);
+    if (!m_unused.count(endpoint->entry().id))
+        eraseAddress(endpoint->entry().address.text(), endpoint->entry().id);
     auto& listed = m_endpointsByService[endpoint->entry().service];
     std::erase(listed.all, endpoint);
     for (auto& zone : listed.byZone)
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -2,9 +2,13 @@
 //
 //     directory.change(changes, now);
 //     directory.replaceAll(entries, now);        // After a gap in the list's changes.
-//     directory.remove("i-1", now);              // An answer shows that i-1 is gone; i-1 is a last resort for a while.
+//     directory.remove("i-1", now);              // i-1 is no longer listed; it is a last resort for a while.
+//     directory.noteMisdirected(endpoint, now);  // An answer shows that another endpoint runs at the address.
 //     directory.listRestored(now);               // The store was restored from an older copy.
 //
+// Several listed endpoints may have one address; AddressClaim decides which of them are in use. The entries of the
+// others are kept, and the decision is made again whenever the claims to the address change.
+//
 // A store that was restored from an older copy lists endpoints that are gone, lacks some that are present, and shows
 // endpoints as ready that have announced that they shut down. Until the endpoints have had time to write their entries
 // again, local knowledge takes precedence over such a list. An endpoint's announcement that it shuts down is final for
@@ -21,6 +25,7 @@
 #include "health/ZoneFailureDetector.h"
 #include "health/ZoneFailureHistory.h"
 #include "health/ZoneFailureSource.h"
+#include "relay/AddressClaim.h"
 #include "relay/RelayEndpoint.h"
 #include "relay/RelaySettings.h"
 #include "versions/ServiceVersions.h"
@@ -50,7 +55,7 @@
     std::int64_t added { 0 };
     // Endpoints that are shutting down now, or are listed again.
     std::int64_t changed { 0 };
-    // Endpoints of which a new incarnation is listed instead.
+    // Endpoints that are no longer in use because a later one is listed under their id or at their address.
     std::int64_t replaced { 0 };
     std::int64_t removed { 0 };
 };
@@ -68,6 +73,9 @@
     bool isPartitioned() const;
     void upsert(EndpointEntry, Milliseconds now);
     void remove(const std::string& id, Milliseconds now);
+    // An answer shows that another endpoint runs at the endpoint's address. The endpoint is a last resort for a while
+    // and is not in use again until its entry changes; others that are listed at the address may be.
+    void noteMisdirected(const RelayEndpoint&, Milliseconds now);
     // Applies the changes in their order: an endpoint may be listed and removed within one answer of the store.
     EndpointCounts change(std::vector<EndpointChange>, Milliseconds now, std::uint64_t version = 0);
     EndpointCounts replaceAll(std::vector<EndpointEntry>, Milliseconds now, std::uint64_t version = 0);
@@ -83,12 +91,14 @@
     }
     // True once a list has been applied, even an empty one.
     bool isKnown() const { return m_isKnown; }
-    // Sets which services exist; an entry of another service does not replace the endpoint at its address. Without this
-    // call, all services do.
+    // Sets which services exist; an entry of another service displaces no endpoint at its address. Without this call,
+    // all services do.
     void setServices(std::function<bool(const std::string& service)> isKnown) { m_isKnownService = std::move(isKnown); }
     // Sets the function to call after the first list has been applied.
     void onFirstList(std::function<void()> callback) { m_onFirstList = std::move(callback); }
     std::size_t size() const { return m_endpointsById.size(); }
+    // The number of listed endpoints that are not in use.
+    std::size_t unusedCount() const { return m_unused.size(); }
 
     // Null if no endpoint has this id.
     std::shared_ptr<RelayEndpoint> find(const std::string& id) const;
@@ -169,7 +179,13 @@
         Milliseconds at;
         FailureEvidence evidence;
     };
-    // An incarnation whose entry was removed.
+    // A listed endpoint that is not in use.
+    struct UnusedEntry {
+        EndpointEntry entry;
+        // True after an answer has shown that another endpoint runs at the address.
+        bool isMisdirected { false };
+    };
+    // An incarnation whose entry was removed or is not in use.
     struct Removal {
         Milliseconds at;
         EndpointSignals signals;
@@ -231,7 +247,25 @@
     void logEndpoint(std::string_view event, const EndpointEntry&) const;
     // Writes the log line of an applied list or change and resets the counts.
     EndpointCounts logCounts(bool isWhole, std::uint64_t version);
-    void removePreviousAt(const EndpointEntry&, Milliseconds now);
+    // Applies a changed entry to the endpoint in use.
+    void update(const std::shared_ptr<RelayEndpoint>&, EndpointEntry, Milliseconds now);
+    // Begins to use a listed endpoint.
+    void add(EndpointEntry, Milliseconds now);
+    // Records the entry as listed but not in use.
+    void putUnused(EndpointEntry);
+    // Ends the use of an endpoint, except as a last resort.
+    void retire(const std::shared_ptr<RelayEndpoint>&, Milliseconds now);
+    // Decides which of the endpoints that are listed at the address are in use.
+    void decideAt(const std::string& address, Milliseconds now);
+    std::vector<AddressClaim> claimsOf(const std::vector<std::string>& ids) const;
+    // Ends the use of an endpoint that another one at its address displaces.
+    void displace(const std::string& id, Milliseconds now);
+    void addAddress(const EndpointEntry&);
+    // Forgets that the id is listed at the address.
+    void eraseAddress(const std::string& address, const std::string& id);
+    // The listed entry, in use or not; null if there is none.
+    const EndpointEntry* listedEntry(const std::string& id) const;
+    bool isInUse(const std::string& id) const;
     // Removes an earlier incarnation of the endpoint. False when the entry itself is of an earlier incarnation.
     bool removeEarlierIncarnation(const EndpointEntry&, Milliseconds now);
     void drop(const std::shared_ptr<RelayEndpoint>&);
@@ -261,8 +295,10 @@
         std::unordered_map<std::string, std::vector<std::shared_ptr<RelayEndpoint>>> byZone;
     };
     std::unordered_map<std::string, ServiceEndpoints> m_endpointsByService;
-    // The id of the newest incarnation at each address.
-    std::unordered_map<std::string, std::string> m_idsByAddress;
+    // The ids of the endpoints that are listed at each address, or are a last resort there.
+    std::unordered_map<std::string, std::vector<std::string>> m_idsByAddress;
+    // Listed endpoints that are not in use, by id.
+    std::map<std::string, UnusedEntry> m_unused;
     std::unordered_map<std::string, ZoneHealth> m_zones;
     // By service, then by zone.
     std::unordered_map<std::string, std::unordered_map<std::string, DeclaredFailure>> m_declaredFailures;
--- a/src/relay/EndpointEntry.h
+++ b/src/relay/EndpointEntry.h
@@ -1,6 +1,7 @@
 // One entry of the endpoint list. An endpoint that restarts has a new id or a later start time.
 #pragma once
 
+#include "common/HistoryPosition.h"
 #include "http/SocketAddress.h"
 #include <cstdint>
 #include <string>
@@ -19,6 +20,8 @@
     std::string version;
     // Wall-clock start time in milliseconds; 0 when the entry does not state it.
     std::uint64_t startTime { 0 };
+    // When the entry was last written, in the history of the list.
+    HistoryPosition writtenAt {};
 
     // Identifies this incarnation of the endpoint.
     std::string incarnationName() const { return startTime == 0 ? id : id + "@" + std::to_string(startTime); }
--- a/src/relay/EventStreamCall.cpp
+++ b/src/relay/EventStreamCall.cpp
@@ -899,7 +899,7 @@
         logNotContinued(m_request, continuation::copyRejected, false, false);
     }
     if (run->fields.isOtherIncarnation) {
-        m_context.directory.remove(run->endpoint->entry().id, now);
+        m_context.directory.noteMisdirected(*run->endpoint, now);
         m_choice->noteFailed(run->endpoint);
     } else if (!run->isFromCopy) {
         run->endpoint->avoidUntil(now + m_context.settings.avoidAfterRejection);
@@ -1037,7 +1037,7 @@
             noteEngineFailure(*run, kind, now);
     }
     if (run->fields.isOtherIncarnation)
-        m_context.directory.remove(run->endpoint->entry().id, now);
+        m_context.directory.noteMisdirected(*run->endpoint, now);
     releaseSilentRun(kind);
     // Without a run in its place, the next one is being prepared or searched.
     if (!m_run && !m_permit && !m_loanRequest && !m_waitsForStopSince)
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -234,6 +234,7 @@
     m_directory.dropExpired(m_clock.now());
     m_shareExchange.tick(m_clock.now());
     m_metrics.endpointsKnown.Set(static_cast<double>(m_directory.size()));
+    m_metrics.endpointsUnused.Set(static_cast<double>(m_directory.unusedCount()));
     observeRequestMemory();
     reportConnections();
     m_housekeepingTimer.expires_after(housekeepingInterval);
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -107,6 +107,8 @@
     , configurationVersion(
           addGauge(*m_registry, "lupinknot_relay_configuration_version", "The configuration in force."))
     , endpointsKnown(addGauge(*m_registry, "lupinknot_relay_endpoints_known", "Endpoints in the directory."))
+    , endpointsUnused(addGauge(*m_registry, "lupinknot_relay_endpoints_unused",
+          "Listed endpoints that are not in use because another one runs at their address."))
     , restoredLists(addCounter(*m_registry, "lupinknot_relay_lists_restored_total",
           "Lists of endpoints that came from an older copy of their source."))
     , permitsGranted(addCounter(*m_registry, "lupinknot_relay_permits_granted_total",
--- a/src/relay/RelayMetrics.h
+++ b/src/relay/RelayMetrics.h
@@ -115,6 +115,8 @@
     prometheus::Counter& engineProbes;
     prometheus::Gauge& configurationVersion;
     prometheus::Gauge& endpointsKnown;
+    // Listed endpoints that are not in use because another one runs at their address.
+    prometheus::Gauge& endpointsUnused;
     // Endpoint lists that came from an older copy of their source.
     prometheus::Counter& restoredLists;
     // Permits for rate-limited endpoints.
--- a/test/EndpointDirectoryTest.cpp
+++ b/test/EndpointDirectoryTest.cpp
@@ -14,6 +14,7 @@
     std::unique_ptr<EndpointDirectory> directory;
     std::unique_ptr<Placement> placement;
     Milliseconds now { 100000 };
+    std::uint64_t version { 0 };
 
     void setup() override
     {
@@ -24,7 +25,12 @@
 
     EndpointEntry entry(const std::string& id, std::int64_t port, const std::string& zone = "a")
     {
-        return { id, "s", { "127.0.0.1", port }, zone, 4, false };
+        return { .id = id,
+            .service = "s",
+            .address = { "127.0.0.1", port },
+            .availabilityZone = zone,
+            .slots = 4,
+            .writtenAt = { 1, ++version } };
     }
 
     void drain(EndpointEntry draining)
@@ -123,6 +129,8 @@
     STRCMP_EQUAL("e2", directory->findAt("s", address)->entry().id.c_str());
     CHECK_TEXT(!directory->findAt("other", address), "an endpoint of another service must not be found at the address");
     directory->remove("e2", now);
+    STRCMP_EQUAL_TEXT("e1", directory->findAt("s", address)->entry().id.c_str(), "e1 is still listed");
+    directory->remove("e1", now);
     CHECK_FALSE(directory->findAt("s", address));
 }
 
@@ -331,17 +339,21 @@
 
 TEST(EndpointDirectory, IgnoresALateEntryOfAnEarlierIncarnation)
 {
+    auto first = entry("e1", 9);
+    first.startTime = 100;
+    first.isDraining = true;
     auto second = entry("e1", 1);
     second.startTime = 200;
     directory->upsert(second, now);
     const auto present = directory->find("e1");
-    auto first = entry("e1", 9);
-    first.startTime = 100;
-    first.isDraining = true;
-    directory->upsert(first, now);
-    CHECK(directory->find("e1") == present);
-    CHECK_FALSE(present->isShuttingDown());
-    LONGS_EQUAL(1, present->entry().address.port);
+    // Written earlier, or read from an older copy of the list.
+    for (const auto& writtenAt : { first.writtenAt, HistoryPosition { 2, 1 } }) {
+        first.writtenAt = writtenAt;
+        directory->upsert(first, now);
+        CHECK(directory->find("e1") == present);
+        CHECK_FALSE(present->isShuttingDown());
+        LONGS_EQUAL(1, present->entry().address.port);
+    }
 }
 
 TEST(EndpointDirectory, AnEntryWithoutAStartTimeIsOfTheKnownIncarnation)
