Decide again at shared addresses when the configuration arrives

Cause: while no configuration was known, every service counted as known, and nothing decided again when the configuration arrived. Ruled out by the test: with the configuration first, nothing is displaced.

Now no service is known before the first configuration, and each configuration decides again at all addresses that several entries share, so that services that are added, dropped or renamed take effect.

Conclusion: what an entry displaces follows the configuration in force.

--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -212,6 +212,25 @@
     }
 }
 
+void EndpointDirectory::servicesChanged(Milliseconds now)
+{
+    std::vector<std::string> shared;
+    for (const auto& [address, ids] : m_idsByAddress) {
+        if (ids.size() > 1)
+            shared.push_back(address);
+    }
+    for (const auto& address : shared)
+        decideAt(address, now);
+    const auto counts = std::exchange(m_counts, {});
+    if (counts.added + counts.replaced > 0)
+        LogEvent("endpoints.services-changed")
+            .number("added", counts.added)
+            .number("replaced", counts.replaced)
+            .number("known", static_cast<std::int64_t>(size()))
+            .number("unused", static_cast<std::int64_t>(m_unused.size()))
+            .write();
+}
+
 void EndpointDirectory::displace(const std::string& id, Milliseconds now)
 {
     const auto endpoint = find(id);
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -94,6 +94,8 @@
     // Sets which services exist; an entry of another service displaces no endpoint at its address. Without this call,
     // all services do.
     void setServices(std::function<bool(const std::string& service)> isKnown) { m_isKnownService = std::move(isKnown); }
+    // Call this when the services that exist have changed.
+    void servicesChanged(Milliseconds now);
     // Sets the function to call after the first list has been applied.
     void onFirstList(std::function<void()> callback) { m_onFirstList = std::move(callback); }
     std::size_t size() const { return m_endpointsById.size(); }
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -65,7 +65,7 @@
     m_directory.onZoneRetraction(
         [this](ZoneFailureSource source, RetractionReason reason) { m_metrics.countZoneRetraction(source, reason); });
     m_directory.setServices([this](const std::string& service) {
-        return !m_context.configuration || m_context.configuration->findService(service);
+        return m_context.configuration && m_context.configuration->findService(service);
     });
 }
 
@@ -122,6 +122,7 @@
     m_callerServer.changeSettings(m_context.configuration->callerLimits());
     limitRequestMemory();
     m_metrics.configurationVersion.Set(static_cast<double>(m_context.configuration->version()));
+    m_directory.servicesChanged(m_clock.now());
     if (!current)
         m_handler.processWaitingRequests();
     return true;
--- a/test/SharedAddressTest.cpp
+++ b/test/SharedAddressTest.cpp
@@ -1,5 +1,6 @@
 // Several entries of the endpoint list with one address: which endpoints are in use follows from the entries alone, not
 // from the order in which they arrive.
+#include "RelayHarness.h"
 #include "relay/EndpointDirectory.h"
 
 #include <algorithm>
@@ -106,13 +107,14 @@
     RelaySettings settings;
     std::unique_ptr<EndpointDirectory> directory;
     Milliseconds now { 100000 };
+    std::set<std::string> services { "s", "other" };
 
     void setup() override { directory = newDirectory(); }
 
     std::unique_ptr<EndpointDirectory> newDirectory()
     {
         auto created = std::make_unique<EndpointDirectory>(ioContext, settings);
-        created->setServices([](const std::string& service) { return service == "s" || service == "other"; });
+        created->setServices([this](const std::string& service) { return services.count(service) > 0; });
         return created;
     }
 
@@ -134,6 +136,12 @@
     }
 
     std::string inUse() const { return inUse(*directory); }
+    void setServices(std::set<std::string> changed)
+    {
+        services = std::move(changed);
+        directory->servicesChanged(now);
+    }
+
     void remove(const std::string& id) { directory->change({ { { .id = id }, true } }, now); }
     void misdirected(const std::string& id) { directory->noteMisdirected(*directory->find(id), now); }
 };
@@ -306,3 +314,57 @@
         STRCMP_EQUAL_TEXT(inUse(*started).c_str(), inUse(*sometimesRead).c_str(), text.c_str());
     }
 }
+
+TEST(SharedAddress, WhatAnEntryDisplacesFollowsTheServicesOfTheConfiguration)
+{
+    const std::string both = "foreign@300 at 127.0.0.1:1, present@200 at 127.0.0.1:1";
+    const std::string foreign = "foreign@300 at 127.0.0.1:1";
+    services.clear();
+    directory->replaceAll({ row("present", 200, 7), rowOf("other", row("foreign", 300, 8)) }, now);
+    STRCMP_EQUAL_TEXT(both.c_str(), inUse().c_str(), "before the first configuration no service is known");
+    setServices({ "s" });
+    STRCMP_EQUAL(both.c_str(), inUse().c_str());
+    setServices({ "s", "other" });
+    STRCMP_EQUAL_TEXT(foreign.c_str(), inUse().c_str(), "the service is added");
+    setServices({ "s" });
+    STRCMP_EQUAL_TEXT(both.c_str(), inUse().c_str(), "the service is dropped");
+    setServices({ "renamed", "other" });
+    STRCMP_EQUAL_TEXT(foreign.c_str(), inUse().c_str(), "the displaced endpoint's service need not be known");
+    remove("foreign");
+    STRCMP_EQUAL("present@200 at 127.0.0.1:1", inUse().c_str());
+}
+
+// Guards against a VM that reads the list before the configuration and drops the live endpoints at whose addresses
+// another writer lists a service that does not exist: it refused every request of their service.
+TEST(SharedAddress, AnEntryOfAnUnknownServiceDisplacesNothingBeforeTheConfigurationIsKnown)
+{
+    for (const bool isListFirst : { true, false }) {
+        RelayHarness relay;
+        const auto list = [&relay] {
+            relay.daemon().directory().replaceAll(
+                { row("a-present", 200, 7), rowOf("unheard-of", row("z-foreign", 300, 8)) },
+                relay.daemon().clock().now());
+        };
+        if (isListFirst)
+            list();
+        relay.configure();
+        if (!isListFirst)
+            list();
+        const auto present = relay.daemon().directory().find("a-present");
+        CHECK_TEXT(present && !present->isRemoved(), isListFirst ? "the list first" : "the configuration first");
+    }
+}
+
+// Guards against a VM that keeps to the endpoints that were chosen by the services of an earlier configuration.
+TEST(SharedAddress, AConfigurationThatAddsAServiceLetsItsEndpointsTakeOverAddresses)
+{
+    RelayHarness relay;
+    relay.configure();
+    auto& known = relay.daemon().directory();
+    known.replaceAll({ row("ended", 200, 7), rowOf("added", row("present", 300, 8)) }, relay.daemon().clock().now());
+    CHECK_FALSE(known.find("ended")->isRemoved());
+    relay.daemon().applyConfiguration(
+        RelayConfigurationBuilder().addService({ "s", 0 }).addService({ "added", 0 }).version(100).build());
+    CHECK(known.find("ended") == nullptr);
+    CHECK_FALSE(known.find("present")->isRemoved());
+}
