Do not take a part of an answer for whole after a failed write of the request

Callers got a part of an answer as a complete 200 when an endpoint answered a long upload without a length and reset the connection while the upload was being written.

Cause: Linux reports a reset to one call. A pending write took it, ClientConnection::write() ignored the error, and the read that followed returned end of file, which ends a body without a length. Ruled out: the caller's side (a stated length that is not reached gives 502), and short uploads (no write is pending).

A connection now remembers a failed write, after which no end of file ends an answer. An end of file during the write waits up to 250 ms for the write's result; an endpoint that only ended its answer gave a complete one. All answers are read by this class: endpoints, store, other VMs, probes, lupinknotd.

Conclusion: what a write learns about the connection now counts for what is read from it.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -26,6 +26,9 @@
 // What a kept connection may hold of the buffer for unparsed bytes.
 constexpr std::size_t keptBufferBytes = 16 * kibibyte;
 constexpr Milliseconds oneSecond { 1000 };
+// More than the round trip to a peer that answers bytes with a reset because its socket is closed. A peer that still
+// does not read the request after that has only ended its answer.
+constexpr Milliseconds maxWaitForWriteEnd { 250 };
 
 constexpr std::size_t maxTunnelResponseBytes = 1024;
 constexpr unsigned okStatus = 200;
@@ -140,6 +143,7 @@
     , m_path(std::move(path))
     , m_socket(ioContext)
     , m_connectTimer(ioContext)
+    , m_writeEndTimer(ioContext)
 {
 }
 
@@ -151,6 +155,7 @@
     m_requestBytes = serialize(request);
     m_isHeadRequest = request.method == "HEAD";
     m_hasSent = false;
+    m_hasWriteFailed = false;
     m_hasResponseBytes = false;
     m_interimResponses = 0;
     m_reportedBytes = 0;
@@ -298,9 +303,12 @@
     net::async_write(m_socket, net::buffer(m_requestBytes),
         [self = shared_from_this()](boost::system::error_code error, std::size_t) {
             self->m_isWriting = false;
+            self->m_hasWriteFailed = self->m_hasWriteFailed || error;
             // The peer may respond and close before it has read the whole request; its response is still read.
             if (error && self->m_state == State::Idle)
                 self->close();
+            else if (self->m_isAwaitingWriteEnd)
+                self->endWithConnection();
         });
 }
 
@@ -429,18 +437,46 @@
         fail(ClientFailure::ClosedBeforeResponse);
         return;
     }
-    // A response without a length ends with an orderly close; after a reset it is truncated. Another VM's process
-    // closes its connections in the same way when it is killed, so that through it such a response has no certain end.
+    if (error != net::error::eof || !endsWithConnection())
+        fail(ClientFailure::Truncated);
+    else if (m_isWriting)
+        awaitWriteEnd();
+    else
+        endWithConnection();
+}
+
+bool ClientConnection::endsWithConnection() const
+{
+    // Another VM's process closes its connections in the same way when it is killed, so that through it a response
+    // without a length has no certain end.
+    return !m_isThroughVm && m_parser->is_header_done() && m_parser->need_eof();
+}
+
+void ClientConnection::awaitWriteEnd()
+{
+    m_isAwaitingWriteEnd = true;
+    m_writeEndTimer.expires_after(maxWaitForWriteEnd);
+    m_writeEndTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && self->m_isAwaitingWriteEnd)
+            self->endWithConnection();
+    });
+}
+
+void ClientConnection::endWithConnection()
+{
+    const auto self = shared_from_this();
+    m_isAwaitingWriteEnd = false;
+    m_writeEndTimer.cancel();
     beast::error_code parseError;
-    if (error == net::error::eof && !m_isThroughVm && m_parser->is_header_done() && m_parser->need_eof())
+    if (!m_hasWriteFailed)
         m_parser->put_eof(parseError);
     if (m_state != State::Busy)
         return;
-    if (parseError || !m_parser->is_done()) {
+    if (m_hasWriteFailed || parseError || !m_parser->is_done())
         fail(ClientFailure::Truncated);
-        return;
-    }
-    finishResponse();
+    else
+        finishResponse();
 }
 
 void ClientConnection::fail(ClientFailure failure)
@@ -462,6 +498,8 @@
     m_state = State::Closed;
     m_listener.reset();
     m_connectTimer.cancel();
+    m_isAwaitingWriteEnd = false;
+    m_writeEndTimer.cancel();
     boost::system::error_code ignored;
     if (isResponsePending)
         m_socket.set_option(net::socket_base::linger(true, 0), ignored);
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -127,6 +127,13 @@
     void reportHeldBytes();
     void finishResponse();
     void peerClosed(boost::system::error_code);
+    // True when only the end of the connection can end the response.
+    bool endsWithConnection() const;
+    // The peer has closed the connection, and the response has no length: waits until it is known whether the rest of
+    // the request could be written.
+    void awaitWriteEnd();
+    // Ends the response at the end of the connection, unless the connection was reset.
+    void endWithConnection();
     void readKeepAliveTimeout();
     void fail(ClientFailure);
 
@@ -151,6 +158,10 @@
     std::string m_requestBytes;
     bool m_isHeadRequest { false };
     bool m_isWriting { false };
+    // True after an error of the write. A reset is reported once, so that the read may see an orderly end after it.
+    bool m_hasWriteFailed { false };
+    bool m_isAwaitingWriteEnd { false };
+    boost::asio::steady_timer m_writeEndTimer;
     bool m_hasSent { false };
     bool m_hasResponseBytes { false };
     unsigned m_interimResponses { 0 };
--- a/test/RelayHarness.cpp
+++ b/test/RelayHarness.cpp
@@ -48,6 +48,13 @@
     m_builder.addKey(key, organisation);
 }
 
+void RelayHarness::allowBodies(std::int64_t bytes)
+{
+    HttpServerSettings limits;
+    limits.maxBodyBytes = bytes;
+    m_builder.callerLimits(limits);
+}
+
 void RelayHarness::configure() { daemon().applyConfiguration(m_builder.version(++m_version).build()); }
 
 ScriptedEndpoint& RelayHarness::addEndpoint(const std::string& id, const std::string& zone, const std::string& version)
--- a/test/RelayHarness.h
+++ b/test/RelayHarness.h
@@ -58,6 +58,8 @@
     void addKeyedRoute(const std::string& prefix, const std::string& key, const std::string& organisation);
     // Sets the rank of the routes that are added from now on.
     void useRank(std::optional<unsigned> rank) { m_rank = rank; }
+    // Sets the largest body of a request.
+    void allowBodies(std::int64_t bytes);
     // Applies a configuration with the routes added since the last one.
     void configure();
     ScriptedEndpoint& addEndpoint(
