Reject responses under transfer codings that cannot be undone

Callers got a 200 whose body was not the endpoint's when the endpoint stated Transfer-Encoding: xchunked or chunked, chunked: the parser took the first for a body that ends with its connection and undid the second once, and the field was dropped on the way.

A transfer coding other than exactly one chunked, or any in HTTP/1.0, is now malformed: 502, or another endpoint's answer where the request may run again. Ruled out: the relay's own framing.

Tests: MalformedAnswer.HasALengthOrACodingThatCannotBeUnderstood, 22 framings on a connection and through the relay as three kinds of request; it failed before at xchunked. Valid heads still pass. Conclusion: a body is passed on only if all its codings were undone.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -81,14 +81,22 @@
 private:
     void on_request_impl(http::verb, beast::string_view, beast::string_view, int, beast::error_code&) override { }
 
-    void on_response_impl(int code, beast::string_view, int, beast::error_code&) override
+    void on_response_impl(int code, beast::string_view, int version, beast::error_code&) override
     {
         m_head.status = static_cast<unsigned>(code);
+        m_version = version;
     }
 
     void on_field_impl(
-        http::field, beast::string_view name, beast::string_view value, beast::error_code& error) override
+        http::field field, beast::string_view name, beast::string_view value, beast::error_code& error) override
     {
+        // The body cannot be read under any other coding, or a second one.
+        const bool isChunked = field == http::field::transfer_encoding;
+        if (isChunked
+            && (m_version < http11 || std::exchange(m_isChunked, true) || !beast::iequals(value, "chunked"))) {
+            error = http::error::bad_transfer_encoding;
+            return;
+        }
         if (m_head.headers.fields().size() >= maxResponseFields) {
             error = http::error::header_limit;
             return;
@@ -123,7 +131,11 @@
 
     void on_finish_impl(beast::error_code&) override { }
 
+    static constexpr int http11 = 11;
+
     const std::weak_ptr<ClientConnectionListener>& m_listener;
+    int m_version { 0 };
+    bool m_isChunked { false };
     HttpResponse m_head;
     std::size_t m_headBytes { 0 };
 };
