Check statuses and fields of responses here, not only in the parser

Other systems passed on a status of 000 and fields whose name holds a blank or a control character. Here callers got 502 for all of these, by the parser of the library, whose next version might decide otherwise. Statuses from 600 and 101, which no request asks for, were passed on or read as interim.

Statuses outside 100 to 599 and 101, names with characters that the protocol does not allow, and values with control characters are now malformed by our own checks.

Conclusion: what counts as an answer no longer depends on the library's version.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -2,10 +2,12 @@
 
 #include "common/ByteSizes.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/basic_parser.hpp>
+#include <cctype>
 #include <charconv>
 #include <limits>
 
@@ -41,6 +43,29 @@
     return ++last;
 }
 
+bool isTokenCharacter(char character)
+{
+    constexpr std::string_view others = "!#$%&'*+-.^_`|~";
+    return std::isalnum(static_cast<unsigned char>(character)) || others.find(character) != std::string_view::npos;
+}
+
+bool isToken(beast::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
+}
+
+// Control characters other than a tab have no place in the value of a field.
+bool isFieldValue(beast::string_view text)
+{
+    return std::none_of(text.begin(), text.end(), [](char character) {
+        const auto byte = static_cast<unsigned char>(character);
+        return (byte < ' ' && byte != '\t') || byte == 0x7f;
+    });
+}
+
+// No request asks for a change of the protocol (101).
+bool isResponseStatus(int status) { return status >= 100 && status < 600 && status != 101; }
+
 bool mayCarryBody(const std::string& method) { return method == "POST" || method == "PUT" || method == "PATCH"; }
 
 std::string serialize(const HttpRequest& request)
@@ -81,8 +106,10 @@
 private:
     void on_request_impl(http::verb, beast::string_view, beast::string_view, int, beast::error_code&) override { }
 
-    void on_response_impl(int code, beast::string_view, int version, beast::error_code&) override
+    void on_response_impl(int code, beast::string_view, int version, beast::error_code& error) override
     {
+        if (!isResponseStatus(code))
+            error = http::error::bad_status;
         m_head.status = static_cast<unsigned>(code);
         m_version = version;
     }
@@ -90,6 +117,14 @@
     void on_field_impl(
         http::field field, beast::string_view name, beast::string_view value, beast::error_code& error) override
     {
+        if (!isToken(name)) {
+            error = http::error::bad_field;
+            return;
+        }
+        if (!isFieldValue(value)) {
+            error = http::error::bad_value;
+            return;
+        }
         // The body cannot be read under any other coding, or a second one.
         const bool isChunked = field == http::field::transfer_encoding;
         if (isChunked
--- a/test/MalformedAnswerTest.cpp
+++ b/test/MalformedAnswerTest.cpp
@@ -25,6 +25,27 @@
     return statusLine + signedHead + fields + "\r\n" + body;
 }
 
+std::vector<std::string> malformedStatuses()
+{
+    std::vector<std::string> answers;
+    for (const auto* const status :
+        { "000", "0", "20", "2000", "+20", "099", "0200", "20x", "", "-200", "101", "600", "999" })
+        answers.push_back(withStatus(status));
+    answers.push_back("HTTP/1.1200 OK\r\n" + signedHead + length + "\r\nwhole");
+    return answers;
+}
+
+std::vector<std::string> malformedFields()
+{
+    using namespace std::string_literals;
+    std::vector<std::string> answers;
+    for (const auto& field : { "X Name: 1"s, "X-Name : 1"s, " X-Name: 1\r\nX-Other: 1"s, "X\x01Name: 1"s,
+             "X\x7fName: 1"s, "X\0Name: 1"s, "X-N\xc3\xa4me: 1"s, "X(Name): 1"s, ": 1"s, "X-Name"s, "X-Name: a\0b"s,
+             "X-Name: a\x01b"s, "X-Name: a\rb"s, "X-Name: a\rX-Other: b"s })
+        answers.push_back(withField(field));
+    return answers;
+}
+
 std::vector<std::string> malformedFramings()
 {
     std::vector<std::string> answers;
@@ -117,6 +138,12 @@
     }
 };
 
+// Guards against a status that is none and reaches the caller as an answer.
+TEST(MalformedAnswer, HasNoStatus) { checkMalformed(malformedStatuses()); }
+
+// Guards against a head that is passed on with a line that is no field, or whose body is taken from elsewhere.
+TEST(MalformedAnswer, HasALineThatIsNoField) { checkMalformed(malformedFields()); }
+
 // Guards against a body under a coding that nobody here can undo, passed on with the coding's field dropped.
 TEST(MalformedAnswer, HasALengthOrACodingThatCannotBeUnderstood) { checkMalformed(malformedFramings()); }
 
