--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -28,6 +28,7 @@
 // What a kept connection may hold of the buffer for unparsed bytes.
 constexpr std::size_t keptBufferBytes = 16 * kibibyte;
 constexpr Milliseconds oneSecond { 1000 };
+constexpr std::int64_t maxKeepAliveSeconds = 86'400;
 // More than the round trip to a peer that answers bytes with a reset because its socket is closed. A peer that still
 // does not read the request after that has only ended its answer.
 constexpr Milliseconds maxWaitForWriteEnd { 250 };
@@ -471,7 +472,7 @@
     std::int64_t seconds = 0;
     const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
     if (parsed.ec == std::errc())
-        m_peerIdleTimeout = seconds * oneSecond;
+        m_peerIdleTimeout = std::clamp<std::int64_t>(seconds, 0, maxKeepAliveSeconds) * oneSecond;
 }
 
 void ClientConnection::peerClosed(boost::system::error_code error)
--- a/test/MalformedAnswerTest.cpp
+++ b/test/MalformedAnswerTest.cpp
@@ -155,3 +155,15 @@
         STRCMP_EQUAL_TEXT("whole", caller->body.c_str(), printable(answer).c_str());
     }
 }
+
+// Guards against an overflow: the connection counted as closed by its peer, or as kept for ever.
+TEST(MalformedAnswer, AnEndlessTimeOfAKeptConnectionIsLimited)
+{
+    for (const auto* const seconds : { "9223372036854775807", "9223372036854775", "86401" }) {
+        const auto caller = ask(withField("Keep-Alive: timeout=" + std::string(seconds)));
+        CHECK(caller->isWhole);
+        LONGS_EQUAL_TEXT(86'400'000, caller->connection->peerIdleTimeout()->count(), seconds);
+    }
+    const auto caller = ask(withField("Keep-Alive: timeout=-9223372036854775808"));
+    LONGS_EQUAL(0, caller->connection->peerIdleTimeout()->count());
+}
--- a/test/PlatformCallProtocolTest.cpp
+++ b/test/PlatformCallProtocolTest.cpp
@@ -43,6 +43,9 @@
 {
     STRCMP_EQUAL("Last-Event-Id", protocol.decodeCaller({ { "Last-Event-Id", "-3" } }).malformedField.c_str());
     STRCMP_EQUAL("X-Deadline-Ms", protocol.decodeCaller({ { "X-Deadline-Ms", "" } }).malformedField.c_str());
+    // Guards against a deadline that overflows and lies in the past.
+    for (const auto* const endless : { "9223372036854775807", "9223372036854775808", "18446744073709551615" })
+        LONGS_EQUAL(86'400'000, protocol.decodeCaller({ { "X-Deadline-Ms", endless } }).callerTimeout->count());
 }
 
 // A request id is written to store rows and engine requests as JSON; invalid UTF-8 in it would end the process there.
