--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -127,9 +127,8 @@
             return;
         }
         // The body cannot be read under any other coding, or a second one.
-        const bool isChunked = field == http::field::transfer_encoding;
-        if (isChunked
-            && (m_version < http11 || std::exchange(m_isChunked, true) || !beast::iequals(value, "chunked"))) {
+        const bool isCoding = field == http::field::transfer_encoding;
+        if (isCoding && (m_version < http11 || std::exchange(m_hasCoding, true) || !beast::iequals(value, "chunked"))) {
             error = http::error::bad_transfer_encoding;
             return;
         }
@@ -171,7 +170,7 @@
 
     const std::weak_ptr<ClientConnectionListener>& m_listener;
     int m_version { 0 };
-    bool m_isChunked { false };
+    bool m_hasCoding { false };
     HttpResponse m_head;
     std::size_t m_headBytes { 0 };
 };
--- a/src/relay/EndpointDirectory.cpp
+++ b/src/relay/EndpointDirectory.cpp
@@ -360,7 +360,7 @@
 
 void EndpointDirectory::noteMisdirected(const RelayEndpoint& endpoint, Milliseconds now)
 {
-    const auto entry = endpoint.entry();
+    const auto& entry = endpoint.entry();
     const auto* const listed = listedEntry(entry.id);
     const auto address = entry.address.text();
     // The list may name another incarnation or address by now.
@@ -483,7 +483,7 @@
     if (ids == m_idsByAddress.end())
         return nullptr;
     for (const auto& id : ids->second) {
-        if (const auto endpoint = find(id); isInUse(id) && endpoint->entry().service == service)
+        if (auto endpoint = find(id); isInUse(id) && endpoint->entry().service == service)
             return endpoint;
     }
     return nullptr;
--- a/src/relay/EndpointDirectory.h
+++ b/src/relay/EndpointDirectory.h
@@ -74,7 +74,8 @@
     void upsert(EndpointEntry, Milliseconds now);
     void remove(const std::string& id, Milliseconds now);
     // An answer shows that another endpoint runs at the endpoint's address. The endpoint is a last resort for a while
-    // and is not in use again until its entry changes; others that are listed at the address may be.
+    // and is not in use again until its entry changes; others that are listed at the address may be. The caller keeps
+    // the endpoint alive.
     void noteMisdirected(const RelayEndpoint&, Milliseconds now);
     // Applies the changes in their order: an endpoint may be listed and removed within one answer of the store.
     EndpointCounts change(std::vector<EndpointChange>, Milliseconds now, std::uint64_t version = 0);
--- a/test/SharedAddressTest.cpp
+++ b/test/SharedAddressTest.cpp
@@ -391,6 +391,7 @@
             entries.push_back(rowOf(std::array { "s", "other", "unheard-of" }[random() % 3],
                 row("e" + std::to_string(i), random() % 4, random() % 3)));
         std::vector<AddressClaim> claims;
+        claims.reserve(entries.size());
         for (const auto& entry : entries)
             claims.push_back({ .entry = &entry,
                 .isListed = random() % 4 != 0,
